--- /dev/null
+++ b/internal/resource/vector.go
@@ -0,0 +1,95 @@
+// Package resource provides exact integer arithmetic on host resources.
+package resource
+
+import "fmt"
+
+// Vector is an amount of each resource of a host.
+type Vector struct {
+	// MilliCPU is thousandths of one processor core.
+	MilliCPU int64 `json:"milli_cpu" toml:"milli_cpu"`
+	// MemoryMiB is memory in mebibytes.
+	MemoryMiB int64 `json:"memory_mib" toml:"memory_mib"`
+	// Accelerators is a count of whole accelerators.
+	Accelerators int64 `json:"accelerators,omitempty" toml:"accelerators,omitempty"`
+}
+
+// Dimensions is the number of resources in a Vector.
+const Dimensions = 3
+
+// At returns the amount of resource i, in the order of the fields.
+func (v Vector) At(i int) int64 {
+	switch i {
+	case 0:
+		return v.MilliCPU
+	case 1:
+		return v.MemoryMiB
+	default:
+		return v.Accelerators
+	}
+}
+
+// Add returns v + w.
+func (v Vector) Add(w Vector) Vector {
+	return Vector{v.MilliCPU + w.MilliCPU, v.MemoryMiB + w.MemoryMiB, v.Accelerators + w.Accelerators}
+}
+
+// Sub returns v - w.
+func (v Vector) Sub(w Vector) Vector {
+	return Vector{v.MilliCPU - w.MilliCPU, v.MemoryMiB - w.MemoryMiB, v.Accelerators - w.Accelerators}
+}
+
+// Scale returns v times n.
+func (v Vector) Scale(n int64) Vector {
+	return Vector{v.MilliCPU * n, v.MemoryMiB * n, v.Accelerators * n}
+}
+
+// Fits reports whether v is at most w in every resource.
+func (v Vector) Fits(w Vector) bool {
+	return v.MilliCPU <= w.MilliCPU && v.MemoryMiB <= w.MemoryMiB && v.Accelerators <= w.Accelerators
+}
+
+// IsZero reports whether every amount is zero.
+func (v Vector) IsZero() bool { return v == Vector{} }
+
+// IsNegative reports whether any amount is below zero.
+func (v Vector) IsNegative() bool {
+	return v.MilliCPU < 0 || v.MemoryMiB < 0 || v.Accelerators < 0
+}
+
+// String returns a short form such as "4000m 8192MiB 1acc".
+func (v Vector) String() string {
+	return fmt.Sprintf("%dm %dMiB %dacc", v.MilliCPU, v.MemoryMiB, v.Accelerators)
+}
+
+// UnitsNeeded returns the smallest number of units that covers v, which is the
+// ceiling of its dominant part. A resource that the unit does not contain
+// makes v impossible to cover, and ok is false.
+func (v Vector) UnitsNeeded(unit Vector) (units int64, ok bool) {
+	for i := range Dimensions {
+		need, one := v.At(i), unit.At(i)
+		if need <= 0 {
+			continue
+		}
+		if one <= 0 {
+			return 0, false
+		}
+		units = max(units, (need+one-1)/one)
+	}
+	return units, true
+}
+
+// UnitsIn returns the largest number of whole units that fit into v.
+// It is zero for an empty unit.
+func (v Vector) UnitsIn(unit Vector) int64 {
+	best := int64(-1)
+	for i := range Dimensions {
+		one := unit.At(i)
+		if one <= 0 {
+			continue
+		}
+		if n := v.At(i) / one; best < 0 || n < best {
+			best = n
+		}
+	}
+	return max(best, 0)
+}
--- /dev/null
+++ b/internal/scheduler/action.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// Action is something that the scheduler wants done.
+type Action interface{ isAction() }
+
+// StartTask asks for an attempt to be started on a host.
+type StartTask struct {
+	Attempt    work.AttemptID
+	Host       string
+	Size       resource.Vector
+	Lease      time.Duration
+	Command    string
+	Idempotent bool
+	Class      work.Class
+	// Waited is the time from the acceptance of the job, or from the end of the last
+	// attempt, to this decision.
+	Waited time.Duration
+}
+
+// StopTask asks for an attempt to be stopped.
+type StopTask struct {
+	Attempt work.AttemptID
+	Host    string
+	Mode    StopMode
+	Reason  string
+}
+
+// StopMode is how a task is stopped.
+type StopMode uint8
+
+const (
+	// StopCheckpoint asks the task to save its state and end.
+	StopCheckpoint StopMode = iota
+	// StopThrottle slows the task down.
+	StopThrottle
+	// StopKill ends the task at once.
+	StopKill
+)
+
+// EndTask fixes the final outcome of a task of this shard.
+type EndTask struct {
+	Task    work.TaskID
+	Outcome work.Outcome
+	Reason  string
+}
+
+// OfferTasks names tasks that have not started and do not fit in this shard
+// for now, so that the owner can move them to another shard.
+type OfferTasks struct {
+	Job   work.JobID
+	First int32
+	Count int32
+	Size  resource.Vector
+}
+
+func (StartTask) isAction()  {}
+func (StopTask) isAction()   {}
+func (EndTask) isAction()    {}
+func (OfferTasks) isAction() {}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,37 @@
+package verdict
+
+import (
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+)
+
+// Guards against a merge that claims more than both attempts prove.
+func TestMergeNeverUpgrades(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := []Verdict{MayHaveRun, DidNotRun, DidRun}
+		v := rapid.SampledFrom(all).Draw(t, "v")
+		w := rapid.SampledFrom(all).Draw(t, "w")
+		got := v.Merge(w)
+		if got == DidNotRun && (v != DidNotRun || w != DidNotRun) {
+			t.Fatalf("%s merged with %s gives %s", v, w, got)
+		}
+		if got == DidRun && v != DidRun && w != DidRun {
+			t.Fatalf("%s merged with %s gives %s", v, w, got)
+		}
+		if got != w.Merge(v) {
+			t.Fatalf("merge of %s and %s depends on the order", v, w)
+		}
+	})
+}
+
+// Guards against an error without a verdict being read as "did not run".
+func TestOfDefaultsToMayHaveRun(t *testing.T) {
+	if got := Of(eris.New("plain")); got != MayHaveRun {
+		t.Fatalf("got %s", got)
+	}
+	if got := Of(eris.Wrap(New(DidNotRun, "x", "y"), "outer")); got != DidNotRun {
+		t.Fatalf("got %s", got)
+	}
+}
