Add worker protocol, worker stand-in, lease bounds and the shard dispatcher

Cause: shard owners need a driver between the scheduler and the workers. Figures: property test of the lease bound passes; the dispatcher is not run yet. Conclusion: ready to be wired to the scheduler and the ledger.

--- /dev/null
+++ b/internal/dispatch/actions.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"github.com/medlarpulley/medlarpulley/internal/platform/worker"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+)
+
+// decide lets the scheduler decide and queues what it wants done.
+func (s *Shard) decide() {
+	s.mu.Lock()
+	if s.fenced || s.draining || !s.o.Authority() {
+		s.mu.Unlock()
+		return
+	}
+	actions := s.sched.Decide(s.o.Clock())
+	var offers []scheduler.OfferTasks
+	for _, action := range actions {
+		switch act := action.(type) {
+		case scheduler.StartTask:
+			s.queueStart(act)
+		case scheduler.StopTask:
+			s.queueStop(act)
+		case scheduler.EndTask:
+			s.ended = append(s.ended, endedTask{task: act.Task, outcome: act.Outcome})
+		case scheduler.OfferTasks:
+			offers = append(offers, act)
+		}
+	}
+	s.mu.Unlock()
+	if len(actions) > 0 {
+		s.decideSoon()
+	}
+	for _, offer := range offers {
+		s.o.Offer(offer)
+	}
+}
+
+// queueStart queues a start, after its intent is logged if it must run at
+// most once.
+func (s *Shard) queueStart(act scheduler.StartTask) {
+	h := s.hosts[act.Host]
+	if h == nil {
+		s.apply(scheduler.TaskRefused{Attempt: act.Attempt, Host: act.Host, Reason: "host is gone"})
+		return
+	}
+	if r, ok := s.reports[act.Attempt.Task]; ok {
+		s.acknowledge(r)
+	}
+	h.attempts[act.Attempt] = &attempt{id: act.Attempt, size: act.Size, lease: act.Lease, start: &act}
+	if !act.Idempotent {
+		s.intents = append(s.intents, act)
+		select {
+		case s.intent <- struct{}{}:
+		default:
+		}
+		return
+	}
+	h.starts = append(h.starts, act)
+	h.signal()
+}
+
+// queueStop queues the stop of an attempt.
+func (s *Shard) queueStop(act scheduler.StopTask) {
+	h := s.hosts[act.Host]
+	if h == nil {
+		return
+	}
+	h.stops = append(h.stops, worker.Stop{Attempt: act.Attempt, Mode: stopMode(act.Mode)})
+	h.signal()
+}
+
+// stopMode returns the wire form of a stop mode.
+func stopMode(m scheduler.StopMode) worker.StopMode {
+	switch m {
+	case scheduler.StopCheckpoint:
+		return worker.Checkpoint
+	case scheduler.StopThrottle:
+		return worker.Throttle
+	default:
+		return worker.Kill
+	}
+}
--- /dev/null
+++ b/internal/dispatch/exchange.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/platform/worker"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+)
+
+// pollLoop keeps one exchange open with a worker, so that ends of tasks are
+// known at once and leases are renewed.
+func (s *Shard) pollLoop(h *host) {
+	backoff := minBackoff
+	for s.ctx.Err() == nil {
+		if s.pollOnce(h) {
+			backoff = minBackoff
+			continue
+		}
+		if !s.sleep(h, backoff) {
+			return
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// sleep waits and reports whether the host still belongs to the shard.
+func (s *Shard) sleep(h *host, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-h.stop:
+		return false
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// pollOnce does one held exchange or one full report.
+func (s *Shard) pollOnce(h *host) bool {
+	s.mu.Lock()
+	full := !h.adopted || h.reconcile
+	s.mu.Unlock()
+	if full {
+		if !s.lockHost(h) {
+			return false
+		}
+		defer func() { <-h.exclusive }()
+	}
+	req, ok := s.pollRequest(h, full)
+	if !ok {
+		return false
+	}
+	resp, at, err := s.exchange(h, req)
+	if err != nil {
+		s.pollFailed(h, req, err)
+		return false
+	}
+	s.answered(h, req, resp, at)
+	return resp.Refused == ""
+}
+
+// lockHost waits for the exclusive right to send starts or to ask for a full report.
+func (s *Shard) lockHost(h *host) bool {
+	select {
+	case h.exclusive <- struct{}{}:
+		return true
+	case <-h.stop:
+	case <-s.ctx.Done():
+	}
+	return false
+}
+
+// pollRequest builds the next exchange without starts.
+func (s *Shard) pollRequest(h *host, full bool) (worker.ExchangeRequest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fenced || !s.o.Authority() {
+		return worker.ExchangeRequest{}, false
+	}
+	req := worker.ExchangeRequest{Shard: s.o.Shard, Token: s.o.Token, Full: full, Acks: h.acks}
+	h.acks = nil
+	req.Incarnation, req.Stamp = h.lease.Echo()
+	if !full {
+		req.Wait = s.o.Interval
+	}
+	return req, true
+}
+
+// exchange sends one request and returns the answer with the time of its arrival.
+func (s *Shard) exchange(h *host, req worker.ExchangeRequest) (worker.ExchangeResponse, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, req.Wait+answerAllowance)
+	defer cancel()
+	if !s.o.Authority() {
+		return worker.ExchangeResponse{}, 0, verdict.New(verdict.DidNotRun, "no-authority", "authority over shard %s is over", s.o.Shard)
+	}
+	resp, err := s.o.Workers.Exchange(ctx, h.entry.Address, req)
+	return resp, s.o.Clock(), err
+}
+
+// pollFailed notes a failed exchange. The acknowledgements are sent again.
+func (s *Shard) pollFailed(h *host, req worker.ExchangeRequest, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.acks = append(h.acks, req.Acks...)
+	h.failures++
+	h.reconcile = true
+	if h.failures == unreachableAfter {
+		s.log.Warn("dispatch: host does not answer", "shard", s.o.Shard, "host", h.entry.ID, "error", err)
+	}
+	s.refreshHost(h)
+}
+
+// sendLoop sends starts and stops as they come up.
+func (s *Shard) sendLoop(h *host) {
+	for {
+		select {
+		case <-h.wake:
+		case <-h.stop:
+			return
+		case <-s.ctx.Done():
+			return
+		}
+		for s.sendOnce(h) {
+		}
+	}
+}
+
+// sendOnce sends one message with the queued starts and stops. It reports
+// whether more is queued.
+func (s *Shard) sendOnce(h *host) bool {
+	if !s.lockHost(h) {
+		return false
+	}
+	defer func() { <-h.exclusive }()
+	req, ok := s.sendRequest(h)
+	if !ok {
+		return false
+	}
+	resp, at, err := s.exchange(h, req)
+	if err != nil {
+		s.sendFailed(h, req, err)
+		return false
+	}
+	s.answered(h, req, resp, at)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(h.starts)+len(h.stops) > 0
+}
+
+// sendRequest takes the queued starts and stops of a host.
+func (s *Shard) sendRequest(h *host) (worker.ExchangeRequest, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(h.starts)+len(h.stops) == 0 {
+		return worker.ExchangeRequest{}, false
+	}
+	if s.fenced || !s.o.Authority() {
+		s.refuseQueued(h, "authority is over")
+		return worker.ExchangeRequest{}, false
+	}
+	req := worker.ExchangeRequest{Shard: s.o.Shard, Token: s.o.Token, Stops: h.stops, Acks: h.acks}
+	h.stops, h.acks = nil, nil
+	req.Incarnation, req.Stamp = h.lease.Echo()
+	n := min(len(h.starts), maxStartsPerExchange)
+	for _, start := range h.starts[:n] {
+		if a := h.attempts[start.Attempt]; a != nil {
+			a.sentStamp, a.sentIncarnation = req.Stamp, req.Incarnation
+		}
+		req.Starts = append(req.Starts, worker.Start{
+			Attempt: start.Attempt, Size: start.Size, Lease: start.Lease, Command: start.Command,
+		})
+	}
+	h.starts = h.starts[n:]
+	return req, true
+}
+
+// refuseQueued gives the queued starts back to the scheduler. The lock must be held.
+func (s *Shard) refuseQueued(h *host, reason string) {
+	for _, start := range h.starts {
+		delete(h.attempts, start.Attempt)
+		s.apply(scheduler.TaskRefused{Attempt: start.Attempt, Host: h.entry.ID, Reason: reason})
+	}
+	h.starts = nil
+	s.decideSoon()
+}
+
+// sendFailed settles the starts of a message that got no answer.
+func (s *Shard) sendFailed(h *host, req worker.ExchangeRequest, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	notRun := verdict.Of(err) == verdict.DidNotRun
+	for _, start := range req.Starts {
+		a := h.attempts[start.Attempt]
+		switch {
+		case a == nil:
+		case notRun:
+			delete(h.attempts, start.Attempt)
+			s.apply(scheduler.TaskRefused{Attempt: start.Attempt, Host: h.entry.ID, Reason: "worker was not reached"})
+		default:
+			a.state = attemptUnknown
+			s.apply(scheduler.TaskUnknown{Attempt: start.Attempt, Host: h.entry.ID})
+		}
+	}
+	h.stops = append(req.Stops, h.stops...)
+	h.acks = append(h.acks, req.Acks...)
+	h.failures++
+	h.reconcile = true
+	s.refreshHost(h)
+	s.decideSoon()
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,51 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against an owner that takes a lease for over while a worker, whose
+// clock runs up to 1 % slower, still runs the task: any exchange order, delay
+// and loss is allowed.
+func TestOverIsNeverEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 10 * time.Second
+		var (
+			owner    Host
+			now      time.Duration
+			leaseEnd time.Duration // on the worker's clock
+			inFlight []time.Duration
+		)
+		drift := rapid.Int64Range(990, 1010).Draw(t, "worker clock per mille")
+		offset := rapid.Int64Range(0, 1000).Draw(t, "worker clock offset")
+		workerClock := func() time.Duration {
+			return time.Duration(offset)*time.Second + now/1000*time.Duration(drift)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, 3000).Draw(t, "step ms")) * time.Millisecond
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				owner.Answer(now, 1, workerClock())
+			case 1:
+				if _, stamp := owner.Echo(); owner.Incarnation() != 0 {
+					inFlight = append(inFlight, stamp)
+				}
+			case 2:
+				if len(inFlight) > 0 {
+					i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "delivered")
+					leaseEnd = max(leaseEnd, inFlight[i]+length)
+				}
+			}
+			over := owner.Over(length)
+			if leaseEnd > workerClock() && over != 0 && over < now {
+				t.Fatalf("owner takes the lease for over at %s, now %s, worker has %s left", over, now, leaseEnd-workerClock())
+			}
+			if leaseEnd > workerClock() && over == 0 {
+				t.Fatalf("a lease runs that the owner does not count")
+			}
+		}
+	})
+}
--- a/internal/platform/worker/protocol.go
+++ b/internal/platform/worker/protocol.go
@@ -50,6 +50,8 @@
 	// Leases are extended to Stamp plus their length, and starts are refused
 	// if Stamp is too old, so a delayed message cannot prolong anything.
 	Stamp time.Duration `json:"stamp,omitempty"`
+	// Wait is how long the worker may hold the answer while no task has ended.
+	Wait time.Duration `json:"wait,omitempty"`
 	// Full asks for the list of all running tasks.
 	Full   bool    `json:"full,omitempty"`
 	Starts []Start `json:"starts,omitempty"`
@@ -104,20 +106,29 @@
 
 // ExchangeResponse is the worker's answer.
 type ExchangeResponse struct {
-	Incarnation uint64        `json:"incarnation"`
-	Stamp       time.Duration `json:"stamp"`
+	// Incarnation changes when the agent restarts; all its tasks are gone then.
+	Incarnation uint64 `json:"incarnation"`
+	// Stamp is the worker's monotonic clock when it wrote the answer.
+	Stamp time.Duration `json:"stamp"`
 	// Refused is set if the whole exchange was refused; nothing was done then.
 	Refused RefusalCode `json:"refused,omitempty"`
 	// HighestToken is the highest fencing token that the worker has seen.
-	HighestToken uint64          `json:"highest_token"`
-	Starts       []StartResult   `json:"starts,omitempty"`
-	Running      []Running       `json:"running,omitempty"`
-	Finished     []Finished      `json:"finished,omitempty"`
-	Usage        resource.Vector `json:"usage"`
-	Capacity     resource.Vector `json:"capacity"`
-	Leaving      bool            `json:"leaving,omitempty"`
+	HighestToken uint64        `json:"highest_token"`
+	Starts       []StartResult `json:"starts,omitempty"`
+	// Running lists all running tasks; only in a full answer.
+	Running []Running `json:"running,omitempty"`
+	// Finished lists the ended attempts that no earlier answer has named; in a
+	// full answer, all that are not acknowledged.
+	Finished []Finished      `json:"finished,omitempty"`
+	Usage    resource.Vector `json:"usage"`
+	Capacity resource.Vector `json:"capacity"`
+	Leaving  bool            `json:"leaving,omitempty"`
 }
 
+// StampMaxAge is the age of a stamp, by the worker's clock, from which on the
+// worker refuses starts. It bounds how late a delayed start can take effect.
+const StampMaxAge = 5 * time.Second
+
 // Client talks to worker agents.
 type Client interface {
 	// Exchange sends one request to the worker at an address. An error that
--- /dev/null
+++ b/internal/standin/worker/journal.go
@@ -0,0 +1,61 @@
+// Package worker is a stand-in for worker agents. It follows the rules that
+// the scheduler assumes of a worker, misbehaves on command and keeps its own
+// record of what ran, so that checks never rely on the scheduler's word.
+package worker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// Execution is one run of a task attempt on a host.
+type Execution struct {
+	Host     string
+	Attempt  work.AttemptID
+	Size     resource.Vector
+	Capacity resource.Vector
+	// Start and End are readings of the journal's clock; End is zero while the
+	// task runs.
+	Start   time.Duration
+	End     time.Duration
+	Ended   bool
+	Outcome work.Outcome
+}
+
+// Journal records the executions of a whole fleet on one clock.
+type Journal struct {
+	mu         sync.Mutex
+	clock      func() time.Duration
+	executions []Execution
+}
+
+// NewJournal returns an empty journal that reads clock.
+func NewJournal(clock func() time.Duration) *Journal { return &Journal{clock: clock} }
+
+// begin records a start and returns its index.
+func (j *Journal) begin(e Execution) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.executions = append(j.executions, e)
+	return len(j.executions) - 1
+}
+
+// end records the end of an execution.
+func (j *Journal) end(i int, at time.Duration, outcome work.Outcome) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.executions[i].End, j.executions[i].Ended, j.executions[i].Outcome = at, true, outcome
+}
+
+// Executions returns a copy of all executions in the order of their start.
+func (j *Journal) Executions() []Execution {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Execution(nil), j.executions...)
+}
+
+// Now returns the journal's clock.
+func (j *Journal) Now() time.Duration { return j.clock() }
