Add the replicated state over log records

Cause: nodes need one reading of the log for configuration, members, shard claims, jobs and limit allotments.

Change: internal/ledger applies batches to a deterministic state and returns a typed event for each record that took effect or did not.

Conclusion: property tests compare two replicas with duplicated, re-read and restored input, and check the sum of allotments, the revision, the verdicts on racing publications and the outcome of each task.

--- /dev/null
+++ b/internal/ledger/batch_applied.go
@@ -0,0 +1,7 @@
+package ledger
+
+// BatchApplied reports that the records of a batch were applied.
+type BatchApplied struct {
+	Origin
+	Records int
+}
--- /dev/null
+++ b/internal/ledger/bounds.go
@@ -0,0 +1,34 @@
+package ledger
+
+// Bounds of the replicated state. They decide what takes effect, so they must
+// be equal on all nodes and are constants of a release.
+const (
+	// FirstOffset is the offset of the first record of a log. Zero is not an
+	// offset, so that a zero token means that a shard was never claimed.
+	FirstOffset = 1
+	// MaxSenders bounds the nodes whose last batch is remembered.
+	MaxSenders = 1024
+	// MaxMembers bounds the entry nodes that are members at one time.
+	MaxMembers = 256
+	// MaxMemberSets bounds the history of member sets.
+	MaxMemberSets = 256
+	// MaxObjects bounds the objects of the configuration.
+	MaxObjects = 50_000
+	// MaxWithdrawn bounds the withdrawn objects whose last change is remembered.
+	MaxWithdrawn = 4096
+	// MaxVerdicts bounds the publications whose verdict is remembered.
+	MaxVerdicts = 1024
+	// MaxShards bounds the shards that can be claimed.
+	MaxShards = 4096
+	// MaxOpenJobs bounds the unfinished jobs.
+	MaxOpenJobs = 100_000
+	// MaxFinishedJobs bounds the finished jobs that are kept for status and
+	// for repeated submissions. It covers more than a day at 6,500 jobs a day.
+	MaxFinishedJobs = 10_000
+	// MaxTasks bounds the tasks of one job.
+	MaxTasks = 100_000
+	// MaxParts bounds the parts of one job.
+	MaxParts = 256
+	// MaxName bounds a name or identifier, in bytes.
+	MaxName = 512
+)
--- /dev/null
+++ b/internal/ledger/job_duplicate.go
@@ -0,0 +1,9 @@
+package ledger
+
+import "github.com/medlarpulley/medlarpulley/internal/work"
+
+// JobDuplicate reports a job that had been accepted before with equal content.
+type JobDuplicate struct {
+	Origin
+	Job work.JobID
+}
--- /dev/null
+++ b/internal/ledger/jobs.go
@@ -0,0 +1,128 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+func (s *State) cancel(events []Event, o Origin, r *ledgerv1.JobCancelled) []Event {
+	job := s.Jobs[work.JobID(r.Job)]
+	switch {
+	case job == nil:
+		return append(events, RecordIgnored{o, "cancel", r.Job, "unknown job"})
+	case job.Finished():
+		return append(events, RecordIgnored{o, "cancel", r.Job, "job is finished"})
+	case job.Cancelled != 0:
+		return append(events, RecordIgnored{o, "cancel", r.Job, "already cancelled"})
+	}
+	job.Cancelled = o.Offset
+	return append(events, JobCancelled{o, job.Job.ID, slices.Clone(job.Parts)})
+}
+
+// intents records the permission to start non-idempotent tasks. A task of a
+// cancelled job, of another shard, or with an outcome gets none.
+func (s *State) intents(events []Event, o Origin, r *ledgerv1.Intents) []Event {
+	if s.holding(o, r.Shard, r.Token) == nil {
+		return append(events, RecordIgnored{o, "intents", r.Shard, notHeld})
+	}
+	result := IntentsApplied{Origin: o, Shard: r.Shard, Token: r.Token}
+	for _, a := range r.Attempts {
+		id := work.AttemptID{
+			Task:    work.TaskID{Job: work.JobID(a.GetJob()), Index: a.GetIndex()},
+			Attempt: a.GetAttempt(),
+		}
+		if s.intend(r.Shard, id) {
+			result.Effective = append(result.Effective, id)
+		} else {
+			result.Ignored = append(result.Ignored, id)
+		}
+	}
+	return append(events, result)
+}
+
+func (s *State) intend(shard string, id work.AttemptID) bool {
+	job, index := s.Jobs[id.Task.Job], id.Task.Index
+	if job == nil || job.Job.Idempotent || job.Cancelled != 0 || job.ShardOf(index) != shard ||
+		job.Outcome(index) != work.Pending || id.Attempt <= job.Intents[index] {
+		return false
+	}
+	if job.Intents == nil {
+		job.Intents = map[int32]int32{}
+	}
+	job.Intents[index] = id.Attempt
+	return true
+}
+
+func (s *State) move(events []Event, o Origin, r *ledgerv1.Move) []Event {
+	job := s.Jobs[work.JobID(r.Job)]
+	reason := ""
+	switch {
+	case !validName(r.To) || r.To == r.From:
+		return append(events, Malformed{o, "move without another shard"})
+	case s.holding(o, r.From, r.Token) == nil:
+		reason = notHeld
+	case job == nil:
+		reason = "unknown job"
+	case !validRange(r.First, r.Count, job.Job.Tasks):
+		reason = "no such tasks"
+	case !job.movable(r.From, r.First, r.Count):
+		reason = "a task is elsewhere, started or ended"
+	}
+	if reason != "" {
+		return append(events, RecordIgnored{o, "move", r.Job, reason})
+	}
+	parts := job.moved(r.First, r.Count, r.To)
+	if len(parts) > MaxParts {
+		return append(events, RecordIgnored{o, "move", r.Job, "too many parts"})
+	}
+	s.unindex(job)
+	job.Parts = parts
+	s.index(job)
+	return append(events, TasksMoved{o, job.Job.ID, r.First, r.Count, r.From, r.To})
+}
+
+// movable reports whether all tasks of a range have the shard as their home,
+// no intent and no outcome.
+func (j *Job) movable(shard string, first, count int32) bool {
+	end := first + count
+	for _, p := range j.Parts {
+		if p.First < end && p.end() > first && p.Shard != shard {
+			return false
+		}
+	}
+	for _, r := range j.Outcomes {
+		if r.First < end && r.end() > first {
+			return false
+		}
+	}
+	for index := range j.Intents {
+		if index >= first && index < end {
+			return false
+		}
+	}
+	return true
+}
+
+// moved returns the parts after a range has got a new shard.
+func (j *Job) moved(first, count int32, shard string) []Part {
+	var parts []Part
+	add := func(shard string, from, to int32) {
+		if from >= to {
+			return
+		}
+		if n := len(parts); n > 0 && parts[n-1].Shard == shard {
+			parts[n-1].Count += to - from
+			return
+		}
+		parts = append(parts, Part{shard, from, to - from})
+	}
+	end := first + count
+	for _, p := range j.Parts {
+		add(p.Shard, p.First, min(p.end(), first))
+		add(shard, max(p.First, first), min(p.end(), end))
+		add(p.Shard, max(p.First, end), p.end())
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/ledger/member.go
@@ -0,0 +1,21 @@
+package ledger
+
+// Member is an entry node that has joined and not left.
+type Member struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"`
+	HTTPAddress string `json:"http_address"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+	// Nodes is the configured number of entry nodes that the member declared.
+	Nodes int32 `json:"nodes"`
+	// JoinNumber counts the joins in the log, from 1. A node that rejoins
+	// with a new incarnation gets a new number.
+	JoinNumber uint64 `json:"join_number"`
+	JoinOffset uint64 `json:"join_offset"`
+	// RenewalOffset is the offset of the last renewal, or JoinOffset.
+	RenewalOffset uint64 `json:"renewal_offset"`
+	// ReadOffset is the next offset that the member said it will read.
+	ReadOffset uint64 `json:"read_offset"`
+}
--- /dev/null
+++ b/internal/ledger/member_joined.go
@@ -0,0 +1,7 @@
+package ledger
+
+// MemberJoined reports a new member or a new incarnation of a member.
+type MemberJoined struct {
+	Origin
+	Member Member
+}
--- /dev/null
+++ b/internal/ledger/member_renewed.go
@@ -0,0 +1,7 @@
+package ledger
+
+// MemberRenewed reports a renewal.
+type MemberRenewed struct {
+	Origin
+	ReadOffset uint64
+}
--- /dev/null
+++ b/internal/ledger/read.go
@@ -0,0 +1,154 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// NextOffset returns the offset of the next record to apply.
+func (r *Replica) NextOffset() uint64 {
+	return read(r, func(s *State) uint64 { return s.NextOffset })
+}
+
+// Status returns a summary of the state.
+func (r *Replica) Status() Status {
+	return read(r, func(s *State) Status {
+		return Status{
+			NextOffset: s.NextOffset, Revision: s.Config.Revision, Objects: len(s.Config.Objects),
+			Members: len(s.Members), Joins: s.Joins, Shards: len(s.Claims), Limits: len(s.Limits),
+			OpenJobs: s.openJobs, FinishedJobs: len(s.Ended), SnapshotOffset: s.Snapshots.Covers,
+		}
+	})
+}
+
+// Configuration returns the configuration in force.
+func (r *Replica) Configuration() Configuration {
+	return read(r, func(s *State) Configuration {
+		return Configuration{s.Config.Revision, s.Config.sorted}
+	})
+}
+
+// Members returns the members, sorted by name.
+func (r *Replica) Members() []Member {
+	return read(r, func(s *State) []Member {
+		members := make([]Member, 0, len(s.Members))
+		for _, node := range slices.Sorted(maps.Keys(s.Members)) {
+			members = append(members, *s.Members[node])
+		}
+		return members
+	})
+}
+
+// Member returns a member by name.
+func (r *Replica) Member(node string) (m Member, ok bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if found := r.state.Members[node]; found != nil {
+		return *found, true
+	}
+	return Member{}, false
+}
+
+// MemberSetsSince returns the member set in force at an offset and all later
+// ones. It is incomplete if the history, which holds the last MaxMemberSets
+// sets, does not reach back to offset.
+func (r *Replica) MemberSetsSince(offset uint64) (sets []MemberSet, complete bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.memberSetsSince(offset)
+}
+
+// Claim returns the claim in force of a shard; its token is zero if the shard
+// was never claimed.
+func (r *Replica) Claim(shard string) Claim {
+	return read(r, func(s *State) Claim {
+		if c := s.Claims[shard]; c != nil {
+			return *c
+		}
+		return Claim{Shard: shard}
+	})
+}
+
+// Claims returns the claims of all shards, sorted by shard.
+func (r *Replica) Claims() []Claim {
+	return read(r, func(s *State) []Claim {
+		claims := make([]Claim, 0, len(s.Claims))
+		for _, shard := range slices.Sorted(maps.Keys(s.Claims)) {
+			claims = append(claims, *s.Claims[shard])
+		}
+		return claims
+	})
+}
+
+// Job returns a job that is unfinished or among the last finished ones.
+func (r *Replica) Job(id work.JobID) (job Job, ok bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if found := r.state.Jobs[id]; found != nil {
+		return found.clone(), true
+	}
+	return Job{}, false
+}
+
+// OpenJobs returns the unfinished jobs that have a part in a shard, sorted by
+// acceptance. The cost is that of copying these jobs.
+func (r *Replica) OpenJobs(shard string) []Job {
+	return read(r, func(s *State) []Job {
+		jobs := make([]Job, 0, len(s.open[shard]))
+		for _, id := range slices.Sorted(maps.Keys(s.open[shard])) {
+			jobs = append(jobs, s.Jobs[id].clone())
+		}
+		slices.SortStableFunc(jobs, func(a, b Job) int {
+			if a.Accepted < b.Accepted {
+				return -1
+			} else if a.Accepted > b.Accepted {
+				return 1
+			}
+			return 0
+		})
+		return jobs
+	})
+}
+
+// Allotments returns the allotments of a shard, sorted by limit. The empty
+// shard name gives zero units and the pools.
+func (r *Replica) Allotments(shard string) []Allotment {
+	return read(r, func(s *State) []Allotment {
+		allotments := make([]Allotment, 0, len(s.Limits))
+		for _, name := range slices.Sorted(maps.Keys(s.Limits)) {
+			l := s.Limits[name]
+			allotments = append(allotments, Allotment{name, l.Shards[shard], l.Pool, l.Total})
+		}
+		return allotments
+	})
+}
+
+// Allotment returns the allotment of a shard under one limit; it is zero if
+// there is no such limit.
+func (r *Replica) Allotment(name, shard string) Allotment {
+	return read(r, func(s *State) Allotment {
+		l := s.Limits[name]
+		if l == nil {
+			return Allotment{Limit: name}
+		}
+		return Allotment{name, l.Shards[shard], l.Pool, l.Total}
+	})
+}
+
+// LastBatch returns the last batch of a node that was applied.
+func (r *Replica) LastBatch(node string) (incarnation, sequence, offset uint64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if last := r.state.Senders[node]; last != nil {
+		return last.Incarnation, last.Sequence, last.Offset
+	}
+	return 0, 0, 0
+}
+
+func read[T any](r *Replica, f func(*State) T) T {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return f(r.state)
+}
--- /dev/null
+++ b/internal/ledger/replica.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Replica is a State that is safe for concurrent use. Readers get copies or
+// immutable values. Records come from one goroutine at a time.
+type Replica struct {
+	opts Options
+
+	mu    sync.RWMutex
+	state *State
+
+	subscribers subscribers
+}
+
+// NewReplica returns a replica before the first record of a log.
+func NewReplica(opts Options) *Replica {
+	return &Replica{opts: opts, state: New(opts)}
+}
+
+// Apply is State.Apply. Subscribers get the events after the state has changed
+// and before Apply returns.
+func (r *Replica) Apply(offset uint64, payload []byte) ([]Event, error) {
+	r.mu.Lock()
+	events, err := r.state.Apply(offset, payload)
+	r.mu.Unlock()
+	if err == nil {
+		r.subscribers.publish(events)
+	}
+	return events, err
+}
+
+// Snapshot returns the state and the next offset after it. The state is
+// copied under the lock and encoded without it.
+func (r *Replica) Snapshot() (data []byte, offset uint64, err error) {
+	copied := read(r, (*State).clone)
+	data, err = copied.Snapshot()
+	return data, copied.NextOffset, err
+}
+
+// Restore replaces the state by that of a snapshot. Subscribers get a Restored
+// event and have to read what they need. The error is ErrOld if the snapshot
+// is not newer than the state, or ErrSnapshot.
+func (r *Replica) Restore(data []byte) error {
+	state, err := FromSnapshot(r.opts, data)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	if state.NextOffset <= r.state.NextOffset {
+		r.mu.Unlock()
+		return eris.Wrapf(ErrOld, "snapshot ends at %d, state at %d", state.NextOffset, r.state.NextOffset)
+	}
+	r.state = state
+	r.mu.Unlock()
+	r.subscribers.publish([]Event{Restored{Origin{Offset: state.NextOffset - 1, Index: -1}}})
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,61 @@
+package ledger
+
+import "github.com/medlarpulley/medlarpulley/internal/work"
+
+// State is the replicated state. Its JSON form is the snapshot: maps have
+// sorted keys there, so equal states have equal snapshots. It is not safe for
+// concurrent use.
+type State struct {
+	// NextOffset is the offset of the next record to apply.
+	NextOffset uint64              `json:"next"`
+	Senders    map[string]*sender  `json:"senders"`
+	Config     configuration       `json:"config"`
+	Members    map[string]*Member  `json:"members"`
+	Joins      uint64              `json:"joins"`
+	Sets       []MemberSet         `json:"sets"`
+	Claims     map[string]*Claim   `json:"claims"`
+	Limits     map[string]*limit   `json:"limits"`
+	Jobs       map[work.JobID]*Job `json:"jobs"`
+	Ended      []work.JobID        `json:"ended"`
+	Snapshots  snapshotProgress    `json:"snapshots"`
+
+	opts Options
+	// open holds the unfinished jobs by shard. It follows from Jobs.
+	open map[string]map[work.JobID]struct{}
+	// openJobs is the number of unfinished jobs.
+	openJobs int
+}
+
+// New returns the state before the first record of a log.
+func New(opts Options) *State {
+	s := &State{NextOffset: FirstOffset, opts: opts}
+	s.init()
+	return s
+}
+
+// init creates what a decoded state lacks.
+func (s *State) init() {
+	if s.Senders == nil {
+		s.Senders = map[string]*sender{}
+	}
+	if s.Members == nil {
+		s.Members = map[string]*Member{}
+	}
+	if s.Claims == nil {
+		s.Claims = map[string]*Claim{}
+	}
+	if s.Limits == nil {
+		s.Limits = map[string]*limit{}
+	}
+	if s.Jobs == nil {
+		s.Jobs = map[work.JobID]*Job{}
+	}
+	s.Config.init()
+	s.open, s.openJobs = map[string]map[work.JobID]struct{}{}, 0
+	for _, job := range s.Jobs {
+		if !job.Finished() {
+			s.openJobs++
+			s.index(job)
+		}
+	}
+}
