--- a/internal/platform/logsvc/log.go
+++ b/internal/platform/logsvc/log.go
@@ -32,6 +32,7 @@
 	Append(ctx context.Context, payload []byte) (offset uint64, err error)
 	// Read returns records from an offset on. If there are none, it waits
 	// until ctx ends or a short server-side time passes, and returns an empty page.
+	// With ErrTrimmed, Oldest and End of the page are valid.
 	Read(ctx context.Context, from uint64, maxRecords int) (Page, error)
 }
 
--- /dev/null
+++ b/internal/standin/logsvc/server.go
@@ -0,0 +1,69 @@
+package logsvc
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// Server serves a Service over HTTP on a loopback address.
+type Server struct {
+	*Service
+	http *http.Server
+	addr string
+}
+
+// Serve starts a server. An empty address stands for a port of loopback that
+// the kernel chooses. Close ends it.
+func Serve(s *Service, address string) (*Server, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	handler, err := newHandler(s.routes())
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log stand-in: listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	return &Server{Service: s, http: server, addr: listener.Addr().String()}, nil
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.addr }
+
+// Close ends the server and cuts its connections.
+func (s *Server) Close() error {
+	return eris.Wrap(s.http.Close(), "log stand-in: close")
+}
+
+// newHandler returns a go-zero router without middlewares. The breaker and the
+// shedder would add refusals that the stand-in was not told to make, and the
+// recover middleware would turn a lost answer into status 500.
+func newHandler(routes []rest.Route) (http.Handler, error) {
+	conf := rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name: "standin-log", Mode: service.TestMode,
+			Log: logx.LogConf{Mode: "console", Level: "severe"},
+		},
+		Middlewares: rest.MiddlewaresConf{},
+	}
+	server, err := rest.NewServer(conf)
+	if err != nil {
+		return nil, eris.Wrap(err, "log stand-in: create the router")
+	}
+	server.AddRoutes(routes)
+	serverless, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, eris.Wrap(err, "log stand-in: bind the routes")
+	}
+	return http.HandlerFunc(serverless.Serve), nil
+}
