Add the log client and bound the texts of the ledger

Cause: an entry node needs to know the fate of every record it appends, also when the log loses answers, is away or has dropped records.

Conclusion: with lost answers, late copies, refusals and silence, every submitted record is applied once in the property test.

--- a/internal/ledger/accept.go
+++ b/internal/ledger/accept.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/resource"
@@ -29,12 +30,13 @@
 	if !ok {
 		return append(events, JobRefused{o, job.ID, "parts do not cover the tasks"})
 	}
-	if s.openJobs >= MaxOpenJobs {
-		return append(events, JobRefused{o, job.ID, "too many unfinished jobs"})
+	if s.openJobs >= MaxOpenJobs || s.jobTexts+textOf(&job) > MaxJobTexts {
+		return append(events, JobRefused{o, job.ID, "too many jobs"})
 	}
 	j := &Job{Job: job, Accepted: o.Offset, Parts: parts}
 	s.Jobs[job.ID] = j
 	s.openJobs++
+	s.jobTexts += textOf(&job)
 	s.index(j)
 	return append(events, JobAccepted{o, job, slices.Clone(parts)})
 }
@@ -60,10 +62,17 @@
 		return job, "number of tasks is out of range"
 	case job.Size.IsNegative() || job.Lease < 0 || job.Runtime < 0 || job.Deadline < 0:
 		return job, "size or duration is negative"
+	case textOf(&job) > MaxJobText:
+		return job, "texts are longer than " + strconv.Itoa(MaxJobText) + " bytes"
 	}
 	return job, ""
 }
 
+// textOf returns the length of the texts of a job, in bytes.
+func textOf(job *work.Job) int {
+	return len(job.ID) + len(job.Team) + len(job.Queue) + len(job.Template) + len(job.Command)
+}
+
 // millis converts without overflow.
 func millis(n int64) time.Duration {
 	const limit = math.MaxInt64 / int64(time.Millisecond)
--- a/internal/ledger/bounds.go
+++ b/internal/ledger/bounds.go
@@ -29,6 +29,16 @@
 	MaxTasks = 100_000
 	// MaxParts bounds the parts of one job.
 	MaxParts = 256
+	// MaxJobText bounds the texts of one job and MaxJobTexts those of all jobs
+	// that are kept, in bytes. A node has 128 MB for everything.
+	MaxJobText  = 64 << 10
+	MaxJobTexts = 32 << 20
+	// MaxSpecs bounds the specs of all objects, in bytes.
+	MaxSpecs = 16 << 20
+	// MaxProblems bounds the faults that are reported of one publication, and
+	// MaxKeptProblems those that a repeated publication gets.
+	MaxProblems     = 100
+	MaxKeptProblems = 10
 	// MaxName bounds a name or identifier, in bytes.
 	MaxName = 512
 )
--- a/internal/ledger/generate_test.go
+++ b/internal/ledger/generate_test.go
@@ -73,7 +73,10 @@
 }
 
 func (b *logBuilder) batch() []byte {
-	node := b.name("node", 3)
+	node, shard := b.name("node", 3), b.name("shard", 2)
+	if c := b.state.Claims[shard]; c != nil && b.state.Members[c.Node] != nil && b.pick("owner", 4) > 0 {
+		node = c.Node
+	}
 	incarnation := uint64(1 + b.pick("incarnation", 2))
 	if m := b.state.Members[node]; m != nil && b.pick("current", 8) > 0 {
 		incarnation = m.Incarnation
@@ -86,7 +89,7 @@
 			Join: &ledgerv1.Join{Nodes: 3, Address: node}}})
 	}
 	for range 1 + b.pick("records", 3) {
-		batch.Records = append(batch.Records, b.record())
+		batch.Records = append(batch.Records, b.record(shard))
 	}
 	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(batch)
 	if err != nil {
@@ -102,8 +105,8 @@
 	return uint64(b.pick("token", 5))
 }
 
-func (b *logBuilder) record() *ledgerv1.Record {
-	shard, job := b.name("shard", 2), b.name("job", 5)
+func (b *logBuilder) record(shard string) *ledgerv1.Record {
+	job := b.name("job", 5)
 	token, first, count := b.token(shard), int32(b.pick("first", 6)), int32(1+b.pick("count", 4))
 	switch b.pick("kind", 12) {
 	case 0:
--- a/internal/ledger/outcomes.go
+++ b/internal/ledger/outcomes.go
@@ -119,7 +119,10 @@
 	s.openJobs--
 	job.Intents = nil
 	if len(s.Ended) >= MaxFinishedJobs {
-		delete(s.Jobs, s.Ended[0])
+		if oldest := s.Jobs[s.Ended[0]]; oldest != nil {
+			s.jobTexts -= textOf(&oldest.Job)
+			delete(s.Jobs, s.Ended[0])
+		}
 		s.Ended = slices.Delete(s.Ended, 0, 1)
 	}
 	s.Ended = append(s.Ended, job.Job.ID)
--- a/internal/ledger/outcomes_property_test.go
+++ b/internal/ledger/outcomes_property_test.go
@@ -58,6 +58,13 @@
 					rt.Fatalf("task %d is %v, want %v", i, got, model[i])
 				}
 			}
+			ranges := s.Jobs["j"].Outcomes
+			for i := 1; i < len(ranges); i++ {
+				if ranges[i-1].end() > ranges[i].First ||
+					(ranges[i-1].end() == ranges[i].First && ranges[i-1].Outcome == ranges[i].Outcome) {
+					rt.Fatalf("ranges overlap or are not merged: %v", ranges)
+				}
+			}
 			applied := events[0].(OutcomesApplied)
 			if s.Jobs["j"].Done != done || applied.Ignored != count-changed {
 				rt.Fatalf("done %d, ignored %d, want %d and %d", s.Jobs["j"].Done, applied.Ignored, done, count-changed)
--- a/internal/ledger/publish.go
+++ b/internal/ledger/publish.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,9 +11,6 @@
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
-// maxProblems bounds the faults that are kept of one publication.
-const maxProblems = 100
-
 func (s *State) publish(events []Event, o Origin, p *ledgerv1.Publication) []Event {
 	c := &s.Config
 	if !validName(p.Id) {
@@ -24,9 +22,7 @@
 	}
 	j := judgement{Digest: digest, Revision: c.Revision}
 	if problems := checkChanges(p, c.Revision); len(problems) > 0 {
-		j.Problems = problems
-		c.judge(p.Id, j)
-		return append(events, ConfigurationRefused{o, p.Id, problems, false})
+		return s.refuse(events, o, p, j, problems)
 	}
 	if conflicts := c.conflicts(p); len(conflicts) > 0 {
 		j.Conflict = true
@@ -36,9 +32,7 @@
 	objects, refs := c.with(p)
 	sorted := sortObjects(objects)
 	if problems := s.validate(sorted); len(problems) > 0 {
-		j.Problems = problems
-		c.judge(p.Id, j)
-		return append(events, ConfigurationRefused{o, p.Id, problems, false})
+		return s.refuse(events, o, p, j, problems)
 	}
 	c.Revision++
 	c.Objects, c.sorted = objects, sorted
@@ -55,6 +49,17 @@
 	return s.adjustLimits(events, o)
 }
 
+// refuse reports the faults of a publication and remembers some of them.
+func (s *State) refuse(events []Event, o Origin, p *ledgerv1.Publication, j judgement, problems []Problem) []Event {
+	problems = problems[:min(len(problems), MaxProblems)]
+	for i := range problems {
+		problems[i] = problems[i].bounded()
+	}
+	j.Problems = slices.Clone(problems[:min(len(problems), MaxKeptProblems)])
+	s.Config.judge(p.Id, j)
+	return append(events, ConfigurationRefused{o, p.Id, problems, false})
+}
+
 // repeated returns the verdict on a publication that was judged before.
 func repeated(o Origin, p *ledgerv1.Publication, j judgement, digest uint64) Event {
 	switch {
@@ -93,7 +98,7 @@
 			seen[ref] = true
 			continue
 		}
-		if problems = append(problems, problem); len(problems) >= maxProblems {
+		if problems = append(problems, problem); len(problems) >= MaxProblems {
 			break
 		}
 	}
@@ -135,11 +140,17 @@
 	if len(sorted) > MaxObjects {
 		return []Problem{{Field: "objects", Value: strconv.Itoa(len(sorted)), Want: "at most " + strconv.Itoa(MaxObjects)}}
 	}
+	size := 0
+	for _, o := range sorted {
+		size += len(o.Spec)
+	}
+	if size > MaxSpecs {
+		return []Problem{{Field: "specs", Value: strconv.Itoa(size), Want: "at most " + strconv.Itoa(MaxSpecs) + " bytes"}}
+	}
 	if s.opts.Validate == nil {
 		return nil
 	}
-	problems := s.opts.Validate(sorted)
-	return problems[:min(len(problems), maxProblems)]
+	return slices.Clone(s.opts.Validate(sorted))
 }
 
 func changedBy(p *ledgerv1.Publication) []ObjectRef {
--- a/internal/ledger/replica_property_test.go
+++ b/internal/ledger/replica_property_test.go
@@ -65,9 +65,9 @@
 
 // checkIndex compares the index of unfinished jobs with one built anew.
 func checkIndex(rt *rapid.T, s *State) {
-	open, count := s.open, s.openJobs
+	open, count, texts := s.open, s.openJobs, s.jobTexts
 	s.init()
-	if !reflect.DeepEqual(open, s.open) || count != s.openJobs {
+	if !reflect.DeepEqual(open, s.open) || count != s.openJobs || texts != s.jobTexts {
 		rt.Fatalf("index of unfinished jobs is %v, want %v", open, s.open)
 	}
 }
--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -158,6 +158,40 @@
 	}
 }
 
+// Guards against a task that moves after its start, or that two shards or none
+// count as theirs.
+func TestMove(t *testing.T) {
+	s := newScene(t)
+	token := s.apply("a", join(), claim("s", 0))[1].(ClaimEffective).Claim.Token
+	s.apply("a", jobRecord("j", 6, false), intent(token, "j", 2, 1))
+	move := func(token uint64, first, count int32) Event {
+		return s.apply("a", &ledgerv1.Record{Kind: &ledgerv1.Record_Move{Move: &ledgerv1.Move{
+			Job: "j", First: first, Count: count, From: "s", To: "z", Token: token}}})[0]
+	}
+	for _, step := range []struct {
+		token        uint64
+		first, count int32
+		moves        bool
+	}{
+		{token + 1, 0, 1, false}, {token, 0, 3, false}, {token, 5, 2, false}, {token, 4, 0, false},
+		{token, 4, 2, true}, {token, 4, 1, false}, {token, 3, 1, true}, {token, 0, 2, true},
+	} {
+		if _, ok := move(step.token, step.first, step.count).(TasksMoved); ok != step.moves {
+			t.Fatalf("%+v had the other end; parts %v", step, s.state.Jobs["j"].Parts)
+		}
+	}
+	want := []Part{{"z", 0, 2}, {"s", 2, 1}, {"z", 3, 3}}
+	if parts := s.state.Jobs["j"].Parts; !reflect.DeepEqual(parts, want) {
+		t.Fatalf("parts %v, want %v", parts, want)
+	}
+	s.apply("a", jobRecord("k", 1, true))
+	s.apply("a", &ledgerv1.Record{Kind: &ledgerv1.Record_Move{Move: &ledgerv1.Move{
+		Job: "k", Count: 1, From: "s", To: "z", Token: token}}})
+	if len(s.state.open["s"]) != 1 || len(s.state.open["z"]) != 2 {
+		t.Fatalf("open jobs %v, want j in both shards and k in z", s.state.open)
+	}
+}
+
 // Guards against unbounded memory for finished jobs.
 func TestFinishedJobsAreBounded(t *testing.T) {
 	s := newScene(t)
@@ -166,7 +200,12 @@
 		s.apply("a", jobRecord(string(id), 1, true), &ledgerv1.Record{Kind: &ledgerv1.Record_Outcomes{
 			Outcomes: &ledgerv1.Outcomes{Job: string(id), Ranges: []*ledgerv1.OutcomeRange{{Count: 1, Outcome: 1}}}}})
 	}
-	if len(s.state.Jobs) != MaxFinishedJobs || len(s.state.Ended) != MaxFinishedJobs || s.state.openJobs != 0 {
+	texts := 0
+	for _, job := range s.state.Jobs {
+		texts += textOf(&job.Job)
+	}
+	if len(s.state.Jobs) != MaxFinishedJobs || len(s.state.Ended) != MaxFinishedJobs || s.state.openJobs != 0 ||
+		s.state.jobTexts != texts {
 		t.Fatalf("%d jobs, %d finished, %d open", len(s.state.Jobs), len(s.state.Ended), s.state.openJobs)
 	}
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -24,6 +24,8 @@
 	open map[string]map[work.JobID]struct{}
 	// openJobs is the number of unfinished jobs.
 	openJobs int
+	// jobTexts is the length of the texts of all jobs, in bytes.
+	jobTexts int
 }
 
 // New returns the state before the first record of a log.
@@ -51,8 +53,9 @@
 		s.Jobs = map[work.JobID]*Job{}
 	}
 	s.Config.init()
-	s.open, s.openJobs = map[string]map[work.JobID]struct{}{}, 0
+	s.open, s.openJobs, s.jobTexts = map[string]map[work.JobID]struct{}{}, 0, 0
 	for _, job := range s.Jobs {
+		s.jobTexts += textOf(&job.Job)
 		if !job.Finished() {
 			s.openJobs++
 			s.index(job)
--- /dev/null
+++ b/internal/logclient/exactly_once_test.go
@@ -0,0 +1,128 @@
+package logclient
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	platform "github.com/medlarpulley/medlarpulley/internal/platform/logsvc"
+	"github.com/medlarpulley/medlarpulley/internal/standin/logsvc"
+)
+
+// Guards against a record that is lost or takes effect twice when answers are
+// lost, appends are refused or arrive seconds after the client gave them up,
+// or the service falls silent.
+func TestEverySubmittedRecordIsAppliedOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		phases := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) logsvc.Faults {
+			return logsvc.Faults{
+				Away:             rapid.IntRange(0, 3).Draw(rt, "away") == 0,
+				Silent:           rapid.IntRange(0, 3).Draw(rt, "silent") == 0,
+				Delay:            time.Duration(rapid.SampledFrom([]int{0, 0, 100, 1900, 2500}).Draw(rt, "delay")) * time.Millisecond,
+				LoseAnswers:      rapid.IntRange(-1, 3).Draw(rt, "lose"),
+				AppendsPerSecond: rapid.SampledFrom([]int{0, 1, 5}).Draw(rt, "rate"),
+			}
+		}), 1, 6).Draw(rt, "phases")
+		late := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 20).Draw(rt, "late copies, seconds")
+		synctest.Test(t, func(t *testing.T) { runPhases(t, phases, late) })
+		if t.Failed() {
+			rt.Fatalf("failed with phases %+v, late copies %v", phases, late)
+		}
+	})
+}
+
+func runPhases(t *testing.T, phases []logsvc.Faults, late []int) {
+	log := logsvc.New(true)
+	network := &lateLog{Log: log, seconds: late}
+	defer network.pending.Wait()
+	c, stop := start(t, network, nil)
+	defer stop()
+	ctx := within(t, 10*time.Minute)
+	var wg sync.WaitGroup
+	want := 0
+	for _, faults := range phases {
+		log.SetFaults(faults)
+		for range 5 {
+			id := fmt.Sprint("job", want)
+			want++
+			wg.Go(func() {
+				receipt, err := c.Submit(ctx, jobRecord(id), Normal)
+				if err != nil || len(receipt.Events) != 1 {
+					t.Errorf("%s: %+v, %v", id, receipt, err)
+				}
+			})
+		}
+		time.Sleep(3 * time.Second) // Time of the bubble: the faults last this long.
+	}
+	log.SetFaults(logsvc.Faults{})
+	wg.Wait()
+	network.pending.Wait()
+	counts := effective(t, log)
+	if len(counts) != want {
+		t.Errorf("%d jobs in the log, want %d", len(counts), want)
+	}
+	for id, n := range counts {
+		if n != 1 {
+			t.Errorf("%s applied %d times", id, n)
+		}
+	}
+}
+
+// Guards against a loss of the same guarantee over real connections, which the
+// stand-in closes after the append.
+func TestLostAnswersOverHTTP(t *testing.T) {
+	server, err := logsvc.Serve(logsvc.New(true), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	server.SetFaults(logsvc.Faults{LoseAnswers: 3})
+	client, err := platform.NewClient(server.URL(), platform.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, stop := start(t, client, nil)
+	defer stop()
+	ctx := within(t, time.Minute)
+	for i := range 5 {
+		receipt, err := c.Submit(ctx, jobRecord(fmt.Sprint("job", i)), Normal)
+		if err != nil || receipt.Offset == 0 || receipt.SentAt.IsZero() {
+			t.Fatalf("submit %d: %+v, %v", i, receipt, err)
+		}
+	}
+	counts := effective(t, server.Service)
+	for i := range 5 {
+		if n := counts[fmt.Sprint("job", i)]; n != 1 {
+			t.Fatalf("job %d applied %d times", i, n)
+		}
+	}
+}
+
+// Guards against a repeat under a new sequence number, which readers would
+// apply twice.
+func TestRepeatKeepsTheSequence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logsvc.New(true)
+		// Reads are slow, so that the writer cannot learn of the append from
+		// the reader before it repeats.
+		c, stop := start(t, &slowReads{log, time.Second}, nil)
+		defer stop()
+		log.SetFaults(logsvc.Faults{LoseAnswers: 2})
+		before := time.Now()
+		receipt, err := c.Submit(within(t, time.Minute), jobRecord("j"), Immediate)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !receipt.SentAt.Equal(before) {
+			t.Fatalf("sent %v after the first attempt", receipt.SentAt.Sub(before))
+		}
+		if copies(t, log) == 0 || effective(t, log)["j"] != 1 {
+			t.Fatalf("%d copies, applied %d times", copies(t, log), effective(t, log)["j"])
+		}
+	})
+}
--- /dev/null
+++ b/internal/logclient/reader.go
@@ -0,0 +1,108 @@
+package logclient
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	"github.com/medlarpulley/medlarpulley/internal/platform/logsvc"
+)
+
+// errShort means that the log ends before the state, which A1 excludes.
+var errShort = eris.New("log ends before the state")
+
+func (c *Client) readLoop(ctx context.Context) error {
+	retry, failing := newRetry(), false
+	for ctx.Err() == nil {
+		err := c.readPage(ctx)
+		if err == nil {
+			if failing {
+				c.opts.Logger.Info("log client: reads succeed again.")
+			}
+			retry.Reset()
+			failing = false
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if !failing {
+			c.opts.Logger.Warn("log client: reads fail.", "error", err)
+		}
+		failing = true
+		sleep(ctx, retry.NextBackOff(), nil)
+	}
+	return nil
+}
+
+// readPage reads and applies one page, or rebuilds the replica if records are
+// missing.
+func (c *Client) readPage(ctx context.Context) error {
+	next := c.opts.Replica.NextOffset()
+	page, err := c.read(ctx, next)
+	switch {
+	case errors.Is(err, logsvc.ErrTrimmed), err == nil && page.Oldest > next:
+		return c.rebuild(ctx, page.Oldest)
+	case err != nil:
+		return err
+	case page.End < next:
+		return eris.Wrapf(errShort, "end %d, state at %d", page.End, next)
+	}
+	for _, record := range page.Records {
+		if err := c.apply(record); err != nil {
+			return err
+		}
+	}
+	c.noteEnd(c.opts.Replica.NextOffset() >= page.End)
+	c.signalSnapshot()
+	return nil
+}
+
+func (c *Client) read(ctx context.Context, from uint64) (logsvc.Page, error) {
+	limited, cancel := context.WithTimeout(ctx, c.opts.ReadTimeout)
+	defer cancel()
+	page, err := c.opts.Log.Read(limited, from, pageRecords)
+	if err == nil || errors.Is(err, logsvc.ErrTrimmed) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.lastRead = time.Now()
+	}
+	return page, err
+}
+
+// noteEnd records whether the state is at the end of the log.
+func (c *Client) noteEnd(reached bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reachedEnd = reached
+}
+
+// apply feeds one record to the replica and ends the wait for an own batch.
+func (c *Client) apply(record logsvc.Record) error {
+	events, err := c.opts.Replica.Apply(record.Offset, record.Payload)
+	if errors.Is(err, ledger.ErrOld) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrapf(err, "apply the record at %d", record.Offset)
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	o := events[0].From()
+	if o.Node != c.opts.Node || o.Incarnation != c.opts.Incarnation {
+		return nil
+	}
+	switch first := events[0].(type) {
+	case ledger.BatchApplied:
+		c.settle(o.Sequence, o.Offset, events)
+	case ledger.BatchIgnored:
+		if !first.Duplicate {
+			c.replace()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logclient/snapshots.go
@@ -0,0 +1,70 @@
+package logclient
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+// signalSnapshot wakes the snapshot writer if a snapshot is due.
+func (c *Client) signalSnapshot() {
+	if c.ShouldSnapshot() {
+		signal(c.wakeSnapshot)
+	}
+}
+
+// ShouldSnapshot reports whether this node is to write a snapshot: enough
+// records follow the last one, this node has read them all and is the writer.
+func (c *Client) ShouldSnapshot() bool {
+	if c.opts.SnapshotEvery == 0 || !c.Contact().ReachedEnd {
+		return false
+	}
+	status := c.opts.Replica.Status()
+	return status.NextOffset-status.SnapshotOffset >= c.opts.SnapshotEvery &&
+		c.opts.MaySnapshot(c.opts.Replica.Members())
+}
+
+func (c *Client) snapshotLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wakeSnapshot:
+		}
+		// The signal may be older than the last snapshot.
+		if !c.ShouldSnapshot() {
+			continue
+		}
+		if err := c.WriteSnapshot(ctx); err != nil && ctx.Err() == nil {
+			c.opts.Logger.Warn("log client: snapshot not written.", "error", err)
+		}
+	}
+}
+
+// WriteSnapshot appends the state of the replica in chunks, one after the other.
+func (c *Client) WriteSnapshot(ctx context.Context) error {
+	data, offset, err := c.opts.Replica.Snapshot()
+	if err != nil {
+		return err
+	}
+	id := ledger.SnapshotID(c.opts.Node, c.opts.Incarnation, offset)
+	for _, chunk := range ledger.Chunks(id, offset, data) {
+		if err := c.writeChunk(ctx, chunk); err != nil {
+			return eris.Wrapf(err, "snapshot %s, chunk %d of %d", id, chunk.Index+1, chunk.Total)
+		}
+	}
+	c.opts.Metrics.Counter("log_snapshots").Inc(1)
+	c.opts.Logger.Info("log client: snapshot written.", "offset", offset, "bytes", len(data))
+	return nil
+}
+
+func (c *Client) writeChunk(ctx context.Context, chunk *ledgerv1.SnapshotChunk) error {
+	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
+	defer cancel()
+	record := &ledgerv1.Record{Kind: &ledgerv1.Record_SnapshotChunk{SnapshotChunk: chunk}}
+	_, err := c.Submit(ctx, record, Background)
+	return err
+}
--- /dev/null
+++ b/internal/logclient/writer_test.go
@@ -0,0 +1,177 @@
+package logclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	"github.com/medlarpulley/medlarpulley/internal/standin/logsvc"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+)
+
+// Guards against a wrong verdict when the caller gives up: a record that the
+// log refused did not run, one in an open append may have run.
+func TestVerdictOfARecordThatIsGivenUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults logsvc.Faults
+		want   verdict.Verdict
+	}{
+		"away":        {logsvc.Faults{Away: true}, verdict.DidNotRun},
+		"slow":        {logsvc.Faults{Delay: time.Minute}, verdict.MayHaveRun},
+		"answer lost": {logsvc.Faults{LoseAnswers: -1}, verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := logsvc.New(true)
+				c, stop := start(t, &slowReads{log, time.Minute}, nil)
+				defer stop()
+				log.SetFaults(test.faults)
+				_, err := c.Submit(within(t, time.Second), jobRecord("j"), Normal)
+				if !errors.Is(err, context.DeadlineExceeded) || verdict.Of(err) != test.want {
+					t.Fatalf("error %v, want %v", err, test.want)
+				}
+				if test.want != verdict.DidNotRun {
+					return
+				}
+				log.SetFaults(logsvc.Faults{})
+				if _, err := c.Submit(within(t, 5*time.Minute), jobRecord("k"), Normal); err != nil {
+					t.Fatal(err)
+				}
+				if counts := effective(t, log); counts["j"] != 0 || counts["k"] != 1 {
+					t.Fatalf("applied %v, want only k", counts)
+				}
+			})
+		})
+	}
+}
+
+// Guards against unbounded memory while the log is away.
+func TestFullQueueRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logsvc.New(true)
+		log.SetFaults(logsvc.Faults{Away: true})
+		c, stop := start(t, log, func(o *Options) { o.MaxPendingRecords = 2 })
+		var wg sync.WaitGroup
+		for i := range 2 {
+			wg.Go(func() {
+				if _, err := c.Submit(context.Background(), jobRecord(fmt.Sprint(i)), Normal); verdict.Of(err) != verdict.DidNotRun {
+					t.Errorf("closed client: %v", err)
+				}
+			})
+		}
+		synctest.Wait()
+		if _, err := c.Submit(context.Background(), jobRecord("x"), Normal); !errors.Is(err, errFull) {
+			t.Errorf("full queue: %v", err)
+		}
+		stop()
+		wg.Wait()
+		if pending := c.Contact().Pending; pending != 0 {
+			t.Errorf("%d records pending after the end", pending)
+		}
+	})
+}
+
+// Guards against a node that takes more than its part of the append rate, and
+// against an Immediate record that has to wait for it.
+func TestAppendRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &timedLog{Log: logsvc.New(true)}
+		c, stop := start(t, log, nil)
+		defer stop()
+		var wg sync.WaitGroup
+		for i := range 400 {
+			wg.Go(func() {
+				if _, err := c.Submit(within(t, time.Minute), jobRecord(fmt.Sprint(i)), Normal); err != nil {
+					t.Error(err)
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		wg.Wait()
+		starts := log.times()
+		for i := range starts {
+			if i >= 10 && starts[i].Sub(starts[i-10]) < time.Second {
+				t.Fatalf("11 appends within %v", starts[i].Sub(starts[i-10]))
+			}
+		}
+		for range 20 {
+			before := time.Now()
+			if _, err := c.Submit(within(t, time.Minute), joinRecord(), Immediate); err != nil || time.Since(before) > 0 {
+				t.Fatalf("immediate record took %v, %v", time.Since(before), err)
+			}
+		}
+	})
+}
+
+// Guards against an append during the pause that a confirmation to a peer
+// relies on, also if one is in progress when the pause begins.
+func TestHoldAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := logsvc.New(true)
+		log := &timedLog{Log: service}
+		c, stop := start(t, log, nil)
+		defer stop()
+		service.SetFaults(logsvc.Faults{Silent: true})
+		var wg sync.WaitGroup
+		submit := func(id string) {
+			wg.Go(func() {
+				if _, err := c.Submit(within(t, time.Minute), jobRecord(id), Immediate); err != nil {
+					t.Error(err)
+				}
+			})
+			synctest.Wait()
+		}
+		submit("in progress")
+		if err := c.HoldAppends(within(t, time.Second), 3*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		held := time.Now()
+		service.SetFaults(logsvc.Faults{})
+		submit("during the pause")
+		if c.Contact().Held != 3*time.Second {
+			t.Fatalf("held for %v", c.Contact().Held)
+		}
+		wg.Wait()
+		starts := log.times()
+		if len(starts) < 2 || starts[0].After(held) {
+			t.Fatalf("appends at %v", starts)
+		}
+		for _, at := range starts[1:] {
+			if at.Sub(held) < 3*time.Second {
+				t.Fatalf("append %v after the promise", at.Sub(held))
+			}
+		}
+	})
+}
+
+// Guards against a paused process that goes on after its successor has joined:
+// its records must end as not run, and must have no effect.
+func TestReplacedIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logsvc.New(true)
+		old, stopOld := start(t, log, nil)
+		defer stopOld()
+		if _, err := old.Submit(within(t, time.Minute), joinRecord(), Immediate); err != nil {
+			t.Fatal(err)
+		}
+		successor, stop := start(t, log, func(o *Options) { o.Incarnation = 2; o.Replica = ledger.NewReplica(ledger.Options{}) })
+		defer stop()
+		if _, err := successor.Submit(within(t, time.Minute), joinRecord(), Immediate); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			_, err := old.Submit(within(t, time.Minute), jobRecord("j"), Normal)
+			if !errors.Is(err, errReplaced) || verdict.Of(err) != verdict.DidNotRun {
+				t.Fatalf("record of the old incarnation: %v", err)
+			}
+		}
+		if effective(t, log)["j"] != 0 || !old.Contact().Replaced {
+			t.Fatal("record of the old incarnation had effect")
+		}
+	})
+}
