Add the placement decisions of one shard

Cause: nothing decides yet which task starts on which host. Change: the scheduler takes in events and returns starts, stops, ends and offers. Policies for services, batch, gangs, preemption, shares, host health and estimates are packages of their own.

--- /dev/null
+++ b/internal/scheduler/apply_contract.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"container/heap"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler/fairshare"
+)
+
+func (s *Scheduler) contractChanged(c Contract) {
+	c.Policy = c.Policy.withDefaults()
+	s.contract = c
+	old := s.limits
+	s.limits = map[string]*limit{}
+	for _, name := range sortedKeys(c.Limits) {
+		l := old[name]
+		if l == nil {
+			l = &limit{}
+		}
+		l.spec, l.allotted = c.Limits[name], s.allotments[name]
+		s.limits[name] = l
+	}
+	for _, name := range sortedKeys(old) {
+		old[name].unpark()
+		old[name].holder = nil
+	}
+	s.recount()
+}
+
+// recount computes anew what every team and limit uses.
+func (s *Scheduler) recount() {
+	for _, t := range s.teamList {
+		s.bindTeam(t)
+		t.used, t.live = resource.Vector{}, 0
+	}
+	for _, name := range sortedKeys(s.limits) {
+		s.limits[name].used = 0
+	}
+	for _, j := range s.jobList {
+		s.priceJob(j)
+	}
+	for _, h := range s.hostList {
+		if h == nil {
+			continue
+		}
+		for _, a := range h.running {
+			if t := a.charged; t != nil {
+				a.cost = a.job.cost
+				t.used, t.live = t.used.Add(a.size), t.live+1
+				if t.limit != nil {
+					t.limit.used += a.cost
+				}
+			}
+		}
+	}
+	for _, t := range s.teamList {
+		t.share = fairshare.Dominant(t.used, s.capacity)
+		for c := range t.queues {
+			for _, l := range t.queues[c].lanes {
+				l.price()
+				heap.Init(&l.jobs)
+			}
+		}
+	}
+	s.resized = true
+	s.limitsChanged()
+}
+
+func (s *Scheduler) allotmentsChanged(units map[string]int64) {
+	s.allotments = make(map[string]int64, len(units))
+	for name, n := range units {
+		s.allotments[name] = n
+	}
+	s.limitsChanged()
+}
+
+func (s *Scheduler) limitsChanged() {
+	for _, name := range sortedKeys(s.limits) {
+		l := s.limits[name]
+		l.allotted = s.allotments[name]
+		l.unpark()
+		s.checkLimit(l)
+	}
+	s.stirAll()
+}
--- /dev/null
+++ b/internal/scheduler/batch/batch.go
@@ -0,0 +1,78 @@
+// Package batch packs tasks onto hosts without stranding accelerators.
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler/plan"
+)
+
+// acceleratorPenalty outweighs every packing difference, so that a task without
+// accelerators uses such a host only if no other host fits.
+const acceleratorPenalty = 1 << 40
+
+// Policy is the placement policy of batch tasks.
+type Policy struct{}
+
+// Admits implements plan.Filter.
+func (Policy) Admits(r *plan.Request, h *plan.Host) bool { return r.Size.Fits(h.Free) }
+
+// Score implements plan.Score. The room left after the placement is measured in
+// thousandths of the capacity, summed over the resources; an uneven rest costs
+// extra, since it strands the resource that is left over.
+func (Policy) Score(r *plan.Request, h *plan.Host) int64 {
+	rest := h.Free.Sub(r.Size)
+	low, high, sum := int64(1000), int64(0), int64(0)
+	for i := range 2 {
+		if h.Capacity.At(i) > 0 {
+			part := rest.At(i) * 1000 / h.Capacity.At(i)
+			low, high, sum = min(low, part), max(high, part), sum+part
+		}
+	}
+	score := sum*int64(100-r.Packing) - sum*int64(r.Packing) - (high-low)*int64(r.Packing)/2
+	if h.Capacity.Accelerators > 0 && r.Size.Accelerators == 0 {
+		score -= acceleratorPenalty
+	}
+	return score
+}
+
+// Drain implements plan.Reserve: the tasks expected to end first, without those
+// that turn out not to be needed.
+func (Policy) Drain(need, free resource.Vector, running []plan.Running) (plan.Drain, bool) {
+	order := make([]int, 0, len(running))
+	for i := range running {
+		order = append(order, i)
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return int(min(max(running[a].Remaining-running[b].Remaining, -1), 1))
+	})
+	d, room := plan.Drain{}, free
+	for _, i := range order {
+		if need.Fits(room) {
+			break
+		}
+		d.Tasks = append(d.Tasks, i)
+		room = room.Add(running[i].Size)
+	}
+	if !need.Fits(room) {
+		return plan.Drain{}, false
+	}
+	for k := len(d.Tasks) - 1; k >= 0; k-- {
+		if less := room.Sub(running[d.Tasks[k]].Size); need.Fits(less) {
+			room = less
+			d.Tasks = slices.Delete(d.Tasks, k, k+1)
+		}
+	}
+	d.Cost = longest(running, d.Tasks)
+	return d, true
+}
+
+func longest(running []plan.Running, tasks []int) time.Duration {
+	var d time.Duration
+	for _, i := range tasks {
+		d = max(d, running[i].Remaining)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/scheduler/feasible.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler/gang"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// checkFeasible looks at new jobs, and at all jobs after the hosts or the
+// limits changed.
+func (s *Scheduler) checkFeasible() {
+	list := s.fresh
+	s.fresh = nil
+	if s.resized {
+		s.resized = false
+		list = s.jobList
+	}
+	for _, j := range list {
+		if len(s.hosts) > 0 && !j.closed && j.waiting > 0 {
+			s.checkJob(j)
+		}
+	}
+}
+
+// checkJob closes a job that can never run, if this shard is the whole fleet.
+// A job that fitted once keeps waiting for InfeasibleAfter, since a host may
+// only be restarting.
+func (s *Scheduler) checkJob(j *job) {
+	reason := s.infeasible(j)
+	if reason == "" {
+		j.fitted, j.none = true, false
+		return
+	}
+	if !s.options.WholeFleet {
+		s.offer(j)
+		return
+	}
+	if !j.none {
+		j.none, j.noneSince = true, s.now
+	}
+	if j.fitted && s.now-j.noneSince < s.options.InfeasibleAfter {
+		return
+	}
+	s.close(j, work.Infeasible, reason)
+}
+
+// infeasible returns why j can never run on the hosts or in the limit, or "".
+func (s *Scheduler) infeasible(j *job) string {
+	n := int64(1)
+	if j.spec.Kind == work.Gang {
+		n = int64(j.pending)
+	}
+	if l := j.team.limit; l != nil {
+		if j.cost >= uncoverable {
+			return fmt.Sprintf("infeasible: one %s of limit %q is %s, task wants %s", l.spec.UnitName, l.spec.Name, l.spec.Unit, j.spec.Size)
+		}
+		if j.cost*n > l.spec.Units {
+			return fmt.Sprintf("infeasible: limit %q is %d %s, task wants %d", l.spec.Name, l.spec.Units, l.spec.UnitName, j.cost*n)
+		}
+	}
+	room := 0
+	for _, c := range s.sizeList {
+		room += s.sizes[c] * gang.Room(j.spec.Size, c)
+	}
+	if room == 0 {
+		return "infeasible: " + tooLarge(j.spec.Size, s.largestFor(j.spec.Size))
+	}
+	if int64(room) < n {
+		return fmt.Sprintf("infeasible: empty hosts hold %d tasks, gang wants %d", room, n)
+	}
+	return ""
+}
+
+// largestFor returns the largest host in the resource that size misses most.
+func (s *Scheduler) largestFor(size resource.Vector) resource.Vector {
+	var best resource.Vector
+	for _, c := range s.sizeList {
+		if short(size, c) < short(size, best) || best.IsZero() {
+			best = c
+		}
+	}
+	return best
+}
+
+// short counts the resources of which c has less than size.
+func short(size, c resource.Vector) int {
+	n := 0
+	for i := range resource.Dimensions {
+		if size.At(i) > c.At(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// tooLarge names the first resource of which the host has too little.
+func tooLarge(size, host resource.Vector) string {
+	switch {
+	case size.MilliCPU > host.MilliCPU:
+		return fmt.Sprintf("largest host has %s cores, task wants %s", cores(host.MilliCPU), cores(size.MilliCPU))
+	case size.MemoryMiB > host.MemoryMiB:
+		return fmt.Sprintf("largest host has %d MiB of memory, task wants %d", host.MemoryMiB, size.MemoryMiB)
+	default:
+		return fmt.Sprintf("largest host has %d accelerators, task wants %d", host.Accelerators, size.Accelerators)
+	}
+}
+
+// cores formats thousandths of a core without a needless fraction.
+func cores(milli int64) string {
+	if milli%1000 == 0 {
+		return fmt.Sprint(milli / 1000)
+	}
+	return fmt.Sprintf("%d.%03d", milli/1000, milli%1000)
+}
--- /dev/null
+++ b/internal/scheduler/preempt/preempt.go
@@ -0,0 +1,56 @@
+// Package preempt chooses the tasks that make room for urgent work.
+package preempt
+
+import (
+	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler/plan"
+)
+
+// Policy loses the least work and never stops more tasks than needed.
+type Policy struct{}
+
+// Victims implements plan.Preempt. Tasks that are ending already come first
+// and cost nothing; of the others one that is enough alone is preferred.
+func (Policy) Victims(need, free resource.Vector, running []plan.Running) (plan.Drain, bool) {
+	d, room := plan.Drain{}, free
+	var order []int
+	for i := range running {
+		switch {
+		case running[i].Ending:
+			d.Tasks = append(d.Tasks, i)
+			room = room.Add(running[i].Size)
+		case running[i].Stoppable:
+			order = append(order, i)
+		}
+	}
+	if need.Fits(room) {
+		return d, true
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return int(min(max(running[a].Lost-running[b].Lost, -1), 1))
+	})
+	var chosen []int
+	for _, i := range order {
+		chosen = append(chosen, i)
+		room = room.Add(running[i].Size)
+		if need.Fits(room) {
+			break
+		}
+	}
+	if !need.Fits(room) {
+		return plan.Drain{}, false
+	}
+	for k := len(chosen) - 1; k >= 0; k-- {
+		if less := room.Sub(running[chosen[k]].Size); need.Fits(less) {
+			room = less
+			chosen = slices.Delete(chosen, k, k+1)
+		}
+	}
+	for _, i := range chosen {
+		d.Cost += running[i].Lost
+	}
+	d.Tasks = append(d.Tasks, chosen...)
+	return d, true
+}
