Test random fleets against a model of the workers

Cause: safety across adoption, lost starts and takeover needs a check by an independent count. The runs found and led to fixes of tasks that were not listed again after a retry delay, quarantine that hid a host from gangs for ever, stops of non-idempotent gang members, limits that ignored tasks on hosts not adopted yet, and hosts that left before adoption.

--- a/internal/scheduler/apply_hosts.go
+++ b/internal/scheduler/apply_hosts.go
@@ -26,16 +26,29 @@
 	s.refresh(h)
 }
 
-// setHostState counts the hosts whose tasks are not known. Once there is none,
-// nothing that was started before can be hidden.
+// setHostState changes the state. A host that is leaving or unreachable and
+// was never adopted may still hide tasks.
 func (s *Scheduler) setHostState(h *host, st HostState) {
-	if h.state == HostUnknown {
-		s.unknown--
+	h.state = st
+	switch {
+	case st == HostUnknown:
+		s.setKnown(h, false)
+	case st == HostReady || h.gone:
+		s.setKnown(h, true)
+	}
+}
+
+// setKnown counts the hosts whose tasks are not known. Once there is none,
+// nothing that was started before can be hidden.
+func (s *Scheduler) setKnown(h *host, known bool) {
+	if h.known == known {
+		return
 	}
-	if h.state = st; st == HostUnknown {
+	if h.known = known; !known {
 		s.unknown++
+		return
 	}
-	if s.unknown > 0 {
+	if s.unknown--; s.unknown > 0 {
 		return
 	}
 	for _, j := range s.jobList {
@@ -143,6 +156,7 @@
 			s.vanished(a)
 		}
 	}
+	defer s.setKnown(h, true)
 	for _, r := range ev.Running {
 		s.adopt(h, r)
 		if j := s.jobs[r.Attempt.Task.Job]; j != nil {
--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -15,6 +15,10 @@
 		j = s.newJob(ev)
 	}
 	j.uncertain = j.uncertain || (ev.Attempts > 0 && s.unknown > 0)
+	if (j.uncertain || len(ev.Intended) > 0) && !j.doubtful {
+		j.doubtful = true
+		s.doubtful = append(s.doubtful, j)
+	}
 	first := ev.First
 	for i := ev.First; i <= ev.First+ev.Count; i++ {
 		last := i == ev.First+ev.Count
--- a/internal/scheduler/apply_tasks.go
+++ b/internal/scheduler/apply_tasks.go
@@ -188,6 +188,7 @@
 	}
 	t.delayed = false
 	s.ready(j, i, t)
+	s.enter(j)
 }
 
 func (s *Scheduler) wakeTask(j *job, i int32) {
@@ -200,16 +201,17 @@
 
 // after keeps a gang whole and the lanes current when a task of j changed.
 func (s *Scheduler) after(j *job) {
-	if j.spec.Kind == work.Gang && j.spec.Idempotent && j.pending > 0 {
-		s.regroup(j)
-	}
+	s.regroup(j)
 	s.enter(j)
 	s.forget(j)
 }
 
 // regroup stops the other members of a gang once one of them has to start
-// again, so that all start together.
+// again, so that all start together. Non-idempotent members run to their end.
 func (s *Scheduler) regroup(j *job) {
+	if j.spec.Kind != work.Gang || !j.spec.Idempotent || j.pending == 0 {
+		return
+	}
 	open := false
 	j.each(func(_ int32, t *task) { open = open || t.state == TaskQueued })
 	if !open || j.closed || j.uncertain {
@@ -247,8 +249,10 @@
 	h := a.host
 	switch ev.Outcome {
 	case work.Succeeded:
+		if s.onProbation(h) {
+			s.rehabilitate(h)
+		}
 		s.health.Succeeded(h.view.ID)
-		s.refresh(h)
 	case work.Failed:
 		if a.job != nil && a.job.backoff.Blamed() {
 			return
@@ -259,7 +263,30 @@
 		}, len(s.hosts))
 		if until, out := s.health.Quarantined(h.view.ID); out {
 			s.timers.add(timer{at: until, kind: timerHost, host: h})
+			s.timers.add(timer{at: until + untriedFactor*p.ProbationAfter, kind: timerHost, host: h})
 			s.refresh(h)
 		}
 	}
 }
+
+// untriedFactor times ProbationAfter is how long a host is on probation without
+// a verdict before it counts as healthy. Otherwise a host that only large gangs
+// want would stay out for ever.
+const untriedFactor = 10
+
+// probe looks again at a host in quarantine whose time is over.
+func (s *Scheduler) probe(h *host) {
+	until, out := s.health.Quarantined(h.view.ID)
+	if out && s.hostList[h.index] == h && s.now >= until+untriedFactor*s.contract.Policy.ProbationAfter {
+		s.rehabilitate(h)
+	}
+	s.refresh(h)
+}
+
+// rehabilitate ends the quarantine of a host. Its room may not change, but
+// gangs may use it again.
+func (s *Scheduler) rehabilitate(h *host) {
+	s.health.Forget(h.view.ID)
+	s.refresh(h)
+	s.wake(h.view.Free)
+}
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -11,10 +11,12 @@
 
 // host is a worker host and what is counted on it.
 type host struct {
-	view     plan.Host
-	index    int
-	state    HostState
-	gone     bool
+	view  plan.Host
+	index int
+	state HostState
+	gone  bool
+	// known is set once the tasks on the host are known.
+	known    bool
 	used     resource.Vector
 	drained  resource.Vector
 	usage    resource.Vector
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -33,6 +33,8 @@
 	// uncertain is set while an earlier attempt may run on a host that has not
 	// been adopted.
 	uncertain bool
+	// doubtful is set while the job is in the list of that name.
+	doubtful bool
 	// loose lists attempts of tasks that are not in this shard.
 	loose []*attempt
 	// aged is set while the job is in the list of jobs that may reserve.
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -7,7 +7,9 @@
 	spec     Limit
 	allotted int64
 	used     int64
-	over     bool
+	// maybe counts the units of tasks that may run without being bound to a host.
+	maybe int64
+	over  bool
 	// parked lists lanes that had no room in the limit.
 	parked []*lane
 	// holder is an aged job that waits for room; nothing else of the limit
@@ -26,7 +28,7 @@
 	return uncoverable
 }
 
-func (l *limit) room() int64 { return l.allotted - l.used }
+func (l *limit) room() int64 { return l.allotted - l.used - l.maybe }
 
 // wake unparks the lanes that fit into the room.
 func (l *limit) wake() {
--- /dev/null
+++ b/internal/scheduler/model_test.go
@@ -0,0 +1,340 @@
+package scheduler
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// model is a fleet of workers that follows actions with delays, losses,
+// failures and unknown starts, and keeps its own count of everything.
+type model struct {
+	s       *Scheduler
+	rnd     func(n int) int
+	now     time.Duration
+	hosts   []*modelHost
+	queue   []modelEvent
+	seq     int
+	jobs    map[work.JobID]work.Job
+	ends    map[work.TaskID]work.Outcome
+	ran     map[work.TaskID]int
+	started map[work.AttemptID]bool
+	// attempts and intents are what the log would hold for a successor.
+	attempts map[work.JobID]int32
+	intents  map[work.TaskID]int32
+	// cancelled is set for jobs that a caller cancelled.
+	cancelled map[work.JobID]bool
+	actions   []string
+	faults    []string
+	contract  Contract
+	// chaos is the percentage of starts and ends that go wrong.
+	chaos  int
+	allot  map[string]int64
+	limits map[string]Limit
+	team   map[string]string
+	// over is the highest use that the last step left.
+	over map[string]int64
+	// firstStart is when each job first had a task running.
+	firstStart map[work.JobID]time.Duration
+	runtime    func(j work.Job) time.Duration
+}
+
+type modelHost struct {
+	spec    Host
+	bad     bool
+	running map[work.AttemptID]modelRun
+}
+
+type modelRun struct {
+	size  resource.Vector
+	since time.Duration
+}
+
+type modelEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+func newModel(o Options, rnd func(int) int) *model {
+	return &model{
+		s: New(o), rnd: rnd, jobs: map[work.JobID]work.Job{}, ends: map[work.TaskID]work.Outcome{},
+		ran: map[work.TaskID]int{}, started: map[work.AttemptID]bool{},
+		attempts: map[work.JobID]int32{}, intents: map[work.TaskID]int32{},
+		cancelled: map[work.JobID]bool{}, allot: map[string]int64{},
+		limits: map[string]Limit{}, team: map[string]string{}, over: map[string]int64{}, firstStart: map[work.JobID]time.Duration{},
+		runtime: func(j work.Job) time.Duration { return j.Runtime },
+	}
+}
+
+func (m *model) fault(format string, args ...any) {
+	m.faults = append(m.faults, fmt.Sprintf("%s: ", m.now)+fmt.Sprintf(format, args...))
+}
+
+func (m *model) in(d time.Duration, do func()) {
+	m.seq++
+	m.queue = append(m.queue, modelEvent{at: m.now + d, seq: m.seq, do: do})
+	for i := len(m.queue) - 1; i > 0; {
+		p := (i - 1) / 2
+		if !m.less(i, p) {
+			break
+		}
+		m.queue[i], m.queue[p] = m.queue[p], m.queue[i]
+		i = p
+	}
+}
+
+func (m *model) less(a, b int) bool {
+	return m.queue[a].at < m.queue[b].at || (m.queue[a].at == m.queue[b].at && m.queue[a].seq < m.queue[b].seq)
+}
+
+func (m *model) pop() modelEvent {
+	e, last := m.queue[0], len(m.queue)-1
+	m.queue[0] = m.queue[last]
+	m.queue = m.queue[:last]
+	for i := 0; ; {
+		c := 2*i + 1
+		if c+1 < last && m.less(c+1, c) {
+			c++
+		}
+		if c >= last || !m.less(c, i) {
+			return e
+		}
+		m.queue[i], m.queue[c] = m.queue[c], m.queue[i]
+		i = c
+	}
+}
+
+// run decides every step until the clock reaches end.
+func (m *model) run(end, step time.Duration) {
+	for m.now < end {
+		m.now += step
+		for len(m.queue) > 0 && m.queue[0].at <= m.now {
+			m.pop().do()
+		}
+		m.decide()
+	}
+}
+
+func (m *model) decide() {
+	acts := m.s.Decide(m.now)
+	gangs := map[work.JobID]int{}
+	for _, a := range acts {
+		switch a := a.(type) {
+		case StartTask:
+			if m.jobs[a.Attempt.Task.Job].Kind == work.Gang {
+				gangs[a.Attempt.Task.Job]++
+			}
+			m.start(a)
+		case StopTask:
+			m.stop(a)
+		case EndTask:
+			if _, twice := m.ends[a.Task]; twice {
+				m.fault("task %s ended twice", a.Task)
+			}
+			m.ends[a.Task] = a.Outcome
+		}
+		m.actions = append(m.actions, fmt.Sprintf("%s %T %v", m.now, a, a))
+	}
+	m.checkGangs(gangs)
+	m.checkLimits()
+}
+
+// checkGangs requires a start of all tasks of the gang that have no outcome.
+func (m *model) checkGangs(starts map[work.JobID]int) {
+	for id, n := range starts {
+		open := 0
+		for i := range m.jobs[id].Tasks {
+			if _, ended := m.ends[work.TaskID{Job: id, Index: i}]; !ended {
+				open++
+			}
+		}
+		if n != open {
+			m.fault("gang %s started %d of %d tasks", id, n, open)
+		}
+	}
+}
+
+func (m *model) host(id string) *modelHost {
+	for _, h := range m.hosts {
+		if h.spec.ID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// start counts the attempt from the decision on, and reports it after a delay.
+func (m *model) start(a StartTask) {
+	h := m.host(a.Host)
+	j := m.jobs[a.Attempt.Task.Job]
+	switch {
+	case h == nil || h.spec.State != HostReady:
+		m.fault("start on host %s that is not ready", a.Host)
+		return
+	case m.started[a.Attempt]:
+		m.fault("attempt %s started twice", a.Attempt)
+	}
+	m.attempts[j.ID] = max(m.attempts[j.ID], a.Attempt.Attempt)
+	if !j.Idempotent {
+		m.intents[a.Attempt.Task] = a.Attempt.Attempt
+	}
+	for _, o := range m.hosts {
+		for id := range o.running {
+			if id.Task == a.Attempt.Task {
+				m.fault("task %s runs on %s and starts on %s", id.Task, o.spec.ID, a.Host)
+			}
+		}
+	}
+	if _, ended := m.ends[a.Attempt.Task]; ended {
+		m.fault("task %s starts after its end", a.Attempt.Task)
+	}
+	m.started[a.Attempt] = true
+	h.running[a.Attempt] = modelRun{size: a.Size, since: m.now}
+	var used resource.Vector
+	for _, r := range h.running {
+		used = used.Add(r.size)
+	}
+	if !used.Fits(h.spec.Capacity) {
+		m.fault("host %s holds %s of %s", a.Host, used, h.spec.Capacity)
+	}
+	if _, ok := m.firstStart[j.ID]; !ok {
+		m.firstStart[j.ID] = m.now
+	}
+	delay := time.Duration(1+m.rnd(20)) * time.Millisecond
+	if m.rnd(100) < m.chaos {
+		m.in(delay, func() { m.refuse(h, a.Attempt) })
+		return
+	}
+	if m.rnd(100) < m.chaos {
+		// The start is lost on the way, and nobody is told.
+		delete(h.running, a.Attempt)
+		m.in(delay, func() { m.s.Apply(m.now, TaskUnknown{Attempt: a.Attempt, Host: a.Host}) })
+		return
+	}
+	m.ran[a.Attempt.Task]++
+	if !j.Idempotent && m.ran[a.Attempt.Task] > 1 {
+		m.fault("non-idempotent task %s ran twice", a.Attempt.Task)
+	}
+	m.in(delay, func() {
+		if !m.has(h, a.Attempt) {
+			return
+		}
+		if m.rnd(100) < m.chaos {
+			m.s.Apply(m.now, TaskUnknown{Attempt: a.Attempt, Host: a.Host})
+			return
+		}
+		m.s.Apply(m.now, TaskStarted{Attempt: a.Attempt, Host: a.Host})
+	})
+	if j.Kind == work.Service {
+		return
+	}
+	out, ran := work.Succeeded, m.runtime(j)
+	if h.bad || m.rnd(100) < m.chaos {
+		out, ran = work.Failed, ran/4
+	}
+	m.in(delay+ran, func() { m.end(h, a.Attempt, out) })
+}
+
+func (m *model) has(h *modelHost, id work.AttemptID) bool { _, ok := h.running[id]; return ok }
+
+func (m *model) refuse(h *modelHost, id work.AttemptID) {
+	if m.has(h, id) {
+		delete(h.running, id)
+		delete(m.intents, id.Task)
+		m.s.Apply(m.now, TaskRefused{Attempt: id, Host: h.spec.ID, Reason: "no room"})
+	}
+}
+
+func (m *model) end(h *modelHost, id work.AttemptID, out work.Outcome) {
+	if r, ok := h.running[id]; ok {
+		delete(h.running, id)
+		m.s.Apply(m.now, TaskEnded{Attempt: id, Host: h.spec.ID, Outcome: out, Ran: m.now - r.since, Peak: r.size})
+	}
+}
+
+func (m *model) stop(a StopTask) {
+	h := m.host(a.Host)
+	if h == nil || !m.has(h, a.Attempt) {
+		return
+	}
+	if j := m.jobs[a.Attempt.Task.Job]; !j.Idempotent && a.Reason != "job cancelled" {
+		m.fault("non-idempotent task %s stopped: %s", a.Attempt, a.Reason)
+	}
+	if m.rnd(100) < m.chaos {
+		return // The request is lost.
+	}
+	wait := 100 * time.Millisecond
+	if a.Mode == StopCheckpoint {
+		wait = time.Duration(m.rnd(6000)) * time.Millisecond
+	}
+	if a.Mode != StopThrottle {
+		m.in(wait, func() { m.end(h, a.Attempt, work.Stopped) })
+	}
+}
+
+// gone removes a host and all that runs on it.
+func (m *model) gone(h *modelHost) {
+	for i := range m.hosts {
+		if m.hosts[i] == h {
+			m.hosts = append(m.hosts[:i:i], m.hosts[i+1:]...)
+			break
+		}
+	}
+	clear(h.running)
+	m.s.Apply(m.now, HostGone{Host: h.spec.ID})
+}
+
+// adopt reports everything that runs on h.
+func (m *model) adopt(h *modelHost) {
+	ev := HostAdopted{Host: h.spec.ID}
+	for id, r := range h.running {
+		ev.Running = append(ev.Running, RunningTask{Attempt: id, Size: r.size, Age: m.now - r.since})
+	}
+	sort.Slice(ev.Running, func(a, b int) bool { return ev.Running[a].Attempt.String() < ev.Running[b].Attempt.String() })
+	m.s.Apply(m.now, ev)
+}
+
+func (m *model) addHost(h Host) *modelHost {
+	mh := &modelHost{spec: h, running: map[work.AttemptID]modelRun{}}
+	m.hosts = append(m.hosts, mh)
+	m.s.Apply(m.now, HostChanged{Host: h})
+	return mh
+}
+
+func (m *model) setState(h *modelHost, st HostState) {
+	h.spec.State = st
+	m.s.Apply(m.now, HostChanged{Host: h.spec})
+}
+
+func (m *model) addJob(j work.Job) {
+	m.jobs[j.ID] = j
+	m.s.Apply(m.now, JobAdded{Job: j, Count: j.Tasks})
+}
+
+func (m *model) use() map[string]int64 {
+	use := map[string]int64{}
+	for _, h := range m.hosts {
+		for id, r := range h.running {
+			name := m.team[m.jobs[id.Task.Job].Team]
+			n, _ := r.size.UnitsNeeded(m.limits[name].Unit)
+			use[name] += n
+		}
+	}
+	return use
+}
+
+// checkLimits requires that no limit is exceeded, but by what ran before it
+// was lowered: use above the allotment must not grow.
+func (m *model) checkLimits() {
+	use := m.use()
+	for name := range m.limits {
+		if n := use[name]; n > m.allot[name] && n > m.over[name] {
+			m.fault("limit %s: %d used of %d", name, n, m.allot[name])
+		}
+		m.over[name] = max(use[name], m.allot[name])
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,13 +32,15 @@
 	sizes    map[resource.Vector]int
 	sizeList []resource.Vector
 	resized  bool
-	// unknown counts the hosts in HostUnknown.
+	// unknown counts the hosts whose tasks are not known.
 	unknown int
 
-	jobs     map[work.JobID]*job
-	jobList  []*job
-	fresh    []*job
-	closing  []*job
+	jobs    map[work.JobID]*job
+	jobList []*job
+	fresh   []*job
+	closing []*job
+	// doubtful lists jobs with tasks that may run on a host not known yet.
+	doubtful []*job
 	aged     []*job
 	moving   []*host
 	foreign  map[work.JobID][]*attempt
@@ -146,6 +148,7 @@
 	s.evacuate()
 	s.checkFeasible()
 	s.endClosed(half)
+	s.countDoubt()
 	s.useReservations()
 	s.place()
 	s.preemptUrgent()
@@ -180,7 +183,7 @@
 			t.shape.timed = false
 			s.unblock(t.shape)
 		case timerHost:
-			s.refresh(t.host)
+			s.probe(t.host)
 		}
 	}
 }
