--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -25,6 +25,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// ContentSize is the size of the body in bytes, or -1 if not known.
+	ContentSize int64
 }
 
 // Status is what a runner says about itself.
