Add the request path of an entry node

Decodes, authenticates, admits, reserves, sends and answers; leases slots and resolves slots of unknown state in the background.

--- a/internal/platform/runner/watch.go
+++ b/internal/platform/runner/watch.go
@@ -42,16 +42,24 @@
 	return w
 }
 
-func (w *watch) progress() {
+// expect starts the time for the next progress. A body that its reader does
+// not read makes none and is not suspect.
+func (w *watch) expect() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.moved++
-	w.missed = 0
 	if !w.stopped {
 		w.timer.Reset(w.client.options.SuspectAfter)
 	}
 }
 
+func (w *watch) progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moved++
+	w.missed = 0
+	w.timer.Stop()
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/platform/runner/watched_body.go
+++ b/internal/platform/runner/watched_body.go
@@ -18,6 +18,7 @@
 
 // Read implements io.Reader. It returns io.EOF only after the whole body.
 func (b *watchedBody) Read(p []byte) (int, error) {
+	b.watch.expect()
 	n, err := b.body.Read(p)
 	switch err {
 	case nil:
--- /dev/null
+++ b/internal/requests/decode.go
@@ -0,0 +1,184 @@
+package requests
+
+import (
+	"net/http"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// Headers of a request.
+const (
+	HeaderID         = "Medlar-Request-Id"
+	HeaderIdempotent = "Medlar-Idempotent"
+	HeaderDeadline   = "Medlar-Deadline"
+	HeaderClass      = "Medlar-Class"
+	// HeaderTeam tells the runner the team. Callers can't set it.
+	HeaderTeam = "Medlar-Team"
+)
+
+const (
+	pathPrefix = "/v1/upstreams/"
+	maxURI     = 8 << 10
+	maxKey     = 512
+)
+
+var (
+	upstreamName = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?$`)
+	requestID    = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
+)
+
+func bad(code, format string, args ...any) error {
+	return verdict.New(verdict.DidNotRun, code, format, args...)
+}
+
+// decodePath splits the path into the upstream and the URI for the runner.
+func decodePath(u *url.URL) (upstream, uri string, err error) {
+	escaped := u.EscapedPath()
+	if len(escaped)+len(u.RawQuery) > maxURI {
+		return "", "", bad(CodeBadPath, "the path and query are longer than %d bytes", maxURI)
+	}
+	rest, ok := strings.CutPrefix(escaped, pathPrefix)
+	if !ok {
+		return "", "", bad(CodeBadPath, "path %q does not begin with %s", escaped, pathPrefix)
+	}
+	upstream, rest, _ = strings.Cut(rest, "/")
+	if !upstreamName.MatchString(upstream) {
+		return "", "", bad(CodeBadPath, "upstream %q is not a name of a-z, 0-9 and - with up to 63 characters", upstream)
+	}
+	decoded, err := url.PathUnescape(rest)
+	if err != nil {
+		return "", "", bad(CodeBadPath, "path %q is not escaped correctly", rest)
+	}
+	for part := range strings.SplitSeq(strings.ReplaceAll(decoded, `\`, "/"), "/") {
+		if part == "." || part == ".." {
+			return "", "", bad(CodeBadPath, "path %q has a dot segment", rest)
+		}
+	}
+	for _, text := range []string{decoded, u.RawQuery} {
+		if strings.ContainsFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+			return "", "", bad(CodeBadPath, "the path or query has a control character")
+		}
+	}
+	if strings.ContainsAny(u.RawQuery, " #") {
+		return "", "", bad(CodeBadPath, "the query is not escaped correctly")
+	}
+	uri = "/" + rest
+	if u.RawQuery != "" {
+		uri += "?" + u.RawQuery
+	}
+	return upstream, uri, nil
+}
+
+// single returns the only value of a header, or "" if it is absent.
+func single(h http.Header, name string) (string, error) {
+	values := h.Values(name)
+	if len(values) > 1 {
+		return "", bad(CodeBadHeader, "header %s is given %d times, want once", name, len(values))
+	}
+	if len(values) == 0 {
+		return "", nil
+	}
+	if values[0] == "" {
+		return "", bad(CodeBadHeader, "header %s is empty", name)
+	}
+	return values[0], nil
+}
+
+// decodeDeadline reads a Go duration or a number of milliseconds. A longer
+// time than the longest is cut to it.
+func decodeDeadline(s string, longest time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		ms, numErr := strconv.ParseInt(s, 10, 64)
+		if numErr != nil {
+			return 0, bad(CodeBadHeader, "header %s is %q, want a duration such as 1.5s or milliseconds", HeaderDeadline, s)
+		}
+		d = time.Duration(min(ms, longest.Milliseconds())) * time.Millisecond
+	}
+	if d <= 0 {
+		return 0, bad(CodeBadHeader, "header %s is %q, want more than zero", HeaderDeadline, s)
+	}
+	return min(d, longest), nil
+}
+
+func decodeKey(h http.Header) (string, error) {
+	value, err := single(h, "Authorization")
+	if err != nil {
+		return "", err
+	}
+	scheme, key, ok := strings.Cut(value, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" || len(key) > maxKey {
+		return "", bad(CodeNoKey, "header Authorization is missing or not of the form \"Bearer KEY\"")
+	}
+	return key, nil
+}
+
+func decodeIdempotent(method string, h http.Header) (bool, error) {
+	value, err := single(h, HeaderIdempotent)
+	switch {
+	case err != nil:
+		return false, err
+	case value == "true":
+		return true, nil
+	case value == "false":
+		return false, nil
+	case value != "":
+		return false, bad(CodeBadHeader, "header %s is %q, want true or false", HeaderIdempotent, value)
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true, nil
+	}
+	return false, nil
+}
+
+// decodeHeader fills in what the headers say.
+func (c *call) decodeHeader(h http.Header, o Options) error {
+	var err error
+	if c.idempotent, err = decodeIdempotent(c.method, h); err != nil {
+		return err
+	}
+	if c.id, err = single(h, HeaderID); err != nil {
+		return err
+	}
+	if c.id != "" && !requestID.MatchString(c.id) {
+		c.id = ""
+		return bad(CodeBadHeader, "header %s is not 1 to 128 of A-Z, a-z, 0-9 and . _ : -", HeaderID)
+	}
+	if c.id == "" && !c.idempotent {
+		return bad(CodeNoID, "a non-idempotent request needs the header %s", HeaderID)
+	}
+	value, err := single(h, HeaderDeadline)
+	if err != nil {
+		return err
+	}
+	c.deadline = min(o.DefaultDeadline, o.Router.MaxRequestTime)
+	if value != "" {
+		if c.deadline, err = decodeDeadline(value, o.Router.MaxRequestTime); err != nil {
+			return err
+		}
+	}
+	if value, err = single(h, HeaderClass); err != nil || value == "" {
+		return err
+	}
+	if err := c.class.UnmarshalText([]byte(value)); err != nil {
+		return bad(CodeBadHeader, "header %s is %q, want %s, %s or %s", HeaderClass, value, work.Urgent, work.Normal, work.Background)
+	}
+	return nil
+}
+
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/requests/dump.go
@@ -0,0 +1,31 @@
+package requests
+
+// Dump is the state of the request path, for operators.
+type Dump struct {
+	InFlight      int            `json:"in_flight"`
+	Draining      bool           `json:"draining"`
+	BufferedBytes int64          `json:"buffered_bytes"`
+	VoterEntries  int            `json:"voter_entries"`
+	Upstreams     []UpstreamDump `json:"upstreams"`
+}
+
+// Dump returns the present state.
+func (s *Server) Dump() Dump {
+	s.gate.mu.Lock()
+	d := Dump{InFlight: s.gate.n, Draining: s.gate.closed, BufferedBytes: s.buffered.Load()}
+	s.gate.mu.Unlock()
+	for i := range s.voters {
+		s.voters[i].mu.Lock()
+		d.VoterEntries += s.voters[i].table.Len()
+		s.voters[i].mu.Unlock()
+	}
+	now := s.clock.Now()
+	s.eachUpstream(func(u *upstream) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		d.Upstreams = append(d.Upstreams, UpstreamDump{
+			Name: u.name, Waiting: u.admission.Waiting(), Service: u.admission.Service(), Runners: u.table.Report(now),
+		})
+	})
+	return d
+}
--- /dev/null
+++ b/internal/requests/members.go
@@ -0,0 +1,6 @@
+package requests
+
+// Members tells about the entry nodes.
+type Members interface {
+	View() View
+}
--- a/internal/router/keeper.go
+++ b/internal/router/keeper.go
@@ -151,3 +151,12 @@
 	}
 	return sum
 }
+
+// Retain ends the node's part as keeper of all runners but some.
+func (k *Keeper) Retain(keep func(runner string) bool) {
+	for id := range k.runners {
+		if !keep(id) {
+			delete(k.runners, id)
+		}
+	}
+}
--- a/internal/router/result.go
+++ b/internal/router/result.go
@@ -15,4 +15,7 @@
 	Unreachable
 	// Unknown means that the request may still be running. Its slot stays taken.
 	Unknown
+	// Abandoned is like Unknown, but the caller gave up; it says nothing
+	// against the runner's health.
+	Abandoned
 )
--- a/internal/router/runner_state.go
+++ b/internal/router/runner_state.go
@@ -9,8 +9,14 @@
 type runnerState struct {
 	Runner
 	leaving bool
-	held    int
-	until   time.Duration
+	// said is true if the runner itself said that it is about to go.
+	said bool
+	// gone is true once the runner is off the list. It stays in the table until
+	// its requests have ended, so that a list that forgets it for a while does
+	// not make its slots free.
+	gone  bool
+	held  int
+	until time.Duration
 	// epoch is the sequence of the newest request to the keeper.
 	epoch    uint64
 	inFlight map[uint64]string
@@ -40,9 +46,11 @@
 	return r.held - r.inUse()
 }
 
+func (r *runnerState) departing() bool { return r.leaving || r.said || r.gone }
+
 // eligible is false for a runner that gets no new request now.
 func (r *runnerState) eligible(now time.Duration) bool {
-	if r.leaving || r.usable(now) <= 0 {
+	if r.departing() || r.usable(now) <= 0 {
 		return false
 	}
 	return !r.ejected || (now >= r.retryAt && !r.probing)
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -25,7 +25,7 @@
 // if the table is full.
 func (t *Table) Add(r Runner) bool {
 	if old, ok := t.byID[r.ID]; ok {
-		old.Runner = r
+		old.Runner, old.gone = r, false
 		return true
 	}
 	if len(t.runners) >= MaxRunners {
@@ -46,10 +46,34 @@
 	}
 }
 
-// Gone removes a runner. Its slots no longer count.
+// SaidLeaving records what a runner says about itself.
+func (t *Table) SaidLeaving(id string, leaving bool) {
+	if r, ok := t.byID[id]; ok {
+		r.said = leaving
+	}
+}
+
+// Gone removes a runner as soon as none of its slots is in use.
 func (t *Table) Gone(id string) {
-	delete(t.byID, id)
-	t.runners = slices.DeleteFunc(t.runners, func(r *runnerState) bool { return r.ID == id })
+	if r, ok := t.byID[id]; ok {
+		r.gone = true
+		t.purge()
+	}
+}
+
+func (t *Table) purge() {
+	t.runners = slices.DeleteFunc(t.runners, func(r *runnerState) bool {
+		if r.gone && r.inUse() == 0 {
+			delete(t.byID, r.ID)
+			return true
+		}
+		return false
+	})
+}
+
+// Free returns whether some runner has a slot for a new request.
+func (t *Table) Free(now time.Duration) bool {
+	return slices.ContainsFunc(t.runners, func(r *runnerState) bool { return r.eligible(now) })
 }
 
 // Runners returns the runners in the order of their ids.
--- a/internal/router/table_done.go
+++ b/internal/router/table_done.go
@@ -14,7 +14,7 @@
 		return
 	}
 	delete(r.inFlight, p.Attempt)
-	if result == Unknown {
+	if result == Unknown || result == Abandoned {
 		r.unknown[p.Attempt] = unknownSlot{id: id, since: now, until: now + t.options.MaxRequestTime}
 	}
 	trial := r.probing && r.probe == p.Attempt
@@ -28,7 +28,7 @@
 			r.ejected = false
 		}
 		r.sample(took)
-	case Refused:
+	case Refused, Abandoned:
 		if trial {
 			r.retryAt = now + t.options.ProbationAfter
 		}
@@ -101,4 +101,5 @@
 			}
 		}
 	}
+	t.purge()
 }
--- a/internal/router/table_lease.go
+++ b/internal/router/table_lease.go
@@ -5,18 +5,21 @@
 // SetWaiting tells how many admitted requests wait for a slot.
 func (t *Table) SetWaiting(n int) { t.waiting = n }
 
-// Demands returns what to ask of the slot keepers. From now on the node
-// starts nothing beyond Held, so a keeper may lend the rest to others.
-// Sequence is that of the request that carries the demands.
-func (t *Table) Demands(now time.Duration, sequence uint64) []Demand {
+// Demands returns what to ask of a slot keeper for the runners it keeps. From
+// now on the node starts nothing beyond Held, so the keeper may lend the rest
+// to others. Sequence is that of the request that carries the demands.
+func (t *Table) Demands(now time.Duration, sequence uint64, keeps func(runner string) bool) []Demand {
 	out := make([]Demand, 0, len(t.runners))
 	share := 0
 	if n := len(t.runners); n > 0 {
 		share = (t.waiting + n - 1) / n
 	}
 	for _, r := range t.runners {
+		if !keeps(r.ID) {
+			continue
+		}
 		want := max(min(max(r.peak, r.inUse())+1+share, r.Slots), 1)
-		if r.leaving {
+		if r.departing() {
 			want = r.inUse()
 		}
 		if now >= r.until {
