--- a/internal/router/keeper.go
+++ b/internal/router/keeper.go
@@ -139,7 +139,9 @@
 	}
 }
 
-// Lent returns the slots of a runner that count as lent.
+// Lent returns the slots of a runner that count as taken. It can exceed the
+// runner's slots after a change of keepers, while a request counts both as
+// inherited and as reported by its node; nothing is granted meanwhile.
 func (k *Keeper) Lent(runner string) int {
 	r := k.runners[runner]
 	if r == nil {
--- /dev/null
+++ b/internal/router/table_test.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func tableOf(n int, zone string) *Table {
+	o := DefaultOptions()
+	o.Zone = zone
+	t := NewTable(o)
+	for i := range n {
+		id := fmt.Sprint("r", i)
+		t.Add(Runner{ID: id, Zone: fmt.Sprint("z", i%2), Slots: 8})
+	}
+	grantAll(t, 0)
+	return t
+}
+
+func grantAll(t *Table, now time.Duration) {
+	t.Demands(now, uint64(now)+1, func(string) bool { return true })
+	for _, r := range t.Runners() {
+		t.Grant(now, uint64(now)+1, r.ID, 8, time.Hour)
+	}
+}
+
+// Guards against a runner that fails fast drawing the traffic to itself.
+func TestFastFailuresAreNotPreferred(t *testing.T) {
+	tab := tableOf(4, "")
+	tab.options.EjectFailures = 1 << 30
+	bad := 0
+	for i := range 400 {
+		now := time.Duration(i) * time.Millisecond
+		p, ok := tab.Pick(now, "x", nil)
+		if !ok {
+			t.Fatal("no slot")
+		}
+		if p.Runner.ID == "r0" {
+			bad++
+			tab.Done(now, p, Failed, time.Microsecond)
+			continue
+		}
+		tab.Done(now, p, Answered, 10*time.Millisecond)
+	}
+	if bad > 100 {
+		t.Fatalf("the failing runner got %d of 400 requests, more than its part", bad)
+	}
+}
+
+// Guards against ejecting so many runners that the rest is overloaded, and
+// against one that never comes back.
+func TestEjectionIsBoundedAndOnProbation(t *testing.T) {
+	tab := tableOf(10, "")
+	for i := range 1000 {
+		now := time.Duration(i) * time.Microsecond
+		if p, ok := tab.Pick(now, "x", nil); ok {
+			tab.Done(now, p, Failed, time.Millisecond)
+		}
+	}
+	if n := tab.ejectedCount(); n != 3 {
+		t.Fatalf("%d of 10 runners are ejected, want 3 at 30 %%", n)
+	}
+	now := tab.options.ProbationAfter + time.Second
+	grantAll(tab, now)
+	first, _ := tab.Pick(now, "x", nil)
+	if !tab.byID[first.Runner.ID].ejected {
+		t.Fatalf("%s got the request, want a runner on probation", first.Runner.ID)
+	}
+	for range 2 {
+		if p, _ := tab.Pick(now, "x", nil); p.Runner.ID == first.Runner.ID {
+			t.Fatal("a runner on probation got a second request")
+		}
+	}
+	tab.Done(now, first, Answered, time.Millisecond)
+	if tab.byID[first.Runner.ID].ejected {
+		t.Fatal("an answer on probation did not end the ejection")
+	}
+}
+
+// Guards against crossing zones while the own zone has slots, and against new
+// work for a leaving runner.
+func TestZoneFirstAndLeaving(t *testing.T) {
+	tab := tableOf(4, "z1")
+	for range 16 {
+		if p, _ := tab.Pick(0, "x", nil); p.Runner.Zone != "z1" {
+			t.Fatalf("got zone %s", p.Runner.Zone)
+		}
+	}
+	tab.SetLeaving("r0", true)
+	tab.SaidLeaving("r2", true)
+	if p, ok := tab.Pick(0, "x", nil); ok {
+		t.Fatalf("leaving runner %s got a request", p.Runner.ID)
+	}
+	tab.SetLeaving("r0", false)
+	if p, ok := tab.Pick(0, "x", nil); !ok || p.Runner.ID != "r0" {
+		t.Fatalf("got %v %v, want r0 of the other zone", p, ok)
+	}
+}
+
+// Guards against freeing the slots of a runner that the list forgot briefly.
+func TestGoneRunnerKeepsItsSlots(t *testing.T) {
+	tab := tableOf(1, "")
+	p, _ := tab.Pick(0, "x", nil)
+	tab.Done(0, p, Unknown, 0)
+	tab.Gone("r0")
+	tab.Add(Runner{ID: "r0", Slots: 8})
+	if _, used := tab.Held(0); used != 1 {
+		t.Fatalf("%d slots in use, want the unknown one", used)
+	}
+	tab.ResolveStatus(0, "r0", nil, 0)
+	if _, used := tab.Held(0); used != 1 {
+		t.Fatal("a status asked for before the slot became unknown freed it")
+	}
+	tab.ResolveStatus(1, "r0", nil, 0)
+	if _, used := tab.Held(0); used != 0 {
+		t.Fatal("the status did not free the slot")
+	}
+}
