--- /dev/null
+++ b/internal/objects/policy.go
@@ -0,0 +1,43 @@
+package objects
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+)
+
+// PolicyName is the only accepted name of a policy: there is one balance for
+// the whole cluster.
+const PolicyName = "cluster"
+
+// Policy is the balance between the measures and the settings for retries,
+// quarantine and waiting.
+type Policy struct {
+	ShareWeight          int64    `json:"share_weight" toml:"share_weight"`
+	PackingWeight        int64    `json:"packing_weight" toml:"packing_weight"`
+	QuarantineFailures   int64    `json:"quarantine_failures" toml:"quarantine_failures"`
+	QuarantineMaxPercent int64    `json:"quarantine_max_percent" toml:"quarantine_max_percent"`
+	ProbationAfter       Duration `json:"probation_after" toml:"probation_after"`
+	RetryBudgetPercent   int64    `json:"retry_budget_percent" toml:"retry_budget_percent"`
+	MaxAttempts          int64    `json:"max_attempts" toml:"max_attempts"`
+	MaxWait              Duration `json:"max_wait" toml:"max_wait"`
+}
+
+// DefaultPolicy is in force while no policy is published. Fields that a
+// published policy leaves out have these values, too.
+func DefaultPolicy() Policy {
+	return Policy{
+		ShareWeight: 50, PackingWeight: 50, QuarantineFailures: 3, QuarantineMaxPercent: 10,
+		ProbationAfter: Duration(time.Minute), RetryBudgetPercent: 10, MaxAttempts: 5,
+		MaxWait: Duration(5 * time.Minute),
+	}
+}
+
+func (p Policy) contract() scheduler.Policy {
+	return scheduler.Policy{
+		ShareWeight: int(p.ShareWeight), PackingWeight: int(p.PackingWeight),
+		QuarantineFailures: int(p.QuarantineFailures), QuarantineMaxPercent: int(p.QuarantineMaxPercent),
+		ProbationAfter: time.Duration(p.ProbationAfter), RetryBudgetPercent: int(p.RetryBudgetPercent),
+		MaxAttempts: int32(p.MaxAttempts), MaxWait: time.Duration(p.MaxWait),
+	}
+}
--- /dev/null
+++ b/internal/objects/upstream.go
@@ -0,0 +1,66 @@
+package objects
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// Upstream is a back end that requests are sent to.
+type Upstream struct {
+	// Service is the upstream name that the host list gives to its runners.
+	Service string `json:"service" toml:"service"`
+	// TeamConcurrency bounds the requests in flight of each team.
+	TeamConcurrency int64 `json:"team_concurrency" toml:"team_concurrency"`
+	// Teams overrides TeamConcurrency for single teams.
+	Teams []UpstreamTeam `json:"teams,omitempty" toml:"teams"`
+	// Classes restricts classes to teams; a class without a rule is open.
+	Classes []ClassRule `json:"classes,omitempty" toml:"classes"`
+	// MaxRequestTime bounds one request on a runner.
+	MaxRequestTime Duration `json:"max_request_time" toml:"max_request_time"`
+	// RetryPercent is the part of the traffic that may be retries.
+	RetryPercent int64 `json:"retry_percent" toml:"retry_percent"`
+}
+
+// UpstreamTeam is the concurrency of one team.
+type UpstreamTeam struct {
+	Team        string `json:"team" toml:"team"`
+	Concurrency int64  `json:"concurrency" toml:"concurrency"`
+}
+
+// ClassRule lists the teams that may use a class on an upstream.
+type ClassRule struct {
+	Class work.Class `json:"class" toml:"class"`
+	Teams []string   `json:"teams" toml:"teams"`
+}
+
+// DefaultUpstream holds the values of the fields that an upstream leaves out.
+func DefaultUpstream() Upstream {
+	return Upstream{TeamConcurrency: 50, MaxRequestTime: Duration(30 * time.Second), RetryPercent: 10}
+}
+
+// Concurrency returns the bound on the requests in flight of a team.
+func (u Upstream) Concurrency(team string) int64 {
+	for _, t := range u.Teams {
+		if t.Team == team {
+			return t.Concurrency
+		}
+	}
+	return u.TeamConcurrency
+}
+
+// Allows reports whether a team may use a class.
+func (u Upstream) Allows(team string, class work.Class) bool {
+	for _, r := range u.Classes {
+		if r.Class != class {
+			continue
+		}
+		for _, t := range r.Teams {
+			if t == team {
+				return true
+			}
+		}
+		return false
+	}
+	return true
+}
