--- a/internal/objects/check_units.go
+++ b/internal/objects/check_units.go
@@ -49,19 +49,27 @@
 	}
 }
 
-// checkUnitWords refuses a word that means two units.
+// checkUnitWords refuses a word that means two units. Explicit plurals are
+// looked at last, so that the fault is reported where it can be corrected.
 func (c *checker) checkUnitWords() {
+	names := slices.Sorted(maps.Keys(c.set.Units))
 	owner := map[string]string{}
-	for _, name := range slices.Sorted(maps.Keys(c.set.Units)) {
+	for _, name := range names {
 		owner[name] = name
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.set.Units)) {
-		word := c.set.Units[name].plural(name)
-		if other, taken := owner[word]; taken && other != name {
-			c.fault(Ref{KindUnit, name}, "plural", word, fmt.Sprintf("a word that unit/%s does not use", other))
-			continue
+	for _, explicit := range []bool{false, true} {
+		for _, name := range names {
+			unit := c.set.Units[name]
+			if (unit.Plural != "") != explicit {
+				continue
+			}
+			word := unit.plural(name)
+			if other, taken := owner[word]; taken && other != name {
+				c.fault(Ref{KindUnit, name}, "plural", word, fmt.Sprintf("a word that unit/%s does not use", other))
+				continue
+			}
+			owner[word] = name
 		}
-		owner[word] = name
 	}
 }
 
