--- /dev/null
+++ b/internal/logging/gozero.go
@@ -0,0 +1,28 @@
+package logging
+
+import (
+	"fmt"
+	"log/slog"
+
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// CaptureGoZero sends the log lines of go-zero to l and turns its periodic
+// statistics off. It changes the whole process.
+func CaptureGoZero(l *slog.Logger) {
+	logx.DisableStat()
+	logx.SetWriter(goZeroWriter{Part(l, "go-zero")})
+}
+
+// goZeroWriter is a logx.Writer on slog.
+type goZeroWriter struct{ log *slog.Logger }
+
+func (w goZeroWriter) Alert(v any)                     { w.log.Error(fmt.Sprint(v)) }
+func (w goZeroWriter) Close() error                    { return nil }
+func (w goZeroWriter) Debug(v any, _ ...logx.LogField) { w.log.Debug(fmt.Sprint(v)) }
+func (w goZeroWriter) Error(v any, _ ...logx.LogField) { w.log.Error(fmt.Sprint(v)) }
+func (w goZeroWriter) Info(v any, _ ...logx.LogField)  { w.log.Info(fmt.Sprint(v)) }
+func (w goZeroWriter) Severe(v any)                    { w.log.Error(fmt.Sprint(v)) }
+func (w goZeroWriter) Slow(v any, _ ...logx.LogField)  { w.log.Warn(fmt.Sprint(v)) }
+func (w goZeroWriter) Stack(v any)                     { w.log.Error(fmt.Sprint(v)) }
+func (w goZeroWriter) Stat(v any, _ ...logx.LogField)  { w.log.Debug(fmt.Sprint(v)) }
