Add the HTTP gateway for callers and operators

The gateway authenticates, decodes strictly with size limits and maps verdicts to HTTP statuses in one table. Every answer has a verdict in the body and in the Medlar-Verdict header; the header says may-have-run until an answer is written, so a panic claims no knowledge. Breaker, shedding and timeout of the HTTP library are off, since they answer without knowledge of the verdict.

--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+)
+
+// Answer is the body of every answer but a watch. The verdict says whether
+// the operation that was asked for took effect.
+type Answer struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Result  json.RawMessage `json:"result,omitempty"`
+	Error   *Problem        `json:"error,omitempty"`
+}
+
+func (s *Server) succeed(w http.ResponseWriter, status int, result any) {
+	s.writeResult(w, status, verdict.DidRun, result)
+}
+
+func (s *Server) writeResult(w http.ResponseWriter, status int, v verdict.Verdict, result any) {
+	data, err := json.Marshal(result)
+	if err != nil {
+		s.log.Error("Result has no JSON form.", "error", err)
+		s.fail(w, &Problem{Verdict: v, Code: CodeInternal, Message: "the result cannot be shown"})
+		return
+	}
+	s.write(w, status, Answer{Verdict: v, Result: data})
+}
+
+func (s *Server) failWith(w http.ResponseWriter, r *http.Request, err error) {
+	p := problemOf(err)
+	if p.Code == CodeInternal {
+		s.log.Error("Operation failed.", "path", r.URL.Path, "error", err)
+	}
+	s.fail(w, p)
+}
+
+func (s *Server) fail(w http.ResponseWriter, p *Problem) {
+	if p.RetryAfterMillis > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((p.RetryAfterMillis+999)/1000, 10))
+	}
+	if p.Code == CodeUnauthenticated {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	s.write(w, StatusOf(p.Code, p.Verdict), Answer{Verdict: p.Verdict, Error: p})
+}
+
+func (s *Server) write(w http.ResponseWriter, status int, a Answer) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		s.log.Error("Answer has no JSON form.", "error", err)
+		status, data = http.StatusInternalServerError, []byte(`{"verdict":"may-have-run"}`)
+		a.Verdict = verdict.MayHaveRun
+	}
+	h := w.Header()
+	h.Set(verdict.Header, a.Verdict.String())
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	if _, err := w.Write(append(data, '\n')); err != nil {
+		s.log.Debug("Answer was not delivered.", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/batch_result.go
@@ -0,0 +1,18 @@
+package gateway
+
+import "github.com/medlarpulley/medlarpulley/internal/verdict"
+
+// BatchResult is the end of one job of a batch submission.
+type BatchResult struct {
+	ID string `json:"id"`
+	// Verdict says whether the job was accepted.
+	Verdict verdict.Verdict `json:"verdict"`
+	Status  *JobStatus      `json:"status,omitempty"`
+	Error   *Problem        `json:"error,omitempty"`
+}
+
+// Refused returns the result of a job that failed with err.
+func Refused(id string, err error) BatchResult {
+	p := problemOf(err)
+	return BatchResult{ID: id, Verdict: p.Verdict, Error: p}
+}
--- /dev/null
+++ b/internal/gateway/job_event.go
@@ -0,0 +1,27 @@
+package gateway
+
+import "github.com/medlarpulley/medlarpulley/internal/verdict"
+
+// JobEvent is one line of the event stream of a job.
+type JobEvent struct {
+	// Position orders the events; a stream resumes at Position + 1.
+	Position uint64 `json:"position"`
+	// Task is the index of the task, or -1 if the event is about the job.
+	Task    int32  `json:"task"`
+	Attempt int32  `json:"attempt,omitempty"`
+	State   string `json:"state"`
+	Host    string `json:"host,omitempty"`
+	// Verdict says whether the task may have run.
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  string          `json:"reason,omitempty"`
+	// End is true on the last event of a job.
+	End bool `json:"end,omitempty"`
+}
+
+// WatchLine is one line of a watch: an event, a heartbeat that proves that
+// the connection lives, or the problem that ended the stream.
+type WatchLine struct {
+	Event     *JobEvent `json:"event,omitempty"`
+	Heartbeat bool      `json:"heartbeat,omitempty"`
+	Error     *Problem  `json:"error,omitempty"`
+}
