--- /dev/null
+++ b/internal/apiclient/process.go
@@ -0,0 +1,27 @@
+package apiclient
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+)
+
+// Entries returns the base URLs of the entries.
+func (c *Client) Entries() []string { return c.options.Entries }
+
+// Dump returns the state of the process at one entry.
+func (c *Client) Dump(ctx context.Context, entry string) (state json.RawMessage, err error) {
+	op := operation{method: http.MethodGet, path: "/v1/dump", read: true}
+	if failed := c.once(ctx, entry, op, nil, &state); failed != nil {
+		return nil, failed
+	}
+	return state, nil
+}
+
+// Drain begins a planned stop of the process at one entry.
+func (c *Client) Drain(ctx context.Context, entry string) error {
+	if failed := c.once(ctx, entry, operation{method: http.MethodPost, path: "/v1/drain"}, nil, nil); failed != nil {
+		return failed
+	}
+	return nil
+}
