--- a/cmd/medlarpulley/main.go
+++ b/cmd/medlarpulley/main.go
@@ -3,10 +3,26 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarpulley/medlarpulley/internal/cli"
+	"github.com/medlarpulley/medlarpulley/internal/settings"
 )
 
-func main() {
-	fmt.Fprintln(os.Stdout, "medlarpulley")
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	return cli.Run(ctx, os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cli.Runners{
+		Serve: func(context.Context, settings.Settings) error { return eris.New("serve is not in this build") },
+		Dev:   func(context.Context, cli.DevOptions) error { return eris.New("dev is not in this build") },
+	})
 }
--- /dev/null
+++ b/internal/cli/runners.go
@@ -0,0 +1,32 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/medlarpulley/medlarpulley/internal/settings"
+)
+
+// Runners start the processes of a cluster. Both return when ctx is done and
+// the planned stop is over. Log lines go to slog.Default.
+type Runners struct {
+	// Serve runs one entry node.
+	Serve func(ctx context.Context, s settings.Settings) error
+	// Dev runs a cluster on loopback with stand-ins for the platform.
+	Dev func(ctx context.Context, o DevOptions) error
+}
+
+// DevOptions configure a development cluster.
+type DevOptions struct {
+	// Demo publishes example objects and keeps submitting work.
+	Demo bool
+	// Nodes is the number of entry nodes.
+	Nodes int
+	// Workers and Runners are the numbers of hosts of each role.
+	Workers, Runners int
+	// HTTP is the listening address of the first entry node.
+	HTTP string
+	// Objects are files or directories that are published at the start.
+	Objects []string
+	// Seed makes the stand-ins' choices repeatable.
+	Seed uint64
+}
