--- a/internal/objects/checker.go
+++ b/internal/objects/checker.go
@@ -58,15 +58,12 @@
 	return fmt.Sprintf(", one of %v", names)
 }
 
-func newChecked(list []Object, withdrawn map[Ref]bool) (*Set, error) {
-	c := &checker{set: newSet(), withdrawn: withdrawn}
-	if len(list) > MaxObjects {
-		c.add("", Ref{}, "objects", strconv.Itoa(len(list)), fmt.Sprintf("at most %d objects", MaxObjects))
+// finish checks the set as a whole and returns it, or all faults in order.
+func (c *checker) finish() (*Set, error) {
+	if n := c.set.len(); n > MaxObjects {
+		c.add("", Ref{}, "objects", strconv.Itoa(n), fmt.Sprintf("at most %d objects", MaxObjects))
 		return nil, c.faults
 	}
-	for _, o := range list {
-		c.decode(c.set, o)
-	}
 	c.checkAll()
 	if len(c.faults) > 0 {
 		slices.SortStableFunc(c.faults, func(a, b Fault) int {
--- a/internal/objects/objects_test.go
+++ b/internal/objects/objects_test.go
@@ -148,6 +148,13 @@
 		if d := cmp.Diff(b.Objects(), got.Objects()); d != "" {
 			t.Fatal(d)
 		}
+		incremental, err := a.Apply(Diff(a.Objects(), b.Objects()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(got.Objects(), incremental.Objects()); d != "" {
+			t.Fatal(d)
+		}
 		if rest := Diff(got.Objects(), b.Objects()); len(rest) != 0 {
 			t.Fatalf("difference left: %v", rest)
 		}
--- a/internal/objects/set.go
+++ b/internal/objects/set.go
@@ -32,7 +32,44 @@
 
 // NewSet decodes and checks objects as a whole. The error is Faults and lists
 // every fault; the set is nil then.
-func NewSet(list []Object) (*Set, error) { return newChecked(list, nil) }
+func NewSet(list []Object) (*Set, error) { return Apply(list, nil) }
+
+// clone returns a set that can be changed without changing s.
+func (s *Set) clone() *Set {
+	return &Set{
+		Units: maps.Clone(s.Units), Limits: maps.Clone(s.Limits), Shares: maps.Clone(s.Shares),
+		Teams: maps.Clone(s.Teams), Keys: maps.Clone(s.Keys), Queues: maps.Clone(s.Queues),
+		Policies: maps.Clone(s.Policies), Upstreams: maps.Clone(s.Upstreams),
+		files: maps.Clone(s.files), keyHashes: map[string]string{},
+	}
+}
+
+// remove deletes an object and reports whether it existed.
+func (s *Set) remove(ref Ref) bool {
+	_, existed := s.files[ref]
+	delete(s.files, ref)
+	switch ref.Kind {
+	case KindUnit:
+		delete(s.Units, ref.Name)
+	case KindLimit:
+		delete(s.Limits, ref.Name)
+	case KindShare:
+		delete(s.Shares, ref.Name)
+	case KindTeam:
+		delete(s.Teams, ref.Name)
+	case KindKey:
+		delete(s.Keys, ref.Name)
+	case KindQueue:
+		delete(s.Queues, ref.Name)
+	case KindPolicy:
+		delete(s.Policies, ref.Name)
+	case KindUpstream:
+		delete(s.Upstreams, ref.Name)
+	}
+	return existed
+}
+
+func (s *Set) len() int { return len(s.files) }
 
 // Objects returns the set in canonical form, ordered by kind and name.
 func (s *Set) Objects() []Object {
