Log the host set of each shard; choose home shards from summaries

Cause: the host list lags, so a successor could miss a host on which the previous owner runs tasks and start them a second time. Change: an owner logs each worker before it starts a task there (HostSet), and a plan of home shards from capacity summaries.

--- /dev/null
+++ b/internal/homing/plan_test.go
@@ -0,0 +1,85 @@
+package homing
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+func drawShards(t *rapid.T) []Shard {
+	var shards []Shard
+	for i := range rapid.IntRange(1, 8).Draw(t, "shards") {
+		hosts := rapid.Int64Range(0, 10).Draw(t, "hosts")
+		host := resource.Vector{MilliCPU: 16000, MemoryMiB: 65536}
+		free := rapid.Int64Range(0, 100).Draw(t, "free percent")
+		shards = append(shards, Shard{
+			Name: fmt.Sprintf("zone%d/%d", i%3, i), Zone: fmt.Sprintf("zone%d", i%3), Owned: true,
+			Capacity: host.Scale(hosts), LargestHost: host.Scale(min(hosts, 1)),
+			Free:        resource.Vector{MilliCPU: host.MilliCPU * hosts * free / 100, MemoryMiB: host.MemoryMiB * hosts},
+			LargestFree: host.Scale(min(hosts, 1)), Waiting: rapid.Int64Range(0, 50).Draw(t, "waiting"),
+		})
+	}
+	return shards
+}
+
+// Guards against tasks that get no home shard, two homes, or a home that can
+// never hold them.
+func TestPlanCoversEveryTaskOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := drawShards(t)
+		job := work.Job{
+			ID: "j", Kind: rapid.SampledFrom([]work.Kind{work.Batch, work.Service, work.Gang}).Draw(t, "kind"),
+			Tasks: rapid.Int32Range(1, 300).Draw(t, "tasks"),
+			Size:  resource.Vector{MilliCPU: rapid.Int64Range(1, 20000).Draw(t, "cpu"), MemoryMiB: 1024},
+		}
+		plan, err := Plan(job, shards)
+		if err != nil {
+			if verdict.Of(err) != verdict.DidNotRun {
+				t.Fatalf("refusal says %s", verdict.Of(err))
+			}
+			return
+		}
+		next := int32(0)
+		for _, p := range plan {
+			if p.First != next || p.Count <= 0 {
+				t.Fatalf("part %+v, want first %d", p, next)
+			}
+			next += p.Count
+			for _, s := range shards {
+				if s.Name == p.Shard && !job.Size.Fits(s.LargestHost) {
+					t.Fatalf("%s can never hold %s", s.Name, job.Size)
+				}
+			}
+		}
+		if next != job.Tasks {
+			t.Fatalf("%d of %d tasks have a home", next, job.Tasks)
+		}
+		if job.Kind == work.Gang && len(plan) != 1 {
+			t.Fatalf("gang has %d homes", len(plan))
+		}
+	})
+}
+
+// Guards against replicas of a service that share a zone while another zone has room.
+func TestServiceSpreadsOverZones(t *testing.T) {
+	host := resource.Vector{MilliCPU: 16000, MemoryMiB: 65536}
+	var shards []Shard
+	for _, zone := range []string{"a", "b", "c"} {
+		shards = append(shards, Shard{Name: zone + "/0", Zone: zone, Owned: true, Capacity: host.Scale(4),
+			Free: host.Scale(4), LargestFree: host, LargestHost: host})
+	}
+	plan, err := Plan(work.Job{Kind: work.Service, Tasks: 6, Size: resource.Vector{MilliCPU: 1000, MemoryMiB: 512}}, shards)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range plan {
+		if p.Count != 2 {
+			t.Fatalf("%s has %d replicas, want 2: %+v", p.Shard, p.Count, plan)
+		}
+	}
+}
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -67,6 +67,8 @@
 		return s.move(events, o, r.Move)
 	case *ledgerv1.Record_Transfer:
 		return s.transfer(events, o, r.Transfer)
+	case *ledgerv1.Record_HostSet:
+		return s.hostSet(events, o, r.HostSet)
 	case *ledgerv1.Record_SnapshotChunk:
 		return s.chunk(events, o, r.SnapshotChunk)
 	default:
--- a/internal/ledger/bounds.go
+++ b/internal/ledger/bounds.go
@@ -39,6 +39,8 @@
 	// MaxKeptProblems those that a repeated publication gets.
 	MaxProblems     = 100
 	MaxKeptProblems = 10
+	// MaxHosts bounds the workers of one shard.
+	MaxHosts = 4096
 	// MaxName bounds a name or identifier, in bytes.
 	MaxName = 512
 )
--- a/internal/ledger/clone.go
+++ b/internal/ledger/clone.go
@@ -25,6 +25,10 @@
 	for name, l := range s.Limits {
 		c.Limits[name] = &limit{l.Total, l.Pool, maps.Clone(l.Shards)}
 	}
+	c.Hosts = make(map[string]map[string]HostEntry, len(s.Hosts))
+	for shard, hosts := range s.Hosts {
+		c.Hosts[shard] = maps.Clone(hosts)
+	}
 	c.Jobs = make(map[work.JobID]*Job, len(s.Jobs))
 	for id, job := range s.Jobs {
 		j := job.clone()
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -82,6 +82,17 @@
 	})
 }
 
+// Hosts returns the workers of a shard, sorted by id.
+func (r *Replica) Hosts(shard string) []HostEntry {
+	return read(r, func(s *State) []HostEntry {
+		hosts := make([]HostEntry, 0, len(s.Hosts[shard]))
+		for _, id := range slices.Sorted(maps.Keys(s.Hosts[shard])) {
+			hosts = append(hosts, s.Hosts[shard][id])
+		}
+		return hosts
+	})
+}
+
 // Job returns a job that is unfinished or among the last finished ones.
 func (r *Replica) Job(id work.JobID) (job Job, ok bool) {
 	r.mu.RLock()
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -7,17 +7,19 @@
 // concurrent use.
 type State struct {
 	// NextOffset is the offset of the next record to apply.
-	NextOffset uint64              `json:"next"`
-	Senders    map[string]*sender  `json:"senders"`
-	Config     configuration       `json:"config"`
-	Members    map[string]*Member  `json:"members"`
-	Joins      uint64              `json:"joins"`
-	Sets       []MemberSet         `json:"sets"`
-	Claims     map[string]*Claim   `json:"claims"`
-	Limits     map[string]*limit   `json:"limits"`
-	Jobs       map[work.JobID]*Job `json:"jobs"`
-	Ended      []work.JobID        `json:"ended"`
-	Snapshots  snapshotProgress    `json:"snapshots"`
+	NextOffset uint64             `json:"next"`
+	Senders    map[string]*sender `json:"senders"`
+	Config     configuration      `json:"config"`
+	Members    map[string]*Member `json:"members"`
+	Joins      uint64             `json:"joins"`
+	Sets       []MemberSet        `json:"sets"`
+	Claims     map[string]*Claim  `json:"claims"`
+	Limits     map[string]*limit  `json:"limits"`
+	// Hosts are the workers of each shard by id.
+	Hosts     map[string]map[string]HostEntry `json:"hosts"`
+	Jobs      map[work.JobID]*Job             `json:"jobs"`
+	Ended     []work.JobID                    `json:"ended"`
+	Snapshots snapshotProgress                `json:"snapshots"`
 
 	opts Options
 	// open holds the unfinished jobs by shard. It follows from Jobs.
@@ -49,6 +51,9 @@
 	if s.Limits == nil {
 		s.Limits = map[string]*limit{}
 	}
+	if s.Hosts == nil {
+		s.Hosts = map[string]map[string]HostEntry{}
+	}
 	if s.Jobs == nil {
 		s.Jobs = map[work.JobID]*Job{}
 	}
