Settle uncertain tasks in the dispatcher; read a shard's state at one offset

Cause: a dead host that is never adopted would hold all tasks of a taken-over shard. Change: the dispatcher holds jobs until all hosts of the previous owner are adopted or their leases are over, and tells the scheduler that they are settled; claims carry an epoch; the replica returns a shard's state as of one offset.

--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/medlarpulley/medlarpulley/internal/platform/worker"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+const testTimeout = 60 * time.Second
+
+var hostSize = resource.Vector{MilliCPU: 4000, MemoryMiB: 8192}
+
+// memoryLog is a Recorder that keeps outcomes.
+type memoryLog struct {
+	mu       sync.Mutex
+	outcomes map[work.TaskID]work.Outcome
+	intents  map[work.TaskID]int
+	changed  chan struct{}
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{outcomes: map[work.TaskID]work.Outcome{}, intents: map[work.TaskID]int{}, changed: make(chan struct{}, 1)}
+}
+
+func (l *memoryLog) Record(_ context.Context, records ...*ledgerv1.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range records {
+		for _, a := range r.GetIntents().GetAttempts() {
+			l.intents[work.TaskID{Job: work.JobID(a.Job), Index: a.Index}]++
+		}
+		for _, o := range r.GetOutcomes().GetRanges() {
+			for i := o.First; i < o.First+o.Count; i++ {
+				l.outcomes[work.TaskID{Job: work.JobID(r.GetOutcomes().Job), Index: i}] = work.Outcome(o.Outcome)
+			}
+		}
+	}
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// wait blocks until n tasks have an outcome.
+func (l *memoryLog) wait(t *testing.T, n int) map[work.TaskID]work.Outcome {
+	t.Helper()
+	timeout := time.After(testTimeout)
+	for {
+		l.mu.Lock()
+		done := len(l.outcomes)
+		out := make(map[work.TaskID]work.Outcome, done)
+		for id, o := range l.outcomes {
+			out[id] = o
+		}
+		l.mu.Unlock()
+		if done >= n {
+			return out
+		}
+		select {
+		case <-l.changed:
+		case <-timeout:
+			t.Fatalf("%d of %d tasks have an outcome", done, n)
+		}
+	}
+}
+
+// cell is one shard with its hosts.
+type cell struct {
+	fleet *standin.Fleet
+	log   *memoryLog
+	hosts []HostEntry
+	began time.Time
+}
+
+func newCell(t *testing.T, hosts int) *cell {
+	t.Helper()
+	fleet, err := standin.NewFleet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	c := &cell{fleet: fleet, log: newMemoryLog(), began: time.Now()}
+	for i := range hosts {
+		id := string(rune('a' + i))
+		fleet.Add(id, hostSize)
+		c.hosts = append(c.hosts, HostEntry{ID: id, Address: fleet.Address(id), Zone: "z", Region: "r", Rack: "k", Capacity: hostSize})
+	}
+	return c
+}
+
+func contract() scheduler.Contract {
+	return scheduler.Contract{
+		Revision: 1,
+		Teams:    map[string]scheduler.Team{"team": {Name: "team", Weight: 1, Limit: "limit"}},
+		Queues:   map[string]scheduler.Queue{"queue": {Name: "queue"}},
+		Limits:   map[string]scheduler.Limit{"limit": {Name: "limit", Units: 100, UnitName: "slot", Unit: resource.Vector{MilliCPU: 1000, MemoryMiB: 1024}}},
+	}
+}
+
+// owner starts an owner of the shard with a token.
+func (c *cell) owner(t *testing.T, token uint64) *Shard {
+	t.Helper()
+	client := worker.NewHTTPClient()
+	s := New(Options{
+		Shard: "z/0", Token: token, Clock: func() time.Duration { return time.Since(c.began) },
+		SafeAt:    time.Since(c.began),
+		Authority: func() bool { return true }, Workers: client, Log: c.log,
+		Offer: func(scheduler.OfferTasks) {}, Interval: 300 * time.Millisecond,
+		Scheduler: scheduler.New(scheduler.Options{WholeFleet: true}),
+		Logger:    slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+	})
+	s.Run()
+	t.Cleanup(func() { s.Stop(); client.Close() })
+	s.SetContract(contract())
+	s.SetAllotments(map[string]int64{"limit": 100})
+	s.SetHosts(c.hosts)
+	return s
+}
+
+func job(id string, tasks int32, idempotent bool, command string) scheduler.JobAdded {
+	return scheduler.JobAdded{
+		Job: work.Job{
+			ID: work.JobID(id), Team: "team", Queue: "queue", Tasks: tasks, Idempotent: idempotent,
+			Size: resource.Vector{MilliCPU: 1000, MemoryMiB: 1024}, Lease: 2 * time.Second, Command: command,
+		},
+		Count: tasks,
+	}
+}
+
+// check compares the fleet's own record with the promises.
+func (c *cell) check(t *testing.T, idempotent bool) {
+	t.Helper()
+	executions := c.fleet.Journal().Executions()
+	faults := append(standin.CheckHosts(executions), standin.CheckOnePlace(executions)...)
+	faults = append(faults, standin.CheckAtMostOnce(executions, func(work.JobID) bool { return idempotent })...)
+	for _, f := range faults {
+		t.Error(f)
+	}
+}
+
+// Guards against lost tasks, overfull hosts and double runs on the normal path.
+func TestTasksRunOnce(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := newCell(t, 3)
+		s := c.owner(t, 1)
+		s.AddJob(job("j", 60, idempotent, "run=10ms"), false)
+		for id, o := range c.log.wait(t, 60) {
+			if o != work.Succeeded {
+				t.Errorf("%s ended as %s", id, o)
+			}
+		}
+		c.check(t, idempotent)
+		if n := len(c.fleet.Journal().Executions()); n != 60 {
+			t.Errorf("%d executions of 60 tasks", n)
+		}
+	}
+}
+
+// Guards against a second start after the answer to the first one was lost,
+// and against a connection that is silent for good.
+func TestLostAnswersAndSilentConnections(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := newCell(t, 3)
+		s := c.owner(t, 1)
+		s.AddJob(job("first", 6, true, "run=10ms"), false)
+		c.log.wait(t, 6)
+		for _, h := range c.hosts {
+			c.fleet.Agent(h.ID).SetFaults(standin.Faults{LoseAnswers: 2})
+		}
+		c.fleet.SilenceConnections()
+		s.AddJob(job("second", 30, idempotent, "run=50ms"), false)
+		c.log.wait(t, 36)
+		c.check(t, idempotent)
+	}
+}
+
+// Guards against a task that is lost, or that runs in two places, when its
+// host dies or pauses beyond its lease and comes back.
+func TestHostDiesAndHostPauses(t *testing.T) {
+	c := newCell(t, 3)
+	s := c.owner(t, 1)
+	s.AddJob(job("j", 12, true, "run=1s"), false)
+	waitRunning(t, c, 12)
+	c.fleet.Agent("a").Kill()
+	c.fleet.Agent("b").Pause()
+	resume := time.AfterFunc(4*time.Second, c.fleet.Agent("b").Resume)
+	defer resume.Stop()
+	for id, o := range c.log.wait(t, 12) {
+		if o != work.Succeeded {
+			t.Errorf("%s ended as %s", id, o)
+		}
+	}
+	c.check(t, true)
+}
+
+// Guards against an old owner that still starts tasks after a new one has
+// adopted the hosts, and against running tasks that the new one starts again.
+func TestNewOwnerFencesOldOne(t *testing.T) {
+	c := newCell(t, 3)
+	old := c.owner(t, 1)
+	added := job("j", 24, true, "run=700ms")
+	old.AddJob(added, false)
+	waitRunning(t, c, 12)
+	next := c.owner(t, 2)
+	added.Attempts = 4096
+	next.AddJob(added, true)
+	for id, o := range c.log.wait(t, 24) {
+		if o != work.Succeeded {
+			t.Errorf("%s ended as %s", id, o)
+		}
+	}
+	c.check(t, true)
+}
+
+// waitRunning blocks until n tasks run.
+func waitRunning(t *testing.T, c *cell, n int) {
+	t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for time.Now().Before(deadline) {
+		running := 0
+		for _, h := range c.hosts {
+			running += c.fleet.Agent(h.ID).RunningTasks()
+		}
+		if running >= n {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%d tasks do not run", n)
+}
--- a/internal/dispatch/held_job.go
+++ b/internal/dispatch/held_job.go
@@ -24,6 +24,7 @@
 func (s *Shard) AddJob(added scheduler.JobAdded, previousOwnerKnew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	added.Settled = true
 	if !previousOwnerKnew || len(s.initial) == 0 {
 		s.apply(added)
 		s.decideSoon()
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -7,6 +7,8 @@
 	Token       uint64 `json:"token"`
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"incarnation"`
+	// Epoch counts the claims of the shard that took effect, from 1.
+	Epoch uint64 `json:"epoch"`
 	// Released is true if the owner gave the shard up. No record with the
 	// token has effect from then on.
 	Released bool `json:"released,omitempty"`
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -23,7 +23,7 @@
 	if reason != "" {
 		return append(events, ClaimIgnored{o, r.Shard, r.Supersedes, current, reason})
 	}
-	next := Claim{Shard: r.Shard, Token: o.Offset, Node: o.Node, Incarnation: o.Incarnation}
+	next := Claim{Shard: r.Shard, Token: o.Offset, Node: o.Node, Incarnation: o.Incarnation, Epoch: current.Epoch + 1}
 	s.Claims[r.Shard] = &next
 	return append(events, ClaimEffective{o, next, current})
 }
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -106,34 +106,13 @@
 // OpenJobs returns the unfinished jobs that have a part in a shard, sorted by
 // acceptance. The cost is that of copying these jobs.
 func (r *Replica) OpenJobs(shard string) []Job {
-	return read(r, func(s *State) []Job {
-		jobs := make([]Job, 0, len(s.open[shard]))
-		for _, id := range slices.Sorted(maps.Keys(s.open[shard])) {
-			jobs = append(jobs, s.Jobs[id].clone())
-		}
-		slices.SortStableFunc(jobs, func(a, b Job) int {
-			if a.Accepted < b.Accepted {
-				return -1
-			} else if a.Accepted > b.Accepted {
-				return 1
-			}
-			return 0
-		})
-		return jobs
-	})
+	return read(r, func(s *State) []Job { return s.openJobsOf(shard) })
 }
 
 // Allotments returns the allotments of a shard, sorted by limit. The empty
 // shard name gives zero units and the pools.
 func (r *Replica) Allotments(shard string) []Allotment {
-	return read(r, func(s *State) []Allotment {
-		allotments := make([]Allotment, 0, len(s.Limits))
-		for _, name := range slices.Sorted(maps.Keys(s.Limits)) {
-			l := s.Limits[name]
-			allotments = append(allotments, Allotment{name, l.Shards[shard], l.Pool, l.Total})
-		}
-		return allotments
-	})
+	return read(r, func(s *State) []Allotment { return s.allotmentsOf(shard) })
 }
 
 // Allotment returns the allotment of a shard under one limit; it is zero if
--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -14,7 +14,7 @@
 	if j == nil {
 		j = s.newJob(ev)
 	}
-	j.uncertain = j.uncertain || (ev.Attempts > 0 && s.unknown > 0)
+	j.uncertain = j.uncertain || (ev.Attempts > 0 && s.unknown > 0 && !ev.Settled)
 	if (j.uncertain || len(ev.Intended) > 0) && !j.doubtful {
 		j.doubtful = true
 		s.doubtful = append(s.doubtful, j)
@@ -91,7 +91,11 @@
 	j.pending++
 	if n, ok := ev.Intended[i]; ok && !j.spec.Idempotent {
 		t.state, t.attempts, t.ran = TaskHeld, max(t.attempts, n), true
-		s.timers.add(timer{at: s.now + waitOf(j.spec.Lease), kind: timerHeld, job: j, index: i})
+		expiry := s.now
+		if !ev.Settled {
+			expiry += waitOf(j.spec.Lease)
+		}
+		s.timers.add(timer{at: expiry, kind: timerHeld, job: j, index: i})
 		return
 	}
 	if j.closed {
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -69,6 +69,9 @@
 	Attempts int32
 	// Age is how long ago the job was accepted.
 	Age time.Duration
+	// Settled is set if no earlier attempt can run on a host that is not
+	// adopted, so that nothing waits for unknown hosts.
+	Settled bool
 }
 
 // JobCancelled cancels all tasks of a job in this shard.
