Take only idle tasks for a move; remove hosts that are gone

Cause: tasks offered for a move may start before the move is appended. Change: the dispatcher takes the idle head of the range under its lock; hosts that left are taken out of the logged set; peers can be asked about one shard. Conclusion: a started task never changes its shard.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -46,6 +46,7 @@
 	if r, ok := s.reports[act.Attempt.Task]; ok {
 		s.acknowledge(r)
 	}
+	s.highestAttempt = max(s.highestAttempt, act.Attempt.Attempt)
 	h.attempts[act.Attempt] = &attempt{id: act.Attempt, size: act.Size, lease: act.Lease, start: &act}
 	if !act.Idempotent {
 		s.intents = append(s.intents, act)
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -59,6 +59,9 @@
 	}
 	switch r.Refused {
 	case "":
+		if s.o.Started != nil && a.start != nil {
+			s.o.Started(*a.start)
+		}
 		a.state, a.began, a.start = attemptRunning, s.o.Clock(), nil
 		s.apply(scheduler.TaskStarted{Attempt: r.Attempt, Host: h.entry.ID})
 	case worker.StaleStamp:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -25,24 +25,28 @@
 type memoryLog struct {
 	mu       sync.Mutex
 	outcomes map[work.TaskID]work.Outcome
-	intents  map[work.TaskID]int
 	changed  chan struct{}
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{outcomes: map[work.TaskID]work.Outcome{}, intents: map[work.TaskID]int{}, changed: make(chan struct{}, 1)}
+	return &memoryLog{outcomes: map[work.TaskID]work.Outcome{}, changed: make(chan struct{}, 1)}
 }
 
-func (l *memoryLog) Record(_ context.Context, records ...*ledgerv1.Record) error {
+func (l *memoryLog) Intents(_ context.Context, record *ledgerv1.Intents) (map[work.AttemptID]bool, error) {
+	effective := map[work.AttemptID]bool{}
+	for _, a := range record.Attempts {
+		effective[work.AttemptID{Task: work.TaskID{Job: work.JobID(a.Job), Index: a.Index}, Attempt: a.Attempt}] = true
+	}
+	return effective, nil
+}
+
+func (l *memoryLog) Outcomes(_ context.Context, records ...*ledgerv1.Outcomes) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range records {
-		for _, a := range r.GetIntents().GetAttempts() {
-			l.intents[work.TaskID{Job: work.JobID(a.Job), Index: a.Index}]++
-		}
-		for _, o := range r.GetOutcomes().GetRanges() {
+		for _, o := range r.Ranges {
 			for i := o.First; i < o.First+o.Count; i++ {
-				l.outcomes[work.TaskID{Job: work.JobID(r.GetOutcomes().Job), Index: i}] = work.Outcome(o.Outcome)
+				l.outcomes[work.TaskID{Job: work.JobID(r.Job), Index: i}] = work.Outcome(o.Outcome)
 			}
 		}
 	}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+	"github.com/medlarpulley/medlarpulley/internal/work"
 )
 
 // quiescePoll is how often Quiesce looks whether commands are outstanding.
@@ -58,6 +59,23 @@
 	s.decideSoon()
 }
 
-// TakeTasks removes a range of tasks that have not started, before it is
-// moved to another shard.
-func (s *Shard) TakeTasks(moved scheduler.TasksMoved) { s.Apply(moved) }
+// TakeTasks removes the first tasks of a range, before they are moved to
+// another shard, and returns how many. It ends at the first task that was
+// started meanwhile, because a started task must never change its shard.
+func (s *Shard) TakeTasks(moved scheduler.TasksMoved) int32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	idle := map[int32]bool{}
+	for _, t := range s.sched.Tasks(moved.Job) {
+		idle[t.Task.Index] = t.Attempt == 0 && t.Host == "" && t.Outcome == work.Pending
+	}
+	taken := int32(0)
+	for taken < moved.Count && idle[moved.First+taken] {
+		taken++
+	}
+	if taken > 0 {
+		moved.Count = taken
+		s.apply(moved)
+	}
+	return taken
+}
--- a/internal/dispatch/held_job.go
+++ b/internal/dispatch/held_job.go
@@ -17,6 +17,8 @@
 	// released are the tasks that were given to the scheduler one by one,
 	// because an adopted host reported them.
 	released map[int32]bool
+	// cancelled is set if the job was cancelled while it was held.
+	cancelled bool
 }
 
 // AddJob adds a part of a job. If the previous owner may have started tasks of
@@ -67,6 +69,9 @@
 		for _, part := range h.parts {
 			s.releaseRest(part, h.released)
 		}
+		if h.cancelled {
+			s.apply(scheduler.JobCancelled{Job: id})
+		}
 		s.updateAllotments()
 		s.decideSoon()
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -35,9 +35,9 @@
 	stop chan struct{}
 }
 
-func newHost(e HostEntry) *host {
+func newHost(e HostEntry, now time.Duration) *host {
 	return &host{
-		entry: e, attempts: map[work.AttemptID]*attempt{},
+		entry: e, lastHeard: now, attempts: map[work.AttemptID]*attempt{},
 		exclusive: make(chan struct{}, 1), wake: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 }
--- a/internal/dispatch/lost.go
+++ b/internal/dispatch/lost.go
@@ -66,15 +66,23 @@
 		}
 		longest = max(longest, a.lease)
 	}
-	if len(h.attempts) == 0 && h.adopted && h.entry.Leaving && now > h.lease.Over(longest) {
+	if len(h.attempts) == 0 && h.entry.Leaving && now > h.lease.Over(longest) && (h.adopted || s.forgettable(h, now)) {
 		s.removeHost(h)
 	}
 }
 
+// forgettable reports whether a host that was never adopted can hide no task:
+// nothing waits for it any more and it has not answered for a long time.
+func (s *Shard) forgettable(h *host, now time.Duration) bool {
+	return len(s.held) == 0 && now-h.lastHeard > forgetAfter
+}
+
 // removeHost forgets an empty host that the platform took away.
 func (s *Shard) removeHost(h *host) {
 	s.log.Info("dispatch: host removed", "shard", s.o.Shard, "host", h.entry.ID)
 	delete(s.hosts, h.entry.ID)
+	delete(s.initial, h.entry.ID)
+	s.removed[h.entry.ID] = true
 	close(h.stop)
 	s.apply(scheduler.HostGone{Host: h.entry.ID})
 }
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -16,7 +16,10 @@
 // Recorder appends records to the log. It returns once the records have been
 // read back, or with an error that carries a verdict.
 type Recorder interface {
-	Record(ctx context.Context, records ...*ledgerv1.Record) error
+	// Outcomes logs fixed outcomes.
+	Outcomes(ctx context.Context, records ...*ledgerv1.Outcomes) error
+	// Intents logs intents and returns those that took effect. Only they allow a start.
+	Intents(ctx context.Context, record *ledgerv1.Intents) (effective map[work.AttemptID]bool, err error)
 }
 
 // Options are what a Shard needs. All fields but Seed must be set.
@@ -42,9 +45,7 @@
 	Scheduler *scheduler.Scheduler
 	Logger    *slog.Logger
 	Scope     tally.Scope
-	// Ended is called, without a lock held, for each fixed outcome of a task.
-	Ended func(task work.TaskID, outcome work.Outcome)
-	// Started is called, without a lock held, for each confirmed start.
+	// Started is called for each start that a worker confirmed. It must not block.
 	Started func(s scheduler.StartTask)
 }
 
@@ -61,6 +62,9 @@
 	// unreachableAfter is the number of failed exchanges in a row after which a
 	// host takes no new tasks.
 	unreachableAfter = 2
+	// forgetAfter is the silence after which a host that was never adopted and
+	// that the host list does not show is given up.
+	forgetAfter = time.Minute
 	// minBackoff and maxBackoff bound the pause after a failed exchange.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 2 * time.Second
--- /dev/null
+++ b/internal/dispatch/read.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// Summary returns the totals of the shard.
+func (s *Shard) Summary() scheduler.Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.Summary()
+}
+
+// Tasks returns the states of the tasks of a job in this shard.
+func (s *Shard) Tasks(id work.JobID) []scheduler.TaskStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sched.Tasks(id)
+}
+
+// Explain returns why tasks of a job wait in this shard.
+func (s *Shard) Explain(id work.JobID) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.held[id]; h != nil {
+		return []string{"Tasks may still run under the previous owner of the shard; they wait until all its hosts are adopted or its leases are over."}
+	}
+	return s.sched.Explain(id, s.o.Clock())
+}
+
+// HighestAttempt returns the highest attempt number that was used.
+func (s *Shard) HighestAttempt() int32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highestAttempt
+}
+
+// Cancel cancels the tasks of a job.
+func (s *Shard) Cancel(id work.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.held[id]; h != nil {
+		h.cancelled = true
+	}
+	s.apply(scheduler.JobCancelled{Job: id})
+	s.decideSoon()
+}
+
+// TakeRemoved returns the hosts that are gone for good and still in the logged
+// host set.
+func (s *Shard) TakeRemoved() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, 0, len(s.removed))
+	for id := range s.removed {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Dump is the state of the shard for operators.
+type Dump struct {
+	Shard     string         `json:"shard"`
+	Token     uint64         `json:"token"`
+	Fenced    bool           `json:"fenced"`
+	Draining  bool           `json:"draining"`
+	Hosts     []HostDump     `json:"hosts"`
+	HeldJobs  int            `json:"held_jobs"`
+	Unlogged  int            `json:"unlogged_outcomes"`
+	Reports   int            `json:"unacknowledged_reports"`
+	Scheduler scheduler.Dump `json:"scheduler"`
+}
+
+// HostDump is the state of the exchange with one host.
+type HostDump struct {
+	ID         string `json:"id"`
+	Adopted    bool   `json:"adopted"`
+	Failures   int    `json:"failures"`
+	Attempts   int    `json:"attempts"`
+	Queued     int    `json:"queued_starts"`
+	Leaving    bool   `json:"leaving"`
+	SinceHeard string `json:"since_heard"`
+}
+
+// Dump returns a copy of the state.
+func (s *Shard) Dump() Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Dump{
+		Shard: s.o.Shard, Token: s.o.Token, Fenced: s.fenced, Draining: s.draining,
+		HeldJobs: len(s.held), Unlogged: len(s.ended), Reports: len(s.reports), Scheduler: s.sched.Dump(),
+	}
+	now := s.o.Clock()
+	for _, h := range s.hosts {
+		d.Hosts = append(d.Hosts, HostDump{
+			ID: h.entry.ID, Adopted: h.adopted, Failures: h.failures, Attempts: len(h.attempts),
+			Queued: len(h.starts), Leaving: h.leaving || h.entry.Leaving, SinceHeard: (now - h.lastHeard).String(),
+		})
+	}
+	slices.SortFunc(d.Hosts, func(a, b HostDump) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return d
+}
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -36,20 +36,20 @@
 			Job: string(start.Attempt.Task.Job), Index: start.Attempt.Task.Index, Attempt: start.Attempt.Attempt,
 		})
 	}
-	err := s.o.Log.Record(s.ctx, &ledgerv1.Record{Kind: &ledgerv1.Record_Intents{Intents: record}})
+	effective, err := s.o.Log.Intents(s.ctx, record)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, start := range starts {
-		s.intentLogged(start, err)
+		s.intentLogged(start, err == nil && effective[start.Attempt])
 	}
 	s.decideSoon()
 }
 
 // intentLogged sends a start whose intent is in the log. Without the intent
 // nothing was sent, so the start certainly did not happen. The lock must be held.
-func (s *Shard) intentLogged(start scheduler.StartTask, err error) {
+func (s *Shard) intentLogged(start scheduler.StartTask, effective bool) {
 	h := s.hosts[start.Host]
-	if err != nil || h == nil {
+	if !effective || h == nil {
 		if h != nil {
 			delete(h.attempts, start.Attempt)
 		}
@@ -83,7 +83,7 @@
 	if n == 0 {
 		return
 	}
-	if err := s.o.Log.Record(s.ctx, outcomeRecords(s.o.Shard, s.o.Token, batch)...); err != nil {
+	if err := s.o.Log.Outcomes(s.ctx, outcomeRecords(s.o.Shard, s.o.Token, batch)...); err != nil {
 		s.log.Warn("dispatch: outcomes are not logged yet", "shard", s.o.Shard, "tasks", n, "error", err)
 		return
 	}
@@ -95,15 +95,10 @@
 		}
 	}
 	s.mu.Unlock()
-	if s.o.Ended != nil {
-		for _, e := range batch {
-			s.o.Ended(e.task, e.outcome)
-		}
-	}
 }
 
 // outcomeRecords groups outcomes by job into ranges of equal outcome.
-func outcomeRecords(shard string, token uint64, batch []endedTask) []*ledgerv1.Record {
+func outcomeRecords(shard string, token uint64, batch []endedTask) []*ledgerv1.Outcomes {
 	sorted := append([]endedTask(nil), batch...)
 	sort.SliceStable(sorted, func(i, j int) bool {
 		a, b := sorted[i].task, sorted[j].task
@@ -112,12 +107,12 @@
 		}
 		return a.Index < b.Index
 	})
-	var records []*ledgerv1.Record
+	var records []*ledgerv1.Outcomes
 	var current *ledgerv1.Outcomes
 	for _, e := range sorted {
 		if current == nil || current.Job != string(e.task.Job) {
 			current = &ledgerv1.Outcomes{Shard: shard, Token: token, Job: string(e.task.Job)}
-			records = append(records, &ledgerv1.Record{Kind: &ledgerv1.Record_Outcomes{Outcomes: current}})
+			records = append(records, current)
 		}
 		current.Ranges = appendOutcome(current.Ranges, e.task.Index, e.outcome)
 	}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -31,7 +31,10 @@
 	// draining stops new decisions before the shard is handed over.
 	draining bool
 	contract scheduler.Contract
-	allotted map[string]int64
+	// removed are hosts that are gone for good and still in the logged host set.
+	removed        map[string]bool
+	highestAttempt int32
+	allotted       map[string]int64
 
 	kick   chan struct{}
 	intent chan struct{}
@@ -58,8 +61,8 @@
 	return &Shard{
 		o: o, log: o.Logger, sched: o.Scheduler,
 		hosts: map[string]*host{}, initial: map[string]bool{}, held: map[work.JobID]*heldJob{},
-		reports: map[work.TaskID]report{},
-		kick:    make(chan struct{}, 1), intent: make(chan struct{}, 1),
+		reports: map[work.TaskID]report{}, removed: map[string]bool{},
+		kick: make(chan struct{}, 1), intent: make(chan struct{}, 1),
 		ctx: ctx, cancel: cancel,
 	}
 }
@@ -111,6 +114,9 @@
 	seen := map[string]bool{}
 	for _, e := range entries {
 		seen[e.ID] = true
+		if s.removed[e.ID] {
+			continue
+		}
 		h := s.hosts[e.ID]
 		if h == nil {
 			s.addHost(e)
@@ -128,6 +134,11 @@
 			s.refreshHost(h)
 		}
 	}
+	for id := range s.removed {
+		if !seen[id] {
+			delete(s.removed, id)
+		}
+	}
 	s.started = true
 	s.updateAllotments()
 	s.decideSoon()
@@ -135,7 +146,7 @@
 
 // addHost starts the exchange with a new host. The lock must be held.
 func (s *Shard) addHost(e HostEntry) {
-	h := newHost(e)
+	h := newHost(e, s.o.Clock())
 	s.hosts[e.ID] = h
 	s.apply(scheduler.HostChanged{Host: h.description()})
 	s.wg.Add(2)
