Close the stand-ins' listeners before Close returns

Cause: a server that was closed right after its start kept its port open until its goroutine had run; a client then saw a reset connection instead of a refused one.

Change: Close closes the listener itself.

Conclusion: a closed stand-in refuses connections from the return of Close on.

--- a/internal/standin/logsvc/server.go
+++ b/internal/standin/logsvc/server.go
@@ -1,6 +1,7 @@
 package logsvc
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -14,8 +15,8 @@
 // Server serves a Service over HTTP on a loopback address.
 type Server struct {
 	*Service
-	http *http.Server
-	addr string
+	http     *http.Server
+	listener net.Listener
 }
 
 // Serve starts a server. An empty address stands for a port of loopback that
@@ -34,15 +35,21 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
-	return &Server{Service: s, http: server, addr: listener.Addr().String()}, nil
+	return &Server{Service: s, http: server, listener: listener}, nil
 }
 
 // URL returns the base URL of the server.
-func (s *Server) URL() string { return "http://" + s.addr }
+func (s *Server) URL() string { return "http://" + s.listener.Addr().String() }
 
-// Close ends the server and cuts its connections.
+// Close ends the server and cuts its connections. New ones are refused from its
+// return on.
 func (s *Server) Close() error {
-	return eris.Wrap(s.http.Close(), "log stand-in: close")
+	// http.Server does not know the listener before its goroutine has run.
+	_ = s.listener.Close()
+	if err := s.http.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return eris.Wrap(err, "log stand-in: close")
+	}
+	return nil
 }
 
 // newHandler returns a go-zero router without middlewares. The breaker and the
