--- a/internal/standin/runner/fault.go
+++ b/internal/standin/runner/fault.go
@@ -18,6 +18,10 @@
 	CloseBefore bool `json:"close_before"`
 	// Stall stops in the middle of the body until the connection is closed.
 	Stall bool `json:"stall"`
+	// Chunked sends a truncated or stalled body in chunks, without a length.
+	Chunked bool `json:"chunked"`
+	// Verdict answers 503 with a verdict of the runner's own after executing.
+	Verdict string `json:"verdict"`
 	// Times is the number of requests the fault applies to; 0 for all.
 	Times int `json:"times"`
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -75,8 +75,8 @@
 	r.mu.Lock()
 	close(r.closing)
 	r.mu.Unlock()
-	r.listener.each(func(c *silentConn) { c.Close() })
 	r.server.Close()
+	r.listener.each(func(c *silentConn) { c.drop() })
 	<-r.served
 }
 
@@ -100,7 +100,7 @@
 }
 
 // CloseConnections closes all present connections.
-func (r *Runner) CloseConnections() { r.listener.each(func(c *silentConn) { c.Close() }) }
+func (r *Runner) CloseConnections() { r.listener.each(func(c *silentConn) { c.drop() }) }
 
 // Connections returns the number of open connections.
 func (r *Runner) Connections() int {
@@ -128,7 +128,7 @@
 	}
 }
 
-// Arrived tells the ids of requests that took a slot, as far as they fit.
+// Arrived tells the ids of requests whose execution began, as far as they fit.
 func (r *Runner) Arrived() <-chan string { return r.arrived }
 
 // Executions returns how often a request was executed.
--- a/internal/standin/runner/serve.go
+++ b/internal/standin/runner/serve.go
@@ -69,10 +69,6 @@
 	r.record.mu.Lock()
 	r.record.highest = max(r.record.highest, r.taken)
 	r.record.mu.Unlock()
-	select {
-	case r.arrived <- id:
-	default:
-	}
 	return f, r.gate, true
 }
 
@@ -107,6 +103,10 @@
 	}
 	// The request counts as executed from here, also if its caller goes away.
 	r.record.executed(id)
+	select {
+	case r.arrived <- id:
+	default:
+	}
 	r.wait(f, gate)
 	r.answer(w, req, f, id, body)
 }
@@ -139,12 +139,17 @@
 	switch {
 	case f.Fail:
 		http.Error(w, "failed "+id, http.StatusInternalServerError)
+	case f.Verdict != "":
+		w.Header().Set(verdict.Header, f.Verdict)
+		http.Error(w, "verdict "+f.Verdict, http.StatusServiceUnavailable)
 	case f.CloseAfter:
 		closeConnection(w)
 	case f.Unframed:
 		r.unframed(w, whole)
 	case f.Truncate, f.Stall:
-		w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+		if !f.Chunked {
+			w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+		}
 		w.Write(whole[:len(whole)/2])
 		http.NewResponseController(w).Flush()
 		if f.Stall {
--- a/internal/standin/runner/silent_conn.go
+++ b/internal/standin/runner/silent_conn.go
@@ -30,8 +30,15 @@
 	return c.Conn.Write(p)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A silent connection stays open for its peer.
 func (c *silentConn) Close() error {
+	if c.silent.Load() {
+		return nil
+	}
+	return c.drop()
+}
+
+func (c *silentConn) drop() error {
 	c.closed(c)
 	return c.Conn.Close()
 }
