Assemble an entry node and a development cluster: the whole path runs

Cause: the subsystems existed side by side; no request went from end to end. Change: the node wires log, ledger, ownership, membership, lending, dispatch, request path, peers and gateway; a cluster on loopback with all stand-ins. A process that was evicted joins again only under a new incarnation, because it may have forgotten its promises; the ledger's test of a rejoin now demands that, and a new number for the new incarnation as before. Conclusion: the thin path is whole.

--- /dev/null
+++ b/internal/devcluster/cluster_test.go
@@ -0,0 +1,112 @@
+package devcluster
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/gateway"
+	"github.com/medlarpulley/medlarpulley/internal/objects"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// testTimeout bounds a test; it is far above what any step needs.
+const testTimeout = 90 * time.Second
+
+// startCluster starts a cluster with the example objects of a deployment.
+func startCluster(t *testing.T, o Options, example string) (*Cluster, context.Context) {
+	t.Helper()
+	if os.Getenv("CLUSTER_LOG") != "" {
+		o.Logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	c, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	changes, err := ExampleChanges(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(ctx, t, "publication of the example objects", func() error {
+		_, err := c.Publish(ctx, changes)
+		return err
+	})
+	return c, ctx
+}
+
+// eventually repeats f until it succeeds or ctx ends.
+func eventually(ctx context.Context, t *testing.T, what string, f func() error) {
+	t.Helper()
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s: %v", what, err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// batchJob returns a batch job of a team of the hawkrest example.
+func batchJob(id string, tasks int32, idempotent bool, command string) gateway.JobSpec {
+	return gateway.JobSpec{
+		ID: id, Team: "orders", Queue: "orders", Tasks: tasks, Idempotent: idempotent,
+		Size: resource.Vector{MilliCPU: 1000, MemoryMiB: 2048}, Lease: objects.Duration(10 * time.Second), Command: command,
+	}
+}
+
+// submitAndWait submits a job and waits for its end.
+func submitAndWait(ctx context.Context, t *testing.T, c *Cluster, job gateway.JobSpec) gateway.JobStatus {
+	t.Helper()
+	client, err := c.Client("orders-example-secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(ctx, t, "submission", func() error {
+		_, err := client.Submit(ctx, job, false)
+		return err
+	})
+	var status gateway.JobStatus
+	eventually(ctx, t, "end of "+job.ID, func() error {
+		if status, err = client.Status(ctx, job.ID); err == nil && status.State != gateway.StateEnded {
+			err = fmt.Errorf("state %s: %v %s", status.State, status.Tasks, status.Reason)
+		}
+		return err
+	})
+	return status
+}
+
+// checkExecutions compares the workers' own record with the promises.
+func checkExecutions(t *testing.T, c *Cluster, idempotent func(work.JobID) bool) {
+	t.Helper()
+	executions := c.Fleet.Journal().Executions()
+	faults := append(standin.CheckHosts(executions), standin.CheckOnePlace(executions)...)
+	faults = append(faults, standin.CheckAtMostOnce(executions, idempotent)...)
+	for _, f := range faults {
+		t.Error(f)
+	}
+}
+
+// Guards against a path from a caller to the workers and back that loses tasks.
+func TestJobsRunToTheirEnd(t *testing.T) {
+	c, ctx := startCluster(t, DefaultOptions(), "hawkrest")
+	for _, idempotent := range []bool{true, false} {
+		id := fmt.Sprintf("job-%v", idempotent)
+		status := submitAndWait(ctx, t, c, batchJob(id, 100, idempotent, "run=50ms"))
+		if status.Tasks[work.Succeeded.String()] != 100 {
+			t.Errorf("%s ended as %v", id, status.Tasks)
+		}
+	}
+	checkExecutions(t, c, func(id work.JobID) bool { return id == "job-true" })
+}
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -23,6 +23,7 @@
 	if reason != "" {
 		return append(events, ClaimIgnored{o, r.Shard, r.Supersedes, current, reason})
 	}
+	s.Book.Claim(o.Offset, identity(o), r.Shard, r.Supersedes)
 	next := Claim{Shard: r.Shard, Token: o.Offset, Node: o.Node, Incarnation: o.Incarnation, Epoch: current.Epoch + 1}
 	s.Claims[r.Shard] = &next
 	return append(events, ClaimEffective{o, next, current})
@@ -33,6 +34,7 @@
 	if c == nil || len(r.Successor) > MaxName {
 		return append(events, RecordIgnored{o, "release", r.Shard, notHeld})
 	}
+	s.Book.Release(o.Offset, identity(o), r.Shard, r.Token, r.Successor)
 	c.Released, c.Successor = true, r.Successor
 	return append(events, ShardReleased{o, *c})
 }
--- a/internal/ledger/clone.go
+++ b/internal/ledger/clone.go
@@ -13,6 +13,7 @@
 	c := *s
 	c.open = nil
 	c.Senders = cloneEach(s.Senders)
+	c.Book = s.Book.Clone()
 	c.Members = cloneEach(s.Members)
 	c.Claims = cloneEach(s.Claims)
 	c.Sets = slices.Clone(s.Sets)
--- a/internal/ledger/members.go
+++ b/internal/ledger/members.go
@@ -4,9 +4,15 @@
 	"maps"
 	"slices"
 
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
+// identity returns the process that sent a batch.
+func identity(o Origin) ownership.Identity {
+	return ownership.Identity{Node: o.Node, Incarnation: o.Incarnation}
+}
+
 // member returns the member that sent a batch, or nil.
 func (s *State) member(o Origin) *Member {
 	m := s.Members[o.Node]
@@ -28,6 +34,9 @@
 	if s.Members[o.Node] == nil && len(s.Members) >= MaxMembers {
 		return append(events, RecordIgnored{o, "join", o.Node, "too many members"})
 	}
+	if !s.Book.Join(o.Offset, identity(o), r.Zone) {
+		return append(events, RecordIgnored{o, "join", o.Node, "a newer incarnation has joined before"})
+	}
 	s.Joins++
 	m := &Member{
 		Node: o.Node, Incarnation: o.Incarnation, Address: r.Address, HTTPAddress: r.HttpAddress,
@@ -44,6 +53,7 @@
 	if m == nil {
 		return append(events, RecordIgnored{o, "leave", o.Node, "not a member"})
 	}
+	s.Book.Leave(o.Offset, identity(o))
 	return s.remove(events, o, m, false)
 }
 
@@ -57,6 +67,7 @@
 	case m.RenewalOffset > r.LastRenewalOffset:
 		return append(events, RecordIgnored{o, "evict", r.Node, "renewed since"})
 	}
+	s.Book.Evict(o.Offset, ownership.Identity{Node: m.Node, Incarnation: m.Incarnation}, r.LastRenewalOffset)
 	return s.remove(events, o, m, true)
 }
 
@@ -74,6 +85,7 @@
 	m.RenewalOffset = o.Offset
 	// A node cannot have read past the record that says so.
 	m.ReadOffset = max(m.ReadOffset, min(r.ReadOffset, o.Offset))
+	s.Book.Renew(o.Offset, identity(o), m.ReadOffset)
 	return append(events, MemberRenewed{o, m.ReadOffset})
 }
 
--- a/internal/ledger/publish_property_test.go
+++ b/internal/ledger/publish_property_test.go
@@ -67,7 +67,11 @@
 type fataler interface{ Fatalf(string, ...any) }
 
 func marshalBatch(t fataler, node string, sequence uint64, records ...*ledgerv1.Record) []byte {
-	payload, err := proto.Marshal(&ledgerv1.Batch{Node: node, Incarnation: 1, Sequence: sequence, Records: records})
+	return marshalBatchOf(t, node, 1, sequence, records...)
+}
+
+func marshalBatchOf(t fataler, node string, incarnation, sequence uint64, records ...*ledgerv1.Record) []byte {
+	payload, err := proto.Marshal(&ledgerv1.Batch{Node: node, Incarnation: incarnation, Sequence: sequence, Records: records})
 	if err != nil {
 		t.Fatalf("marshal: %v", err)
 	}
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
 	"github.com/medlarpulley/medlarpulley/internal/work"
 )
 
@@ -23,6 +24,16 @@
 	})
 }
 
+// Ownership returns what the rules of ownership need to know. The caller must
+// not change it.
+func (r *Replica) Ownership() ownership.State {
+	return read(r, func(s *State) ownership.State {
+		state := s.Book.State()
+		state.ReadOffset = s.NextOffset
+		return state
+	})
+}
+
 // Configuration returns the configuration in force.
 func (r *Replica) Configuration() Configuration {
 	return read(r, func(s *State) Configuration {
--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -19,9 +19,15 @@
 
 // apply appends one batch and returns the events of its records.
 func (s *scene) apply(node string, records ...*ledgerv1.Record) []Event {
+	s.t.Helper()
+	return s.applyAs(node, 1, records...)
+}
+
+// applyAs applies a batch of an incarnation of a node.
+func (s *scene) applyAs(node string, incarnation uint64, records ...*ledgerv1.Record) []Event {
 	s.t.Helper()
 	next := s.state.NextOffset
-	events, err := s.state.Apply(next, marshalBatch(s.t, node, next, records...))
+	events, err := s.state.Apply(next, marshalBatchOf(s.t, node, incarnation, next, records...))
 	if err != nil {
 		s.t.Fatalf("apply: %v", err)
 	}
@@ -126,11 +132,14 @@
 	if _, ok := s.apply("b", renewal())[0].(RecordIgnored); !ok {
 		t.Fatal("renewal of an evicted member had effect")
 	}
-	if e := s.apply("b", join())[0].(MemberJoined); e.Member.JoinNumber != 3 { // 7
+	if _, ok := s.apply("b", join())[0].(RecordIgnored); !ok { // 7
+		t.Fatal("evicted process rejoined under its old incarnation")
+	}
+	if e := s.applyAs("b", 2, join())[0].(MemberJoined); e.Member.JoinNumber != 3 { // 8
 		t.Fatalf("rejoined with number %d, want 3", e.Member.JoinNumber)
 	}
 	sets, complete := s.state.memberSetsSince(4)
-	want := []MemberSet{{2, []string{"a", "b"}}, {5, []string{"a"}}, {7, []string{"a", "b"}}}
+	want := []MemberSet{{2, []string{"a", "b"}}, {5, []string{"a"}}, {8, []string{"a", "b"}}}
 	if !complete || !reflect.DeepEqual(sets, want) {
 		t.Fatalf("sets since 4: %v, complete %v, want %v", sets, complete, want)
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "github.com/medlarpulley/medlarpulley/internal/work"
+import (
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
 
 // State is the replicated state. Its JSON form is the snapshot: maps have
 // sorted keys there, so equal states have equal snapshots. It is not safe for
@@ -14,7 +17,9 @@
 	Joins      uint64             `json:"joins"`
 	Sets       []MemberSet        `json:"sets"`
 	Claims     map[string]*Claim  `json:"claims"`
-	Limits     map[string]*limit  `json:"limits"`
+	// Book is what the rules of ownership need to know about members and claims.
+	Book   *ownership.Book   `json:"book"`
+	Limits map[string]*limit `json:"limits"`
 	// Hosts are the workers of each shard by id.
 	Hosts     map[string]map[string]HostEntry `json:"hosts"`
 	Jobs      map[work.JobID]*Job             `json:"jobs"`
@@ -51,6 +56,9 @@
 	if s.Limits == nil {
 		s.Limits = map[string]*limit{}
 	}
+	if s.Book == nil {
+		s.Book = ownership.NewBook()
+	}
 	if s.Hosts == nil {
 		s.Hosts = map[string]map[string]HostEntry{}
 	}
--- /dev/null
+++ b/internal/node/configuration.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	"github.com/medlarpulley/medlarpulley/internal/objects"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+)
+
+// keptRevisions bounds the revisions that can be compared with one another.
+const keptRevisions = 64
+
+// configuration is the decoded form of the published objects.
+type configuration struct {
+	revision uint64
+	set      *objects.Set
+	contract scheduler.Contract
+}
+
+// configurations decodes each revision of the replica once and keeps the last ones.
+type configurations struct {
+	mu      sync.RWMutex
+	current *configuration
+	history map[uint64][]objects.Object
+	order   []uint64
+}
+
+func newConfigurations() *configurations {
+	empty, _ := objects.NewSet(nil)
+	return &configurations{
+		current: &configuration{set: empty, contract: empty.Contract(0)},
+		history: map[uint64][]objects.Object{0: nil}, order: []uint64{0},
+	}
+}
+
+// get returns the configuration in force.
+func (c *configurations) get() *configuration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.current
+}
+
+// update decodes a newer revision. An older one is ignored, so that the
+// configuration of a process never reverts.
+func (c *configurations) update(in ledger.Configuration) (changed bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if in.Revision <= c.current.revision {
+		return false, nil
+	}
+	list := objectList(in.Objects)
+	set, err := objects.NewSet(list)
+	if err != nil {
+		return false, err
+	}
+	c.current = &configuration{revision: in.Revision, set: set, contract: set.Contract(in.Revision)}
+	c.history[in.Revision] = list
+	c.order = append(c.order, in.Revision)
+	if len(c.order) > keptRevisions {
+		delete(c.history, c.order[0])
+		c.order = c.order[1:]
+	}
+	return true, nil
+}
+
+// objectsAt returns the objects of a revision, false if it is not kept.
+func (c *configurations) objectsAt(revision uint64) ([]objects.Object, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	list, ok := c.history[revision]
+	return list, ok
+}
+
+// objectList converts the objects of the ledger.
+func objectList(in []*ledger.Object) []objects.Object {
+	out := make([]objects.Object, 0, len(in))
+	for _, o := range in {
+		out = append(out, objects.Object{Kind: objects.Kind(o.Kind), Name: o.Name, Spec: json.RawMessage(o.Spec)})
+	}
+	return out
+}
+
+// validate checks a set of objects for the ledger.
+func validate(in []*ledger.Object) []ledger.Problem {
+	_, err := objects.NewSet(objectList(in))
+	if err == nil {
+		return nil
+	}
+	return problemsOf(err)
+}
+
+// problemsOf converts the faults of a set of objects.
+func problemsOf(err error) []ledger.Problem {
+	faults, ok := err.(objects.Faults)
+	if !ok {
+		return []ledger.Problem{{Field: "set", Value: err.Error()}}
+	}
+	problems := make([]ledger.Problem, 0, len(faults))
+	for _, f := range faults {
+		kind, name, _ := strings.Cut(f.Object, "/")
+		problems = append(problems, ledger.Problem{Kind: kind, Name: name, Field: f.Field, Value: f.Value, Want: f.Accepted})
+	}
+	return problems
+}
+
+// limitUnits returns the units of each limit for the ledger.
+func limitUnits(in []*ledger.Object) map[string]int64 {
+	set, err := objects.NewSet(objectList(in))
+	if err != nil {
+		return nil
+	}
+	return set.LimitUnits()
+}
+
+// ledgerOptions are equal on all nodes, since they are functions of the objects.
+func ledgerOptions() ledger.Options {
+	return ledger.Options{Validate: validate, Limits: limitUnits}
+}
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"github.com/medlarpulley/medlarpulley/internal/gateway"
+	"github.com/medlarpulley/medlarpulley/internal/requests"
+)
+
+// newGateway creates the HTTP server.
+func (n *Node) newGateway() (err error) {
+	s := n.settings
+	n.gateway, err = gateway.New(gateway.Config{
+		OperatorToken: s.Operator.Token, OperatorsOpen: s.Operator.Token == "",
+		MaxJobBytes: s.Limits.JobBytes, MaxBatchBytes: s.Limits.BatchBytes, MaxPublicationBytes: s.Limits.PublicationBytes,
+		MaxBatchJobs: s.Limits.BatchJobs, MaxWatches: s.Limits.Watches,
+		Metrics: n.metrics, Upstreams: n.requests, Log: n.base,
+	}, n)
+	return err
+}
+
+// requestOptions returns the options of the request path.
+func (n *Node) requestOptions() requests.Options {
+	o := requests.DefaultOptions()
+	o.MaxBody = n.settings.Limits.RequestBytes
+	o.DefaultDeadline = n.settings.Request.DefaultDeadline
+	o.Metrics = n.scope.SubScope("requests")
+	o.Log = n.base
+	o.Router.Zone = n.settings.Node.Zone
+	return o
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/homing"
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	"github.com/medlarpulley/medlarpulley/internal/logclient"
+	"github.com/medlarpulley/medlarpulley/internal/membership"
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	peerv1 "github.com/medlarpulley/medlarpulley/proto/peer/v1"
+)
+
+const (
+	// gossipTick is how often the tracker of the peers sees the time pass.
+	gossipTick = 200 * time.Millisecond
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = 900 * time.Millisecond
+)
+
+// gossip drives the tracker of the peers.
+type gossip struct {
+	mu      sync.Mutex
+	tracker *membership.Tracker
+}
+
+// views returns what is known about the peers.
+func (g *gossip) views() []membership.View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Views()
+}
+
+// handle feeds one event to the tracker and returns its actions.
+func (g *gossip) handle(now time.Duration, e membership.Event) []membership.Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Handle(now, e)
+}
+
+// gossipLoop lets the tracker exchange with the peers.
+func (n *Node) gossipLoop(ctx context.Context) {
+	ticker := time.NewTicker(gossipTick)
+	defer ticker.Stop()
+	last := logclient.Never
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.tell(membership.PeersKnown{Peers: peersOf(n.replica.Members())})
+		contact := n.logClient.Contact()
+		if contact.SinceRead < last && contact.ReachedEnd {
+			n.tell(membership.LogRead{ReadOffset: n.replica.NextOffset(), Revision: n.configurations.get().revision})
+		}
+		last = contact.SinceRead
+		n.tell(membership.Tick{})
+	}
+}
+
+// peersOf converts the members.
+func peersOf(members []ledger.Member) []membership.Peer {
+	out := make([]membership.Peer, 0, len(members))
+	for _, m := range members {
+		out = append(out, membership.Peer{Node: m.Node, Incarnation: m.Incarnation})
+	}
+	return out
+}
+
+// tell feeds one event to the tracker and carries out its actions.
+func (n *Node) tell(e membership.Event) {
+	for _, a := range n.gossip.handle(n.clock.Now(), e) {
+		switch act := a.(type) {
+		case membership.Exchange:
+			go n.exchange(act)
+		case membership.StatusChanged:
+			n.log.Info("Peer changed status.", "peer", act.Node, "status", act.Status.String())
+		}
+	}
+}
+
+// exchange carries out one exchange with a peer.
+func (n *Node) exchange(act membership.Exchange) {
+	ctx, cancel := context.WithTimeout(n.ctx, exchangeTimeout)
+	defer cancel()
+	if act.Fresh {
+		n.peers.Renew(act.To)
+	}
+	resp, err := n.peers.Exchange(ctx, act.To, n.summary())
+	if err != nil {
+		n.tell(membership.Failed{To: act.To, ID: act.ID})
+		return
+	}
+	n.tell(membership.Answered{To: act.To, ID: act.ID, Response: resp})
+	n.owner.handle(ownership.PeersDraining{Nodes: n.drainingPeers()})
+}
+
+// drainingPeers returns the peers that are about to leave.
+func (n *Node) drainingPeers() []string {
+	n.gossip.mu.Lock()
+	defer n.gossip.mu.Unlock()
+	return n.gossip.tracker.Draining()
+}
+
+// summary returns what this node tells its peers.
+func (n *Node) summary() *peerv1.ExchangeRequest {
+	contact := n.logClient.Contact()
+	out := &peerv1.ExchangeRequest{
+		Node: n.settings.Node.Name, Incarnation: n.incarnation, ReadOffset: n.replica.NextOffset(),
+		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < membership.FreshFor,
+		Draining: n.draining.Load(), LogContactAgeMillis: contact.SinceRead.Milliseconds(),
+	}
+	for _, o := range n.shards.all() {
+		out.Shards = append(out.Shards, shardSummary(o))
+	}
+	return out
+}
+
+// shardSummary returns what this node tells about one of its shards.
+func shardSummary(o *ownedShard) *peerv1.ShardSummary {
+	s := o.run.Summary()
+	shard := &peerv1.ShardSummary{
+		Shard: o.name, Token: o.token, Free: resources(s.Free), LargestFree: resources(s.LargestFree),
+		LargestHost: resources(s.LargestHost), Capacity: resources(s.Capacity), WaitingTasks: int32(s.Waiting),
+	}
+	for name, use := range s.Limits {
+		if use.Allotted+use.Used+use.Waiting > 0 {
+			shard.Demand = append(shard.Demand, &peerv1.TeamDemand{Limit: name, Allotted: use.Allotted, Used: use.Used, Waiting: use.Waiting})
+		}
+	}
+	return shard
+}
+
+// shardInfos returns the summaries of all shards for the choice of home shards.
+func (n *Node) shardInfos() []homing.Shard {
+	said := n.summary().Shards
+	for _, v := range n.gossip.views() {
+		if v.Status != membership.Unreachable {
+			said = append(said, v.Shards...)
+		}
+	}
+	newest := map[string]*peerv1.ShardSummary{}
+	for _, s := range said {
+		if known := newest[s.Shard]; known == nil || s.Token > known.Token {
+			newest[s.Shard] = s
+		}
+	}
+	out := make([]homing.Shard, 0, len(newest))
+	for name, s := range newest {
+		out = append(out, homing.Shard{
+			Name: name, Zone: n.hosts.zoneOf(name), Owned: true,
+			Capacity: vector(s.Capacity), Free: vector(s.Free), LargestFree: vector(s.LargestFree),
+			LargestHost: vector(s.LargestHost), Waiting: int64(s.WaitingTasks),
+		})
+	}
+	return out
+}
+
+func resources(v resource.Vector) *peerv1.Resources {
+	return &peerv1.Resources{MilliCpu: v.MilliCPU, MemoryMib: v.MemoryMiB, Accelerators: v.Accelerators}
+}
+
+func vector(r *peerv1.Resources) resource.Vector {
+	return resource.Vector{MilliCPU: r.GetMilliCpu(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators()}
+}
--- /dev/null
+++ b/internal/node/hosts.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/platform/hostlist"
+)
+
+// hostView is the latest host list, sorted into shards and runners.
+type hostView struct {
+	mu      sync.RWMutex
+	workers map[string][]hostlist.Host
+	shards  []ownership.Shard
+	runners []hostlist.Host
+	readAt  time.Time
+}
+
+// shardOf returns the shard of a worker: a part of its availability zone that
+// a hash of its rack selects, so that a rack is never split.
+func shardOf(h hostlist.Host, shardsPerZone int) string {
+	part := xxhash.Sum64String(h.Rack) % uint64(shardsPerZone)
+	return fmt.Sprintf("%s/%d", h.Zone, part)
+}
+
+// update replaces the view.
+func (v *hostView) update(hosts []hostlist.Host, shardsPerZone int) {
+	workers, runners := map[string][]hostlist.Host{}, []hostlist.Host(nil)
+	var shards []ownership.Shard
+	for _, h := range hosts {
+		if h.Role == hostlist.RoleRunner {
+			runners = append(runners, h)
+			continue
+		}
+		name := shardOf(h, shardsPerZone)
+		if workers[name] == nil {
+			shards = append(shards, ownership.Shard{Name: name, Zone: h.Zone})
+		}
+		workers[name] = append(workers[name], h)
+	}
+	slices.SortFunc(shards, func(a, b ownership.Shard) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.workers, v.shards, v.runners, v.readAt = workers, shards, runners, time.Now()
+}
+
+// shard returns the workers that the list shows for a shard.
+func (v *hostView) shard(name string) []hostlist.Host {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.workers[name]
+}
+
+// zoneOf returns the availability zone of a shard, empty if it is not listed.
+func (v *hostView) zoneOf(name string) string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if hosts := v.workers[name]; len(hosts) > 0 {
+		return hosts[0].Zone
+	}
+	return ""
+}
+
+// shardList returns the shards that the list shows.
+func (v *hostView) shardList() []ownership.Shard {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.shards
+}
+
+// hostLoop reads the host list at intervals. While it is away the last view holds.
+func (n *Node) hostLoop(ctx context.Context) {
+	ticker := time.NewTicker(n.settings.Platform.HostListEvery)
+	defer ticker.Stop()
+	for {
+		n.readHosts(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// readHosts reads the host list once and passes it on.
+func (n *Node) readHosts(ctx context.Context) {
+	hosts, err := n.list.Hosts(ctx)
+	if err != nil {
+		n.log.Debug("Host list was not read.", "error", err)
+		return
+	}
+	n.hosts.update(hosts, n.settings.Cluster.ShardsPerZone)
+	n.requests.SetRunners(n.hosts.runners)
+	n.owner.shardsKnown(n.hosts.shards)
+	n.shards.hostsListed()
+}
--- /dev/null
+++ b/internal/node/move.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"github.com/medlarpulley/medlarpulley/internal/homing"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+// moveTasks moves tasks that have not started to a shard with room for them.
+// They are taken out of the scheduler before the append, so that they cannot
+// start here once the other shard may own them.
+func (n *Node) moveTasks(from string, offer scheduler.OfferTasks) {
+	o := n.shards.get(from)
+	to, room := homing.Target(offer.Size, from, n.shardInfos())
+	if o == nil || to == "" || n.logAway() {
+		return
+	}
+	job, ok := n.replica.Job(offer.Job)
+	count := min(int64(offer.Count), room)
+	if !ok || (job.Job.Kind != 0 && count < int64(offer.Count)) {
+		return
+	}
+	moved := scheduler.TasksMoved{Job: offer.Job, First: offer.First, Count: int32(count)}
+	if moved.Count = o.run.TakeTasks(moved); moved.Count == 0 {
+		return
+	}
+	// The append is awaited without a limit: while its fate is open the tasks
+	// belong to neither shard.
+	_, err := recorder{n.logClient}.effective(n.ctx, &ledgerv1.Record{Kind: &ledgerv1.Record_Move{Move: &ledgerv1.Move{
+		Job: string(offer.Job), First: moved.First, Count: moved.Count, From: from, To: to, Token: o.token}}})
+	if err != nil && verdict.Of(err) == verdict.DidNotRun {
+		o.run.AddJob(scheduler.JobAdded{Job: job.Job, First: moved.First, Count: moved.Count, Age: n.shards.ageOf(offer.Job)}, false)
+	}
+	n.log.Debug("Tasks were moved.", "job", offer.Job, "first", moved.First, "count", moved.Count, "from", from, "to", to, "error", err)
+}
--- /dev/null
+++ b/internal/node/peer_handler.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+
+	"github.com/medlarpulley/medlarpulley/internal/membership"
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	peerv1 "github.com/medlarpulley/medlarpulley/proto/peer/v1"
+)
+
+// peerHandler answers the other entry nodes.
+type peerHandler struct {
+	peerv1.UnimplementedPeerServer
+	node *Node
+}
+
+// Exchange notes what a peer says and answers with this node's summary.
+func (h *peerHandler) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	h.node.tell(membership.Asked{Request: req})
+	s := h.node.summary()
+	return &peerv1.ExchangeResponse{
+		Node: s.Node, Incarnation: s.Incarnation, ReadOffset: s.ReadOffset, Revision: s.Revision, LogReachable: s.LogReachable,
+		Draining: s.Draining, Shards: s.Shards, LogContactAgeMillis: s.LogContactAgeMillis,
+	}, nil
+}
+
+// ConfirmOutage answers whether the log is away for this node as well.
+func (h *peerHandler) ConfirmOutage(ctx context.Context, req *peerv1.ConfirmOutageRequest) (*peerv1.ConfirmOutageResponse, error) {
+	reply, err := h.node.owner.ask(ctx, func(id uint64) ownership.Event {
+		return ownership.ConfirmRequested{
+			ID: id, From: ownership.Identity{Node: req.Node, Incarnation: req.Incarnation}, Shards: shardTokens(req.Shards),
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	r, _ := reply.(ownership.ConfirmReply)
+	resp := &peerv1.ConfirmOutageResponse{Confirmed: r.Confirmed, Reason: r.Reason}
+	for _, t := range r.Superseded {
+		resp.Superseded = append(resp.Superseded, &peerv1.ShardToken{Shard: t.Shard, Token: t.Token})
+	}
+	return resp, nil
+}
+
+// AcknowledgeClaim answers whether this node has read a claim.
+func (h *peerHandler) AcknowledgeClaim(ctx context.Context, req *peerv1.AcknowledgeClaimRequest) (*peerv1.AcknowledgeClaimResponse, error) {
+	reply, err := h.node.owner.ask(ctx, func(id uint64) ownership.Event {
+		return ownership.AckRequested{ID: id, From: req.Node, ShardToken: ownership.ShardToken{Shard: req.Shard, Token: req.Token}}
+	})
+	if err != nil {
+		return nil, err
+	}
+	r, _ := reply.(ownership.AckReply)
+	return &peerv1.AcknowledgeClaimResponse{Acknowledged: r.Acknowledged, ReadOffset: r.ReadOffset}, nil
+}
+
+// ReserveRequest votes on the right to dispatch a request.
+func (h *peerHandler) ReserveRequest(ctx context.Context, req *peerv1.ReserveRequestRequest) (*peerv1.ReserveRequestResponse, error) {
+	return h.node.requests.ReserveRequest(ctx, req)
+}
+
+// FinishRequest records the end of a request.
+func (h *peerHandler) FinishRequest(ctx context.Context, req *peerv1.FinishRequestRequest) (*peerv1.FinishRequestResponse, error) {
+	return h.node.requests.FinishRequest(ctx, req)
+}
+
+// LeaseSlots lends slots of runners.
+func (h *peerHandler) LeaseSlots(ctx context.Context, req *peerv1.LeaseSlotsRequest) (*peerv1.LeaseSlotsResponse, error) {
+	return h.node.requests.LeaseSlots(ctx, req)
+}
+
+// QueryJob answers for a shard that this node acts for.
+func (h *peerHandler) QueryJob(_ context.Context, req *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error) {
+	return h.node.queryLocal(work.JobID(req.Job), req.Shard, req.Explain), nil
+}
--- /dev/null
+++ b/internal/node/recorder.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	"github.com/medlarpulley/medlarpulley/internal/logclient"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+// recorder appends the records of the shards that this process owns.
+type recorder struct{ client *logclient.Client }
+
+// Outcomes implements dispatch.Recorder. An outcome that the ledger ignores
+// has been recorded before, so that it counts as logged.
+func (r recorder) Outcomes(ctx context.Context, records ...*ledgerv1.Outcomes) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, outcomes := range records {
+		record := &ledgerv1.Record{Kind: &ledgerv1.Record_Outcomes{Outcomes: outcomes}}
+		group.Go(func() error {
+			_, err := r.client.Submit(ctx, record, logclient.PriorityOf(record))
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+// Intents implements dispatch.Recorder.
+func (r recorder) Intents(ctx context.Context, intents *ledgerv1.Intents) (map[work.AttemptID]bool, error) {
+	record := &ledgerv1.Record{Kind: &ledgerv1.Record_Intents{Intents: intents}}
+	receipt, err := r.client.Submit(ctx, record, logclient.PriorityOf(record))
+	if err != nil {
+		return nil, err
+	}
+	effective := map[work.AttemptID]bool{}
+	if applied, ok := find[ledger.IntentsApplied](receipt.Events); ok {
+		for _, id := range applied.Effective {
+			effective[id] = true
+		}
+	}
+	return effective, nil
+}
+
+// effective appends a record and fails with verdict.DidNotRun if the ledger
+// ignored it, for example because the token is stale.
+func (r recorder) effective(ctx context.Context, record *ledgerv1.Record) (logclient.Receipt, error) {
+	receipt, err := r.client.Submit(ctx, record, logclient.PriorityOf(record))
+	if err == nil && ignored(receipt.Events) {
+		err = verdict.New(verdict.DidNotRun, "ignored", "the ledger ignored the record")
+	}
+	return receipt, err
+}
--- /dev/null
+++ b/internal/node/shards.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/dispatch"
+	"github.com/medlarpulley/medlarpulley/internal/ledger"
+	"github.com/medlarpulley/medlarpulley/internal/lending"
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/scheduler"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
+
+// attemptsPerEpoch separates the attempt numbers of successive owners, so that
+// a report of an earlier owner's attempt is never taken for a newer one.
+const attemptsPerEpoch = 4096
+
+// ownedShard is one shard that this process acts for.
+type ownedShard struct {
+	name  string
+	token uint64
+	// next is the offset of the first ledger record that is not applied yet.
+	next uint64
+	// knownBefore is the offset below which an earlier owner, or this process
+	// before an interruption, may have started tasks.
+	knownBefore uint64
+	run         *dispatch.Shard
+	lender      lender
+}
+
+// shards holds the shards that this process acts for.
+type shards struct {
+	node *Node
+
+	mu    sync.Mutex
+	owned map[string]*ownedShard
+	// stopped is when, and below which offset, this process last stopped to act
+	// for a shard that it may get back under the same token.
+	stopped map[string]stoppedShard
+	// seen is when this process read the acceptance of an open job.
+	seen map[work.JobID]time.Duration
+
+	queue *eventQueue
+}
+
+// stoppedShard describes an interruption of ownership.
+type stoppedShard struct {
+	token    uint64
+	at       time.Duration
+	offset   uint64
+	attempts int32
+}
+
+func newShards(n *Node) *shards {
+	return &shards{
+		node: n, owned: map[string]*ownedShard{}, stopped: map[string]stoppedShard{},
+		seen: map[work.JobID]time.Duration{}, queue: newEventQueue(),
+	}
+}
+
+// loop applies ledger events to the shards in order.
+func (s *shards) loop(ctx context.Context) {
+	for {
+		events, ok := s.queue.take(ctx)
+		if !ok {
+			return
+		}
+		s.mu.Lock()
+		for _, e := range events {
+			s.apply(e)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// start begins to act for a shard.
+func (s *shards) start(t ownership.ShardToken) {
+	n := s.node
+	safeAt := n.owner.safeAt(t.Shard)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The state is read under the lock: events of later records are applied
+	// after it, so none is missed and none is applied twice.
+	state := n.replica.ShardState(t.Shard)
+	if state.Claim.Token != t.Token || s.owned[t.Shard] != nil {
+		return
+	}
+	o := &ownedShard{name: t.Shard, token: t.Token, next: state.NextOffset, knownBefore: t.Token}
+	o.lender.book = lending.New()
+	attempts := int32(state.Claim.Epoch-1) * attemptsPerEpoch
+	if before, ok := s.stopped[t.Shard]; ok && before.token == t.Token {
+		o.knownBefore, safeAt, attempts = before.offset, max(safeAt, before.at), before.attempts
+	}
+	o.run = dispatch.New(s.options(o, safeAt))
+	o.run.Run()
+	configuration := n.configurations.get()
+	o.run.SetContract(configuration.contract)
+	o.run.SetAllotments(n.usableUnits(o, state))
+	o.run.SetHosts(s.entries(t.Shard, state.Hosts))
+	for i := range state.Jobs {
+		s.addJob(o, &state.Jobs[i], attempts)
+	}
+	s.owned[t.Shard] = o
+	go s.addListedHosts(t.Shard)
+}
+
+// options returns the options of a dispatcher.
+func (s *shards) options(o *ownedShard, safeAt time.Duration) dispatch.Options {
+	n := s.node
+	return dispatch.Options{
+		Shard: o.name, Token: o.token, SafeAt: safeAt, Clock: n.clock.Now,
+		Authority: func() bool { return n.owner.authority(o.name, o.token) },
+		Workers:   n.workers, Log: recorder{n.logClient},
+		Offer:     func(offer scheduler.OfferTasks) { go n.moveTasks(o.name, offer) },
+		Interval:  n.settings.Platform.WorkerInterval,
+		Scheduler: scheduler.New(scheduler.Options{}),
+		Logger:    n.partLog("dispatch"), Scope: n.scope.SubScope("dispatch"),
+		Started: n.waits.started,
+	}
+}
+
+// stop ends to act for a shard and remembers what may have been done.
+func (s *shards) stop(t ownership.ShardToken) {
+	s.mu.Lock()
+	o := s.owned[t.Shard]
+	if o == nil || o.token != t.Token {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.owned, t.Shard)
+	s.mu.Unlock()
+	o.run.Stop()
+	s.mu.Lock()
+	s.stopped[t.Shard] = stoppedShard{
+		token: t.Token, at: s.node.clock.Now(), offset: s.node.replica.NextOffset(), attempts: o.run.HighestAttempt(),
+	}
+	s.mu.Unlock()
+}
+
+// handOver stops starts and waits until nothing is outstanding.
+func (s *shards) handOver(ctx context.Context, t ownership.ShardToken) error {
+	o := s.get(t.Shard)
+	if o == nil || o.token != t.Token {
+		return nil
+	}
+	return o.run.Quiesce(ctx)
+}
+
+// get returns a shard that this process acts for, or nil.
+func (s *shards) get(name string) *ownedShard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owned[name]
+}
+
+// all returns the shards that this process acts for.
+func (s *shards) all() []*ownedShard {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*ownedShard, 0, len(s.owned))
+	for _, o := range s.owned {
+		out = append(out, o)
+	}
+	return out
+}
+
+// stopAll stops all shards at once, without release.
+func (s *shards) stopAll() {
+	for _, o := range s.all() {
+		s.stop(ownership.ShardToken{Shard: o.name, Token: o.token})
+	}
+}
+
+// addJob gives the parts of a job that are at home in a shard to its
+// dispatcher. The lock must be held.
+func (s *shards) addJob(o *ownedShard, job *ledger.Job, attempts int32) {
+	before := job.Accepted < o.knownBefore
+	for _, p := range job.Parts {
+		if p.Shard != o.name {
+			continue
+		}
+		added := scheduler.JobAdded{
+			Job: job.Job, First: p.First, Count: p.Count, Ended: map[int32]work.Outcome{},
+			Intended: job.Intents, Age: s.age(job.Job.ID),
+		}
+		if before {
+			added.Attempts = max(attempts, 1)
+		}
+		for _, r := range job.Outcomes {
+			for i := max(r.First, p.First); i < min(r.First+r.Count, p.First+p.Count); i++ {
+				added.Ended[i] = r.Outcome
+			}
+		}
+		o.run.AddJob(added, before)
+	}
+	if job.Cancelled != 0 {
+		o.run.Cancel(job.Job.ID)
+	}
+}
+
+// age returns how long ago this process read the acceptance of a job.
+func (s *shards) age(id work.JobID) time.Duration {
+	if at, ok := s.seen[id]; ok {
+		return s.node.clock.Now() - at
+	}
+	return 0
+}
+
+// ageOf is age for callers without the lock.
+func (s *shards) ageOf(id work.JobID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.age(id)
+}
+
+// ownerToken returns the name and token of a shard.
+func ownerToken(o *ownedShard) ownership.ShardToken {
+	return ownership.ShardToken{Shard: o.name, Token: o.token}
+}
--- /dev/null
+++ b/internal/ownership/book_json.go
@@ -0,0 +1,42 @@
+package ownership
+
+import "encoding/json"
+
+// bookJSON is the form of a Book in a snapshot. Maps have sorted keys there,
+// so equal books have equal forms.
+type bookJSON struct {
+	State        State             `json:"state"`
+	Incarnations map[string]uint64 `json:"incarnations"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (b *Book) MarshalJSON() ([]byte, error) {
+	return json.Marshal(bookJSON{State: b.state, Incarnations: b.incarnations})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (b *Book) UnmarshalJSON(data []byte) error {
+	var form bookJSON
+	if err := json.Unmarshal(data, &form); err != nil {
+		return err
+	}
+	*b = *NewBook()
+	b.state = form.State
+	if b.state.Holdings == nil {
+		b.state.Holdings = map[string]Holding{}
+	}
+	for node, incarnation := range form.Incarnations {
+		b.incarnations[node] = incarnation
+	}
+	return nil
+}
+
+// Clone returns a copy that shares nothing mutable with b.
+func (b *Book) Clone() *Book {
+	c := NewBook()
+	c.state = b.State()
+	for node, incarnation := range b.incarnations {
+		c.incarnations[node] = incarnation
+	}
+	return c
+}
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -19,8 +19,8 @@
 type Options struct {
 	// Name identifies the client in metrics and traces of the library.
 	Name string
-	// ConnsPerHost bounds the connections to one address.
-	ConnsPerHost int
+	// IdlePerHost bounds the unused connections to one address.
+	IdlePerHost int
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept.
@@ -38,8 +38,7 @@
 	breaker.NoBreakerFor(o.Name)
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-		MaxConnsPerHost:     o.ConnsPerHost,
-		MaxIdleConnsPerHost: o.ConnsPerHost,
+		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true,
 	}
--- a/internal/platform/worker/http_client.go
+++ b/internal/platform/worker/http_client.go
@@ -20,8 +20,9 @@
 	// maxResponseBytes bounds an answer. A full report of 1,000 tasks is
 	// below 300 KiB.
 	maxResponseBytes = 4 << 20
-	// connsPerWorker allows one held exchange and some starts beside it.
-	connsPerWorker = 4
+	// idlePerAddress is high because many agents can share one address. The
+	// caller has at most one held exchange and one other open with each worker.
+	idlePerAddress = 8192
 	dialTimeout    = time.Second
 	idleTimeout    = time.Minute
 )
@@ -34,10 +35,10 @@
 // NewHTTPClient returns a client with its own connections.
 func NewHTTPClient() *HTTPClient {
 	return &HTTPClient{client: httpclient.New(httpclient.Options{
-		Name:         "worker-agent",
-		ConnsPerHost: connsPerWorker,
-		DialTimeout:  dialTimeout,
-		IdleTimeout:  idleTimeout,
+		Name:        "worker-agent",
+		IdlePerHost: idlePerAddress,
+		DialTimeout: dialTimeout,
+		IdleTimeout: idleTimeout,
 	})}
 }
 
