Add ownership of shards: claims, outage mode, takeover

A renewal counts only after its offset was read, a node that confirmed an outage withholds acknowledgements while its promise runs, and a successor satisfies both rules for every holder that is not proved to have given up.

--- /dev/null
+++ b/internal/ownership/config.go
@@ -0,0 +1,30 @@
+package ownership
+
+import "time"
+
+// Config describes this process.
+type Config struct {
+	Self Identity
+	Zone string
+	// Nodes is the configured number of entry nodes.
+	Nodes int
+	// Started is the clock value at the start of the process.
+	Started time.Duration
+}
+
+// Quorum returns the number of members, out of a set, that must confirm an
+// outage: a majority of the larger of the set and the configured number, and
+// at least 2 unless one node is configured.
+func Quorum(configured, set int) int {
+	n := max(configured, set)
+	if configured == 1 && n == 1 {
+		return 1
+	}
+	return max(n/2+1, 2)
+}
+
+// enoughAcks reports whether acknowledgements from acks members of a set leave
+// fewer than a quorum of possible confirmers.
+func enoughAcks(configured, set, acks int) bool {
+	return acks > max(configured, set)-Quorum(configured, set)
+}
--- /dev/null
+++ b/internal/ownership/state.go
@@ -0,0 +1,74 @@
+package ownership
+
+// State is what the log up to ReadOffset says about members and claims.
+type State struct {
+	// ReadOffset is the next offset to be read.
+	ReadOffset uint64
+	// Members are ordered by name.
+	Members []Member
+	// Sets is the history of member sets in offset order. It reaches back at
+	// least to the smallest ReadOffset of any holder.
+	Sets []MemberSet
+	// Holdings has one entry for each shard that was ever claimed, by name.
+	Holdings map[string]Holding
+}
+
+// Member is an entry node that has joined and neither left nor been evicted.
+type Member struct {
+	Identity
+	Zone string
+	// Joined is the offset of the Join.
+	Joined uint64
+	// Renewed is the offset of the last renewal, or of the Join.
+	Renewed uint64
+	// ReadOffset is what the last renewal declared.
+	ReadOffset uint64
+}
+
+// MemberSet is the set of member names in force from an offset on.
+type MemberSet struct {
+	From  uint64
+	Names []string
+}
+
+// Holding is the state of the claims of one shard.
+type Holding struct {
+	// Token is the offset of the last claim that took effect.
+	Token uint64
+	Owner Identity
+	// Released is true after the owner gave the shard up.
+	Released bool
+	// Successor is the node that the owner named; it may be empty.
+	Successor string
+	// Previous are earlier holders that are not proved to have given up.
+	Previous []Holder
+}
+
+// Holder is a process that may believe that it holds a shard.
+type Holder struct {
+	Identity
+	Token uint64
+	// Renewed is the offset of its last renewal that counts.
+	Renewed uint64
+	// ReadOffset is the offset that this renewal declared as read.
+	ReadOffset uint64
+	// SupersededAt is the offset of the claim that superseded Token.
+	SupersededAt uint64
+	// Rejoined is true if a later incarnation of the node has joined, so that
+	// this process has ended.
+	Rejoined bool
+}
+
+func (s *State) member(node string) (Member, bool) {
+	for _, m := range s.Members {
+		if m.Node == node {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (s *State) isMember(id Identity) bool {
+	m, ok := s.member(id.Node)
+	return ok && m.Incarnation == id.Incarnation
+}
