--- /dev/null
+++ b/internal/lending/timing.go
@@ -0,0 +1,15 @@
+package lending
+
+import "time"
+
+const (
+	// IdleTime is how long units must be unused before they are returned.
+	IdleTime = 2 * time.Second
+	// TransfersPerSecond bounds the transfers of one shard.
+	TransfersPerSecond = 4
+	// minExcessDivisor: units above the equal part are returned to the pool
+	// from an eighth of the part on, so that single units do not swing.
+	minExcessDivisor = 8
+	// maxLimits bounds the limits of one shard.
+	maxLimits = 1024
+)
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -38,6 +38,8 @@
 	promised bool
 	rounds   []round
 	round    uint64
+	// outageUntil is the end of the last extension that a quorum confirmed.
+	outageUntil time.Duration
 
 	moving   ShardToken
 	movedAt  time.Duration
--- a/internal/ownership/outage.go
+++ b/internal/ownership/outage.go
@@ -99,6 +99,9 @@
 func (m *Manager) count(r *round) {
 	need := Quorum(m.cfg.Nodes, len(r.members))
 	until := min(r.sentAt+OutageExtension, m.renewedAt+OutageLimit)
+	if 1+len(r.confirmed) >= need {
+		m.outageUntil = max(m.outageUntil, until)
+	}
 	for _, t := range r.tokens {
 		rec := m.records[t.Shard]
 		if rec.token == t.Token && r.votes(t) >= need {
@@ -108,7 +111,13 @@
 	}
 }
 
-// askOutage starts a round of confirmations while the log is away.
+// OutageConfirmedUntil returns the end of the last extension of the outage
+// that a quorum of members confirmed; zero if there was none.
+func (m *Manager) OutageConfirmedUntil() time.Duration { return m.outageUntil }
+
+// askOutage starts a round of confirmations while the log is away. A node
+// without shards asks too: its configuration counts as fresh in an outage that
+// a quorum confirms.
 func (m *Manager) askOutage(now time.Duration) {
 	if !m.joined() || !m.hasLog || !m.logAway(now) || now-m.renewedAt >= OutageLimit {
 		return
@@ -122,9 +131,6 @@
 			r.tokens = append(r.tokens, ShardToken{name, rec.token})
 		}
 	}
-	if len(r.tokens) == 0 {
-		return
-	}
 	var to []string
 	for _, member := range m.state.Members {
 		r.members = append(r.members, member.Node)
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// The model: three nodes, one shard, one log, two hosts and one queued task.
-// All nodes read one clock that moves by stepTime; a paused node handles
+// The model has 3 nodes, a shard, a log, 2 hosts and a queued task. All nodes read one clock that moves by stepTime; a paused node handles
 // nothing in a step. A message is delivered in any order, or is lost.
 const (
 	modelNodes  = 3
@@ -117,8 +116,7 @@
 
 func (w *world) post(m message) {
 	m.sent = w.now
-	w.messages = append(w.messages, m)
-	w.messages = w.messages[max(0, len(w.messages)-maxMessages):]
+	w.messages = append(w.messages[max(0, len(w.messages)-maxMessages+1):], m)
 }
 
 func (w *world) do(i int, a Action) {
@@ -138,6 +136,9 @@
 		}
 	case AskOutage:
 		for _, to := range a.To {
+			if len(a.Shards) == 0 { // It extends no token.
+				break
+			}
 			w.post(message{to: index(to), replyTo: i, event: ConfirmRequested{a.Round, self, a.Shards}})
 		}
 	case AskAck:
@@ -216,7 +217,7 @@
 		return false
 	}
 	if n.token != token {
-		n.token, n.started, n.fenced = token, false, [2]bool{}
+		*n = modelNode{m: n.m, inc: n.inc, token: token}
 	}
 	idle := true
 	for h := range w.hosts {
@@ -235,11 +236,11 @@
 		w.now < over+WithAllowance(modelLease) {
 		return true
 	}
-	target := 0
+	target := &w.hosts[0]
 	if reaches(i, 1) {
-		target = 1
+		target = &w.hosts[1]
 	}
-	w.hosts[target].running, w.hosts[target].until = true, w.now+modelLease
+	target.running, target.until = true, w.now+modelLease
 	n.started = true
 	return true
 }
@@ -261,7 +262,7 @@
 	return ""
 }
 
-// key is a canonical encoding of everything that can change the future.
+// key encodes everything that can change the future.
 func (w *world) key() string {
 	var b []byte
 	num := func(vs ...uint64) {
@@ -287,7 +288,7 @@
 		m := n.m
 		num(n.inc, n.token, m.state.ReadOffset, m.round)
 		flag(n.started, n.fenced[0], n.fenced[1], m.hasLog, m.hasContact, m.failing, m.promised)
-		t(m.logUntil, m.renewedAt, m.tried, m.contact, m.contactSince, m.promise)
+		t(m.outageUntil, m.logUntil, m.renewedAt, m.tried, m.contact, m.contactSince, m.promise)
 		r := m.records[modelShard]
 		num(uint64(r.phase), r.token)
 		flag(r.acting, r.superseded, r.free, r.attempted)
