Add the grpc transport between entry nodes

internal/peer carries proto/peer/v1: one connection per peer, a deadline for each call, probes, replacement of silent connections, bounded concurrency, and counts of messages and bytes per method.

The verdict of an error is did-not-run only if the library created no stream: its stats event for an outgoing header comes from within the creation. A test covers a refused connection, a silent listener, a cut-off call and a connection that goes silent after use.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+
+	peerv1 "github.com/medlarpulley/medlarpulley/proto/peer/v1"
+)
+
+// Exchange is the heartbeat; it carries summaries both ways.
+func (p *Pool) Exchange(ctx context.Context, node string, req *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.Exchange)
+}
+
+// ConfirmOutage asks a peer whether the log is away for it as well.
+func (p *Pool) ConfirmOutage(ctx context.Context, node string, req *peerv1.ConfirmOutageRequest) (*peerv1.ConfirmOutageResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.ConfirmOutage)
+}
+
+// AcknowledgeClaim asks a peer to confirm that it has read a claim.
+func (p *Pool) AcknowledgeClaim(ctx context.Context, node string, req *peerv1.AcknowledgeClaimRequest) (*peerv1.AcknowledgeClaimResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.AcknowledgeClaim)
+}
+
+// ReserveRequest asks a peer for the right to dispatch a non-idempotent request.
+func (p *Pool) ReserveRequest(ctx context.Context, node string, req *peerv1.ReserveRequestRequest) (*peerv1.ReserveRequestResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.ReserveRequest)
+}
+
+// FinishRequest tells a peer the end of a non-idempotent request.
+func (p *Pool) FinishRequest(ctx context.Context, node string, req *peerv1.FinishRequestRequest) (*peerv1.FinishRequestResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.FinishRequest)
+}
+
+// LeaseSlots borrows slots of runners from their slot keeper.
+func (p *Pool) LeaseSlots(ctx context.Context, node string, req *peerv1.LeaseSlotsRequest) (*peerv1.LeaseSlotsResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.LeaseSlots)
+}
+
+// HoldCapacity asks a shard owner for an expiring hold for a gang.
+func (p *Pool) HoldCapacity(ctx context.Context, node string, req *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.HoldCapacity)
+}
+
+// ReleaseHold gives a hold back.
+func (p *Pool) ReleaseHold(ctx context.Context, node string, req *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.ReleaseHold)
+}
+
+// QueryJob asks a shard owner for the state of a job's tasks.
+func (p *Pool) QueryJob(ctx context.Context, node string, req *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.QueryJob)
+}
--- /dev/null
+++ b/internal/peer/handler.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"context"
+
+	peerv1 "github.com/medlarpulley/medlarpulley/proto/peer/v1"
+)
+
+// Handler answers the calls of other entry nodes. An error keeps its verdict
+// and code on the way to the caller if it is a *verdict.Error. All methods are
+// called concurrently.
+type Handler interface {
+	Exchange(context.Context, *peerv1.ExchangeRequest) (*peerv1.ExchangeResponse, error)
+	ConfirmOutage(context.Context, *peerv1.ConfirmOutageRequest) (*peerv1.ConfirmOutageResponse, error)
+	AcknowledgeClaim(context.Context, *peerv1.AcknowledgeClaimRequest) (*peerv1.AcknowledgeClaimResponse, error)
+	ReserveRequest(context.Context, *peerv1.ReserveRequestRequest) (*peerv1.ReserveRequestResponse, error)
+	FinishRequest(context.Context, *peerv1.FinishRequestRequest) (*peerv1.FinishRequestResponse, error)
+	LeaseSlots(context.Context, *peerv1.LeaseSlotsRequest) (*peerv1.LeaseSlotsResponse, error)
+	HoldCapacity(context.Context, *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error)
+	ReleaseHold(context.Context, *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error)
+	QueryJob(context.Context, *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error)
+}
+
+// service adapts a Handler to the generated interface.
+type service struct {
+	peerv1.UnsafePeerServer
+	Handler
+}
--- /dev/null
+++ b/internal/peer/sent.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// sentFlag is true once the library has created a stream for a call, so that
+// bytes of it may have left.
+type sentFlag struct{ atomic.Bool }
+
+type sentKey struct{}
+
+func withSent(ctx context.Context) (context.Context, *sentFlag) {
+	f := new(sentFlag)
+	return context.WithValue(ctx, sentKey{}, f), f
+}
+
+func markSent(ctx context.Context) {
+	if f, ok := ctx.Value(sentKey{}).(*sentFlag); ok {
+		f.Store(true)
+	}
+}
