Keep headroom for other teams, more idle connections, larger voter tables

A team that floods took every free slot, so the next request of another team waited for one of its requests to end. A team above its share now leaves free what others have recently used, up to their share. Two idle connections a runner were too few: a busy node dialled all the time. Answers without a verdict no longer build an error. A voter held 100,000 ids, which 166 non-idempotent requests a second fill; it now holds 200,000 under a hash.

--- a/internal/platform/runner/options.go
+++ b/internal/platform/runner/options.go
@@ -37,11 +37,12 @@
 }
 
 // DefaultOptions returns the settings used where none are given. Eight nodes
-// hold 8 x 2 idle connections, 8 busy ones and 8 probes at most, which is
-// below the 60 connections that a runner takes.
+// hold 8 x 5 idle connections, 8 busy ones and 8 probes at most, which is
+// below the 60 connections that a runner takes. With fewer idle ones a busy
+// node closes and dials connections all the time.
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout: time.Second, SuspectAfter: 2 * time.Second, StatusTimeout: time.Second,
-		MaxConnections: 9, MaxIdle: 2, IdleTimeout: 30 * time.Second,
+		MaxConnections: 9, MaxIdle: 5, IdleTimeout: 30 * time.Second,
 	}
 }
--- a/internal/requests/bench_test.go
+++ b/internal/requests/bench_test.go
@@ -140,6 +140,7 @@
 func newBench(b *testing.B, nodes, runners int, slow time.Duration) *benchSetup {
 	o, ro := testOptions()
 	o.LeaseEvery, o.LeaseGap = DefaultOptions().LeaseEvery, DefaultOptions().LeaseGap
+	o.VoterEntries = 10_000_000
 	s := &benchSetup{fleet: newFleet(b, nodes, runners, o, ro)}
 	front, plain := httptest.NewServer(s.nodes[0].server), httptest.NewServer(bare(s.runners))
 	b.Cleanup(func() { front.Close(); plain.Close() })
--- a/internal/requests/deliver.go
+++ b/internal/requests/deliver.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/router"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -47,6 +48,9 @@
 	_, writeErr := x.w.Write(rep.body)
 	buf := make([]byte, copyBuffer)
 	control := http.NewResponseController(x.w)
+	// A caller that reads too slowly must not hold the slot for ever.
+	_ = control.SetWriteDeadline(time.Now().Add(x.call.deadline))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	for {
 		n, err := rep.rest.Read(buf)
 		if n > 0 && writeErr == nil {
--- a/internal/requests/exchange.go
+++ b/internal/requests/exchange.go
@@ -70,7 +70,11 @@
 // verdictOf returns the verdict of an answer. Only an error can claim that
 // the request did not run; an answer without a verdict proves that it did.
 func verdictOf(resp *runner.Response) verdict.Verdict {
-	v, err := verdict.Parse(resp.Header.Get(verdict.Header))
+	said := resp.Header.Get(verdict.Header)
+	if said == "" {
+		return verdict.DidRun
+	}
+	v, err := verdict.Parse(said)
 	if err != nil || (v == verdict.DidNotRun && resp.Status < http.StatusBadRequest) {
 		return verdict.DidRun
 	}
--- a/internal/requests/options.go
+++ b/internal/requests/options.go
@@ -40,6 +40,9 @@
 	DefaultDeadline time.Duration
 	// PeerTimeout bounds one call to a peer.
 	PeerTimeout time.Duration
+	// VoterEntries bounds the ids of non-idempotent requests remembered. A full
+	// voter grants nothing until the oldest are ten minutes old.
+	VoterEntries int
 	// LeaseEvery is the time between two demands to a slot keeper.
 	LeaseEvery time.Duration
 	// LeaseGap is the least time between two demands when requests wait.
@@ -54,7 +57,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Router: router.DefaultOptions(), MaxBody: 64 << 20, Buffer: 64 << 10, BufferTotal: 32 << 20,
-		MaxHeader: 32 << 10, DefaultDeadline: 30 * time.Second, PeerTimeout: 500 * time.Millisecond,
+		MaxHeader: 32 << 10, VoterEntries: router.DefaultVoterEntries, DefaultDeadline: 30 * time.Second, PeerTimeout: 500 * time.Millisecond,
 		LeaseEvery: 500 * time.Millisecond, LeaseGap: 20 * time.Millisecond, StatusEvery: 100 * time.Millisecond,
 		Metrics: tally.NoopScope, Log: slog.Default(),
 	}
--- a/internal/requests/serve.go
+++ b/internal/requests/serve.go
@@ -25,11 +25,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.deadline)
 	defer cancel()
-	// A caller that sends or reads too slowly must not hold the handler beyond
-	// the deadline. Writers without deadlines are bounded by their server.
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(c.deadline))
-	_ = control.SetWriteDeadline(time.Now().Add(c.deadline + time.Second))
+	if r.ContentLength != 0 {
+		// A caller that sends too slowly must not hold the handler beyond the
+		// deadline. Connections without deadlines are bounded by their server.
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(c.deadline))
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
 	rest, err := s.readBody(r, c)
 	defer s.buffered.Add(-c.buffer)
 	if err != nil {
--- a/internal/requests/server.go
+++ b/internal/requests/server.go
@@ -62,7 +62,7 @@
 		kicked: make(chan struct{}, 1), doubted: make(chan struct{}, 1),
 	}
 	for i := range shardCount {
-		s.voters[i].table = router.NewVoterTable(router.DefaultVoterEntries/shardCount, router.DefaultVoterBytes/shardCount)
+		s.voters[i].table = router.NewVoterTable(max(o.VoterEntries/shardCount, 1), router.DefaultVoterBytes/shardCount)
 		s.keepers[i].keeper = router.NewKeeper(o.Router)
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
--- a/internal/requests/upstream.go
+++ b/internal/requests/upstream.go
@@ -105,8 +105,12 @@
 
 // pump hands free slots to waiting requests. The caller holds the lock.
 func (u *upstream) pump(now time.Duration) {
-	for u.admission.Waiting() > 0 && u.table.Free(now) {
-		ticket, ok := u.admission.Next(now)
+	for u.admission.Waiting() > 0 {
+		free := u.table.Free(now)
+		if free == 0 {
+			break
+		}
+		ticket, ok := u.admission.Next(now, free)
 		u.shed()
 		if !ok {
 			break
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -107,10 +107,12 @@
 
 // Next returns the request that gets the next slot: urgent before normal
 // before background, then the team that used the least for its weight.
-func (a *Admission) Next(now time.Duration) (Ticket, bool) {
+// Free is the number of slots that are free on this node.
+func (a *Admission) Next(now time.Duration, free int) (Ticket, bool) {
+	a.decay(now)
 	for _, class := range classOrder {
 		for {
-			q := a.neediest(int(class))
+			q := a.neediest(int(class), free)
 			if q == nil {
 				break
 			}
@@ -122,6 +124,7 @@
 				continue
 			}
 			q.inFlight++
+			q.recent = max(q.recent, q.inFlight)
 			a.virtual = max(a.virtual, q.pass)
 			q.pass += a.service / time.Duration(q.weight)
 			return t, true
@@ -130,10 +133,10 @@
 	return Ticket{}, false
 }
 
-func (a *Admission) neediest(class int) *teamQueue {
+func (a *Admission) neediest(class, free int) *teamQueue {
 	var best *teamQueue
 	for _, q := range a.order {
-		if len(q.waiting[class]) == 0 || (q.limit > 0 && q.inFlight >= q.limit) {
+		if len(q.waiting[class]) == 0 || (q.limit > 0 && q.inFlight >= q.limit) || a.leavesHeadroom(q, free) {
 			continue
 		}
 		if best == nil || q.pass < best.pass {
@@ -143,6 +146,39 @@
 	return best
 }
 
+// leavesHeadroom is true if a team above its share must leave the free slots
+// to teams below theirs. Without it a team that floods takes every slot, and
+// the next request of another team waits for one to end.
+func (a *Admission) leavesHeadroom(q *teamQueue, free int) bool {
+	weights := int64(0)
+	for _, o := range a.order {
+		if o == q || o.recent > 0 || !o.idle() {
+			weights += o.weight
+		}
+	}
+	share := func(o *teamQueue) int { return int(int64(a.capacity) * o.weight / weights) }
+	if a.capacity == 0 || q.inFlight < share(q) {
+		return false
+	}
+	kept := 0
+	for _, o := range a.order {
+		if o != q {
+			kept += max(min(o.recent, share(o))-o.inFlight, 0)
+		}
+	}
+	return free <= kept*a.options.HeadroomPercent/100
+}
+
+// decay lowers the recent use of teams, by a quarter a second.
+func (a *Admission) decay(now time.Duration) {
+	for _, q := range a.order {
+		if now-q.decayed >= time.Second {
+			q.decayed = now
+			q.recent = max(q.inFlight, q.recent*3/4)
+		}
+	}
+}
+
 // TakeShed returns the requests that Next dropped because their deadline can
 // no longer be met.
 func (a *Admission) TakeShed() []Ticket {
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -27,6 +27,10 @@
 	EjectMaxPercent int
 	// ProbationAfter is how long an ejected runner gets no request.
 	ProbationAfter time.Duration
+	// HeadroomPercent is the part of the recent use of other teams, up to their
+	// share, that a team above its own share leaves free. At 0 no slot idles
+	// while requests wait; at 100 a flood delays other teams the least.
+	HeadroomPercent int
 	// QueuePerTeam bounds the waiting requests of one team.
 	QueuePerTeam int
 	// MaxTeams bounds the teams that admission keeps state for.
@@ -41,6 +45,7 @@
 		EjectFailures:   5,
 		EjectMaxPercent: 30,
 		ProbationAfter:  5 * time.Second,
+		HeadroomPercent: 100,
 		QueuePerTeam:    256,
 		MaxTeams:        1024,
 	}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -71,9 +71,15 @@
 	})
 }
 
-// Free returns whether some runner has a slot for a new request.
-func (t *Table) Free(now time.Duration) bool {
-	return slices.ContainsFunc(t.runners, func(r *runnerState) bool { return r.eligible(now) })
+// Free returns the number of slots for new requests.
+func (t *Table) Free(now time.Duration) int {
+	free := 0
+	for _, r := range t.runners {
+		if r.eligible(now) {
+			free += r.usable(now)
+		}
+	}
+	return free
 }
 
 // Runners returns the runners in the order of their ids.
--- a/internal/router/team_queue.go
+++ b/internal/router/team_queue.go
@@ -16,6 +16,9 @@
 	limit    int
 	inFlight int
 	waiting  [len(classOrder)][]Ticket
+	// recent is the highest number in flight of the last seconds.
+	recent  int
+	decayed time.Duration
 	// pass is the slot time used, divided by the weight.
 	pass time.Duration
 }
--- a/internal/router/voter_entry.go
+++ b/internal/router/voter_entry.go
@@ -11,7 +11,7 @@
 
 // voterEntry is what a voter remembers of one id.
 type voterEntry struct {
-	key      string
+	key      voterKey
 	expires  time.Duration
 	holder   string
 	released []string
--- a/internal/router/voter_table.go
+++ b/internal/router/voter_table.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"crypto/sha256"
 	"slices"
 	"time"
 )
@@ -8,8 +9,10 @@
 const (
 	// ReservationMemory is how long a voter remembers an id.
 	ReservationMemory = 10 * time.Minute
-	// DefaultVoterEntries bounds the ids that one voter remembers.
-	DefaultVoterEntries = 100_000
+	// DefaultVoterEntries bounds the ids that one voter remembers. Every voter
+	// remembers the ids of all nodes for ten minutes, so this allows 333
+	// non-idempotent requests a second over the fleet.
+	DefaultVoterEntries = 200_000
 	// DefaultVoterBytes bounds the recorded answers of one voter, in bytes.
 	DefaultVoterBytes = 16 << 20
 )
@@ -18,7 +21,7 @@
 type VoterTable struct {
 	max, maxBytes int
 	bytes         int
-	entries       map[string]*voterEntry
+	entries       map[voterKey]*voterEntry
 	// queue holds the entries in the order of their expiry.
 	queue []voterExpiry
 }
@@ -26,7 +29,7 @@
 // NewVoterTable returns a table bounded to a number of ids and of bytes of
 // recorded answers.
 func NewVoterTable(maxEntries, maxBytes int) *VoterTable {
-	return &VoterTable{max: maxEntries, maxBytes: maxBytes, entries: map[string]*voterEntry{}}
+	return &VoterTable{max: maxEntries, maxBytes: maxBytes, entries: map[voterKey]*voterEntry{}}
 }
 
 // CanVote tells whether a node remembers every id of the last ten minutes: it
@@ -35,13 +38,19 @@
 	return founder || now-started >= ReservationMemory
 }
 
-func voterKey(team, id string) string { return team + "\x00" + id }
+// voterKey is a hash that no caller can make collide with another team's id.
+type voterKey [16]byte
+
+func newVoterKey(team, id string) voterKey {
+	sum := sha256.Sum256([]byte(team + "\x00" + id))
+	return voterKey(sum[:16])
+}
 
 // Reserve asks for an id on behalf of an attempt. The caller has checked that
 // the node can vote and that the members offsets agree.
 func (v *VoterTable) Reserve(now time.Duration, team, id, attempt string) Vote {
 	v.expire(now)
-	key := voterKey(team, id)
+	key := newVoterKey(team, id)
 	e := v.entries[key]
 	if e == nil {
 		e = v.add(now, key)
@@ -66,7 +75,7 @@
 // did not run. A recorded end is never replaced.
 func (v *VoterTable) Finish(now time.Duration, team, id, attempt string, end End, released bool) {
 	v.expire(now)
-	key := voterKey(team, id)
+	key := newVoterKey(team, id)
 	e := v.entries[key]
 	if e == nil {
 		if e = v.add(now, key); e == nil {
@@ -88,7 +97,7 @@
 	v.remember(now, e)
 }
 
-func (v *VoterTable) add(now time.Duration, key string) *voterEntry {
+func (v *VoterTable) add(now time.Duration, key voterKey) *voterEntry {
 	if len(v.entries) >= v.max {
 		return nil
 	}
