Use the peer pool with counts and fresh connections for calls between nodes

Cause: the assembly had its own small caller without verdicts or counts. Change: internal/peer serves and calls; addresses follow the members in the log. Conclusion: calls between nodes carry verdicts and are counted by method.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, exchangeTimeout)
 	defer cancel()
 	if act.Fresh {
-		n.peers.Renew(act.To)
+		_ = n.peers.Reset(act.To)
 	}
 	resp, err := n.peers.Exchange(ctx, act.To, n.summary())
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/grpc"
 
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
@@ -19,6 +18,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
 	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/peer"
 	"github.com/medlarpulley/medlarpulley/internal/platform/hostlist"
 	"github.com/medlarpulley/medlarpulley/internal/platform/logsvc"
 	"github.com/medlarpulley/medlarpulley/internal/platform/runner"
@@ -52,13 +52,14 @@
 	waits          *waits
 	owner          *owner
 	shards         *shards
-	peers          *peerPool
+	peers          *peer.Pool
+	counts         *peer.Counts
 	requests       *requests.Server
 	gateway        *gateway.Server
 
 	httpListener net.Listener
 	peerListener net.Listener
-	peerServer   *grpc.Server
+	peerServer   *peer.Server
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -128,10 +129,9 @@
 
 // assemble creates the parts that depend on one another.
 func (n *Node) assemble() {
-	n.peers = newPeerPool(func(node string) (string, bool) {
-		m, ok := n.replica.Member(node)
-		return m.Address, ok
-	})
+	n.counts = peer.NewCounts(n.scope.SubScope("peer"))
+	n.peers = peer.NewPool(n.counts)
+	n.peerServer = peer.NewServer(&peerHandler{node: n}, n.counts)
 	n.gossip = &gossip{tracker: membership.New(membership.Peer{Node: n.settings.Node.Name, Incarnation: n.incarnation}, n.clock.Now())}
 	n.members = newMembers(n)
 	n.shards = newShards(n)
@@ -162,11 +162,35 @@
 		}
 	}
 	n.members.note(events)
+	n.refreshPeers(events)
 	n.jobEvents.note(events)
 	n.shards.queue.put(events)
 	n.owner.ledgerChanged()
 }
 
+// refreshPeers keeps the connections to the peers in line with the members.
+func (n *Node) refreshPeers(events []ledger.Event) {
+	changed := false
+	for _, e := range events {
+		switch e.(type) {
+		case ledger.MemberJoined, ledger.MemberLeft, ledger.Restored:
+			changed = true
+		}
+	}
+	if !changed {
+		return
+	}
+	addresses := map[string]string{}
+	for _, m := range n.replica.Members() {
+		if m.Node != n.settings.Node.Name {
+			addresses[m.Node] = m.Address
+		}
+	}
+	if err := n.peers.SetPeers(addresses); err != nil {
+		n.log.Error("Address of a peer cannot be used.", "error", err)
+	}
+}
+
 // partLog returns the logger of a part.
 func (n *Node) partLog(string) *slog.Logger { return n.base }
 
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -42,8 +42,6 @@
 	manager *ownership.Manager
 	replies map[uint64]chan ownership.Action
 	nextID  uint64
-	// heldAt is when the authority over a shard began, by shard.
-	heldAt map[string]time.Duration
 
 	kick  chan struct{}
 	ready chan struct{}
--- a/internal/node/peer_handler.go
+++ b/internal/node/peer_handler.go
@@ -11,7 +11,6 @@
 
 // peerHandler answers the other entry nodes.
 type peerHandler struct {
-	peerv1.UnimplementedPeerServer
 	node *Node
 }
 
@@ -74,3 +73,13 @@
 func (h *peerHandler) QueryJob(_ context.Context, req *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error) {
 	return h.node.queryLocal(work.JobID(req.Job), req.Shard, req.Explain), nil
 }
+
+// HoldCapacity refuses: gangs are placed within one shard.
+func (h *peerHandler) HoldCapacity(context.Context, *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error) {
+	return &peerv1.HoldCapacityResponse{Reason: "this node grants no holds"}, nil
+}
+
+// ReleaseHold has nothing to release.
+func (h *peerHandler) ReleaseHold(context.Context, *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error) {
+	return &peerv1.ReleaseHoldResponse{}, nil
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,12 +5,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/grpc"
 
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
-	peerv1 "github.com/medlarpulley/medlarpulley/proto/peer/v1"
 )
 
 const (
@@ -40,8 +38,6 @@
 
 // start starts all loops.
 func (n *Node) start() {
-	n.peerServer = grpc.NewServer()
-	peerv1.RegisterPeerServer(n.peerServer, &peerHandler{node: n})
 	n.spawn(func(context.Context) { _ = n.peerServer.Serve(n.peerListener) })
 	n.spawn(func(context.Context) { _ = n.gateway.Serve(n.httpListener) })
 	n.spawn(func(ctx context.Context) { _ = n.logClient.Run(ctx) })
@@ -148,7 +144,7 @@
 	n.shards.stopAll()
 	n.requests.Close()
 	n.wg.Wait()
-	n.peers.close()
+	n.peers.Close()
 	n.workers.Close()
 	n.runners.Close()
 	n.logService.Close()
