Add serve, dev and the demo to the binary

Cause: the assembled node could only be started by tests. Change: serve runs one node; dev runs a cluster on loopback; the demo submits work of every kind, kills a node and compares records.

--- a/cmd/medlarpulley/main.go
+++ b/cmd/medlarpulley/main.go
@@ -8,10 +8,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/medlarpulley/medlarpulley/internal/cli"
-	"github.com/medlarpulley/medlarpulley/internal/settings"
 )
 
 func main() { os.Exit(run()) }
@@ -22,7 +19,6 @@
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
 	return cli.Run(ctx, os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cli.Runners{
-		Serve: func(context.Context, settings.Settings) error { return eris.New("serve is not in this build") },
-		Dev:   func(context.Context, cli.DevOptions) error { return eris.New("dev is not in this build") },
+		Serve: serve, Dev: dev,
 	})
 }
--- a/internal/apiclient/request.go
+++ b/internal/apiclient/request.go
@@ -22,7 +22,7 @@
 	HeaderRequestID  = "Medlar-Request-Id"
 	HeaderClass      = "Medlar-Class"
 	// HeaderTimeout is the time that the caller waits, such as "1.5s".
-	HeaderTimeout = "Medlar-Timeout"
+	HeaderTimeout = "Medlar-Deadline"
 )
 
 // Request is one request to an upstream.
