Bound the time in which a request body must arrive

A caller that never ended its body held a connection and a goroutine for ever. The deadline stays after a failed read, since the server reads the rest of the body before it answers; otherwise it is taken back, so that a waiting submission still notices a caller that goes away.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,6 +20,8 @@
 	MaxWatches int
 	// Heartbeat is the longest silence of a watch; 10 s if zero.
 	Heartbeat time.Duration
+	// BodyTimeout bounds the time in which a body must arrive; 30 s if zero.
+	BodyTimeout time.Duration
 	// Metrics serves /metrics; not found if nil.
 	Metrics http.Handler
 	// Upstreams serves /v1/upstreams/; not found if nil. It authenticates on
@@ -30,7 +32,8 @@
 }
 
 const (
-	defaultHeartbeat = 10 * time.Second
+	defaultHeartbeat   = 10 * time.Second
+	defaultBodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a watcher that does not read.
 	writeTimeout = 10 * time.Second
 	// headerTimeout bounds the head of a request.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/objects"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -18,6 +19,8 @@
 	pub     Publication
 	results []BatchResult
 	events  []JobEvent
+	// wait holds a submission until it delivers.
+	wait <-chan time.Time
 	// hold keeps a watch open until its context is done.
 	hold bool
 }
@@ -39,8 +42,15 @@
 	return JobStatus{ID: id, State: StateWaiting}, f.err
 }
 
-func (f *fake) Submit(_ context.Context, c Caller, job JobSpec, wait bool) (JobStatus, error) {
+func (f *fake) Submit(ctx context.Context, c Caller, job JobSpec, wait bool) (JobStatus, error) {
 	f.job = job
+	if f.wait != nil {
+		select {
+		case <-ctx.Done():
+			return JobStatus{}, ctx.Err()
+		case <-f.wait:
+		}
+	}
 	s, err := f.status(c, job.ID)
 	if wait {
 		s.State = StateEnded
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -248,6 +248,32 @@
 	}
 }
 
+// Guards against a caller that holds a connection by never ending its body,
+// and against a body deadline that ends a waiting submission.
+func TestBodyTimeout(t *testing.T) {
+	const limit = 20 * time.Millisecond
+	s := httptest.NewServer(newServer(t, &fake{wait: time.After(5 * limit)}, func(c *Config) { c.BodyTimeout = limit }))
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != 400 || resp.Header.Get(verdict.Header) != "did-not-run" {
+		t.Fatalf("answer is %+v, %v", resp, err)
+	}
+	resp.Body.Close()
+	req, _ := http.NewRequest("POST", s.URL+"/v1/jobs?wait=true", strings.NewReader(validJob))
+	req.Header.Set("Authorization", "Bearer good")
+	resp, err = http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answer is %+v, %v", resp, err)
+	}
+	resp.Body.Close()
+}
+
 // Guards against decoders that crash or accept what their checks forbid.
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(validJob))
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
@@ -34,7 +35,7 @@
 	wait, p := flag(r, "wait")
 	var body rawBody
 	if p == nil {
-		p = body.read(w, r, s.cfg.MaxJobBytes)
+		p = body.read(w, r, s.cfg.MaxJobBytes, s.cfg.BodyTimeout)
 	}
 	var job JobSpec
 	if p == nil {
@@ -66,7 +67,7 @@
 // for each job. The verdict of the whole is may-have-run if some were accepted.
 func (s *Server) submitBatch(w http.ResponseWriter, r *http.Request, c Caller) {
 	var body rawBody
-	p := body.read(w, r, s.cfg.MaxBatchBytes)
+	p := body.read(w, r, s.cfg.MaxBatchBytes, s.cfg.BodyTimeout)
 	var jobs []JobSpec
 	if p == nil {
 		jobs, p = decodeBatch(body, c, s.cfg.MaxBatchJobs)
@@ -141,8 +142,19 @@
 // rawBody is a bounded body that is decoded later.
 type rawBody []byte
 
-func (b *rawBody) read(w http.ResponseWriter, r *http.Request, limit int64) *Problem {
+// read takes a whole body in a bounded time, so that a caller that sends
+// slowly does not hold a connection for ever.
+func (b *rawBody) read(w http.ResponseWriter, r *http.Request, limit int64, within time.Duration) *Problem {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, is used without one.
+	_ = control.SetReadDeadline(time.Now().Add(within))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		// While the request is served the server reads on to notice a caller
+		// that goes away; the deadline must not end that. After an error it
+		// stays, since the server reads the rest of the body before it answers.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	*b = data
 	return bodyProblem(err, limit)
 }
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -11,7 +11,7 @@
 
 func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
 	var body rawBody
-	p := body.read(w, r, s.cfg.MaxPublicationBytes)
+	p := body.read(w, r, s.cfg.MaxPublicationBytes, s.cfg.BodyTimeout)
 	var pub Publication
 	if p == nil {
 		pub, p = decodePublication(body)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,6 +48,9 @@
 	if cfg.Heartbeat <= 0 {
 		cfg.Heartbeat = defaultHeartbeat
 	}
+	if cfg.BodyTimeout <= 0 {
+		cfg.BodyTimeout = defaultBodyTimeout
+	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
