Send non-idempotent requests over connections that answered a moment ago

Each one dialled, which cost most of its processor time. A connection that answered within 250 ms now carries the next one; GET, HEAD, OPTIONS and TRACE, which net/http may repeat without a body, still dial.

--- a/internal/platform/runner/http_client.go
+++ b/internal/platform/runner/http_client.go
@@ -91,12 +91,8 @@
 		cancel(nil)
 		return nil, verdict.Wrap(err, verdict.DidNotRun, CodeInvalid)
 	}
-	transport := conns.fresh
-	if req.Idempotent {
-		transport = conns.reused
-	}
 	watch := newWatch(c, address, req.ID, conns, cancel)
-	resp, err := transport.RoundTrip(out)
+	resp, err := conns.choose(req).RoundTrip(out)
 	if err != nil {
 		watch.stop()
 		err = lost(ctx, err, sent.Load())
--- a/internal/platform/runner/options.go
+++ b/internal/platform/runner/options.go
@@ -32,17 +32,24 @@
 	MaxConnections int
 	// MaxIdle bounds the idle connections to one runner.
 	MaxIdle int
+	// ProvenFor is how long after an answer a connection may carry a
+	// non-idempotent request; at 0 each one dials. It is short because a
+	// connection may have gone silent since, and then the request is lost.
+	ProvenFor time.Duration
+	// MaxProven bounds the idle connections kept for non-idempotent requests.
+	MaxProven int
 	// IdleTimeout closes a connection that was not used.
 	IdleTimeout time.Duration
 }
 
 // DefaultOptions returns the settings used where none are given. Eight nodes
-// hold 8 x 5 idle connections, 8 busy ones and 8 probes at most, which is
-// below the 60 connections that a runner takes. With fewer idle ones a busy
+// hold 8 x (4 + 2) idle connections, 8 busy ones and a few probes, which is
+// about the 60 connections that a runner takes. With fewer idle ones a busy
 // node closes and dials connections all the time.
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout: time.Second, SuspectAfter: 2 * time.Second, StatusTimeout: time.Second,
-		MaxConnections: 9, MaxIdle: 5, IdleTimeout: 30 * time.Second,
+		MaxConnections: 9, MaxIdle: 4, IdleTimeout: 30 * time.Second,
+		ProvenFor: 250 * time.Millisecond, MaxProven: 2,
 	}
 }
--- a/internal/platform/runner/watch.go
+++ b/internal/platform/runner/watch.go
@@ -85,7 +85,7 @@
 		w.timer.Reset(w.client.options.SuspectAfter)
 		return
 	}
-	w.conns.reused.CloseIdleConnections()
+	w.conns.close()
 	w.cancel(verdict.New(verdict.MayHaveRun, CodeSilent,
 		"the connection to %s made no progress while new ones answered", w.address))
 }
