Close connections of a killed node; end the demo within its time

Cause: requests in flight at a killed node waited for their deadline, since its connections stayed open; a job that always fails backs off beyond the demo. Change: Kill closes connections; the demo's failing job succeeds at its second attempt.

--- a/internal/apiclient/request.go
+++ b/internal/apiclient/request.go
@@ -21,8 +21,8 @@
 	HeaderIdempotent = "Medlar-Idempotent"
 	HeaderRequestID  = "Medlar-Request-Id"
 	HeaderClass      = "Medlar-Class"
-	// HeaderTimeout is the time that the caller waits, such as "1.5s".
-	HeaderTimeout = "Medlar-Deadline"
+	// HeaderDeadline is the time that the caller waits, such as "1.5s".
+	HeaderDeadline = "Medlar-Deadline"
 )
 
 // Request is one request to an upstream.
@@ -98,7 +98,7 @@
 		req.Header.Set(HeaderRequestID, r.ID)
 	}
 	if r.Timeout > 0 {
-		req.Header.Set(HeaderTimeout, r.Timeout.String())
+		req.Header.Set(HeaderDeadline, r.Timeout.String())
 	}
 	do := c.do
 	if !r.Idempotent {
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -42,7 +42,7 @@
 	once.Idempotent = false
 	urgent := spec("profile-preview", "previews", "interactive", 20, size(1000, 2048), "run=50ms")
 	urgent.Class = work.Urgent
-	flaky := spec("crawl", "research", "bulk", 20, size(1000, 1024), "run=50ms&exit=fail")
+	flaky := spec("crawl", "research", "bulk", 10, size(1000, 1024), "run=50ms&fail_first=1")
 	long := spec("index-build", "labs", "bulk", 10, size(1000, 2048), "run=6s")
 	return []demoJob{
 		{spec: service, service: true}, {spec: rescan}, {spec: gang}, {spec: once}, {spec: urgent}, {spec: flaky}, {spec: long},
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -111,6 +111,12 @@
 	return nil
 }
 
+// Close ends the listener and all connections at once.
+func (s *Server) Close() error {
+	s.stopOnce.Do(func() { close(s.stopping) })
+	return eris.Wrap(s.http.Close(), "close the HTTP server")
+}
+
 // Shutdown closes the listener, ends watches, which callers can resume
 // elsewhere, and waits for all other requests until ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -137,10 +137,7 @@
 func (n *Node) Kill() {
 	n.cancel()
 	n.peerServer.Stop()
-	_ = n.httpListener.Close()
-	closed, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = n.gateway.Shutdown(closed)
+	_ = n.gateway.Close()
 	n.shards.stopAll()
 	n.requests.Close()
 	n.wg.Wait()
