Warm up the request path before the demo's requests

Cause: a runner's keeper lends no slots for one lease after its start, so the first requests waited for seconds. Change: the demo sends one request through each node first. Conclusion: the wait belongs to the start of a cluster, not to its running.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,7 +45,10 @@
 	if err := submit(ctx, c, all); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%6.1f s  %d jobs are accepted; requests begin.\n", time.Since(began).Seconds(), len(all))
+	fmt.Fprintf(out, "%6.1f s  %d jobs are accepted.\n", time.Since(began).Seconds(), len(all))
+	if err := warmUp(ctx, c); err != nil {
+		return eris.Wrap(err, "first requests")
+	}
 	killed := time.AfterFunc(killAfter, func() {
 		c.Members[1].Kill()
 		fmt.Fprintf(out, "%6.1f s  %s was killed.\n", time.Since(began).Seconds(), c.Members[1].Name)
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -78,7 +78,7 @@
 		return
 	}
 	for _, m := range c.Members {
-		raw, err := operator.Dump(ctx, m.Address())
+		raw, err := operator.Dump(ctx, "http://"+m.Address())
 		var d node.Dump
 		if err != nil || json.Unmarshal(raw, &d) != nil {
 			t.AppendRow(table.Row{m.Name, "no answer"})
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -52,6 +52,27 @@
 	return ends, nil
 }
 
+// warmUp waits until every entry node has slots: the keeper of a runner that
+// has just started lends none for the length of one lease.
+func warmUp(ctx context.Context, c *devcluster.Cluster) error {
+	for _, address := range c.Addresses() {
+		client, err := apiclient.New(apiclient.Options{Entries: []string{address}, Key: key(requestTeam)})
+		if err != nil {
+			return err
+		}
+		err = retry(ctx, func() error {
+			_, err := client.Request(ctx, apiclient.Request{
+				Upstream: upstream, Method: http.MethodPost, Path: "/work", ID: "warm-up", Idempotent: true, Timeout: requestTimeout,
+			})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // sendRequest sends one request.
 func sendRequest(ctx context.Context, client *apiclient.Client, i int) requestEnd {
 	end := requestEnd{id: fmt.Sprintf("request-%d", i), idempotent: i%2 == 0}
