Cancel a handover when authority lapses

A shard stayed in handover for good if authority ran out before the dispatcher had finished: it drops the shard then and reports nothing. The shard is now held again, and acts or moves once authority returns.

--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -222,6 +222,10 @@
 			m.emit(StartActing{ShardToken{name, r.token}})
 		} else if !ok {
 			m.stop(name, &r, "authority has run out")
+			if r.phase == phaseHandover {
+				// The dispatcher has dropped the shard and reports nothing.
+				r.phase = phaseHeld
+			}
 		}
 		m.records[name] = r
 	}
--- a/internal/ownership/peer_test.go
+++ b/internal/ownership/peer_test.go
@@ -127,3 +127,26 @@
 		t.Fatalf("%+v", h)
 	}
 }
+
+// Guards against a shard that nobody acts on, because authority lapsed while
+// the dispatcher was handing it over.
+func TestLapseCancelsHandover(t *testing.T) {
+	w, owner := settled(t)
+	m := w.nodes[owner].m
+	handedOver := false
+	for _, a := range m.Handle(w.now, Drain{}) {
+		_, ok := a.(HandOver)
+		handedOver = handedOver || ok
+	}
+	if !handedOver {
+		t.Fatal("no handover")
+	}
+	w.now += LogAuthority
+	m.Handle(w.now, Tick{})
+	if got := m.records[modelShard].phase; got != phaseHeld {
+		t.Fatalf("phase %d after the lapse", got)
+	}
+	if _, _, ok := m.Authority(modelShard, w.now); ok {
+		t.Fatal("authority after the lapse")
+	}
+}
