--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -13,6 +13,9 @@
 	}
 	j.nextOffer = s.now + s.options.OfferEvery
 	s.timers.add(timer{at: j.nextOffer, kind: timerOffer, job: j})
+	if j.waiting > 0 {
+		s.watchAge(j, j.progress+s.contract.Policy.MaxWait)
+	}
 	if j.waiting == 0 || j.closed || !s.stuck(j) {
 		return
 	}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -29,9 +29,11 @@
 	heap.Push(&s.aged, agedJob{since: j.progress, job: j})
 }
 
-// watchAge looks at the age of j at the given clock value.
+// watchAge looks at the age of j at the given clock value. A later value than
+// the next offer is left to it: a timer for the whole of MaxWait would keep
+// each job in memory that long after its end.
 func (s *Scheduler) watchAge(j *job, at time.Duration) {
-	if !j.ageTimer && !j.aged {
+	if !j.ageTimer && !j.aged && at-s.now <= s.options.OfferEvery {
 		j.ageTimer = true
 		s.timers.add(timer{at: at, kind: timerAge, job: j})
 	}
