Ask slot keepers less often while requests go on waiting

Waiting requests made a node ask every 20 ms, which in an overload exceeds the nodes' traffic budget without getting a slot. The gap now doubles up to the renewal period, which is a second instead of half.

--- a/internal/requests/bench_test.go
+++ b/internal/requests/bench_test.go
@@ -74,7 +74,7 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
 }
 
-// run sends for a time. At most one request in a thousand may fail.
+// run sends for a time. Failed requests count but have no latency.
 func (l load) run(d time.Duration) *measured {
 	client := newCaller(l.callers)
 	defer client.CloseIdleConnections()
--- a/internal/requests/leases.go
+++ b/internal/requests/leases.go
@@ -10,18 +10,26 @@
 )
 
 // leaseLoop asks the slot keepers for slots, regularly and when requests wait.
+// While they go on waiting it asks less and less often: in an overload there
+// are no more slots to get, and the nodes' traffic must not grow with it.
 func (s *Server) leaseLoop() {
 	ticker := time.NewTicker(s.options.LeaseEvery)
 	defer ticker.Stop()
+	gap, waited := s.options.LeaseGap, false
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-s.kicked:
+			gap, waited = min(2*gap, s.options.LeaseEvery), true
 		case <-ticker.C:
+			if !waited {
+				gap = s.options.LeaseGap
+			}
+			waited = false
 		}
 		s.askKeepers()
-		if !s.pause(s.options.LeaseGap) {
+		if !s.pause(gap) {
 			return
 		}
 	}
--- a/internal/requests/options.go
+++ b/internal/requests/options.go
@@ -45,7 +45,8 @@
 	VoterEntries int
 	// LeaseEvery is the time between two demands to a slot keeper.
 	LeaseEvery time.Duration
-	// LeaseGap is the least time between two demands when requests wait.
+	// LeaseGap is the least time between two demands when requests begin to
+	// wait. It doubles up to LeaseEvery while they go on waiting.
 	LeaseGap time.Duration
 	// StatusEvery is the time between two looks at slots in unknown state.
 	StatusEvery time.Duration
@@ -58,7 +59,7 @@
 	return Options{
 		Router: router.DefaultOptions(), MaxBody: 64 << 20, Buffer: 64 << 10, BufferTotal: 32 << 20,
 		MaxHeader: 32 << 10, VoterEntries: router.DefaultVoterEntries, DefaultDeadline: 30 * time.Second, PeerTimeout: 500 * time.Millisecond,
-		LeaseEvery: 500 * time.Millisecond, LeaseGap: 20 * time.Millisecond, StatusEvery: 100 * time.Millisecond,
+		LeaseEvery: time.Second, LeaseGap: 20 * time.Millisecond, StatusEvery: 100 * time.Millisecond,
 		Metrics: tally.NoopScope, Log: slog.Default(),
 	}
 }
--- a/internal/requests/runners.go
+++ b/internal/requests/runners.go
@@ -6,7 +6,8 @@
 )
 
 // SetRunners takes over the platform's list. It adds runners, marks those
-// that leave, and removes those that are no longer listed.
+// that leave, and removes those that are no longer listed once their requests
+// have ended. It must not be called with the empty result of a failed read.
 func (s *Server) SetRunners(hosts []hostlist.Host) {
 	s.updating.Lock()
 	defer s.updating.Unlock()
@@ -26,9 +27,31 @@
 	s.eachUpstream(func(u *upstream) {
 		u.with(s.clock.Now(), func(t *router.Table) { replace(t, byUpstream[u.name]) })
 	})
+	s.forget(hosts)
 	poke(s.kicked)
 }
 
+// forgetter is a runner client that keeps something for each address.
+type forgetter interface{ Forget(address string) }
+
+// forget closes idle connections to addresses that are no longer listed.
+func (s *Server) forget(hosts []hostlist.Host) {
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		if h.Role == hostlist.RoleRunner {
+			listed[h.Address] = true
+		}
+	}
+	if client, ok := s.client.(forgetter); ok {
+		for address := range s.addresses {
+			if !listed[address] {
+				client.Forget(address)
+			}
+		}
+	}
+	s.addresses = listed
+}
+
 func replace(t *router.Table, hosts []hostlist.Host) {
 	listed := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
--- a/internal/requests/server.go
+++ b/internal/requests/server.go
@@ -30,6 +30,7 @@
 	upstreams sync.Map // name to *upstream
 	count     atomic.Int32
 	updating  sync.Mutex
+	addresses map[string]bool // of the listed runners
 	voters    [shardCount]voterShard
 	keepers   [shardCount]keeperShard
 	seed      maphash.Seed
