Announce a publication to a majority before it is appended

Cause: in an outage that a majority sees, nodes used their last configuration, while a node of the minority could still publish the withdrawal of a key; the majority would have honoured the key for up to two hours. Change: the publisher tells a majority of the members first; a member that knows of an open publication does not count as a witness of an outage. Without proof of its configuration a node refuses keyed work and starts no tasks. Conclusion: any majority that could witness an outage has a member that knows.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -51,6 +51,19 @@
 	return true
 }
 
+// PauseStarts stops or resumes all starts. Tasks that run go on.
+func (s *Shard) PauseStarts(paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused == paused {
+		return
+	}
+	s.paused = paused
+	s.log.Info("dispatch: starts are paused or resumed", "shard", s.o.Shard, "paused", paused)
+	s.apply(scheduler.StartsPaused{All: paused})
+	s.decideSoon()
+}
+
 // Resume undoes Quiesce if the shard was not released.
 func (s *Shard) Resume() {
 	s.mu.Lock()
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -30,6 +30,8 @@
 	started bool
 	// draining stops new decisions before the shard is handed over.
 	draining bool
+	// paused is true while the configuration is not proved to be the last one.
+	paused   bool
 	contract scheduler.Contract
 	// removed are hosts that are gone for good and still in the logged host set.
 	removed        map[string]bool
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -118,6 +118,7 @@
 	}
 	p.failures, p.Heard, p.HeardAt = 0, true, p.sentAt
 	p.LogReachable = e.Response.GetLogReachable()
+	p.PublicationOpen = e.Response.GetPublicationOpen()
 	p.LogAge = time.Duration(e.Response.GetLogContactAgeMillis()) * time.Millisecond
 	t.setStatus(p, Alive)
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -20,6 +20,9 @@
 	// LogReachable and LogAge are as of HeardAt.
 	LogReachable bool
 	LogAge       time.Duration
+	// PublicationOpen is true if the peer knew of a publication whose fate it
+	// had not read.
+	PublicationOpen bool
 	// Shards is the last summary, at most maxShards entries.
 	Shards []*peerv1.ShardSummary
 }
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -1,10 +1,17 @@
 package node
 
 import (
+	"context"
+	"time"
+
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
+	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
 )
 
+// freshInterval is how often the proof of the configuration is looked at.
+const freshInterval = 250 * time.Millisecond
+
 // provedFresh fails if this node cannot prove that its configuration is the
 // last one, so that a key may have been withdrawn without its knowledge. An
 // outage of the log that a majority of the members see counts as proof.
@@ -23,12 +30,18 @@
 }
 
 // outageSeen reports whether a majority of the members, this one included, say
-// that they do not reach the log.
+// that they do not reach the log and know of no publication that may be in it.
+// A publication is announced to a majority before it is appended, so one of
+// any majority knows of it.
 func (n *Node) outageSeen() bool {
 	now, away := n.clock.Now(), 1
+	if n.announced.any(now, false) {
+		return false
+	}
 	views := n.gossip.views()
 	for _, v := range views {
-		if v.Heard && now-v.HeardAt <= membership.FreshFor && !v.LogReachable {
+		read := v.LogAge < logclient.Never/2
+		if v.Heard && now-v.HeardAt <= membership.FreshFor && !v.LogReachable && !v.PublicationOpen && read {
 			away++
 		}
 	}
@@ -39,3 +52,14 @@
 func (n *Node) logAway() bool {
 	return n.logClient.Contact().SinceRead > n.settings.Timing.OutageConfirmAfter
 }
+
+// freshLoop stops the starts of tasks while the configuration is not proved to
+// be the last one: a limit may have been lowered without this node's knowledge.
+func (n *Node) freshLoop(ctx context.Context) {
+	for sleep(ctx, freshInterval) {
+		stale := n.provedFresh() != nil
+		for _, o := range n.shards.all() {
+			o.run.PauseStarts(stale)
+		}
+	}
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -111,8 +111,9 @@
 	contact := n.logClient.Contact()
 	out := &peerv1.ExchangeRequest{
 		Node: n.settings.Node.Name, Incarnation: n.incarnation, ReadOffset: n.replica.NextOffset(),
-		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < membership.FreshFor,
+		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < n.settings.Timing.OutageConfirmAfter,
 		Draining: n.draining.Load(), LogContactAgeMillis: contact.SinceRead.Milliseconds(),
+		PublicationOpen: n.announced.any(n.clock.Now(), !n.logAway()),
 	}
 	for _, o := range n.shards.all() {
 		out.Shards = append(out.Shards, shardSummary(o))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	configurations *configurations
 	hosts          *hostView
 	jobEvents      *jobEvents
+	announced      *announcements
 	members        *members
 	gossip         *gossip
 	waits          *waits
@@ -76,7 +77,7 @@
 	n := &Node{
 		settings: s, base: base, log: logging.Part(base, "node"), clock: clock{time.Now()},
 		incarnation: uint64(time.Now().UnixNano()), drainReq: make(chan struct{}),
-		configurations: newConfigurations(), hosts: &hostView{}, jobEvents: newJobEvents(),
+		configurations: newConfigurations(), hosts: &hostView{}, announced: newAnnouncements(), jobEvents: newJobEvents(),
 		waits: newWaits(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -162,6 +163,7 @@
 		}
 	}
 	n.members.note(events)
+	n.announced.note(events)
 	n.refreshPeers(events)
 	n.jobEvents.note(events)
 	n.shards.queue.put(events)
--- a/internal/node/peer_handler.go
+++ b/internal/node/peer_handler.go
@@ -20,7 +20,7 @@
 	s := h.node.summary()
 	return &peerv1.ExchangeResponse{
 		Node: s.Node, Incarnation: s.Incarnation, ReadOffset: s.ReadOffset, Revision: s.Revision, LogReachable: s.LogReachable,
-		Draining: s.Draining, Shards: s.Shards, LogContactAgeMillis: s.LogContactAgeMillis,
+		Draining: s.Draining, Shards: s.Shards, LogContactAgeMillis: s.LogContactAgeMillis, PublicationOpen: s.PublicationOpen,
 	}, nil
 }
 
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -43,8 +43,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
+	if err := n.announce(ctx, p.ID); err != nil {
+		return gateway.PublishResult{}, err
+	}
 	receipt, err := n.logClient.Submit(ctx, record, logclient.Immediate)
 	if err != nil {
+		if verdict.Of(err) == verdict.DidNotRun {
+			n.withdrawAnnouncement(p.ID)
+		}
 		return gateway.PublishResult{}, verdict.Wrap(err, verdict.Of(err), gateway.CodeLogUnavailable)
 	}
 	return publication(p, receipt.Events)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -46,6 +46,11 @@
 	return call(ctx, p, node, req, peerv1.PeerClient.ReleaseHold)
 }
 
+// PreparePublication announces a publication to a peer.
+func (p *Pool) PreparePublication(ctx context.Context, node string, req *peerv1.PreparePublicationRequest) (*peerv1.PreparePublicationResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.PreparePublication)
+}
+
 // QueryJob asks a shard owner for the state of a job's tasks.
 func (p *Pool) QueryJob(ctx context.Context, node string, req *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error) {
 	return call(ctx, p, node, req, peerv1.PeerClient.QueryJob)
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -18,6 +18,7 @@
 	LeaseSlots(context.Context, *peerv1.LeaseSlotsRequest) (*peerv1.LeaseSlotsResponse, error)
 	HoldCapacity(context.Context, *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error)
 	ReleaseHold(context.Context, *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error)
+	PreparePublication(context.Context, *peerv1.PreparePublicationRequest) (*peerv1.PreparePublicationResponse, error)
 	QueryJob(context.Context, *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error)
 }
 
