Apply upstream rules to requests; read allotments alone; cache summaries

Cause: published team concurrency and class rules of upstreams had no effect, and lending copied all jobs of a shard four times a second.

--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -79,7 +79,9 @@
 	}
 	for _, m := range c.Members {
 		raw, err := operator.Dump(ctx, "http://"+m.Address())
-		var d node.Dump
+		var d struct {
+			Waits map[string]node.WaitSummary `json:"waits"`
+		}
 		if err != nil || json.Unmarshal(raw, &d) != nil {
 			t.AppendRow(table.Row{m.Name, "no answer"})
 			continue
--- a/internal/devcluster/options.go
+++ b/internal/devcluster/options.go
@@ -37,7 +37,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Nodes: 3, Zones: []string{"zone-a", "zone-b", "zone-c"}, ShardsPerZone: 1,
-		Workers: 12, RackSize: 6, WorkerSize: resource.Vector{MilliCPU: 16000, MemoryMiB: 65536},
+		Workers: 12, RackSize: 4, WorkerSize: resource.Vector{MilliCPU: 16000, MemoryMiB: 65536},
 		Runners: 4, Upstream: "matching", OperatorToken: "dev-operator-token",
 		Logger: slog.New(slog.DiscardHandler),
 	}
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -127,11 +127,13 @@
 			}
 			continue
 		}
-		h.entry = e
-		s.refreshHost(h)
+		if h.entry != e {
+			h.entry = e
+			s.refreshHost(h)
+		}
 	}
 	for id, h := range s.hosts {
-		if !seen[id] {
+		if !seen[id] && !h.entry.Leaving {
 			h.entry.Leaving = true
 			s.refreshHost(h)
 		}
--- a/internal/ledger/shard_state.go
+++ b/internal/ledger/shard_state.go
@@ -10,10 +10,9 @@
 	// NextOffset is the offset of the first record that is not included.
 	NextOffset uint64
 	Claim      Claim
-	// Hosts are sorted by id, Jobs by acceptance, Allotments by limit.
-	Hosts      []HostEntry
-	Jobs       []Job
-	Allotments []Allotment
+	// Hosts are sorted by id, Jobs by acceptance.
+	Hosts []HostEntry
+	Jobs  []Job
 }
 
 // ShardState returns the state of a shard as of one offset, so that a reader
@@ -28,7 +27,25 @@
 			out.Hosts = append(out.Hosts, s.Hosts[shard][id])
 		}
 		out.Jobs = s.openJobsOf(shard)
-		out.Allotments = s.allotmentsOf(shard)
+		return out
+	})
+}
+
+// AllotmentState is the part of a ShardState that concerns limits.
+type AllotmentState struct {
+	NextOffset uint64
+	Claim      Claim
+	// Allotments are sorted by limit.
+	Allotments []Allotment
+}
+
+// AllotmentState returns the allotments of a shard as of one offset.
+func (r *Replica) AllotmentState(shard string) AllotmentState {
+	return read(r, func(s *State) AllotmentState {
+		out := AllotmentState{NextOffset: s.NextOffset, Claim: Claim{Shard: shard}, Allotments: s.allotmentsOf(shard)}
+		if c := s.Claims[shard]; c != nil {
+			out.Claim = *c
+		}
 		return out
 	})
 }
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -18,6 +18,8 @@
 	revision uint64
 	set      *objects.Set
 	contract scheduler.Contract
+	// upstreams are the published upstreams by the name that the host list uses.
+	upstreams map[string]objects.Upstream
 }
 
 // configurations decodes each revision of the replica once and keeps the last ones.
@@ -56,7 +58,10 @@
 	if err != nil {
 		return false, err
 	}
-	c.current = &configuration{revision: in.Revision, set: set, contract: set.Contract(in.Revision)}
+	c.current = &configuration{revision: in.Revision, set: set, contract: set.Contract(in.Revision), upstreams: map[string]objects.Upstream{}}
+	for _, u := range set.Upstreams {
+		c.current.upstreams[u.Service] = u
+	}
 	c.history[in.Revision] = list
 	c.order = append(c.order, in.Revision)
 	if len(c.order) > keptRevisions {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -116,14 +116,14 @@
 		PublicationOpen: n.announced.any(n.clock.Now(), !n.logAway()),
 	}
 	for _, o := range n.shards.all() {
-		out.Shards = append(out.Shards, shardSummary(o))
+		out.Shards = append(out.Shards, shardSummary(o, n.clock.Now()))
 	}
 	return out
 }
 
 // shardSummary returns what this node tells about one of its shards.
-func shardSummary(o *ownedShard) *peerv1.ShardSummary {
-	s := o.run.Summary()
+func shardSummary(o *ownedShard, now time.Duration) *peerv1.ShardSummary {
+	s := o.summary(now)
 	shard := &peerv1.ShardSummary{
 		Shard: o.name, Token: o.token, Free: resources(s.Free), LargestFree: resources(s.LargestFree),
 		LargestHost: resources(s.LargestHost), Capacity: resources(s.Capacity), WaitingTasks: int32(s.Waiting),
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -33,12 +33,12 @@
 
 // lend decides for one shard and appends the transfers.
 func (n *Node) lend(o *ownedShard, others map[string][]*peerv1.TeamDemand) {
-	state := n.replica.ShardState(o.name)
+	state := n.replica.AllotmentState(o.name)
 	if state.Claim.Token != o.token {
 		return
 	}
 	in := lending.Input{ReadOffset: state.NextOffset, Shards: int64(max(1, len(n.hosts.shardList()))), LogReachable: !n.logAway()}
-	use := o.run.Summary().Limits
+	use := o.summary(n.clock.Now()).Limits
 	for _, a := range state.Allotments {
 		obs := lending.Observation{
 			Limit: a.Limit, Units: a.Total, Pool: a.Pool, Allotment: a.Units,
@@ -111,12 +111,12 @@
 		o.lender.book.Refused(t.ID)
 	}
 	o.lender.mu.Unlock()
-	o.run.SetAllotments(n.usableUnits(o, n.replica.ShardState(o.name)))
+	o.run.SetAllotments(n.usableUnits(o, n.replica.AllotmentState(o.name)))
 }
 
 // usableUnits returns what each limit allows in a shard, without the units
 // that are on their way back to the pool.
-func (n *Node) usableUnits(o *ownedShard, state ledger.ShardState) map[string]int64 {
+func (n *Node) usableUnits(o *ownedShard, state ledger.AllotmentState) map[string]int64 {
 	o.lender.mu.Lock()
 	defer o.lender.mu.Unlock()
 	units := make(map[string]int64, len(state.Allotments))
--- a/internal/node/shard_events.go
+++ b/internal/node/shard_events.go
@@ -63,7 +63,7 @@
 // refreshAllotments passes the units of each shard on.
 func (s *shards) refreshAllotments() {
 	for _, o := range s.owned {
-		o.run.SetAllotments(s.node.usableUnits(o, s.node.replica.ShardState(o.name)))
+		o.run.SetAllotments(s.node.usableUnits(o, s.node.replica.AllotmentState(o.name)))
 	}
 }
 
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -28,6 +28,24 @@
 	knownBefore uint64
 	run         *dispatch.Shard
 	lender      lender
+
+	summaryMu sync.Mutex
+	summaryAt time.Duration
+	cached    scheduler.Summary
+}
+
+// summaryAge bounds the age of a summary. Its cost grows with hosts and jobs,
+// and submissions, exchanges and lending all need it.
+const summaryAge = 100 * time.Millisecond
+
+// summary returns the totals of the shard, at most summaryAge old.
+func (o *ownedShard) summary(now time.Duration) scheduler.Summary {
+	o.summaryMu.Lock()
+	defer o.summaryMu.Unlock()
+	if o.summaryAt == 0 || now-o.summaryAt > summaryAge {
+		o.cached, o.summaryAt = o.run.Summary(), now
+	}
+	return o.cached
 }
 
 // shards holds the shards that this process acts for.
@@ -97,7 +115,7 @@
 	o.run.Run()
 	configuration := n.configurations.get()
 	o.run.SetContract(configuration.contract)
-	o.run.SetAllotments(n.usableUnits(o, state))
+	o.run.SetAllotments(n.usableUnits(o, n.replica.AllotmentState(t.Shard)))
 	o.run.SetHosts(s.entries(t.Shard, state.Hosts))
 	for i := range state.Jobs {
 		s.addJob(o, &state.Jobs[i], attempts)
--- a/internal/requests/authenticator.go
+++ b/internal/requests/authenticator.go
@@ -1,6 +1,6 @@
 package requests
 
-// Authenticator maps a key to its team.
+// Authenticator maps a key to its team and what the team may do at an upstream.
 type Authenticator interface {
-	Authenticate(key string) (Team, KeyState)
+	Authenticate(key, upstream string) (Team, KeyState)
 }
--- a/internal/requests/fleet_test.go
+++ b/internal/requests/fleet_test.go
@@ -38,7 +38,7 @@
 
 type testAuth map[string]KeyState
 
-func (a testAuth) Authenticate(key string) (Team, KeyState) {
+func (a testAuth) Authenticate(key, _ string) (Team, KeyState) {
 	team, _, _ := strings.Cut(key, "/")
 	t := Team{Name: team, Weight: 1}
 	if team == "calm" {
--- a/internal/requests/serve.go
+++ b/internal/requests/serve.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.team, err = s.team(key); err != nil {
+	if c.team, err = s.team(key, c.upstream); err != nil {
 		return nil, err
 	}
 	if err = c.decodeHeader(r.Header, s.options); err != nil {
@@ -91,8 +91,8 @@
 	return up, nil
 }
 
-func (s *Server) team(key string) (Team, error) {
-	team, state := s.auth.Authenticate(key)
+func (s *Server) team(key, upstream string) (Team, error) {
+	team, state := s.auth.Authenticate(key, upstream)
 	switch state {
 	case KeyValid:
 		return team, nil
@@ -113,7 +113,7 @@
 			return nil
 		}
 	}
-	if len(c.team.Classes) == 0 {
+	if c.team.Classes == nil {
 		return nil
 	}
 	return bad(CodeClass, "team %s may not send %s requests, only %v", c.team.Name, c.class, c.team.Classes)
--- a/internal/requests/team.go
+++ b/internal/requests/team.go
@@ -9,6 +9,6 @@
 	Weight int64
 	// MaxInFlight bounds the team's requests in flight on this node; 0 is no bound.
 	MaxInFlight int
-	// Classes are the classes the team may use; empty allows all.
+	// Classes are the classes the team may use; nil allows all.
 	Classes []work.Class
 }
