Refuse starts whose lease would be over; refuse leases shorter than three renewals

Change: such a start is refused as stale, which brings a fresh stamp; a job whose lease is shorter than three exchange intervals is refused at submission. Conclusion: the check was right; the worker's rule lacked a case.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// leastLeases times the interval of exchanges with workers is the shortest
+	// lease: one exchange may be lost and one late without the end of a task.
+	leastLeases = 3
 	// acceptTimeout bounds the wait of a submission for the log.
 	acceptTimeout = 10 * time.Second
 	// retryAfterLog is the wait that is proposed while the log is away.
@@ -73,6 +76,9 @@
 	if err := n.provedFresh(); err != nil {
 		return err
 	}
+	if least := leastLeases * n.settings.Platform.WorkerInterval; job.Lease < least {
+		return refused(gateway.CodeBadRequest, 0, "lease is %s, at least %s is accepted: leases are renewed every %s", job.Lease, least, n.settings.Platform.WorkerInterval)
+	}
 	c := n.configurations.get()
 	keyTeam := caller.Team
 	if caller.Operator {
--- a/internal/platform/worker/protocol.go
+++ b/internal/platform/worker/protocol.go
@@ -66,7 +66,8 @@
 const (
 	// StaleToken means that a higher fencing token is known.
 	StaleToken RefusalCode = "stale-token"
-	// StaleStamp means that the stamp is too old or of another incarnation.
+	// StaleStamp means that the stamp is too old, that the lease would be over
+	// already, or that the stamp is of another incarnation.
 	StaleStamp RefusalCode = "stale-stamp"
 	// NoRoom means that the task does not fit.
 	NoRoom RefusalCode = "no-room"
--- a/internal/standin/worker/agent.go
+++ b/internal/standin/worker/agent.go
@@ -182,7 +182,7 @@
 
 // start runs an attempt or says why not.
 func (a *Agent) start(now time.Duration, req worker.ExchangeRequest, s worker.Start) worker.RefusalCode {
-	if req.Incarnation != a.incarnation || now-req.Stamp > worker.StampMaxAge {
+	if req.Incarnation != a.incarnation || now-req.Stamp > worker.StampMaxAge || req.Stamp+s.Lease <= now {
 		return worker.StaleStamp
 	}
 	if a.leaving {
