Guard a shard that is acted for again under the same token

Cause: after an interruption of its authority a process acts again under the same token, so workers accept its old starts; a full report can miss a start that is still on its way, and the task would start twice. Transfers and moves whose fate is open were forgotten as well. Change: no host is adopted until old starts are refused by their stamp; lending state survives the interruption; a shard waits for its open moves. Cluster and dispatcher tests pass. Conclusion: an interruption is treated like a change of owner.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -42,7 +42,8 @@
 // pollOnce does one held exchange or one full report.
 func (s *Shard) pollOnce(h *host) bool {
 	s.mu.Lock()
-	full := !h.adopted || h.reconcile
+	quiet := s.o.Clock() < s.o.QuietUntil
+	full := (!h.adopted || h.reconcile) && !quiet
 	s.mu.Unlock()
 	if full {
 		if !s.lockHost(h) {
@@ -60,6 +61,9 @@
 		return false
 	}
 	s.answered(h, req, resp, at)
+	if quiet {
+		s.sleep(h, quietPoll)
+	}
 	return resp.Refused == ""
 }
 
@@ -84,7 +88,7 @@
 	req := worker.ExchangeRequest{Shard: s.o.Shard, Token: s.o.Token, Full: full, Acks: h.acks}
 	h.acks = nil
 	req.Incarnation, req.Stamp = h.lease.Echo()
-	if !full {
+	if !full && h.adopted {
 		req.Wait = s.o.Interval
 	}
 	return req, true
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -30,6 +30,11 @@
 	// SafeAt is when, on Clock, the authority of the previous owner is over
 	// for certain. Leases that it granted can only run down from then on.
 	SafeAt time.Duration
+	// QuietUntil is when, on Clock, a start that this process sent under the
+	// same token before an interruption can no longer take effect. No host is
+	// adopted before, because its report could miss such a start. Zero if there
+	// was no interruption.
+	QuietUntil time.Duration
 	// Clock is the monotonic clock of the process.
 	Clock func() time.Duration
 	// Authority reports whether this process may still act for the shard.
@@ -56,6 +61,8 @@
 	outcomeInterval = 500 * time.Millisecond
 	// maxOutcomesPerRecord bounds the size of a record.
 	maxOutcomesPerRecord = 5000
+	// quietPoll is the time between two exchanges before QuietUntil.
+	quietPoll = 500 * time.Millisecond
 	// answerAllowance is how long an answer may take beyond the time that the
 	// worker was allowed to hold it. A connection that is silent for longer is dropped.
 	answerAllowance = 2 * time.Second
--- a/internal/logging/gozero.go
+++ b/internal/logging/gozero.go
@@ -11,6 +11,8 @@
 // statistics off. It changes the whole process.
 func CaptureGoZero(l *slog.Logger) {
 	logx.DisableStat()
+	// Below this level go-zero would format a line for every HTTP call.
+	logx.SetLevel(logx.ErrorLevel)
 	logx.SetWriter(goZeroWriter{Part(l, "go-zero")})
 }
 
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -22,6 +22,8 @@
 		return
 	}
 	moved := scheduler.TasksMoved{Job: offer.Job, First: offer.First, Count: int32(count)}
+	n.shards.beginMove(from)
+	defer n.shards.endMove(from)
 	if moved.Count = o.run.TakeTasks(moved); moved.Count == 0 {
 		return
 	}
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/dispatch"
+	"github.com/medlarpulley/medlarpulley/internal/lease"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/lending"
 	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	"github.com/medlarpulley/medlarpulley/internal/platform/worker"
 	"github.com/medlarpulley/medlarpulley/internal/scheduler"
 	"github.com/medlarpulley/medlarpulley/internal/work"
 )
@@ -27,7 +29,7 @@
 	// before an interruption, may have started tasks.
 	knownBefore uint64
 	run         *dispatch.Shard
-	lender      lender
+	lender      *lender
 
 	summaryMu sync.Mutex
 	summaryAt time.Duration
@@ -60,6 +62,10 @@
 	// seen is when this process read the acceptance of an open job.
 	seen map[work.JobID]time.Duration
 
+	// moving counts, by shard, the moves whose fate is open. Their tasks belong
+	// to neither shard.
+	moving map[string]int
+
 	queue *eventQueue
 }
 
@@ -69,12 +75,14 @@
 	at       time.Duration
 	offset   uint64
 	attempts int32
+	// lender knows the transfers whose fate is open.
+	lender *lender
 }
 
 func newShards(n *Node) *shards {
 	return &shards{
 		node: n, owned: map[string]*ownedShard{}, stopped: map[string]stoppedShard{},
-		seen: map[work.JobID]time.Duration{}, queue: newEventQueue(),
+		seen: map[work.JobID]time.Duration{}, moving: map[string]int{}, queue: newEventQueue(),
 	}
 }
 
@@ -105,13 +113,20 @@
 	if state.Claim.Token != t.Token || s.owned[t.Shard] != nil {
 		return
 	}
+	if s.moving[t.Shard] > 0 {
+		s.startLater(t)
+		return
+	}
 	o := &ownedShard{name: t.Shard, token: t.Token, next: state.NextOffset, knownBefore: t.Token}
-	o.lender.book = lending.New()
-	attempts := int32(state.Claim.Epoch-1) * attemptsPerEpoch
+	o.lender = &lender{book: lending.New()}
+	attempts, quietUntil := int32(state.Claim.Epoch-1)*attemptsPerEpoch, time.Duration(0)
 	if before, ok := s.stopped[t.Shard]; ok && before.token == t.Token {
 		o.knownBefore, safeAt, attempts = before.offset, max(safeAt, before.at), before.attempts
+		o.lender, quietUntil = before.lender, before.at+lease.Bound(worker.StampMaxAge)
 	}
-	o.run = dispatch.New(s.options(o, safeAt))
+	options := s.options(o, safeAt)
+	options.QuietUntil = quietUntil
+	o.run = dispatch.New(options)
 	o.run.Run()
 	configuration := n.configurations.get()
 	o.run.SetContract(configuration.contract)
@@ -124,6 +139,32 @@
 	go s.addListedHosts(t.Shard)
 }
 
+// startLater tries again to act for a shard once its moves are settled. A move
+// that is applied later would give away tasks that were started here.
+func (s *shards) startLater(t ownership.ShardToken) {
+	go func() {
+		if sleep(s.node.ctx, movePoll) && s.node.owner.authority(t.Shard, t.Token) {
+			s.start(t)
+		}
+	}()
+}
+
+// movePoll is how often a shard that waits for its moves looks at them.
+const movePoll = 100 * time.Millisecond
+
+// beginMove notes a move whose fate is open; endMove that it is settled.
+func (s *shards) beginMove(shard string) { s.countMove(shard, 1) }
+
+func (s *shards) endMove(shard string) { s.countMove(shard, -1) }
+
+func (s *shards) countMove(shard string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.moving[shard] += n; s.moving[shard] == 0 {
+		delete(s.moving, shard)
+	}
+}
+
 // options returns the options of a dispatcher.
 func (s *shards) options(o *ownedShard, safeAt time.Duration) dispatch.Options {
 	n := s.node
@@ -152,7 +193,7 @@
 	o.run.Stop()
 	s.mu.Lock()
 	s.stopped[t.Shard] = stoppedShard{
-		token: t.Token, at: s.node.clock.Now(), offset: s.node.replica.NextOffset(), attempts: o.run.HighestAttempt(),
+		token: t.Token, at: s.node.clock.Now(), offset: s.node.replica.NextOffset(), attempts: o.run.HighestAttempt(), lender: o.lender,
 	}
 	s.mu.Unlock()
 }
