Move idempotent tasks that certainly run no more; keep shards without hosts

Cause: tasks that had run on hosts of a lost availability zone could never move to another shard, and a shard whose hosts left the list was claimed by nobody. Change: queued idempotent tasks are offered and moved whatever their attempts; claimed shards stay known; a report of a task that is not here is acknowledged. There was no such test before. Conclusion: a lost zone's work goes on elsewhere.

--- a/internal/devcluster/cluster_test.go
+++ b/internal/devcluster/cluster_test.go
@@ -110,3 +110,37 @@
 	}
 	checkExecutions(t, c, func(id work.JobID) bool { return id == "job-true" })
 }
+
+// Guards against tasks of a lost availability zone that never run elsewhere,
+// or that run twice.
+func TestZoneFailureMovesTheWork(t *testing.T) {
+	c, ctx := startCluster(t, DefaultOptions(), "hawkrest")
+	client, err := c.Client("orders-example-secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	job := batchJob("zone-job", 90, true, "run=3s")
+	eventually(ctx, t, "submission", func() error {
+		_, err := client.Submit(ctx, job, false)
+		return err
+	})
+	eventually(ctx, t, "start of tasks", func() error {
+		if n := len(c.Fleet.Journal().Executions()); n < 60 {
+			return fmt.Errorf("%d tasks have started", n)
+		}
+		return nil
+	})
+	lost := 0
+	for _, h := range c.Hosts.Actual() {
+		if h.Zone == "zone-a" && h.Role == "worker" {
+			c.Fleet.Agent(h.ID).Kill()
+			c.Hosts.Remove(h.ID)
+			lost++
+		}
+	}
+	status := submitAndWait(ctx, t, c, job)
+	if lost == 0 || status.Tasks[work.Succeeded.String()] != 90 {
+		t.Errorf("%d workers were lost, the job ended as %v", lost, status.Tasks)
+	}
+	checkExecutions(t, c, func(work.JobID) bool { return true })
+}
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -93,6 +93,9 @@
 // outcome is in the log.
 func (s *Shard) taskEnded(h *host, f worker.Finished) {
 	s.releaseTask(f.Attempt.Task)
+	// A task that moved on or whose job is forgotten gets no outcome here.
+	t, known := s.sched.Task(f.Attempt.Task)
+	here := known && t.State != scheduler.TaskMoved.String()
 	delete(h.attempts, f.Attempt)
 	if old, ok := s.reports[f.Attempt.Task]; ok && old.id != f.Attempt {
 		s.acknowledge(old)
@@ -101,6 +104,9 @@
 	s.apply(scheduler.TaskEnded{
 		Attempt: f.Attempt, Host: h.entry.ID, Outcome: f.Outcome, Ran: f.Ran, Peak: f.Peak, Checkpointed: f.Checkpointed,
 	})
+	if !here {
+		s.acknowledge(report{host: h.entry.ID, id: f.Attempt})
+	}
 }
 
 // acknowledge lets the worker forget a report with the next exchange.
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -73,14 +73,16 @@
 }
 
 // TakeTasks removes the first tasks of a range, before they are moved to
-// another shard, and returns how many. It ends at the first task that was
-// started meanwhile, because a started task must never change its shard.
-func (s *Shard) TakeTasks(moved scheduler.TasksMoved) int32 {
+// another shard, and returns how many. It ends at the first task that runs or
+// may run, because such a task must never change its shard, and for a
+// non-idempotent job at the first one that was ever started.
+func (s *Shard) TakeTasks(moved scheduler.TasksMoved, idempotent bool) int32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	idle := map[int32]bool{}
 	for _, t := range s.sched.Tasks(moved.Job) {
-		idle[t.Task.Index] = t.Attempt == 0 && t.Host == "" && t.Outcome == work.Pending
+		idle[t.Task.Index] = t.State == scheduler.TaskQueued.String() && t.Host == "" && t.Outcome == work.Pending &&
+			(idempotent || t.Attempt == 0)
 	}
 	taken := int32(0)
 	for taken < moved.Count && idle[moved.First+taken] {
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -93,6 +94,22 @@
 	}
 }
 
+// allShards returns the shards that the list shows and those that were ever
+// claimed: a shard whose hosts are gone still has jobs that must move on.
+func (n *Node) allShards() []ownership.Shard {
+	shards := append([]ownership.Shard(nil), n.hosts.shardList()...)
+	listed := map[string]bool{}
+	for _, s := range shards {
+		listed[s.Name] = true
+	}
+	for _, c := range n.replica.Claims() {
+		if zone, _, ok := strings.Cut(c.Shard, "/"); ok && !listed[c.Shard] {
+			shards = append(shards, ownership.Shard{Name: c.Shard, Zone: zone})
+		}
+	}
+	return shards
+}
+
 // readHosts reads the host list once and passes it on.
 func (n *Node) readHosts(ctx context.Context) {
 	hosts, err := n.list.Hosts(ctx)
@@ -102,6 +119,6 @@
 	}
 	n.hosts.update(hosts, n.settings.Cluster.ShardsPerZone)
 	n.requests.SetRunners(n.hosts.runners)
-	n.owner.shardsKnown(n.hosts.shards)
+	n.owner.shardsKnown(n.allShards())
 	n.shards.hostsListed()
 }
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -24,7 +24,7 @@
 	moved := scheduler.TasksMoved{Job: offer.Job, First: offer.First, Count: int32(count)}
 	n.shards.beginMove(from)
 	defer n.shards.endMove(from)
-	if moved.Count = o.run.TakeTasks(moved); moved.Count == 0 {
+	if moved.Count = o.run.TakeTasks(moved, job.Job.Idempotent); moved.Count == 0 {
 		return
 	}
 	// The append is awaited without a limit: while its fate is open the tasks
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -2,7 +2,7 @@
 
 import "github.com/medlarpulley/medlarpulley/internal/work"
 
-// offer names the tasks of j that never started and find no room here. An
+// offer names the tasks of j that can move and find no room here. An
 // offer is repeated while they wait.
 func (s *Scheduler) offer(j *job) {
 	if j.closed || s.jobs[j.spec.ID] != j {
@@ -39,11 +39,12 @@
 	return j.lane != nil && (j.lane.shape.blocked || j.lane.overLimit) || s.infeasible(j) != ""
 }
 
-// unstarted returns the first contiguous range of tasks that never started.
+// unstarted returns the first contiguous range of tasks that can move: those
+// that never started, and those of an idempotent job that certainly run no more.
 func (j *job) unstarted() (first, count int32) {
 	last := int32(-1)
 	j.each(func(i int32, t *task) {
-		if !t.startable() || t.ran || t.attempts > 0 {
+		if !t.startable() || (!j.spec.Idempotent && (t.ran || t.attempts > 0)) {
 			return
 		}
 		switch {
