Decide about members and claims in one place

The ledger and ownership.Book both folded the records about members and claims, so a rule changed in one of them could give two verdicts on one record. The ledger now asks Book and emits its events from the refusal that Book returns; it keeps only what a join tells beyond the needs of ownership. The duplicate history of member sets and its query are gone. Book now learns the read offset, without which it never trimmed its own history below the limit of 256 sets.

HoldAppends of the log client is removed with its test: nothing called it, it would have held renewals, which a promise permits, and the promise itself is kept and checked in ownership (TestPromiseDelaysAppendsAndAcknowledgements and the explorer's mutant without it).

TestMembers compares the history of Book in place of the removed one.

--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -21,7 +21,7 @@
 	for i := range jobs {
 		apply(jobRecord(fmt.Sprint("job-", i), 10, false))
 	}
-	return s, s.Claims["s"].Token
+	return s, s.claimOf("s").Token
 }
 
 // BenchmarkApply measures one batch with one record, in a state of 20,000 jobs.
--- a/internal/ledger/bounds.go
+++ b/internal/ledger/bounds.go
@@ -8,18 +8,12 @@
 	FirstOffset = 1
 	// MaxSenders bounds the nodes whose last batch is remembered.
 	MaxSenders = 1024
-	// MaxMembers bounds the entry nodes that are members at one time.
-	MaxMembers = 256
-	// MaxMemberSets bounds the history of member sets.
-	MaxMemberSets = 256
 	// MaxObjects bounds the objects of the configuration.
 	MaxObjects = 50_000
 	// MaxWithdrawn bounds the withdrawn objects whose last change is remembered.
 	MaxWithdrawn = 4096
 	// MaxVerdicts bounds the publications whose verdict is remembered.
 	MaxVerdicts = 1024
-	// MaxShards bounds the shards that can be claimed.
-	MaxShards = 4096
 	// MaxOpenJobs bounds the unfinished jobs.
 	MaxOpenJobs = 100_000
 	// MaxFinishedJobs bounds the finished jobs that are kept for status and
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -15,9 +15,3 @@
 	// Successor is the node that the owner released the shard to, if any.
 	Successor string `json:"successor,omitempty"`
 }
-
-// heldBy reports whether the batch origin owns the shard under the token.
-func (c Claim) heldBy(o Origin, token uint64) bool {
-	return token != 0 && c.Token == token && !c.Released &&
-		c.Node == o.Node && c.Incarnation == o.Incarnation
-}
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -1,53 +1,55 @@
 package ledger
 
-import ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+import (
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
 
 func (s *State) claim(events []Event, o Origin, r *ledgerv1.Claim) []Event {
-	current := Claim{Shard: r.Shard}
-	if c := s.Claims[r.Shard]; c != nil {
-		current = *c
-	}
-	reason := ""
-	switch {
-	case !validName(r.Shard):
+	if !validName(r.Shard) {
 		return append(events, Malformed{o, "claim without a shard"})
-	case s.member(o) == nil:
-		reason = "sender is not a member"
-	case r.Supersedes != current.Token:
-		reason = "another claim is in force"
-	case current.Token == 0 && len(s.Claims) >= MaxShards:
-		reason = "too many shards"
-	case current.Token == o.Offset:
-		reason = "claimed in the same batch"
 	}
-	if reason != "" {
-		return append(events, ClaimIgnored{o, r.Shard, r.Supersedes, current, reason})
+	current := s.claimOf(r.Shard)
+	if refusal := s.Book.Claim(o.Offset, identity(o), r.Shard, r.Supersedes); refusal != ownership.None {
+		return append(events, ClaimIgnored{o, r.Shard, r.Supersedes, current, string(refusal)})
 	}
-	s.Book.Claim(o.Offset, identity(o), r.Shard, r.Supersedes)
-	next := Claim{Shard: r.Shard, Token: o.Offset, Node: o.Node, Incarnation: o.Incarnation, Epoch: current.Epoch + 1}
-	s.Claims[r.Shard] = &next
-	return append(events, ClaimEffective{o, next, current})
+	return append(events, ClaimEffective{o, s.claimOf(r.Shard), current})
 }
 
 func (s *State) release(events []Event, o Origin, r *ledgerv1.Release) []Event {
-	c := s.holding(o, r.Shard, r.Token)
-	if c == nil || len(r.Successor) > MaxName {
-		return append(events, RecordIgnored{o, "release", r.Shard, notHeld})
+	if len(r.Successor) > MaxName {
+		return append(events, Malformed{o, "release with a successor that is too long"})
+	}
+	if refusal := s.Book.Release(o.Offset, identity(o), r.Shard, r.Token, r.Successor); refusal != ownership.None {
+		return append(events, RecordIgnored{o, "release", r.Shard, string(refusal)})
 	}
-	s.Book.Release(o.Offset, identity(o), r.Shard, r.Token, r.Successor)
-	c.Released, c.Successor = true, r.Successor
-	return append(events, ShardReleased{o, *c})
+	return append(events, ShardReleased{o, s.claimOf(r.Shard)})
 }
 
 // notHeld is the reason for ignoring a record of a former owner.
-const notHeld = "sender does not own the shard under this token"
+const notHeld = string(ownership.NotHeld)
+
+// holds reports whether the sender of a batch owns a shard under the token.
+func (s *State) holds(o Origin, shard string, token uint64) bool {
+	return s.Book.Holding(shard).HeldBy(identity(o), token)
+}
+
+// claimOf returns the claim in force of a shard; its token is zero if the
+// shard was never claimed.
+func (s *State) claimOf(shard string) Claim {
+	h := s.Book.Holding(shard)
+	return Claim{
+		Shard: shard, Token: h.Token, Node: h.Owner.Node, Incarnation: h.Owner.Incarnation,
+		Epoch: h.Epoch, Released: h.Released, Successor: h.Successor,
+	}
+}
 
-// holding returns the claim of a shard if the sender of a batch holds it under
-// the token, or nil.
-func (s *State) holding(o Origin, shard string, token uint64) *Claim {
-	c := s.Claims[shard]
-	if c == nil || !c.heldBy(o, token) {
-		return nil
+// claims returns the claims of all shards, sorted by shard.
+func (s *State) claims() []Claim {
+	shards := s.Book.Shards()
+	claims := make([]Claim, 0, len(shards))
+	for _, shard := range shards {
+		claims = append(claims, s.claimOf(shard))
 	}
-	return c
+	return claims
 }
--- a/internal/ledger/clone.go
+++ b/internal/ledger/clone.go
@@ -14,9 +14,7 @@
 	c.open = nil
 	c.Senders = cloneEach(s.Senders)
 	c.Book = s.Book.Clone()
-	c.Members = cloneEach(s.Members)
-	c.Claims = cloneEach(s.Claims)
-	c.Sets = slices.Clone(s.Sets)
+	c.Details = maps.Clone(s.Details)
 	c.Ended = slices.Clone(s.Ended)
 	c.Config.Objects = maps.Clone(s.Config.Objects)
 	c.Config.Withdrawn = maps.Clone(s.Config.Withdrawn)
--- a/internal/ledger/generate_test.go
+++ b/internal/ledger/generate_test.go
@@ -88,17 +88,17 @@
 
 func (b *logBuilder) batch() []byte {
 	node, shard := b.name("node", 3), b.name("shard", 2)
-	if c := b.state.Claims[shard]; c != nil && b.state.Members[c.Node] != nil && b.pick("owner", 4) > 0 {
+	if c := b.state.claimOf(shard); b.isMember(c.Node) && b.pick("owner", 4) > 0 {
 		node = c.Node
 	}
 	incarnation := uint64(1 + b.pick("incarnation", 2))
-	if m := b.state.Members[node]; m != nil && b.pick("current", 8) > 0 {
+	if m, ok := b.state.member(node); ok && b.pick("current", 8) > 0 {
 		incarnation = m.Incarnation
 	}
 	key := fmt.Sprint(node, " ", incarnation)
 	b.sequences[key]++
 	batch := &ledgerv1.Batch{Node: node, Incarnation: incarnation, Sequence: b.sequences[key]}
-	if b.state.Members[node] == nil {
+	if !b.isMember(node) {
 		batch.Records = append(batch.Records, &ledgerv1.Record{Kind: &ledgerv1.Record_Join{
 			Join: &ledgerv1.Join{Nodes: 3, Address: node}}})
 	}
@@ -112,8 +112,13 @@
 	return payload
 }
 
+func (b *logBuilder) isMember(node string) bool {
+	_, ok := b.state.Book.Member(node)
+	return ok
+}
+
 func (b *logBuilder) token(shard string) uint64 {
-	if c := b.state.Claims[shard]; c != nil && b.pick("stale", 6) > 0 {
+	if c := b.state.claimOf(shard); c.Token != 0 && b.pick("stale", 6) > 0 {
 		return c.Token
 	}
 	return uint64(b.pick("token", 5))
--- a/internal/ledger/hosts.go
+++ b/internal/ledger/hosts.go
@@ -7,7 +7,7 @@
 
 // hostSet applies a change of the host set by the owner of the shard.
 func (s *State) hostSet(events []Event, o Origin, r *ledgerv1.HostSet) []Event {
-	if s.holding(o, r.Shard, r.Token) == nil {
+	if !s.holds(o, r.Shard, r.Token) {
 		return append(events, RecordIgnored{o, "host-set", r.Shard, notHeld})
 	}
 	hosts := s.Hosts[r.Shard]
--- a/internal/ledger/jobs.go
+++ b/internal/ledger/jobs.go
@@ -24,7 +24,7 @@
 // intents records the permission to start non-idempotent tasks. A task of a
 // cancelled job, of another shard, or with an outcome gets none.
 func (s *State) intents(events []Event, o Origin, r *ledgerv1.Intents) []Event {
-	if s.holding(o, r.Shard, r.Token) == nil {
+	if !s.holds(o, r.Shard, r.Token) {
 		return append(events, RecordIgnored{o, "intents", r.Shard, notHeld})
 	}
 	result := IntentsApplied{Origin: o, Shard: r.Shard, Token: r.Token}
@@ -61,7 +61,7 @@
 	switch {
 	case !validName(r.To) || r.To == r.From:
 		return append(events, Malformed{o, "move without another shard"})
-	case s.holding(o, r.From, r.Token) == nil:
+	case !s.holds(o, r.From, r.Token):
 		reason = notHeld
 	case job == nil:
 		reason = "unknown job"
--- a/internal/ledger/limits.go
+++ b/internal/ledger/limits.go
@@ -41,7 +41,7 @@
 		return append(events, Malformed{o, "transfer does not name one shard and a number of units"})
 	case l == nil:
 		reason = "unknown limit"
-	case s.holding(o, shard, r.Token) == nil:
+	case !s.holds(o, shard, r.Token):
 		reason = notHeld
 	case r.From == "" && l.Pool < r.Units:
 		reason = "pool has too few units"
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "github.com/medlarpulley/medlarpulley/internal/ownership"
+
 // Member is an entry node that has joined and not left.
 type Member struct {
 	Node        string `json:"node"`
@@ -19,3 +21,12 @@
 	// ReadOffset is the next offset that the member said it will read.
 	ReadOffset uint64 `json:"read_offset"`
 }
+
+// newMember combines what the book of members and the join tell.
+func newMember(m ownership.Member, d memberDetails) Member {
+	return Member{
+		Node: m.Node, Incarnation: m.Incarnation, Address: d.Address, HTTPAddress: d.HTTPAddress,
+		Zone: m.Zone, Region: d.Region, Nodes: d.Nodes, JoinNumber: d.JoinNumber,
+		JoinOffset: m.Joined, RenewalOffset: m.Renewed, ReadOffset: m.ReadOffset,
+	}
+}
--- a/internal/ledger/outcomes.go
+++ b/internal/ledger/outcomes.go
@@ -16,7 +16,7 @@
 	if job == nil {
 		return append(events, RecordIgnored{o, "outcomes", r.Job, "unknown job"})
 	}
-	owner, wasFinished := s.holding(o, r.Shard, r.Token) != nil, job.Finished()
+	owner, wasFinished := s.holds(o, r.Shard, r.Token), job.Finished()
 	result := OutcomesApplied{Origin: o, Shard: r.Shard, Job: job.Job.ID}
 	for _, named := range r.Ranges {
 		first, count, code := named.GetFirst(), named.GetCount(), named.GetOutcome()
--- a/internal/ledger/outcomes_property_test.go
+++ b/internal/ledger/outcomes_property_test.go
@@ -26,7 +26,7 @@
 		}
 		apply(&ledgerv1.Record{Kind: &ledgerv1.Record_Join{Join: &ledgerv1.Join{}}})
 		apply(&ledgerv1.Record{Kind: &ledgerv1.Record_Claim{Claim: &ledgerv1.Claim{Shard: "a"}}})
-		token := s.Claims["a"].Token
+		token := s.claimOf("a").Token
 		apply(&ledgerv1.Record{Kind: &ledgerv1.Record_JobAccepted{JobAccepted: &ledgerv1.JobAccepted{
 			Job:   &ledgerv1.Job{Id: "j", Tasks: tasks},
 			Parts: []*ledgerv1.Part{{Shard: "a", Count: cut}, {Shard: "b", First: cut, Count: tasks - cut}},
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -18,7 +18,7 @@
 	return read(r, func(s *State) Status {
 		return Status{
 			NextOffset: s.NextOffset, Revision: s.Config.Revision, Objects: len(s.Config.Objects),
-			Members: len(s.Members), Joins: s.Joins, Shards: len(s.Claims), Limits: len(s.Limits),
+			Members: len(s.Book.Members()), Joins: s.Joins, Shards: len(s.Book.Shards()), Limits: len(s.Limits),
 			OpenJobs: s.openJobs, FinishedJobs: len(s.Ended), SnapshotOffset: s.Snapshots.Covers,
 		}
 	})
@@ -27,11 +27,7 @@
 // Ownership returns what the rules of ownership need to know. The caller must
 // not change it.
 func (r *Replica) Ownership() ownership.State {
-	return read(r, func(s *State) ownership.State {
-		state := s.Book.State()
-		state.ReadOffset = s.NextOffset
-		return state
-	})
+	return read(r, func(s *State) ownership.State { return s.Book.State() })
 }
 
 // Configuration returns the configuration in force.
@@ -43,54 +39,25 @@
 
 // Members returns the members, sorted by name.
 func (r *Replica) Members() []Member {
-	return read(r, func(s *State) []Member {
-		members := make([]Member, 0, len(s.Members))
-		for _, node := range slices.Sorted(maps.Keys(s.Members)) {
-			members = append(members, *s.Members[node])
-		}
-		return members
-	})
+	return read(r, (*State).members)
 }
 
 // Member returns a member by name.
 func (r *Replica) Member(node string) (m Member, ok bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if found := r.state.Members[node]; found != nil {
-		return *found, true
-	}
-	return Member{}, false
-}
-
-// MemberSetsSince returns the member set in force at an offset and all later
-// ones. It is incomplete if the history, which holds the last MaxMemberSets
-// sets, does not reach back to offset.
-func (r *Replica) MemberSetsSince(offset uint64) (sets []MemberSet, complete bool) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.state.memberSetsSince(offset)
+	return r.state.member(node)
 }
 
 // Claim returns the claim in force of a shard; its token is zero if the shard
 // was never claimed.
 func (r *Replica) Claim(shard string) Claim {
-	return read(r, func(s *State) Claim {
-		if c := s.Claims[shard]; c != nil {
-			return *c
-		}
-		return Claim{Shard: shard}
-	})
+	return read(r, func(s *State) Claim { return s.claimOf(shard) })
 }
 
 // Claims returns the claims of all shards, sorted by shard.
 func (r *Replica) Claims() []Claim {
-	return read(r, func(s *State) []Claim {
-		claims := make([]Claim, 0, len(s.Claims))
-		for _, shard := range slices.Sorted(maps.Keys(s.Claims)) {
-			claims = append(claims, *s.Claims[shard])
-		}
-		return claims
-	})
+	return read(r, (*State).claims)
 }
 
 // Hosts returns the workers of a shard, sorted by id.
--- a/internal/ledger/rules_test.go
+++ b/internal/ledger/rules_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"testing"
 
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
 	"github.com/medlarpulley/medlarpulley/internal/work"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
@@ -138,10 +139,11 @@
 	if e := s.applyAs("b", 2, join())[0].(MemberJoined); e.Member.JoinNumber != 3 { // 8
 		t.Fatalf("rejoined with number %d, want 3", e.Member.JoinNumber)
 	}
-	sets, complete := s.state.memberSetsSince(4)
-	want := []MemberSet{{2, []string{"a", "b"}}, {5, []string{"a"}}, {8, []string{"a", "b"}}}
-	if !complete || !reflect.DeepEqual(sets, want) {
-		t.Fatalf("sets since 4: %v, complete %v, want %v", sets, complete, want)
+	sets := s.state.Book.State().Sets
+	want := []ownership.MemberSet{{From: 1, Names: []string{"a"}}, {From: 2, Names: []string{"a", "b"}},
+		{From: 5, Names: []string{"a"}}, {From: 8, Names: []string{"a", "b"}}}
+	if !reflect.DeepEqual(sets, want) {
+		t.Fatalf("member sets: %v, want %v", sets, want)
 	}
 }
 
--- a/internal/ledger/sender.go
+++ b/internal/ledger/sender.go
@@ -34,7 +34,7 @@
 	}
 	victim, member, oldest := "", true, uint64(0)
 	for node, sender := range s.Senders {
-		isMember := s.Members[node] != nil
+		_, isMember := s.Book.Member(node)
 		if victim == "" || (member && !isMember) || (member == isMember && sender.Offset < oldest) {
 			victim, member, oldest = node, isMember, sender.Offset
 		}
--- a/internal/ledger/shard_state.go
+++ b/internal/ledger/shard_state.go
@@ -20,10 +20,7 @@
 // can go on with the events of later records.
 func (r *Replica) ShardState(shard string) ShardState {
 	return read(r, func(s *State) ShardState {
-		out := ShardState{NextOffset: s.NextOffset, Claim: Claim{Shard: shard}}
-		if c := s.Claims[shard]; c != nil {
-			out.Claim = *c
-		}
+		out := ShardState{NextOffset: s.NextOffset, Claim: s.claimOf(shard)}
 		for _, id := range slices.Sorted(maps.Keys(s.Hosts[shard])) {
 			out.Hosts = append(out.Hosts, s.Hosts[shard][id])
 		}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -60,8 +60,8 @@
 		}
 	}
 	return s.NextOffset >= FirstOffset &&
-		allSet(s.Senders) && allSet(s.Config.Objects) && allSet(s.Members) &&
-		allSet(s.Claims) && allSet[work.JobID](s.Jobs)
+		allSet(s.Senders) && allSet(s.Config.Objects) && s.Book != nil &&
+		allSet[work.JobID](s.Jobs)
 }
 
 func allSet[K comparable, V any](m map[K]*V) bool {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -13,13 +13,12 @@
 	NextOffset uint64             `json:"next"`
 	Senders    map[string]*sender `json:"senders"`
 	Config     configuration      `json:"config"`
-	Members    map[string]*Member `json:"members"`
-	Joins      uint64             `json:"joins"`
-	Sets       []MemberSet        `json:"sets"`
-	Claims     map[string]*Claim  `json:"claims"`
-	// Book is what the rules of ownership need to know about members and claims.
-	Book   *ownership.Book   `json:"book"`
-	Limits map[string]*limit `json:"limits"`
+	// Book holds the members and the claims, and decides which records about
+	// them take effect. Details has what Book does not need, by member.
+	Book    *ownership.Book          `json:"book"`
+	Details map[string]memberDetails `json:"details"`
+	Joins   uint64                   `json:"joins"`
+	Limits  map[string]*limit        `json:"limits"`
 	// Hosts are the workers of each shard by id.
 	Hosts     map[string]map[string]HostEntry `json:"hosts"`
 	Jobs      map[work.JobID]*Job             `json:"jobs"`
@@ -47,11 +46,8 @@
 	if s.Senders == nil {
 		s.Senders = map[string]*sender{}
 	}
-	if s.Members == nil {
-		s.Members = map[string]*Member{}
-	}
-	if s.Claims == nil {
-		s.Claims = map[string]*Claim{}
+	if s.Details == nil {
+		s.Details = map[string]memberDetails{}
 	}
 	if s.Limits == nil {
 		s.Limits = map[string]*limit{}
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -38,9 +38,8 @@
 	sequence uint64
 	retry    *backoff.ExponentialBackOff
 	retryAt  time.Time
-	holdTill time.Time
-	// flight is the append in progress, or nil.
-	flight     *flight
+	// appending is true while an append is in progress.
+	appending  bool
 	closed     bool
 	replaced   bool
 	lastAppend time.Time
@@ -107,8 +106,8 @@
 	now := time.Now()
 	return Contact{
 		SinceAppend: since(now, c.lastAppend), SinceRead: since(now, c.lastRead),
-		ReachedEnd: c.reachedEnd, Held: max(0, c.holdTill.Sub(now)),
-		Pending: c.records, Replaced: c.replaced,
+		ReachedEnd: c.reachedEnd,
+		Pending:    c.records, Replaced: c.replaced,
 	}
 }
 
--- a/internal/logclient/contact.go
+++ b/internal/logclient/contact.go
@@ -17,8 +17,6 @@
 	// ReachedEnd is true if the last page that was applied reached the end of
 	// the log. It stays true while reads fail.
 	ReachedEnd bool `json:"reached_end"`
-	// Held is the rest of the time for which no append is sent.
-	Held time.Duration `json:"held_nanos"`
 	// Pending is the number of records whose fate is open.
 	Pending int `json:"pending"`
 	// Replaced is true if a newer incarnation of the node uses the log, so
--- a/internal/logclient/pending.go
+++ b/internal/logclient/pending.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	b.seen = true
-	if c.flight == nil {
+	if !c.appending {
 		c.leaveCurrent()
 		signal(c.wakeWriter)
 	}
--- a/internal/logclient/writer.go
+++ b/internal/logclient/writer.go
@@ -14,43 +14,35 @@
 
 func (c *Client) writeLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		b, running, wait := c.begin(ctx)
+		b, wait := c.begin()
 		if b == nil {
 			sleep(ctx, wait, c.wakeWriter)
 			continue
 		}
-		c.send(b, running)
+		c.send(ctx, b)
 	}
 	return nil
 }
 
 // begin returns the batch to send now, with its append marked as in progress,
-// or the time to wait. The pause of HoldAppends is checked under the same lock
-// that marks the append, so that none can start unnoticed.
-func (c *Client) begin(ctx context.Context) (b *batch, running *sending, wait time.Duration) {
+// or the time to wait.
+func (c *Client) begin() (b *batch, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	if wait := c.waitTime(now); wait > 0 {
-		return nil, nil, wait
+		return nil, wait
 	}
 	if c.current == nil {
 		if !c.assemble() {
-			return nil, nil, idleWait
+			return nil, idleWait
 		}
 	}
 	if c.current.firstSent.IsZero() {
 		c.current.firstSent = now
 	}
-	attempt, cancel := context.WithTimeout(ctx, c.opts.AppendTimeout)
-	c.flight = &flight{cancel: cancel, done: make(chan struct{})}
-	return c.current, &sending{attempt, c.flight}, 0
-}
-
-// sending is the context of a started append with its mark.
-type sending struct {
-	ctx    context.Context
-	flight *flight
+	c.appending = true
+	return c.current, 0
 }
 
 // waitTime returns how long to wait before the next append; zero means to send
@@ -59,7 +51,7 @@
 	if c.replaced || c.closed {
 		return idleWait
 	}
-	if wait := max(c.holdTill.Sub(now), c.retryAt.Sub(now)); wait > 0 {
+	if wait := c.retryAt.Sub(now); wait > 0 {
 		return wait
 	}
 	if c.current != nil {
@@ -116,13 +108,13 @@
 }
 
 // send makes one attempt to append a batch.
-func (c *Client) send(b *batch, s *sending) {
-	_, err := c.opts.Log.Append(s.ctx, b.payload)
-	s.flight.cancel()
+func (c *Client) send(ctx context.Context, b *batch) {
+	attempt, cancel := context.WithTimeout(ctx, c.opts.AppendTimeout)
+	_, err := c.opts.Log.Append(attempt, b.payload)
+	cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	defer close(s.flight.done)
-	c.flight = nil
+	c.appending = false
 	if err == nil {
 		c.lastAppend = time.Now()
 	}
--- a/internal/logclient/writer_test.go
+++ b/internal/logclient/writer_test.go
@@ -108,47 +108,6 @@
 	})
 }
 
-// Guards against an append during the pause that a confirmation to a peer
-// relies on, also if one is in progress when the pause begins.
-func TestHoldAppends(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		service := logsvc.New(true)
-		log := &timedLog{Log: service}
-		c, stop := start(t, log, nil)
-		defer stop()
-		service.SetFaults(logsvc.Faults{Silent: true})
-		var wg sync.WaitGroup
-		submit := func(id string) {
-			wg.Go(func() {
-				if _, err := c.Submit(within(t, time.Minute), jobRecord(id), Immediate); err != nil {
-					t.Error(err)
-				}
-			})
-			synctest.Wait()
-		}
-		submit("in progress")
-		if err := c.HoldAppends(within(t, time.Second), 3*time.Second); err != nil {
-			t.Fatal(err)
-		}
-		held := time.Now()
-		service.SetFaults(logsvc.Faults{})
-		submit("during the pause")
-		if c.Contact().Held != 3*time.Second {
-			t.Fatalf("held for %v", c.Contact().Held)
-		}
-		wg.Wait()
-		starts := log.times()
-		if len(starts) < 2 || starts[0].After(held) {
-			t.Fatalf("appends at %v", starts)
-		}
-		for _, at := range starts[1:] {
-			if at.Sub(held) < 3*time.Second {
-				t.Fatalf("append %v after the promise", at.Sub(held))
-			}
-		}
-	})
-}
-
 // Guards against a paused process that goes on after its successor has joined:
 // its records must end as not run, and must have no effect.
 func TestReplacedIncarnation(t *testing.T) {
--- a/internal/ownership/book.go
+++ b/internal/ownership/book.go
@@ -10,11 +10,20 @@
 // one entry that keeps the range covered; see trimSets.
 const maxSets = 256
 
-// maxNames bounds the node names that are ever used in one log.
-const maxNames = 4096
+// Bounds of a Book. They decide what takes effect, so they must be equal on
+// all nodes and are constants of a release.
+const (
+	// MaxMembers bounds the entry nodes that are members at one time.
+	MaxMembers = 256
+	// MaxShards bounds the shards that can be claimed.
+	MaxShards = 4096
+	// maxNames bounds the node names that are ever used in one log.
+	maxNames = 4096
+)
 
-// Book folds the records about members and claims into a State. The result is
-// a function of the records and their offsets.
+// Book folds the records about members and claims into a State and decides
+// which of them take effect. The result is a function of the records and their
+// offsets.
 type Book struct {
 	state State
 	// incarnations is the highest incarnation of each name that ever joined;
@@ -27,30 +36,35 @@
 	return &Book{state: State{Holdings: map[string]Holding{}}, incarnations: map[string]uint64{}}
 }
 
-// State returns the current state. The caller must not change it; Book
-// replaces the slices and the map entries instead of writing into them.
-func (b *Book) State() State {
-	s := b.state
-	s.Holdings = make(map[string]Holding, len(b.state.Holdings))
-	for name, h := range b.state.Holdings {
-		s.Holdings[name] = h
-	}
-	return s
-}
-
 // Read notes that everything below offset next has been read.
 func (b *Book) Read(next uint64) { b.state.ReadOffset = max(b.state.ReadOffset, next) }
 
 // Join adds a member, or replaces an earlier incarnation of it.
-func (b *Book) Join(offset uint64, id Identity, zone string) bool {
-	if b.incarnations[id.Node] >= id.Incarnation {
-		return false
+func (b *Book) Join(offset uint64, id Identity, zone string) Refusal {
+	last, known := b.incarnations[id.Node]
+	switch {
+	case b.IsMember(id):
+		return AlreadyMember
+	case last >= id.Incarnation:
+		return OldIncarnation
+	case !known && len(b.incarnations) >= maxNames:
+		return TooManyNames
 	}
-	if _, known := b.incarnations[id.Node]; !known && len(b.incarnations) >= maxNames {
-		return false
+	members := b.without(id.Node)
+	if len(members) >= MaxMembers {
+		return TooManyMembers
 	}
 	b.incarnations[id.Node] = id.Incarnation
 	b.freeze(id.Node)
+	b.noteRejoin(id)
+	members = append(members, Member{Identity: id, Zone: zone, Joined: offset, Renewed: offset, ReadOffset: offset})
+	slices.SortFunc(members, func(x, y Member) int { return strings.Compare(x.Node, y.Node) })
+	b.setMembers(offset, members)
+	return None
+}
+
+// noteRejoin marks the earlier incarnations of a node as ended.
+func (b *Book) noteRejoin(id Identity) {
 	for name, h := range b.state.Holdings {
 		h.Previous = slices.Clone(h.Previous)
 		for i := range h.Previous {
@@ -60,43 +74,44 @@
 		}
 		b.state.Holdings[name] = h
 	}
-	members := b.without(id.Node)
-	members = append(members, Member{Identity: id, Zone: zone, Joined: offset, Renewed: offset, ReadOffset: offset})
-	slices.SortFunc(members, func(x, y Member) int { return strings.Compare(x.Node, y.Node) })
-	b.setMembers(offset, members)
-	return true
 }
 
 // Leave removes a member.
-func (b *Book) Leave(offset uint64, id Identity) bool {
-	if !b.state.isMember(id) {
-		return false
+func (b *Book) Leave(offset uint64, id Identity) Refusal {
+	if !b.IsMember(id) {
+		return NotMember
 	}
 	b.freeze(id.Node)
 	b.setMembers(offset, b.without(id.Node))
-	return true
+	return None
 }
 
-// Evict removes a member unless it has renewed after lastRenewal.
-func (b *Book) Evict(offset uint64, id Identity, lastRenewal uint64) bool {
-	m, ok := b.state.member(id.Node)
-	if !ok || m.Incarnation != id.Incarnation || m.Renewed > lastRenewal {
-		return false
+// Evict removes a member at the request of another one, unless it has renewed
+// after lastRenewal.
+func (b *Book) Evict(offset uint64, sender, id Identity, lastRenewal uint64) Refusal {
+	if !b.IsMember(sender) {
+		return SenderNotMember
+	}
+	if m, _ := b.Member(id.Node); m.Identity == id && m.Renewed > lastRenewal {
+		return RenewedSince
 	}
 	return b.Leave(offset, id)
 }
 
 // Renew notes a renewal. It proves that the sender has read every claim below
-// readOffset, so it no longer believes in tokens that these superseded.
-func (b *Book) Renew(offset uint64, id Identity, readOffset uint64) bool {
-	if !b.state.isMember(id) {
-		return false
+// readOffset, so it no longer believes in tokens that these superseded. No
+// process has read past the record that says so.
+func (b *Book) Renew(offset uint64, id Identity, readOffset uint64) Refusal {
+	if !b.IsMember(id) {
+		return NotMember
 	}
+	readOffset = min(readOffset, offset)
 	members := slices.Clone(b.state.Members)
 	for i := range members {
 		if members[i].Node == id.Node {
 			members[i].Renewed = offset
-			members[i].ReadOffset = max(members[i].ReadOffset, readOffset)
+			readOffset = max(members[i].ReadOffset, readOffset)
+			members[i].ReadOffset = readOffset
 		}
 	}
 	b.state.Members = members
@@ -109,33 +124,40 @@
 		})
 		b.state.Holdings[name] = h
 	}
-	return true
+	return None
 }
 
 // Claim gives a shard to a member if supersedes is the current token.
-func (b *Book) Claim(offset uint64, id Identity, shard string, supersedes uint64) bool {
+func (b *Book) Claim(offset uint64, id Identity, shard string, supersedes uint64) Refusal {
 	h := b.state.Holdings[shard]
-	if h.Token != supersedes || !b.state.isMember(id) {
-		return false
+	switch {
+	case !b.IsMember(id):
+		return SenderNotMember
+	case h.Token != supersedes:
+		return OtherClaim
+	case h.Token == 0 && len(b.state.Holdings) >= MaxShards:
+		return TooManyShards
+	case h.Token == offset:
+		return SameBatch
 	}
 	previous := slices.DeleteFunc(slices.Clone(h.Previous), func(p Holder) bool { return p.Token == h.Token })
 	if h.Token != 0 && !h.Released {
 		previous = append(previous, b.holder(h, offset))
 	}
-	b.state.Holdings[shard] = Holding{Token: offset, Owner: id, Previous: previous}
-	return true
+	b.state.Holdings[shard] = Holding{Token: offset, Epoch: h.Epoch + 1, Owner: id, Previous: previous}
+	return None
 }
 
 // Release gives up a shard. An owner releases only what it acts on, so the
 // holders before it have been proved to have given up.
-func (b *Book) Release(_ uint64, id Identity, shard string, token uint64, successor string) bool {
+func (b *Book) Release(_ uint64, id Identity, shard string, token uint64, successor string) Refusal {
 	h := b.state.Holdings[shard]
-	if h.Token != token || h.Owner != id || h.Released {
-		return false
+	if !h.HeldBy(id, token) {
+		return NotHeld
 	}
 	h.Released, h.Successor, h.Previous = true, successor, nil
 	b.state.Holdings[shard] = h
-	return true
+	return None
 }
 
 // freeze keeps what is known about a member that is about to be removed in
@@ -162,7 +184,7 @@
 	}
 	// An owner acts only after it has read its own claim.
 	p := Holder{Identity: h.Owner, Token: h.Token, Renewed: h.Token, ReadOffset: h.Token, SupersededAt: at}
-	if m, ok := b.state.member(h.Owner.Node); ok && m.Identity == h.Owner {
+	if m, ok := b.Member(h.Owner.Node); ok && m.Identity == h.Owner {
 		p.Renewed, p.ReadOffset = m.Renewed, max(m.ReadOffset, h.Token)
 	}
 	return p
--- /dev/null
+++ b/internal/ownership/book_read.go
@@ -0,0 +1,33 @@
+package ownership
+
+import (
+	"maps"
+	"slices"
+)
+
+// State returns the current state. The caller must not change it; Book
+// replaces the slices and the map entries instead of writing into them.
+func (b *Book) State() State {
+	s := b.state
+	s.Holdings = make(map[string]Holding, len(b.state.Holdings))
+	for name, h := range b.state.Holdings {
+		s.Holdings[name] = h
+	}
+	return s
+}
+
+// Members returns the members, ordered by name. The caller must not change them.
+func (b *Book) Members() []Member { return b.state.Members }
+
+// Member returns the member of a name.
+func (b *Book) Member(node string) (Member, bool) { return b.state.member(node) }
+
+// IsMember reports whether a process is a member.
+func (b *Book) IsMember(id Identity) bool { return b.state.isMember(id) }
+
+// Holding returns the state of a shard; its token is zero if the shard was
+// never claimed.
+func (b *Book) Holding(shard string) Holding { return b.state.Holdings[shard] }
+
+// Shards returns the names of the shards that were ever claimed, sorted.
+func (b *Book) Shards() []string { return slices.Sorted(maps.Keys(b.state.Holdings)) }
--- a/internal/ownership/peer_test.go
+++ b/internal/ownership/peer_test.go
@@ -121,7 +121,7 @@
 	if holders() != 1 {
 		t.Fatal("a holder that has read the claim stays")
 	}
-	b.Evict(11, Identity{"x", 1}, 2)
+	b.Evict(11, Identity{"w", 1}, Identity{"x", 1}, 2)
 	b.Join(12, Identity{"x", 2}, "a")
 	if h := b.State().Holdings[modelShard].Previous; len(h) != 1 || !h[0].Rejoined {
 		t.Fatalf("%+v", h)
--- a/internal/ownership/state.go
+++ b/internal/ownership/state.go
@@ -35,6 +35,8 @@
 type Holding struct {
 	// Token is the offset of the last claim that took effect.
 	Token uint64
+	// Epoch counts the claims that took effect, from 1.
+	Epoch uint64
 	Owner Identity
 	// Released is true after the owner gave the shard up.
 	Released bool
@@ -44,6 +46,11 @@
 	Previous []Holder
 }
 
+// HeldBy reports whether a process owns the shard under a token.
+func (h Holding) HeldBy(id Identity, token uint64) bool {
+	return token != 0 && h.Token == token && !h.Released && h.Owner == id
+}
+
 // Holder is a process that may believe that it holds a shard.
 type Holder struct {
 	Identity
--- a/internal/ownership/world_test.go
+++ b/internal/ownership/world_test.go
@@ -102,7 +102,7 @@
 	case AppendRelease:
 		w.book.Release(offset, id, a.Shard, a.Token, a.Successor)
 	case AppendEvict:
-		w.book.Evict(offset, a.Identity, a.LastRenewal)
+		w.book.Evict(offset, id, a.Identity, a.LastRenewal)
 	}
 	w.book.Read(w.next)
 	return offset
