Remove settings without effect, wire the others, serve listen.metrics

Most settings of the tables timing, batching, limits and request were read by nothing. Those that the safety of ownership, slot leases or remembered ids rests on have to be equal on all nodes and are constants; they leave the table, and so do those that the code has as fixed numbers. Queue length per team, progress and connect timeouts and connections per runner now reach the request path, with the values in force so far as defaults.

listen.metrics was not opened. It now serves /metrics, /v1/dump, /healthz and /readyz.

Operations without wait had no deadline, so a caller could be held as long as the log was away. They now have that of Medlar-Deadline or request.default_deadline; the client sends its own.

--- a/internal/apiclient/call.go
+++ b/internal/apiclient/call.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -17,6 +18,9 @@
 // maxAnswerBytes bounds an answer, so that a wrong server cannot fill memory.
 const maxAnswerBytes = 256 << 20
 
+// answerMargin is the most time that is kept for an answer to arrive.
+const answerMargin = 500 * time.Millisecond
+
 // Codes of errors that arise in the client.
 const (
 	// CodeConnect means that no entry could be connected to.
@@ -32,6 +36,8 @@
 	method, path string
 	body         any
 	read         bool
+	// stream is true if the answer has no end of its own.
+	stream bool
 }
 
 // call tries the entries in turn, and decodes the result. The error is a
@@ -105,6 +111,12 @@
 		req.Header.Set("Content-Type", "application/json")
 	}
 	c.authorize(req)
+	if end, ok := ctx.Deadline(); ok && !op.stream {
+		// The entry node gives up a little earlier, so that its verdict arrives.
+		left := time.Until(end)
+		left = max(left-min(left/10, answerMargin), time.Millisecond)
+		req.Header.Set(HeaderDeadline, left.Round(time.Millisecond).String())
+	}
 	resp, err := c.do(req)
 	if err != nil {
 		return nil, transportError(entry, err)
--- a/internal/apiclient/watch.go
+++ b/internal/apiclient/watch.go
@@ -59,7 +59,7 @@
 	silence := time.AfterFunc(maxSilence, cancel)
 	defer silence.Stop()
 	path := fmt.Sprintf("%s/watch?position=%d", jobPath(id), *position)
-	resp, failed := c.send(ctx, entry, operation{method: http.MethodGet, path: path, read: true}, nil)
+	resp, failed := c.send(ctx, entry, operation{method: http.MethodGet, path: path, read: true, stream: true}, nil)
 	if failed != nil {
 		return false, failed
 	}
--- a/internal/cli/connection.go
+++ b/internal/cli/connection.go
@@ -24,7 +24,7 @@
 		Envar("MEDLAR_ENTRY").Default("http://127.0.0.1:8080").StringsVar(&c.entries)
 	k.Flag("key", "Key of a team, or the operator token.").Envar("MEDLAR_KEY").StringVar(&c.key)
 	k.Flag("key-file", "File that holds the key or token.").Envar("MEDLAR_KEY_FILE").StringVar(&c.keyFile)
-	k.Flag("timeout", "Longest time for the command; 0 for none. Not for serve, dev, watch and load.").Default("1m").DurationVar(&c.timeout)
+	k.Flag("timeout", "Longest time for the command, sent as Medlar-Deadline less a margin; 0 for none. Not for serve, dev, watch and load.").Default("1m").DurationVar(&c.timeout)
 }
 
 // options returns the options of a client. MEDLAR_ENTRY may list several
--- a/internal/cli/request.go
+++ b/internal/cli/request.go
@@ -44,7 +44,7 @@
 	cmd.Flag("idempotent", "Whether the request may run more than once. By default POST and PATCH may not.").IsSetByUser(&idempotentSet).BoolVar(&idempotent)
 	cmd.Flag("id", "Id of the request. Made up if not given.").StringVar(&r.ID)
 	cmd.Flag("class", "Class of the request.").Default("normal").EnumVar(&class, "urgent", "normal", "background")
-	cmd.Flag("deadline", "Time that the response is waited for.").Default("30s").DurationVar(&r.Timeout)
+	cmd.Flag("deadline", "Time that the response is waited for, sent as Medlar-Deadline.").Default("30s").DurationVar(&r.Timeout)
 }
 
 func (a *app) sendRequest(r apiclient.Request) error {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -22,6 +22,9 @@
 	Heartbeat time.Duration
 	// BodyTimeout bounds the time in which a body must arrive; 30 s if zero.
 	BodyTimeout time.Duration
+	// DefaultDeadline bounds an operation that does not wait for work and
+	// names no deadline; 30 s if zero.
+	DefaultDeadline time.Duration
 	// Metrics serves /metrics; not found if nil.
 	Metrics http.Handler
 	// Upstreams serves /v1/upstreams/; not found if nil. It authenticates on
@@ -32,6 +35,7 @@
 }
 
 const (
+	defaultDeadline    = 30 * time.Second
 	defaultHeartbeat   = 10 * time.Second
 	defaultBodyTimeout = 30 * time.Second
 	// writeTimeout bounds one write to a watcher that does not read.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -30,6 +30,7 @@
 	routes    *rest.Serverless
 	upstreams http.Handler
 	http      http.Server
+	operators http.Server
 	watches   chan struct{}
 	stopping  chan struct{}
 	stopOnce  sync.Once
@@ -51,6 +52,9 @@
 	if cfg.BodyTimeout <= 0 {
 		cfg.BodyTimeout = defaultBodyTimeout
 	}
+	if cfg.DefaultDeadline <= 0 {
+		cfg.DefaultDeadline = defaultDeadline
+	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
@@ -64,13 +68,18 @@
 	if err := s.addRoutes(); err != nil {
 		return nil, err
 	}
-	s.http = http.Server{
-		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-	}
+	s.prepare(&s.http, s)
+	s.prepare(&s.operators, http.HandlerFunc(s.serveOperators))
 	return s, nil
 }
 
+// prepare sets the limits of a server.
+func (s *Server) prepare(server *http.Server, h http.Handler) {
+	server.Handler = h
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
+	server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelDebug)
+}
+
 // addRoutes builds the go-zero router. Only the recover middleware is on:
 // breaker, shedding and timeout answer without knowledge of the verdict.
 func (s *Server) addRoutes() error {
@@ -104,8 +113,13 @@
 
 // Serve answers on a listener until Shutdown. It returns nil then.
 func (s *Server) Serve(l net.Listener) error {
+	return s.serve(&s.http, l)
+}
+
+// serve answers on a listener until the server is shut down or closed.
+func (s *Server) serve(server *http.Server, l net.Listener) error {
 	s.log.Info("Listening.", "address", l.Addr().String())
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "serve HTTP")
 	}
 	return nil
@@ -114,14 +128,14 @@
 // Close ends the listener and all connections at once.
 func (s *Server) Close() error {
 	s.stopOnce.Do(func() { close(s.stopping) })
-	return eris.Wrap(s.http.Close(), "close the HTTP server")
+	return eris.Wrap(errors.Join(s.http.Close(), s.operators.Close()), "close the HTTP server")
 }
 
 // Shutdown closes the listener, ends watches, which callers can resume
 // elsewhere, and waits for all other requests until ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopOnce.Do(func() { close(s.stopping) })
-	return eris.Wrap(s.http.Shutdown(ctx), "shut the HTTP server down")
+	return eris.Wrap(errors.Join(s.http.Shutdown(ctx), s.operators.Shutdown(ctx)), "shut the HTTP server down")
 }
 
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
 )
 
 // provedFresh fails if this node cannot prove that its configuration is the
@@ -37,5 +38,5 @@
 
 // logAway reports whether the log has not answered for a while.
 func (n *Node) logAway() bool {
-	return n.logClient.Contact().SinceRead > n.settings.Timing.OutageConfirmAfter
+	return n.logClient.Contact().SinceRead > ownership.OutageAfter
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
+	"github.com/medlarpulley/medlarpulley/internal/platform/runner"
 	"github.com/medlarpulley/medlarpulley/internal/requests"
 )
 
@@ -12,7 +13,7 @@
 		OperatorToken: s.Operator.Token, OperatorsOpen: s.Operator.Token == "",
 		MaxJobBytes: s.Limits.JobBytes, MaxBatchBytes: s.Limits.BatchBytes, MaxPublicationBytes: s.Limits.PublicationBytes,
 		MaxBatchJobs: s.Limits.BatchJobs, MaxWatches: s.Limits.Watches,
-		Metrics: n.metrics, Upstreams: n.requests, Log: n.base,
+		DefaultDeadline: s.Request.DefaultDeadline, Metrics: n.metrics, Upstreams: n.requests, Log: n.base,
 	}, n)
 	return err
 }
@@ -25,5 +26,16 @@
 	o.Metrics = n.scope.SubScope("requests")
 	o.Log = n.base
 	o.Router.Zone = n.settings.Node.Zone
+	o.Router.QueuePerTeam = n.settings.Limits.QueuedPerTeam
+	return o
+}
+
+// runnerOptions returns the options of the connections to runners.
+func (n *Node) runnerOptions() runner.Options {
+	o := runner.DefaultOptions()
+	o.SuspectAfter = n.settings.Request.ProgressTimeout
+	o.DialTimeout = n.settings.Request.ConnectTimeout
+	o.MaxConnections = n.settings.Request.ConnectionsPerRunner
+	o.MaxIdle, o.MaxProven = min(o.MaxIdle, o.MaxConnections), min(o.MaxProven, o.MaxConnections)
 	return o
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	gateway        *gateway.Server
 
 	httpListener net.Listener
+	opsListener  net.Listener
 	peerListener net.Listener
 	peerServer   *peer.Server
 
@@ -121,6 +122,9 @@
 	if n.httpListener, err = net.Listen("tcp", n.settings.Listen.HTTP); err != nil {
 		return eris.Wrap(err, "listen.http")
 	}
+	if n.opsListener, err = net.Listen("tcp", n.settings.Listen.Metrics); err != nil {
+		return eris.Wrap(err, "listen.metrics")
+	}
 	if n.peerListener, err = net.Listen("tcp", n.settings.Listen.Peer); err != nil {
 		return eris.Wrap(err, "listen.peer")
 	}
@@ -146,7 +150,7 @@
 		actions: make(chan ownership.Action, maxShardActions), ctx: n.ctx,
 		start: n.shards.start, stop: n.shards.stop, handOver: n.shards.handOver,
 	}
-	n.runners = runner.NewHTTPClient(runner.DefaultOptions())
+	n.runners = runner.NewHTTPClient(n.runnerOptions())
 	n.requests = requests.New(n.requestOptions(), keys{n}, n.members, n.peers, n.runners, n.clock)
 	n.replica.Subscribe(n.ledgerEvents)
 }
@@ -197,5 +201,8 @@
 // HTTPAddress returns the address on which the node serves callers.
 func (n *Node) HTTPAddress() string { return n.httpListener.Addr().String() }
 
+// OperatorsAddress returns the address that serves metrics and the dump.
+func (n *Node) OperatorsAddress() string { return n.opsListener.Addr().String() }
+
 // Name returns the name of the node.
 func (n *Node) Name() string { return n.settings.Node.Name }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -40,6 +40,7 @@
 func (n *Node) start() {
 	n.spawn(func(context.Context) { _ = n.peerServer.Serve(n.peerListener) })
 	n.spawn(func(context.Context) { _ = n.gateway.Serve(n.httpListener) })
+	n.spawn(func(context.Context) { _ = n.gateway.ServeOperators(n.opsListener) })
 	n.spawn(func(ctx context.Context) { _ = n.logClient.Run(ctx) })
 	n.spawn(n.shards.loop)
 	n.spawn(n.join)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,6 @@
 	Platform Platform
 	Cluster  Cluster
 	Timing   Timing
-	Batching Batching
 	Limits   Limits
 	Request  Request
 	Operator Operator
@@ -31,9 +30,9 @@
 
 // Platform holds the addresses of the external systems.
 type Platform struct {
-	LogURL, HostListURL           string
-	LogTimeout, HostListEvery     time.Duration
-	WorkerTimeout, WorkerInterval time.Duration
+	LogURL, HostListURL       string
+	LogTimeout, HostListEvery time.Duration
+	WorkerInterval            time.Duration
 }
 
 // Cluster is the same on every entry node.
@@ -41,37 +40,24 @@
 	Nodes, ShardsPerZone int
 }
 
-// Timing holds the intervals of ownership and operation.
+// Timing holds the times of a planned stop. Times that the safety of ownership
+// rests on are equal on all nodes and therefore constants of a release.
 type Timing struct {
-	RenewEvery, Authority, OutageAuthority, OutageConfirmAfter time.Duration
-	OutagePromise, OutageTotal, PauseAllowance                 time.Duration
-	StartMaxAge, ExchangeEvery, SuspectAfter, FreshFor         time.Duration
-	JoinSettle, LeavingNotice, DrainWait, DrainTimeout         time.Duration
-	AllotmentIdle, DecideEvery                                 time.Duration
-	DriftPercent                                               int
-}
-
-// Batching holds how long records wait for others before an append.
-type Batching struct {
-	Jobs, Intents, Cancels, Moves, Outcomes, Transfers time.Duration
-	PerSecond                                          int
-	MaxBytes                                           int64
+	DrainWait, DrainTimeout time.Duration
 }
 
 // Limits bound what the process holds.
 type Limits struct {
-	Jobs, WaitingTasks, RunningTasks, Requests, QueuedPerTeam, Watches int
-	JobBytes, BatchBytes, PublicationBytes, RequestBytes               int64
-	BatchJobs                                                          int
-	Memory                                                             int64
+	QueuedPerTeam, Watches                               int
+	JobBytes, BatchBytes, PublicationBytes, RequestBytes int64
+	BatchJobs                                            int
+	Memory                                               int64
 }
 
 // Request holds the settings of the request path.
 type Request struct {
-	RetryPercent                                         int
-	SlotLease, IDMemory, ProgressTimeout, ConnectTimeout time.Duration
-	DefaultDeadline, MaxDeadline                         time.Duration
-	ConnectionsPerRunner                                 int
+	ProgressTimeout, ConnectTimeout, DefaultDeadline time.Duration
+	ConnectionsPerRunner                             int
 }
 
 // Operator holds the authentication of operators.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Timing.Authority != 6*time.Second || s.Cluster.Nodes != 8 || s.Limits.Memory != 128<<20 || s.Node.Name != "entry-1" {
+	if s.Timing.DrainWait != 5*time.Second || s.Cluster.Nodes != 8 || s.Limits.Memory != 128<<20 || s.Node.Name != "entry-1" {
 		t.Errorf("defaults are %+v", s)
 	}
 	keys := map[string]bool{}
@@ -73,22 +73,23 @@
 // Guards against values that start a process which cannot work.
 func TestRefused(t *testing.T) {
 	for _, c := range []struct{ add, field string }{
-		{"[timing]\nrenew_each = \"2s\"", "timing.renew_each"},
-		{"[timing]\nrenew_every = 2", "timing.renew_every"},
-		{"[timing]\nrenew_every = \"2 kg\"", "timing.renew_every"},
-		{"[timing]\nrenew_every = \"5s\"", "timing.renew_every"},
-		{"[timing]\noutage_authority = \"4s\"", "timing.outage_authority"},
-		{"[timing]\ndrift_percent = \"1\"", "timing.drift_percent"},
+		{"[timing]\ndrain_weight = \"2s\"", "timing.drain_weight"},
+		{"[timing]\nauthority = \"6s\"", "timing.authority"},
+		{"[timing]\ndrain_wait = 2", "timing.drain_wait"},
+		{"[timing]\ndrain_wait = \"2 kg\"", "timing.drain_wait"},
+		{"[timing]\ndrain_wait = \"2m\"", "timing.drain_wait"},
+		{"[platform2]", "platform2"},
+		{"[limits]\nwatches = \"1\"", "limits.watches"},
 		{"[limits]\nmemory = \"128MB\"", "limits.memory"},
 		{"[limits]\njob_bytes = \"512KiB\"", "limits.job_bytes"},
 		{"[cluster]\nnodes = 0", "cluster.nodes"},
-		{"[cluster]\nnodes = 20", "batching.per_second"},
+		{"[cluster]\nnodes = 20", "cluster.nodes"},
 		{"[listen]\nhttp = \"127.0.0.1:9000\"\npeer = \"127.0.0.1:9000\"", "listen.peer"},
 		{"[listen]\nhttp = \"localhost\"", "listen.http"},
 		{"[operator]\ntoken = \"a\"\ntoken_file = \"b\"", "operator.token_file"},
 		{"[operator]\ntoken = \"\"", "operator.token"},
 		{"[log]\nlevel = \"loud\"", "log.level"},
-		{"[request]\nmax_deadline = \"20m\"", "request.max_deadline"},
+		{"[request]\ndefault_deadline = \"20m\"", "request.default_deadline"},
 		{"[nodes]", "nodes"},
 		{"[timing", "syntax"},
 	} {
