--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -7,6 +7,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
+	"github.com/medlarpulley/medlarpulley/internal/ownership"
 )
 
 // freshInterval is how often the proof of the configuration is looked at.
@@ -50,7 +51,7 @@
 
 // logAway reports whether the log has not answered for a while.
 func (n *Node) logAway() bool {
-	return n.logClient.Contact().SinceRead > n.settings.Timing.OutageConfirmAfter
+	return n.logClient.Contact().SinceRead > ownership.OutageAfter
 }
 
 // freshLoop stops the starts of tasks while the configuration is not proved to
