Compare blocked sizes with open hosts on demand

BenchmarkPlacement did not finish with thousands of sizes. A profile of 2,400 sizes at 1,600 hosts gives 97 % to queue.choose: each start, arrival and wake made it look at every lane of the team again, 31 ms for one Decide.

Queues keep their lanes sorted, and go on where the last search ended. Hosts that gain room are listed and compared with a size only when a queue reaches it, instead of waking each size that fits.

The benchmark has loads of 2,400 sizes and of one size for nearly each job, and one of a cancellation wave.

--- a/internal/scheduler/apply_contract.go
+++ b/internal/scheduler/apply_contract.go
@@ -21,7 +21,7 @@
 		s.limits[name] = l
 	}
 	for _, name := range sortedKeys(old) {
-		old[name].unpark()
+		s.unpark(old[name])
 		old[name].holder = nil
 	}
 	s.recount()
@@ -60,6 +60,7 @@
 				l.price()
 				heap.Init(&l.jobs)
 			}
+			s.reorder(&t.queues[c])
 		}
 	}
 	s.resized = true
@@ -78,7 +79,7 @@
 	for _, name := range sortedKeys(s.limits) {
 		l := s.limits[name]
 		l.allotted = s.allotments[name]
-		l.unpark()
+		s.unpark(l)
 		s.checkLimit(l)
 	}
 	s.stirAll()
--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -161,7 +161,7 @@
 	}
 	j.closed, j.endOf, j.endReason, j.cursor = true, o, reason, 0
 	if j.lane != nil {
-		j.lane.queue.dirty = true
+		s.relist(j.lane)
 	}
 }
 
@@ -259,6 +259,9 @@
 			j.pending--
 		}
 	}
+	if j.lane != nil {
+		s.relist(j.lane)
+	}
 	s.enter(j)
 	s.forget(j)
 }
--- a/internal/scheduler/apply_tasks.go
+++ b/internal/scheduler/apply_tasks.go
@@ -288,5 +288,5 @@
 func (s *Scheduler) rehabilitate(h *host) {
 	s.health.Forget(h.view.ID)
 	s.refresh(h)
-	s.wake(h.view.Free)
+	s.wake(h)
 }
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -31,8 +31,12 @@
 	waits   []time.Duration
 	starts  int
 	running int
+	// ended counts cancelled tasks.
+	ended int
 	// runtime is the shortest run time; 8 s more are drawn at random.
 	runtime time.Duration
+	// size draws the size of a job.
+	size func(rnd func(int) int) resource.Vector
 }
 
 func benchHosts(n int) []Host {
@@ -63,8 +67,29 @@
 	{MilliCPU: 4000, MemoryMiB: 8192}, {MilliCPU: 4000, MemoryMiB: 16384}, {MilliCPU: 8000, MemoryMiB: 16384},
 }
 
+// benchLoads are the distributions of sizes: six, 2,400 of which about 1,500
+// wait at a time, and one for nearly every job.
+var benchLoads = []struct {
+	name string
+	size func(rnd func(int) int) resource.Vector
+}{
+	{"six", sixSizes},
+	{"2400", func(rnd func(int) int) resource.Vector {
+		return resource.Vector{MilliCPU: int64(500 + 50*rnd(60)), MemoryMiB: int64(1000 + 200*rnd(40))}
+	}},
+	{"any", func(rnd func(int) int) resource.Vector {
+		return resource.Vector{MilliCPU: int64(500 + rnd(5800)), MemoryMiB: int64(1000 + rnd(15000))}
+	}},
+}
+
+func sixSizes(rnd func(int) int) resource.Vector { return benchSizes[rnd(len(benchSizes))] }
+
 func newBench(hosts, waiting int, seed uint64) *bench {
-	b := &bench{s: New(Options{}), rnd: random(seed), runtime: 2 * time.Second, jobs: map[work.JobID]work.Job{}, byTeam: map[string]resource.Vector{}}
+	return newBenchOf(hosts, waiting, seed, sixSizes)
+}
+
+func newBenchOf(hosts, waiting int, seed uint64, size func(func(int) int) resource.Vector) *bench {
+	b := &bench{size: size, s: New(Options{}), rnd: random(seed), runtime: 2 * time.Second, jobs: map[work.JobID]work.Job{}, byTeam: map[string]resource.Vector{}}
 	b.m = newModel(Options{}, b.rnd)
 	b.s.Apply(0, ContractChanged{Contract: benchContract()})
 	units := map[string]int64{}
@@ -92,7 +117,7 @@
 	b.next++
 	j := work.Job{
 		ID: work.JobID(fmt.Sprintf("j%07d", b.next)), Team: fmt.Sprintf("t%02d", b.next%benchTeams), Class: c,
-		Tasks: 1, Size: benchSizes[b.rnd(len(benchSizes))], Idempotent: true, Lease: 10 * time.Second,
+		Tasks: 1, Size: b.size(b.rnd), Idempotent: true, Lease: 10 * time.Second,
 		Runtime: b.runtime + time.Duration(b.rnd(8000))*time.Millisecond, Template: fmt.Sprintf("p%d", b.rnd(50)),
 	}
 	b.jobs[j.ID] = j
@@ -116,6 +141,10 @@
 			} else if refill {
 				b.add(work.Normal)
 			}
+		case EndTask:
+			if a.Outcome == work.Cancelled {
+				b.ended++
+			}
 		case StopTask:
 			wait := 2 * time.Second
 			switch {
@@ -165,36 +194,88 @@
 // 20,000; one operation is 10 ms of simulated clock. The mean is the time of
 // all events and decisions over the starts; p99 is that of one whole Decide.
 func BenchmarkPlacement(bm *testing.B) {
-	for _, hosts := range []int{50, 400, 1600} {
-		bm.Run(fmt.Sprintf("hosts=%d", hosts), func(bm *testing.B) {
-			b := newBench(hosts, 20000, 1)
+	for _, load := range benchLoads {
+		for _, hosts := range []int{50, 400, 1600} {
+			bm.Run(fmt.Sprintf("sizes=%s/hosts=%d", load.name, hosts), func(bm *testing.B) {
+				b := newBenchOf(hosts, 20000, 1, load.size)
+				b.warm(20 * time.Second)
+				b.measure(bm, nil)
+			})
+		}
+	}
+}
+
+// BenchmarkCancelWave cancels 10,000 of 20,000 waiting jobs during the first
+// 100 ms of simulated clock, while tasks end and others start. Batches of 1,000
+// events come before each Decide.
+func BenchmarkCancelWave(bm *testing.B) {
+	for _, load := range benchLoads {
+		bm.Run("sizes="+load.name, func(bm *testing.B) {
+			b := newBenchOf(1600, 20000, 1, load.size)
 			b.warm(20 * time.Second)
-			var each []time.Duration
-			var bytes uint64
-			b.spent, b.starts = 0, 0
-			before, after := runtime.MemStats{}, runtime.MemStats{}
-			for bm.Loop() {
-				runtime.ReadMemStats(&before)
-				t := time.Now()
-				acts := b.s.Decide(b.now)
-				each = append(each, time.Since(t))
-				runtime.ReadMemStats(&after)
-				b.spent += each[len(each)-1]
-				bytes += after.TotalAlloc - before.TotalAlloc
-				b.act(acts, true)
-				b.step(10 * time.Millisecond)
-			}
-			n := float64(max(b.starts, 1))
-			slices.Sort(each)
-			bm.ReportMetric(float64(b.spent.Nanoseconds())/1000/n, "us/placement")
-			bm.ReportMetric(float64(each[len(each)*99/100].Microseconds()), "p99-us/decide")
-			bm.ReportMetric(float64(bytes)/n, "B/placement")
-			bm.ReportMetric(b.packing(), "packing-%")
-			bm.ReportMetric(float64(b.running), "running")
+			b.ended = 0
+			left, next := 10000, b.next
+			b.measure(bm, func() {
+				for n := min(left, 1000); n > 0 && next > 0; next-- {
+					id := work.JobID(fmt.Sprintf("j%07d", next))
+					if st, ok := b.s.Task(work.TaskID{Job: id}); ok && st.State == TaskQueued.String() {
+						b.apply(JobCancelled{Job: id})
+						n, left = n-1, left-1
+					}
+				}
+			})
+			bm.ReportMetric(float64(b.ended), "cancelled")
 		})
 	}
 }
 
+// measure runs the load, with before called ahead of each Decide if it is set.
+func (b *bench) measure(bm *testing.B, before func()) {
+	var each []time.Duration
+	var bytes uint64
+	b.spent, b.starts = 0, 0
+	first, last := runtime.MemStats{}, runtime.MemStats{}
+	for bm.Loop() {
+		if before != nil {
+			before()
+		}
+		runtime.ReadMemStats(&first)
+		t := time.Now()
+		acts := b.s.Decide(b.now)
+		each = append(each, time.Since(t))
+		runtime.ReadMemStats(&last)
+		b.spent += each[len(each)-1]
+		bytes += last.TotalAlloc - first.TotalAlloc
+		b.act(acts, true)
+		b.step(10 * time.Millisecond)
+	}
+	n := float64(max(b.starts, 1))
+	slices.Sort(each)
+	bm.ReportMetric(float64(b.spent.Nanoseconds())/1000/n, "us/placement")
+	bm.ReportMetric(float64(each[len(each)*99/100].Microseconds()), "p99-us/decide")
+	bm.ReportMetric(float64(bytes)/n, "B/placement")
+	bm.ReportMetric(b.packing(), "packing-%")
+	bm.ReportMetric(float64(b.running), "running")
+}
+
+// BenchmarkSummary measures a summary with 20,000 waiting at 1,600 hosts, after
+// changes of one Decide.
+func BenchmarkSummary(bm *testing.B) {
+	b := newBenchOf(1600, 20000, 1, benchLoads[2].size)
+	b.warm(20 * time.Second)
+	spent := time.Duration(0)
+	for bm.Loop() {
+		b.warm(10 * time.Millisecond)
+		t := time.Now()
+		sum := b.s.Summary()
+		spent += time.Since(t)
+		if sum.Waiting == 0 {
+			bm.Fatal("nothing waits")
+		}
+	}
+	bm.ReportMetric(float64(spent.Nanoseconds())/1000/float64(bm.N), "us/summary")
+}
+
 // BenchmarkState measures the heap of a scheduler with 20,000 waiting and
 // about 7,500 running tasks; the job list of the benchmark itself is included.
 func BenchmarkState(bm *testing.B) {
--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -24,7 +24,7 @@
 	for _, l := range s.limits {
 		if old := l.maybe; old != units[l] {
 			l.maybe = units[l]
-			l.unpark()
+			s.unpark(l)
 		}
 	}
 }
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -13,6 +13,8 @@
 type host struct {
 	view  plan.Host
 	index int
+	// open is set while the host is in the list of that name.
+	open  bool
 	state HostState
 	gone  bool
 	// known is set once the tasks on the host are known.
@@ -69,7 +71,7 @@
 	h.view.Free = free
 	s.index.Set(h.index, free, h.view.Capacity.Accelerators > 0)
 	if !free.Fits(old) {
-		s.wake(free)
+		s.wake(h)
 	}
 }
 
--- a/internal/scheduler/hostindex/index.go
+++ b/internal/scheduler/hostindex/index.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	classes = 64
+	// Classes is the number of classes of one resource.
+	Classes = 64
 	// boundaryBudget bounds the hosts looked at in classes that may or may not
 	// fit, before classes that certainly fit are looked at.
 	boundaryBudget = 32
@@ -24,8 +25,8 @@
 
 type table struct {
 	rows  uint64
-	cols  [classes]uint64
-	cells [classes][classes][]int32
+	cols  [Classes]uint64
+	cells [Classes][Classes][]int32
 }
 
 type position struct {
@@ -40,7 +41,7 @@
 	}
 	p := position{table: absent}
 	if free.MilliCPU > 0 && free.MemoryMiB > 0 {
-		p = position{row: int32(class(free.MilliCPU)), col: int32(class(free.MemoryMiB))}
+		p = position{row: int32(Class(free.MilliCPU)), col: int32(Class(free.MemoryMiB))}
 		if accelerators {
 			p.table = 1
 		}
@@ -99,7 +100,7 @@
 }
 
 func (t *table) visit(size resource.Vector, pack bool, budget int, skipped *bool, f func(int) bool) bool {
-	row0, col0 := class(size.MilliCPU), class(size.MemoryMiB)
+	row0, col0 := Class(size.MilliCPU), Class(size.MemoryMiB)
 	for rows := t.rows &^ (1<<row0 - 1); rows != 0; {
 		r := pick(&rows, pack)
 		for cols := t.cols[r] &^ (1<<col0 - 1); cols != 0; {
@@ -124,9 +125,9 @@
 
 // boundary visits every host of the classes that may or may not fit.
 func (t *table) boundary(size resource.Vector, f func(int) bool) bool {
-	row0, col0 := class(size.MilliCPU), class(size.MemoryMiB)
-	for r := row0; r < classes; r++ {
-		for c := col0; c < classes; c++ {
+	row0, col0 := Class(size.MilliCPU), Class(size.MemoryMiB)
+	for r := row0; r < Classes; r++ {
+		for c := col0; c < Classes; c++ {
 			if r != row0 && c != col0 {
 				break
 			}
@@ -149,11 +150,11 @@
 	return i
 }
 
-// class returns four times the binary logarithm of n, rounded down.
-func class(n int64) int {
+// Class returns four times the binary logarithm of n, rounded down.
+func Class(n int64) int {
 	if n < 16 {
 		return 0
 	}
 	l := bits.Len64(uint64(n)) - 1
-	return min(4*(l-4)+int(n>>(l-2)&3), classes-1)
+	return min(4*(l-4)+int(n>>(l-2)&3), Classes-1)
 }
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -16,6 +16,11 @@
 	shape *shape
 	jobs  jobHeap
 	cost  int64
+	// slot is the position in the list of all lanes of the queue.
+	slot int
+	// first is the first job while the lane is listed.
+	first  *job
+	listed bool
 	// overLimit is set while the limit has no room for one start.
 	overLimit bool
 	// reservations counts the reservations of an urgent lane.
@@ -37,7 +42,6 @@
 			return j
 		}
 		heap.Pop(&l.jobs)
-		l.queue.dirty = true
 		if j.lane == l {
 			j.inLane = false
 		}
@@ -74,7 +78,7 @@
 	}
 	j.lane, j.inLane = l, true
 	heap.Push(&l.jobs, j)
-	l.queue.dirty = true
+	s.relist(l)
 	s.watchAge(j, j.progress+s.contract.Policy.MaxWait)
 }
 
@@ -82,7 +86,7 @@
 	q := &t.queues[k.class]
 	l := q.byKey[k]
 	if l == nil {
-		l = &lane{key: k, queue: q, team: t, shape: k.shape}
+		l = &lane{key: k, queue: q, team: t, shape: k.shape, slot: len(q.lanes)}
 		l.price()
 		q.byKey[k] = l
 		q.lanes = append(q.lanes, l)
@@ -102,19 +106,19 @@
 // drop removes an empty lane, and its shape with the last lane.
 func (s *Scheduler) drop(l *lane) {
 	delete(l.queue.byKey, l.key)
-	l.queue.lanes = without(l.queue.lanes, l)
-	l.shape.lanes = without(l.shape.lanes, l)
+	q := l.queue
+	last := q.lanes[len(q.lanes)-1]
+	q.lanes[l.slot], last.slot = last, l.slot
+	q.lanes[len(q.lanes)-1] = nil
+	q.lanes = q.lanes[:len(q.lanes)-1]
+	i := slices.Index(l.shape.lanes, l)
+	l.shape.lanes = slices.Delete(l.shape.lanes, i, i+1)
 	if len(l.shape.lanes) == 0 {
 		s.unblock(l.shape)
 		delete(s.shapes, l.shape.key)
 	}
 }
 
-func without(list []*lane, l *lane) []*lane {
-	i := slices.Index(list, l)
-	return slices.Delete(list, i, i+1)
-}
-
 // jobHeap orders jobs by queue priority, then by their order, then by name.
 type jobHeap []*job
 
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -30,13 +30,12 @@
 
 func (l *limit) room() int64 { return l.allotted - l.used - l.maybe }
 
-// wake unparks the lanes that fit into the room.
-func (l *limit) wake() {
+// wakeLimit unparks the lanes that fit into the room.
+func (s *Scheduler) wakeLimit(l *limit) {
 	room, keep := l.room(), l.parked[:0]
 	for _, n := range l.parked {
 		if n.cost <= room {
-			n.overLimit = false
-			n.queue.dirty = true
+			s.admit(n)
 		} else {
 			keep = append(keep, n)
 		}
@@ -45,24 +44,31 @@
 	l.parked = keep
 }
 
-func (l *limit) park(n *lane) {
+func (s *Scheduler) park(l *limit, n *lane) {
 	if !n.overLimit {
 		n.overLimit = true
-		n.queue.dirty = true
 		l.parked = append(l.parked, n)
+		s.relist(n)
 	}
 }
 
 // unpark wakes every lane, after a change that is not only more room.
-func (l *limit) unpark() {
+func (s *Scheduler) unpark(l *limit) {
 	for _, n := range l.parked {
-		n.overLimit = false
-		n.queue.dirty = true
+		s.admit(n)
 	}
 	clear(l.parked)
 	l.parked = l.parked[:0]
 }
 
+// admit lists a lane that was parked. Its shape is tried again, since hosts
+// that gained room meanwhile were not kept for it.
+func (s *Scheduler) admit(n *lane) {
+	n.overLimit = false
+	s.unblock(n.shape)
+	s.relist(n)
+}
+
 // checkLimit lists a limit that is over its allotment. Before the first
 // allotments are known nothing starts, and nothing is stopped either.
 func (s *Scheduler) checkLimit(l *limit) {
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -36,7 +36,7 @@
 	if j.reservedBy != nil || (j.lane != nil && j.lane.reservations > 0) {
 		return false
 	}
-	return j.lane != nil && (j.lane.shape.blocked || j.lane.overLimit) || s.infeasible(j) != ""
+	return j.lane != nil && (!s.candidate(j.lane.shape) || j.lane.overLimit) || s.infeasible(j) != ""
 }
 
 // unstarted returns the first contiguous range of tasks that never started.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/medlarpulley/medlarpulley/internal/scheduler/fairshare"
 	"github.com/medlarpulley/medlarpulley/internal/scheduler/gang"
 	"github.com/medlarpulley/medlarpulley/internal/scheduler/plan"
 	"github.com/medlarpulley/medlarpulley/internal/work"
@@ -15,12 +14,15 @@
 // classOrder is the order in which classes are served.
 var classOrder = [...]work.Class{work.Urgent, work.Normal, work.Background}
 
-// place starts waiting tasks until nothing more fits or the actions are full.
+// place starts waiting tasks until nothing more fits, the actions are full or
+// the budget of lanes is spent.
 func (s *Scheduler) place() {
 	if s.paused.All {
 		return
 	}
-	for !s.full() {
+	s.examined = 0
+	s.pruneOpen()
+	for !s.full() && s.examined <= laneBudget {
 		l := s.nextLane()
 		if l == nil {
 			return
@@ -29,27 +31,6 @@
 	}
 }
 
-// nextLane returns the lane that goes first over all teams, or nil.
-func (s *Scheduler) nextLane() *lane {
-	for _, c := range classOrder {
-		var best *lane
-		var rank int64
-		for _, t := range s.teamList {
-			l := s.headOf(t, c)
-			if l == nil {
-				continue
-			}
-			if r := s.rank(t, l.jobs[0]); best == nil || r < rank {
-				best, rank = l, r
-			}
-		}
-		if best != nil {
-			return best
-		}
-	}
-	return nil
-}
-
 // headOf returns the lane of a team that goes first in class c. Background
 // work counts as normal once it is old.
 func (s *Scheduler) headOf(t *team, c work.Class) *lane {
@@ -68,18 +49,9 @@
 	return l
 }
 
-func (s *Scheduler) rank(t *team, j *job) int64 {
-	return fairshare.Order(s.contract.Policy.ShareWeight, t.share*s.weights/t.weight,
-		s.now-j.order, s.contract.Policy.MaxWait)
-}
-
 // placeTop starts the first task or gang of a lane, or parks the lane.
 func (s *Scheduler) placeTop(l *lane) {
 	j := l.top()
-	if j == nil {
-		l.queue.dirty = true
-		return
-	}
 	if !s.limitAllows(l, j) {
 		return
 	}
@@ -93,6 +65,7 @@
 		return
 	}
 	s.startNext(l, j, h)
+	s.pruneHost(h)
 }
 
 // limitAllows reports whether the limit has room for one start of the lane.
@@ -101,11 +74,11 @@
 	lim := l.team.limit
 	if k := lim.holder; k != nil && k != j {
 		if s.holds(lim, k) {
-			lim.park(l)
+			s.park(lim, l)
 			return false
 		}
 		lim.holder = nil
-		lim.unpark()
+		s.unpark(lim)
 	}
 	if l.cost <= lim.room() {
 		return true
@@ -113,7 +86,7 @@
 	if lim.holder == nil && l.cost <= lim.allotted && s.now-j.progress >= s.contract.Policy.MaxWait {
 		lim.holder = j
 	}
-	lim.park(l)
+	s.park(lim, l)
 	return false
 }
 
@@ -128,7 +101,7 @@
 func (s *Scheduler) noHost(l *lane, j *job) {
 	if lim := l.team.limit; lim.holder == j {
 		lim.holder = nil
-		lim.unpark()
+		s.unpark(lim)
 	}
 	s.block(l.shape)
 }
@@ -240,11 +213,11 @@
 	j.progress = s.now
 	if lim := l.team.limit; lim != nil && lim.holder == j {
 		lim.holder = nil
-		lim.unpark()
+		s.unpark(lim)
 	}
 	j.aged = false
 	if j.waiting == 0 {
-		l.queue.dirty = true
+		s.relist(l)
 	} else {
 		s.watchAge(j, s.now+s.contract.Policy.MaxWait)
 	}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -51,7 +51,7 @@
 			return
 		}
 		j := s.aged[0].job
-		if j.reservedBy == nil && j.open() && j.lane.shape.blocked {
+		if j.reservedBy == nil && j.open() && !s.candidate(j.lane.shape) {
 			done, wait := s.reserveFor(j)
 			if wait {
 				return
@@ -233,7 +233,7 @@
 		return
 	}
 	r.lane.reservations--
-	r.lane.queue.dirty = true
+	s.relist(r.lane)
 }
 
 // cancelReservation voids a reservation; the next Decide removes it.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,8 +53,19 @@
 	allotments map[string]int64
 	overLimits []*limit
 
-	shapes       map[shapeKey]*shape
-	blocked      []*shape
+	shapes map[shapeKey]*shape
+	// blocked lists the gangs without room.
+	blocked []*shape
+	// open lists hosts that gained room that a waiting size may fit.
+	open   []*host
+	wanted shapeIndex
+	// growth counts the changes after which a passed lane may fit.
+	growth uint64
+	// untried counts the listed shapes that are not blocked.
+	untried int
+	// examined counts the lanes that this Decide has looked at.
+	examined     int
+	order        []teamRank
 	reservations []*reservation
 	urgent       []*reservation
 	timers       timers
@@ -188,10 +199,7 @@
 	}
 }
 
+// stirAll makes every queue look at all its lanes again.
 func (s *Scheduler) stirAll() {
-	for _, t := range s.teamList {
-		for c := range t.queues {
-			t.queues[c].dirty = true
-		}
-	}
+	s.growth++
 }
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -9,11 +9,15 @@
 
 // shape is a class of requests that fit the same hosts.
 type shape struct {
-	key     shapeKey
-	lanes   []*lane
+	key   shapeKey
+	lanes []*lane
+	// blocked is set once no host had room. For shapes other than gangs, hosts
+	// that gained room since are in Scheduler.open.
 	blocked bool
-	// slot is the position in the list of blocked shapes.
+	// slot is the position in the list of blocked gangs.
 	slot int
+	// listed counts the lanes that are in the list of their queue.
+	listed int
 	// nextTry is the earliest time of the next search for a gang.
 	nextTry time.Duration
 	timed   bool
@@ -26,23 +30,49 @@
 	count int32
 }
 
+func (sh *shape) gang() bool { return sh.key.kind == work.Gang }
+
 func (s *Scheduler) shape(k shapeKey) *shape {
 	sh := s.shapes[k]
 	if sh == nil {
 		sh = &shape{key: k}
+		sh.blocked = !sh.gang() && indexed(k.size) && !s.hasRoom(k.size)
 		s.shapes[k] = sh
 	}
 	return sh
 }
 
+// indexed reports whether the host index holds every host that v fits.
+func indexed(v resource.Vector) bool { return v.MilliCPU > 0 && v.MemoryMiB > 0 }
+
+// hasRoom reports whether any host has room for size.
+func (s *Scheduler) hasRoom(size resource.Vector) (found bool) {
+	s.index.Visit(size, false, func(i int) bool {
+		found = size.Fits(s.hostList[i].view.Free)
+		return !found
+	})
+	return found
+}
+
+// candidate reports whether a host may have room for the shape.
+func (s *Scheduler) candidate(sh *shape) bool {
+	return !sh.blocked || (!sh.gang() && s.fitsOpen(sh))
+}
+
 // block parks the lanes of a shape until a host has room for one task.
 func (s *Scheduler) block(sh *shape) {
 	if sh.blocked {
 		return
 	}
-	sh.blocked, sh.slot = true, len(s.blocked)
+	if sh.listed > 0 {
+		s.untried--
+	}
+	sh.blocked = true
+	if !sh.gang() {
+		return
+	}
+	sh.slot = len(s.blocked)
 	s.blocked = append(s.blocked, sh)
-	sh.stir()
 	if sh.key.count > 1 {
 		sh.nextTry = max(sh.nextTry, s.now+gangRetry)
 	}
@@ -52,18 +82,24 @@
 	if !sh.blocked {
 		return
 	}
-	last := s.blocked[len(s.blocked)-1]
-	s.blocked[sh.slot], last.slot = last, sh.slot
-	s.blocked = s.blocked[:len(s.blocked)-1]
+	if sh.gang() {
+		last := s.blocked[len(s.blocked)-1]
+		s.blocked[sh.slot], last.slot = last, sh.slot
+		s.blocked = s.blocked[:len(s.blocked)-1]
+	}
 	sh.blocked = false
-	sh.stir()
+	if sh.listed > 0 {
+		s.untried++
+	}
+	s.growth++
 }
 
-// wake unblocks the shapes that fit into free.
-func (s *Scheduler) wake(free resource.Vector) {
+// wake notes that h gained room, and unblocks the gangs of which a task fits.
+func (s *Scheduler) wake(h *host) {
+	s.openHost(h)
 	for i := len(s.blocked) - 1; i >= 0; i-- {
 		sh := s.blocked[i]
-		if !sh.key.size.Fits(free) {
+		if !sh.key.size.Fits(h.view.Free) {
 			continue
 		}
 		if sh.key.count > 1 && s.now < sh.nextTry {
@@ -81,10 +117,3 @@
 		s.timers.add(timer{at: sh.nextTry, kind: timerShape, shape: sh})
 	}
 }
-
-// stir makes the queues that use the shape choose anew.
-func (sh *shape) stir() {
-	for _, l := range sh.lanes {
-		l.queue.dirty = true
-	}
-}
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -38,14 +38,6 @@
 	earnedAt time.Duration
 }
 
-// queue holds the lanes of one class of a team.
-type queue struct {
-	lanes []*lane
-	byKey map[laneKey]*lane
-	best  *lane
-	dirty bool
-}
-
 func (s *Scheduler) team(name string) *team {
 	t := s.teams[name]
 	if t == nil {
@@ -91,7 +83,7 @@
 	t.share = fairshare.Dominant(t.used, s.capacity)
 	if t.limit != nil {
 		t.limit.used -= a.cost
-		t.limit.wake()
+		s.wakeLimit(t.limit)
 	}
 }
 
@@ -103,32 +95,3 @@
 	}
 	t.retries = min(t.retries+hundredths, 10*retryBurst)
 }
-
-// choose returns the lane that goes first, or nil. Lanes without room on the
-// hosts or in the limit, and those that are paused, are left out.
-func (q *queue) choose(s *Scheduler) *lane {
-	if !q.dirty && (q.best == nil || q.best.top() != nil) {
-		return q.best
-	}
-	q.best, q.dirty = nil, false
-	var top *job
-	for i := 0; i < len(q.lanes); i++ {
-		l := q.lanes[i]
-		if l.shape.blocked || l.overLimit {
-			continue
-		}
-		j := l.top()
-		if j == nil && l.reservations == 0 {
-			s.drop(l)
-			i--
-			continue
-		}
-		if j == nil || s.paused.All || (s.paused.NonIdempotent && !l.key.idempotent) {
-			continue
-		}
-		if top == nil || j.before(top) {
-			q.best, top = l, j
-		}
-	}
-	return q.best
-}
--- a/internal/scheduler/urgent.go
+++ b/internal/scheduler/urgent.go
@@ -19,6 +19,9 @@
 			continue
 		}
 		for _, l := range t.queues[work.Urgent].lanes {
+			if len(s.urgent) >= s.options.MaxPreemptions || s.full() {
+				return
+			}
 			s.preemptLane(l)
 		}
 	}
@@ -27,7 +30,7 @@
 // preemptLane reserves room by preemption for the waiting starts of a lane,
 // as far as the limit allows them.
 func (s *Scheduler) preemptLane(l *lane) {
-	if !l.shape.blocked || s.now < l.nextPreempt || (s.paused.NonIdempotent && !l.key.idempotent) {
+	if s.now < l.nextPreempt || s.candidate(l.shape) || (s.paused.NonIdempotent && !l.key.idempotent) {
 		return
 	}
 	starts, lim := 0, l.team.limit
