--- a/internal/scheduler/fitting.go
+++ b/internal/scheduler/fitting.go
@@ -9,10 +9,15 @@
 	fewShapes = 512
 )
 
-// fitting returns the lanes whose shapes fit hosts that gained room, if they
-// are few. A lane may be in the list twice.
+// fitting returns the lanes whose shapes were not tried yet or fit hosts that
+// gained room, if they are few. A lane may be in the list twice.
 func (s *Scheduler) fitting() (list []*lane, ok bool) {
 	s.few = s.few[:0]
+	for _, sh := range s.untried {
+		if !s.gather(sh) {
+			return nil, false
+		}
+	}
 	left, ok := fewShapes, true
 	for _, h := range s.open {
 		free := h.view.Free
@@ -21,15 +26,7 @@
 				ok = false
 				return false
 			}
-			if !sh.key.size.Fits(free) || !s.candidate(sh) {
-				return true
-			}
-			for _, l := range sh.lanes {
-				if l.listed && l.team.limit != nil && (!s.paused.NonIdempotent || l.key.idempotent) {
-					s.few = append(s.few, l)
-				}
-			}
-			ok = len(s.few) <= fewLanes
+			ok = !sh.key.size.Fits(free) || !s.candidate(sh) || s.gather(sh)
 			return ok
 		})
 		if !ok {
@@ -39,6 +36,16 @@
 	return s.few, true
 }
 
+// gather adds the lanes of sh to the few and reports whether they are few still.
+func (s *Scheduler) gather(sh *shape) bool {
+	for _, l := range sh.lanes {
+		if l.listed && l.team.limit != nil && (!s.paused.NonIdempotent || l.key.idempotent) {
+			s.few = append(s.few, l)
+		}
+	}
+	return len(s.few) <= fewLanes
+}
+
 // firstOf returns the lane of the list that goes first, as nextOf does for all
 // lanes, or nil.
 func (s *Scheduler) firstOf(list []*lane) *lane {
--- a/internal/scheduler/nextlane.go
+++ b/internal/scheduler/nextlane.go
@@ -17,13 +17,11 @@
 // asked in the order of the best rank that they can have, so that most need
 // not search their queues.
 func (s *Scheduler) nextLane() *lane {
-	if s.untried == 0 && len(s.open) == 0 {
+	if len(s.untried) == 0 && len(s.open) == 0 {
 		return nil
 	}
-	if s.untried == 0 {
-		if lanes, ok := s.fitting(); ok {
-			return s.firstOf(lanes)
-		}
+	if lanes, ok := s.fitting(); ok {
+		return s.firstOf(lanes)
 	}
 	for _, c := range classOrder {
 		if l := s.nextOf(c); l != nil {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -96,7 +96,7 @@
 		return
 	}
 	if !sh.blocked {
-		s.untried++
+		s.addUntried(sh)
 	}
 	if !sh.gang() {
 		s.wanted.add(sh)
@@ -116,7 +116,7 @@
 		return
 	}
 	if !sh.blocked {
-		s.untried--
+		s.removeUntried(sh)
 	}
 	if !sh.gang() {
 		s.wanted.remove(sh)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,8 +61,8 @@
 	wanted shapeIndex
 	// growth counts the changes after which a passed lane may fit.
 	growth uint64
-	// untried counts the listed shapes that are not blocked.
-	untried int
+	// untried lists the listed shapes that are not blocked.
+	untried []*shape
 	// examined counts the lanes that this Decide has looked at.
 	examined     int
 	order        []teamRank
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -17,6 +17,8 @@
 	// slot is the position in the list of blocked gangs, or for other listed
 	// shapes in their group of the index.
 	slot int
+	// trySlot is the position in the list of untried shapes.
+	trySlot int
 	// listed counts the lanes that are in the list of their queue.
 	listed int
 	// nextTry is the earliest time of the next search for a gang.
@@ -66,7 +68,7 @@
 		return
 	}
 	if sh.listed > 0 {
-		s.untried--
+		s.removeUntried(sh)
 	}
 	sh.blocked = true
 	if !sh.gang() {
@@ -90,11 +92,24 @@
 	}
 	sh.blocked = false
 	if sh.listed > 0 {
-		s.untried++
+		s.addUntried(sh)
 	}
 	s.growth++
 }
 
+func (s *Scheduler) addUntried(sh *shape) {
+	sh.trySlot = len(s.untried)
+	s.untried = append(s.untried, sh)
+}
+
+func (s *Scheduler) removeUntried(sh *shape) {
+	last := len(s.untried) - 1
+	s.untried[sh.trySlot] = s.untried[last]
+	s.untried[sh.trySlot].trySlot = sh.trySlot
+	s.untried[last] = nil
+	s.untried = s.untried[:last]
+}
+
 // wake notes that h gained room, and unblocks the gangs of which a task fits.
 func (s *Scheduler) wake(h *host) {
 	s.openHost(h)
