--- a/internal/scheduler/open.go
+++ b/internal/scheduler/open.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "github.com/medlarpulley/medlarpulley/internal/work"
+import (
+	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+)
 
 // openHost lists a host that gained room. Blocked shapes are compared with the
 // current room of the listed hosts only when a queue looks for its next lane:
@@ -8,6 +13,7 @@
 // first start takes the room that the others were woken for.
 func (s *Scheduler) openHost(h *host) {
 	s.growth++
+	s.openMax = most(s.openMax, h.view.Free)
 	if !h.open {
 		h.open = true
 		s.open = append(s.open, h)
@@ -28,9 +34,11 @@
 // pruneOpen takes the hosts off the list that no listed shape fits.
 func (s *Scheduler) pruneOpen() {
 	kept := s.open[:0]
+	s.openMax = resource.Vector{}
 	for _, h := range s.open {
 		if s.wanted.fitsAny(h.view.Free) {
 			kept = append(kept, h)
+			s.openMax = most(s.openMax, h.view.Free)
 		} else {
 			h.open = false
 		}
@@ -39,18 +47,34 @@
 	s.open = kept
 }
 
-// pruneHost is pruneOpen for one host.
+// pruneHost takes h off the list if no listed shape fits it any more, and
+// lowers openMax while the list is short.
 func (s *Scheduler) pruneHost(h *host) {
-	if !h.open || s.wanted.fitsAny(h.view.Free) {
+	if !h.open {
 		return
 	}
-	h.open = false
-	for i, o := range s.open {
-		if o == h {
-			last := len(s.open) - 1
-			s.open[i], s.open[last] = s.open[last], nil
-			s.open = s.open[:last]
-			return
-		}
+	if i := slices.Index(s.open, h); !s.wanted.fitsAny(h.view.Free) {
+		h.open = false
+		last := len(s.open) - 1
+		s.open[i], s.open[last] = s.open[last], nil
+		s.open = s.open[:last]
+	}
+	if len(s.open) > shortOpen {
+		return
+	}
+	s.openMax = resource.Vector{}
+	for _, o := range s.open {
+		s.openMax = most(s.openMax, o.view.Free)
+	}
+}
+
+// shortOpen bounds the hosts that pruneHost compares after each start.
+const shortOpen = 64
+
+func most(a, b resource.Vector) resource.Vector {
+	return resource.Vector{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
 	}
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // laneBudget bounds the lanes that one Decide looks at, so that it takes less
@@ -16,7 +18,9 @@
 	byKey map[laneKey]*lane
 	// listed has the lanes with a startable job and room in the limit, in the
 	// order of their first jobs.
-	listed []*lane
+	listed []entry
+	// untried counts the listed lanes whose shapes are not blocked.
+	untried int
 	// from is the first lane in the list that may be placed, as long as
 	// Scheduler.growth is seen.
 	from int
@@ -25,6 +29,13 @@
 	oldest time.Duration
 }
 
+// entry is a listed lane. Its size is a copy, so that a search reads memory in
+// sequence.
+type entry struct {
+	size resource.Vector
+	lane *lane
+}
+
 // choose returns the lane that goes first, or nil. Lanes without room on the
 // hosts or in the limit, and those that are paused, are left out.
 func (q *queue) choose(s *Scheduler) *lane {
@@ -35,7 +46,12 @@
 		if s.examined++; s.examined > laneBudget {
 			return nil
 		}
-		l := q.listed[q.from]
+		e := &q.listed[q.from]
+		if q.untried == 0 && !e.size.Fits(s.openMax) {
+			q.from++
+			continue
+		}
+		l := e.lane
 		if !s.candidate(l.shape) || (s.paused.NonIdempotent && !l.key.idempotent) {
 			q.from++
 			continue
@@ -53,7 +69,7 @@
 	if len(q.listed) == 0 {
 		return 0, false
 	}
-	head, tail := q.listed[0].first, q.listed[len(q.listed)-1].first
+	head, tail := q.listed[0].lane.first, q.listed[len(q.listed)-1].lane.first
 	if head.priority == tail.priority {
 		return head.order, true
 	}
@@ -62,7 +78,7 @@
 
 // position returns where a lane with first job j is or belongs.
 func (q *queue) position(j *job) int {
-	return sort.Search(len(q.listed), func(i int) bool { return !q.listed[i].first.before(j) })
+	return sort.Search(len(q.listed), func(i int) bool { return !q.listed[i].lane.first.before(j) })
 }
 
 // relist puts a lane where its first job belongs. An empty lane is dropped.
@@ -85,13 +101,16 @@
 func (s *Scheduler) list(l *lane, first *job) {
 	q := l.queue
 	i := q.position(first)
-	q.listed = slices.Insert(q.listed, i, l)
+	q.listed = slices.Insert(q.listed, i, entry{size: l.shape.key.size, lane: l})
 	l.first, l.listed = first, true
 	q.from = min(q.from, i)
 	if len(q.listed) == 1 || first.order < q.oldest {
 		q.oldest = first.order
 	}
 	sh := l.shape
+	if !sh.blocked {
+		q.untried++
+	}
 	if sh.listed++; sh.listed > 1 {
 		return
 	}
@@ -112,6 +131,9 @@
 		q.from--
 	}
 	sh := l.shape
+	if !sh.blocked {
+		q.untried--
+	}
 	if sh.listed--; sh.listed > 0 {
 		return
 	}
@@ -125,8 +147,8 @@
 
 // reorder lists all lanes anew after a change of priorities.
 func (s *Scheduler) reorder(q *queue) {
-	slices.SortFunc(q.listed, func(a, b *lane) int {
-		if a.first.before(b.first) {
+	slices.SortFunc(q.listed, func(a, b entry) int {
+		if a.lane.first.before(b.lane.first) {
 			return -1
 		}
 		return 1
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,8 +57,11 @@
 	// blocked lists the gangs without room.
 	blocked []*shape
 	// open lists hosts that gained room that a waiting size may fit.
-	open   []*host
-	wanted shapeIndex
+	open []*host
+	// openMax is at least the room of each open host in every resource, as of
+	// the last call of pruneOpen and the hosts listed since.
+	openMax resource.Vector
+	wanted  shapeIndex
 	// growth counts the changes after which a passed lane may fit.
 	growth uint64
 	// untried lists the listed shapes that are not blocked.
--- a/internal/scheduler/shape.go
+++ b/internal/scheduler/shape.go
@@ -69,6 +69,7 @@
 	}
 	if sh.listed > 0 {
 		s.removeUntried(sh)
+		sh.countUntried(-1)
 	}
 	sh.blocked = true
 	if !sh.gang() {
@@ -93,10 +94,20 @@
 	sh.blocked = false
 	if sh.listed > 0 {
 		s.addUntried(sh)
+		sh.countUntried(1)
 	}
 	s.growth++
 }
 
+// countUntried adds n to the count of each queue for each lane in its list.
+func (sh *shape) countUntried(n int) {
+	for _, l := range sh.lanes {
+		if l.listed {
+			l.queue.untried += n
+		}
+	}
+}
+
 func (s *Scheduler) addUntried(sh *shape) {
 	sh.trySlot = len(s.untried)
 	s.untried = append(s.untried, sh)
