Add the measure command

Waiting time, packing, control cost and nearness to share could not be measured on a whole cluster. The stand-ins count bytes and exchanges, and the dump has the counts of peer messages.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -72,6 +72,7 @@
 	a.connect.flags(k)
 	a.addServe()
 	a.addDev()
+	a.addMeasure()
 	a.addSettings()
 	a.addCheck()
 	a.addApply()
--- a/internal/cli/runners.go
+++ b/internal/cli/runners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/medlarpulley/medlarpulley/internal/measure"
 	"github.com/medlarpulley/medlarpulley/internal/settings"
 )
 
@@ -13,6 +14,8 @@
 	Serve func(ctx context.Context, s settings.Settings) error
 	// Dev runs a cluster on loopback with stand-ins for the platform.
 	Dev func(ctx context.Context, o DevOptions) error
+	// Measure runs a cluster under load and returns what it measured.
+	Measure func(ctx context.Context, o measure.Options) (measure.Report, error)
 }
 
 // DevOptions configure a development cluster.
--- /dev/null
+++ b/internal/devcluster/platform.go
@@ -0,0 +1,31 @@
+package devcluster
+
+// LogURL returns the address of the log stand-in.
+func (c *Cluster) LogURL() string { return c.logServer.URL() }
+
+// HostListURL returns the address of the host list stand-in.
+func (c *Cluster) HostListURL() string { return c.listServer.URL() }
+
+// AddWorkers adds n workers to the fleet and to the host list. It is called once,
+// in a cluster that was started without workers.
+func (c *Cluster) AddWorkers(n int) {
+	for i := range n {
+		c.addWorker(i)
+	}
+}
+
+// Traffic is the bytes that the stand-ins received and sent.
+type Traffic struct {
+	LogIn, LogOut, HostListIn, HostListOut, WorkerIn, WorkerOut uint64
+	// Exchanges is the number of exchanges with workers.
+	Exchanges uint64
+}
+
+// Traffic returns what the stand-ins exchanged so far.
+func (c *Cluster) Traffic() Traffic {
+	t := Traffic{Exchanges: c.Fleet.Exchanges()}
+	t.LogIn, t.LogOut = c.logServer.Traffic.Bytes()
+	t.HostListIn, t.HostListOut = c.listServer.Traffic.Bytes()
+	t.WorkerIn, t.WorkerOut = c.Fleet.Traffic.Bytes()
+	return t
+}
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -8,6 +8,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
+	"github.com/medlarpulley/medlarpulley/internal/peer"
 	"github.com/medlarpulley/medlarpulley/internal/requests"
 )
 
@@ -26,6 +27,7 @@
 	Shards      []dispatch.Dump        `json:"shards"`
 	Requests    requests.Dump          `json:"requests"`
 	Waits       map[string]WaitSummary `json:"waits"`
+	Peer        map[string]peer.Count  `json:"peer"`
 }
 
 // Dump implements gateway.Backend.
@@ -34,7 +36,7 @@
 		Node: n.settings.Node.Name, Incarnation: n.incarnation, Servable: n.servable.Load(), Draining: n.draining.Load(),
 		Revision: n.configurations.get().revision, Ledger: n.replica.Status(), Log: n.logClient.Contact(),
 		Members: n.replica.Members(), Claims: n.replica.Claims(), Allotments: n.replica.Allotments(""),
-		Requests: n.requests.Dump(), Waits: n.waits.summary(),
+		Requests: n.requests.Dump(), Waits: n.waits.summary(), Peer: n.counts.Snapshot(),
 	}
 	for _, o := range n.shards.all() {
 		d.Shards = append(d.Shards, o.run.Dump())
--- a/internal/standin/logsvc/server.go
+++ b/internal/standin/logsvc/server.go
@@ -10,6 +10,8 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/medlarpulley/medlarpulley/internal/standin/wire"
 )
 
 // Server serves a Service over HTTP on a loopback address.
@@ -17,6 +19,8 @@
 	*Service
 	http     *http.Server
 	listener net.Listener
+	// Traffic counts the bytes of all calls.
+	Traffic wire.Traffic
 }
 
 // Serve starts a server. An empty address stands for a port of loopback that
@@ -34,8 +38,9 @@
 		return nil, eris.Wrapf(err, "log stand-in: listen on %s", address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(listener) }()
-	return &Server{Service: s, http: server, listener: listener}, nil
+	out := &Server{Service: s, http: server, listener: listener}
+	go func() { _ = server.Serve(out.Traffic.Listen(listener)) }()
+	return out, nil
 }
 
 // URL returns the base URL of the server.
--- a/internal/standin/worker/fleet.go
+++ b/internal/standin/worker/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/platform/worker"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/standin/wire"
 )
 
 const (
@@ -34,6 +35,10 @@
 	silent atomic.Uint64
 	done   chan struct{}
 
+	// Traffic counts the bytes of all exchanges.
+	Traffic   wire.Traffic
+	exchanges atomic.Uint64
+
 	mu     sync.Mutex
 	agents map[string]*Agent
 }
@@ -60,7 +65,7 @@
 	}
 	go func() {
 		defer close(f.done)
-		_ = f.server.Serve(listener)
+		_ = f.server.Serve(f.Traffic.Listen(listener))
 	}()
 	return f, nil
 }
@@ -110,9 +115,13 @@
 		http.NotFound(w, r)
 		return
 	}
+	f.exchanges.Add(1)
 	serveExchange(w, r, agent)
 }
 
+// Exchanges returns the number of exchanges that were received.
+func (f *Fleet) Exchanges() uint64 { return f.exchanges.Load() }
+
 // serveExchange decodes one exchange, runs it and writes the answer.
 func serveExchange(w http.ResponseWriter, r *http.Request, a *Agent) {
 	var req worker.ExchangeRequest
