--- a/internal/ledger/shard_state.go
+++ b/internal/ledger/shard_state.go
@@ -39,11 +39,7 @@
 // AllotmentState returns the allotments of a shard as of one offset.
 func (r *Replica) AllotmentState(shard string) AllotmentState {
 	return read(r, func(s *State) AllotmentState {
-		out := AllotmentState{NextOffset: s.NextOffset, Claim: Claim{Shard: shard}, Allotments: s.allotmentsOf(shard)}
-		if c := s.Claims[shard]; c != nil {
-			out.Claim = *c
-		}
-		return out
+		return AllotmentState{NextOffset: s.NextOffset, Claim: s.claimOf(shard), Allotments: s.allotmentsOf(shard)}
 	})
 }
 
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -111,7 +111,7 @@
 	contact := n.logClient.Contact()
 	out := &peerv1.ExchangeRequest{
 		Node: n.settings.Node.Name, Incarnation: n.incarnation, ReadOffset: n.replica.NextOffset(),
-		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < n.settings.Timing.OutageConfirmAfter,
+		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < ownership.OutageAfter,
 		Draining: n.draining.Load(), LogContactAgeMillis: contact.SinceRead.Milliseconds(),
 		PublicationOpen: n.announced.any(n.clock.Now(), !n.logAway()),
 	}
