--- a/internal/logging/gozero.go
+++ b/internal/logging/gozero.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 
 	"github.com/zeromicro/go-zero/core/logx"
 )
@@ -22,9 +23,20 @@
 func (w goZeroWriter) Alert(v any)                     { w.log.Error(fmt.Sprint(v)) }
 func (w goZeroWriter) Close() error                    { return nil }
 func (w goZeroWriter) Debug(v any, _ ...logx.LogField) { w.log.Debug(fmt.Sprint(v)) }
-func (w goZeroWriter) Error(v any, _ ...logx.LogField) { w.log.Error(fmt.Sprint(v)) }
-func (w goZeroWriter) Info(v any, _ ...logx.LogField)  { w.log.Info(fmt.Sprint(v)) }
-func (w goZeroWriter) Severe(v any)                    { w.log.Error(fmt.Sprint(v)) }
-func (w goZeroWriter) Slow(v any, _ ...logx.LogField)  { w.log.Warn(fmt.Sprint(v)) }
-func (w goZeroWriter) Stack(v any)                     { w.log.Error(fmt.Sprint(v)) }
-func (w goZeroWriter) Stat(v any, _ ...logx.LogField)  { w.log.Debug(fmt.Sprint(v)) }
+
+// Error writes a line of go-zero. The HTTP client's lines repeat what the
+// caller of the client reports with a verdict, so they are for debugging only.
+func (w goZeroWriter) Error(v any, _ ...logx.LogField) {
+	text := fmt.Sprint(v)
+	if strings.HasPrefix(text, "[HTTP] ") {
+		w.log.Debug(text)
+		return
+	}
+	w.log.Error(text)
+}
+
+func (w goZeroWriter) Info(v any, _ ...logx.LogField) { w.log.Info(fmt.Sprint(v)) }
+func (w goZeroWriter) Severe(v any)                   { w.log.Error(fmt.Sprint(v)) }
+func (w goZeroWriter) Slow(v any, _ ...logx.LogField) { w.log.Warn(fmt.Sprint(v)) }
+func (w goZeroWriter) Stack(v any)                    { w.log.Error(fmt.Sprint(v)) }
+func (w goZeroWriter) Stat(v any, _ ...logx.LogField) { w.log.Debug(fmt.Sprint(v)) }
