--- a/internal/cli/runners.go
+++ b/internal/cli/runners.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/medlarpulley/medlarpulley/internal/measure"
+	"github.com/medlarpulley/medlarpulley/internal/objects"
 	"github.com/medlarpulley/medlarpulley/internal/settings"
 )
 
@@ -28,8 +29,6 @@
 	Workers, Runners int
 	// HTTP is the listening address of the first entry node.
 	HTTP string
-	// Objects are files or directories that are published at the start.
-	Objects []string
-	// Seed makes the stand-ins' choices repeatable.
-	Seed uint64
+	// Objects are published at the start, in place of the example.
+	Objects []objects.Change
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -35,11 +35,16 @@
 func (a *app) addDev() {
 	var o DevOptions
 	var level string
+	var files []string
 	cmd := a.command("dev", "Run a cluster on this machine with stand-ins for the platform.", func() error {
 		if err := a.setUpLog(level, "text"); err != nil {
 			return err
 		}
 		proc.SetTimeToForceQuit(stopMargin)
+		var err error
+		if o.Objects, err = readChanges(files); err != nil {
+			return err
+		}
 		return a.runners.Dev(a.ctx, o)
 	})
 	cmd.Flag("demo", "Publish example objects and keep submitting work.").BoolVar(&o.Demo)
@@ -47,8 +52,7 @@
 	cmd.Flag("workers", "Number of workers.").Default("12").IntVar(&o.Workers)
 	cmd.Flag("runners", "Number of runners.").Default("4").IntVar(&o.Runners)
 	cmd.Flag("http", "Listening address of the first entry node.").Default("127.0.0.1:8080").StringVar(&o.HTTP)
-	cmd.Flag("objects", "File or directory of objects to publish at the start; may be repeated.").ExistingFilesOrDirsVar(&o.Objects)
-	cmd.Flag("seed", "Seed of the stand-ins.").Default("1").Uint64Var(&o.Seed)
+	cmd.Flag("objects", "File or directory of objects to publish at the start, in place of the example; may be repeated.").ExistingFilesOrDirsVar(&files)
 	cmd.Flag("log-level", "Least level of log lines.").Default("info").EnumVar(&level, "debug", "info", "warn", "error")
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,13 +10,15 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/devcluster"
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
+	"github.com/medlarpulley/medlarpulley/internal/objects"
 	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
 	"github.com/medlarpulley/medlarpulley/internal/work"
 )
 
 const (
-	example  = "grantveji"
-	upstream = "render"
+	// Example is the deployment that the demo runs, Upstream its upstream.
+	Example  = "grantveji"
+	Upstream = "render"
 	// limit bounds the whole run.
 	limit = 38 * time.Second
 	// poll is how often the demo looks at the state of its jobs.
@@ -30,17 +32,21 @@
 func Run(ctx context.Context, o devcluster.Options, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	o.Upstream = upstream
+	o.Upstream = Upstream
 	began := time.Now()
 	c, err := devcluster.Start(o)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	if err := publish(ctx, c); err != nil {
+	changes, err := devcluster.ExampleChanges(Example)
+	if err != nil {
+		return err
+	}
+	if err := Publish(ctx, c, changes); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%6.1f s  %d entry nodes, %d workers and %d runners run the %s example.\n", time.Since(began).Seconds(), o.Nodes, o.Workers, o.Runners, example)
+	fmt.Fprintf(out, "%6.1f s  %d entry nodes, %d workers and %d runners run the %s example.\n", time.Since(began).Seconds(), o.Nodes, o.Workers, o.Runners, Example)
 	all := jobs()
 	if err := submit(ctx, c, all); err != nil {
 		return err
@@ -72,12 +78,8 @@
 	return nil
 }
 
-// publish publishes the example and waits until it is in force on every node.
-func publish(ctx context.Context, c *devcluster.Cluster) error {
-	changes, err := devcluster.ExampleChanges(example)
-	if err != nil {
-		return err
-	}
+// Publish publishes objects and waits until they are in force on every node.
+func Publish(ctx context.Context, c *devcluster.Cluster, changes []objects.Change) error {
 	operator, err := c.Operator()
 	if err != nil {
 		return err
@@ -88,7 +90,7 @@
 		return err
 	})
 	if err != nil {
-		return eris.Wrap(err, "publish the example")
+		return eris.Wrap(err, "publish the objects")
 	}
 	return retry(ctx, func() error {
 		status, err := operator.RevisionStatus(ctx, revision)
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -62,7 +62,7 @@
 		}
 		err = retry(ctx, func() error {
 			_, err := client.Request(ctx, apiclient.Request{
-				Upstream: upstream, Method: http.MethodPost, Path: "/work", ID: "warm-up", Idempotent: true, Timeout: requestTimeout,
+				Upstream: Upstream, Method: http.MethodPost, Path: "/work", ID: "warm-up", Idempotent: true, Timeout: requestTimeout,
 			})
 			return err
 		})
@@ -77,7 +77,7 @@
 func sendRequest(ctx context.Context, client *apiclient.Client, i int) requestEnd {
 	end := requestEnd{id: fmt.Sprintf("request-%d", i), idempotent: i%2 == 0}
 	request := apiclient.Request{
-		Upstream: upstream, Method: http.MethodPost, Path: "/work", Body: []byte(end.id),
+		Upstream: Upstream, Method: http.MethodPost, Path: "/work", Body: []byte(end.id),
 		ID: end.id, Idempotent: end.idempotent, Timeout: requestTimeout,
 	}
 	began := time.Now()
--- a/internal/resource/vector.go
+++ b/internal/resource/vector.go
@@ -1,7 +1,10 @@
 // Package resource provides exact integer arithmetic on host resources.
 package resource
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+)
 
 // Vector is an amount of each resource of a host.
 type Vector struct {
@@ -56,9 +59,33 @@
 	return v.MilliCPU < 0 || v.MemoryMiB < 0 || v.Accelerators < 0
 }
 
-// String returns a short form such as "4000m 8192MiB 1acc".
+// String returns a form for people, such as "4 cores, 8 GiB, 1 accelerator".
 func (v Vector) String() string {
-	return fmt.Sprintf("%dm %dMiB %dacc", v.MilliCPU, v.MemoryMiB, v.Accelerators)
+	text := cores(v.MilliCPU) + ", " + memory(v.MemoryMiB)
+	switch v.Accelerators {
+	case 0:
+		return text
+	case 1:
+		return text + ", 1 accelerator"
+	default:
+		return fmt.Sprintf("%s, %d accelerators", text, v.Accelerators)
+	}
+}
+
+// cores formats processors; parts of a core are kept exactly.
+func cores(milli int64) string {
+	if milli == 1000 {
+		return "1 core"
+	}
+	return strconv.FormatFloat(float64(milli)/1000, 'f', -1, 64) + " cores"
+}
+
+// memory formats memory in GiB if that is exact.
+func memory(mib int64) string {
+	if mib%1024 == 0 {
+		return fmt.Sprintf("%d GiB", mib/1024)
+	}
+	return fmt.Sprintf("%d MiB", mib)
 }
 
 // UnitsNeeded returns the smallest number of units that covers v, which is the
