--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -45,7 +45,7 @@
 		return
 	}
 	s.fenced = true
-	s.log.Warn("dispatch: a worker has seen a higher token", "shard", s.o.Shard, "token", s.o.Token, "seen", token)
+	s.log.Warn("A worker has seen a higher token.", "shard", s.o.Shard, "token", s.o.Token, "seen", token)
 	if s.o.Fenced != nil {
 		go s.o.Fenced(token)
 	}
@@ -148,7 +148,7 @@
 	}
 	s.apply(scheduler.HostAdopted{Host: h.entry.ID, Running: running})
 	if !h.adopted {
-		s.log.Info("dispatch: host adopted", "shard", s.o.Shard, "host", h.entry.ID, "running", len(resp.Running))
+		s.log.Info("Host adopted.", "shard", s.o.Shard, "host", h.entry.ID, "running", len(resp.Running))
 	}
 	h.adopted, h.reconcile = true, false
 	delete(s.initial, h.entry.ID)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -113,7 +113,7 @@
 	h.failures++
 	h.reconcile = true
 	if h.failures == unreachableAfter {
-		s.log.Warn("dispatch: host does not answer", "shard", s.o.Shard, "host", h.entry.ID, "error", err)
+		s.log.Warn("Host does not answer.", "shard", s.o.Shard, "host", h.entry.ID, "error", err)
 	}
 	s.refreshHost(h)
 }
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -59,7 +59,7 @@
 		return
 	}
 	s.paused = paused
-	s.log.Info("dispatch: starts are paused or resumed", "shard", s.o.Shard, "paused", paused)
+	s.log.Info("Starts are paused or resumed.", "shard", s.o.Shard, "paused", paused)
 	s.apply(scheduler.StartsPaused{All: paused})
 	s.decideSoon()
 }
--- a/internal/dispatch/lost.go
+++ b/internal/dispatch/lost.go
@@ -59,7 +59,7 @@
 	for _, a := range sortedAttempts(h.attempts) {
 		over := h.lease.Over(a.lease)
 		if over > 0 && now > over && a.state != attemptSending {
-			s.log.Info("dispatch: lease is over", "shard", s.o.Shard, "host", h.entry.ID, "attempt", a.id.String())
+			s.log.Info("Lease is over.", "shard", s.o.Shard, "host", h.entry.ID, "attempt", a.id.String())
 			delete(h.attempts, a.id)
 			s.apply(scheduler.TaskEnded{Attempt: a.id, Host: h.entry.ID, Outcome: work.Lost})
 			continue
@@ -79,7 +79,7 @@
 
 // removeHost forgets an empty host that the platform took away.
 func (s *Shard) removeHost(h *host) {
-	s.log.Info("dispatch: host removed", "shard", s.o.Shard, "host", h.entry.ID)
+	s.log.Info("Host removed.", "shard", s.o.Shard, "host", h.entry.ID)
 	delete(s.hosts, h.entry.ID)
 	delete(s.initial, h.entry.ID)
 	s.removed[h.entry.ID] = true
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -22,7 +22,7 @@
 	Intents(ctx context.Context, record *ledgerv1.Intents) (effective map[work.AttemptID]bool, err error)
 }
 
-// Options are what a Shard needs. All fields but Seed must be set.
+// Options are what a Shard needs. Fenced, Started and QuietUntil may be left out.
 type Options struct {
 	Shard string
 	// Token is the fencing token of the claim.
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if err := s.o.Log.Outcomes(s.ctx, outcomeRecords(s.o.Shard, s.o.Token, batch)...); err != nil {
-		s.log.Warn("dispatch: outcomes are not logged yet", "shard", s.o.Shard, "tasks", n, "error", err)
+		s.log.Warn("Outcomes are not logged yet.", "shard", s.o.Shard, "tasks", n, "error", err)
 		return
 	}
 	s.mu.Lock()
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -161,7 +161,7 @@
 // refreshHost tells the scheduler about a changed state. The lock must be held.
 func (s *Shard) refreshHost(h *host) {
 	if state := h.targetState(); state != h.state {
-		s.log.Info("dispatch: host changed state", "shard", s.o.Shard, "host", h.entry.ID, "from", h.state, "to", state)
+		s.log.Info("Host changed state.", "shard", s.o.Shard, "host", h.entry.ID, "from", h.state, "to", state)
 		h.state = state
 	}
 	s.apply(scheduler.HostChanged{Host: h.description()})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,7 +198,7 @@
 }
 
 // partLog returns the logger of a part.
-func (n *Node) partLog(string) *slog.Logger { return n.base }
+func (n *Node) partLog(part string) *slog.Logger { return logging.Part(n.base, part) }
 
 // HTTPAddress returns the address on which the node serves callers.
 func (n *Node) HTTPAddress() string { return n.httpListener.Addr().String() }
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -24,6 +24,18 @@
 	HostUnreachable
 )
 
+var hostStateNames = [...]string{
+	HostUnknown: "unknown", HostReady: "ready", HostLeaving: "leaving", HostUnreachable: "unreachable",
+}
+
+// String returns the name of s.
+func (s HostState) String() string {
+	if int(s) < len(hostStateNames) {
+		return hostStateNames[s]
+	}
+	return "invalid"
+}
+
 // Host describes a worker host.
 type Host struct {
 	ID       string
