--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -25,10 +25,13 @@
 	for !s.full() && s.examined <= laneBudget {
 		l := s.nextLane()
 		if l == nil {
-			return
+			break
 		}
 		s.placeTop(l)
 	}
+	// Without this a host that only started shapes fit stays listed as long as
+	// a new small shape arrives before each Decide.
+	s.pruneOpen()
 }
 
 // headOf returns the lane of a team that goes first in class c. Background
