--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -80,8 +80,8 @@
 	a.printCost("loaded", r.Loaded)
 	fmt.Fprintf(out, "submissions refused: %d\n", r.Refused)
 	if t := r.Takeover; t != nil {
-		fmt.Fprintf(out, "takeover: %d shards, last one places after %.2f s, %d not back; replacement serves after %.2f s\n",
-			t.Shards, t.Seconds, t.NotBack, t.RebuildSeconds)
+		fmt.Fprintf(out, "takeover: %d shards, workers of the last one adopted after %.2f s (%d not), it places after %.2f s (%d do not); replacement serves after %.2f s\n",
+			t.Shards, t.AdoptedSeconds, t.NotAdopted, t.Seconds, t.NotBack, t.RebuildSeconds)
 	}
 	for _, f := range r.Faulted {
 		fmt.Fprintf(out, "fault at %s\n", f)
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -68,6 +68,10 @@
 	// task again; NotBack counts shards that did not within the limit.
 	Seconds float64 `json:"seconds"`
 	NotBack int     `json:"not_back"`
+	// AdoptedSeconds is the time until a successor had adopted every worker of
+	// the last shard; NotAdopted counts shards without one.
+	AdoptedSeconds float64 `json:"adopted_seconds"`
+	NotAdopted     int     `json:"not_adopted"`
 	// RebuildSeconds is from the start of the replacement process to serving.
 	RebuildSeconds float64 `json:"rebuild_seconds"`
 }
--- a/internal/measure/takeover.go
+++ b/internal/measure/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 )
 
@@ -25,9 +26,12 @@
 	victim.kill()
 	out := &Takeover{Shards: len(shards)}
 	last := killed
+	adopted := map[string]time.Duration{}
 	ctx2, cancel := context.WithTimeout(ctx, takeoverLimit)
 	defer cancel()
-	for len(shards) > 0 && sleep(ctx2, poll) {
+	wanted := maps.Clone(shards)
+	for (len(shards) > 0 || len(adopted) < len(wanted)) && sleep(ctx2, poll) {
+		l.noteAdopted(ctx2, victim, wanted, adopted)
 		for _, e := range l.cluster.Fleet.Journal().Executions()[seen:] {
 			for name, hosts := range shards {
 				if hosts[e.Host] && e.Start > killed+settled {
@@ -37,6 +41,10 @@
 			}
 		}
 	}
+	for _, at := range adopted {
+		out.AdoptedSeconds = max(out.AdoptedSeconds, (at - killed).Seconds())
+	}
+	out.NotAdopted = len(wanted) - len(adopted)
 	out.Seconds, out.NotBack = (last - killed).Seconds(), len(shards)
 	if err := victim.start(l.o.Binary); err != nil {
 		return out, err
@@ -48,6 +56,29 @@
 	return out, nil
 }
 
+// noteAdopted notes the shards whose every worker a successor has adopted.
+func (l *lab) noteAdopted(ctx context.Context, victim *process, wanted map[string]map[string]bool, adopted map[string]time.Duration) {
+	for _, p := range l.processes {
+		if p == victim || len(adopted) == len(wanted) {
+			continue
+		}
+		for _, s := range l.dump(ctx, p).Shards {
+			if _, ok := adopted[s.Shard]; ok || wanted[s.Shard] == nil {
+				continue
+			}
+			n := 0
+			for _, h := range s.Hosts {
+				if h.Adopted {
+					n++
+				}
+			}
+			if n >= len(wanted[s.Shard]) {
+				adopted[s.Shard] = l.cluster.Fleet.Journal().Now()
+			}
+		}
+	}
+}
+
 // mostShards returns the process with the most shards and the hosts of each.
 func (l *lab) mostShards(ctx context.Context) (victim *process, shards map[string]map[string]bool) {
 	for _, p := range l.processes {
