Measure the idle cost after the limits have spread over the shards

Every shard draws its part of each limit in up to four transfers a second. With 14 shards and 68 limits that takes 17 s, in which 45 transfers a second were counted as idle cost, and it delayed the first long tasks.

--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -10,8 +10,9 @@
 const (
 	// idleWindow is the time over which the idle cost is measured.
 	idleWindow = 5 * time.Second
-	// settleTime is left out before the idle cost is measured.
-	settleTime = 3 * time.Second
+	// quietTime without a transfer of allotment shows that the limits have been
+	// spread over the shards, which takes limits / 4 seconds after the start.
+	quietTime = 3 * time.Second
 	// warmUp is the part of a mixed run that is left out of packing and shares.
 	warmUp = 3
 )
@@ -70,8 +71,8 @@
 
 // runSlopes measures idle and then with running tasks and a rate of starts.
 func (l *lab) runSlopes(ctx context.Context, d *load, r *Report) error {
-	if !sleep(ctx, settleTime) {
-		return ctx.Err()
+	if err := l.awaitAllotments(ctx); err != nil {
+		return err
 	}
 	idle := l.read(ctx, true)
 	sleep(ctx, idleWindow)
@@ -101,6 +102,18 @@
 	return ctx.Err()
 }
 
+// awaitAllotments returns when no allotment has moved for quietTime.
+func (l *lab) awaitAllotments(ctx context.Context) error {
+	return retry(ctx, readyLimit, func() error {
+		before := l.read(ctx, true)
+		sleep(ctx, quietTime)
+		if rates := l.recordRates(before, l.read(ctx, false), quietTime.Seconds()); rates["transfer"] > 0 {
+			return eris.Errorf("%.0f transfers of allotment a second", rates["transfer"])
+		}
+		return nil
+	})
+}
+
 // waitingOf returns the waiting times of all teams together, by class.
 func waitingOf(d *load, l *lab) []Waiting {
 	for _, j := range d.jobs {
