Start gangs wider than one shard by expiring holds

Cause: a gang that no single shard could hold was refused as infeasible. A part without word from its coordinator is stopped by checkpoint after 30 s.

--- a/internal/homing/plan.go
+++ b/internal/homing/plan.go
@@ -64,13 +64,12 @@
 }
 
 // planGang puts a gang into one shard: the one with the most room if one has
-// room for all, else the one whose empty hosts hold it and where least waits.
+// room for all, else the one whose empty hosts hold it and where least waits. A
+// gang that no empty shard holds spans several.
 func planGang(job work.Job, shards []Shard) ([]Part, error) {
 	best, bestScore := -1, int64(0)
-	most := int64(0)
 	for i, s := range shards {
 		total := s.total(job.Size)
-		most = max(most, total)
 		if total < int64(job.Tasks) {
 			continue
 		}
@@ -80,8 +79,7 @@
 		}
 	}
 	if best < 0 {
-		return nil, verdict.New(verdict.DidNotRun, CodeInfeasible,
-			"infeasible: largest shard holds %d tasks of %s, gang has %d", most, job.Size, job.Tasks)
+		return planSpanning(job, shards)
 	}
 	return []Part{{Shard: shards[best].Name, Count: job.Tasks}}, nil
 }
--- a/internal/homing/shard.go
+++ b/internal/homing/shard.go
@@ -6,6 +6,8 @@
 type Shard struct {
 	Name string
 	Zone string
+	// Region is empty if it is not known.
+	Region string
 	// Owned is false while no process is known to own the shard.
 	Owned bool
 	// Capacity is that of all hosts, Free the room on hosts that take tasks.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -152,7 +152,7 @@
 	out := make([]homing.Shard, 0, len(newest))
 	for name, s := range newest {
 		out = append(out, homing.Shard{
-			Name: name, Zone: n.hosts.zoneOf(name), Owned: true,
+			Name: name, Zone: n.hosts.zoneOf(name), Region: n.hosts.regionOf(name), Owned: true,
 			Capacity: vector(s.Capacity), Free: vector(s.Free), LargestFree: vector(s.LargestFree),
 			LargestHost: vector(s.LargestHost), Waiting: int64(s.WaitingTasks),
 		})
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -72,6 +72,16 @@
 	return ""
 }
 
+// regionOf returns the region of a shard, empty if it is not listed.
+func (v *hostView) regionOf(name string) string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if hosts := v.workers[name]; len(hosts) > 0 {
+		return hosts[0].Region
+	}
+	return ""
+}
+
 // shardList returns the shards that the list shows.
 func (v *hostView) shardList() []ownership.Shard {
 	v.mu.RLock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	waits          *waits
 	owner          *owner
 	shards         *shards
+	gangs          *gangs
 	peers          *peer.Pool
 	counts         *peer.Counts
 	requests       *requests.Server
@@ -135,6 +136,7 @@
 	n.gossip = &gossip{tracker: membership.New(membership.Peer{Node: n.settings.Node.Name, Incarnation: n.incarnation}, n.clock.Now())}
 	n.members = newMembers(n)
 	n.shards = newShards(n)
+	n.gangs = newGangs(n)
 	self := ownership.Identity{Node: n.settings.Node.Name, Incarnation: n.incarnation}
 	n.owner = &owner{
 		clock: n.clock, replica: n.replica, client: n.logClient, record: recorder{n.logClient}, peers: n.peers,
--- a/internal/node/peer_handler.go
+++ b/internal/node/peer_handler.go
@@ -74,12 +74,22 @@
 	return h.node.queryLocal(work.JobID(req.Job), req.Shard, req.Explain), nil
 }
 
-// HoldCapacity refuses: gangs are placed within one shard.
-func (h *peerHandler) HoldCapacity(context.Context, *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error) {
-	return &peerv1.HoldCapacityResponse{Reason: "this node grants no holds"}, nil
+// HoldCapacity holds room for a part of a gang in a shard of this node.
+func (h *peerHandler) HoldCapacity(_ context.Context, req *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error) {
+	return h.node.holdLocal(req), nil
 }
 
-// ReleaseHold has nothing to release.
-func (h *peerHandler) ReleaseHold(context.Context, *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error) {
-	return &peerv1.ReleaseHoldResponse{}, nil
+// ConfirmHold lets the tasks of a hold start.
+func (h *peerHandler) ConfirmHold(_ context.Context, req *peerv1.ConfirmHoldRequest) (*peerv1.ConfirmHoldResponse, error) {
+	return h.node.confirmLocal(req), nil
+}
+
+// WatchGang answers with the state of a part of a gang.
+func (h *peerHandler) WatchGang(_ context.Context, req *peerv1.WatchGangRequest) (*peerv1.WatchGangResponse, error) {
+	return h.node.watchLocal(req), nil
+}
+
+// ReleaseHold gives a hold back.
+func (h *peerHandler) ReleaseHold(_ context.Context, req *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error) {
+	return h.node.releaseLocal(req), nil
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -47,6 +47,7 @@
 	n.spawn(n.hostLoop)
 	n.spawn(n.gossipLoop)
 	n.spawn(n.lendLoop)
+	n.spawn(n.gangs.loop)
 }
 
 // spawn runs f until the node stops.
--- a/internal/node/shard_events.go
+++ b/internal/node/shard_events.go
@@ -19,7 +19,9 @@
 		s.seen[ev.Job.ID] = s.node.clock.Now()
 		for _, p := range ev.Parts {
 			if o := s.owned[p.Shard]; o != nil && offset >= o.next {
-				o.run.AddJob(scheduler.JobAdded{Job: ev.Job, First: p.First, Count: p.Count}, false)
+				o.run.AddJob(scheduler.JobAdded{Job: ev.Job, First: p.First, Count: p.Count,
+					Spanning: spanning(ev.Job, ev.Parts), Offset: offset}, false)
+				s.node.gangs.add(o, ev.Job, ev.Parts)
 			}
 		}
 	case ledger.JobCancelled:
@@ -30,6 +32,7 @@
 		}
 	case ledger.JobFinished:
 		delete(s.seen, ev.Job)
+		s.node.gangs.remove(ev.Job)
 	case ledger.TasksMoved:
 		s.applyMove(ev, offset)
 	case ledger.HostsChanged:
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -131,6 +131,7 @@
 	}
 	delete(s.owned, t.Shard)
 	s.mu.Unlock()
+	s.node.gangs.removeShard(o)
 	o.run.Stop()
 	s.mu.Lock()
 	s.stopped[t.Shard] = stoppedShard{
@@ -183,7 +184,7 @@
 		}
 		added := scheduler.JobAdded{
 			Job: job.Job, First: p.First, Count: p.Count, Ended: map[int32]work.Outcome{},
-			Intended: job.Intents, Age: s.age(job.Job.ID),
+			Intended: job.Intents, Age: s.age(job.Job.ID), Spanning: spanning(job.Job, job.Parts), Offset: job.Accepted,
 		}
 		if before {
 			added.Attempts = max(attempts, 1)
@@ -195,6 +196,7 @@
 		}
 		o.run.AddJob(added, before)
 	}
+	s.node.gangs.add(o, job.Job, job.Parts)
 	if job.Cancelled != 0 {
 		o.run.Cancel(job.Job.ID)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,6 +41,16 @@
 	return call(ctx, p, node, req, peerv1.PeerClient.HoldCapacity)
 }
 
+// ConfirmHold lets the tasks of a granted hold start.
+func (p *Pool) ConfirmHold(ctx context.Context, node string, req *peerv1.ConfirmHoldRequest) (*peerv1.ConfirmHoldResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.ConfirmHold)
+}
+
+// WatchGang asks a shard owner for the state of a part of a gang.
+func (p *Pool) WatchGang(ctx context.Context, node string, req *peerv1.WatchGangRequest) (*peerv1.WatchGangResponse, error) {
+	return call(ctx, p, node, req, peerv1.PeerClient.WatchGang)
+}
+
 // ReleaseHold gives a hold back.
 func (p *Pool) ReleaseHold(ctx context.Context, node string, req *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error) {
 	return call(ctx, p, node, req, peerv1.PeerClient.ReleaseHold)
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -17,6 +17,8 @@
 	FinishRequest(context.Context, *peerv1.FinishRequestRequest) (*peerv1.FinishRequestResponse, error)
 	LeaseSlots(context.Context, *peerv1.LeaseSlotsRequest) (*peerv1.LeaseSlotsResponse, error)
 	HoldCapacity(context.Context, *peerv1.HoldCapacityRequest) (*peerv1.HoldCapacityResponse, error)
+	ConfirmHold(context.Context, *peerv1.ConfirmHoldRequest) (*peerv1.ConfirmHoldResponse, error)
+	WatchGang(context.Context, *peerv1.WatchGangRequest) (*peerv1.WatchGangResponse, error)
 	ReleaseHold(context.Context, *peerv1.ReleaseHoldRequest) (*peerv1.ReleaseHoldResponse, error)
 	QueryJob(context.Context, *peerv1.QueryJobRequest) (*peerv1.QueryJobResponse, error)
 }
--- a/internal/scheduler/apply_contract.go
+++ b/internal/scheduler/apply_contract.go
@@ -8,6 +8,7 @@
 )
 
 func (s *Scheduler) contractChanged(c Contract) {
+	s.dropHolds()
 	c.Policy = c.Policy.withDefaults()
 	s.contract = c
 	old := s.limits
--- a/internal/scheduler/apply_hosts.go
+++ b/internal/scheduler/apply_hosts.go
@@ -124,6 +124,7 @@
 	for len(h.running) > 0 {
 		s.vanished(h.running[0])
 	}
+	s.dropHoldsOn(h)
 	if h.reserved != nil {
 		s.cancelReservation(h.reserved)
 	}
@@ -220,6 +221,9 @@
 		}
 		t.run, a.current, t.ran, t.delayed = a, true, true, false
 		t.state = a.state
+		if j.spanning && !j.wholeTimer {
+			s.watchWhole(j)
+		}
 		if j.closed && j.endOf == work.Cancelled {
 			s.stop(a, StopKill, "job cancelled")
 		}
--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -55,6 +55,7 @@
 
 func (s *Scheduler) newJob(ev JobAdded) *job {
 	j := &job{spec: ev.Job, accepted: s.now - max(ev.Age, 0), team: s.team(ev.Job.Team), slot: len(s.jobList)}
+	j.spanning, j.offset = ev.Spanning, ev.Offset
 	j.progress = j.accepted
 	j.order = j.accepted
 	if d := ev.Job.Deadline; d > 0 {
@@ -149,6 +150,7 @@
 	if j.closed && (j.endOf == o || j.endOf == work.Cancelled) {
 		return
 	}
+	s.dropHold(j)
 	if j.uncertain {
 		// Whether the queued tasks ran is known once all hosts are adopted.
 		j.each(func(i int32, t *task) {
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -72,8 +72,39 @@
 	// Settled is set if no earlier attempt can run on a host that is not
 	// adopted, so that nothing waits for unknown hosts.
 	Settled bool
+	// Spanning is set for a gang with parts in several shards. It starts only
+	// by a HoldConfirmed, and Offset, the log offset of its acceptance, orders
+	// such gangs in the same way in every shard.
+	Spanning bool
+	Offset   uint64
 }
 
+// HoldRequested asks for room for all waiting tasks of a spanning gang in this
+// shard until a clock value. A hold ID sorts after the earlier ones of its job.
+type HoldRequested struct {
+	Hold  string
+	Job   work.JobID
+	Until time.Duration
+}
+
+// HoldReleased gives a hold back.
+type HoldReleased struct {
+	Hold string
+	Job  work.JobID
+}
+
+// HoldConfirmed lets the tasks of a hold start, if the hold is not over.
+type HoldConfirmed struct {
+	Hold string
+	Job  work.JobID
+}
+
+// GangKept tells that all parts of a spanning gang run.
+type GangKept struct{ Job work.JobID }
+
+// GangStopped tells that another part of a spanning gang does not run.
+type GangStopped struct{ Job work.JobID }
+
 // JobCancelled cancels all tasks of a job in this shard.
 type JobCancelled struct{ Job work.JobID }
 
@@ -148,3 +179,8 @@
 func (ContractChanged) isEvent()   {}
 func (AllotmentsChanged) isEvent() {}
 func (StartsPaused) isEvent()      {}
+func (HoldRequested) isEvent()     {}
+func (HoldReleased) isEvent()      {}
+func (HoldConfirmed) isEvent()     {}
+func (GangKept) isEvent()          {}
+func (GangStopped) isEvent()       {}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -52,6 +52,17 @@
 	none      bool
 	noneSince time.Duration
 	nextOffer time.Duration
+	// spanning is set for a part of a gang with parts in other shards; offset
+	// is where the log accepted it.
+	spanning bool
+	offset   uint64
+	// hold is the granted hold, lastHold the highest ID, started the ID that
+	// the tasks were last started by.
+	hold              *hold
+	lastHold, started string
+	// wholeUntil is when the part is stopped unless the gang is known to be whole.
+	wholeUntil time.Duration
+	wholeTimer bool
 	// slot is the position in the list of jobs.
 	slot int
 }
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -61,7 +61,7 @@
 
 // enter puts a job into the lane of its class and shape.
 func (s *Scheduler) enter(j *job) {
-	if !j.open() {
+	if !j.open() || j.spanning {
 		return
 	}
 	k := shapeKey{size: j.spec.Size, kind: j.spec.Kind, count: 1}
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -9,6 +9,8 @@
 	used     int64
 	// maybe counts the units of tasks that may run without being bound to a host.
 	maybe int64
+	// held counts the units of holds for spanning gangs.
+	held int64
 	over  bool
 	// parked lists lanes that had no room in the limit.
 	parked []*lane
@@ -28,7 +30,7 @@
 	return uncoverable
 }
 
-func (l *limit) room() int64 { return l.allotted - l.used - l.maybe }
+func (l *limit) room() int64 { return l.allotted - l.used - l.maybe - l.held }
 
 // wake unparks the lanes that fit into the room.
 func (l *limit) wake() {
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -5,7 +5,7 @@
 // offer names the tasks of j that never started and find no room here. An
 // offer is repeated while they wait.
 func (s *Scheduler) offer(j *job) {
-	if j.closed || s.jobs[j.spec.ID] != j {
+	if j.closed || j.spanning || s.jobs[j.spec.ID] != j {
 		return
 	}
 	if due := j.nextOffer; due > s.now {
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -22,6 +22,9 @@
 	// InfeasibleAfter is how long a shape that fitted a host before must fit
 	// none until it counts as infeasible. Default 30 s.
 	InfeasibleAfter time.Duration
+	// WholeFor is how long the part of a spanning gang runs without word from
+	// its coordinator that all parts run. Default 30 s.
+	WholeFor time.Duration
 	// Decisions is the length of the ring of recent decisions. Default 256.
 	Decisions int
 }
@@ -63,6 +66,7 @@
 	setTime(&o.OfferEvery, 10*time.Second)
 	setTime(&o.StopGrace, 4*time.Second)
 	setTime(&o.InfeasibleAfter, 30*time.Second)
+	setTime(&o.WholeFor, wholeFor)
 	return o
 }
 
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -33,7 +33,7 @@
 // the next offer is left to it: a timer for the whole of MaxWait would keep
 // each job in memory that long after its end.
 func (s *Scheduler) watchAge(j *job, at time.Duration) {
-	if !j.ageTimer && !j.aged && at-s.now <= s.options.OfferEvery {
+	if !j.spanning && !j.ageTimer && !j.aged && at-s.now <= s.options.OfferEvery {
 		j.ageTimer = true
 		s.timers.add(timer{at: at, kind: timerAge, job: j})
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 	blocked      []*shape
 	reservations []*reservation
 	urgent       []*reservation
+	holdList     []*hold
 	timers       timers
 	health       *hosthealth.Tracker
 	learner      *estimate.Learner
@@ -129,6 +130,16 @@
 	case StartsPaused:
 		s.paused = ev
 		s.stirAll()
+	case HoldRequested:
+		s.holdRequested(ev)
+	case HoldReleased:
+		s.holdReleased(ev)
+	case HoldConfirmed:
+		s.holdConfirmed(ev)
+	case GangKept:
+		s.gangKept(ev)
+	case GangStopped:
+		s.gangStopped(ev)
 	}
 }
 
@@ -143,6 +154,7 @@
 	s.pending = s.pending[:copy(s.pending, s.pending[n:])]
 	s.deciding = true
 	defer func() { s.deciding = false }()
+	s.expireHolds()
 	s.fireTimers()
 	s.shrink()
 	s.evacuate()
@@ -184,6 +196,8 @@
 			s.unblock(t.shape)
 		case timerHost:
 			s.probe(t.host)
+		case timerWhole:
+			s.checkWhole(t.job)
 		}
 	}
 }
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -42,14 +42,15 @@
 		}
 	}
 	for name, l := range s.limits {
-		sum.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used}
+		sum.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used + l.held}
 	}
+	first := s.firstWaiting()
 	for _, j := range s.jobList {
 		if j.closed || j.waiting == 0 {
 			continue
 		}
 		sum.Waiting += int(j.waiting)
-		if l := j.team.limit; l != nil && j.cost < uncoverable {
+		if l := j.team.limit; l != nil && j.cost < uncoverable && j.hold == nil && (!j.spanning || first[l] == j) {
 			use := sum.Limits[l.spec.Name]
 			use.Waiting += j.cost * int64(j.waiting)
 			sum.Limits[l.spec.Name] = use
--- a/internal/scheduler/timers.go
+++ b/internal/scheduler/timers.go
@@ -16,6 +16,7 @@
 	timerHeld
 	timerShape
 	timerHost
+	timerWhole
 )
 
 // timer is something that is due at a clock value.
