--- a/internal/ganghold/protocol_test.go
+++ b/internal/ganghold/protocol_test.go
@@ -24,9 +24,8 @@
 	partlyBound = 30*time.Second*101/100 + 4*time.Second + time.Second
 	// faultsFor is how long faults are injected, settleFor how long the gangs
 	// then have to end.
-	faultsFor = 60 * time.Second
-	settleFor = 240 * time.Second
-	taskTime  = 12 * time.Second
+	faultsFor = 120 * time.Second
+	settleFor = 480 * time.Second
 )
 
 // act carries out what the scheduler of a shard wants.
@@ -62,7 +61,7 @@
 			delete(g.intents, act.Attempt.Task.Index)
 			s.apply(w, scheduler.TaskRefused{Attempt: act.Attempt, Host: act.Host})
 		default:
-			s.hosts[act.Host][act.Attempt] = run{act.Size, w.now + taskTime}
+			s.hosts[act.Host][act.Attempt] = run{act.Size, w.now + w.taskTime}
 			g.started[act.Attempt.Task.Index]++
 			s.apply(w, scheduler.TaskStarted{Attempt: act.Attempt, Host: act.Host})
 		}
@@ -75,7 +74,7 @@
 	if o == work.Succeeded {
 		w.gang(id.Task.Job).succeeded[id.Task.Index] = true
 	}
-	report := scheduler.TaskEnded{Attempt: id, Host: host, Outcome: o, Ran: taskTime}
+	report := scheduler.TaskEnded{Attempt: id, Host: host, Outcome: o, Ran: w.taskTime}
 	if s.up {
 		s.apply(w, report)
 	} else {
@@ -99,7 +98,7 @@
 	}
 	for _, s := range w.shards {
 		w.finish(s)
-		if s.up && w.faults && w.random.IntN(600) == 0 {
+		if s.up && w.faults && w.random.IntN(w.crashIn) == 0 {
 			w.crash(s)
 		}
 		if s.up {
@@ -165,8 +164,8 @@
 	}
 }
 
-// checkWhole checks how long a gang runs partly. A crash of an owner begins the
-// time anew, because the next owner first has to take over.
+// checkWhole checks how long a gang runs partly. While a part that runs has no
+// owner the time does not count, because the next owner first has to take over.
 func (w *world) checkWhole(t *rapid.T, g *gang, running map[work.TaskID]bool) {
 	runs, waits := false, false
 	for i := range g.job.Tasks {
@@ -179,12 +178,7 @@
 			t.Fatalf("%s: non-idempotent task %d of %s started %d times", w.now, i, g.job.ID, g.started[i])
 		}
 	}
-	for name := range g.parts {
-		if !w.shard(name).up {
-			g.partlySince = w.now
-		}
-	}
-	if !runs || !waits || !g.job.Idempotent {
+	if !runs || !waits || !g.job.Idempotent || w.runsUnowned(g) {
 		g.partlySince = w.now
 	}
 	if w.now-g.partlySince > partlyBound {
@@ -192,6 +186,20 @@
 	}
 }
 
+// runsUnowned reports whether a part of g runs in a shard without an owner.
+func (w *world) runsUnowned(g *gang) bool {
+	for _, s := range w.shards {
+		for _, runs := range s.hosts {
+			for a := range runs {
+				if a.Task.Job == g.job.ID && !s.up {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // done reports whether every task of every gang has its outcome.
 func (w *world) done() bool {
 	for _, g := range w.gangs {
@@ -203,7 +211,9 @@
 }
 
 func drawWorld(t *rapid.T) *world {
-	w := &world{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), faults: rapid.Bool().Draw(t, "faults")}
+	w := &world{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), faults: rapid.Bool().Draw(t, "faults"),
+		taskTime: time.Duration(rapid.SampledFrom([]int{5, 60}).Draw(t, "task seconds")) * time.Second,
+		crashIn:  rapid.SampledFrom([]int{200, 1000, 4000}).Draw(t, "steps between crashes")}
 	shards := rapid.IntRange(2, 4).Draw(t, "shards")
 	for i := range shards {
 		s := &shard{name: fmt.Sprintf("zone-%d/0", i), rate: 1 + float64(i%3-1)/200, hosts: map[string]map[work.AttemptID]run{},
--- a/internal/ganghold/world_test.go
+++ b/internal/ganghold/world_test.go
@@ -64,7 +64,11 @@
 	gangs  []*gang
 	later  []delayed
 	faults bool
-	seq    int
+	// taskTime is above and below the bound for gangs that run partly.
+	taskTime time.Duration
+	// crashIn is the mean number of steps between two crashes of an owner.
+	crashIn int
+	seq     int
 }
 
 type delayed struct {
@@ -158,7 +162,12 @@
 			g.coordinator = nil
 		}
 	}
-	w.after(time.Duration(w.random.Int64N(int64(10*time.Second))), func() { w.own(s) })
+	longest := 10 * time.Second
+	if w.random.IntN(4) == 0 {
+		// The log is away, so that nobody can take the shard over.
+		longest = 90 * time.Second
+	}
+	w.after(time.Duration(w.random.Int64N(int64(longest))), func() { w.own(s) })
 }
 
 // tell feeds a coordinator and sends what it wants.
