--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -49,6 +49,7 @@
 	n.spawn(n.gossipLoop)
 	n.spawn(n.lendLoop)
 	n.spawn(n.freshLoop)
+	n.spawn(n.gangs.loop)
 }
 
 // spawn runs f until the node stops.
