--- /dev/null
+++ b/internal/faultmatrix/step_test.go
@@ -0,0 +1,118 @@
+package faultmatrix
+
+import (
+	"fmt"
+	"syscall"
+
+	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+// step is one column: stimulate causes the step, reached tells where it happens.
+type step struct {
+	name      string
+	stimulate func(*cell)
+	reached   func(*cell) (place, bool)
+}
+
+// cell is one fault at one step.
+type cell struct {
+	*world
+	step  step
+	id    string
+	first int
+	from  uint64
+	trace *trace
+	// stopping is the node that the step itself stops.
+	stopping *process
+}
+
+// entry is the entry node that the caller of the cell uses first.
+func (c *cell) entry() place { return place{node: c.processes[c.first].name} }
+
+// steps are the columns of the matrix.
+var steps = []step{
+	{"submit", idempotentJob("run=200ms"), func(c *cell) (place, bool) { return c.entry(), c.trace.connected.Load() }},
+	{"admit", idempotentJob("run=200ms"), func(c *cell) (place, bool) { return c.entry(), c.trace.wrote.Load() }},
+	{"log", idempotentJob("run=200ms"), onRecord(func(c *cell, r *ledgerv1.Record) bool { return r.GetJobAccepted().GetJob().GetId() == c.id })},
+	{"queue", idempotentJob("run=200ms"), func(c *cell) (place, bool) { return place{node: c.owner(c.id)}, c.trace.answered.Load() }},
+	{"place", jobStep(false, "run=200ms", false), onRecord(func(c *cell, r *ledgerv1.Record) bool {
+		for _, a := range r.GetIntents().GetAttempts() {
+			if a.Job == c.id {
+				return true
+			}
+		}
+		return false
+	})},
+	{"start", idempotentJob("run=200ms"), onExecution(func(standin.Execution) bool { return true })},
+	{"run", idempotentJob("run=1s"), onExecution(func(x standin.Execution) bool { return !x.Ended })},
+	{"report", jobStep(false, "run=100ms", false), onExecution(func(x standin.Execution) bool { return x.Ended })},
+	{"finish", idempotentJob("run=100ms"), onRecord(func(c *cell, r *ledgerv1.Record) bool { return r.GetOutcomes().GetJob() == c.id })},
+	{"answer", jobStep(true, "run=100ms", true), func(c *cell) (place, bool) {
+		_, ok := c.find(c.from, func(r *ledgerv1.Record) bool { return r.GetOutcomes().GetJob() == c.id })
+		return c.entry(), ok
+	}},
+	{"publish", publication, func(c *cell) (place, bool) { return c.entry(), c.trace.connected.Load() }},
+	{"check", publication, func(c *cell) (place, bool) { return c.entry(), c.trace.wrote.Load() }},
+	{"append", publication, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetPublication() != nil })},
+	{"apply", publication, func(c *cell) (place, bool) { return c.entry(), c.trace.answered.Load() }},
+	{"renew", func(*cell) {}, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetRenewal() != nil })},
+	{"lend", greedyJob, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().From == "" })},
+	{"return", greedyJob, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().To == "" })},
+	{"drain", stopOwner(syscall.SIGTERM), func(c *cell) (place, bool) { return c.entry(), true }},
+	{"hand over", stopOwner(syscall.SIGTERM), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetRelease() != nil })},
+	{"claim", stopOwner(syscall.SIGTERM), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetClaim() != nil })},
+	{"take over", stopOwner(syscall.SIGKILL), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetClaim().GetSupersedes() != 0 })},
+}
+
+func idempotentJob(command string) func(*cell) { return jobStep(true, command, false) }
+
+func jobStep(idempotent bool, command string, wait bool) func(*cell) {
+	return func(c *cell) { c.submit(c.first, ordersKey, job(c.id, 4, idempotent, command), c.trace, wait) }
+}
+
+func publication(c *cell) { c.changeLimit(c.first, c.trace) }
+
+// greedyJob wants more of the limit than one shard has by itself.
+func greedyJob(c *cell) {
+	spec := job(c.id, patternsSeats, true, "run=300ms")
+	spec.Team, spec.Queue = "patterns", "nightly"
+	c.submit(c.first, patternsKey, spec, c.trace, false)
+}
+
+// stopOwner signals a node that owns a shard.
+func stopOwner(s syscall.Signal) func(*cell) {
+	return func(c *cell) {
+		owners := c.owners()
+		names := []string{owners["zone-a/0"], owners["zone-b/0"], owners["zone-c/0"]}
+		name := names[c.random.IntN(len(names))]
+		for i, p := range c.processes {
+			if p.name == name {
+				c.first, c.stopping = i, p
+				p.signal(s)
+				c.callers.Go(func() { p.stop(s) })
+			}
+		}
+	}
+}
+
+func onRecord(match func(*cell, *ledgerv1.Record) bool) func(*cell) (place, bool) {
+	return func(c *cell) (place, bool) {
+		return c.find(c.from, func(r *ledgerv1.Record) bool { return match(c, r) })
+	}
+}
+
+func onExecution(match func(standin.Execution) bool) func(*cell) (place, bool) {
+	return func(c *cell) (place, bool) {
+		for _, x := range c.cluster.Fleet.Journal().Executions() {
+			if x.Attempt.Task.Job == work.JobID(c.id) && match(x) {
+				return place{c.owner(c.id), x.Host}, true
+			}
+		}
+		return place{}, false
+	}
+}
+
+// name identifies a cell in reports.
+func name(fault, step string) string { return fmt.Sprintf("%s @ %s", fault, step) }
