--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -86,6 +86,23 @@
 
 // group runs one fault at several steps of one cluster.
 func (m *matrix) group(w *world, f fault, own []step) {
+	defer func() {
+		r := recover()
+		reason, failed := r.(gaveUp)
+		if r != nil && !failed {
+			panic(r)
+		}
+		for i, s := range own {
+			if failed {
+				m.set(name(f.name, s.name), broken, "")
+				m.set(name(f.name+", twice", s.name), broken, "")
+			}
+			if failed && i == 0 {
+				m.set(name(f.name, s.name), broken, "the run of this group was given up: "+string(reason))
+			}
+		}
+	}()
+	w.prepare()
 	known := 0
 	for _, s := range own {
 		began := time.Now()
@@ -94,6 +111,7 @@
 		found := w.checkExecutions()
 		if len(found) > known {
 			m.set(name(f.name, s.name), broken, strings.Join(found[known:], "; "))
+			m.set(name(f.name+", twice", s.name), broken, "")
 		}
 		known = len(found)
 		w.t.Logf("%s took %s", name(f.name, s.name), time.Since(began).Round(time.Millisecond))
@@ -105,6 +123,7 @@
 	for _, s := range own {
 		if len(rest) > 0 {
 			m.set(name(f.name, s.name), broken, "")
+			m.set(name(f.name+", twice", s.name), broken, "")
 		}
 	}
 	if len(rest) > 0 {
