--- a/internal/ganghold/coordinator_test.go
+++ b/internal/ganghold/coordinator_test.go
@@ -87,3 +87,33 @@
 		}
 	}
 }
+
+// refusedWaits returns the waits between refused tries.
+func refusedWaits(seed uint64) (waits []time.Duration) {
+	c := ganghold.New(ganghold.Config{Shards: []string{"a", "b"}, Seed: seed})
+	last := time.Duration(0)
+	for now := time.Duration(0); len(waits) < 8; now += 10 * time.Millisecond {
+		idle := map[string]ganghold.State{"a": ganghold.Idle, "b": ganghold.Idle}
+		for _, a := range answerAll(c, now, c.Handle(now, ganghold.Tick{}), idle) {
+			if hold, ok := a.(ganghold.Hold); ok {
+				c.Handle(now, ganghold.Answered{Call: hold.Call})
+				waits, last = append(waits, now-last), now
+			}
+		}
+	}
+	return waits[1:]
+}
+
+// Guards against competing gangs that try in step, and against a wait that
+// grows without a bound.
+func TestBackoffIsJitteredAndBounded(t *testing.T) {
+	one, two := refusedWaits(1), refusedWaits(2)
+	if cmp.Equal(one, two) {
+		t.Errorf("two gangs both wait %v", one)
+	}
+	for _, wait := range append(one, two...) {
+		if wait > 5*time.Second+10*time.Millisecond || wait < 100*time.Millisecond {
+			t.Errorf("wait of %s, want 100 ms to 5 s", wait)
+		}
+	}
+}
--- a/internal/ganghold/world_test.go
+++ b/internal/ganghold/world_test.go
@@ -177,6 +177,13 @@
 		return
 	}
 	for _, a := range c.Handle(w.now, e) {
+		if _, ok := a.(ganghold.Confirm); ok && w.chance(15) {
+			// The worst moment: some parts get the go and others do not.
+			if g.coordinator != nil {
+				w.crash(w.shards[0])
+			}
+			continue
+		}
 		w.message(func() {
 			answer := w.serve(g, a)
 			if answer == nil {
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -24,6 +24,7 @@
 	Claims      []ledger.Claim         `json:"claims"`
 	Allotments  []ledger.Allotment     `json:"pools"`
 	Shards      []dispatch.Dump        `json:"shards"`
+	Gangs       []GangDump             `json:"gangs"`
 	Requests    requests.Dump          `json:"requests"`
 	Waits       map[string]WaitSummary `json:"waits"`
 }
@@ -34,7 +35,7 @@
 		Node: n.settings.Node.Name, Incarnation: n.incarnation, Servable: n.servable.Load(), Draining: n.draining.Load(),
 		Revision: n.configurations.get().revision, Ledger: n.replica.Status(), Log: n.logClient.Contact(),
 		Members: n.replica.Members(), Claims: n.replica.Claims(), Allotments: n.replica.Allotments(""),
-		Requests: n.requests.Dump(), Waits: n.waits.summary(),
+		Requests: n.requests.Dump(), Waits: n.waits.summary(), Gangs: n.gangs.dump(),
 	}
 	for _, o := range n.shards.all() {
 		d.Shards = append(d.Shards, o.run.Dump())
--- a/internal/node/gangs.go
+++ b/internal/node/gangs.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/ganghold"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
@@ -18,7 +21,8 @@
 // gangs holds the coordinators of the spanning gangs whose first part is in a
 // shard of this process. The ledger's bound on open jobs bounds them.
 type gangs struct {
-	node *Node
+	node  *Node
+	count tally.Gauge
 
 	mu   sync.Mutex
 	runs map[work.JobID]*gangRun
@@ -33,7 +37,9 @@
 	coordinator *ganghold.Coordinator
 }
 
-func newGangs(n *Node) *gangs { return &gangs{node: n, runs: map[work.JobID]*gangRun{}} }
+func newGangs(n *Node) *gangs {
+	return &gangs{node: n, count: n.scope.SubScope("gangs").Gauge("spanning"), runs: map[work.JobID]*gangRun{}}
+}
 
 // spanning reports whether a job is a gang with parts in several shards.
 func spanning(job work.Job, parts []ledger.Part) bool {
@@ -90,15 +96,33 @@
 	return same && g.node.owner.authority(r.shard.name, r.shard.token)
 }
 
+// dump returns the states of all coordinators.
+func (g *gangs) dump() []GangDump {
+	var out []GangDump
+	for _, r := range g.all() {
+		r.mu.Lock()
+		out = append(out, GangDump{r.job, r.coordinator.Dump()})
+		r.mu.Unlock()
+	}
+	return out
+}
+
+// all returns the runs, sorted by job.
+func (g *gangs) all() []*gangRun {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs := make([]*gangRun, 0, len(g.runs))
+	for _, id := range slices.Sorted(maps.Keys(g.runs)) {
+		runs = append(runs, g.runs[id])
+	}
+	return runs
+}
+
 // loop lets time pass for the coordinators.
 func (g *gangs) loop(ctx context.Context) {
 	for sleep(ctx, gangTick) {
-		g.mu.Lock()
-		runs := make([]*gangRun, 0, len(g.runs))
-		for _, r := range g.runs {
-			runs = append(runs, r)
-		}
-		g.mu.Unlock()
+		runs := g.all()
+		g.count.Update(float64(len(runs)))
 		for _, r := range runs {
 			g.handle(r, ganghold.Tick{})
 		}
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -60,6 +60,9 @@
 	if held > 0 {
 		out = append(out, fmt.Sprintf("%d non-idempotent tasks may have been started before and do not start again.", held))
 	}
+	if j.spanning && j.waiting > 0 {
+		out = append(out, fmt.Sprintf("The gang has parts in other shards; this part of %d tasks starts once all parts hold room.", j.pending))
+	}
 	if j.spec.Kind == work.Gang && j.waiting > 0 && j.waiting != j.pending {
 		out = append(out, fmt.Sprintf("The gang starts when all of its %d tasks are ready; %d are.", j.pending, j.waiting))
 	}
