--- a/internal/scheduler/apply_contract.go
+++ b/internal/scheduler/apply_contract.go
@@ -32,12 +32,16 @@
 	for _, t := range s.teamList {
 		s.bindTeam(t)
 		t.used, t.live = resource.Vector{}, 0
+		t.wanted, t.wantedUnits = 0, 0
 	}
 	for _, name := range sortedKeys(s.limits) {
 		s.limits[name].used = 0
 	}
 	for _, j := range s.jobList {
 		s.priceJob(j)
+		if !j.closed {
+			j.want(int64(j.waiting))
+		}
 	}
 	for _, h := range s.hostList {
 		if h == nil {
--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -159,6 +159,9 @@
 	} else if !j.closed || j.cursor < 0 {
 		s.closing = append(s.closing, j)
 	}
+	if !j.closed {
+		j.want(-int64(j.waiting))
+	}
 	j.closed, j.endOf, j.endReason, j.cursor = true, o, reason, 0
 	if j.lane != nil {
 		s.relist(j.lane)
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -17,6 +17,8 @@
 	open  bool
 	state HostState
 	gone  bool
+	// ready is whether the host took tasks at the last change.
+	ready bool
 	// known is set once the tasks on the host are known.
 	known    bool
 	used     resource.Vector
@@ -57,7 +59,7 @@
 	}
 	old := h.view.Free
 	free := resource.Vector{}
-	if s.takes(h, s.now) {
+	if h.ready = s.takes(h, s.now); h.ready {
 		free = h.free()
 		if h.reserved != nil {
 			// What does not wait for a drained task must leave room for the need.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -102,6 +102,17 @@
 func (j *job) count(n int32) {
 	j.waiting += n
 	j.team.waiting += int(n)
+	if !j.closed {
+		j.want(int64(n))
+	}
+}
+
+// want adds n waiting tasks to what the team wants in summaries.
+func (j *job) want(n int64) {
+	j.team.wanted += n
+	if j.cost < uncoverable {
+		j.team.wantedUnits += n * j.cost
+	}
 }
 
 // take removes the task that next returned.
--- a/internal/scheduler/model_test.go
+++ b/internal/scheduler/model_test.go
@@ -31,7 +31,10 @@
 	faults    []string
 	contract  Contract
 	// chaos is the percentage of starts and ends that go wrong.
-	chaos  int
+	chaos int
+	wide  bool
+	// check runs ahead of each Decide.
+	check  func()
 	allot  map[string]int64
 	limits map[string]Limit
 	team   map[string]string
@@ -120,6 +123,9 @@
 }
 
 func (m *model) decide() {
+	if m.check != nil {
+		m.check()
+	}
 	acts := m.s.Decide(m.now)
 	gangs := map[work.JobID]int{}
 	for _, a := range acts {
--- a/internal/scheduler/random_test.go
+++ b/internal/scheduler/random_test.go
@@ -21,6 +21,8 @@
 	chaos  int
 	faults int
 	policy Policy
+	// wide draws each size from all that a host holds.
+	wide bool
 }
 
 func drawScenario(t *rapid.T) scenario {
@@ -61,7 +63,7 @@
 
 func (sc scenario) build() *model {
 	m := newModel(Options{}, random(sc.seed))
-	m.chaos = sc.chaos
+	m.chaos, m.wide = sc.chaos, sc.wide
 	c := Contract{Teams: map[string]Team{}, Limits: map[string]Limit{}, Policy: sc.policy,
 		Queues: map[string]Queue{"low": {Name: "low"}, "high": {Name: "high", Priority: 1}}}
 	unit := resource.Vector{MilliCPU: 1000, MemoryMiB: 4096, Accelerators: 1}
@@ -103,6 +105,9 @@
 		Size:    resource.Vector{MilliCPU: int64(500 * (1 + m.rnd(16))), MemoryMiB: int64(512 * (1 + m.rnd(32)))},
 		Runtime: time.Duration(100+m.rnd(8000)) * time.Millisecond, Template: fmt.Sprintf("p%d", m.rnd(4)),
 	}
+	if m.wide {
+		j.Size = resource.Vector{MilliCPU: int64(1 + m.rnd(15999)), MemoryMiB: int64(1 + m.rnd(50000))}
+	}
 	if m.rnd(6) == 0 {
 		j.Size.Accelerators = int64(1 + m.rnd(4))
 	}
@@ -151,7 +156,8 @@
 		m.s.Apply(m.now, HostChanged{Host: h.spec})
 		m.in(time.Duration(i*100)*time.Millisecond, func() { m.readopt(h) })
 	}
-	for n := range len(m.jobs) + 100 {
+	// Names are not dense; 200 is above the highest.
+	for n := range len(m.jobs) + 200 {
 		j, ok := m.jobs[work.JobID(fmt.Sprintf("j%d", n))]
 		if !ok {
 			continue
@@ -222,23 +228,26 @@
 // outcome for each task, against any order of events.
 func TestRandomFleets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := drawScenario(t).build()
-		m.run(40*time.Second, 50*time.Millisecond)
-		m.settle()
-		m.run(400*time.Second, 200*time.Millisecond)
-		for id, j := range m.jobs {
-			for i := range j.Tasks {
-				task := work.TaskID{Job: id, Index: i}
-				if _, ok := m.ends[task]; !ok && m.feasible(j) {
-					st, _ := m.s.Task(task)
-					m.fault("task %s %+v has no outcome: %s", task, st, strings.Join(m.s.Explain(id, m.now), " "))
-				}
+		runFleet(t, drawScenario(t).build())
+	})
+}
+
+func runFleet(t *rapid.T, m *model) {
+	m.run(40*time.Second, 50*time.Millisecond)
+	m.settle()
+	m.run(400*time.Second, 200*time.Millisecond)
+	for id, j := range m.jobs {
+		for i := range j.Tasks {
+			task := work.TaskID{Job: id, Index: i}
+			if _, ok := m.ends[task]; !ok && m.feasible(j) {
+				st, _ := m.s.Task(task)
+				m.fault("task %s %+v has no outcome: %s", task, st, strings.Join(m.s.Explain(id, m.now), " "))
 			}
 		}
-		if len(m.faults) > 0 {
-			t.Fatalf("%d faults, first: %s", len(m.faults), strings.Join(m.faults[:min(5, len(m.faults))], "\n"))
-		}
-	})
+	}
+	if len(m.faults) > 0 {
+		t.Fatalf("%d faults, first: %s", len(m.faults), strings.Join(m.faults[:min(5, len(m.faults))], "\n"))
+	}
 }
 
 // feasible reports whether the fleet, empty, holds the job.
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -23,7 +23,9 @@
 	Allotted, Used, Waiting int64
 }
 
-// Summary returns the current totals. Its cost grows with hosts and jobs.
+// Summary returns the totals as of the last event or decision. Its cost grows
+// with hosts, teams and limits, not with jobs. A host whose quarantine ended
+// counts as ready from the next Decide on.
 func (s *Scheduler) Summary() Summary {
 	sum := Summary{
 		Hosts: len(s.hosts), Quarantined: s.health.Count(), Capacity: s.capacity,
@@ -35,7 +37,7 @@
 		}
 		sum.Running += len(h.running)
 		sum.LargestHost = larger(sum.LargestHost, h.view.Capacity)
-		if s.takes(h, s.now) && !h.free().IsNegative() {
+		if h.ready && !h.free().IsNegative() {
 			sum.ReadyHosts++
 			sum.Free = sum.Free.Add(h.free())
 			sum.LargestFree = larger(sum.LargestFree, h.view.Free)
@@ -44,14 +46,11 @@
 	for name, l := range s.limits {
 		sum.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used}
 	}
-	for _, j := range s.jobList {
-		if j.closed || j.waiting == 0 {
-			continue
-		}
-		sum.Waiting += int(j.waiting)
-		if l := j.team.limit; l != nil && j.cost < uncoverable {
+	for _, t := range s.teamList {
+		sum.Waiting += int(t.wanted)
+		if l := t.limit; l != nil {
 			use := sum.Limits[l.spec.Name]
-			use.Waiting += j.cost * int64(j.waiting)
+			use.Waiting += t.wantedUnits
 			sum.Limits[l.spec.Name] = use
 		}
 	}
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -37,6 +37,9 @@
 	queues [classCount]queue
 	// waiting counts startable tasks.
 	waiting int
+	// wanted counts startable tasks of jobs that are not closed; wantedUnits is
+	// what those of them that a unit covers take in the limit.
+	wanted, wantedUnits int64
 	// retries is the retry budget in hundredths of a retry.
 	retries  int64
 	earnedAt time.Duration
