--- a/internal/scheduler/wave_bench_test.go
+++ b/internal/scheduler/loads_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -72,3 +73,26 @@
 		})
 	}
 }
+
+// BenchmarkShares measures how far teams are from their weighted part of the
+// dominant resource 30 s of simulated clock after the cluster filled.
+func BenchmarkShares(bm *testing.B) {
+	for bm.Loop() {
+		b := newBench(1600, 20000, 1)
+		b.warm(30 * time.Second)
+		worst, sum := 0.0, 0.0
+		for i := range benchTeams {
+			name := fmt.Sprintf("t%02d", i)
+			weights := 0.0
+			for k := range benchTeams {
+				weights += float64(1 + k%3)
+			}
+			used := b.byTeam[name]
+			share := max(float64(used.MilliCPU)/float64(b.total.MilliCPU), float64(used.MemoryMiB)/float64(b.total.MemoryMiB))
+			off := 100 * math.Abs(share*weights/float64(1+i%3)-1)
+			worst, sum = max(worst, off), sum+off
+		}
+		bm.ReportMetric(worst, "worst-off-%")
+		bm.ReportMetric(sum/benchTeams, "mean-off-%")
+	}
+}
