--- a/internal/cli/runners.go
+++ b/internal/cli/runners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/medlarpulley/medlarpulley/internal/measure"
+	"github.com/medlarpulley/medlarpulley/internal/objects"
 	"github.com/medlarpulley/medlarpulley/internal/settings"
 )
 
@@ -13,6 +15,8 @@
 	Serve func(ctx context.Context, s settings.Settings) error
 	// Dev runs a cluster on loopback with stand-ins for the platform.
 	Dev func(ctx context.Context, o DevOptions) error
+	// Measure runs a cluster under load and returns what it measured.
+	Measure func(ctx context.Context, o measure.Options) (measure.Report, error)
 }
 
 // DevOptions configure a development cluster.
@@ -25,8 +29,6 @@
 	Workers, Runners int
 	// HTTP is the listening address of the first entry node.
 	HTTP string
-	// Objects are files or directories that are published at the start.
-	Objects []string
-	// Seed makes the stand-ins' choices repeatable.
-	Seed uint64
+	// Objects are published at the start, in place of the example.
+	Objects []objects.Change
 }
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -45,7 +45,7 @@
 		return
 	}
 	s.fenced = true
-	s.log.Warn("dispatch: a worker has seen a higher token", "shard", s.o.Shard, "token", s.o.Token, "seen", token)
+	s.log.Warn("A worker has seen a higher token.", "shard", s.o.Shard, "token", s.o.Token, "seen", token)
 	if s.o.Fenced != nil {
 		go s.o.Fenced(token)
 	}
@@ -93,6 +93,9 @@
 // outcome is in the log.
 func (s *Shard) taskEnded(h *host, f worker.Finished) {
 	s.releaseTask(f.Attempt.Task)
+	// A task that moved on or whose job is forgotten gets no outcome here.
+	t, known := s.sched.Task(f.Attempt.Task)
+	here := known && t.State != scheduler.TaskMoved.String()
 	delete(h.attempts, f.Attempt)
 	if old, ok := s.reports[f.Attempt.Task]; ok && old.id != f.Attempt {
 		s.acknowledge(old)
@@ -101,6 +104,9 @@
 	s.apply(scheduler.TaskEnded{
 		Attempt: f.Attempt, Host: h.entry.ID, Outcome: f.Outcome, Ran: f.Ran, Peak: f.Peak, Checkpointed: f.Checkpointed,
 	})
+	if !here {
+		s.acknowledge(report{host: h.entry.ID, id: f.Attempt})
+	}
 }
 
 // acknowledge lets the worker forget a report with the next exchange.
@@ -142,7 +148,7 @@
 	}
 	s.apply(scheduler.HostAdopted{Host: h.entry.ID, Running: running})
 	if !h.adopted {
-		s.log.Info("dispatch: host adopted", "shard", s.o.Shard, "host", h.entry.ID, "running", len(resp.Running))
+		s.log.Info("Host adopted.", "shard", s.o.Shard, "host", h.entry.ID, "running", len(resp.Running))
 	}
 	h.adopted, h.reconcile = true, false
 	delete(s.initial, h.entry.ID)
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -30,6 +30,8 @@
 	started bool
 	// draining stops new decisions before the shard is handed over.
 	draining bool
+	// paused is true while the configuration is not proved to be the last one.
+	paused   bool
 	contract scheduler.Contract
 	// removed are hosts that are gone for good and still in the logged host set.
 	removed        map[string]bool
@@ -125,11 +127,13 @@
 			}
 			continue
 		}
-		h.entry = e
-		s.refreshHost(h)
+		if h.entry != e {
+			h.entry = e
+			s.refreshHost(h)
+		}
 	}
 	for id, h := range s.hosts {
-		if !seen[id] {
+		if !seen[id] && !h.entry.Leaving {
 			h.entry.Leaving = true
 			s.refreshHost(h)
 		}
@@ -157,7 +161,7 @@
 // refreshHost tells the scheduler about a changed state. The lock must be held.
 func (s *Shard) refreshHost(h *host) {
 	if state := h.targetState(); state != h.state {
-		s.log.Info("dispatch: host changed state", "shard", s.o.Shard, "host", h.entry.ID, "from", h.state, "to", state)
+		s.log.Info("Host changed state.", "shard", s.o.Shard, "host", h.entry.ID, "from", h.state, "to", state)
 		h.state = state
 	}
 	s.apply(scheduler.HostChanged{Host: h.description()})
--- a/internal/ledger/shard_state.go
+++ b/internal/ledger/shard_state.go
@@ -10,29 +10,39 @@
 	// NextOffset is the offset of the first record that is not included.
 	NextOffset uint64
 	Claim      Claim
-	// Hosts are sorted by id, Jobs by acceptance, Allotments by limit.
-	Hosts      []HostEntry
-	Jobs       []Job
-	Allotments []Allotment
+	// Hosts are sorted by id, Jobs by acceptance.
+	Hosts []HostEntry
+	Jobs  []Job
 }
 
 // ShardState returns the state of a shard as of one offset, so that a reader
 // can go on with the events of later records.
 func (r *Replica) ShardState(shard string) ShardState {
 	return read(r, func(s *State) ShardState {
-		out := ShardState{NextOffset: s.NextOffset, Claim: Claim{Shard: shard}}
-		if c := s.Claims[shard]; c != nil {
-			out.Claim = *c
-		}
+		out := ShardState{NextOffset: s.NextOffset, Claim: s.claimOf(shard)}
 		for _, id := range slices.Sorted(maps.Keys(s.Hosts[shard])) {
 			out.Hosts = append(out.Hosts, s.Hosts[shard][id])
 		}
 		out.Jobs = s.openJobsOf(shard)
-		out.Allotments = s.allotmentsOf(shard)
 		return out
 	})
 }
 
+// AllotmentState is the part of a ShardState that concerns limits.
+type AllotmentState struct {
+	NextOffset uint64
+	Claim      Claim
+	// Allotments are sorted by limit.
+	Allotments []Allotment
+}
+
+// AllotmentState returns the allotments of a shard as of one offset.
+func (r *Replica) AllotmentState(shard string) AllotmentState {
+	return read(r, func(s *State) AllotmentState {
+		return AllotmentState{NextOffset: s.NextOffset, Claim: s.claimOf(shard), Allotments: s.allotmentsOf(shard)}
+	})
+}
+
 // openJobsOf returns copies of the unfinished jobs of a shard, sorted by acceptance.
 func (s *State) openJobsOf(shard string) []Job {
 	jobs := make([]Job, 0, len(s.open[shard]))
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -111,18 +111,19 @@
 	contact := n.logClient.Contact()
 	out := &peerv1.ExchangeRequest{
 		Node: n.settings.Node.Name, Incarnation: n.incarnation, ReadOffset: n.replica.NextOffset(),
-		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < membership.FreshFor,
+		Revision: n.configurations.get().revision, LogReachable: contact.ReachedEnd && contact.SinceRead < ownership.OutageAfter,
 		Draining: n.draining.Load(), LogContactAgeMillis: contact.SinceRead.Milliseconds(),
+		PublicationOpen: n.announced.any(n.clock.Now(), !n.logAway()),
 	}
 	for _, o := range n.shards.all() {
-		out.Shards = append(out.Shards, shardSummary(o))
+		out.Shards = append(out.Shards, shardSummary(o, n.clock.Now()))
 	}
 	return out
 }
 
 // shardSummary returns what this node tells about one of its shards.
-func shardSummary(o *ownedShard) *peerv1.ShardSummary {
-	s := o.run.Summary()
+func shardSummary(o *ownedShard, now time.Duration) *peerv1.ShardSummary {
+	s := o.summary(now)
 	shard := &peerv1.ShardSummary{
 		Shard: o.name, Token: o.token, Free: resources(s.Free), LargestFree: resources(s.LargestFree),
 		LargestHost: resources(s.LargestHost), Capacity: resources(s.Capacity), WaitingTasks: int32(s.Waiting),
@@ -152,7 +153,7 @@
 	out := make([]homing.Shard, 0, len(newest))
 	for name, s := range newest {
 		out = append(out, homing.Shard{
-			Name: name, Zone: n.hosts.zoneOf(name), Owned: true,
+			Name: name, Zone: n.hosts.zoneOf(name), Region: n.hosts.regionOf(name), Owned: true,
 			Capacity: vector(s.Capacity), Free: vector(s.Free), LargestFree: vector(s.LargestFree),
 			LargestHost: vector(s.LargestHost), Waiting: int64(s.WaitingTasks),
 		})
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +73,16 @@
 	return ""
 }
 
+// regionOf returns the region of a shard, empty if it is not listed.
+func (v *hostView) regionOf(name string) string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if hosts := v.workers[name]; len(hosts) > 0 {
+		return hosts[0].Region
+	}
+	return ""
+}
+
 // shardList returns the shards that the list shows.
 func (v *hostView) shardList() []ownership.Shard {
 	v.mu.RLock()
@@ -93,6 +104,22 @@
 	}
 }
 
+// allShards returns the shards that the list shows and those that were ever
+// claimed: a shard whose hosts are gone still has jobs that must move on.
+func (n *Node) allShards() []ownership.Shard {
+	shards := append([]ownership.Shard(nil), n.hosts.shardList()...)
+	listed := map[string]bool{}
+	for _, s := range shards {
+		listed[s.Name] = true
+	}
+	for _, c := range n.replica.Claims() {
+		if zone, _, ok := strings.Cut(c.Shard, "/"); ok && !listed[c.Shard] {
+			shards = append(shards, ownership.Shard{Name: c.Shard, Zone: zone})
+		}
+	}
+	return shards
+}
+
 // readHosts reads the host list once and passes it on.
 func (n *Node) readHosts(ctx context.Context) {
 	hosts, err := n.list.Hosts(ctx)
@@ -102,6 +129,6 @@
 	}
 	n.hosts.update(hosts, n.settings.Cluster.ShardsPerZone)
 	n.requests.SetRunners(n.hosts.runners)
-	n.owner.shardsKnown(n.hosts.shards)
+	n.owner.shardsKnown(n.allShards())
 	n.shards.hostsListed()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,17 +47,20 @@
 	configurations *configurations
 	hosts          *hostView
 	jobEvents      *jobEvents
+	announced      *announcements
 	members        *members
 	gossip         *gossip
 	waits          *waits
 	owner          *owner
 	shards         *shards
+	gangs          *gangs
 	peers          *peer.Pool
 	counts         *peer.Counts
 	requests       *requests.Server
 	gateway        *gateway.Server
 
 	httpListener net.Listener
+	opsListener  net.Listener
 	peerListener net.Listener
 	peerServer   *peer.Server
 
@@ -76,7 +79,7 @@
 	n := &Node{
 		settings: s, base: base, log: logging.Part(base, "node"), clock: clock{time.Now()},
 		incarnation: uint64(time.Now().UnixNano()), drainReq: make(chan struct{}),
-		configurations: newConfigurations(), hosts: &hostView{}, jobEvents: newJobEvents(),
+		configurations: newConfigurations(), hosts: &hostView{}, announced: newAnnouncements(), jobEvents: newJobEvents(),
 		waits: newWaits(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -121,6 +124,9 @@
 	if n.httpListener, err = net.Listen("tcp", n.settings.Listen.HTTP); err != nil {
 		return eris.Wrap(err, "listen.http")
 	}
+	if n.opsListener, err = net.Listen("tcp", n.settings.Listen.Metrics); err != nil {
+		return eris.Wrap(err, "listen.metrics")
+	}
 	if n.peerListener, err = net.Listen("tcp", n.settings.Listen.Peer); err != nil {
 		return eris.Wrap(err, "listen.peer")
 	}
@@ -135,6 +141,7 @@
 	n.gossip = &gossip{tracker: membership.New(membership.Peer{Node: n.settings.Node.Name, Incarnation: n.incarnation}, n.clock.Now())}
 	n.members = newMembers(n)
 	n.shards = newShards(n)
+	n.gangs = newGangs(n)
 	self := ownership.Identity{Node: n.settings.Node.Name, Incarnation: n.incarnation}
 	n.owner = &owner{
 		clock: n.clock, replica: n.replica, client: n.logClient, record: recorder{n.logClient}, peers: n.peers,
@@ -146,7 +153,7 @@
 		actions: make(chan ownership.Action, maxShardActions), ctx: n.ctx,
 		start: n.shards.start, stop: n.shards.stop, handOver: n.shards.handOver,
 	}
-	n.runners = runner.NewHTTPClient(runner.DefaultOptions())
+	n.runners = runner.NewHTTPClient(n.runnerOptions())
 	n.requests = requests.New(n.requestOptions(), keys{n}, n.members, n.peers, n.runners, n.clock)
 	n.replica.Subscribe(n.ledgerEvents)
 }
@@ -162,6 +169,7 @@
 		}
 	}
 	n.members.note(events)
+	n.announced.note(events)
 	n.refreshPeers(events)
 	n.jobEvents.note(events)
 	n.shards.queue.put(events)
@@ -192,10 +200,13 @@
 }
 
 // partLog returns the logger of a part.
-func (n *Node) partLog(string) *slog.Logger { return n.base }
+func (n *Node) partLog(part string) *slog.Logger { return logging.Part(n.base, part) }
 
 // HTTPAddress returns the address on which the node serves callers.
 func (n *Node) HTTPAddress() string { return n.httpListener.Addr().String() }
 
+// OperatorsAddress returns the address that serves metrics and the dump.
+func (n *Node) OperatorsAddress() string { return n.opsListener.Addr().String() }
+
 // Name returns the name of the node.
 func (n *Node) Name() string { return n.settings.Node.Name }
--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -55,6 +55,7 @@
 
 func (s *Scheduler) newJob(ev JobAdded) *job {
 	j := &job{spec: ev.Job, accepted: s.now - max(ev.Age, 0), team: s.team(ev.Job.Team), slot: len(s.jobList)}
+	j.spanning, j.offset = ev.Spanning, ev.Offset
 	j.progress = j.accepted
 	j.order = j.accepted
 	if d := ev.Job.Deadline; d > 0 {
@@ -67,6 +68,9 @@
 	s.priceJob(j)
 	s.jobs[ev.Job.ID] = j
 	s.jobList = append(s.jobList, j)
+	if j.spanning {
+		s.spanning = append(s.spanning, j)
+	}
 	s.fresh = append(s.fresh, j)
 	s.timers.add(timer{at: j.accepted + s.options.OfferAfter, kind: timerOffer, job: j})
 	return j
@@ -149,6 +153,7 @@
 	if j.closed && (j.endOf == o || j.endOf == work.Cancelled) {
 		return
 	}
+	s.dropHold(j)
 	if j.uncertain {
 		// Whether the queued tasks ran is known once all hosts are adopted.
 		j.each(func(i int32, t *task) {
@@ -241,6 +246,9 @@
 		return
 	}
 	delete(s.jobs, j.spec.ID)
+	if j.spanning {
+		s.spanning = slices.DeleteFunc(s.spanning, func(o *job) bool { return o == j })
+	}
 	last := s.jobList[len(s.jobList)-1]
 	s.jobList[j.slot], last.slot = last, j.slot
 	s.jobList[len(s.jobList)-1] = nil
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -52,6 +52,17 @@
 	none      bool
 	noneSince time.Duration
 	nextOffer time.Duration
+	// spanning is set for a part of a gang with parts in other shards; offset
+	// is where the log accepted it.
+	spanning bool
+	offset   uint64
+	// hold is the granted hold, lastHold the highest ID, started the ID that
+	// the tasks were last started by.
+	hold              *hold
+	lastHold, started string
+	// wholeUntil is when the part is stopped unless the gang is known to be whole.
+	wholeUntil time.Duration
+	wholeTimer bool
 	// slot is the position in the list of jobs.
 	slot int
 }
@@ -110,7 +121,7 @@
 // want adds n waiting tasks to what the team wants in summaries.
 func (j *job) want(n int64) {
 	j.team.wanted += n
-	if j.cost < uncoverable {
+	if j.cost < uncoverable && !j.spanning {
 		j.team.wantedUnits += n * j.cost
 	}
 }
--- a/internal/scheduler/sizes_test.go
+++ b/internal/scheduler/sizes_test.go
@@ -86,14 +86,15 @@
 	want := got
 	want.Waiting, want.ReadyHosts, want.Limits = 0, 0, map[string]LimitUse{}
 	for name, l := range s.limits {
-		want.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used}
+		want.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used + l.held}
 	}
+	first := s.firstWaiting()
 	for _, j := range s.jobList {
 		if j.closed {
 			continue
 		}
 		want.Waiting += int(j.waiting)
-		if l := j.team.limit; l != nil && j.cost < uncoverable {
+		if l := j.team.limit; l != nil && j.cost < uncoverable && j.hold == nil && (!j.spanning || first[l] == j) {
 			use := want.Limits[l.spec.Name]
 			use.Waiting += j.cost * int64(j.waiting)
 			want.Limits[l.spec.Name] = use
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for name, l := range s.limits {
-		sum.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used}
+		sum.Limits[name] = LimitUse{Allotted: l.allotted, Used: l.used + l.held}
 	}
 	for _, t := range s.teamList {
 		sum.Waiting += int(t.wanted)
@@ -54,6 +54,13 @@
 			sum.Limits[l.spec.Name] = use
 		}
 	}
+	for l, j := range s.firstWaiting() {
+		if j.cost < uncoverable && j.hold == nil {
+			use := sum.Limits[l.spec.Name]
+			use.Waiting += j.cost * int64(j.waiting)
+			sum.Limits[l.spec.Name] = use
+		}
+	}
 	return sum
 }
 
