--- a/internal/scheduler/apply_jobs.go
+++ b/internal/scheduler/apply_jobs.go
@@ -68,6 +68,9 @@
 	s.priceJob(j)
 	s.jobs[ev.Job.ID] = j
 	s.jobList = append(s.jobList, j)
+	if j.spanning {
+		s.spanning = append(s.spanning, j)
+	}
 	s.fresh = append(s.fresh, j)
 	s.timers.add(timer{at: j.accepted + s.options.OfferAfter, kind: timerOffer, job: j})
 	return j
@@ -161,6 +164,9 @@
 	} else if !j.closed || j.cursor < 0 {
 		s.closing = append(s.closing, j)
 	}
+	if !j.closed {
+		j.want(-int64(j.waiting))
+	}
 	j.closed, j.endOf, j.endReason, j.cursor = true, o, reason, 0
 	if j.lane != nil {
 		s.relist(j.lane)
@@ -240,6 +246,9 @@
 		return
 	}
 	delete(s.jobs, j.spec.ID)
+	if j.spanning {
+		s.spanning = slices.DeleteFunc(s.spanning, func(o *job) bool { return o == j })
+	}
 	last := s.jobList[len(s.jobList)-1]
 	s.jobList[j.slot], last.slot = last, j.slot
 	s.jobList[len(s.jobList)-1] = nil
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,8 +37,10 @@
 
 	jobs    map[work.JobID]*job
 	jobList []*job
-	fresh   []*job
-	closing []*job
+	// spanning lists the parts of gangs that span shards.
+	spanning []*job
+	fresh    []*job
+	closing  []*job
 	// doubtful lists jobs with tasks that may run on a host not known yet.
 	doubtful []*job
 	aged     agedHeap
--- a/internal/scheduler/whole.go
+++ b/internal/scheduler/whole.go
@@ -102,8 +102,8 @@
 // for another gang, and none would have enough.
 func (s *Scheduler) firstWaiting() map[*limit]*job {
 	first := map[*limit]*job{}
-	for _, j := range s.jobList {
-		if !j.spanning || j.closed || j.waiting == 0 || j.team.limit == nil {
+	for _, j := range s.spanning {
+		if j.closed || j.waiting == 0 || j.team.limit == nil {
 			continue
 		}
 		if k := first[j.team.limit]; k == nil || j.offset < k.offset {
