Leave the default User-Agent out of worker exchanges

An idle exchange is mostly headers, and a name of the HTTP library tells a worker nothing. Idle with 100 workers and 8 entry nodes, 60.0 exchanges a second: 18,593 B/s to workers before, 16,693 B/s after, which is 310 and 278 bytes per exchange. It saves a tenth of the bytes towards workers and does not bring the exchange within its budget.

--- a/internal/platform/worker/http_client.go
+++ b/internal/platform/worker/http_client.go
@@ -54,6 +54,8 @@
 		return resp, verdict.Wrap(err, verdict.DidNotRun, "bad-address")
 	}
 	r.Header.Set("Content-Type", "application/json")
+	// An empty value keeps the default header of 32 bytes out of each exchange.
+	r.Header.Set("User-Agent", "")
 	answer, err := c.client.Do(r)
 	if err != nil {
 		return resp, err
