--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -79,6 +79,7 @@
 	}
 	a.printCost("loaded", r.Loaded)
 	fmt.Fprintf(out, "submissions refused: %d\n", r.Refused)
+	fmt.Fprintf(out, "hosts over capacity or tasks in two places: %d\n", len(r.Broken))
 	if t := r.Takeover; t != nil {
 		fmt.Fprintf(out, "takeover: %d shards, workers of the last one adopted after %.2f s (%d not), it places after %.2f s (%d do not); replacement serves after %.2f s\n",
 			t.Shards, t.AdoptedSeconds, t.NotAdopted, t.Seconds, t.NotBack, t.RebuildSeconds)
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -18,6 +18,8 @@
 	// Refused counts submissions that were not accepted.
 	Refused  int       `json:"refused_submissions"`
 	Takeover *Takeover `json:"takeover,omitempty"`
+	// Broken lists the times at which the workers' journal contradicts I1 or I2.
+	Broken []string `json:"broken_promises,omitempty"`
 	// Faulted describes the faults with their times.
 	Faulted []string `json:"fault_log,omitempty"`
 	series  []point
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
 )
 
 const (
@@ -33,9 +35,13 @@
 		return r, err
 	}
 	if o.Slopes {
-		return r, l.runSlopes(ctx, d, &r)
+		err = l.runSlopes(ctx, d, &r)
+	} else {
+		err = l.runMixed(ctx, d, &r)
 	}
-	return r, l.runMixed(ctx, d, &r)
+	executions := l.cluster.Fleet.Journal().Executions()
+	r.Broken = append(standin.CheckHosts(executions), standin.CheckOnePlace(executions)...)
+	return r, err
 }
 
 // runMixed measures under the mixed load.
