Read the address of a host under the shard's lock

The exchange with a worker read the address from the host's entry without the lock, while a new host list replaces the entry. The address is now copied under the lock; the check of the authority still comes last.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -94,10 +94,13 @@
 func (s *Shard) exchange(h *host, req worker.ExchangeRequest) (worker.ExchangeResponse, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, req.Wait+answerAllowance)
 	defer cancel()
+	s.mu.Lock()
+	address := h.entry.Address
+	s.mu.Unlock()
 	if !s.o.Authority() {
 		return worker.ExchangeResponse{}, 0, verdict.New(verdict.DidNotRun, "no-authority", "authority over shard %s is over", s.o.Shard)
 	}
-	resp, err := s.o.Workers.Exchange(ctx, h.entry.Address, req)
+	resp, err := s.o.Workers.Exchange(ctx, address, req)
 	return resp, s.o.Clock(), err
 }
 
