--- a/internal/devcluster/cluster.go
+++ b/internal/devcluster/cluster.go
@@ -131,6 +131,12 @@
 	return out
 }
 
+// LogURL returns the address of the stand-in for the log.
+func (c *Cluster) LogURL() string { return c.logServer.URL() }
+
+// HostListURL returns the address of the stand-in for the host list.
+func (c *Cluster) HostListURL() string { return c.listServer.URL() }
+
 // Close ends everything at once.
 func (c *Cluster) Close() {
 	c.closing.Do(func() {
--- a/internal/standin/worker/agent.go
+++ b/internal/standin/worker/agent.go
@@ -208,7 +208,7 @@
 	if a.faults.FailAll {
 		t.endsAt, t.outcome = now+failAfter, work.Failed
 	}
-	t.journal = a.journal.begin(Execution{Host: a.id, Attempt: s.Attempt, Size: s.Size, Capacity: a.capacity, Start: now})
+	t.journal = a.journal.begin(Execution{Host: a.id, Attempt: s.Attempt, Size: s.Size, Capacity: a.capacity, Token: req.Token, Start: now})
 	a.tasks[s.Attempt.Task] = t
 	return ""
 }
--- a/internal/standin/worker/check.go
+++ b/internal/standin/worker/check.go
@@ -71,6 +71,26 @@
 	return faults
 }
 
+// CheckTokens returns one line for each start in a shard under a token that is
+// lower than that of an earlier start there. shard gives the shard of a host.
+func CheckTokens(executions []Execution, shard func(host string) string) []string {
+	var faults []string
+	highest := map[string]uint64{}
+	for _, e := range edges(executions) {
+		x := executions[e.index]
+		if !e.start {
+			continue
+		}
+		name := shard(x.Host)
+		if x.Token < highest[name] {
+			faults = append(faults, fmt.Sprintf("%s starts on %s under token %d after a start in %s under %d",
+				x.Attempt, x.Host, x.Token, name, highest[name]))
+		}
+		highest[name] = max(highest[name], x.Token)
+	}
+	return faults
+}
+
 // PeakUse returns the largest sum of cost over the tasks of each group that
 // ran at the same time. Executions without a group are left out.
 func PeakUse(executions []Execution, group func(work.JobID) string, cost func(resource.Vector, string) int64) map[string]int64 {
--- a/internal/standin/worker/journal.go
+++ b/internal/standin/worker/journal.go
@@ -17,6 +17,8 @@
 	Attempt  work.AttemptID
 	Size     resource.Vector
 	Capacity resource.Vector
+	// Token is the fencing token under which the task was started.
+	Token uint64
 	// Start and End are readings of the journal's clock; End is zero while the
 	// task runs.
 	Start   time.Duration
