Test the assembled node on a development cluster

The limit of one test is raised from 90 s to 3 minutes, since the outage test takes most of a minute; no check depends on it.

--- a/internal/devcluster/cluster_test.go
+++ b/internal/devcluster/cluster_test.go
@@ -16,7 +16,7 @@
 )
 
 // testTimeout bounds a test; it is far above what any step needs.
-const testTimeout = 90 * time.Second
+const testTimeout = 3 * time.Minute
 
 // startCluster starts a cluster with the example objects of a deployment.
 func startCluster(t *testing.T, o Options, example string) (*Cluster, context.Context) {
--- /dev/null
+++ b/internal/devcluster/outage_test.go
@@ -0,0 +1,126 @@
+package devcluster
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/medlarpulley/medlarpulley/internal/gateway"
+	"github.com/medlarpulley/medlarpulley/internal/standin/logsvc"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+// Guards against an outage of the log that stops accepted idempotent work,
+// that lets new work in, or that loses the backlog (section 4 of the design).
+func TestLogOutage(t *testing.T) {
+	c, ctx := startCluster(t, DefaultOptions(), "hawkrest")
+	client, err := c.Client("orders-example-secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const tasks = 2400
+	eventually(ctx, t, "submission", func() error {
+		_, err := client.Submit(ctx, batchJob("long", tasks, true, "run=2s"), false)
+		return err
+	})
+	eventually(ctx, t, "first starts", func() error {
+		if running(c) == 0 {
+			return errors.New("nothing runs")
+		}
+		return nil
+	})
+	c.Log.SetFaults(logsvc.Faults{Away: true})
+	away := c.Fleet.Journal().Now()
+	refused, tries := "", 0
+	eventually(ctx, t, "refusal of a new job", func() error {
+		tries++
+		id := fmt.Sprintf("new-%d", tries)
+		_, err := client.Submit(ctx, batchJob(id, 1, true, "run=1ms"), false)
+		var failed *verdict.Error
+		if !errors.As(err, &failed) {
+			t.Fatalf("job %s during the outage: %v", id, err)
+		}
+		if failed.Verdict != verdict.DidNotRun || failed.RetryAfterMillis == 0 {
+			return err
+		}
+		refused = id
+		return nil
+	})
+	if _, err := c.Publish(ctx, limitChange("150 benches")); err == nil {
+		t.Error("a publication was accepted during the outage")
+	}
+	eventually(ctx, t, "starts after the authority of the last renewal", func() error {
+		for _, x := range c.Fleet.Journal().Executions() {
+			if x.Start > away+8*time.Second {
+				return nil
+			}
+		}
+		return errors.New("no late start")
+	})
+	c.Log.SetFaults(logsvc.Faults{})
+	eventually(ctx, t, "end of the backlog", func() error {
+		status, err := client.Status(ctx, "long")
+		if err == nil && (status.State != gateway.StateEnded || status.Tasks[work.Succeeded.String()] != tasks) {
+			err = fmt.Errorf("state %s, tasks %v", status.State, status.Tasks)
+		}
+		return err
+	})
+	for _, x := range c.Fleet.Journal().Executions() {
+		if string(x.Attempt.Task.Job) == refused {
+			t.Errorf("%s was refused as not run and ran", refused)
+		}
+	}
+	checkExecutions(t, c, func(work.JobID) bool { return true })
+}
+
+// Guards against tasks that are lost or doubled when they move to another shard.
+func TestMovesBetweenShards(t *testing.T) {
+	c, ctx := startCluster(t, DefaultOptions(), "hawkrest")
+	client, err := c.Client("orders-example-secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const tasks = 1500
+	eventually(ctx, t, "submission", func() error {
+		_, err := client.Submit(ctx, batchJob("moved", tasks, true, "run=1s"), false)
+		return err
+	})
+	eventually(ctx, t, "first starts", func() error {
+		if running(c) == 0 {
+			return errors.New("nothing runs")
+		}
+		return nil
+	})
+	// One of six workers of a zone remains, so its queue has to go elsewhere.
+	for i := range 5 {
+		c.Fleet.Agent(fmt.Sprintf("worker-%03d", i)).Kill()
+	}
+	eventually(ctx, t, "end of the job", func() error {
+		status, err := client.Status(ctx, "moved")
+		if err == nil && (status.State != gateway.StateEnded || status.Tasks[work.Succeeded.String()] != tasks) {
+			err = fmt.Errorf("state %s, tasks %v", status.State, status.Tasks)
+		}
+		return err
+	})
+	moves := 0
+	for _, r := range c.Log.Appended() {
+		var batch ledgerv1.Batch
+		if err := proto.Unmarshal(r.Payload, &batch); err != nil {
+			t.Fatal(err)
+		}
+		for _, record := range batch.Records {
+			if record.GetMove() != nil {
+				moves++
+			}
+		}
+	}
+	if moves == 0 {
+		t.Error("no task was moved, so the test shows nothing")
+	}
+	checkExecutions(t, c, func(work.JobID) bool { return true })
+}
