Stop at once on SIGTERM before the node has joined

A planned stop waited for the log to take the leave and the handover, up to timing.drain_timeout (10 minutes by default), also in a process that had never joined and owned nothing: serve with a log that refuses connections was still running 25 s after SIGTERM. It now ends after timing.drain_wait with code 0. A member still waits, since nobody else can take its shards over while the log is away.

--- a/cmd/medlarpulley/process_test.go
+++ b/cmd/medlarpulley/process_test.go
@@ -36,10 +36,13 @@
 	address string
 	lines   []string
 	exited  chan struct{}
+	// listening is closed with the first line of log, serving gets the address.
+	listening chan struct{}
+	serving   chan string
 }
 
-// startProcess writes settings and runs serve with them until it serves.
-func startProcess(t *testing.T, name, zone, logURL, listURL string) *process {
+// newProcess writes the settings of a process.
+func newProcess(t *testing.T, name, zone, logURL, listURL string) *process {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), name+".toml")
 	content := fmt.Sprintf("[node]\nname = %q\nzone = %q\nregion = \"region-1\"\n"+
@@ -50,13 +53,24 @@
 	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{name: name, file: file}
-	p.start(t)
-	return p
+	return &process{name: name, file: file}
 }
 
-// start runs the process, also again after it has ended.
+// start runs the process until it serves, also again after it has ended.
 func (p *process) start(t *testing.T) {
+	t.Helper()
+	p.launch(t)
+	select {
+	case p.address = <-p.serving:
+	case <-p.exited:
+		t.Fatalf("%s ended before it served", p.name)
+	case <-time.After(limit):
+		t.Fatalf("%s does not serve", p.name)
+	}
+}
+
+// launch runs the process.
+func (p *process) launch(t *testing.T) {
 	t.Helper()
 	p.cmd = exec.Command(binary, "serve", "-c", p.file)
 	errors, err := p.cmd.StderrPipe()
@@ -66,13 +80,15 @@
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	cmd, exited, serving := p.cmd, make(chan struct{}), make(chan string, 1)
-	p.exited = exited
+	cmd, exited, serving, listening := p.cmd, make(chan struct{}), make(chan string, 1), make(chan struct{})
+	p.exited, p.serving, p.listening = exited, serving, listening
 	go func() {
 		defer close(exited)
 		var lines []string
 		for scan := bufio.NewScanner(errors); scan.Scan(); {
-			lines = append(lines, scan.Text())
+			if lines = append(lines, scan.Text()); len(lines) == 1 {
+				close(listening)
+			}
 			var line struct{ Msg, HTTP string }
 			if json.Unmarshal(scan.Bytes(), &line) == nil && strings.HasSuffix(line.Msg, "Serving.") {
 				serving <- line.HTTP
@@ -88,13 +104,6 @@
 			t.Logf("%s wrote:\n%s", p.name, strings.Join(p.lines[max(0, len(p.lines)-40):], "\n"))
 		}
 	})
-	select {
-	case p.address = <-serving:
-	case <-exited:
-		t.Fatalf("%s ended before it served", p.name)
-	case <-time.After(limit):
-		t.Fatalf("%s does not serve", p.name)
-	}
 }
 
 // wait returns the exit code.
--- a/cmd/medlarpulley/scene_test.go
+++ b/cmd/medlarpulley/scene_test.go
@@ -48,7 +48,9 @@
 	t.Cleanup(cancel)
 	s := &scene{t: t, ctx: ctx, platform: platform}
 	for i, zone := range []string{"zone-a", "zone-b"} {
-		s.processes = append(s.processes, startProcess(t, fmt.Sprintf("entry-%d", i+1), zone, platform.LogURL(), platform.HostListURL()))
+		p := newProcess(t, fmt.Sprintf("entry-%d", i+1), zone, platform.LogURL(), platform.HostListURL())
+		p.start(t)
+		s.processes = append(s.processes, p)
 	}
 	changes, err := devcluster.ExampleChanges("hawkrest")
 	if err != nil {
--- a/cmd/medlarpulley/signals_test.go
+++ b/cmd/medlarpulley/signals_test.go
@@ -84,6 +84,24 @@
 	s.check()
 }
 
+// Guards against a process that cannot be stopped because the log, which it
+// never reached, is away.
+func TestSIGTERMBeforeJoin(t *testing.T) {
+	p := newProcess(t, "entry-1", "zone-a", "http://127.0.0.1:1", "http://127.0.0.1:1")
+	p.launch(t)
+	select {
+	case <-p.listening:
+	case <-time.After(limit):
+		t.Fatal("the process does not listen")
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if code := p.wait(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
 // Guards against work that is lost or doubled with a killed process, and
 // against a restart that does not serve again.
 func TestSIGKILLAndRestart(t *testing.T) {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -32,6 +32,16 @@
 	ctx, cancel := context.WithTimeout(n.ctx, n.settings.Timing.DrainTimeout)
 	defer cancel()
 	left := n.requests.Drain(ctx)
+	if m, ok := n.replica.Member(n.settings.Node.Name); ok && m.Incarnation == n.incarnation {
+		n.leave(ctx)
+	}
+	_ = n.gateway.Shutdown(ctx)
+	n.log.Info("Drained.", "requests_left", left)
+}
+
+// leave hands the shards over and leaves the members. While the log is away it
+// waits, because nobody else can take the shards over.
+func (n *Node) leave(ctx context.Context) {
 	n.owner.handle(ownership.Drain{})
 	select {
 	case <-n.owner.ready:
@@ -42,6 +52,4 @@
 	if err != nil {
 		n.log.Warn("Leave was not logged.", "error", err)
 	}
-	_ = n.gateway.Shutdown(ctx)
-	n.log.Info("Drained.", "requests_left", left)
 }
