--- a/internal/ownership/doc.go
+++ b/internal/ownership/doc.go
@@ -17,7 +17,8 @@
 // member set M that X knows, itself included. X has read at least up to the
 // offset that its last counting renewal declared and not past C, so M is one
 // of the sets in that range. For each of these sets the successor has
-// acknowledgements from more than n-Quorum members of M other than X, so every
+// acknowledgements from more than n-Quorum of the n members of M other than X,
+// none if M is below Quorum, so every
 // quorum of X contains a member P that acknowledged. P had read C, so it does
 // not confirm T afterwards. A confirmation that P gave before is older than
 // PromiseTime, since P does not acknowledge while its promise runs; X's
