--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -79,6 +79,8 @@
 	}
 	for _, m := range c.Members {
 		raw, err := operator.Dump(ctx, "http://"+m.Address())
+		// The rest of a dump is for people: actions of the scheduler have no
+		// form that can be read back.
 		var d struct {
 			Waits map[string]node.WaitSummary `json:"waits"`
 		}
--- a/internal/devcluster/platform.go
+++ b/internal/devcluster/platform.go
@@ -1,11 +1,5 @@
 package devcluster
 
-// LogURL returns the address of the log stand-in.
-func (c *Cluster) LogURL() string { return c.logServer.URL() }
-
-// HostListURL returns the address of the host list stand-in.
-func (c *Cluster) HostListURL() string { return c.listServer.URL() }
-
 // AddWorkers adds n workers to the fleet and to the host list. It is called once,
 // in a cluster that was started without workers.
 func (c *Cluster) AddWorkers(n int) {
