Tell all nodes that a runner says it leaves

Change: the slot keeper asks its runners for their status once a second, unless they have just answered a request, grants no slots of one that leaves and says so in the grant. A borrower tells the keeper what it heard in an answer with its next demand. A later status ends the leaving. Leases are renewed every 500 ms in place of 1 s: with 1 s, a keeper change in that second put the stop beyond 3 s in a property test (rapid).

A node cut off from the keeper still uses its lease to the end, up to about 4 s.

--- a/internal/requests/exchange.go
+++ b/internal/requests/exchange.go
@@ -47,7 +47,10 @@
 		return nil, x.failed(ctx, sl, err)
 	}
 	if resp.Header.Get(runner.HeaderLeaving) == "true" {
-		x.up.with(x.server.clock.Now(), func(t *router.Table) { t.SaidLeaving(sl.pick.Runner.ID, true) })
+		now := x.server.clock.Now()
+		x.up.with(now, func(t *router.Table) { t.SaidLeaving(now, sl.pick.Runner.ID, true) })
+	} else {
+		sl.answered = x.server.clock.Now()
 	}
 	rep := &reply{status: resp.Status, header: passedOn(resp.Header), size: resp.ContentSize, verdict: verdictOf(resp)}
 	readSize := rep.size
--- a/internal/requests/fleet_test.go
+++ b/internal/requests/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/work"
 	peerv1 "github.com/medlarpulley/medlarpulley/proto/peer/v1"
 	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 )
 
 // patience bounds every wait for an event.
@@ -118,7 +119,9 @@
 }
 
 func (p testPeers) LeaseSlots(ctx context.Context, to string, req *peerv1.LeaseSlotsRequest) (*peerv1.LeaseSlotsResponse, error) {
-	return deliver(p, to, (*Server).LeaseSlots, ctx, req)
+	out, err := deliver(p, to, (*Server).LeaseSlots, ctx, req)
+	p.leaseBytes.Add(int64(proto.Size(req) + proto.Size(out)))
+	return out, err
 }
 
 // fleet is some entry nodes in front of some runners of the upstream "u".
@@ -130,6 +133,8 @@
 	mu        sync.Mutex
 	links     map[string]bool
 	onReserve atomic.Pointer[func()]
+	// leaseBytes counts the messages for leases between nodes.
+	leaseBytes atomic.Int64
 }
 
 func testOptions() (Options, runner.Options) {
--- a/internal/requests/leases.go
+++ b/internal/requests/leases.go
@@ -100,7 +100,7 @@
 		u.mu.Unlock()
 		for _, d := range demands {
 			req.Demands = append(req.Demands, &peerv1.SlotDemand{
-				Runner: d.Runner, Want: int32(d.Want), InUse: int32(d.InUse), Held: int32(d.Held),
+				Runner: d.Runner, Want: int32(d.Want), InUse: int32(d.InUse), Held: int32(d.Held), Leaving: d.Leaving,
 			})
 		}
 	})
@@ -125,7 +125,7 @@
 		u.with(s.clock.Now(), func(t *router.Table) {
 			for _, r := range t.Runners() {
 				if g := grants[r.ID]; g != nil {
-					t.Grant(sent, sequence, r.ID, int(g.Slots), time.Duration(g.ExpiresMillis)*time.Millisecond)
+					t.Grant(sent, sequence, r.ID, int(g.Slots), time.Duration(g.ExpiresMillis)*time.Millisecond, g.Leaving)
 				}
 			}
 		})
--- a/internal/requests/options.go
+++ b/internal/requests/options.go
@@ -43,7 +43,8 @@
 	// VoterEntries bounds the ids of non-idempotent requests remembered. A full
 	// voter grants nothing until the oldest are ten minutes old.
 	VoterEntries int
-	// LeaseEvery is the time between two demands to a slot keeper.
+	// LeaseEvery is the time between two demands to a slot keeper. With 1 s, a
+	// keeper change could put off the word that a runner leaves beyond 3 s.
 	LeaseEvery time.Duration
 	// LeaseGap is the least time between two demands when requests begin to
 	// wait. It doubles up to LeaseEvery while they go on waiting.
@@ -59,7 +60,7 @@
 	return Options{
 		Router: router.DefaultOptions(), MaxBody: 64 << 20, Buffer: 64 << 10, BufferTotal: 32 << 20,
 		MaxHeader: 32 << 10, VoterEntries: router.DefaultVoterEntries, DefaultDeadline: 30 * time.Second, PeerTimeout: 500 * time.Millisecond,
-		LeaseEvery: time.Second, LeaseGap: 20 * time.Millisecond, StatusEvery: 100 * time.Millisecond,
+		LeaseEvery: 500 * time.Millisecond, LeaseGap: 20 * time.Millisecond, StatusEvery: 100 * time.Millisecond,
 		Metrics: tally.NoopScope, Log: slog.Default(),
 	}
 }
--- a/internal/requests/rpc.go
+++ b/internal/requests/rpc.go
@@ -69,12 +69,14 @@
 		shard := s.keeper(d.Runner)
 		shard.mu.Lock()
 		slots, ok := shard.keeper.Lend(s.clock.Now(), req.Node, req.Incarnation, req.Sequence, router.Demand{
-			Runner: d.Runner, Want: int(d.Want), InUse: int(d.InUse), Held: int(d.Held),
+			Runner: d.Runner, Want: int(d.Want), InUse: int(d.InUse), Held: int(d.Held), Leaving: d.Leaving,
 		})
+		leaving := shard.keeper.Leaving(d.Runner)
 		shard.mu.Unlock()
 		if ok {
 			out.Grants = append(out.Grants, &peerv1.SlotGrant{
 				Runner: d.Runner, Slots: int32(slots), ExpiresMillis: s.options.Router.LeaseLength.Milliseconds(),
+				Leaving: leaving,
 			})
 		}
 	}
--- a/internal/requests/server.go
+++ b/internal/requests/server.go
@@ -69,6 +69,7 @@
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.workers.Go(s.leaseLoop)
 	s.workers.Go(s.statusLoop)
+	s.workers.Go(s.keptLoop)
 	return s
 }
 
--- a/internal/requests/slot.go
+++ b/internal/requests/slot.go
@@ -12,6 +12,9 @@
 	ticket router.Ticket
 	pick   router.Pick
 	taken  time.Duration
+	// answered is when the head of an answer came that does not say that the
+	// runner leaves, or zero.
+	answered time.Duration
 }
 
 // done gives the slot back.
--- a/internal/requests/statuses.go
+++ b/internal/requests/statuses.go
@@ -65,9 +65,10 @@
 	shard := s.keeper(r.ID)
 	shard.mu.Lock()
 	shard.keeper.Status(asked, r.ID, status.Requests, status.InFlight)
+	shard.keeper.SaidLeaving(asked, r.ID, status.Leaving)
 	shard.mu.Unlock()
 	u.with(s.clock.Now(), func(t *router.Table) {
 		t.ResolveStatus(asked, r.ID, status.Requests, status.InFlight)
-		t.SaidLeaving(r.ID, status.Leaving)
+		t.SaidLeaving(asked, r.ID, status.Leaving)
 	})
 }
--- a/internal/requests/upstream.go
+++ b/internal/requests/upstream.go
@@ -139,6 +139,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	took := now - s.taken
+	if s.answered > 0 {
+		u.table.Heard(s.answered, s.pick.Runner.ID)
+	}
 	u.table.Done(now, s.pick, result, took)
 	u.admission.Done(s.ticket, took, result == router.Answered || result == router.Failed)
 	u.pump(now)
--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -6,4 +6,6 @@
 	Want   int
 	InUse  int
 	Held   int
+	// Leaving is true if the runner told the node that it is about to go.
+	Leaving bool
 }
--- a/internal/router/keeper.go
+++ b/internal/router/keeper.go
@@ -42,7 +42,7 @@
 func (k *Keeper) Keeps(runner string) bool { return k.runners[runner] != nil }
 
 // Lend answers a demand: it returns the slots that the borrower may use for
-// one lease length from its send time. ok is false if the node is not the
+// one lease length from its send time; none of a runner that leaves. ok is false if the node is not the
 // keeper, does not lend yet, or the request is out of order; the borrower then
 // keeps the lease it has until that ends.
 func (k *Keeper) Lend(now time.Duration, node string, incarnation, sequence uint64, d Demand) (slots int, ok bool) {
@@ -67,6 +67,13 @@
 	// Held is a promise to start nothing beyond it until a grant arrives.
 	e.bound = max(d.InUse, d.Held, 0)
 	e.until = LeaseEnd(now, k.options.LeaseLength)
+	if d.Leaving {
+		r.said.heard(now, true)
+	}
+	if r.said.leaving {
+		// Granting nothing is safe beside the leases of an earlier keeper.
+		return 0, true
+	}
 	if now < r.lendAt {
 		return 0, false
 	}
--- a/internal/router/orphan_set.go
+++ b/internal/router/orphan_set.go
@@ -37,4 +37,7 @@
 	inherited int
 	orphans   orphanSet
 	entries   map[borrower]*lendingEntry
+	said      leavingState
+	// asked is the time of the newest status asked for.
+	asked time.Duration
 }
--- a/internal/router/runner_state.go
+++ b/internal/router/runner_state.go
@@ -9,8 +9,14 @@
 type runnerState struct {
 	Runner
 	leaving bool
-	// said is true if the runner itself said that it is about to go.
-	said bool
+	// said is what the runner said about itself, to this node or its keeper.
+	said leavingState
+	// news is true if the runner told this node that it leaves and the keeper
+	// has not yet confirmed to know; told is the request that carried it.
+	news bool
+	told uint64
+	// heard is the time of the runner's last answer to a request.
+	heard time.Duration
 	// gone is true once the runner is off the list. It stays in the table until
 	// its requests have ended, so that a list that forgets it for a while does
 	// not make its slots free.
@@ -46,7 +52,7 @@
 	return r.held - r.inUse()
 }
 
-func (r *runnerState) departing() bool { return r.leaving || r.said || r.gone }
+func (r *runnerState) departing() bool { return r.leaving || r.said.leaving || r.gone }
 
 // eligible is false for a runner that gets no new request now.
 func (r *runnerState) eligible(now time.Duration) bool {
--- a/internal/router/slots_test.go
+++ b/internal/router/slots_test.go
@@ -134,7 +134,7 @@
 	g := m.grants[k]
 	m.grants = append(m.grants[:k], m.grants[k+1:]...)
 	if n := m.nodes[g.node]; !drop && n.incarnation == g.incarnation {
-		n.table.Grant(g.sent, g.sequence, "r", g.slots, m.options.LeaseLength)
+		n.table.Grant(g.sent, g.sequence, "r", g.slots, m.options.LeaseLength, false)
 	}
 }
 
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -46,13 +46,6 @@
 	}
 }
 
-// SaidLeaving records what a runner says about itself.
-func (t *Table) SaidLeaving(id string, leaving bool) {
-	if r, ok := t.byID[id]; ok {
-		r.said = leaving
-	}
-}
-
 // Gone removes a runner as soon as none of its slots is in use.
 func (t *Table) Gone(id string) {
 	if r, ok := t.byID[id]; ok {
--- a/internal/router/table_lease.go
+++ b/internal/router/table_lease.go
@@ -28,21 +28,30 @@
 		r.held = min(r.held, want)
 		r.epoch = sequence
 		r.peak = (r.peak + r.inUse()) / 2
-		out = append(out, Demand{Runner: r.ID, Want: want, InUse: r.inUse(), Held: r.held})
+		if r.news {
+			r.told = sequence
+		}
+		out = append(out, Demand{Runner: r.ID, Want: want, InUse: r.inUse(), Held: r.held, Leaving: r.news})
 	}
 	return out
 }
 
 // Grant installs a lease that the keeper gave in answer to the request with a
 // sequence, sent at a time. An answer to an older request is dropped, since
-// the node may have promised to hold less in the meantime.
-func (t *Table) Grant(sent time.Duration, sequence uint64, runner string, slots int, length time.Duration) {
+// the node may have promised to hold less in the meantime. Leaving is what the
+// keeper knows of the runner; it counts unless this node has newer news.
+func (t *Table) Grant(sent time.Duration, sequence uint64, runner string, slots int, length time.Duration, leaving bool) {
 	r, ok := t.byID[runner]
 	if !ok || sequence != r.epoch {
 		return
 	}
 	r.held = min(slots, r.Slots)
 	r.until = sent + min(length, t.options.LeaseLength)
+	if r.news && r.told != sequence {
+		return
+	}
+	r.news = false
+	r.said = leavingState{leaving: leaving, at: sent}
 }
 
 // Held returns the slots that are leased and those in use, over all runners.
--- a/internal/router/table_test.go
+++ b/internal/router/table_test.go
@@ -21,7 +21,7 @@
 func grantAll(t *Table, now time.Duration) {
 	t.Demands(now, uint64(now)+1, func(string) bool { return true })
 	for _, r := range t.Runners() {
-		t.Grant(now, uint64(now)+1, r.ID, 8, time.Hour)
+		t.Grant(now, uint64(now)+1, r.ID, 8, time.Hour, false)
 	}
 }
 
@@ -88,7 +88,7 @@
 		}
 	}
 	tab.SetLeaving("r0", true)
-	tab.SaidLeaving("r2", true)
+	tab.SaidLeaving(0, "r2", true)
 	if p, ok := tab.Pick(0, "x", nil); ok {
 		t.Fatalf("leaving runner %s got a request", p.Runner.ID)
 	}
