Transfer less between nodes: unchanged host lists, demand of scarce limits only

Cause: at the design size each node read 298 KB/s of host list and exchanged up to 10 KB a time with a peer; allotments spread at 4 transfers a second, 17 s for 68 limits, while tasks waited beside free hosts.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -115,21 +115,46 @@
 		Draining: n.draining.Load(), LogContactAgeMillis: contact.SinceRead.Milliseconds(),
 		PublicationOpen: n.announced.any(n.clock.Now(), !n.logAway()),
 	}
+	scarce := n.scarceLimits()
 	for _, o := range n.shards.all() {
-		out.Shards = append(out.Shards, shardSummary(o, n.clock.Now()))
+		out.Shards = append(out.Shards, shardSummary(o, n.clock.Now(), scarce))
+	}
+	return out
+}
+
+// scarceLimits returns the limits that some shard lacks units of. What a shard
+// holds unused matters only for them; telling all limits of all shards took
+// 10 KB for each exchange with 68 teams.
+func (n *Node) scarceLimits() map[string]bool {
+	out := map[string]bool{}
+	for _, o := range n.shards.all() {
+		for name, use := range o.summary(n.clock.Now()).Limits {
+			if use.Used+use.Waiting > use.Allotted {
+				out[name] = true
+			}
+		}
+	}
+	for _, v := range n.gossip.views() {
+		for _, s := range v.Shards {
+			for _, d := range s.Demand {
+				if d.Used+d.Waiting > d.Allotted {
+					out[d.Limit] = true
+				}
+			}
+		}
 	}
 	return out
 }
 
 // shardSummary returns what this node tells about one of its shards.
-func shardSummary(o *ownedShard, now time.Duration) *peerv1.ShardSummary {
+func shardSummary(o *ownedShard, now time.Duration, scarce map[string]bool) *peerv1.ShardSummary {
 	s := o.summary(now)
 	shard := &peerv1.ShardSummary{
 		Shard: o.name, Token: o.token, Free: resources(s.Free), LargestFree: resources(s.LargestFree),
 		LargestHost: resources(s.LargestHost), Capacity: resources(s.Capacity), WaitingTasks: int32(s.Waiting),
 	}
 	for name, use := range s.Limits {
-		if use.Allotted+use.Used+use.Waiting > 0 {
+		if use.Used+use.Waiting > use.Allotted || (scarce[name] && use.Allotted > 0) {
 			shard.Demand = append(shard.Demand, &peerv1.TeamDemand{Limit: name, Allotted: use.Allotted, Used: use.Used, Waiting: use.Waiting})
 		}
 	}
--- a/internal/platform/hostlist/client.go
+++ b/internal/platform/hostlist/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +35,11 @@
 	url     string
 	timeout time.Duration
 	http    *http.Client
+
+	mu sync.Mutex
+	// tag and known are the entity tag and the hosts of the last whole answer.
+	tag   string
+	known []Host
 }
 
 // NewClient returns a client of the list at a base URL such as
@@ -52,14 +58,16 @@
 		MaxConnsPerHost:     2,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &Client{u.JoinPath(PathHosts).String(), timeout, &http.Client{Transport: transport}}, nil
+	return &Client{url: u.JoinPath(PathHosts).String(), timeout: timeout, http: &http.Client{Transport: transport}}, nil
 }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Hosts implements List. Hosts without an id or with an unknown role are left
-// out, and of several with one id the first counts.
+// out, and of several with one id the first counts. If the list supports entity
+// tags, an unchanged list is not transferred again. The caller must not change
+// the result.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -67,11 +75,18 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "read the host list")
 	}
+	tag, known := c.last()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "read the host list")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if tag != "" && resp.StatusCode == http.StatusNotModified {
+		return known, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("read the host list: status %d", resp.StatusCode)
 	}
@@ -82,7 +97,18 @@
 	if len(answer.Hosts) > MaxHosts {
 		return nil, eris.Errorf("host list has %d entries, at most %d", len(answer.Hosts), MaxHosts)
 	}
-	return usable(answer.Hosts), nil
+	hosts := usable(answer.Hosts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.known = resp.Header.Get("ETag"), hosts
+	return hosts, nil
+}
+
+// last returns the entity tag and the hosts of the last whole answer.
+func (c *Client) last() (tag string, known []Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tag, c.known
 }
 
 func usable(hosts []Host) []Host {
--- a/internal/standin/hostlist/handlers.go
+++ b/internal/standin/hostlist/handlers.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/medlarpulley/medlarpulley/internal/platform/hostlist"
@@ -39,7 +41,19 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	answer(w, hostlist.HostsAnswer{Hosts: hosts})
+	body, err := json.Marshal(hostlist.HostsAnswer{Hosts: hosts})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
 
 // control returns a handler that decodes its body for set.
--- a/internal/standin/hostlist/service_test.go
+++ b/internal/standin/hostlist/service_test.go
@@ -1,6 +1,8 @@
 package hostlist
 
 import (
+	"context"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -94,3 +96,44 @@
 		t.Fatalf("hosts %v, want only a", got)
 	}
 }
+
+// Guards against a client that keeps an old list after it changed, or
+// transfers an unchanged one again.
+func TestUnchangedListIsNotTransferredAgain(t *testing.T) {
+	s := New(time.Now)
+	s.Put(platform.Host{ID: "a", Role: platform.RoleWorker, Address: "x"})
+	server, err := Serve(s, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	client, err := platform.NewClient(server.URL(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for i := range 3 {
+		if i == 2 {
+			s.Put(platform.Host{ID: "b", Role: platform.RoleWorker, Address: "y"})
+		}
+		hosts, err := client.Hosts(context.Background())
+		if err != nil || len(hosts) != 1+i/2 {
+			t.Fatalf("read %d: %d hosts, %v", i, len(hosts), err)
+		}
+	}
+	first, err := http.Get(server.URL() + platform.PathHosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = first.Body.Close()
+	req, _ := http.NewRequest(http.MethodGet, server.URL()+platform.PathHosts, nil)
+	req.Header.Set("If-None-Match", first.Header.Get("ETag"))
+	second, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = second.Body.Close()
+	if second.StatusCode != http.StatusNotModified {
+		t.Fatalf("unchanged list answered with status %d", second.StatusCode)
+	}
+}
