--- a/internal/homing/plan.go
+++ b/internal/homing/plan.go
@@ -190,6 +190,26 @@
 	return out
 }
 
+// queueFactor is how many times the tasks that fit a shard may wait there. Some
+// queue keeps the hosts busy until the next move; a long one would only move
+// the wait.
+const queueFactor = 4
+
+// Refuge returns the shard, other than the given one, with the shortest queue
+// for its size, and how many tasks it may be given. It is for tasks of a shard
+// that has no host that takes tasks, so that waiting there is in vain.
+func Refuge(size resource.Vector, from string, shards []Shard) (name string, count int64) {
+	for _, s := range shards {
+		if s.Name == from || !s.Owned || s.LargestFree.IsZero() && s.Free.IsZero() && s.Waiting == 0 {
+			continue
+		}
+		if n := queueFactor*s.total(size) - s.Waiting; n > count {
+			name, count = s.Name, n
+		}
+	}
+	return name, count
+}
+
 // Target returns the shard, other than the given one, that is best for tasks
 // of a size that found no room, and how many of them it has room for.
 func Target(size resource.Vector, from string, shards []Shard) (name string, room int64) {
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -4,6 +4,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/homing"
 	"github.com/medlarpulley/medlarpulley/internal/scheduler"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/internal/work"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
@@ -12,13 +13,20 @@
 // start here once the other shard may own them.
 func (n *Node) moveTasks(from string, offer scheduler.OfferTasks) {
 	o := n.shards.get(from)
-	to, room := homing.Target(offer.Size, from, n.shardInfos())
-	if o == nil || to == "" || n.logAway() {
+	if o == nil {
+		return
+	}
+	shards := n.shardInfos()
+	to, room := homing.Target(offer.Size, from, shards)
+	if to == "" && o.summary(n.clock.Now()).ReadyHosts == 0 {
+		to, room = homing.Refuge(offer.Size, from, shards)
+	}
+	if to == "" || n.logAway() {
 		return
 	}
 	job, ok := n.replica.Job(offer.Job)
 	count := min(int64(offer.Count), room)
-	if !ok || (job.Job.Kind != 0 && count < int64(offer.Count)) {
+	if !ok || (job.Job.Kind != work.Batch && count < int64(offer.Count)) {
 		return
 	}
 	moved := scheduler.TasksMoved{Job: offer.Job, First: offer.First, Count: int32(count)}
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -149,6 +149,10 @@
 	}()
 }
 
+// offerInterval is how long tasks wait without room before another shard is
+// looked for, and how often that is repeated. A summary of a peer is 2 s old at most.
+const offerInterval = 2 * time.Second
+
 // movePoll is how often a shard that waits for its moves looks at them.
 const movePoll = 100 * time.Millisecond
 
@@ -174,7 +178,7 @@
 		Workers:   n.workers, Log: recorder{n.logClient},
 		Offer:     func(offer scheduler.OfferTasks) { go n.moveTasks(o.name, offer) },
 		Interval:  n.settings.Platform.WorkerInterval,
-		Scheduler: scheduler.New(scheduler.Options{}),
+		Scheduler: scheduler.New(scheduler.Options{OfferAfter: offerInterval, OfferEvery: offerInterval}),
 		Logger:    n.partLog("dispatch"), Scope: n.scope.SubScope("dispatch"),
 		Started: n.waits.started,
 	}
