--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -106,6 +106,7 @@
 		}
 		t.Cleanup(p.logGate.server.Close)
 		p.settings.Platform.LogURL, p.settings.Platform.HostListURL = p.logGate.server.URL, c.HostListURL()
+		p.settings.Platform.WorkerInterval = time.Second
 		p.settings.Cluster.Nodes, p.settings.Cluster.ShardsPerZone = entryNodes, 1
 		p.settings.Operator.Token, p.settings.Timing.DrainWait = operatorToken, 200*time.Millisecond
 		w.processes = append(w.processes, p)
