--- a/internal/platform/worker/http_client.go
+++ b/internal/platform/worker/http_client.go
@@ -58,6 +58,9 @@
 	r.Header.Set("User-Agent", "")
 	answer, err := c.client.Do(r)
 	if err != nil {
+		// The connection may be silent for good, and unused ones to the same
+		// address with it, so the next exchange opens a fresh one.
+		c.client.CloseIdle()
 		return resp, err
 	}
 	defer answer.Body.Close()
