Let the greedy job of the matrix run long enough for units to be returned

Cause: the step return waits for a transfer to the pool; with 300 ms tasks the job could end before other shards heard of its demand, and 4 cells were not reached. Change: its tasks run for 2.5 s at that step. Conclusion: the event no longer depends on the phase of the exchanges.

--- a/internal/faultmatrix/step_test.go
+++ b/internal/faultmatrix/step_test.go
@@ -58,8 +58,8 @@
 	{"append", publication, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetPublication() != nil })},
 	{"apply", publication, func(c *cell) (place, bool) { return c.entry(), c.trace.answered.Load() }},
 	{"renew", func(*cell) {}, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetRenewal() != nil })},
-	{"lend", greedyJob, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().From == "" })},
-	{"return", greedyJob, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().To == "" })},
+	{"lend", greedyJob("run=300ms"), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().From == "" })},
+	{"return", greedyJob("run=2500ms"), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().To == "" })},
 	{"drain", stopOwner(syscall.SIGTERM), func(c *cell) (place, bool) { return c.entry(), true }},
 	{"hand over", stopOwner(syscall.SIGTERM), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetRelease() != nil })},
 	{"claim", stopOwner(syscall.SIGTERM), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetClaim() != nil })},
@@ -74,11 +74,15 @@
 
 func publication(c *cell) { c.changeLimit(c.first, c.trace) }
 
-// greedyJob wants more of the limit than one shard has by itself.
-func greedyJob(c *cell) {
-	spec := job(c.id, patternsSeats, true, "run=300ms")
-	spec.Team, spec.Queue = "patterns", "nightly"
-	c.submit(c.first, patternsKey, spec, c.trace, false)
+// greedyJob wants more of the limit than one shard has by itself. Other shards
+// hear of that from summaries that are exchanged every 2 s, so they return units
+// only if the tasks run for longer.
+func greedyJob(command string) func(*cell) {
+	return func(c *cell) {
+		spec := job(c.id, patternsSeats, true, command)
+		spec.Team, spec.Queue = "patterns", "nightly"
+		c.submit(c.first, patternsKey, spec, c.trace, false)
+	}
 }
 
 // stopOwner signals a node that owns a shard.
