--- a/cmd/medlarpulley/main.go
+++ b/cmd/medlarpulley/main.go
@@ -19,6 +19,6 @@
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
 	return cli.Run(ctx, os.Args[1:], cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cli.Runners{
-		Serve: serve, Dev: dev, Measure: runMeasure,
+		Serve: serve, Entry: entry, Dev: dev, Measure: runMeasure,
 	})
 }
--- /dev/null
+++ b/internal/cell/node/election.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+)
+
+const (
+	// silence is how long the owner may write nothing before it counts as gone.
+	// Its heartbeats come every 400 ms.
+	silence = 1200 * time.Millisecond
+	// rankStep is the time between the claims of successive candidates when the
+	// owner is silent, and freeStep when nobody owns the cell for certain.
+	rankStep = 250 * time.Millisecond
+	freeStep = 120 * time.Millisecond
+	// evidence is how old the last read may be when the owner is called silent.
+	evidence = 600 * time.Millisecond
+)
+
+// election decides when this node claims the ownership. It reads no clock.
+type election struct {
+	self registry.Node
+	// beats and beatAt follow the records of the owner.
+	beats  int64
+	beatAt time.Duration
+	// freeAt is when the ownership was first seen to be free; zero if it is not.
+	freeAt time.Duration
+	// retryAt holds back the next claim after a failed one.
+	retryAt time.Duration
+}
+
+// view is what the election decides on.
+type view struct {
+	owner registry.Owner
+	beats int64
+	nodes map[string]registry.Node
+	// asOf is a time such that all earlier records have been read.
+	asOf time.Duration
+}
+
+// due reports whether to claim now.
+func (e *election) due(now time.Duration, v view) bool {
+	if v.beats != e.beats || e.beatAt == 0 {
+		e.beats, e.beatAt = v.beats, now
+	}
+	if !v.free() {
+		e.freeAt = 0
+	} else if e.freeAt == 0 {
+		e.freeAt = now
+	}
+	if now < e.retryAt || v.owner.Boot == e.self.Boot && !v.owner.Released {
+		return false
+	}
+	rank := time.Duration(e.rank(v))
+	if e.freeAt != 0 {
+		return now >= e.freeAt+rank*freeStep
+	}
+	return now >= e.beatAt+silence+rank*rankStep && v.asOf >= now-evidence
+}
+
+// free reports whether nobody owns the cell for certain: there was no owner,
+// it has released the ownership, or its process has been replaced.
+func (v view) free() bool {
+	if v.owner.Node == "" || v.owner.Released {
+		return true
+	}
+	n, ok := v.nodes[v.owner.Node]
+	return ok && n.Boot != v.owner.Boot
+}
+
+// rank returns the place of this node among the candidates for the next term.
+func (e *election) rank(v view) int {
+	var names []string
+	for _, n := range v.nodes {
+		if !n.Left && (n.Name != v.owner.Node || n.Boot != v.owner.Boot) {
+			names = append(names, n.Name)
+		}
+	}
+	if !slices.Contains(names, e.self.Name) {
+		names = append(names, e.self.Name)
+	}
+	token := strconv.FormatInt(v.owner.Token+1, 10)
+	slices.SortFunc(names, func(a, b string) int {
+		if c := cmp.Compare(order(token, a), order(token, b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return slices.Index(names, e.self.Name)
+}
+
+func order(token, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(token + "/" + name)) // a hash never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/cell/node/node.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/config"
+	"github.com/medlarpulley/medlarpulley/internal/cell/front"
+	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
+	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
+	"github.com/medlarpulley/medlarpulley/internal/logging"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+const (
+	// workWait is how long the store holds back a read of the work topic.
+	workWait = 400 * time.Millisecond
+	// ownerPace and followerPace group the records of the work topic.
+	ownerPace    = 5 * time.Millisecond
+	followerPace = 40 * time.Millisecond
+	// desiredWait is how long the store holds back a read of the desired state.
+	// An answer proves that the state was fresh when the read was sent.
+	desiredWait = time.Second
+	// revokeMargin is left of the time in which a withdrawn key must stop working.
+	revokeMargin = 700 * time.Millisecond
+	// currentWithin is how old the state of submissions may be to be told.
+	currentWithin = 2 * time.Second
+)
+
+// Node is one entry process.
+type Node struct {
+	s       config.Settings
+	log     *slog.Logger
+	clock   cell.Clock
+	self    registry.Node
+	store   *platform.Store
+	runners *platform.Runners
+	advice  *platform.Advice
+	pool    *peers.Pool
+
+	registry *registry.Registry
+	work     *worklog.Follower
+	desires  *worklog.Follower
+	appender *worklog.Appender
+	front    *front.Front
+
+	desired  atomic.Pointer[cell.Desired]
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	term  *term
+	claim *claim
+	terms sync.WaitGroup
+}
+
+// New prepares a process.
+func New(s config.Settings, log *slog.Logger) (*Node, error) {
+	boot := make([]byte, 8)
+	if _, err := rand.Read(boot); err != nil {
+		return nil, eris.Wrap(err, "boot id")
+	}
+	n := &Node{
+		s: s, log: log, clock: bootClock{},
+		self:    registry.Node{Name: s.Node.Name, Boot: hex.EncodeToString(boot), Address: s.Listen.Peers, Zone: s.Node.Zone},
+		store:   platform.NewStore(s.Platform.Store),
+		runners: platform.NewRunners(),
+		advice:  platform.NewAdvice(s.Platform.Advice),
+	}
+	part := func(name string) *slog.Logger { return logging.Part(log, name) }
+	n.registry = registry.New(part("registry"))
+	n.pool = peers.NewPool(n.clock, part("peers"), s.Node.Name, n)
+	n.appender = worklog.NewAppender(n.store, part("append"), platform.TopicWork, n.self.Name+"/"+n.self.Boot)
+	n.work = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
+		Topic: platform.TopicWork, Wait: workWait, Pace: n.pace,
+	}, n.applyWork)
+	n.desires = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
+		Topic: platform.TopicDesired, Wait: desiredWait,
+	}, n.applyDesired)
+	n.front = &front.Front{State: n, Records: n.appender, Logger: part("front"), Wall: wall}
+	return n, nil
+}
+
+func (n *Node) pace() time.Duration {
+	if n.owner() != nil {
+		return ownerPace
+	}
+	return followerPace
+}
+
+func (n *Node) owner() *owner.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.term == nil {
+		return nil
+	}
+	return n.term.owner
+}
+
+// applyDesired applies records that operators wrote.
+func (n *Node) applyDesired(p worklog.Page) {
+	for _, r := range p.Records {
+		if r.Key != platform.KeyDesired {
+			continue
+		}
+		d, err := platform.DecodeDesired(r.Value)
+		if err != nil {
+			n.log.Error("node: A desired state cannot be read and is ignored.", "offset", r.Offset, "error", err)
+			continue
+		}
+		if old := n.desired.Load(); old != nil && d.Version < old.Version {
+			continue
+		}
+		n.desired.Store(d)
+		n.log.Info("node: A desired state is in force.", "version", d.Version, "offset", r.Offset, "queues", len(d.Queues), "teams", len(d.Teams))
+		if o := n.owner(); o != nil {
+			o.SetDesired(d)
+		}
+	}
+}
+
+// applyWork applies records of the work topic, and begins a term at the very
+// record that claims it.
+func (n *Node) applyWork(p worklog.Page) {
+	for _, r := range p.Records {
+		n.registry.Apply(r)
+		if registry.IsOwner(r) {
+			n.ownerRead(r.Offset)
+		}
+		if registry.IsNode(r) {
+			n.pool.SetNodes(n.addresses())
+		}
+	}
+}
+
+func (n *Node) addresses() map[string]string {
+	out := make(map[string]string)
+	for name, other := range n.registry.Nodes() {
+		if !other.Left && name != n.self.Name {
+			out[name] = other.Address
+		}
+	}
+	return out
+}
+
+// Advise implements peers.Handler.
+func (n *Node) Advise(ctx context.Context, r *peers.AdviseRequest) (*peers.AdviseResponse, error) {
+	tickets, err := n.advice.Ask(ctx, r.Group, r.Hosts)
+	return &peers.AdviseResponse{Tickets: tickets}, err
+}
+
+// Desired implements front.State.
+func (n *Node) Desired() (d *cell.Desired, fresh bool) {
+	asOf, ok := n.desires.AsOf()
+	age := n.clock.Now() - asOf
+	return n.desired.Load(), ok && age < config.Millis(n.s.Bounds.RevokeMs)-revokeMargin
+}
+
+// Find implements front.State.
+func (n *Node) Find(id string) (registry.Entry, bool) { return n.registry.Find(id) }
+
+// Pending implements front.State.
+func (n *Node) Pending(queue string) int { return n.registry.Pending(queue) }
+
+// CatchUp implements front.State.
+func (n *Node) CatchUp(ctx context.Context) error { return n.work.CatchUp(ctx) }
+
+// Current implements front.State.
+func (n *Node) Current() bool {
+	asOf, ok := n.work.AsOf()
+	return ok && n.clock.Now()-asOf < currentWithin
+}
+
+// ready reports whether the node can serve callers.
+func (n *Node) ready() bool {
+	d, fresh := n.Desired()
+	return d != nil && fresh && n.Current() && !n.draining.Load()
+}
--- /dev/null
+++ b/internal/cell/node/term.go
@@ -0,0 +1,261 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/config"
+	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
+	"github.com/medlarpulley/medlarpulley/internal/logging"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+const (
+	// electionTick is the time between two looks at the ownership.
+	electionTick = 40 * time.Millisecond
+	// claimFor bounds an attempt to claim.
+	claimFor = 2 * time.Second
+	// claimPause is the wait after a claim that failed or lost.
+	claimPause = 300 * time.Millisecond
+	// hostsWait is how long the store holds back a read of the list of hosts.
+	hostsWait = time.Second
+	// hostsPace groups the reports of hosts.
+	hostsPace = 250 * time.Millisecond
+	// keepMargin is added to the time for which callers may ask for ended work.
+	keepMargin = 30 * time.Second
+	maxSeq     = 1 << 30
+)
+
+// claim is an attempt to own the cell.
+type claim struct {
+	owner   registry.Owner
+	journal *worklog.Journal
+	sent    time.Duration
+	// former is the owner before.
+	former registry.Owner
+}
+
+// term is the time in which this node owns the cell.
+type term struct {
+	claim  *claim
+	owner  *owner.Owner
+	cancel context.CancelFunc
+	hosts  map[string]cell.Host
+	// stored are the hosts in the log.
+	stored map[string]cell.Host
+	change chan struct{}
+}
+
+// elect claims the ownership whenever it is due.
+func (n *Node) elect(ctx context.Context) {
+	e := &election{self: n.self}
+	t := time.NewTicker(electionTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		asOf, ok := n.work.AsOf()
+		if !ok || n.desired.Load() == nil || n.draining.Load() {
+			continue
+		}
+		o, beats := n.registry.Owner()
+		v := view{owner: o, beats: beats, nodes: n.registry.Nodes(), asOf: asOf}
+		if n.owner() == nil && e.due(n.clock.Now(), v) {
+			n.tryClaim(ctx, o)
+			e.retryAt = n.clock.Now() + claimPause
+		}
+	}
+}
+
+// tryClaim appends a claim. The term begins when the claim is read back, since
+// only the log tells which of several claims came first.
+func (n *Node) tryClaim(ctx context.Context, former registry.Owner) {
+	log := logging.Part(n.log, "election")
+	next := registry.Owner{Node: n.self.Name, Boot: n.self.Boot, Token: former.Token + 1}
+	c := &claim{
+		owner: next, former: former, sent: n.clock.Now(),
+		journal: worklog.NewJournal(n.store, log, platform.TopicWork, next.Token, rand.Int64N(maxSeq)),
+	}
+	n.mu.Lock()
+	n.claim = c
+	n.mu.Unlock()
+	log.Info("The ownership is claimed.", "token", next.Token, "former", former.Node, "released", former.Released)
+	ctx, cancel := context.WithTimeout(ctx, claimFor)
+	defer cancel()
+	if err := c.journal.Claim(ctx, registry.OwnerRecord(next)); err != nil {
+		log.Info("The claim was not stored.", "token", next.Token, "error", err)
+	}
+}
+
+// ownerRead is called for each record of an owner, in the order of the log.
+func (n *Node) ownerRead(offset uint64) {
+	o, _ := n.registry.Owner()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.term != nil {
+		if o.Token > n.term.claim.owner.Token {
+			n.endTerm("another owner has claimed")
+		}
+		return
+	}
+	c := n.claim
+	if c == nil || o.Released || o.Boot != n.self.Boot || o.Token != c.owner.Token {
+		return
+	}
+	n.claim = nil
+	n.beginTerm(c, offset)
+}
+
+func (n *Node) beginTerm(c *claim, offset uint64) {
+	log := logging.Part(n.log, "owner")
+	log.Info("A term as owner begins.", "token", c.owner.Token, "offset", offset, "submissions", n.registry.Len())
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &term{claim: c, cancel: cancel, hosts: make(map[string]cell.Host), stored: make(map[string]cell.Host), change: make(chan struct{}, 1)}
+	for _, h := range n.registry.Hosts() {
+		t.stored[h.ID] = h
+	}
+	t.owner = owner.New(owner.Options{
+		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
+		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
+		FormerGone: func() bool { return n.processGone(c.former) },
+		MaxLease:   config.Millis(n.s.Bounds.MaxLeaseMs), KeepFor: config.Seconds(n.s.Bounds.StatusSeconds) + keepMargin,
+		GangTimeout: config.Millis(n.s.Bounds.GangTimeoutMs), RemotePenalty: n.s.Bounds.RemotePenalty,
+	})
+	if d := n.desired.Load(); d != nil {
+		t.owner.SetDesired(d)
+	}
+	t.owner.Load(n.registry.All())
+	n.registry.Listen(t.owner)
+	n.term = t
+	n.terms.Add(2)
+	go func() {
+		defer n.terms.Done()
+		t.owner.Run(ctx)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.term == t {
+			n.endTerm("deposed")
+		}
+	}()
+	go func() {
+		defer n.terms.Done()
+		n.followHosts(ctx, t)
+	}()
+}
+
+// processGone reports whether the process of a former owner is over: it has
+// given up, there was none, or a newer process of that node is known.
+func (n *Node) processGone(former registry.Owner) bool {
+	if former.Node == "" || former.Released || former.Node == n.self.Name {
+		return true
+	}
+	other, ok := n.registry.Nodes()[former.Node]
+	return ok && other.Boot != former.Boot
+}
+
+// endTerm ends the term. The caller holds the lock.
+func (n *Node) endTerm(reason string) {
+	n.log.Info("owner: The term ends.", "token", n.term.claim.owner.Token, "reason", reason)
+	n.registry.Listen(nil)
+	n.term.cancel()
+	n.term = nil
+}
+
+// followHosts follows the platform's list of hosts during a term.
+func (n *Node) followHosts(ctx context.Context, t *term) {
+	f := worklog.NewFollower(n.store, n.clock, logging.Part(n.log, "hosts"), worklog.Options{
+		Topic: platform.TopicHosts, Wait: hostsWait, Pace: func() time.Duration { return hostsPace },
+	}, func(p worklog.Page) { n.applyHosts(ctx, t, p) })
+	f.Run(ctx)
+}
+
+func (n *Node) applyHosts(ctx context.Context, t *term, p worklog.Page) {
+	if p.Rebuilt {
+		clear(t.hosts)
+	}
+	for _, r := range p.Records {
+		if len(r.Value) == 0 {
+			delete(t.hosts, r.Key)
+			continue
+		}
+		h, err := platform.DecodeHost(r.Key, r.Value)
+		if err != nil {
+			n.log.Warn("hosts: An entry names no host to use.", "error", err)
+			delete(t.hosts, r.Key)
+			continue
+		}
+		t.hosts[r.Key] = h
+	}
+	n.useHosts(ctx, t)
+}
+
+// useHosts stores a changed set of hosts before any of them is used: a later
+// owner has to know where runs may be.
+func (n *Node) useHosts(ctx context.Context, t *term) {
+	listed := make([]cell.Host, 0, len(t.hosts))
+	for _, h := range t.hosts {
+		listed = append(listed, h)
+	}
+	all := make(map[string]cell.Host)
+	for _, h := range t.owner.Known() {
+		all[h.ID] = h
+	}
+	if len(all) == 0 {
+		for id, h := range t.stored {
+			all[id] = h
+		}
+	}
+	changed := false
+	for _, h := range listed {
+		old, ok := t.stored[h.ID]
+		changed = changed || !ok || old.Address != h.Address
+		all[h.ID] = h
+	}
+	union := make([]cell.Host, 0, len(all))
+	for _, h := range all {
+		union = append(union, h)
+	}
+	byID := func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) }
+	slices.SortFunc(union, byID)
+	slices.SortFunc(listed, byID)
+	if changed {
+		if err := t.claim.journal.Store(ctx, []platform.Record{registry.HostsRecord(union)}); err != nil {
+			n.log.Warn("hosts: The list of hosts is not stored.", "error", err)
+			return
+		}
+		t.stored = all
+	}
+	t.owner.SetHosts(ctx, union, listed)
+}
+
+// release ends the term in good order, so that another node can claim at once.
+func (n *Node) release(ctx context.Context) {
+	n.mu.Lock()
+	t := n.term
+	n.mu.Unlock()
+	if t == nil {
+		return
+	}
+	done := t.owner.Stop(ctx)
+	o := t.claim.owner
+	o.Released = done
+	if done {
+		if err := t.claim.journal.Store(ctx, []platform.Record{registry.OwnerRecord(o)}); err != nil {
+			n.log.Warn("owner: The release is not stored.", "error", err)
+		}
+	}
+	n.mu.Lock()
+	if n.term == t {
+		n.endTerm("released")
+	}
+	n.mu.Unlock()
+}
--- /dev/null
+++ b/internal/cell/peers/codec.go
@@ -0,0 +1,19 @@
+package peers
+
+import (
+	"encoding/json"
+
+	"google.golang.org/grpc/encoding"
+)
+
+// codecName selects the codec in the content type of a call.
+const codecName = "json"
+
+// codec encodes messages as JSON.
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)      { return json.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+func (codec) Name() string                       { return codecName }
+
+func init() { encoding.RegisterCodec(codec{}) }
--- /dev/null
+++ b/internal/cell/peers/lane.go
@@ -0,0 +1,57 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	// longCall divides calls: a short one must not wait behind a long one.
+	longCall = 150 * time.Millisecond
+	// shortInFlight is how many short calls a lane takes at a time: one is
+	// answered while the next one travels.
+	shortInFlight = 2
+	// downFor is how long a lane is not used after a failed call.
+	downFor = time.Second
+)
+
+// lane is a node as a way to the advice service.
+type lane struct {
+	name, address string
+	// local is set for the lane of this node.
+	local     Handler
+	conn      *grpc.ClientConn
+	short     int
+	long      int
+	downUntil time.Duration
+}
+
+// takes reports whether the lane is free for a call.
+func (l *lane) takes(long bool, now time.Duration) bool {
+	if now < l.downUntil || l.long > 0 {
+		return false
+	}
+	if long {
+		return l.short == 0
+	}
+	return l.short < shortInFlight
+}
+
+func (l *lane) call(ctx context.Context, r *AdviseRequest) (*AdviseResponse, error) {
+	if l.local != nil {
+		return l.local.Advise(ctx, r)
+	}
+	var out AdviseResponse
+	err := l.conn.Invoke(ctx, "/"+serviceName+"/"+adviseMethod, r, &out, grpc.CallContentSubtype(codecName))
+	return &out, err
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithNoProxy())
+	return conn, eris.Wrapf(err, "connect to node at %s", address)
+}
--- /dev/null
+++ b/internal/cell/registry/registry.go
@@ -0,0 +1,307 @@
+package registry
+
+import (
+	"encoding/json"
+	"hash/maphash"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// shards is the number of parts of the submissions, each under its own lock.
+const shards = 16
+
+// Listener hears of changes in the order of the log.
+type Listener interface {
+	// Submitted is called once for each submission.
+	Submitted(e Entry)
+	// CancelRequested is called when a cancellation is read.
+	CancelRequested(id string)
+}
+
+// Registry is the state of the work topic as far as it has been read. Apply is
+// called by one goroutine; all other methods by any.
+type Registry struct {
+	log    *slog.Logger
+	seed   maphash.Seed
+	shards [shards]shard
+
+	mu       sync.RWMutex
+	owner    Owner
+	ownerAt  uint64
+	beats    int64
+	nodes    map[string]Node
+	hosts    []cell.Host
+	listener Listener
+}
+
+type shard struct {
+	mu      sync.RWMutex
+	entries map[string]*Entry
+}
+
+// New returns an empty registry.
+func New(log *slog.Logger) *Registry {
+	r := &Registry{log: log, seed: maphash.MakeSeed(), nodes: make(map[string]Node)}
+	for i := range r.shards {
+		r.shards[i].entries = make(map[string]*Entry)
+	}
+	return r
+}
+
+func (r *Registry) shard(id string) *shard {
+	return &r.shards[maphash.String(r.seed, id)%shards]
+}
+
+// Listen sets who hears of changes; nil for nobody. Like Apply it is called by
+// the goroutine that reads the log.
+func (r *Registry) Listen(l Listener) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listener = l
+}
+
+// Apply applies one record.
+func (r *Registry) Apply(rec platform.Record) {
+	var err error
+	switch key := rec.Key; {
+	case key == keyOwner:
+		err = r.applyOwner(rec)
+	case key == keyHosts:
+		err = r.applyHosts(rec)
+	case strings.HasPrefix(key, prefixNode):
+		err = r.applyNode(rec)
+	case strings.HasPrefix(key, prefixSubmission):
+		err = r.applySubmission(key[len(prefixSubmission):], rec)
+	case strings.HasPrefix(key, prefixProgress):
+		err = r.applyProgress(key[len(prefixProgress):], rec)
+	case strings.HasPrefix(key, prefixCancel):
+		r.applyCancel(key[len(prefixCancel):], rec)
+	default:
+		r.log.Warn("A record with an unknown key is ignored.", "key", rec.Key, "offset", rec.Offset)
+	}
+	if err != nil {
+		r.log.Error("A record cannot be read and is ignored.", "key", rec.Key, "offset", rec.Offset, "error", err)
+	}
+}
+
+func (r *Registry) applyOwner(rec platform.Record) error {
+	var o Owner
+	if err := json.Unmarshal(rec.Value, &o); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec.Offset < r.ownerAt || o.Token < r.owner.Token {
+		return nil
+	}
+	r.owner, r.ownerAt = o, rec.Offset
+	r.beats++
+	return nil
+}
+
+func (r *Registry) applyHosts(rec platform.Record) error {
+	var hosts []cell.Host
+	if err := json.Unmarshal(rec.Value, &hosts); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts = hosts
+	return nil
+}
+
+func (r *Registry) applyNode(rec platform.Record) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(rec.Value) == 0 {
+		delete(r.nodes, rec.Key[len(prefixNode):])
+		return nil
+	}
+	var n Node
+	if err := json.Unmarshal(rec.Value, &n); err != nil {
+		return err
+	}
+	r.nodes[n.Name] = n
+	return nil
+}
+
+func (r *Registry) applySubmission(id string, rec platform.Record) error {
+	s := r.shard(id)
+	if len(rec.Value) == 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.entries, id)
+		return nil
+	}
+	var sub cell.Submission
+	if err := json.Unmarshal(rec.Value, &sub); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	e := s.entry(id)
+	if e.Submission != nil {
+		s.mu.Unlock()
+		return nil // a submission that is handed in again stays one
+	}
+	e.Submission, e.Offset = &sub, rec.Offset
+	copied := *e
+	s.mu.Unlock()
+	if l := r.listening(); l != nil {
+		l.Submitted(copied)
+	}
+	return nil
+}
+
+func (r *Registry) applyProgress(id string, rec platform.Record) error {
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(rec.Value) == 0 {
+		return nil // the record that drops the submission follows
+	}
+	e := s.entry(id)
+	if rec.Offset < e.progressOffset {
+		return nil
+	}
+	e.progressOffset = rec.Offset
+	// Decoding into a new value: maps of the old one may be in use.
+	var p cell.Progress
+	if err := json.Unmarshal(rec.Value, &p); err != nil {
+		return err
+	}
+	e.Progress = p
+	r.countBeat()
+	if p.State.Final() && e.Submission != nil {
+		e.Submission = trimmed(e.Submission)
+	}
+	return nil
+}
+
+// trimmed returns a copy without what only running work needs.
+func trimmed(s *cell.Submission) *cell.Submission {
+	return &cell.Submission{ID: s.ID, Team: s.Team, Queue: cell.Queue{Name: s.Queue.Name}, Occurrences: s.Occurrences}
+}
+
+func (r *Registry) applyCancel(id string, rec platform.Record) {
+	if len(rec.Value) == 0 {
+		return
+	}
+	s := r.shard(id)
+	s.mu.Lock()
+	s.entry(id).Cancelled = true
+	s.mu.Unlock()
+	if l := r.listening(); l != nil {
+		l.CancelRequested(id)
+	}
+}
+
+func (s *shard) entry(id string) *Entry {
+	e := s.entries[id]
+	if e == nil {
+		e = &Entry{}
+		s.entries[id] = e
+	}
+	return e
+}
+
+func (r *Registry) listening() Listener {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.listener
+}
+
+func (r *Registry) countBeat() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.beats++
+}
+
+// Find returns a copy of what is stored about a submission.
+func (r *Registry) Find(id string) (Entry, bool) {
+	s := r.shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e := s.entries[id]
+	if e == nil || e.Submission == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// All returns a copy of every entry, in the order of acceptance.
+func (r *Registry) All() []Entry {
+	var all []Entry
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for _, e := range s.entries {
+			if e.Submission != nil {
+				all = append(all, *e)
+			}
+		}
+		s.mu.RUnlock()
+	}
+	slices.SortFunc(all, func(a, b Entry) int {
+		if a.Offset != b.Offset {
+			if a.Offset < b.Offset {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.Submission.ID, b.Submission.ID)
+	})
+	return all
+}
+
+// Pending returns how many accepted submissions of a queue have not begun.
+func (r *Registry) Pending(queue string) (n int) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		for _, e := range s.entries {
+			if e.Submission != nil && e.Submission.Queue.Name == queue && e.State() == cell.Queued {
+				n++
+			}
+		}
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+// Owner returns the owner, and how many records of an owner have been read.
+func (r *Registry) Owner() (o Owner, beats int64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.owner, r.beats
+}
+
+// Nodes returns the known nodes by name.
+func (r *Registry) Nodes() map[string]Node {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return maps.Clone(r.nodes)
+}
+
+// Hosts returns the hosts that the owners have used.
+func (r *Registry) Hosts() []cell.Host {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return slices.Clone(r.hosts)
+}
+
+// Len returns the number of stored submissions.
+func (r *Registry) Len() (n int) {
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.RLock()
+		n += len(s.entries)
+		s.mu.RUnlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/cell/schedule/advice.go
@@ -0,0 +1,142 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+const (
+	// ticketMargin is the part of a ticket's validity that is left for the start
+	// order to arrive.
+	ticketMargin = 150 * time.Millisecond
+	// namedShare bounds the hosts named in one call: naming them takes about
+	// this share of the time of the decision itself.
+	namedShare = 0.5
+	minNamed   = 16
+	maxNamed   = 100
+	// askPause is the wait after a call that failed.
+	askPause = 100 * time.Millisecond
+)
+
+// advice is what the advice service has said about a group.
+type advice struct {
+	tickets  map[string]ticket
+	denied   map[string]bool
+	inFlight bool
+	notUntil time.Duration
+}
+
+// ticket lets tasks of a group start on a host for some time.
+type ticket struct {
+	value   string
+	expires time.Duration
+	born    int64
+}
+
+// policy returns the advice policy of the group's queue; nil if it needs none.
+func (g *group) policy() *cell.AdvicePolicy { return g.job.queue.Advice }
+
+// approved reports whether the group may run on a host, whether or not its
+// ticket is still valid.
+func (g *group) approved(h *host) bool {
+	if g.policy() == nil {
+		return true
+	}
+	_, ok := g.advice.tickets[h.spec.ID]
+	return ok
+}
+
+// ticketFor returns a valid ticket for a host.
+func (g *group) ticketFor(h *host, now time.Duration) (string, bool) {
+	if g.policy() == nil {
+		return "", true
+	}
+	t, ok := g.advice.tickets[h.spec.ID]
+	if !ok || now >= t.expires || t.born != h.born {
+		return "", false
+	}
+	return t.value, true
+}
+
+// nameable returns how many hosts one call may name.
+func nameable(p *cell.AdvicePolicy) int {
+	if p.PerHost <= 0 {
+		return maxNamed
+	}
+	return min(max(int(namedShare*float64(p.Decision)/float64(p.PerHost)), minNamed), maxNamed)
+}
+
+// ask plans a call that names hosts.
+func (s *Scheduler) ask(g *group, hosts []*host) {
+	if len(hosts) == 0 || g.advice.inFlight || s.now < g.advice.notUntil {
+		return
+	}
+	names := make([]string, len(hosts))
+	for i, h := range hosts {
+		names[i] = h.spec.ID
+	}
+	p := g.policy()
+	g.advice.inFlight = true
+	s.plan.Asks = append(s.plan.Asks, Ask{
+		Group: g.id, Hosts: names, Cost: p.Cost(len(names)), Priority: g.job.queue.Priority, Validity: p.Validity,
+	})
+}
+
+// askUndecided asks about hosts that the service has not judged for the group.
+// It reports whether a call is planned or on its way.
+func (s *Scheduler) askUndecided(g *group) bool {
+	if g.advice.inFlight {
+		return true
+	}
+	var hosts []*host
+	for _, h := range s.order {
+		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h.spec.ID] {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortStableFunc(hosts, func(a, b *host) int {
+		return slots(g.size, b.free()) - slots(g.size, a.free())
+	})
+	if n := nameable(g.policy()); len(hosts) > n {
+		hosts = hosts[:n]
+	}
+	s.ask(g, hosts)
+	return len(hosts) > 0
+}
+
+// Advised records the answer of a call that named hosts. received is when the
+// answer arrived.
+func (s *Scheduler) Advised(id cell.GroupID, named []string, tickets map[string]string, received time.Duration) {
+	g := s.group(id)
+	if g == nil {
+		return
+	}
+	g.advice.inFlight = false
+	if g.advice.tickets == nil {
+		g.advice.tickets, g.advice.denied = make(map[string]ticket), make(map[string]bool)
+	}
+	p := g.policy()
+	if p == nil {
+		return
+	}
+	for _, name := range named {
+		value, ok := tickets[name]
+		if !ok {
+			g.advice.denied[name] = true
+			continue
+		}
+		if h := s.hosts[name]; h != nil {
+			g.advice.tickets[name] = ticket{value: value, expires: received + p.Validity - ticketMargin, born: h.born}
+		}
+	}
+}
+
+// AdviceFailed records that a call got no advice.
+func (s *Scheduler) AdviceFailed(id cell.GroupID, now time.Duration) {
+	if g := s.group(id); g != nil {
+		g.advice.inFlight = false
+		g.advice.notUntil = now + askPause
+	}
+}
--- /dev/null
+++ b/internal/cell/schedule/gang.go
@@ -0,0 +1,273 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// repairWithin is the part of the gang timeout in which a refused member is
+// placed again before the whole gang is stopped.
+const repairWithin = 2
+
+// placeGang starts all members of a gang at once, or gathers room for them.
+func (s *Scheduler) placeGang(g *group, gangs *int) {
+	tasks := g.waitingTasks()
+	if g.run != 0 {
+		s.repair(g, tasks)
+		return
+	}
+	if len(tasks) < g.left || !g.job.team.fits(g.step.Size, len(tasks)) {
+		return
+	}
+	if hosts := s.choose(g, len(tasks), true); hosts != nil {
+		s.startGang(g, tasks, hosts)
+		return
+	}
+	if g.policy() != nil && len(g.advice.tickets) == 0 {
+		s.askUndecided(g)
+		return
+	}
+	*gangs++
+	if *gangs > gathered {
+		return
+	}
+	if hosts := s.choose(g, len(tasks), false); hosts != nil {
+		s.renew(g, hosts)
+		return
+	}
+	if s.capacityOf(g) < len(tasks) {
+		s.askUndecided(g)
+	}
+	s.gather(g, len(tasks))
+}
+
+// choose returns a host for each of n tasks, or nil. With fresh set, only hosts
+// with a valid ticket count.
+func (s *Scheduler) choose(g *group, n int, fresh bool) []*host {
+	var all []*host
+	for _, h := range s.order {
+		if !s.eligible(g, h) || !g.approved(h) || s.room(g, h) < 1 {
+			continue
+		}
+		if _, ok := g.ticketFor(h, s.now); ok || !fresh {
+			all = append(all, h)
+		}
+	}
+	if !g.step.RackLocal {
+		return s.fill(g, all, n)
+	}
+	var best []*host
+	for _, rack := range racks(all) {
+		near := slices.DeleteFunc(slices.Clone(all), func(h *host) bool { return h.rack != rack })
+		if picked := s.fill(g, near, n); picked != nil && (best == nil || rack == g.step.DataRack) {
+			best = picked
+		}
+	}
+	if best == nil && s.largestRack(g) < n {
+		return s.fill(g, all, n) // no rack could ever hold the gang
+	}
+	return best
+}
+
+// racks returns the racks of hosts in a fixed order.
+func racks(hosts []*host) (out []string) {
+	for _, h := range hosts {
+		if !slices.Contains(out, h.rack) {
+			out = append(out, h.rack)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// largestRack returns how many tasks the largest rack holds when it is empty.
+func (s *Scheduler) largestRack(g *group) (most int) {
+	count := make(map[string]int)
+	for _, h := range s.order {
+		if s.eligible(g, h) {
+			count[h.rack] += slots(g.size, h.spec.Capacity)
+			most = max(most, count[h.rack])
+		}
+	}
+	return most
+}
+
+// fill spreads n tasks over hosts: sound and fast hosts first, then those with
+// the most room, so that the gang depends on few hosts.
+func (s *Scheduler) fill(g *group, hosts []*host, n int) []*host {
+	slices.SortStableFunc(hosts, func(a, b *host) int {
+		if c := cmp.Compare(s.gangScore(g, a), s.gangScore(g, b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(s.room(g, b), s.room(g, a))
+	})
+	var out []*host
+	for _, h := range hosts {
+		for range min(s.room(g, h), n-len(out)) {
+			out = append(out, h)
+		}
+		if len(out) == n {
+			return out
+		}
+	}
+	return nil
+}
+
+// slowBucket makes hosts of about the same speed equal.
+const slowBucket = 0.25
+
+func (s *Scheduler) gangScore(g *group, h *host) int {
+	score := int(max(h.health.slowness-1, 0) / slowBucket)
+	if g.tasks[0].failedOn == h.spec.ID {
+		score += 100
+	}
+	if g.step.DataRack != "" && g.step.DataRack != h.rack {
+		score += 10
+	}
+	return score
+}
+
+func (s *Scheduler) startGang(g *group, tasks []*task, hosts []*host) {
+	run := s.o.FirstRun
+	for _, t := range g.tasks {
+		run = max(run, t.lastRun)
+	}
+	run++
+	for i, t := range tasks {
+		s.start(t, hosts[i], run)
+	}
+	g.run, g.startedAt = run, s.now
+}
+
+// repair places members that were refused, under the run of the others.
+func (s *Scheduler) repair(g *group, tasks []*task) {
+	for _, a := range g.tasks[0].attempts {
+		if a.phase == phaseStopping {
+			return // the gang is being stopped
+		}
+	}
+	hosts := s.choose(g, len(tasks), true)
+	if hosts != nil && g.job.team.fits(g.step.Size, len(tasks)) && !g.stopping() {
+		for i, t := range tasks {
+			s.start(t, hosts[i], g.run)
+		}
+		return
+	}
+	if s.now > g.startedAt+s.o.GangTimeout/repairWithin {
+		s.stopGroup(g, "no room for a refused member of the gang")
+	}
+}
+
+// stopping reports whether the end of a member has been ordered.
+func (g *group) stopping() bool {
+	for _, t := range g.tasks {
+		for _, a := range t.attempts {
+			if a.phase == phaseStopping {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// renew asks for new tickets for chosen hosts and keeps their room meanwhile.
+func (s *Scheduler) renew(g *group, hosts []*host) {
+	var named []*host
+	for _, h := range hosts {
+		if !slices.Contains(named, h) {
+			named = append(named, h)
+		}
+	}
+	until := s.now + g.policy().Cost(len(named))
+	for _, h := range hosts {
+		h.keep(g, 1, until)
+	}
+	s.ask(g, named)
+}
+
+// keep reserves room for n tasks of a gang that can start at a time.
+func (h *host) keep(g *group, n int, until time.Duration) {
+	h.reserved = h.reserved.Add(g.size.Scale(int64(n)))
+	if h.reservedUntil == 0 || until < h.reservedUntil {
+		h.reservedUntil = until
+	}
+}
+
+// capacityOf returns how many tasks the approved hosts hold when they are empty.
+func (s *Scheduler) capacityOf(g *group) (n int) {
+	for _, h := range s.order {
+		if s.eligible(g, h) && g.approved(h) {
+			k := slots(g.size, h.spec.Capacity)
+			if g.step.MaxPerHost > 0 {
+				k = min(k, g.step.MaxPerHost)
+			}
+			n += k
+		}
+	}
+	return n
+}
+
+// release is the expected end of an attempt.
+type release struct {
+	at time.Duration
+	a  *attempt
+}
+
+// overdue is how much longer an attempt is expected to take once it has taken
+// as long as estimated.
+const overdue = 500 * time.Millisecond
+
+// gather finds the earliest time at which the approved hosts hold n tasks of a
+// gang, and keeps their room until then from work that would not end before.
+func (s *Scheduler) gather(g *group, n int) {
+	var hosts []*host
+	var releases []release
+	free := make(map[*host]int)
+	total := 0
+	for _, h := range s.order {
+		if !s.eligible(g, h) || !g.approved(h) {
+			continue
+		}
+		hosts = append(hosts, h)
+		free[h] = slots(g.size, h.free().Sub(h.reserved))
+		total += free[h]
+		for _, a := range h.attempts {
+			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdue)
+			releases = append(releases, release{end, a})
+		}
+	}
+	slices.SortFunc(releases, func(a, b release) int {
+		if c := cmp.Compare(a.at, b.at); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.a.task.id.String(), b.a.task.id.String())
+	})
+	until := s.now
+	for _, r := range releases {
+		if total >= n {
+			break
+		}
+		h := r.a.host
+		freed := h.free().Sub(h.reserved)
+		for _, other := range releases {
+			if other.at <= r.at && other.a.host == h {
+				freed = freed.Add(other.a.task.group.size)
+			}
+		}
+		total += slots(g.size, freed) - free[h]
+		free[h] = slots(g.size, freed)
+		until = r.at
+	}
+	if total < n {
+		return
+	}
+	slices.SortStableFunc(hosts, func(a, b *host) int { return cmp.Compare(free[b], free[a]) })
+	for _, h := range hosts {
+		k := min(free[h], n)
+		if k > 0 {
+			h.keep(g, k, until)
+			n -= k
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/schedule/group.go
@@ -0,0 +1,67 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// group is the tasks of one step in one occurrence.
+type group struct {
+	id    cell.GroupID
+	job   *job
+	step  *cell.Step
+	size  resource.Vector
+	tasks []*task
+	left  int
+	// open is set once the turn of the tasks has come.
+	open     bool
+	openedAt time.Duration
+	advice   advice
+	// run is that of a gang that has been started, zero if none.
+	run       int64
+	startedAt time.Duration
+	retryAt   time.Duration
+}
+
+// waitingTasks returns the tasks that are to be started.
+func (g *group) waitingTasks() (out []*task) {
+	for _, t := range g.tasks {
+		if t.waiting() {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// present returns how many tasks have an attempt.
+func (g *group) present() (n int) {
+	for _, t := range g.tasks {
+		if len(t.attempts) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// on returns how many attempts of the group a host has.
+func (g *group) on(h *host) (n int) {
+	for _, t := range g.tasks {
+		for _, a := range t.attempts {
+			if a.host == h {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// estimate returns how long a task is expected to take on a host.
+func (g *group) estimate(h *host) time.Duration {
+	d := g.step.Estimate
+	if h != nil {
+		d = time.Duration(float64(d) * max(h.health.slowness, 1))
+	}
+	return d
+}
--- /dev/null
+++ b/internal/cell/schedule/jobs.go
@@ -0,0 +1,207 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// maxAge bounds the age that the clock of another machine may give a submission.
+const maxAge = 60 * time.Second
+
+// Add adds an accepted submission. unsettled is set if runs of an earlier owner
+// may exist that are not known yet.
+func (s *Scheduler) Add(sub *cell.Submission, p cell.Progress, unsettled bool, now, wall time.Duration) {
+	if s.jobs[sub.ID] != nil || p.State.Final() {
+		return
+	}
+	s.now, s.wall = now, wall
+	q, ok := s.desired.Queue(sub.Queue.Name)
+	if !ok {
+		q = sub.Queue
+	}
+	s.arrival++
+	j := &job{
+		sub: sub, queue: q, team: s.team(sub.Team), steps: len(sub.Steps), state: p.State,
+		unsettled: unsettled && !s.settled, order: s.arrival,
+	}
+	j.arrived = now - min(max(wall-sub.Received, 0), maxAge)
+	j.due = j.arrived + j.objective()
+	j.excess = !j.team.take(now)
+	for k := range sub.Rounds() {
+		for i := range sub.Steps {
+			j.groups = append(j.groups, s.newGroup(j, k, i, p))
+		}
+	}
+	s.jobs[sub.ID] = j
+	s.groups = append(s.groups, j.groups...)
+	s.openGroups(j)
+	s.finishIfDone(j)
+}
+
+func (s *Scheduler) newGroup(j *job, occurrence, number int, p cell.Progress) *group {
+	step := &j.sub.Steps[number]
+	g := &group{id: cell.GroupID{Submission: j.sub.ID, Occurrence: occurrence, Step: number}, job: j, step: step, size: step.Reserved()}
+	stored := p.Groups[g.id.String()]
+	for i := range step.Count {
+		t := &task{
+			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
+			group: g, done: stored.IsDone(i), failures: stored.Failures[i], counted: stored.Counted[i],
+			checkpoint: stored.Checkpoints[i], lastRun: s.o.FirstRun, waitingSince: s.now,
+		}
+		if !t.done {
+			g.left++
+			j.left++
+		}
+		g.tasks = append(g.tasks, t)
+	}
+	return g
+}
+
+// openGroups opens the groups of a job whose turn has come.
+func (s *Scheduler) openGroups(j *job) {
+	for _, g := range j.groups {
+		if !g.open && g.left > 0 && s.turn(g) {
+			g.open, g.openedAt = true, s.now
+			for _, t := range g.tasks {
+				t.waitingSince = s.now
+			}
+		}
+	}
+}
+
+func (s *Scheduler) turn(g *group) bool {
+	j := g.job
+	if j.sub.Timed() && s.wall < j.sub.Due(g.id.Occurrence) {
+		return false
+	}
+	for _, a := range g.step.After {
+		if j.groups[g.id.Occurrence*j.steps+a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel stops a submission.
+func (s *Scheduler) Cancel(id string, now time.Duration) {
+	s.now = now
+	if j := s.jobs[id]; j != nil {
+		s.end(j, cell.Cancelled, "cancelled")
+	}
+}
+
+// end gives a job a final state and orders the end of its runs.
+func (s *Scheduler) end(j *job, state cell.State, reason string) {
+	if j.state.Final() {
+		return
+	}
+	j.state = state
+	s.changed[j.sub.ID] = true
+	s.note(j.sub.ID, "", "Submission is "+state.String()+": "+reason+".")
+	for _, g := range j.groups {
+		g.open = false
+		s.stopGroup(g, reason)
+	}
+	s.dropIfGone(j)
+}
+
+// dropIfGone forgets a job that is over and has no runs left.
+func (s *Scheduler) dropIfGone(j *job) {
+	if !j.state.Final() {
+		return
+	}
+	for _, g := range j.groups {
+		if g.present() > 0 {
+			return
+		}
+	}
+	// The job itself stays until its last progress is taken; groups go at once.
+	s.groups = slices.DeleteFunc(s.groups, func(g *group) bool { return g.job == j })
+}
+
+// Drop forgets a job that is over, once its progress is stored.
+func (s *Scheduler) Drop(id string) bool {
+	j := s.jobs[id]
+	if j == nil || !j.state.Final() {
+		return false
+	}
+	for _, g := range j.groups {
+		if g.present() > 0 {
+			return false
+		}
+	}
+	delete(s.jobs, id)
+	return true
+}
+
+func (s *Scheduler) stopGroup(g *group, reason string) {
+	for _, t := range g.tasks {
+		for _, a := range t.attempts {
+			s.stop(a, reason)
+		}
+	}
+}
+
+// stop orders the end of a run. The run counts until it is known to be gone.
+func (s *Scheduler) stop(a *attempt, reason string) {
+	if a.phase == phaseStopping {
+		return
+	}
+	a.phase, a.stopReason, a.stopAnsweredAt = phaseStopping, reason, 0
+	s.plan.Stops = append(s.plan.Stops, Stop{Task: a.task.id, Run: a.run, Host: a.host.spec.ID, Reason: reason})
+}
+
+// finishIfDone completes a job whose tasks are all done.
+func (s *Scheduler) finishIfDone(j *job) {
+	if j.left == 0 && !j.state.Final() {
+		s.end(j, cell.Completed, "all tasks are done")
+	}
+}
+
+// Progress returns what has to be stored about a submission.
+func (s *Scheduler) Progress(id string) (p cell.Progress, ok bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return p, false
+	}
+	p.State = j.state
+	if j.state.Final() {
+		return p, true
+	}
+	for _, g := range j.groups {
+		if gp, any := g.progress(); any {
+			if p.Groups == nil {
+				p.Groups = make(map[string]cell.GroupProgress)
+			}
+			p.Groups[g.id.String()] = gp
+		}
+	}
+	return p, true
+}
+
+func (g *group) progress() (p cell.GroupProgress, any bool) {
+	for i, t := range g.tasks {
+		if t.done {
+			p.SetDone(i)
+			any = true
+			continue
+		}
+		if t.failures > 0 {
+			if p.Failures == nil {
+				p.Failures, p.Counted = make(map[int]int), make(map[int]int64)
+			}
+			p.Failures[i], p.Counted[i] = t.failures, t.counted
+			any = true
+		}
+		if t.checkpoint != "" {
+			if p.Checkpoints == nil {
+				p.Checkpoints = make(map[int]string)
+			}
+			p.Checkpoints[i] = t.checkpoint
+			any = true
+		}
+	}
+	return p, any
+}
--- /dev/null
+++ b/internal/cell/schedule/plan.go
@@ -0,0 +1,48 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// Start is an order to start a run.
+type Start struct {
+	Task       cell.TaskID
+	Run        int64
+	Host       string
+	Spec       string
+	Checkpoint string
+	Ticket     string
+	// Waited is how long the task has waited since its turn came.
+	Waited time.Duration
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	Task   cell.TaskID
+	Run    int64
+	Host   string
+	Reason string
+}
+
+// Ask is a question to the advice service.
+type Ask struct {
+	Group cell.GroupID
+	Hosts []string
+	// Cost is how long the service takes to answer.
+	Cost time.Duration
+	// Priority is that of the queue; 0 comes first.
+	Priority int
+	Validity time.Duration
+}
+
+// Plan is what to do next.
+type Plan struct {
+	Starts []Start
+	Stops  []Stop
+	Asks   []Ask
+}
+
+// Empty reports whether there is nothing to do.
+func (p *Plan) Empty() bool { return len(p.Starts)+len(p.Stops)+len(p.Asks) == 0 }
--- /dev/null
+++ b/internal/cell/schedule/rescue.go
@@ -0,0 +1,90 @@
+package schedule
+
+import "time"
+
+const (
+	// standstill is how long a run may show no progress before it counts as hung.
+	standstill = 1600 * time.Millisecond
+	// hungAvoid is how long a host with a hung run gets no work.
+	hungAvoid = 4 * time.Second
+	// copyFactor is how many estimates a run may take before a copy is started.
+	copyFactor = 2.5
+	// minCopyAfter keeps short tasks, whose estimates are rough, from being copied.
+	minCopyAfter = 2 * time.Second
+)
+
+// rescue ends or copies runs that stand still or take far too long.
+func (s *Scheduler) rescue() {
+	if !s.usageSeen {
+		return
+	}
+	for _, g := range s.groups {
+		if g.left == 0 || g.job.state.Final() || g.step.Fills || g.step.Lasting {
+			continue
+		}
+		if g.step.Gang {
+			s.rescueGang(g)
+			continue
+		}
+		for _, t := range g.tasks {
+			if len(t.attempts) == 1 && !t.done {
+				s.rescueTask(g, t, t.attempts[0])
+			}
+		}
+	}
+}
+
+func (s *Scheduler) hung(a *attempt) bool {
+	return a.phase == phaseRunning && a.host.reachable && s.now-a.movedAt > standstill
+}
+
+func (s *Scheduler) rescueTask(g *group, t *task, a *attempt) {
+	if s.hung(a) {
+		a.host.health.avoid(s.now, hungAvoid)
+		t.failedOn = a.host.spec.ID
+		s.stop(a, "the run stands still")
+		return
+	}
+	late := max(time.Duration(copyFactor*float64(g.step.Estimate)), minCopyAfter)
+	if !g.step.Copies || a.phase != phaseRunning || a.adopted || s.now-a.orderedAt < late || !g.job.team.fits(g.step.Size, 1) {
+		return
+	}
+	var others []*host
+	for _, h := range s.order {
+		if _, ok := g.ticketFor(h, s.now); ok && h != a.host && s.eligible(g, h) && h.health.slowness <= a.host.health.slowness {
+			others = append(others, h)
+		}
+	}
+	if h := s.best(g, others, t); h != nil {
+		s.note(t.id.Submission, h.spec.ID, "A copy of a slow run is started.")
+		s.start(t, h, t.lastRun+1)
+	}
+}
+
+// rescueGang ends a gang of which a member stands still while others work, or
+// of which all have stood still for longer than they wait for each other.
+func (s *Scheduler) rescueGang(g *group) {
+	if g.present() < g.left || g.stopping() {
+		return
+	}
+	var still *attempt
+	n := 0
+	for _, t := range g.tasks {
+		for _, a := range t.attempts {
+			if a.phase != phaseRunning || s.now-a.acceptedAt < s.o.GangTimeout {
+				return
+			}
+			if s.hung(a) {
+				still = a
+				n++
+			}
+		}
+	}
+	if still == nil {
+		return
+	}
+	if n < g.left {
+		still.host.health.avoid(s.now, hungAvoid)
+	}
+	s.stopGroup(g, "a member of the gang stands still")
+}
--- /dev/null
+++ b/internal/cell/submission.go
@@ -0,0 +1,34 @@
+package cell
+
+import "time"
+
+// Submission is a piece of work as its caller handed it in.
+type Submission struct {
+	ID   string `json:"id"`
+	Team string `json:"team"`
+	// Queue is the queue as it was when the submission was accepted. It is used
+	// when the queue has been withdrawn since.
+	Queue Queue  `json:"queue"`
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+	// Occurrences is how often the steps run; zero for once, without a due time.
+	Occurrences int `json:"occurrences,omitempty"`
+	// FirstDue is the due time of the first occurrence, since 1970.
+	FirstDue time.Duration `json:"first_due,omitempty"`
+	// Received is when the first node received it, since 1970. It orders work
+	// and is no basis for safety, since the clocks of machines differ.
+	Received time.Duration `json:"received,omitempty"`
+	// Interval is the time between due times.
+	Interval time.Duration `json:"interval,omitempty"`
+}
+
+// Rounds returns how often the steps run.
+func (s *Submission) Rounds() int { return max(s.Occurrences, 1) }
+
+// Timed reports whether occurrences have due times.
+func (s *Submission) Timed() bool { return s.Occurrences > 0 }
+
+// Due returns the due time of an occurrence, since 1970.
+func (s *Submission) Due(occurrence int) time.Duration {
+	return s.FirstDue + time.Duration(occurrence)*s.Interval
+}
--- /dev/null
+++ b/internal/cell/task.go
@@ -0,0 +1,28 @@
+package cell
+
+import "fmt"
+
+// TaskID names one task of a submission.
+type TaskID struct {
+	Submission              string
+	Occurrence, Step, Index int
+}
+
+// GroupID names the tasks of one step in one occurrence.
+type GroupID struct {
+	Submission       string
+	Occurrence, Step int
+}
+
+// Group returns the group that the task belongs to.
+func (t TaskID) Group() GroupID { return GroupID{t.Submission, t.Occurrence, t.Step} }
+
+// String returns a form for logs.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Submission, t.Occurrence, t.Step, t.Index)
+}
+
+// String returns a form for logs.
+func (g GroupID) String() string {
+	return fmt.Sprintf("%s.%d.%d", g.Submission, g.Occurrence, g.Step)
+}
--- /dev/null
+++ b/internal/cell/worklog/appender.go
@@ -0,0 +1,150 @@
+package worklog
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+const (
+	// maxQueued bounds the records that wait for the store.
+	maxQueued = 4096
+	// maxBatch bounds the records of one append.
+	maxBatch = 256
+	// maxBatchBytes keeps an append under the request size of the store.
+	maxBatchBytes = 1 << 20
+)
+
+// Appender stores records of one process in batches, one batch at a time.
+type Appender struct {
+	store Store
+	log   *slog.Logger
+	topic string
+
+	mu       sync.Mutex
+	producer platform.Producer
+	queue    []*pending
+	wake     chan struct{}
+}
+
+// pending is one record that waits to be stored.
+type pending struct {
+	record platform.Record
+	// sent is set once the record may have reached the store.
+	sent bool
+	// left is set when nobody waits for it any more.
+	left bool
+	done chan error
+}
+
+// NewAppender returns an appender whose producer name must be unique to the process.
+func NewAppender(s Store, log *slog.Logger, topic, producer string) *Appender {
+	return &Appender{
+		store: s, log: log, topic: topic, wake: make(chan struct{}, 1),
+		producer: platform.Producer{Name: producer, Epoch: 1},
+	}
+}
+
+// Append returns nil once the record is stored. The verdict of an error is
+// DidNotRun only if the record is not stored and never will be.
+func (a *Appender) Append(ctx context.Context, r platform.Record) error {
+	p := &pending{record: r, done: make(chan error, 1)}
+	a.mu.Lock()
+	if len(a.queue) >= maxQueued {
+		a.mu.Unlock()
+		return verdict.New(verdict.DidNotRun, "append-queue-full", "%d records wait for the store", maxQueued)
+	}
+	a.queue = append(a.queue, p)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p.left = true
+	if p.sent {
+		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, "store-silent")
+	}
+	return verdict.Wrap(ctx.Err(), verdict.DidNotRun, "store-unavailable")
+}
+
+// Run stores what is queued until ctx ends.
+func (a *Appender) Run(ctx context.Context) {
+	for {
+		batch := a.take()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-a.wake:
+			}
+			continue
+		}
+		a.storeBatch(ctx, batch)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// take returns the next batch. Records that nobody waits for and that were
+// never sent are dropped: their callers were told that they are not stored.
+func (a *Appender) take() (batch []*pending) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	size, n := 0, 0
+	for _, p := range a.queue {
+		if len(batch) == maxBatch || size > maxBatchBytes {
+			break
+		}
+		n++
+		if p.left {
+			continue
+		}
+		p.sent = true
+		size += len(p.record.Value)
+		batch = append(batch, p)
+	}
+	a.queue = append(a.queue[:0], a.queue[n:]...)
+	return batch
+}
+
+func (a *Appender) storeBatch(ctx context.Context, batch []*pending) {
+	records := make([]platform.Record, len(batch))
+	for i, p := range batch {
+		records[i] = p.record
+	}
+	err := settle(ctx, a.store, a.log, a.topic, a.producer, records, func() bool { return true })
+	if err == nil {
+		a.producer.Seq++
+	}
+	if err != nil && verdict.Of(err) == verdict.DidNotRun && ctx.Err() == nil {
+		a.requeue(batch)
+		time.Sleep(refusedPause)
+		return
+	}
+	for _, p := range batch {
+		p.done <- err
+	}
+}
+
+// requeue puts a batch that is certainly not stored back. Its records may be
+// given up again.
+func (a *Appender) requeue(batch []*pending) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range batch {
+		p.sent = false
+	}
+	a.queue = append(batch, a.queue...)
+}
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -71,6 +71,7 @@
 	a.kingpin = k
 	a.connect.flags(k)
 	a.addServe()
+	a.addEntry()
 	a.addDev()
 	a.addMeasure()
 	a.addSettings()
--- /dev/null
+++ b/internal/cli/entry.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"runtime/debug"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/config"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+const (
+	mebibyte = 1 << 20
+	// memoryShare is the part of the memory limit that the Go runtime aims at.
+	memoryShare = 0.7
+)
+
+func (a *app) addEntry() {
+	var file string
+	cmd := a.command("entry", "Run an entry process of a cell on the users' platform.", func() error {
+		s, err := config.Load(file)
+		if err != nil {
+			return err
+		}
+		if err := a.setUpLog(s.Log.Level, s.Log.Format); err != nil {
+			return err
+		}
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMiB*mebibyte)))
+		proc.SetTimeToForceQuit(config.Seconds(s.Bounds.GraceSeconds) + time.Minute)
+		return a.runners.Entry(a.ctx, s)
+	})
+	cmd.Flag("config", "Settings file.").Short('c').Required().Envar(platform.SettingsVariable).ExistingFileVar(&file)
+}
--- a/internal/cli/runners.go
+++ b/internal/cli/runners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/measure"
 	"github.com/medlarpulley/medlarpulley/internal/objects"
 	"github.com/medlarpulley/medlarpulley/internal/settings"
@@ -13,6 +14,8 @@
 type Runners struct {
 	// Serve runs one entry node.
 	Serve func(ctx context.Context, s settings.Settings) error
+	// Entry runs one entry process of a cell on the users' platform.
+	Entry func(ctx context.Context, s config.Settings) error
 	// Dev runs a cluster on loopback with stand-ins for the platform.
 	Dev func(ctx context.Context, o DevOptions) error
 	// Measure runs a cluster under load and returns what it measured.
