--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -6,6 +6,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,6 +67,7 @@
 	go func() { failed <- server.Serve(callers) }()
 	go func() { failed <- statusServer.Serve(status) }()
 	go func() { failed <- peerServer.Serve(others) }()
+	go n.reload(work)
 	n.log.Info("node: The process serves.", "node", n.self.Name, "boot", n.self.Boot, "callers", n.s.Listen.Callers)
 	select {
 	case err := <-failed:
@@ -93,6 +97,22 @@
 	go n.elect(ctx)
 }
 
+// reload tells of changed settings files. All settings belong to the life of a
+// process, so that a changed file takes effect at the next start.
+func (n *Node) reload(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			n.log.Info("node: The settings file has changed; it takes effect at the next start.", "node", n.self.Name)
+		}
+	}
+}
+
 // register makes this node known to the others.
 func (n *Node) register(ctx context.Context, left bool) {
 	ctx, cancel := context.WithTimeout(ctx, registerFor)
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -32,11 +32,9 @@
 type GroupProgress struct {
 	// Done has a bit for each task that is done.
 	Done []byte `json:"done,omitempty"`
-	// Failures counts the runs of each task that ended as failed.
-	Failures map[int]int `json:"failures,omitempty"`
-	// Counted holds the last run of each task that Failures counts, so that an
-	// end that a host lists again is counted once.
-	Counted map[int]int64 `json:"counted,omitempty"`
+	// Failures lists the runs of each task that ended as failed, so that an end
+	// that a host lists again is counted once. A gang has them at its first task.
+	Failures map[int][]int64 `json:"failures,omitempty"`
 	// Checkpoints holds from where tasks resume.
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -142,13 +142,11 @@
 
 // repair places members that were refused, under the run of the others.
 func (s *Scheduler) repair(g *group, tasks []*task) {
-	for _, a := range g.tasks[0].attempts {
-		if a.phase == phaseStopping {
-			return // the gang is being stopped
-		}
+	if g.breaking || g.stopping() {
+		return // the rest of the gang is ending
 	}
 	hosts := s.choose(g, len(tasks), true)
-	if hosts != nil && g.job.team.fits(g.step.Size, len(tasks)) && !g.stopping() {
+	if hosts != nil && g.job.team.fits(g.step.Size, len(tasks)) {
 		for i, t := range tasks {
 			s.start(t, hosts[i], g.run)
 		}
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -20,7 +20,9 @@
 	openedAt time.Duration
 	advice   advice
 	// run is that of a gang that has been started, zero if none.
-	run       int64
+	run int64
+	// breaking is set once a member of the gang has ended; the others end too.
+	breaking  bool
 	startedAt time.Duration
 	retryAt   time.Duration
 }
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -47,7 +47,7 @@
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: stored.IsDone(i), failures: stored.Failures[i], counted: stored.Counted[i],
+			group: g, done: stored.IsDone(i), failures: stored.Failures[i],
 			checkpoint: stored.Checkpoints[i], lastRun: s.o.FirstRun, waitingSince: s.now,
 		}
 		if !t.done {
@@ -102,7 +102,9 @@
 	s.note(j.sub.ID, "", "Submission is "+state.String()+": "+reason+".")
 	for _, g := range j.groups {
 		g.open = false
-		s.stopGroup(g, reason)
+		if state != cell.Completed || !g.step.Gang {
+			s.stopGroup(g, reason) // the members of a done gang end by themselves
+		}
 	}
 	s.dropIfGone(j)
 }
@@ -188,11 +190,11 @@
 			any = true
 			continue
 		}
-		if t.failures > 0 {
+		if len(t.failures) > 0 {
 			if p.Failures == nil {
-				p.Failures, p.Counted = make(map[int]int), make(map[int]int64)
+				p.Failures = make(map[int][]int64)
 			}
-			p.Failures[i], p.Counted[i] = t.failures, t.counted
+			p.Failures[i] = t.failures
 			any = true
 		}
 		if t.checkpoint != "" {
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -131,8 +132,8 @@
 	if len(a.task.attempts) == 0 {
 		a.task.waitingSince = s.now
 	}
-	if a.task.group.step.Gang && a.task.group.present() == 0 {
-		a.task.group.run = 0
+	if g := a.task.group; g.step.Gang && g.present() == 0 {
+		g.run, g.breaking = 0, false
 	}
 	s.dropIfGone(j)
 }
@@ -178,6 +179,7 @@
 // refused are placed again instead while the gang still waits for them.
 func (s *Scheduler) breakGang(g *group, reason string) {
 	if g.step.Gang && g.left > 0 {
+		g.breaking = g.present() > 0
 		s.stopGroup(g, reason)
 	}
 }
@@ -208,6 +210,7 @@
 		return
 	}
 	g := t.group
+	g.breaking = g.step.Gang && g.present() > 0
 	if e.Checkpoint != "" && e.Outcome != cell.OutcomeDone {
 		s.keepCheckpoint(t, e.Checkpoint)
 	}
@@ -270,14 +273,13 @@
 	if g.step.Gang {
 		t = g.tasks[0] // a gang fails as one
 	}
-	if g.step.Lasting || run <= t.counted {
+	if g.step.Lasting || slices.Contains(t.failures, run) {
 		return
 	}
-	t.counted = run
-	t.failures++
+	t.failures = append(t.failures, run)
 	s.changed[j.sub.ID] = true
 	s.note(j.sub.ID, h.spec.ID, "A run has failed.")
-	if j.queue.MaxAttempts > 0 && t.failures >= j.queue.MaxAttempts {
+	if j.queue.MaxAttempts > 0 && len(t.failures) >= j.queue.MaxAttempts {
 		s.end(j, cell.Failed, "a task has failed as often as the queue allows")
 	}
 }
--- a/internal/cell/schedule/rescue.go
+++ b/internal/cell/schedule/rescue.go
@@ -61,30 +61,18 @@
 	}
 }
 
-// rescueGang ends a gang of which a member stands still while others work, or
-// of which all have stood still for longer than they wait for each other.
+// rescueGang ends a gang of which every member stands still. A single member
+// may: the work of members differs, and those that are through wait for the rest.
 func (s *Scheduler) rescueGang(g *group) {
-	if g.present() < g.left || g.stopping() {
+	if g.present() < g.left || g.breaking || g.stopping() {
 		return
 	}
-	var still *attempt
-	n := 0
 	for _, t := range g.tasks {
 		for _, a := range t.attempts {
-			if a.phase != phaseRunning || s.now-a.acceptedAt < s.o.GangTimeout {
+			if !s.hung(a) || s.now-a.acceptedAt < s.o.GangTimeout {
 				return
 			}
-			if s.hung(a) {
-				still = a
-				n++
-			}
 		}
 	}
-	if still == nil {
-		return
-	}
-	if n < g.left {
-		still.host.health.avoid(s.now, hungAvoid)
-	}
-	s.stopGroup(g, "a member of the gang stands still")
+	s.stopGroup(g, "the gang stands still")
 }
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -13,8 +13,7 @@
 	done  bool
 	// attempts are the runs that are or may be present.
 	attempts   []*attempt
-	failures   int
-	counted    int64
+	failures   []int64
 	checkpoint string
 	lastRun    int64
 	// waitingSince is when the task's turn came or came again.
