--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -32,6 +32,8 @@
 type State interface {
 	// Desired returns the objects in force, and whether they are known to be fresh.
 	Desired() (d *cell.Desired, fresh bool)
+	// Refresh reads the desired state again if it has not been read lately.
+	Refresh(ctx context.Context)
 	// Find returns what is stored about a submission.
 	Find(id string) (registry.Entry, bool)
 	// Pending returns how many accepted submissions of a queue have not begun.
@@ -64,6 +66,7 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	f.State.Refresh(r.Context())
 	d, fresh := f.State.Desired()
 	if d == nil {
 		unavailable(w, "no desired state is known yet")
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -30,9 +30,16 @@
 	followerPace = 40 * time.Millisecond
 	// desiredWait is how long the store holds back a read of the desired state.
 	// An answer proves that the state was fresh when the read was sent.
-	desiredWait = time.Second
+	desiredWait = 500 * time.Millisecond
+	// desiredSlack keeps a silent connection from hiding a change for longer than
+	// the time in which it has to be in force.
+	desiredSlack = 600 * time.Millisecond
 	// revokeMargin is left of the time in which a withdrawn key must stop working.
 	revokeMargin = 700 * time.Millisecond
+	// refreshAfter is the age at which the desired state is read again before a
+	// call is answered, and refreshFor bounds that read.
+	refreshAfter = 1200 * time.Millisecond
+	refreshFor   = 400 * time.Millisecond
 	// currentWithin is how old the state of submissions may be to be told.
 	currentWithin = 2 * time.Second
 )
@@ -84,7 +91,7 @@
 		Topic: platform.TopicWork, Wait: workWait, Pace: n.pace,
 	}, n.applyWork)
 	n.desires = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
-		Topic: platform.TopicDesired, Wait: desiredWait,
+		Topic: platform.TopicDesired, Wait: desiredWait, Slack: desiredSlack,
 	}, n.applyDesired)
 	n.front = &front.Front{State: n, Records: n.appender, Logger: part("front"), Wall: wall}
 	return n, nil
@@ -165,6 +172,19 @@
 	return n.desired.Load(), ok && age < config.Millis(n.s.Bounds.RevokeMs)-revokeMargin
 }
 
+// Refresh implements front.State.
+func (n *Node) Refresh(ctx context.Context) {
+	asOf, ok := n.desires.AsOf()
+	if !ok || n.clock.Now()-asOf < refreshAfter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshFor)
+	defer cancel()
+	if err := n.desires.CatchUp(ctx); err != nil {
+		n.log.Debug("node: The desired state is not refreshed.", "error", err)
+	}
+}
+
 // Find implements front.State.
 func (n *Node) Find(id string) (registry.Entry, bool) { return n.registry.Find(id) }
 
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -22,6 +22,9 @@
 	endSeen  int64
 	used     resource.Vector
 	attempts map[runKey]*attempt
+	// foreign is the number of listed runs whose size is not known, since their
+	// submissions are over. Nothing is placed beside them.
+	foreign int
 	// reserved is room that this pass keeps for gangs ahead in the queue.
 	reserved      resource.Vector
 	reservedUntil time.Duration
@@ -36,7 +39,7 @@
 
 // usable reports whether the host takes new work.
 func (h *host) usable(now time.Duration) bool {
-	return h.listed && h.known && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+	return h.foreign == 0 && h.listed && h.known && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
 }
 
 // free returns the room that is neither used nor promised.
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -31,6 +31,7 @@
 		}
 	}
 	present := make(map[runKey]bool, len(l.Running))
+	h.foreign = 0
 	for _, r := range l.Running {
 		key := runKey{r.Task, r.Run}
 		present[key] = true
@@ -84,6 +85,7 @@
 func (s *Scheduler) adopt(h *host, key runKey) *attempt {
 	t := s.task(key.task)
 	if t == nil {
+		h.foreign++
 		s.plan.Stops = append(s.plan.Stops, Stop{Task: key.task, Run: key.run, Host: h.spec.ID, Reason: "unknown submission"})
 		return nil
 	}
--- a/internal/cell/worklog/follower.go
+++ b/internal/cell/worklog/follower.go
@@ -16,13 +16,15 @@
 	Topic string
 	// Wait is how long the store may hold a read back when there is no record.
 	Wait time.Duration
+	// Slack is added to Wait before the connection of a read counts as silent.
+	Slack time.Duration
 	// Pace is the least time between two reads, so that records come in groups.
 	Pace func() time.Duration
 }
 
 const (
-	// readSlack is added to the wait of a read before its connection counts as silent.
-	readSlack = 900 * time.Millisecond
+	// defaultSlack is for topics whose readers can wait for a slow store.
+	defaultSlack = 900 * time.Millisecond
 	// readPause is the wait after a failed read.
 	readPause = 50 * time.Millisecond
 )
@@ -59,6 +61,9 @@
 	if o.Pace == nil {
 		o.Pace = func() time.Duration { return 0 }
 	}
+	if o.Slack == 0 {
+		o.Slack = defaultSlack
+	}
 	return &Follower{store: s, clock: clock, log: log, o: o, apply: apply, advanced: make(chan struct{})}
 }
 
@@ -87,7 +92,7 @@
 		return f.rebuild(ctx)
 	}
 	sent := f.clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, f.o.Wait+readSlack)
+	callCtx, cancel := context.WithTimeout(ctx, f.o.Wait+f.o.Slack)
 	page, err := f.store.Read(callCtx, f.o.Topic, next, f.o.Wait)
 	cancel()
 	var trimmed *platform.TrimmedError
