Forward calls to other nodes when the store does not answer; close hosts in the log

A takeover waited 9 s for hosts that had left before, since any run might have been there. Change: calls go to another node at once; hosts that leave or are silent are closed in the log with the runs they may have; an owner that the store refuses tells the others.

--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -62,6 +62,8 @@
 // Limits bound what the process uses.
 type Limits struct {
 	MemoryMiB int64 `toml:"memory_mib"`
+	// Cores is the share of a core that the process has.
+	Cores float64 `toml:"cores"`
 }
 
 // Log sets the log lines.
@@ -75,7 +77,7 @@
 	return Settings{
 		Platform: Platform{KeepSeconds: 20},
 		Bounds:   Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, GraceSeconds: 6, StatusSeconds: 120, RemotePenalty: 2},
-		Limits:   Limits{MemoryMiB: 284},
+		Limits:   Limits{MemoryMiB: 284, Cores: 1},
 		Log:      Log{Level: "info", Format: "text"},
 	}
 }
--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -18,6 +18,9 @@
 	// owner is silent, and freeStep when nobody owns the cell for certain.
 	rankStep = 250 * time.Millisecond
 	freeStep = 120 * time.Millisecond
+	// firstStart is the time in which the nodes of a new cell become known to
+	// each other.
+	firstStart = 800 * time.Millisecond
 	// evidence is how old the last read may be when the owner is called silent.
 	evidence = 600 * time.Millisecond
 )
@@ -41,6 +44,8 @@
 	nodes map[string]registry.Node
 	// asOf is a time such that all earlier records have been read.
 	asOf time.Duration
+	// yielded is the token of an owner that told it cannot go on.
+	yielded int64
 }
 
 // due reports whether to claim now.
@@ -58,25 +63,33 @@
 	}
 	rank := time.Duration(e.rank(v))
 	if e.freeAt != 0 {
-		return now >= e.freeAt+rank*freeStep
+		first := time.Duration(0)
+		if v.owner.Node == "" {
+			first = firstStart
+		}
+		return now >= e.freeAt+first+rank*freeStep
 	}
 	return now >= e.beatAt+silence+rank*rankStep && v.asOf >= now-evidence
 }
 
 // free reports whether nobody owns the cell for certain: there was no owner,
-// it has released the ownership, or its process has been replaced.
+// it has released the ownership, told that it cannot go on, or its process has
+// been replaced.
 func (v view) free() bool {
-	if v.owner.Node == "" || v.owner.Released {
+	if v.owner.Node == "" || v.owner.Released || v.yielded != 0 && v.yielded == v.owner.Token {
 		return true
 	}
 	n, ok := v.nodes[v.owner.Node]
 	return ok && n.Boot != v.owner.Boot
 }
 
-// rank returns the place of this node among the candidates for the next term.
+// rank returns the place of this node among the candidates for the next term:
+// the most powerful first, and among equals a different one each term.
 func (e *election) rank(v view) int {
+	power := map[string]float64{e.self.Name: e.self.Power}
 	var names []string
 	for _, n := range v.nodes {
+		power[n.Name] = n.Power
 		if !n.Left && (n.Name != v.owner.Node || n.Boot != v.owner.Boot) {
 			names = append(names, n.Name)
 		}
@@ -86,6 +99,9 @@
 	}
 	token := strconv.FormatInt(v.owner.Token+1, 10)
 	slices.SortFunc(names, func(a, b string) int {
+		if c := cmp.Compare(power[b], power[a]); c != 0 {
+			return c
+		}
 		if c := cmp.Compare(order(token, a), order(token, b)); c != 0 {
 			return c
 		}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,9 @@
 	// call is answered, and refreshFor bounds that read.
 	refreshAfter = 1200 * time.Millisecond
 	refreshFor   = 400 * time.Millisecond
+	// cutAfter is the age of the last read at which other nodes are asked. A read
+	// that waits for a record takes up to workWait.
+	cutAfter = 900 * time.Millisecond
 	// currentWithin is how old the state of submissions may be to be told.
 	currentWithin = 2 * time.Second
 )
@@ -61,8 +65,10 @@
 	appender *worklog.Appender
 	front    *front.Front
 
-	desired  atomic.Pointer[cell.Desired]
+	desired  atomic.Pointer[inForce]
 	draining atomic.Bool
+	// yielded is the token of an owner that cannot go on.
+	yielded atomic.Int64
 
 	mu    sync.Mutex
 	term  *term
@@ -78,7 +84,7 @@
 	}
 	n := &Node{
 		s: s, log: log, clock: bootClock{},
-		self:    registry.Node{Name: s.Node.Name, Boot: hex.EncodeToString(boot), Address: s.Listen.Peers, Zone: s.Node.Zone},
+		self:    registry.Node{Name: s.Node.Name, Boot: hex.EncodeToString(boot), Address: s.Listen.Peers, Zone: s.Node.Zone, Power: s.Limits.Cores},
 		store:   platform.NewStore(s.Platform.Store),
 		runners: platform.NewRunners(),
 		advice:  platform.NewAdvice(s.Platform.Advice),
@@ -93,7 +99,7 @@
 	n.desires = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
 		Topic: platform.TopicDesired, Wait: desiredWait, Slack: desiredSlack,
 	}, n.applyDesired)
-	n.front = &front.Front{State: n, Records: n.appender, Logger: part("front"), Wall: wall}
+	n.front = &front.Front{State: n, Records: n.appender, Peers: forwarder{n}, Logger: part("front"), Wall: wall}
 	return n, nil
 }
 
@@ -116,23 +122,38 @@
 // applyDesired applies records that operators wrote.
 func (n *Node) applyDesired(p worklog.Page) {
 	for _, r := range p.Records {
-		if r.Key != platform.KeyDesired {
-			continue
+		if r.Key == platform.KeyDesired {
+			n.adoptDesired(r.Value, "store")
 		}
-		d, err := platform.DecodeDesired(r.Value)
-		if err != nil {
-			n.log.Error("node: A desired state cannot be read and is ignored.", "offset", r.Offset, "error", err)
-			continue
-		}
-		if old := n.desired.Load(); old != nil && d.Version < old.Version {
-			continue
+	}
+}
+
+// inForce is a desired state with the record that it was decoded from.
+type inForce struct {
+	*cell.Desired
+	record []byte
+}
+
+// adoptDesired puts a desired state in force, unless a newer one already is.
+func (n *Node) adoptDesired(record []byte, from string) {
+	d, err := platform.DecodeDesired(record)
+	if err != nil {
+		n.log.Error("node: A desired state cannot be read and is ignored.", "from", from, "error", err)
+		return
+	}
+	for {
+		old := n.desired.Load()
+		if old != nil && d.Version <= old.Version {
+			return
 		}
-		n.desired.Store(d)
-		n.log.Info("node: A desired state is in force.", "version", d.Version, "offset", r.Offset, "queues", len(d.Queues), "teams", len(d.Teams))
-		if o := n.owner(); o != nil {
-			o.SetDesired(d)
+		if n.desired.CompareAndSwap(old, &inForce{d, record}) {
+			break
 		}
 	}
+	n.log.Info("node: A desired state is in force.", "version", d.Version, "from", from, "queues", len(d.Queues), "teams", len(d.Teams))
+	if o := n.owner(); o != nil {
+		o.SetDesired(d)
+	}
 }
 
 // applyWork applies records of the work topic, and begins a term at the very
@@ -165,11 +186,54 @@
 	return &peers.AdviseResponse{Tickets: tickets}, err
 }
 
+// Forward implements peers.Handler: it answers a call for another node.
+func (n *Node) Forward(ctx context.Context, r *peers.ForwardRequest) (*peers.ForwardResponse, error) {
+	d := n.desired.Load()
+	if d == nil || d.Version < r.Version {
+		return &peers.ForwardResponse{Status: http.StatusServiceUnavailable}, nil
+	}
+	a := n.front.Answer(ctx, r, nil)
+	if d := n.desired.Load(); d.Version > r.Version {
+		a.Desired = d.record
+	}
+	return a, nil
+}
+
+// forwarder lets other nodes answer calls, and keeps up with their desired state:
+// a caller that saw a version must not be answered by an older one.
+type forwarder struct{ node *Node }
+
+// Forward implements front.Peers.
+func (f forwarder) Forward(ctx context.Context, r *peers.ForwardRequest) (*peers.ForwardResponse, error) {
+	copied := *r
+	if d := f.node.desired.Load(); d != nil {
+		copied.Version = d.Version
+	}
+	a, err := f.node.pool.Forward(ctx, &copied)
+	if err == nil && a.Desired != nil {
+		f.node.adoptDesired(a.Desired, "peer")
+	}
+	return a, err
+}
+
+// Yield implements peers.Handler. A node that does not reach the store itself
+// cannot tell an outage of the store from one of the owner's way to it.
+func (n *Node) Yield(_ context.Context, r *peers.YieldRequest) (*peers.YieldResponse, error) {
+	if !n.work.Failing() {
+		n.yielded.Store(r.Token)
+	}
+	return &peers.YieldResponse{}, nil
+}
+
 // Desired implements front.State.
 func (n *Node) Desired() (d *cell.Desired, fresh bool) {
 	asOf, ok := n.desires.AsOf()
 	age := n.clock.Now() - asOf
-	return n.desired.Load(), ok && age < config.Millis(n.s.Bounds.RevokeMs)-revokeMargin
+	inForce := n.desired.Load()
+	if inForce == nil {
+		return nil, false
+	}
+	return inForce.Desired, ok && age < config.Millis(n.s.Bounds.RevokeMs)-revokeMargin
 }
 
 // Refresh implements front.State.
@@ -194,6 +258,12 @@
 // CatchUp implements front.State.
 func (n *Node) CatchUp(ctx context.Context) error { return n.work.CatchUp(ctx) }
 
+// Cut implements front.State.
+func (n *Node) Cut() bool {
+	asOf, ok := n.work.AsOf()
+	return !ok || n.work.Failing() || n.clock.Now()-asOf > cutAfter
+}
+
 // Current implements front.State.
 func (n *Node) Current() bool {
 	asOf, ok := n.work.AsOf()
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -27,6 +28,8 @@
 	hostsWait = time.Second
 	// hostsPace groups the reports of hosts.
 	hostsPace = 250 * time.Millisecond
+	// vanishedFor is how long a host counts as listed after its entry is gone.
+	vanishedFor = 2500 * time.Millisecond
 	// keepMargin is added to the time for which callers may ask for ended work.
 	keepMargin = 30 * time.Second
 	maxSeq     = 1 << 30
@@ -47,9 +50,12 @@
 	owner  *owner.Owner
 	cancel context.CancelFunc
 	hosts  map[string]cell.Host
-	// stored are the hosts in the log.
-	stored map[string]cell.Host
-	change chan struct{}
+	// vanished is when the entries of hosts were found to be gone.
+	vanished map[string]time.Duration
+	// stored are the hosts in the log that this term uses.
+	stored map[string]registry.Host
+	// loaded is set once the owner has the hosts that were stored before.
+	loaded bool
 }
 
 // elect claims the ownership whenever it is due.
@@ -68,7 +74,7 @@
 			continue
 		}
 		o, beats := n.registry.Owner()
-		v := view{owner: o, beats: beats, nodes: n.registry.Nodes(), asOf: asOf}
+		v := view{owner: o, beats: beats, nodes: n.registry.Nodes(), asOf: asOf, yielded: n.yielded.Load()}
 		if n.owner() == nil && e.due(n.clock.Now(), v) {
 			n.tryClaim(ctx, o)
 			e.retryAt = n.clock.Now() + claimPause
@@ -83,7 +89,7 @@
 	next := registry.Owner{Node: n.self.Name, Boot: n.self.Boot, Token: former.Token + 1}
 	c := &claim{
 		owner: next, former: former, sent: n.clock.Now(),
-		journal: worklog.NewJournal(n.store, log, platform.TopicWork, next.Token, rand.Int64N(maxSeq)),
+		journal: worklog.NewJournal(n.store, log, platform.TopicWork, next.Token, rand.Int64N(maxSeq), func() { n.pool.Yield(next.Token) }),
 	}
 	n.mu.Lock()
 	n.claim = c
@@ -119,10 +125,7 @@
 	log := logging.Part(n.log, "owner")
 	log.Info("A term as owner begins.", "token", c.owner.Token, "offset", offset, "submissions", n.registry.Len())
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &term{claim: c, cancel: cancel, hosts: make(map[string]cell.Host), stored: make(map[string]cell.Host), change: make(chan struct{}, 1)}
-	for _, h := range n.registry.Hosts() {
-		t.stored[h.ID] = h
-	}
+	t := &term{claim: c, cancel: cancel, hosts: make(map[string]cell.Host), vanished: make(map[string]time.Duration), stored: n.registry.Hosts()}
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
 		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
@@ -131,7 +134,7 @@
 		GangTimeout: config.Millis(n.s.Bounds.GangTimeoutMs), RemotePenalty: n.s.Bounds.RemotePenalty,
 	})
 	if d := n.desired.Load(); d != nil {
-		t.owner.SetDesired(d)
+		t.owner.SetDesired(d.Desired)
 	}
 	t.owner.Load(n.registry.All())
 	n.registry.Listen(t.owner)
@@ -180,24 +183,49 @@
 
 func (n *Node) applyHosts(ctx context.Context, t *term, p worklog.Page) {
 	if p.Rebuilt {
-		clear(t.hosts)
+		for id := range t.hosts {
+			t.vanish(id, n.clock.Now())
+		}
 	}
 	for _, r := range p.Records {
 		if len(r.Value) == 0 {
-			delete(t.hosts, r.Key)
+			t.vanish(r.Key, n.clock.Now())
 			continue
 		}
 		h, err := platform.DecodeHost(r.Key, r.Value)
 		if err != nil {
 			n.log.Warn("hosts: An entry names no host to use.", "error", err)
-			delete(t.hosts, r.Key)
+			t.vanish(r.Key, n.clock.Now())
 			continue
 		}
 		t.hosts[r.Key] = h
+		delete(t.vanished, r.Key)
 	}
+	t.expire(n.clock.Now())
 	n.useHosts(ctx, t)
 }
 
+// vanish notes that the entry of a host is gone. Entries that expire while the
+// store is unavailable come back soon after, if the host is alive.
+func (t *term) vanish(id string, now time.Duration) {
+	if _, ok := t.hosts[id]; !ok {
+		return
+	}
+	if _, ok := t.vanished[id]; !ok {
+		t.vanished[id] = now
+	}
+}
+
+// expire drops hosts whose entries have not come back.
+func (t *term) expire(now time.Duration) {
+	for id, at := range t.vanished {
+		if now > at+vanishedFor {
+			delete(t.hosts, id)
+			delete(t.vanished, id)
+		}
+	}
+}
+
 // useHosts stores a changed set of hosts before any of them is used: a later
 // owner has to know where runs may be.
 func (n *Node) useHosts(ctx context.Context, t *term) {
@@ -205,36 +233,30 @@
 	for _, h := range t.hosts {
 		listed = append(listed, h)
 	}
-	all := make(map[string]cell.Host)
-	for _, h := range t.owner.Known() {
-		all[h.ID] = h
-	}
-	if len(all) == 0 {
-		for id, h := range t.stored {
-			all[id] = h
-		}
-	}
-	changed := false
+	var records []platform.Record
 	for _, h := range listed {
 		old, ok := t.stored[h.ID]
-		changed = changed || !ok || old.Address != h.Address
-		all[h.ID] = h
-	}
-	union := make([]cell.Host, 0, len(all))
-	for _, h := range all {
-		union = append(union, h)
+		if !ok || old.Spec.Address != h.Address {
+			t.stored[h.ID] = registry.Host{Spec: h}
+			records = append(records, registry.HostRecord(t.stored[h.ID]))
+		}
 	}
-	byID := func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) }
-	slices.SortFunc(union, byID)
-	slices.SortFunc(listed, byID)
-	if changed {
-		if err := t.claim.journal.Store(ctx, []platform.Record{registry.HostsRecord(union)}); err != nil {
-			n.log.Warn("hosts: The list of hosts is not stored.", "error", err)
+	slices.SortFunc(listed, func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) })
+	if len(records) > 0 {
+		if err := t.claim.journal.Store(ctx, records); err != nil {
+			n.log.Warn("hosts: New hosts are not stored.", "count", len(records), "error", err)
 			return
 		}
-		t.stored = all
 	}
-	t.owner.SetHosts(ctx, union, listed)
+	if t.loaded {
+		known := t.owner.Known()
+		maps.DeleteFunc(t.stored, func(id string, _ registry.Host) bool {
+			_, used := t.hosts[id]
+			return !used && !known[id]
+		})
+	}
+	t.loaded = true
+	t.owner.SetHosts(ctx, t.stored, listed)
 }
 
 // release ends the term in good order, so that another node can claim at once.
--- a/internal/cell/owner/hostloop.go
+++ b/internal/cell/owner/hostloop.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -32,25 +36,37 @@
 	// there is over for certain. Both are guarded by the owner's lock.
 	adopted, lapsed bool
 	listed          bool
-	failures        int
-	born            int64
-	ack             int64
-	seen            int64
+	// formerClosed is set if the former owner had closed the host, so that only
+	// the runs it listed may be present. storedClosed is what the log says.
+	formerClosed, storedClosed bool
+	// silent is set while the host does not answer.
+	silent   bool
+	failures int
+	born     int64
+	ack      int64
+	seen     int64
 }
 
-// SetHosts replaces the hosts that the platform lists. The caller has stored
-// the list before.
-func (w *Owner) SetHosts(ctx context.Context, list []cell.Host, listed []cell.Host) {
+// SetHosts replaces the hosts that may have runs, and those that the platform
+// lists. The caller has stored each of them before.
+func (w *Owner) SetHosts(ctx context.Context, stored map[string]registry.Host, listed []cell.Host) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, h := range w.hosts {
 		h.listed = false
 	}
+	list := make([]cell.Host, 0, len(stored))
+	for _, h := range stored {
+		list = append(list, h.Spec)
+	}
+	slices.SortFunc(list, func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) })
+	w.scheduler.SetHosts(list)
 	for _, spec := range list {
 		h := w.hosts[spec.ID]
 		if h == nil {
 			h = &hostLoop{host: spec, poke: make(chan struct{}, 1), lease: lease{length: w.lease()}}
 			w.hosts[spec.ID] = h
+			w.presume(h, stored[spec.ID])
 			var loop context.Context
 			loop, h.cancel = context.WithCancel(ctx)
 			w.running.Add(1)
@@ -62,22 +78,72 @@
 	}
 	for _, spec := range listed {
 		if h := w.hosts[spec.ID]; h != nil {
-			h.listed = true
+			h.listed, h.host.Leaving = true, spec.Leaving
 		}
 	}
-	w.scheduler.SetHosts(list)
 	w.scheduler.SetListed(listed)
 	w.kick()
 }
 
-// Known returns the hosts that may have runs.
-func (w *Owner) Known() (out []cell.Host) {
+// presume takes over what the former owner stored about a closed host.
+func (w *Owner) presume(h *hostLoop, stored registry.Host) {
+	if !stored.Closed {
+		return
+	}
+	h.formerClosed, h.storedClosed = true, true
+	w.scheduler.Close(h.host.ID)
+	for _, r := range stored.Runs {
+		w.scheduler.Presume(h.host.ID, schedule.Run{Task: r.Task, Run: r.Run}, w.o.Clock.Now())
+	}
+}
+
+// hostChanges returns the records of hosts that are to be closed or opened. A
+// host is closed at once and opened once that is stored.
+func (w *Owner) hostChanges() (records []platform.Record, changed []*hostLoop) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, id := range w.dropped {
+		records = append(records, registry.ForgetHostRecord(id))
+	}
+	w.dropped = nil
 	for _, h := range w.hosts {
-		out = append(out, h.host)
+		closed := h.host.Leaving || !h.listed || h.lapsed || h.silent
+		if closed == h.storedClosed || !closed && !h.adopted {
+			continue
+		}
+		rec := registry.Host{Spec: h.host, Closed: closed}
+		if closed {
+			for _, r := range w.scheduler.Close(h.host.ID) {
+				rec.Runs = append(rec.Runs, registry.Run{Task: r.Task, Run: r.Run})
+			}
+		}
+		records = append(records, registry.HostRecord(rec))
+		changed = append(changed, h)
+	}
+	return records, changed
+}
+
+// hostsStored is called once the records of changed hosts are stored.
+func (w *Owner) hostsStored(changed []*hostLoop) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range changed {
+		h.storedClosed = !h.storedClosed
+		if !h.storedClosed {
+			w.scheduler.Open(h.host.ID)
+		}
+	}
+}
+
+// Known returns the IDs of the hosts that are looked at.
+func (w *Owner) Known() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := make(map[string]bool, len(w.hosts))
+	for id := range w.hosts {
+		known[id] = true
 	}
-	return out
+	return known
 }
 
 // follow looks at a host until ctx ends or the host is gone.
@@ -159,7 +225,7 @@
 	}
 	w.mu.Lock()
 	w.scheduler.Listed(h.host.ID, sent, now, l)
-	h.adopted, h.lapsed = true, false
+	h.adopted, h.lapsed, h.silent = true, false, false
 	w.mu.Unlock()
 	w.kick()
 	for _, e := range l.Ended {
@@ -183,8 +249,10 @@
 	if h.failures == silentAfter {
 		w.o.Log.Warn("A host does not answer.", "host", h.host.ID, "refusal", refusal.String(), "error", errText(err))
 		w.mu.Lock()
+		h.silent = true
 		w.scheduler.Silent(h.host.ID)
 		w.mu.Unlock()
+		w.progress.request()
 	}
 	at, ok := h.lease.over()
 	if !ok {
@@ -218,6 +286,7 @@
 		return false
 	}
 	delete(w.hosts, h.host.ID)
+	w.dropped = append(w.dropped, h.host.ID)
 	w.scheduler.Forget(h.host.ID)
 	h.cancel()
 	return true
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -36,6 +36,8 @@
 	ends      map[string]time.Duration
 	// finals are over and stored, and forgotten once their runs are gone.
 	finals map[string]bool
+	// dropped are hosts to be forgotten in the log.
+	dropped []string
 
 	progress progress
 	deposed  chan struct{}
@@ -187,7 +189,7 @@
 	now := w.o.Clock.Now()
 	open := 0
 	for _, h := range w.hosts {
-		if !h.adopted && !h.lapsed {
+		if !h.adopted && !h.lapsed && !h.formerClosed {
 			open++
 		}
 	}
--- a/internal/cell/owner/progress.go
+++ b/internal/cell/owner/progress.go
@@ -93,7 +93,9 @@
 		case <-time.After(beatEvery / 4):
 		}
 		round := w.progress.begin()
-		records, finals := w.changes()
+		records, changed := w.hostChanges()
+		progress, finals := w.changes()
+		records = append(records, progress...)
 		now := w.o.Clock.Now()
 		if now-forgotten > forgetEvery {
 			forgotten = now
@@ -108,6 +110,7 @@
 				return
 			}
 			last = now
+			w.hostsStored(changed)
 			w.dropFinals(finals)
 		}
 		w.progress.finish(round)
--- a/internal/cell/peers/lane.go
+++ b/internal/cell/peers/lane.go
@@ -46,8 +46,11 @@
 		return l.local.Advise(ctx, r)
 	}
 	var out AdviseResponse
-	err := l.conn.Invoke(ctx, "/"+serviceName+"/"+adviseMethod, r, &out, grpc.CallContentSubtype(codecName))
-	return &out, err
+	return &out, l.invoke(ctx, adviseMethod, r, &out)
+}
+
+func (l *lane) invoke(ctx context.Context, method string, request, response any) error {
+	return l.conn.Invoke(ctx, "/"+serviceName+"/"+method, request, response, grpc.CallContentSubtype(codecName))
 }
 
 func dial(address string) (*grpc.ClientConn, error) {
--- /dev/null
+++ b/internal/cell/peers/others.go
@@ -0,0 +1,80 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc/connectivity"
+
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+)
+
+const (
+	// forwardTries bounds the nodes that one call is forwarded to.
+	forwardTries = 2
+	// yieldFor bounds the notice to the other nodes.
+	yieldFor = 500 * time.Millisecond
+)
+
+// others returns the lanes of other nodes that are up, in random order.
+func (p *Pool) others() (out []*lane) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, l := range p.lanes {
+		if l.local == nil && now >= l.downUntil {
+			out = append(out, l)
+		}
+	}
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	return out
+}
+
+func (p *Pool) down(l *lane) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.downUntil = p.clock.Now() + downFor
+}
+
+// Forward lets another node answer a call. The error has the verdict DidNotRun
+// if no node can have acted on the call.
+func (p *Pool) Forward(ctx context.Context, r *ForwardRequest) (*ForwardResponse, error) {
+	last := error(verdict.New(verdict.DidNotRun, "no-peer", "no other node is known to be up"))
+	v := verdict.DidNotRun
+	for i, l := range p.others() {
+		if i == forwardTries || ctx.Err() != nil {
+			break
+		}
+		if l.conn.GetState() == connectivity.TransientFailure {
+			continue // no byte of the call can arrive
+		}
+		var out ForwardResponse
+		err := l.invoke(ctx, forwardMethod, r, &out)
+		switch {
+		case err == nil && out.Status != http.StatusServiceUnavailable:
+			return &out, nil
+		case err == nil:
+			last = verdict.New(v, "peer-unavailable", "node %s answers %d", l.name, out.Status)
+			continue
+		}
+		v = verdict.MayHaveRun // a broken connection does not tell whether the call arrived
+		p.down(l)
+		last = verdict.Wrap(err, v, "peer-silent")
+	}
+	return nil, last
+}
+
+// Yield tells all other nodes that the owner with a token cannot go on.
+func (p *Pool) Yield(token int64) {
+	for _, l := range p.others() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), yieldFor)
+			defer cancel()
+			if err := l.invoke(ctx, yieldMethod, &YieldRequest{Token: token}, &YieldResponse{}); err != nil {
+				p.log.Info("A node does not hear that the owner yields.", "node", l.name, "error", err)
+			}
+		}()
+	}
+}
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	serviceName  = "medlarpulley.cell.v1.Peer"
-	adviseMethod = "Advise"
+	serviceName   = "medlarpulley.cell.v1.Peer"
+	adviseMethod  = "Advise"
+	forwardMethod = "Forward"
+	yieldMethod   = "Yield"
 )
 
 // AdviseRequest asks a node to call the advice service.
@@ -24,24 +26,66 @@
 	Tickets map[string]string `json:"tickets"`
 }
 
+// ForwardRequest is a caller's call that the sender cannot answer itself,
+// since it does not reach the store.
+type ForwardRequest struct {
+	Method        string `json:"method"`
+	Host          string `json:"host"`
+	Path          string `json:"path"`
+	Authorization string `json:"authorization,omitempty"`
+	Body          []byte `json:"body,omitempty"`
+	// Version is that of the sender's desired state. A call is not answered by
+	// an older one than it has already been shown.
+	Version int64 `json:"version"`
+}
+
+// ForwardResponse is the answer to a call.
+type ForwardResponse struct {
+	Status int    `json:"status"`
+	Body   []byte `json:"body,omitempty"`
+	// RetryAfterSeconds is zero if the caller needs no wait.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+	// Desired is the stored desired state, if it is newer than the sender's.
+	Desired []byte `json:"desired,omitempty"`
+}
+
+// YieldRequest tells that the owner with a token does not reach the store.
+type YieldRequest struct {
+	Token int64 `json:"token"`
+}
+
+// YieldResponse is empty.
+type YieldResponse struct{}
+
 // Handler is what a node does for others.
 type Handler interface {
 	Advise(ctx context.Context, r *AdviseRequest) (*AdviseResponse, error)
+	Forward(ctx context.Context, r *ForwardRequest) (*ForwardResponse, error)
+	Yield(ctx context.Context, r *YieldRequest) (*YieldResponse, error)
 }
 
 var description = grpc.ServiceDesc{
 	ServiceName: serviceName,
 	HandlerType: (*Handler)(nil),
-	Methods: []grpc.MethodDesc{{
-		MethodName: adviseMethod,
+	Methods: []grpc.MethodDesc{
+		method(adviseMethod, Handler.Advise),
+		method(forwardMethod, Handler.Forward),
+		method(yieldMethod, Handler.Yield),
+	},
+}
+
+// method describes a call whose request is of type Q and whose answer is of type A.
+func method[Q, A any](name string, do func(Handler, context.Context, *Q) (*A, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
 		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
-			var r AdviseRequest
-			if err := decode(&r); err != nil {
+			request := new(Q)
+			if err := decode(request); err != nil {
 				return nil, err
 			}
-			return srv.(Handler).Advise(ctx, &r)
+			return do(srv.(Handler), ctx, request)
 		},
-	}},
+	}
 }
 
 // NewServer returns a grpc server for a handler.
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -13,7 +13,7 @@
 // Keys of the work topic. A prefix is followed by the name of the object.
 const (
 	keyOwner         = "o"
-	keyHosts         = "h"
+	prefixHost       = "h/"
 	prefixNode       = "n/"
 	prefixSubmission = "s/"
 	prefixProgress   = "p/"
@@ -39,10 +39,27 @@
 	Boot    string `json:"boot"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Power is the node's share of a core; the most powerful nodes own the cell first.
+	Power float64 `json:"power,omitempty"`
 	// Left is set by a planned stop.
 	Left bool `json:"left,omitempty"`
 }
 
+// Run names a run of a task.
+type Run struct {
+	Task cell.TaskID `json:"task"`
+	Run  int64       `json:"run"`
+}
+
+// Host is a host that the owner uses. An open host may have any run. On a
+// closed one there are no other runs than those listed, since the owner starts
+// nothing there before the record of the opened host is stored.
+type Host struct {
+	Spec   cell.Host `json:"spec"`
+	Closed bool      `json:"closed,omitempty"`
+	Runs   []Run     `json:"runs,omitempty"`
+}
+
 func record(key string, value any) platform.Record {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -54,8 +71,11 @@
 // OwnerRecord returns the record of an owner.
 func OwnerRecord(o Owner) platform.Record { return record(keyOwner, o) }
 
-// HostsRecord returns the record of the hosts that the owner uses.
-func HostsRecord(hosts []cell.Host) platform.Record { return record(keyHosts, hosts) }
+// HostRecord returns the record of a host that the owner uses.
+func HostRecord(h Host) platform.Record { return record(prefixHost+h.Spec.ID, h) }
+
+// ForgetHostRecord returns the record that drops a host.
+func ForgetHostRecord(id string) platform.Record { return platform.Record{Key: prefixHost + id} }
 
 // NodeRecord returns the record of a node.
 func NodeRecord(n Node) platform.Record { return record(prefixNode+n.Name, n) }
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -36,7 +36,7 @@
 	ownerAt  uint64
 	beats    int64
 	nodes    map[string]Node
-	hosts    []cell.Host
+	hosts    map[string]Host
 	listener Listener
 }
 
@@ -47,7 +47,7 @@
 
 // New returns an empty registry.
 func New(log *slog.Logger) *Registry {
-	r := &Registry{log: log, seed: maphash.MakeSeed(), nodes: make(map[string]Node)}
+	r := &Registry{log: log, seed: maphash.MakeSeed(), nodes: make(map[string]Node), hosts: make(map[string]Host)}
 	for i := range r.shards {
 		r.shards[i].entries = make(map[string]*Entry)
 	}
@@ -72,8 +72,8 @@
 	switch key := rec.Key; {
 	case key == keyOwner:
 		err = r.applyOwner(rec)
-	case key == keyHosts:
-		err = r.applyHosts(rec)
+	case strings.HasPrefix(key, prefixHost):
+		err = r.applyHost(key[len(prefixHost):], rec)
 	case strings.HasPrefix(key, prefixNode):
 		err = r.applyNode(rec)
 	case strings.HasPrefix(key, prefixSubmission):
@@ -105,14 +105,18 @@
 	return nil
 }
 
-func (r *Registry) applyHosts(rec platform.Record) error {
-	var hosts []cell.Host
-	if err := json.Unmarshal(rec.Value, &hosts); err != nil {
-		return err
-	}
+func (r *Registry) applyHost(id string, rec platform.Record) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hosts = hosts
+	if len(rec.Value) == 0 {
+		delete(r.hosts, id)
+		return nil
+	}
+	var h Host
+	if err := json.Unmarshal(rec.Value, &h); err != nil {
+		return err
+	}
+	r.hosts[id] = h
 	return nil
 }
 
@@ -289,10 +293,10 @@
 }
 
 // Hosts returns the hosts that the owners have used.
-func (r *Registry) Hosts() []cell.Host {
+func (r *Registry) Hosts() map[string]Host {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return slices.Clone(r.hosts)
+	return maps.Clone(r.hosts)
 }
 
 // Len returns the number of stored submissions.
--- /dev/null
+++ b/internal/cell/schedule/closing.go
@@ -0,0 +1,53 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// Run names a run of a task.
+type Run struct {
+	Task cell.TaskID
+	Run  int64
+}
+
+// Close keeps new work from a host and returns the runs that may be present.
+func (s *Scheduler) Close(id string) (runs []Run) {
+	h := s.hosts[id]
+	if h == nil {
+		return nil
+	}
+	h.closed = true
+	list := make([]*attempt, 0, len(h.attempts))
+	for _, a := range h.attempts {
+		list = append(list, a)
+	}
+	sortAttempts(list)
+	for _, a := range list {
+		runs = append(runs, Run{Task: a.task.id, Run: a.run})
+	}
+	return runs
+}
+
+// Open lets a host take work again.
+func (s *Scheduler) Open(id string) {
+	if h := s.hosts[id]; h != nil {
+		h.closed = false
+	}
+}
+
+// Presume records a run that an earlier owner left on a host that does not
+// answer. It counts as present until the host shows otherwise or has lapsed.
+func (s *Scheduler) Presume(id string, r Run, now time.Duration) {
+	s.now = now
+	h, t := s.hosts[id], s.task(r.Task)
+	if h == nil || t == nil || t.done || h.attempts[runKey{r.Task, r.Run}] != nil {
+		return
+	}
+	a := s.attach(t, h, r.Run)
+	a.phase, a.unknownAt, a.adopted = phaseUnknown, now, true
+	if t.group.step.Gang && t.group.run == 0 {
+		t.group.run, t.group.startedAt = r.Run, now
+	}
+}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -17,7 +17,9 @@
 	known bool
 	// reachable is set while the host answers.
 	reachable bool
-	born      int64
+	// closed hosts take nothing until the owner has stored that they are open.
+	closed bool
+	born   int64
 	// endSeen is the highest number of an end that has been applied.
 	endSeen  int64
 	used     resource.Vector
@@ -39,7 +41,7 @@
 
 // usable reports whether the host takes new work.
 func (h *host) usable(now time.Duration) bool {
-	return h.foreign == 0 && h.listed && h.known && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+	return h.foreign == 0 && !h.closed && h.listed && h.known && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
 }
 
 // free returns the room that is neither used nor promised.
--- a/internal/cell/worklog/appender.go
+++ b/internal/cell/worklog/appender.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -124,27 +123,11 @@
 	for i, p := range batch {
 		records[i] = p.record
 	}
-	err := settle(ctx, a.store, a.log, a.topic, a.producer, records, func() bool { return true })
+	err := settle(ctx, a.store, a.log, a.topic, a.producer, records, func(int) bool { return true })
 	if err == nil {
 		a.producer.Seq++
 	}
-	if err != nil && verdict.Of(err) == verdict.DidNotRun && ctx.Err() == nil {
-		a.requeue(batch)
-		time.Sleep(refusedPause)
-		return
-	}
 	for _, p := range batch {
 		p.done <- err
 	}
 }
-
-// requeue puts a batch that is certainly not stored back. Its records may be
-// given up again.
-func (a *Appender) requeue(batch []*pending) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, p := range batch {
-		p.sent = false
-	}
-	a.queue = append(batch, a.queue...)
-}
--- a/internal/cell/worklog/follower.go
+++ b/internal/cell/worklog/follower.go
@@ -53,7 +53,8 @@
 	asOf     time.Duration
 	read     bool
 	advanced chan struct{}
-	failing  bool
+	// failingSince is when reads began to fail; zero while they succeed.
+	failingSince time.Duration
 }
 
 // NewFollower returns a follower that hands pages to apply, from one goroutine.
@@ -78,8 +79,13 @@
 }
 
 func (f *Follower) report(err error) {
-	if !f.failing {
-		f.failing = true
+	f.mu.Lock()
+	first := f.failingSince == 0
+	if first {
+		f.failingSince = f.clock.Now()
+	}
+	f.mu.Unlock()
+	if first {
 		f.log.Warn("The store is not readable.", "topic", f.o.Topic, "error", short(err))
 	}
 }
@@ -150,8 +156,8 @@
 	if p.Complete {
 		f.asOf = p.AsOf
 	}
-	if f.failing {
-		f.failing = false
+	if f.failingSince != 0 {
+		f.failingSince = 0
 		f.log.Info("The store is readable again.", "topic", f.o.Topic, "next", next)
 	}
 	close(f.advanced)
@@ -166,6 +172,13 @@
 	return f.asOf, f.read
 }
 
+// Failing reports whether the last read failed.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failingSince != 0
+}
+
 // CatchUp returns once everything that was stored before the call has been applied.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	f.mu.Lock()
--- a/internal/cell/worklog/settle.go
+++ b/internal/cell/worklog/settle.go
@@ -31,7 +31,7 @@
 // settle repeats an append under one sequence number until it is known to be
 // stored, or until it is known that it never will be, or ctx ends. The store
 // answers a repeat like the first try, so nothing is stored twice.
-func settle(ctx context.Context, s Store, log *slog.Logger, topic string, p platform.Producer, records []platform.Record, giveUp func() bool) error {
+func settle(ctx context.Context, s Store, log *slog.Logger, topic string, p platform.Producer, records []platform.Record, refused func(try int) (giveUp bool)) error {
 	unknown := false
 	answer := firstAnswer
 	for try := 1; ; try++ {
@@ -47,14 +47,16 @@
 		case errors.As(err, &seq) && seq.Expected == p.Seq+1:
 			return nil // an earlier try was stored, and its answer lost
 		case verdict.Of(err) == verdict.DidNotRun:
-			if !unknown && (seq != nil || giveUp()) {
+			if giveUp := refused(try); !unknown && (seq != nil || giveUp) {
 				return err
 			}
 		default:
 			unknown = true
 			answer = min(2*answer, maxAnswer)
 		}
-		log.Warn("An append is tried again.", "producer", p.Name, "seq", p.Seq, "try", try, "records", len(records), "verdict", verdict.Of(err).String(), "error", short(err))
+		if try&(try-1) == 0 { // a long outage must not fill the log
+			log.Warn("An append is tried again.", "producer", p.Name, "seq", p.Seq, "try", try, "records", len(records), "verdict", verdict.Of(err).String(), "error", short(err))
+		}
 		select {
 		case <-ctx.Done():
 			if unknown {
