Decide over approved hosts only; gather for more gangs on more hosts; keep room for urgent work

Long work of a team at its limit kept its urgent work waiting. Ruled out: advice that never comes back; each call is answered or times out.

--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -96,12 +97,19 @@
 
 // serve answers a call of a caller, if need be through another node.
 func (f *Front) serve(ctx context.Context, r *peers.ForwardRequest) *peers.ForwardResponse {
-	if f.State.Cut() {
-		if a, err := f.Peers.Forward(ctx, r); err == nil {
-			return a
-		}
+	if !f.State.Cut() {
+		return f.Answer(ctx, r, f.Peers)
+	}
+	a, err := f.Peers.Forward(ctx, r)
+	if err == nil {
+		return a
 	}
-	return f.Answer(ctx, r, f.Peers)
+	a = f.Answer(ctx, r, f.Peers)
+	if a.Status == http.StatusServiceUnavailable && verdict.Of(err) != verdict.DidNotRun {
+		// The other node may have stored the work before its answer was lost.
+		return refused(http.StatusGatewayTimeout, "another node has not answered; the outcome is open")
+	}
+	return a
 }
 
 // patience returns how long a call may take.
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -17,6 +17,9 @@
 	tick = 50 * time.Millisecond
 	// gather is the time in which events are collected before a decision.
 	gather = 2 * time.Millisecond
+	// gatherFactor and maxGather bound the part of the time spent on deciding.
+	gatherFactor = 4
+	maxGather    = 25 * time.Millisecond
 	// maxOrders bounds the orders on their way.
 	maxOrders = 512
 )
@@ -42,7 +45,9 @@
 	progress progress
 	deposed  chan struct{}
 	once     sync.Once
-	running  sync.WaitGroup
+	// decided is how long the last decision took. Only Run uses it.
+	decided time.Duration
+	running sync.WaitGroup
 }
 
 // New returns an owner for the term that its claim began.
@@ -139,7 +144,7 @@
 		case <-ctx.Done():
 		case <-w.deposed:
 		case <-w.wake:
-			time.Sleep(gather)
+			time.Sleep(w.gatherFor())
 		case <-t.C:
 		}
 		select {
@@ -161,6 +166,12 @@
 	w.running.Wait()
 }
 
+// gatherFor returns how long events are collected. It grows with the time that
+// a decision takes, so that deciding uses a bounded part of the processor.
+func (w *Owner) gatherFor() time.Duration {
+	return min(max(gather, gatherFactor*w.decided), maxGather)
+}
+
 func (w *Owner) step(ctx context.Context) {
 	if !w.authority.holds() {
 		return
@@ -171,7 +182,9 @@
 		w.mu.Unlock()
 		return
 	}
-	plan := w.scheduler.Decide(w.o.Clock.Now(), w.o.Wall())
+	begun := w.o.Clock.Now()
+	plan := w.scheduler.Decide(begun, w.o.Wall())
+	w.decided = w.o.Clock.Now() - begun
 	notes := w.scheduler.Notes()
 	w.mu.Unlock()
 	w.progress.request()
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -22,8 +23,10 @@
 
 // advice is what the advice service has said about a group.
 type advice struct {
-	tickets  map[string]ticket
-	denied   map[string]bool
+	tickets map[string]ticket
+	denied  map[string]bool
+	// hosts are the approved ones, in the scheduler's order.
+	hosts    []*host
 	inFlight bool
 	notUntil time.Duration
 }
@@ -128,9 +131,21 @@
 			continue
 		}
 		if h := s.hosts[name]; h != nil {
+			if _, known := g.advice.tickets[name]; !known {
+				g.advice.hosts = append(g.advice.hosts, h)
+			}
 			g.advice.tickets[name] = ticket{value: value, expires: received + p.Validity - ticketMargin, born: h.born}
 		}
 	}
+	slices.SortFunc(g.advice.hosts, func(a, b *host) int { return strings.Compare(a.spec.ID, b.spec.ID) })
+}
+
+// candidates returns the hosts that a group may run on, as far as advice tells.
+func (s *Scheduler) candidates(g *group) []*host {
+	if g.policy() == nil {
+		return s.order
+	}
+	return g.advice.hosts
 }
 
 // AdviceFailed records that a call got no advice.
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -17,7 +17,7 @@
 		s.repair(g, tasks)
 		return
 	}
-	if len(tasks) < g.left || !g.job.team.fits(g.step.Size, len(tasks)) {
+	if len(tasks) < g.left || g.job.team.room(g.step.Size, g.urgent()) < len(tasks) {
 		return
 	}
 	if hosts := s.choose(g, len(tasks), true); hosts != nil {
@@ -28,17 +28,17 @@
 		s.askUndecided(g)
 		return
 	}
+	if g.policy() != nil && s.capacityOf(g) < len(tasks) && !s.askUndecided(g) {
+		return // no host that the group may use is left out; others must not wait for it
+	}
 	*gangs++
-	if *gangs > gathered {
+	if *gangs > max(minGathered, len(s.order)/hostsPerGathered) {
 		return
 	}
 	if hosts := s.choose(g, len(tasks), false); hosts != nil {
 		s.renew(g, hosts)
 		return
 	}
-	if s.capacityOf(g) < len(tasks) {
-		s.askUndecided(g)
-	}
 	s.gather(g, len(tasks))
 }
 
@@ -46,8 +46,8 @@
 // with a valid ticket count.
 func (s *Scheduler) choose(g *group, n int, fresh bool) []*host {
 	var all []*host
-	for _, h := range s.order {
-		if !s.eligible(g, h) || !g.approved(h) || s.room(g, h) < 1 {
+	for _, h := range s.candidates(g) {
+		if !s.eligible(g, h) || s.room(g, h) < 1 {
 			continue
 		}
 		if _, ok := g.ticketFor(h, s.now); ok || !fresh {
@@ -146,7 +146,7 @@
 		return // the rest of the gang is ending
 	}
 	hosts := s.choose(g, len(tasks), true)
-	if hosts != nil && g.job.team.fits(g.step.Size, len(tasks)) {
+	if hosts != nil && g.job.team.room(g.step.Size, g.urgent()) >= len(tasks) {
 		for i, t := range tasks {
 			s.start(t, hosts[i], g.run)
 		}
@@ -194,8 +194,8 @@
 
 // capacityOf returns how many tasks the approved hosts hold when they are empty.
 func (s *Scheduler) capacityOf(g *group) (n int) {
-	for _, h := range s.order {
-		if s.eligible(g, h) && g.approved(h) {
+	for _, h := range s.candidates(g) {
+		if s.eligible(g, h) {
 			k := slots(g.size, h.spec.Capacity)
 			if g.step.MaxPerHost > 0 {
 				k = min(k, g.step.MaxPerHost)
@@ -223,8 +223,8 @@
 	var releases []release
 	free := make(map[*host]int)
 	total := 0
-	for _, h := range s.order {
-		if !s.eligible(g, h) || !g.approved(h) {
+	for _, h := range s.candidates(g) {
+		if !s.eligible(g, h) {
 			continue
 		}
 		hosts = append(hosts, h)
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -14,7 +14,9 @@
 	step  *cell.Step
 	size  resource.Vector
 	tasks []*task
-	left  int
+	// left counts the tasks that are not done, present those with an attempt and
+	// waiting those that are not done and have none.
+	left, present, waiting int
 	// open is set once the turn of the tasks has come.
 	open     bool
 	openedAt time.Duration
@@ -24,11 +26,11 @@
 	// breaking is set once a member of the gang has ended; the others end too.
 	breaking  bool
 	startedAt time.Duration
-	retryAt   time.Duration
 }
 
 // waitingTasks returns the tasks that are to be started.
-func (g *group) waitingTasks() (out []*task) {
+func (g *group) waitingTasks() []*task {
+	out := make([]*task, 0, g.waiting)
 	for _, t := range g.tasks {
 		if t.waiting() {
 			out = append(out, t)
@@ -37,16 +39,6 @@
 	return out
 }
 
-// present returns how many tasks have an attempt.
-func (g *group) present() (n int) {
-	for _, t := range g.tasks {
-		if len(t.attempts) > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // on returns how many attempts of the group a host has.
 func (g *group) on(h *host) (n int) {
 	for _, t := range g.tasks {
@@ -67,3 +59,7 @@
 	}
 	return d
 }
+
+// urgent reports whether the group's submission came through a queue of the
+// first priority.
+func (g *group) urgent() bool { return g.job.urgent }
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -25,6 +25,9 @@
 	due time.Duration
 	// excess is set for what a team sends beyond its rate.
 	excess bool
+	// urgent is set for work of a queue of the first priority. It stays as it was
+	// at acceptance, so that what is counted is also taken off.
+	urgent bool
 	order  int
 }
 
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -24,7 +24,7 @@
 	s.arrival++
 	j := &job{
 		sub: sub, queue: q, team: s.team(sub.Team), steps: len(sub.Steps), state: p.State,
-		unsettled: unsettled && !s.settled, order: s.arrival,
+		unsettled: unsettled && !s.settled, order: s.arrival, urgent: q.Priority == 0,
 	}
 	j.arrived = now - min(max(wall-sub.Received, 0), maxAge)
 	j.due = j.arrived + j.objective()
@@ -52,6 +52,7 @@
 		}
 		if !t.done {
 			g.left++
+			g.waiting++
 			j.left++
 		}
 		g.tasks = append(g.tasks, t)
@@ -115,7 +116,7 @@
 		return
 	}
 	for _, g := range j.groups {
-		if g.present() > 0 {
+		if g.present > 0 {
 			return
 		}
 	}
@@ -130,7 +131,7 @@
 		return false
 	}
 	for _, g := range j.groups {
-		if g.present() > 0 {
+		if g.present > 0 {
 			return false
 		}
 	}
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -111,11 +111,17 @@
 // attach records a run that is or may be present on a host.
 func (s *Scheduler) attach(t *task, h *host, run int64) *attempt {
 	a := &attempt{task: t, run: run, host: h, orderedAt: s.now, checkpoint: t.checkpoint, resumed: t.checkpoint != ""}
+	if len(t.attempts) == 0 {
+		t.group.present++
+		if !t.done {
+			t.group.waiting--
+		}
+	}
 	t.attempts = append(t.attempts, a)
 	t.lastRun = max(t.lastRun, run)
 	h.attempts[runKey{t.id, run}] = a
 	h.used = h.used.Add(t.group.size)
-	t.group.job.team.used = t.group.job.team.used.Add(t.group.step.Size)
+	t.group.job.team.add(t.group.step.Size, t.group.urgent(), 1, s.now)
 	return a
 }
 
@@ -124,7 +130,7 @@
 	delete(a.host.attempts, runKey{a.task.id, a.run})
 	a.host.used = a.host.used.Sub(a.task.group.size)
 	j := a.task.group.job
-	j.team.used = j.team.used.Sub(a.task.group.step.Size)
+	j.team.add(a.task.group.step.Size, a.task.group.urgent(), -1, s.now)
 	for i, other := range a.task.attempts {
 		if other == a {
 			a.task.attempts = append(a.task.attempts[:i:i], a.task.attempts[i+1:]...)
@@ -133,8 +139,12 @@
 	}
 	if len(a.task.attempts) == 0 {
 		a.task.waitingSince = s.now
+		a.task.group.present--
+		if !a.task.done {
+			a.task.group.waiting++
+		}
 	}
-	if g := a.task.group; g.step.Gang && g.present() == 0 {
+	if g := a.task.group; g.step.Gang && g.present == 0 {
 		g.run, g.breaking = 0, false
 	}
 	s.dropIfGone(j)
@@ -181,7 +191,7 @@
 // refused are placed again instead while the gang still waits for them.
 func (s *Scheduler) breakGang(g *group, reason string) {
 	if g.step.Gang && g.left > 0 {
-		g.breaking = g.present() > 0
+		g.breaking = g.present > 0
 		s.stopGroup(g, reason)
 	}
 }
@@ -212,7 +222,7 @@
 		return
 	}
 	g := t.group
-	g.breaking = g.step.Gang && g.present() > 0
+	g.breaking = g.step.Gang && g.present > 0
 	if e.Checkpoint != "" && e.Outcome != cell.OutcomeDone {
 		s.keepCheckpoint(t, e.Checkpoint)
 	}
@@ -251,6 +261,9 @@
 		if m.done {
 			continue
 		}
+		if m.waiting() {
+			g.waiting--
+		}
 		m.done, m.checkpoint = true, ""
 		g.left--
 		j.left--
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -14,9 +14,14 @@
 	weightSlow   = 0.5
 	weightFailed = 5.0
 	weightRemote = 2.0
-	// gathered bounds the gangs that room is gathered for at one time. More of
-	// them would keep most of the cell idle.
-	gathered = 3
+	// surveyEvery is the time between two looks at all groups, for what no event
+	// tells.
+	surveyEvery = 100 * time.Millisecond
+	// minGathered and hostsPerGathered bound the gangs that room is gathered for at
+	// one time: more of them would keep most of the cell idle, and fewer would
+	// make gangs wait for each other's advice.
+	minGathered      = 3
+	hostsPerGathered = 16
 	// refreshSpare is how many hosts beyond the needed ones a call that renews
 	// tickets names, in case room is taken meanwhile.
 	refreshSpare = 2
@@ -37,8 +42,11 @@
 			s.placeEach(e.group)
 		}
 	}
-	s.prefetch()
-	s.rescue()
+	if now >= s.surveyAt {
+		s.surveyAt = now + surveyEvery
+		s.prefetch()
+		s.rescue()
+	}
 	p := s.plan
 	s.plan = &Plan{}
 	return p
@@ -86,11 +94,14 @@
 // placeEach starts tasks one by one.
 func (s *Scheduler) placeEach(g *group) {
 	tasks := g.waitingTasks()
-	if n := g.job.team.room(g.step.Size); n < len(tasks) {
+	if n := g.job.team.room(g.step.Size, g.urgent()); n < len(tasks) {
 		tasks = tasks[:n]
 	}
+	if len(tasks) == 0 {
+		return
+	}
 	var fresh []*host
-	for _, h := range s.order {
+	for _, h := range s.candidates(g) {
 		if _, ok := g.ticketFor(h, s.now); ok && s.eligible(g, h) && s.room(g, h) > 0 {
 			fresh = append(fresh, h)
 		}
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -36,10 +36,7 @@
 func (s *Scheduler) queue() []entry {
 	var q []entry
 	for _, g := range s.groups {
-		if !g.open || g.job.unsettled || s.now < g.retryAt {
-			continue
-		}
-		if len(g.waitingTasks()) > 0 {
+		if g.open && g.waiting > 0 && !g.job.unsettled {
 			q = append(q, s.rank(g))
 		}
 	}
--- a/internal/cell/schedule/rescue.go
+++ b/internal/cell/schedule/rescue.go
@@ -46,7 +46,7 @@
 		return
 	}
 	late := max(time.Duration(copyFactor*float64(g.step.Estimate)), minCopyAfter)
-	if !g.step.Copies || a.phase != phaseRunning || a.adopted || s.now-a.orderedAt < late || !g.job.team.fits(g.step.Size, 1) {
+	if !g.step.Copies || a.phase != phaseRunning || a.adopted || s.now-a.orderedAt < late || g.job.team.room(g.step.Size, g.urgent()) < 1 {
 		return
 	}
 	var others []*host
@@ -64,7 +64,7 @@
 // rescueGang ends a gang of which every member stands still. A single member
 // may: the work of members differs, and those that are through wait for the rest.
 func (s *Scheduler) rescueGang(g *group) {
-	if g.present() < g.left || g.breaking || g.stopping() {
+	if g.present < g.left || g.breaking || g.stopping() {
 		return
 	}
 	for _, t := range g.tasks {
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -33,9 +33,11 @@
 	// groups are those with tasks that are not done, by order of arrival.
 	groups  []*group
 	settled bool
-	arrival int
-	plan    *Plan
-	changed map[string]bool
+	// surveyAt is when all groups are looked at next.
+	surveyAt time.Duration
+	arrival  int
+	plan     *Plan
+	changed  map[string]bool
 	// notes are decisions for the log.
 	notes []Note
 	// usageSeen is set once a host has reported the use of a run, so that a
@@ -147,7 +149,7 @@
 		j.unsettled = false
 	}
 	for _, g := range s.groups {
-		if g.step.Gang && g.present() > 0 && g.present() < g.left {
+		if g.step.Gang && g.present > 0 && g.present < g.left {
 			s.stopGroup(g, "gang of an earlier owner is incomplete")
 		}
 	}
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -12,6 +12,10 @@
 	weight float64
 	limit  resource.Vector
 	used   resource.Vector
+	// urgent is the part of used that queues of the first priority have, and peak
+	// its largest value of late.
+	urgent, peak resource.Vector
+	peakAt       time.Duration
 	// credit is how many submissions the team may still send at its rate.
 	credit   float64
 	creditAt time.Duration
@@ -35,18 +39,39 @@
 	return true
 }
 
-// fits reports whether the team may run more of a size n times.
-func (t *team) fits(size resource.Vector, n int) bool {
-	return t.room(size) >= n
+// urgentMemory is the time in which the peak of a team's urgent work is
+// forgotten, and urgentShare bounds what is kept for it.
+const (
+	urgentMemory = 10 * time.Second
+	urgentShare  = 4
+)
+
+// add counts what a task of a queue has present; a negative sign takes it off.
+func (t *team) add(size resource.Vector, urgent bool, sign int64, now time.Duration) {
+	t.used = t.used.Add(size.Scale(sign))
+	if !urgent {
+		return
+	}
+	t.urgent = t.urgent.Add(size.Scale(sign))
+	if t.urgent.MilliCPU >= t.peak.MilliCPU || now > t.peakAt+urgentMemory {
+		t.peak, t.peakAt = t.urgent, now
+	}
 }
 
-// room returns how many more tasks of a size the team may run.
-func (t *team) room(size resource.Vector) int {
+// room returns how many more tasks of a size the team may run. Work that is not
+// urgent leaves room under the limit for the urgent work of late, which would
+// otherwise wait until long tasks end.
+func (t *team) room(size resource.Vector, urgent bool) int {
 	n := int64(1 << 20)
 	for i := range resource.Dimensions {
-		if t.limit.At(i) > 0 && size.At(i) > 0 {
-			n = min(n, (t.limit.At(i)-t.used.At(i))/size.At(i))
+		limit := t.limit.At(i)
+		if limit == 0 || size.At(i) == 0 {
+			continue
+		}
+		if !urgent && t.used != t.urgent {
+			limit -= min(max(t.peak.At(i)-t.urgent.At(i), 0), limit/urgentShare)
 		}
+		n = min(n, (limit-t.used.At(i))/size.At(i))
 	}
 	return int(max(n, 0))
 }
