--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -135,9 +135,14 @@
 		}
 		if c.others != nil {
 			a, forwardErr := c.others.Forward(ctx, c.request)
-			if forwardErr == nil {
+			if forwardErr == nil && (a.Status == http.StatusOK || done == nil && v == verdict.DidNotRun) {
 				return a, nil
 			}
+			if forwardErr == nil {
+				// A refusal by the other node is no answer while the record may
+				// still be stored by this one.
+				forwardErr = verdict.New(verdict.MayHaveRun, "open", "another node answers %d", a.Status)
+			}
 			v = v.Merge(verdict.Of(forwardErr))
 			err = forwardErr
 		}
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -17,28 +17,42 @@
 		s.repair(g, tasks)
 		return
 	}
-	if len(tasks) < g.left || g.job.team.room(g.step.Size, g.urgent()) < len(tasks) {
+	if len(tasks) < g.left {
+		s.waits(g, waitMembers)
+		return
+	}
+	if g.job.team.room(g.step.Size, g.urgent()) < len(tasks) {
+		s.waits(g, waitLimit)
 		return
 	}
 	if hosts := s.choose(g, len(tasks), true); hosts != nil {
+		s.waits(g, waitNone)
 		s.startGang(g, tasks, hosts)
 		return
 	}
 	if g.policy() != nil && len(g.advice.tickets) == 0 {
+		s.waits(g, waitAdvice)
 		s.askUndecided(g)
 		return
 	}
 	if g.policy() != nil && s.capacityOf(g) < len(tasks) && !s.askUndecided(g) {
+		s.waits(g, waitHosts)
 		return // no host that the group may use is left out; others must not wait for it
 	}
 	*gangs++
 	if *gangs > max(minGathered, len(s.order)/hostsPerGathered) {
+		s.waits(g, waitBehind)
 		return
 	}
 	if hosts := s.choose(g, len(tasks), false); hosts != nil {
+		s.waits(g, waitTickets)
 		s.renew(g, hosts)
 		return
 	}
+	s.waits(g, waitRoom)
+	if g.policy() != nil {
+		s.askUndecided(g) // hosts that are not judged yet may have room now
+	}
 	s.gather(g, len(tasks))
 }
 
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -24,8 +24,12 @@
 	// run is that of a gang that has been started, zero if none.
 	run int64
 	// breaking is set once a member of the gang has ended; the others end too.
-	breaking  bool
+	breaking bool
+	// brokenAt is when that was learnt.
+	brokenAt  time.Duration
 	startedAt time.Duration
+	// wait is why the group does not start; see waits.
+	wait wait
 }
 
 // waitingTasks returns the tasks that are to be started.
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -187,11 +187,20 @@
 	s.breakGang(a.task.group, "a member is gone")
 }
 
+// breaks notes that a member has ended, so that the others are ending.
+func (g *group) breaks(now time.Duration) {
+	if !g.breaking {
+		g.breaking, g.brokenAt = true, now
+	}
+}
+
 // breakGang orders the end of a gang that lost a member. Members that were
 // refused are placed again instead while the gang still waits for them.
 func (s *Scheduler) breakGang(g *group, reason string) {
 	if g.step.Gang && g.left > 0 {
-		g.breaking = g.present > 0
+		if g.present > 0 {
+			g.breaks(s.now)
+		}
 		s.stopGroup(g, reason)
 	}
 }
@@ -222,7 +231,9 @@
 		return
 	}
 	g := t.group
-	g.breaking = g.step.Gang && g.present > 0
+	if g.step.Gang && g.present > 0 && e.Outcome != cell.OutcomeDone {
+		g.breaks(s.now)
+	}
 	if e.Checkpoint != "" && e.Outcome != cell.OutcomeDone {
 		s.keepCheckpoint(t, e.Checkpoint)
 	}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -98,8 +98,10 @@
 		tasks = tasks[:n]
 	}
 	if len(tasks) == 0 {
+		s.waits(g, waitLimit)
 		return
 	}
+	s.waits(g, waitNone)
 	var fresh []*host
 	for _, h := range s.candidates(g) {
 		if _, ok := g.ticketFor(h, s.now); ok && s.eligible(g, h) && s.room(g, h) > 0 {
--- a/internal/cell/schedule/rescue.go
+++ b/internal/cell/schedule/rescue.go
@@ -5,6 +5,9 @@
 const (
 	// standstill is how long a run may show no progress before it counts as hung.
 	standstill = 1600 * time.Millisecond
+	// breakWithin is how long the members of a gang may take to end by themselves
+	// after one of them has ended.
+	breakWithin = time.Second
 	// hungAvoid is how long a host with a hung run gets no work.
 	hungAvoid = 4 * time.Second
 	// copyFactor is how many estimates a run may take before a copy is started.
@@ -15,11 +18,11 @@
 
 // rescue ends or copies runs that stand still or take far too long.
 func (s *Scheduler) rescue() {
-	if !s.usageSeen {
-		return
-	}
 	for _, g := range s.groups {
-		if g.left == 0 || g.job.state.Final() || g.step.Fills || g.step.Lasting {
+		if g.breaking && s.now > g.brokenAt+breakWithin {
+			s.stopGroup(g, "the rest of a gang that has lost a member")
+		}
+		if !s.usageSeen || g.left == 0 || g.job.state.Final() || g.step.Fills || g.step.Lasting {
 			continue
 		}
 		if g.step.Gang {
--- a/internal/cell/worklog/journal.go
+++ b/internal/cell/worklog/journal.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -24,6 +25,8 @@
 
 	mu       sync.Mutex
 	producer platform.Producer
+	// broken is set once an append of the term failed; the term is over then.
+	broken bool
 }
 
 // NewJournal returns a journal of an owner. firstSeq must differ between
@@ -41,20 +44,29 @@
 // Store stores records in order. It tries until they are stored, the owner is
 // fenced, or ctx ends.
 func (j *Journal) Store(ctx context.Context, records []platform.Record) error {
-	return j.append(ctx, records, func(try int) bool {
+	err := j.append(ctx, records, func(try int) bool {
 		if try == refusedTries {
 			j.refused()
 		}
 		return false
 	})
+	if err != nil {
+		j.mu.Lock()
+		j.broken = true
+		j.mu.Unlock()
+	}
+	return err
 }
 
 func (j *Journal) append(ctx context.Context, records []platform.Record, refused func(try int) (giveUp bool)) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if err := settle(ctx, j.store, j.log, j.topic, j.producer, records, refused); err != nil {
-		return err
+	if j.broken {
+		return verdict.New(verdict.DidNotRun, "journal-broken", "an earlier append of this owner was not settled")
 	}
+	err := settle(ctx, j.store, j.log, j.topic, j.producer, records, refused)
+	// An append whose outcome is open may have been stored. Its number must not be
+	// used again: the store would answer a new record like the old one.
 	j.producer.Seq++
-	return nil
+	return err
 }
