Test the cell: rules under faults, verdicts, fencing, short history, a killed owner

Property tests drive the scheduler through lost orders and answers, restarts, silent hosts and cancellations; one found gangs that never ended after a member was lost. Real processes run against a stand-in for the users' platform: the owner is killed, the history dropped, and every submission completes once.

--- /dev/null
+++ b/cmd/medlarpulley/entry_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/standin/users"
+)
+
+// entryProcess is a process of a cell on the stand-in for the users' platform.
+type entryProcess struct {
+	cmd     *exec.Cmd
+	address string
+	// owner is closed once the process owns the cell.
+	owner chan struct{}
+}
+
+var servesLine = regexp.MustCompile(`The process serves.*callers=(\S+)`)
+
+func startEntry(t *testing.T, name string, store *users.Store, advice *users.Advice) *entryProcess {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name+".toml")
+	content := fmt.Sprintf("[node]\nname = %q\nzone = \"z\"\n[listen]\ncallers = \"127.0.0.1:0\"\nstatus = \"127.0.0.1:0\"\n"+
+		"peers = \"127.0.0.1:0\"\n[platform]\nstore = %q\nadvice = %q\n", name, store.Address(), advice.Address())
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &entryProcess{cmd: exec.Command(binary, "entry", "-c", file), owner: make(chan struct{})}
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // it may have ended
+		_ = p.cmd.Wait()
+	})
+	serving := make(chan string, 1)
+	go func() {
+		var once sync.Once
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			if m := servesLine.FindStringSubmatch(lines.Text()); m != nil {
+				serving <- m[1]
+			}
+			if strings.Contains(lines.Text(), "A term as owner begins") {
+				once.Do(func() { close(p.owner) })
+			}
+		}
+	}()
+	select {
+	case p.address = <-serving:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the process does not serve")
+	}
+	return p
+}
+
+func (p *entryProcess) call(method, id, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+p.address+"/q/"+id, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Host = "h.example"
+	r.Header.Set("Authorization", "Token key-a")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data := make([]byte, 200)
+	n, _ := resp.Body.Read(data) // a short answer comes in one piece
+	return resp.StatusCode, string(data[:n])
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within 40 s: %s", what)
+}
+
+// Guards against work that is lost, or runs twice at once, when the owner of
+// the cell is killed and the history of the log is gone, and against a
+// submission that no node can tell the end of.
+func TestCellSurvivesItsOwner(t *testing.T) {
+	store := users.NewStore()
+	defer store.Close()
+	advice := users.NewAdvice(2 * time.Millisecond)
+	defer advice.Close()
+	store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s",`+
+		`"maxAttempts":3,"stretch":2,"targetLatencyMs":1000,"advice":{"decisionMs":2,"perWorkerMs":0,"validityMs":2500}}],`+
+		`"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":100}]}`))
+	var hosts []*users.Host
+	for i := range 4 {
+		h := users.NewHost(fmt.Sprintf("i-%d", i), 300*time.Millisecond, store)
+		defer h.Close()
+		hosts = append(hosts, h)
+	}
+	procs := map[string]*entryProcess{}
+	for _, name := range []string{"n1", "n2", "n3"} {
+		procs[name] = startEntry(t, name, store, advice)
+	}
+	var owner string
+	until(t, "a node owns the cell", func() bool {
+		for name, p := range procs {
+			select {
+			case <-p.owner:
+				owner = name
+			default:
+			}
+		}
+		return owner != ""
+	})
+	const jobs = 30
+	body := `{"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":10,"estimateMs":300},{"count":3,"cpu":1000,"memMb":10,"estimateMs":300,"gang":true,"after":[0]}]}`
+	id := func(i int) string { return fmt.Sprintf("%016x", i+1) }
+	for i := range jobs {
+		until(t, "submission is accepted", func() bool { code, _ := procs["n2"].call("POST", id(i), body); return code == 200 })
+	}
+	store.Forget("keyed.medlarpulley")
+	if err := procs[owner].cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	delete(procs, owner)
+	for _, p := range procs {
+		for i := range jobs {
+			until(t, "submission is completed", func() bool { _, s := p.call("GET", id(i), ""); return strings.Contains(s, "completed") })
+		}
+		if code, _ := p.call("GET", id(jobs), ""); code != http.StatusGone {
+			t.Errorf("a submission that nobody submitted: status %d, want 410", code)
+		}
+		break
+	}
+	checkRuns(t, hosts)
+}
+
+// checkRuns fails if two runs of a task were present at one time.
+func checkRuns(t *testing.T, hosts []*users.Host) {
+	t.Helper()
+	runs := map[string][]users.Started{}
+	for _, h := range hosts {
+		for _, r := range h.History() {
+			if r.Ended.IsZero() {
+				r.Ended = time.Now()
+			}
+			runs[r.Task] = append(runs[r.Task], r)
+		}
+	}
+	for task, list := range runs {
+		for i, a := range list {
+			for _, b := range list[:i] {
+				if a.At.Before(b.Ended) && b.At.Before(a.Ended) {
+					t.Errorf("task %s: runs %d and %d are present at one time", task, b.Run, a.Run)
+				}
+			}
+		}
+	}
+}
--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return err
 	}
+	n.self.Address = others.Addr().String()
 	handler, err := n.routes()
 	if err != nil {
 		return err
@@ -68,7 +69,7 @@
 	go func() { failed <- statusServer.Serve(status) }()
 	go func() { failed <- peerServer.Serve(others) }()
 	go n.reload(work)
-	n.log.Info("node: The process serves.", "node", n.self.Name, "boot", n.self.Boot, "callers", n.s.Listen.Callers)
+	n.log.Info("node: The process serves.", "node", n.self.Name, "boot", n.self.Boot, "callers", callers.Addr().String(), "status", status.Addr().String())
 	select {
 	case err := <-failed:
 		return eris.Wrap(err, "serve")
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -283,7 +283,6 @@
 		how = cell.OutcomeStopped
 	case c.fails(r.task, r.run):
 		how = cell.OutcomeFailed
-		c.failed[r.task]++
 	default:
 		c.done[r.task] = true
 		if step := c.jobs[r.task.Submission].Steps[r.task.Step]; step.Gang {
@@ -305,6 +304,9 @@
 		}
 		for _, e := range h.ended {
 			c.noted[e.Task] = c.noted[e.Task] || e.Outcome == cell.OutcomeDone
+			if e.Outcome == cell.OutcomeFailed {
+				c.failed[e.Task]++
+			}
 		}
 		c.s.Listed(id, c.now, c.now, h.listing())
 		h.ended = nil
