Keep what a starting node reads small; let one claim per token be open

A node that claimed again before it had read its first claim lost the ownership over sequence numbers.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -76,7 +76,7 @@
 		}
 		return ok(nil)
 	}
-	s.ID, s.Team, s.Queue, s.Received = c.id, c.team, c.queue, c.front.Wall()
+	s.ID, s.Team, s.Queue, s.Received = c.id, c.team, c.queue.Snapshot(), c.front.Wall()
 	return c.store(ctx, registry.SubmissionRecord(&s), "A submission is accepted.", "A submission is not accepted.")
 }
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -14,6 +14,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/internal/logging"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -22,6 +23,9 @@
 	electionTick = 40 * time.Millisecond
 	// claimFor bounds an attempt to claim.
 	claimFor = 2 * time.Second
+	// claimOpenFor is how long a claim that may be stored keeps this node from
+	// another one of the same token.
+	claimOpenFor = 6 * time.Second
 	// claimPause is the wait after a claim that failed or lost.
 	claimPause = 300 * time.Millisecond
 	// hostsWait is how long the store holds back a read of the list of hosts.
@@ -86,12 +90,17 @@
 // only the log tells which of several claims came first.
 func (n *Node) tryClaim(ctx context.Context, former registry.Owner) {
 	log := logging.Part(n.log, "election")
-	next := registry.Owner{Node: n.self.Name, Boot: n.self.Boot, Token: former.Token + 1}
+	first := 1 + rand.Int64N(maxSeq)
+	next := registry.Owner{Node: n.self.Name, Boot: n.self.Boot, Token: former.Token + 1, Claim: first}
 	c := &claim{
 		owner: next, former: former, sent: n.clock.Now(),
-		journal: worklog.NewJournal(n.store, log, platform.TopicWork, next.Token, rand.Int64N(maxSeq), func() { n.pool.Yield(next.Token) }),
+		journal: worklog.NewJournal(n.store, log, platform.TopicWork, next.Token, first, func() { n.pool.Yield(next.Token) }),
 	}
 	n.mu.Lock()
+	if open := n.claim; open != nil && open.owner.Token == next.Token && c.sent < open.sent+claimOpenFor {
+		n.mu.Unlock()
+		return // the log will tell what became of it
+	}
 	n.claim = c
 	n.mu.Unlock()
 	log.Info("The ownership is claimed.", "token", next.Token, "former", former.Node, "released", former.Released)
@@ -99,6 +108,11 @@
 	defer cancel()
 	if err := c.journal.Claim(ctx, registry.OwnerRecord(next)); err != nil {
 		log.Info("The claim was not stored.", "token", next.Token, "error", err)
+		n.mu.Lock()
+		if n.claim == c && verdict.Of(err) == verdict.DidNotRun {
+			n.claim = nil
+		}
+		n.mu.Unlock()
 	}
 }
 
@@ -114,7 +128,7 @@
 		return
 	}
 	c := n.claim
-	if c == nil || o.Released || o.Boot != n.self.Boot || o.Token != c.owner.Token {
+	if c == nil || o.Released || o.Boot != n.self.Boot || o.Claim != c.owner.Claim {
 		return
 	}
 	n.claim = nil
--- a/internal/cell/owner/progress.go
+++ b/internal/cell/owner/progress.go
@@ -148,6 +148,8 @@
 		}
 		records = append(records, registry.ProgressRecord(id, p))
 		if p.State.Final() {
+			// The short form keeps what a starting node reads small.
+			records = append(records, registry.SubmissionRecord(w.scheduler.Submission(id).Short()))
 			finals = append(finals, id)
 		}
 	}
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -27,6 +27,8 @@
 	Boot string `json:"boot"`
 	// Token rises with each owner. Hosts refuse orders with a lower one.
 	Token int64 `json:"token"`
+	// Claim tells claims of one token apart.
+	Claim int64 `json:"claim,omitempty"`
 	// Released is set once the owner has given up its duty.
 	Released bool `json:"released,omitempty"`
 	// Beat makes heartbeats differ.
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -182,16 +182,11 @@
 	e.Progress = p
 	r.countBeat()
 	if p.State.Final() && e.Submission != nil {
-		e.Submission = trimmed(e.Submission)
+		e.Submission = e.Submission.Short()
 	}
 	return nil
 }
 
-// trimmed returns a copy without what only running work needs.
-func trimmed(s *cell.Submission) *cell.Submission {
-	return &cell.Submission{ID: s.ID, Team: s.Team, Queue: cell.Queue{Name: s.Queue.Name}, Occurrences: s.Occurrences}
-}
-
 func (r *Registry) applyCancel(id string, rec platform.Record) {
 	if len(rec.Value) == 0 {
 		return
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -13,7 +13,7 @@
 // Add adds an accepted submission. unsettled is set if runs of an earlier owner
 // may exist that are not known yet.
 func (s *Scheduler) Add(sub *cell.Submission, p cell.Progress, unsettled bool, now, wall time.Duration) {
-	if s.jobs[sub.ID] != nil || p.State.Final() {
+	if s.jobs[sub.ID] != nil || sub.Over || p.State.Final() {
 		return
 	}
 	s.now, s.wall = now, wall
@@ -163,6 +163,14 @@
 	}
 }
 
+// Submission returns a submission that is not forgotten.
+func (s *Scheduler) Submission(id string) *cell.Submission {
+	if j := s.jobs[id]; j != nil {
+		return j.sub
+	}
+	return nil
+}
+
 // Progress returns what has to be stored about a submission.
 func (s *Scheduler) Progress(id string) (p cell.Progress, ok bool) {
 	j := s.jobs[id]
--- a/internal/cell/submission.go
+++ b/internal/cell/submission.go
@@ -9,8 +9,10 @@
 	// Queue is the queue as it was when the submission was accepted. It is used
 	// when the queue has been withdrawn since.
 	Queue Queue  `json:"queue"`
-	Spec  string `json:"spec"`
-	Steps []Step `json:"steps"`
+	Spec  string `json:"spec,omitempty"`
+	Steps []Step `json:"steps,omitempty"`
+	// Over is set in the short form that is stored once the submission is over.
+	Over bool `json:"over,omitempty"`
 	// Occurrences is how often the steps run; zero for once, without a due time.
 	Occurrences int `json:"occurrences,omitempty"`
 	// FirstDue is the due time of the first occurrence, since 1970.
@@ -22,6 +24,11 @@
 	Interval time.Duration `json:"interval,omitempty"`
 }
 
+// Short returns what callers may still ask about once the submission is over.
+func (s *Submission) Short() *Submission {
+	return &Submission{ID: s.ID, Team: s.Team, Queue: Queue{Name: s.Queue.Name}, Occurrences: s.Occurrences, Over: true}
+}
+
 // Rounds returns how often the steps run.
 func (s *Submission) Rounds() int { return max(s.Occurrences, 1) }
 
--- a/internal/cell/worklog/follower.go
+++ b/internal/cell/worklog/follower.go
@@ -25,6 +25,10 @@
 const (
 	// defaultSlack is for topics whose readers can wait for a slow store.
 	defaultSlack = 900 * time.Millisecond
+	// behindSlack is the time for a full page over a slow link.
+	behindSlack = 2500 * time.Millisecond
+	// rebuildSlack is the time for one answer with the newest records.
+	rebuildSlack = 4 * time.Second
 	// readPause is the wait after a failed read.
 	readPause = 50 * time.Millisecond
 )
@@ -48,6 +52,10 @@
 	o     Options
 	apply func(Page)
 
+	// behind is set while records are known that have not been read. Only Run
+	// uses it.
+	behind bool
+
 	mu       sync.Mutex
 	next     uint64
 	asOf     time.Duration
@@ -98,8 +106,12 @@
 		return f.rebuild(ctx)
 	}
 	sent := f.clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, f.o.Wait+f.o.Slack)
-	page, err := f.store.Read(callCtx, f.o.Topic, next, f.o.Wait)
+	wait, slack := f.o.Wait, f.o.Slack
+	if f.behind {
+		wait, slack = 0, behindSlack
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+slack)
+	page, err := f.store.Read(callCtx, f.o.Topic, next, wait)
 	cancel()
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -114,8 +126,9 @@
 		return f.rebuild(ctx)
 	}
 	next += uint64(len(page.Records))
+	f.behind = next < page.End
 	f.deliver(Page{Records: page.Records, AsOf: sent, Complete: next >= page.End}, next)
-	if len(page.Records) > 0 {
+	if len(page.Records) > 0 && !f.behind {
 		pause(ctx, f.o.Pace())
 	}
 	return nil
@@ -129,7 +142,7 @@
 	var next uint64
 	after := ""
 	for n := 0; ; n++ {
-		callCtx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		callCtx, cancel := context.WithTimeout(ctx, rebuildSlack)
 		page, more, err := f.store.Newest(callCtx, f.o.Topic, after)
 		cancel()
 		if err != nil {
@@ -144,6 +157,7 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
+	f.behind = true // the records since the first answer follow
 	f.deliver(Page{Records: all, Rebuilt: true, AsOf: sent, Complete: true}, next)
 	return nil
 }
