End the lease of a host that does not answer

Ruled out: gangs that wait for each other; the two that were left waited for runs on a host that had refused connections for 26 s. Test: TestLeaseOfADeadHostEnds fails without the change.

--- a/internal/cell/owner/hostloop.go
+++ b/internal/cell/owner/hostloop.go
@@ -167,8 +167,13 @@
 // look sends one look and applies its answer. It reports whether there was one.
 func (w *Owner) look(ctx context.Context, h *hostLoop) bool {
 	sent := w.o.Clock.Now()
-	o := platform.Hold{Token: w.o.Self.Token, Ack: h.ack, Until: h.lease.grant(sent)}
-	if o.Until > 0 && h.failures == 0 {
+	o := platform.Hold{Token: w.o.Self.Token, Ack: h.ack}
+	if h.failures == 0 {
+		// A host that does not answer must not have its lease extended: whether
+		// such a look has arrived is not known, and the lease would never end.
+		o.Until = h.lease.grant(sent)
+	}
+	if o.Until > 0 {
 		o.Wait = lookWait
 	}
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+lookSlack)
--- /dev/null
+++ b/internal/cell/owner/hostloop_test.go
@@ -0,0 +1,78 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+type steadyClock struct{ begun time.Time }
+
+func (c steadyClock) Now() time.Duration { return time.Since(c.begun) }
+
+// fakeRunners answers looks until it is told to refuse connections.
+type fakeRunners struct {
+	Runners
+	begun   time.Time
+	refuses atomic.Bool
+	looks   atomic.Int64
+}
+
+func (r *fakeRunners) Hold(ctx context.Context, _ *cell.Host, o platform.Hold) (cell.Listing, int, platform.Refusal, error) {
+	r.looks.Add(1)
+	if r.refuses.Load() {
+		return cell.Listing{}, 0, platform.NotRefused, verdict.New(verdict.DidNotRun, "test", "connection refused")
+	}
+	if o.Wait > 0 {
+		pause(ctx, 20*time.Millisecond)
+	}
+	return cell.Listing{Born: 1, ClockMs: time.Since(r.begun).Milliseconds()}, 0, platform.NotRefused, nil
+}
+
+type fakeJournal struct{ records atomic.Int64 }
+
+func (j *fakeJournal) Store(_ context.Context, records []platform.Record) error {
+	j.records.Add(int64(len(records)))
+	return nil
+}
+
+// Guards against runs on a dead host that count as present for ever, since each
+// failed look was taken to extend the lease there.
+func TestLeaseOfADeadHostEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := gomega.NewWithT(t)
+	clock := steadyClock{time.Now()}
+	runners := &fakeRunners{begun: time.Now()}
+	w := New(Options{
+		Self: registry.Owner{Node: "n", Boot: "b", Token: 1}, Clock: clock, Wall: func() time.Duration { return 0 },
+		Log: slog.New(slog.DiscardHandler), Runners: runners, Journal: &fakeJournal{},
+		FormerGone: func() bool { return true }, MaxLease: 300 * time.Millisecond, KeepFor: time.Minute,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	host := cell.Host{ID: "h", Service: "s", Address: "x"}
+	w.SetHosts(ctx, map[string]registry.Host{"h": {Spec: host}}, []cell.Host{host})
+	state := func() (adopted, lapsed bool) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.hosts["h"].adopted, w.hosts["h"].lapsed
+	}
+	g.Eventually(func() bool { adopted, _ := state(); return adopted && runners.looks.Load() > 3 }, "5s").Should(gomega.BeTrue())
+	runners.refuses.Store(true)
+	g.Eventually(func() bool { _, lapsed := state(); return lapsed }, "10s").Should(gomega.BeTrue())
+	runners.refuses.Store(false)
+	g.Eventually(func() bool { _, lapsed := state(); return !lapsed }, "5s").Should(gomega.BeTrue())
+	cancel()
+	<-ended
+}
