--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -28,7 +28,7 @@
 	workWait = 400 * time.Millisecond
 	// ownerPace and followerPace group the records of the work topic.
 	ownerPace    = 5 * time.Millisecond
-	followerPace = 40 * time.Millisecond
+	followerPace = 70 * time.Millisecond
 	// desiredWait is how long the store holds back a read of the desired state.
 	// An answer proves that the state was fresh when the read was sent.
 	desiredWait = 500 * time.Millisecond
--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -27,6 +27,8 @@
 	unreadyFor = 2300 * time.Millisecond
 	// stopMargin is left of the grace period.
 	stopMargin = 700 * time.Millisecond
+	// handOverFor bounds the wait for another node to take the ownership over.
+	handOverFor = 1200 * time.Millisecond
 	// releaseFor bounds the release of the ownership.
 	releaseFor = 1500 * time.Millisecond
 	// registerFor bounds the wait for the record of this node.
@@ -132,6 +134,7 @@
 	n.log.Info("node: The planned stop begins.", "node", n.self.Name)
 	n.draining.Store(true)
 	n.front.Drain()
+	n.handOver()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseFor)
 	n.release(ctx)
 	cancel()
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -60,6 +60,8 @@
 	stored map[string]registry.Host
 	// loaded is set once the owner has the hosts that were stored before.
 	loaded bool
+	// ended is closed when the term is over.
+	ended chan struct{}
 }
 
 // elect claims the ownership whenever it is due.
@@ -139,7 +141,7 @@
 	log := logging.Part(n.log, "owner")
 	log.Info("A term as owner begins.", "token", c.owner.Token, "offset", offset, "submissions", n.registry.Len())
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &term{claim: c, cancel: cancel, hosts: make(map[string]cell.Host), vanished: make(map[string]time.Duration), stored: n.registry.Hosts()}
+	t := &term{claim: c, cancel: cancel, ended: make(chan struct{}), hosts: make(map[string]cell.Host), vanished: make(map[string]time.Duration), stored: n.registry.Hosts()}
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
 		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
@@ -184,6 +186,7 @@
 	n.log.Info("owner: The term ends.", "token", n.term.claim.owner.Token, "reason", reason)
 	n.registry.Listen(nil)
 	n.term.cancel()
+	close(n.term.ended)
 	n.term = nil
 }
 
@@ -273,6 +276,21 @@
 	t.owner.SetHosts(ctx, t.stored, listed)
 }
 
+// handOver asks the other nodes to claim the ownership. This node goes on as
+// owner until the log or a host knows the next one, so that work keeps starting.
+func (n *Node) handOver() {
+	n.mu.Lock()
+	t := n.term
+	n.mu.Unlock()
+	if t == nil || !n.pool.Yield(t.claim.owner.Token) {
+		return
+	}
+	select {
+	case <-t.ended:
+	case <-time.After(handOverFor):
+	}
+}
+
 // release ends the term in good order, so that another node can claim at once.
 func (n *Node) release(ctx context.Context) {
 	n.mu.Lock()
--- a/internal/cell/peers/others.go
+++ b/internal/cell/peers/others.go
@@ -66,9 +66,11 @@
 	return nil, last
 }
 
-// Yield tells all other nodes that the owner with a token cannot go on.
-func (p *Pool) Yield(token int64) {
-	for _, l := range p.others() {
+// Yield asks all other nodes to take over from the owner with a token. It
+// reports whether there is any.
+func (p *Pool) Yield(token int64) bool {
+	others := p.others()
+	for _, l := range others {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), yieldFor)
 			defer cancel()
@@ -77,4 +79,5 @@
 			}
 		}()
 	}
+	return len(others) > 0
 }
