--- a/cmd/medlarpulley/entry_test.go
+++ b/cmd/medlarpulley/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,13 +19,13 @@
 
 // entryProcess is a process of a cell on the stand-in for the users' platform.
 type entryProcess struct {
-	cmd     *exec.Cmd
-	address string
+	cmd             *exec.Cmd
+	address, status string
 	// owner is closed once the process owns the cell.
 	owner chan struct{}
 }
 
-var servesLine = regexp.MustCompile(`The process serves.*callers=(\S+)`)
+var servesLine = regexp.MustCompile(`The process serves.*callers=(\S+) status=(\S+)`)
 
 func startEntry(t *testing.T, name string, store *users.Store, advice *users.Advice) *entryProcess {
 	t.Helper()
@@ -46,13 +47,13 @@
 		_ = p.cmd.Process.Kill() // it may have ended
 		_ = p.cmd.Wait()
 	})
-	serving := make(chan string, 1)
+	serving := make(chan []string, 1)
 	go func() {
 		var once sync.Once
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			if m := servesLine.FindStringSubmatch(lines.Text()); m != nil {
-				serving <- m[1]
+				serving <- m
 			}
 			if strings.Contains(lines.Text(), "A term as owner begins") {
 				once.Do(func() { close(p.owner) })
@@ -60,7 +61,8 @@
 		}
 	}()
 	select {
-	case p.address = <-serving:
+	case m := <-serving:
+		p.address, p.status = m[1], m[2]
 	case <-time.After(20 * time.Second):
 		t.Fatal("the process does not serve")
 	}
@@ -147,6 +149,31 @@
 		break
 	}
 	checkRuns(t, hosts)
+	for name, p := range procs {
+		p.checkStatus(t, name, id(0))
+	}
+}
+
+// checkStatus fails if operators cannot see the state of a process.
+func (p *entryProcess) checkStatus(t *testing.T, name, id string) {
+	t.Helper()
+	for path, want := range map[string]string{
+		"/ready": "", "/dump": `"name":"` + name + `"`, "/explain/" + id: `"state":"completed"`, "/metrics": "medlarpulley_answers",
+	} {
+		// Counters are passed on once a second.
+		until(t, name+path+" shows "+want, func() bool {
+			if code, _ := p.call("GET", id, ""); code != http.StatusOK {
+				return false
+			}
+			resp, err := http.Get("http://" + p.status + path)
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			data, err := io.ReadAll(resp.Body)
+			return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(data), want)
+		})
+	}
 }
 
 // checkRuns fails if two runs of a task were present at one time.
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
@@ -57,11 +59,13 @@
 
 // Front serves callers.
 type Front struct {
-	State    State
-	Records  Log
-	Peers    Peers
-	Logger   *slog.Logger
-	Wall     func() time.Duration
+	State   State
+	Records Log
+	Peers   Peers
+	Logger  *slog.Logger
+	Wall    func() time.Duration
+	// Metrics counts answers by status; nil for none.
+	Metrics  tally.Scope
 	draining atomic.Bool
 }
 
@@ -92,7 +96,11 @@
 	request := &peers.ForwardRequest{
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, Authorization: r.Header.Get("Authorization"), Body: body,
 	}
-	write(w, f.serve(ctx, request))
+	a := f.serve(ctx, request)
+	if f.Metrics != nil {
+		f.Metrics.Tagged(map[string]string{"method": r.Method, "status": strconv.Itoa(a.Status)}).Counter("answers").Inc(1)
+	}
+	write(w, a)
 }
 
 // serve answers a call of a caller, if need be through another node.
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
@@ -63,6 +64,8 @@
 	work     *worklog.Follower
 	desires  *worklog.Follower
 	appender *worklog.Appender
+	metrics  tally.Scope
+	scrape   http.Handler
 	front    *front.Front
 
 	desired  atomic.Pointer[inForce]
@@ -90,6 +93,7 @@
 		advice:  platform.NewAdvice(s.Platform.Advice),
 	}
 	part := func(name string) *slog.Logger { return logging.Part(log, name) }
+	n.metrics, n.scrape = newScope(s.Node.Name)
 	n.registry = registry.New(part("registry"))
 	n.pool = peers.NewPool(n.clock, part("peers"), s.Node.Name, n)
 	n.appender = worklog.NewAppender(n.store, part("append"), platform.TopicWork, n.self.Name+"/"+n.self.Boot)
@@ -99,7 +103,7 @@
 	n.desires = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
 		Topic: platform.TopicDesired, Wait: desiredWait, Slack: desiredSlack,
 	}, n.applyDesired)
-	n.front = &front.Front{State: n, Records: n.appender, Peers: forwarder{n}, Logger: part("front"), Wall: wall}
+	n.front = &front.Front{State: n, Records: n.appender, Peers: forwarder{n}, Logger: part("front"), Wall: wall, Metrics: n.metrics}
 	return n, nil
 }
 
--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -18,7 +18,6 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
-	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 const (
@@ -163,17 +162,3 @@
 	}
 	return http.HandlerFunc(routes.Serve), nil
 }
-
-// serveStatus answers the platform's readiness probe.
-func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
-	switch r.URL.Path {
-	case platform.ReadyPath:
-		if !n.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	default:
-		w.WriteHeader(http.StatusNotFound)
-	}
-}
--- /dev/null
+++ b/internal/cell/node/status.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+const (
+	// metricsInterval is how often counters are passed on for scraping.
+	metricsInterval = time.Second
+	metricsPath     = "/metrics"
+	dumpPath        = "/dump"
+	explainPath     = "/explain/"
+)
+
+// newScope returns the root of the metrics and the handler that serves them.
+func newScope(node string) (tally.Scope, http.Handler) {
+	// A registry of its own lets several nodes run in one process.
+	r := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: r, Gatherer: r})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "medlarpulley", Tags: map[string]string{"node": node},
+		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+	}, metricsInterval)
+	return scope, reporter.HTTPHandler()
+}
+
+// Dump is the state of a process for people.
+type Dump struct {
+	Node        registry.Node            `json:"node"`
+	Ready       bool                     `json:"ready"`
+	Version     int64                    `json:"desired_version"`
+	DesiredAge  string                   `json:"desired_age"`
+	WorkAge     string                   `json:"work_age"`
+	Cut         bool                     `json:"cut"`
+	Owner       registry.Owner           `json:"owner"`
+	Nodes       map[string]registry.Node `json:"nodes"`
+	Submissions int                      `json:"submissions"`
+	Term        *owner.Dump              `json:"term,omitempty"`
+}
+
+func (n *Node) dump() Dump {
+	d := Dump{Node: n.self, Ready: n.ready(), Cut: n.Cut(), Nodes: n.registry.Nodes(), Submissions: n.registry.Len()}
+	d.Owner, _ = n.registry.Owner()
+	if s := n.desired.Load(); s != nil {
+		d.Version = s.Version
+	}
+	now := n.clock.Now()
+	if at, ok := n.desires.AsOf(); ok {
+		d.DesiredAge = (now - at).String()
+	}
+	if at, ok := n.work.AsOf(); ok {
+		d.WorkAge = (now - at).String()
+	}
+	if o := n.owner(); o != nil {
+		t := o.Dump()
+		d.Term = &t
+	}
+	return d
+}
+
+// explain tells what this process knows of a submission, and on the owner why
+// it waits.
+func (n *Node) explain(id string) any {
+	e, ok := n.registry.Find(id)
+	if !ok {
+		return map[string]string{"error": "no such submission is known here"}
+	}
+	out := struct {
+		Entry registry.Entry `json:"stored"`
+		State string         `json:"state"`
+		Waits []string       `json:"waits,omitempty"`
+		Owner registry.Owner `json:"owner"`
+	}{Entry: e, State: e.State().String()}
+	out.Owner, _ = n.registry.Owner()
+	if o := n.owner(); o != nil {
+		out.Waits = o.Explain(id)
+	}
+	return out
+}
+
+// serveStatus answers the platform's readiness probe and operators.
+func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
+	switch path := r.URL.Path; {
+	case path == platform.ReadyPath:
+		status := http.StatusOK
+		if !n.ready() {
+			status = http.StatusServiceUnavailable
+		}
+		w.WriteHeader(status)
+	case path == metricsPath:
+		n.scrape.ServeHTTP(w, r)
+	case path == dumpPath:
+		writeJSON(w, n.dump())
+	case strings.HasPrefix(path, explainPath):
+		writeJSON(w, n.explain(strings.TrimPrefix(path, explainPath)))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a caller that has left needs no answer
+}
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -143,7 +143,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &term{claim: c, cancel: cancel, ended: make(chan struct{}), hosts: make(map[string]cell.Host), vanished: make(map[string]time.Duration), stored: n.registry.Hosts()}
 	t.owner = owner.New(owner.Options{
-		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
+		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Metrics: n.metrics, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
 		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
 		FormerGone: func() bool { return n.processGone(c.former) },
 		MaxLease:   config.Millis(n.s.Bounds.MaxLeaseMs), KeepFor: config.Seconds(n.s.Bounds.StatusSeconds) + keepMargin,
--- a/internal/cell/owner/hostloop.go
+++ b/internal/cell/owner/hostloop.go
@@ -235,6 +235,7 @@
 	w.kick()
 	for _, e := range l.Ended {
 		if e.Number > h.seen {
+			w.metrics.ended[e.Outcome].Inc(1)
 			w.o.Log.Info("A run has ended.", "id", e.Task.Submission, "task", e.Task.String(), "run", e.Run, "host", h.host.ID, "outcome", e.Outcome.String())
 		}
 	}
--- /dev/null
+++ b/internal/cell/owner/metrics.go
@@ -0,0 +1,32 @@
+package owner
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// metrics counts what the owner orders and hears.
+type metrics struct {
+	started, unanswered, advised tally.Counter
+	refused                      map[string]tally.Counter
+	ended                        map[cell.Outcome]tally.Counter
+	waited                       tally.Timer
+}
+
+func newMetrics(s tally.Scope) metrics {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	m := metrics{
+		started: s.Counter("starts_accepted"), unanswered: s.Counter("starts_unanswered"), advised: s.Counter("advice_answers"),
+		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), waited: s.Timer("start_wait"),
+	}
+	for o := cell.OutcomeUnknown; o <= cell.OutcomeAlone; o++ {
+		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
+	}
+	for r := range refusals {
+		m.refused[r.String()] = s.Tagged(map[string]string{"reason": r.String()}).Counter("starts_refused")
+	}
+	return m
+}
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -30,10 +32,12 @@
 
 // Options are what an owner needs.
 type Options struct {
-	Self    registry.Owner
-	Clock   cell.Clock
-	Wall    func() time.Duration
-	Log     *slog.Logger
+	Self  registry.Owner
+	Clock cell.Clock
+	Wall  func() time.Duration
+	Log   *slog.Logger
+	// Metrics counts orders and ends.
+	Metrics tally.Scope
 	Runners Runners
 	Advisor Advisor
 	Journal Journal
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -85,15 +85,19 @@
 		refused(schedule.RefusedUnhealthy)
 	case err != nil:
 		log.Warn("A start got no answer.", "error", err)
+		w.metrics.unanswered.Inc(1)
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.Unanswered(s.Host, s.Task, s.Run, now) })
 		h.lookNow()
 	case why == platform.RefusedFenced:
 		w.depose("host " + s.Host + " knows a higher token")
 	case why == platform.NotRefused:
+		w.metrics.started.Inc(1)
+		w.metrics.waited.Record(s.Waited)
 		log.Info("A run is started.", "waited", s.Waited.Round(time.Millisecond))
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.Started(s.Host, s.Task, s.Run, now) })
 	default:
 		log.Warn("A start was refused.", "reason", why.String())
+		w.metrics.refused[why.String()].Inc(1)
 		refused(refusals[why])
 	}
 }
@@ -141,6 +145,7 @@
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.AdviceFailed(a.Group, now) })
 		pause(ctx, tick)
 	} else {
+		w.metrics.advised.Inc(1)
 		w.o.Log.Info("Advice was given.", "id", a.Group.Submission, "step", a.Group.Step, "named", len(a.Hosts), "approved", len(tickets))
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.Advised(a.Group, a.Hosts, tickets, now) })
 	}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -43,6 +43,7 @@
 	dropped []string
 
 	progress progress
+	metrics  metrics
 	deposed  chan struct{}
 	once     sync.Once
 	// decided is how long the last decision took. Only Run uses it.
@@ -61,6 +62,7 @@
 		deposed: make(chan struct{}),
 	}
 	w.progress.init()
+	w.metrics = newMetrics(o.Metrics)
 	w.authority.confirm(o.ClaimSent)
 	return w
 }
