--- /dev/null
+++ b/internal/cell/peers/pool_test.go
@@ -0,0 +1,135 @@
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+)
+
+func TestPeers(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "peers")
+}
+
+type steadyClock struct{ begun time.Time }
+
+func (c steadyClock) Now() time.Duration { return time.Since(c.begun) }
+
+// fakePeer answers when it is released.
+type fakePeer struct {
+	release  chan struct{}
+	present  atomic.Int64
+	yielded  atomic.Int64
+	forwards atomic.Int64
+	status   int
+}
+
+func newFakePeer() *fakePeer { return &fakePeer{release: make(chan struct{}), status: http.StatusOK} }
+
+func (p *fakePeer) Advise(ctx context.Context, r *AdviseRequest) (*AdviseResponse, error) {
+	p.present.Add(1)
+	defer p.present.Add(-1)
+	select {
+	case <-p.release:
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "given up")
+	}
+	return &AdviseResponse{Tickets: map[string]string{r.Hosts[0]: "t"}}, nil
+}
+
+func (p *fakePeer) Forward(context.Context, *ForwardRequest) (*ForwardResponse, error) {
+	p.forwards.Add(1)
+	return &ForwardResponse{Status: p.status}, nil
+}
+
+func (p *fakePeer) Yield(_ context.Context, r *YieldRequest) (*YieldResponse, error) {
+	p.yielded.Store(r.Token)
+	return &YieldResponse{}, nil
+}
+
+var _ = ginkgo.Describe("the pool", func() {
+	var pool *Pool
+	var peers []*fakePeer
+	ctx := context.Background()
+	ginkgo.BeforeEach(func() {
+		self := newFakePeer()
+		peers = []*fakePeer{self}
+		pool = NewPool(steadyClock{time.Now()}, slog.New(slog.DiscardHandler), "self", self)
+		addresses := map[string]string{}
+		for _, name := range []string{"a", "b"} {
+			p := newFakePeer()
+			peers = append(peers, p)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			server := NewServer(p)
+			go func() { _ = server.Serve(l) }()
+			ginkgo.DeferCleanup(server.Stop)
+			addresses[name] = l.Addr().String()
+		}
+		pool.SetNodes(addresses)
+		ginkgo.DeferCleanup(pool.Close)
+	})
+	present := func() (n int64) {
+		for _, p := range peers {
+			n += p.present.Load()
+		}
+		return n
+	}
+	ask := func(cost time.Duration, priority int) chan error {
+		done := make(chan error, 1)
+		go func() {
+			_, err := pool.Ask(ctx, cell.GroupID{Submission: "x"}, []string{"h"}, cost, priority)
+			done <- err
+		}()
+		return done
+	}
+
+	// Guards against short urgent calls that wait behind long ones on every node.
+	ginkgo.It("keeps long calls from taking every node", func() {
+		const long = 10 * time.Second
+		for range 5 {
+			ask(long, 1)
+		}
+		gomega.Eventually(present, "5s").Should(gomega.Equal(int64(2)))
+		gomega.Eventually(pool.Waiting, "5s").Should(gomega.Equal(3))
+		short := ask(5*time.Second/100, 0)
+		gomega.Eventually(present, "5s").Should(gomega.Equal(int64(3)))
+		for _, p := range peers {
+			close(p.release)
+		}
+		gomega.Eventually(short, "5s").Should(gomega.Receive(gomega.BeNil()))
+		gomega.Eventually(pool.Waiting, "5s").Should(gomega.BeZero())
+	})
+
+	// Guards against a caller that is told "not run" of work that another node
+	// may have stored, and against a node that cannot help being asked for ever.
+	ginkgo.It("forwards to nodes that can answer", func() {
+		a, err := pool.Forward(ctx, &ForwardRequest{Method: "GET"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(a.Status).To(gomega.Equal(http.StatusOK))
+		peers[1].status, peers[2].status = http.StatusServiceUnavailable, http.StatusServiceUnavailable
+		_, err = pool.Forward(ctx, &ForwardRequest{Method: "GET"})
+		gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.DidNotRun))
+		pool.SetNodes(nil)
+		_, err = pool.Forward(ctx, &ForwardRequest{Method: "GET"})
+		gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.DidNotRun))
+	})
+
+	// Guards against a cell that waits for the silence of an owner that knows it
+	// cannot go on.
+	ginkgo.It("tells every other node that the owner yields", func() {
+		gomega.Expect(pool.Yield(7)).To(gomega.BeTrue())
+		gomega.Eventually(func() int64 { return min(peers[1].yielded.Load(), peers[2].yielded.Load()) }, "5s").Should(gomega.Equal(int64(7)))
+	})
+})
