Place tasks that fill where processor time is left, and away from tasks that serve

Cause: such tasks were placed like all others on the fullest host, where nothing is left for them, and beside tasks with a latency target without a look at its tail. Change: they go to the host with the most spare processor time; a task that serves and is over its target for 1.2 s has what fills beside it stopped for 10 s.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -114,6 +114,9 @@
 		if c := cmp.Compare(s.gangScore(g, a), s.gangScore(g, b)); c != 0 {
 			return c
 		}
+		if g.step.Fills {
+			return cmp.Compare(b.spare(), a.spare())
+		}
 		return cmp.Compare(s.room(g, b), s.room(g, a))
 	})
 	var out []*host
@@ -139,6 +142,9 @@
 	if g.step.DataRack != "" && g.step.DataRack != h.rack {
 		score += 10
 	}
+	if g.sharing(h) > 0 {
+		score += 10
+	}
 	return score
 }
 
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -21,8 +21,10 @@
 	closed bool
 	born   int64
 	// endSeen is the highest number of an end that has been applied.
-	endSeen  int64
-	used     resource.Vector
+	endSeen int64
+	used    resource.Vector
+	// filling is the processor need of tasks that use only what others leave.
+	filling  int64
 	attempts map[runKey]*attempt
 	// foreign is the number of listed runs whose size is not known, since their
 	// submissions are over. Nothing is placed beside them.
@@ -31,6 +33,8 @@
 	reserved      resource.Vector
 	reservedUntil time.Duration
 	health        health
+	// quietUntil is how long tasks that fill stay away from the tasks that serve.
+	quietUntil time.Duration
 }
 
 // runKey names a run on one host.
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -60,6 +60,9 @@
 	if r.Checkpoint != a.checkpoint || r.Usage > 0 {
 		a.movedAt = s.now
 	}
+	if target := a.task.group.step.LatencyTarget; target > 0 {
+		a.observeTail(time.Duration(r.Usage)*time.Millisecond, target, s.now)
+	}
 	a.checkpoint = r.Checkpoint
 	if r.Checkpoint != "" {
 		s.keepCheckpoint(a.task, r.Checkpoint)
@@ -121,6 +124,7 @@
 	t.lastRun = max(t.lastRun, run)
 	h.attempts[runKey{t.id, run}] = a
 	h.used = h.used.Add(t.group.size)
+	h.filling += t.group.filling()
 	t.group.job.team.add(t.group.step.Size, t.group.urgent(), 1, s.now)
 	return a
 }
@@ -129,6 +133,7 @@
 func (s *Scheduler) detach(a *attempt) {
 	delete(a.host.attempts, runKey{a.task.id, a.run})
 	a.host.used = a.host.used.Sub(a.task.group.size)
+	a.host.filling -= a.task.group.filling()
 	j := a.task.group.job
 	j.team.add(a.task.group.step.Size, a.task.group.urgent(), -1, s.now)
 	for i, other := range a.task.attempts {
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -46,6 +46,7 @@
 		s.surveyAt = now + surveyEvery
 		s.prefetch()
 		s.rescue()
+		s.relieve()
 	}
 	p := s.plan
 	s.plan = &Plan{}
@@ -63,6 +64,9 @@
 
 // eligible reports whether a host could take tasks of a group if it had room.
 func (s *Scheduler) eligible(g *group, h *host) bool {
+	if g.step.Fills && s.now < h.quietUntil {
+		return false
+	}
 	return h.usable(s.now) && h.spec.Service == g.job.queue.Service &&
 		(g.step.Label == "" || h.spec.HasLabel(g.step.Label)) && g.size.Fits(h.spec.Capacity)
 }
@@ -73,6 +77,10 @@
 	if g.step.MaxPerHost > 0 {
 		n = min(n, g.step.MaxPerHost-g.on(h))
 	}
+	if need := g.filling(); need > 0 {
+		// More tasks than the spare processor time carries would only slow each other.
+		n = min(n, max(int(h.spare()/need), 1))
+	}
 	return max(n, 0)
 }
 
@@ -81,6 +89,11 @@
 	left := h.free().Sub(g.size)
 	v := float64(left.MilliCPU)/float64(max(h.spec.Capacity.MilliCPU, 1)) +
 		0.2*float64(left.MemoryMiB)/float64(max(h.spec.Capacity.MemoryMiB, 1))
+	if g.step.Fills {
+		// What others leave is all that such a task gets.
+		v = -float64(h.spare()) / float64(max(h.spec.Capacity.MilliCPU, 1))
+	}
+	v += g.sharing(h)
 	v += weightSlow * max(h.health.slowness-1, 0)
 	if t != nil && t.failedOn == h.spec.ID {
 		v += weightFailed
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -54,7 +54,10 @@
 	// stopAnsweredAt is when the host answered the order to stop; zero before.
 	stopAnsweredAt time.Duration
 	stopReason     string
-	checkpoint     string
+	// overSince is when the tail of a task that serves rose over its target; zero
+	// while it is below.
+	overSince  time.Duration
+	checkpoint string
 	// movedAt is when the run last showed progress.
 	movedAt time.Duration
 	// adopted is set for a run that this owner did not order, resumed for one
