--- a/internal/requests/path_test.go
+++ b/internal/requests/path_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/router"
 	standin "github.com/medlarpulley/medlarpulley/internal/standin/runner"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 )
@@ -104,6 +106,11 @@
 	f.runners[1].Hold()
 	f.nodes[0].start(post("one", ""), post("two", ""))
 	f.await("both runners used", func() bool { return f.runners[0].Executions("one")+f.runners[0].Executions("two") > 0 })
+	// An execution shows that the runner has a request, not that the node has its
+	// answer, which says that it is leaving.
+	f.await("what the runner says, at the node", func() bool {
+		return slices.ContainsFunc(f.nodes[0].server.Dump().Upstreams[0].Runners, func(r router.RunnerReport) bool { return r.Leaving })
+	})
 	before, _, _ := f.runners[0].Totals()
 	f.runners[1].Release()
 	for i := range 20 {
