Close a host in the log only when its runs are known

Cause: a new owner closed a silent host that it had never seen, with the runs it knew, none. If it died before its takeover had settled, its successor took the host for empty and could start again what still ran there. Found by reading; no run shows it. Test: TestOnlyKnownHostsAreClosed fails without the change.

--- a/internal/cell/owner/hostloop.go
+++ b/internal/cell/owner/hostloop.go
@@ -108,7 +108,10 @@
 	w.dropped = nil
 	for _, h := range w.hosts {
 		closed := h.host.Leaving || !h.listed || h.lapsed || h.silent
-		if closed == h.storedClosed || !closed && !h.adopted {
+		// What earlier owners run on a host that was never seen is not known, and a
+		// successor would take the closed host to have nothing else.
+		known := h.adopted || h.lapsed || w.settled
+		if closed == h.storedClosed || closed && !known || !closed && !h.adopted {
 			continue
 		}
 		rec := registry.Host{Spec: h.host, Closed: closed}
