Wait for the owners before the former one, unless it had settled them

Cause: a successor of an owner that died before its takeover had settled waited only for that owner's leases; the owner before it may act 4 s longer on a host that does not answer. Found by reading; needs two owners lost within 4 s and a silent host.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -145,7 +145,7 @@
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Metrics: n.metrics, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
 		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
-		FormerGone: func() bool { return n.processGone(c.former) },
+		FormerGone: func() bool { return processGone(c.former, n.self, n.registry.Nodes()) },
 		MaxLease:   config.Millis(n.s.Bounds.MaxLeaseMs), KeepFor: config.Seconds(n.s.Bounds.StatusSeconds) + keepMargin,
 		GangTimeout: config.Millis(n.s.Bounds.GangTimeoutMs), RemotePenalty: n.s.Bounds.RemotePenalty,
 	})
@@ -171,14 +171,18 @@
 	}()
 }
 
-// processGone reports whether the process of a former owner is over: it has
-// given up, there was none, or a newer process of that node is known.
-func (n *Node) processGone(former registry.Owner) bool {
-	if former.Node == "" || former.Released || former.Node == n.self.Name {
+// processGone reports whether no earlier owner can act any more: there was none,
+// or the former one had settled what came before it, and has given up or its
+// process was replaced.
+func processGone(former registry.Owner, self registry.Node, nodes map[string]registry.Node) bool {
+	if former.Node == "" {
 		return true
 	}
-	other, ok := n.registry.Nodes()[former.Node]
-	return ok && other.Boot != former.Boot
+	if !former.Settled {
+		return false // the owner before the former one may still act on some host
+	}
+	other, ok := nodes[former.Node]
+	return former.Released || former.Node == self.Name || ok && other.Boot != former.Boot
 }
 
 // endTerm ends the term. The caller holds the lock.
@@ -301,7 +305,7 @@
 	}
 	done := t.owner.Stop(ctx)
 	o := t.claim.owner
-	o.Released = done
+	o.Released, o.Settled = done, t.owner.Settled()
 	if done {
 		if err := t.claim.journal.Store(ctx, []platform.Record{registry.OwnerRecord(o)}); err != nil {
 			n.log.Warn("owner: The release is not stored.", "error", err)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -225,6 +225,9 @@
 	return w.o.ClaimedAt + stretched(AuthorityFor+w.lease())
 }
 
+// Settled reports whether every run of earlier owners is known or over.
+func (w *Owner) Settled() bool { return w.isSettled() }
+
 func (w *Owner) lease() time.Duration {
 	if w.o.MaxLease > 0 {
 		return min(Lease, w.o.MaxLease)
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -31,6 +31,9 @@
 	Claim int64 `json:"claim,omitempty"`
 	// Released is set once the owner has given up its duty.
 	Released bool `json:"released,omitempty"`
+	// Settled is set once every run of earlier owners is known or over, so that a
+	// successor has to reckon with the runs of this owner only.
+	Settled bool `json:"settled,omitempty"`
 	// Beat makes heartbeats differ.
 	Beat int64 `json:"beat,omitempty"`
 }
