Let a bounded number of nodes follow the work of a cell

Cause: each of 42 nodes read, decoded and kept every record of the cell, also those with 0.19 of a core and 10 Mbit/s.

Change: internal/cell/membership keeps the nodes in a topic of their own, with heartbeats, and decides for each node whether it follows the work topic: the 8 most powerful do, and others when fewer than 4 are left. The rest pass calls on to followers and store submissions themselves when none answers. A node that the store does not answer refuses forwarded calls at once, and one with an older desired state reads it again.

Also: the test of a record that was given up before it was sent took an empty queue for a record that was sent (failed once beside load); it now waits for the record itself.

--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
@@ -27,7 +28,7 @@
 
 // election decides when this node claims the ownership. It reads no clock.
 type election struct {
-	self registry.Node
+	self membership.Node
 	// beats and beatAt follow the records of the owner.
 	beats  int64
 	beatAt time.Duration
@@ -41,7 +42,9 @@
 type view struct {
 	owner registry.Owner
 	beats int64
-	nodes map[string]registry.Node
+	// nodes are all that are known, followers those that can own the cell.
+	nodes     map[string]membership.Node
+	followers []membership.Node
 	// asOf is a time such that all earlier records have been read.
 	asOf time.Duration
 	// yielded is the token of an owner that told it cannot go on.
@@ -88,9 +91,9 @@
 func (e *election) rank(v view) int {
 	power := map[string]float64{e.self.Name: e.self.Power}
 	var names []string
-	for _, n := range v.nodes {
+	for _, n := range v.followers {
 		power[n.Name] = n.Power
-		if !n.Left && (n.Name != v.owner.Node || n.Boot != v.owner.Boot) {
+		if n.Name != v.owner.Node || n.Boot != v.owner.Boot {
 			names = append(names, n.Name)
 		}
 	}
--- a/internal/cell/node/election_test.go
+++ b/internal/cell/node/election_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
@@ -12,7 +13,7 @@
 // claim while the owner is alive, and against one by a node that reads nothing.
 func TestElection(t *testing.T) {
 	const now = 100 * time.Second
-	nodes := map[string]registry.Node{"a": {Name: "a", Boot: "a1"}, "b": {Name: "b", Boot: "b1"}}
+	nodes := map[string]membership.Node{"a": {Name: "a", Boot: "a1"}, "b": {Name: "b", Boot: "b1"}}
 	held := registry.Owner{Node: "a", Boot: "a1", Token: 4}
 	for _, c := range []struct {
 		name   string
@@ -33,7 +34,7 @@
 		{"an earlier life of this node was the owner", registry.Owner{Node: "b", Boot: "b0", Token: 4}, 0, 0, nil, true},
 	} {
 		e := &election{self: nodes["b"], beats: 9, beatAt: now - c.silent}
-		v := view{owner: c.owner, beats: 9, nodes: nodes, asOf: now - c.age}
+		v := view{owner: c.owner, beats: 9, nodes: nodes, followers: []membership.Node{nodes["a"], nodes["b"]}, asOf: now - c.age}
 		if c.change != nil {
 			c.change(&v)
 		}
@@ -47,13 +48,13 @@
 // Guards against a weak node that owns the cell while powerful ones are there,
 // and against candidates that all claim at the same moment.
 func TestRanksDifferAndPreferPower(t *testing.T) {
-	v := view{owner: registry.Owner{Node: "gone", Boot: "x", Token: 1}, nodes: map[string]registry.Node{}}
+	v := view{owner: registry.Owner{Node: "gone", Boot: "x", Token: 1}}
 	for i := range 10 {
 		name := fmt.Sprintf("n%d", i)
-		v.nodes[name] = registry.Node{Name: name, Power: float64(i / 5)}
+		v.followers = append(v.followers, membership.Node{Name: name, Power: float64(i / 5)})
 	}
 	seen := map[int]bool{}
-	for name, n := range v.nodes {
+	for _, n := range v.followers {
 		e := &election{self: n}
 		r := e.rank(v)
 		if seen[r] {
@@ -61,7 +62,7 @@
 		}
 		seen[r] = true
 		if n.Power == 0 && r < 5 {
-			t.Errorf("weak node %s has rank %d", name, r)
+			t.Errorf("weak node %s has rank %d", n.Name, r)
 		}
 	}
 }
--- /dev/null
+++ b/internal/cell/node/follow.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
+	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
+)
+
+const (
+	// nodesWait is how long the store holds back a read of the topic of nodes, and
+	// nodesPace groups the heartbeats of many nodes into few reads. While nodes
+	// start, startPace makes them known to each other sooner.
+	nodesWait = time.Second
+	nodesPace = time.Second
+	startPace = 100 * time.Millisecond
+	startFor  = 4 * time.Second
+	// followTick is the time between two looks at whether to follow the work topic.
+	followTick = 50 * time.Millisecond
+	// announceFor bounds the wait for the record of this node.
+	announceFor = 5 * time.Second
+	// firstPage bounds the wait for the first read of the work topic.
+	firstPage = 20 * time.Millisecond
+)
+
+// nodesPacing returns the least time between two reads of the topic of nodes.
+func (n *Node) nodesPacing() time.Duration {
+	if n.clock.Now() < n.begun+startFor {
+		return startPace
+	}
+	return nodesPace
+}
+
+// identity returns what this node tells the others of itself.
+func (n *Node) identity() membership.Node {
+	self := n.self
+	_, read := n.work.AsOf()
+	self.Follows = n.following.Load() && read
+	self.Left = n.left.Load()
+	return self
+}
+
+// followers returns the nodes that follow the work topic and are not gone.
+func (n *Node) followers() (out []membership.Node) {
+	asOf, _ := n.nodes.AsOf()
+	for _, other := range n.members.Alive(asOf) {
+		if other.Follows {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+// applyNodes applies the records of nodes.
+func (n *Node) applyNodes(p worklog.Page) {
+	now := n.clock.Now()
+	for _, r := range p.Records {
+		n.members.Apply(r, now)
+	}
+	others := make(map[string]peers.Other)
+	for _, other := range n.members.Alive(p.AsOf) {
+		if other.Name != n.self.Name {
+			others[other.Name] = peers.Other{Address: other.Address, Follows: other.Follows}
+		}
+	}
+	n.pool.SetNodes(others)
+}
+
+// announce keeps this node known to the others.
+func (n *Node) announce(ctx context.Context) {
+	for beat := int64(1); ctx.Err() == nil; beat++ {
+		self := n.identity()
+		self.Beat = beat
+		callCtx, cancel := context.WithTimeout(ctx, announceFor)
+		err := n.announcer.Append(callCtx, membership.Record(self))
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			n.log.Warn("node: The record of this node is not stored.", "left", self.Left, "error", err)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.changed:
+		case <-time.After(self.BeatEvery()):
+		}
+	}
+}
+
+// announceNow ends the wait before the next heartbeat.
+func (n *Node) announceNow() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// followWork follows the work topic from the time on when that is due.
+func (n *Node) followWork(ctx context.Context) {
+	f := membership.Following{Self: n.self}
+	t := time.NewTicker(followTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		asOf, read := n.nodes.AsOf()
+		if read && f.Due(n.clock.Now(), n.members.Alive(asOf)) {
+			break
+		}
+	}
+	n.log.Info("node: This node follows the work topic from now on.", "node", n.self.Name, "power", n.self.Power)
+	n.following.Store(true)
+	go n.work.Run(ctx)
+	go n.elect(ctx)
+	for _, read := n.work.AsOf(); !read && ctx.Err() == nil; _, read = n.work.AsOf() {
+		time.Sleep(firstPage)
+	}
+	n.announceNow()
+}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/front"
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
@@ -54,22 +55,31 @@
 	s       config.Settings
 	log     *slog.Logger
 	clock   cell.Clock
-	self    registry.Node
+	begun   time.Duration
+	self    membership.Node
 	store   *platform.Store
 	runners *platform.Runners
 	advice  *platform.Advice
 	pool    *peers.Pool
 
 	registry *registry.Registry
+	members  *membership.Table
 	work     *worklog.Follower
 	desires  *worklog.Follower
+	nodes    *worklog.Follower
 	appender *worklog.Appender
-	metrics  tally.Scope
-	scrape   http.Handler
-	front    *front.Front
+	// announcer stores the heartbeats of this node.
+	announcer *worklog.Appender
+	metrics   tally.Scope
+	scrape    http.Handler
+	front     *front.Front
 
 	desired  atomic.Pointer[inForce]
 	draining atomic.Bool
+	// following is set once this node follows the work topic, left by its planned
+	// stop. announce is told of changes of either.
+	following, left atomic.Bool
+	changed         chan struct{}
 	// yielded is the token of an owner that cannot go on.
 	yielded atomic.Int64
 
@@ -86,8 +96,8 @@
 		return nil, eris.Wrap(err, "boot id")
 	}
 	n := &Node{
-		s: s, log: log, clock: bootClock{},
-		self:    registry.Node{Name: s.Node.Name, Boot: hex.EncodeToString(boot), Address: s.Listen.Peers, Zone: s.Node.Zone, Power: s.Limits.Cores},
+		s: s, log: log, clock: bootClock{}, changed: make(chan struct{}, 1),
+		self:    membership.Node{Name: s.Node.Name, Boot: hex.EncodeToString(boot), Address: s.Listen.Peers, Zone: s.Node.Zone, Power: s.Limits.Cores},
 		store:   platform.NewStore(s.Platform.Store),
 		runners: platform.NewRunners(),
 		advice:  platform.NewAdvice(s.Platform.Advice),
@@ -95,14 +105,21 @@
 	part := func(name string) *slog.Logger { return logging.Part(log, name) }
 	n.metrics, n.scrape = newScope(s.Node.Name)
 	n.registry = registry.New(part("registry"))
+	n.members = membership.NewTable(part("members"))
 	n.pool = peers.NewPool(n.clock, part("peers"), s.Node.Name, n)
-	n.appender = worklog.NewAppender(n.store, part("append"), platform.TopicWork, n.self.Name+"/"+n.self.Boot)
+	n.begun = n.clock.Now()
+	producer := n.self.Name + "/" + n.self.Boot
+	n.appender = worklog.NewAppender(n.store, part("append"), platform.TopicWork, producer)
+	n.announcer = worklog.NewAppender(n.store, part("append"), platform.TopicNodes, producer)
 	n.work = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
 		Topic: platform.TopicWork, Wait: workWait, Pace: n.pace,
 	}, n.applyWork)
 	n.desires = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
 		Topic: platform.TopicDesired, Wait: desiredWait, Slack: desiredSlack,
 	}, n.applyDesired)
+	n.nodes = worklog.NewFollower(n.store, n.clock, part("follow"), worklog.Options{
+		Topic: platform.TopicNodes, Wait: nodesWait, Pace: n.nodesPacing,
+	}, n.applyNodes)
 	n.front = &front.Front{State: n, Records: n.appender, Peers: forwarder{n}, Logger: part("front"), Wall: wall, Metrics: n.metrics}
 	return n, nil
 }
@@ -168,20 +185,7 @@
 		if registry.IsOwner(r) {
 			n.ownerRead(r.Offset)
 		}
-		if registry.IsNode(r) {
-			n.pool.SetNodes(n.addresses())
-		}
-	}
-}
-
-func (n *Node) addresses() map[string]string {
-	out := make(map[string]string)
-	for name, other := range n.registry.Nodes() {
-		if !other.Left && name != n.self.Name {
-			out[name] = other.Address
-		}
 	}
-	return out
 }
 
 // Advise implements peers.Handler.
@@ -192,8 +196,7 @@
 
 // Forward implements peers.Handler: it answers a call for another node.
 func (n *Node) Forward(ctx context.Context, r *peers.ForwardRequest) (*peers.ForwardResponse, error) {
-	d := n.desired.Load()
-	if d == nil || d.Version < r.Version {
+	if n.Cut() || !n.knows(ctx, r.Version) {
 		return &peers.ForwardResponse{Status: http.StatusServiceUnavailable}, nil
 	}
 	a := n.front.Answer(ctx, r, nil)
@@ -203,6 +206,21 @@
 	return a, nil
 }
 
+// knows reports whether a version of the desired state, or a newer one, is in
+// force here. It reads the topic again if the caller's node knows more.
+func (n *Node) knows(ctx context.Context, version int64) bool {
+	if d := n.desired.Load(); d != nil && d.Version >= version {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshFor)
+	defer cancel()
+	if err := n.desires.CatchUp(ctx); err != nil {
+		n.log.Debug("node: The desired state is not refreshed.", "error", err)
+	}
+	d := n.desired.Load()
+	return d != nil && d.Version >= version
+}
+
 // forwarder lets other nodes answer calls, and keeps up with their desired state:
 // a caller that saw a version must not be answered by an older one.
 type forwarder struct{ node *Node }
@@ -262,7 +280,8 @@
 // CatchUp implements front.State.
 func (n *Node) CatchUp(ctx context.Context) error { return n.work.CatchUp(ctx) }
 
-// Cut implements front.State.
+// Cut implements front.State. A node that does not follow the work topic passes
+// every call on.
 func (n *Node) Cut() bool {
 	asOf, ok := n.work.AsOf()
 	return !ok || n.work.Failing() || n.clock.Now()-asOf > cutAfter
@@ -277,5 +296,5 @@
 // ready reports whether the node can serve callers.
 func (n *Node) ready() bool {
 	d, fresh := n.Desired()
-	return d != nil && fresh && n.Current() && !n.draining.Load()
+	return d != nil && fresh && (n.Current() || n.pool.CanForward()) && !n.draining.Load()
 }
--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -17,7 +17,6 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
-	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
 const (
@@ -30,8 +29,6 @@
 	handOverFor = 1200 * time.Millisecond
 	// releaseFor bounds the release of the ownership.
 	releaseFor = 1500 * time.Millisecond
-	// registerFor bounds the wait for the record of this node.
-	registerFor = 30 * time.Second
 	// Limits of connections of callers, until limits are published.
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 15 * time.Second
@@ -93,10 +90,11 @@
 // start runs everything that follows the platform.
 func (n *Node) start(ctx context.Context) {
 	go n.desires.Run(ctx)
-	go n.work.Run(ctx)
+	go n.nodes.Run(ctx)
 	go n.appender.Run(ctx)
-	go n.register(ctx, false)
-	go n.elect(ctx)
+	go n.announcer.Run(ctx)
+	go n.announce(ctx)
+	go n.followWork(ctx)
 }
 
 // reload tells of changed settings files. All settings belong to the life of a
@@ -115,17 +113,6 @@
 	}
 }
 
-// register makes this node known to the others.
-func (n *Node) register(ctx context.Context, left bool) {
-	ctx, cancel := context.WithTimeout(ctx, registerFor)
-	defer cancel()
-	self := n.self
-	self.Left = left
-	if err := n.appender.Append(ctx, registry.NodeRecord(self)); err != nil {
-		n.log.Warn("node: The record of this node is not stored.", "left", left, "error", err)
-	}
-}
-
 // drain stops in good order: the ownership is released, new connections go
 // elsewhere, and every call that has arrived is answered.
 func (n *Node) drain(server *http.Server) {
@@ -137,9 +124,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseFor)
 	n.release(ctx)
 	cancel()
-	ctx, cancel = context.WithTimeout(context.Background(), releaseFor)
-	n.register(ctx, true)
-	cancel()
+	n.left.Store(true)
+	n.announceNow()
 	time.Sleep(unreadyFor - time.Since(begun))
 	ctx, cancel = context.WithTimeout(context.Background(), config.Seconds(n.s.Bounds.GraceSeconds)-stopMargin-time.Since(begun))
 	defer cancel()
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -37,20 +38,20 @@
 
 // Dump is the state of a process for people.
 type Dump struct {
-	Node        registry.Node            `json:"node"`
-	Ready       bool                     `json:"ready"`
-	Version     int64                    `json:"desired_version"`
-	DesiredAge  string                   `json:"desired_age"`
-	WorkAge     string                   `json:"work_age"`
-	Cut         bool                     `json:"cut"`
-	Owner       registry.Owner           `json:"owner"`
-	Nodes       map[string]registry.Node `json:"nodes"`
-	Submissions int                      `json:"submissions"`
-	Term        *owner.Dump              `json:"term,omitempty"`
+	Node        membership.Node            `json:"node"`
+	Ready       bool                       `json:"ready"`
+	Version     int64                      `json:"desired_version"`
+	DesiredAge  string                     `json:"desired_age"`
+	WorkAge     string                     `json:"work_age"`
+	Cut         bool                       `json:"cut"`
+	Owner       registry.Owner             `json:"owner"`
+	Nodes       map[string]membership.Node `json:"nodes"`
+	Submissions int                        `json:"submissions"`
+	Term        *owner.Dump                `json:"term,omitempty"`
 }
 
 func (n *Node) dump() Dump {
-	d := Dump{Node: n.self, Ready: n.ready(), Cut: n.Cut(), Nodes: n.registry.Nodes(), Submissions: n.registry.Len()}
+	d := Dump{Node: n.identity(), Ready: n.ready(), Cut: n.Cut(), Nodes: n.members.Nodes(), Submissions: n.registry.Len()}
 	d.Owner, _ = n.registry.Owner()
 	if s := n.desired.Load(); s != nil {
 		d.Version = s.Version
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
@@ -80,7 +81,7 @@
 			continue
 		}
 		o, beats := n.registry.Owner()
-		v := view{owner: o, beats: beats, nodes: n.registry.Nodes(), asOf: asOf, yielded: n.yielded.Load()}
+		v := view{owner: o, beats: beats, nodes: n.members.Nodes(), followers: n.followers(), asOf: asOf, yielded: n.yielded.Load()}
 		if n.owner() == nil && e.due(n.clock.Now(), v) {
 			n.tryClaim(ctx, o)
 			e.retryAt = n.clock.Now() + claimPause
@@ -145,7 +146,7 @@
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, Wall: wall, Log: log, Metrics: n.metrics, Runners: n.runners, Advisor: n.pool, Journal: c.journal,
 		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
-		FormerGone: func() bool { return processGone(c.former, n.self, n.registry.Nodes()) },
+		FormerGone: func() bool { return processGone(c.former, n.self, n.members.Nodes()) },
 		MaxLease:   config.Millis(n.s.Bounds.MaxLeaseMs), KeepFor: config.Seconds(n.s.Bounds.StatusSeconds) + keepMargin,
 		GangTimeout: config.Millis(n.s.Bounds.GangTimeoutMs), RemotePenalty: n.s.Bounds.RemotePenalty,
 	})
@@ -174,7 +175,7 @@
 // processGone reports whether no earlier owner can act any more: there was none,
 // or the former one had settled what came before it, and has given up or its
 // process was replaced.
-func processGone(former registry.Owner, self registry.Node, nodes map[string]registry.Node) bool {
+func processGone(former registry.Owner, self membership.Node, nodes map[string]membership.Node) bool {
 	if former.Node == "" {
 		return true
 	}
--- a/internal/cell/node/term_test.go
+++ b/internal/cell/node/term_test.go
@@ -3,14 +3,15 @@
 import (
 	"testing"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
 // Guards against a short wait for a host that does not answer, while the owner
 // before the former one may still extend leases there.
 func TestProcessGone(t *testing.T) {
-	nodes := map[string]registry.Node{"a": {Name: "a", Boot: "a2"}, "b": {Name: "b", Boot: "b1"}}
-	self := registry.Node{Name: "c", Boot: "c2"}
+	nodes := map[string]membership.Node{"a": {Name: "a", Boot: "a2"}, "b": {Name: "b", Boot: "b1"}}
+	self := membership.Node{Name: "c", Boot: "c2"}
 	for _, c := range []struct {
 		name   string
 		former registry.Owner
--- a/internal/cell/peers/lane.go
+++ b/internal/cell/peers/lane.go
@@ -22,6 +22,8 @@
 // lane is a node as a way to the advice service.
 type lane struct {
 	name, address string
+	// follows is set if the node can answer calls that are forwarded to it.
+	follows bool
 	// local is set for the lane of this node.
 	local     Handler
 	conn      *grpc.ClientConn
--- a/internal/cell/peers/others.go
+++ b/internal/cell/peers/others.go
@@ -13,18 +13,19 @@
 
 const (
 	// forwardTries bounds the nodes that one call is forwarded to.
-	forwardTries = 2
+	forwardTries = 3
 	// yieldFor bounds the notice to the other nodes.
 	yieldFor = 500 * time.Millisecond
 )
 
-// others returns the lanes of other nodes that are up, in random order.
-func (p *Pool) others() (out []*lane) {
+// followers returns the lanes of other nodes that follow the work topic and are
+// up, in random order.
+func (p *Pool) followers() (out []*lane) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for _, l := range p.lanes {
-		if l.local == nil && now >= l.downUntil {
+		if l.local == nil && l.follows && now >= l.downUntil {
 			out = append(out, l)
 		}
 	}
@@ -43,7 +44,7 @@
 func (p *Pool) Forward(ctx context.Context, r *ForwardRequest) (*ForwardResponse, error) {
 	last := error(verdict.New(verdict.DidNotRun, "no-peer", "no other node is known to be up"))
 	v := verdict.DidNotRun
-	for i, l := range p.others() {
+	for i, l := range p.followers() {
 		if i == forwardTries || ctx.Err() != nil {
 			break
 		}
@@ -66,10 +67,13 @@
 	return nil, last
 }
 
-// Yield asks all other nodes to take over from the owner with a token. It
+// CanForward reports whether a node is known that calls can be forwarded to.
+func (p *Pool) CanForward() bool { return len(p.followers()) > 0 }
+
+// Yield asks all other followers to take over from the owner with a token. It
 // reports whether there is any.
 func (p *Pool) Yield(token int64) bool {
-	others := p.others()
+	others := p.followers()
 	for _, l := range others {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), yieldFor)
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -42,13 +42,22 @@
 	return &Pool{clock: clock, log: log, lanes: []*lane{{name: self, local: local}}}
 }
 
-// SetNodes replaces the addresses of the other nodes by name.
-func (p *Pool) SetNodes(addresses map[string]string) {
+// Other is another node.
+type Other struct {
+	Address string
+	// Follows is set if it can answer calls that are forwarded to it.
+	Follows bool
+}
+
+// SetNodes replaces the other nodes by name.
+func (p *Pool) SetNodes(others map[string]Other) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name, address := range addresses {
+	for name, other := range others {
+		address := other.Address
 		i := slices.IndexFunc(p.lanes, func(l *lane) bool { return l.name == name })
 		if i >= 0 && (p.lanes[i].local != nil || p.lanes[i].address == address) {
+			p.lanes[i].follows = other.Follows
 			continue
 		}
 		conn, err := dial(address)
@@ -56,7 +65,7 @@
 			p.log.Warn("A node cannot be used for advice.", "node", name, "error", err)
 			continue
 		}
-		l := &lane{name: name, address: address, conn: conn}
+		l := &lane{name: name, address: address, conn: conn, follows: other.Follows}
 		if i >= 0 {
 			p.close(p.lanes[i])
 			p.lanes[i] = l
@@ -65,7 +74,7 @@
 		}
 	}
 	p.lanes = slices.DeleteFunc(p.lanes, func(l *lane) bool {
-		_, keep := addresses[l.name]
+		_, keep := others[l.name]
 		if !keep && l.local == nil {
 			p.close(l)
 		}
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -66,7 +66,7 @@
 		self := newFakePeer()
 		peers = []*fakePeer{self}
 		pool = NewPool(steadyClock{time.Now()}, slog.New(slog.DiscardHandler), "self", self)
-		addresses := map[string]string{}
+		others := map[string]Other{}
 		for _, name := range []string{"a", "b"} {
 			p := newFakePeer()
 			peers = append(peers, p)
@@ -75,9 +75,9 @@
 			server := NewServer(p)
 			go func() { _ = server.Serve(l) }()
 			ginkgo.DeferCleanup(server.Stop)
-			addresses[name] = l.Addr().String()
+			others[name] = Other{Address: l.Addr().String(), Follows: true}
 		}
-		pool.SetNodes(addresses)
+		pool.SetNodes(others)
 		ginkgo.DeferCleanup(pool.Close)
 	})
 	present := func() (n int64) {
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -14,7 +13,6 @@
 const (
 	keyOwner         = "o"
 	prefixHost       = "h/"
-	prefixNode       = "n/"
 	prefixSubmission = "s/"
 	prefixProgress   = "p/"
 	prefixCancel     = "c/"
@@ -38,18 +36,6 @@
 	Beat int64 `json:"beat,omitempty"`
 }
 
-// Node is a process of the system.
-type Node struct {
-	Name    string `json:"name"`
-	Boot    string `json:"boot"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	// Power is the node's share of a core; the most powerful nodes own the cell first.
-	Power float64 `json:"power,omitempty"`
-	// Left is set by a planned stop.
-	Left bool `json:"left,omitempty"`
-}
-
 // Run names a run of a task.
 type Run struct {
 	Task cell.TaskID `json:"task"`
@@ -82,9 +68,6 @@
 // ForgetHostRecord returns the record that drops a host.
 func ForgetHostRecord(id string) platform.Record { return platform.Record{Key: prefixHost + id} }
 
-// NodeRecord returns the record of a node.
-func NodeRecord(n Node) platform.Record { return record(prefixNode+n.Name, n) }
-
 // SubmissionRecord returns the record of an accepted submission.
 func SubmissionRecord(s *cell.Submission) platform.Record { return record(prefixSubmission+s.ID, s) }
 
@@ -101,6 +84,3 @@
 
 // IsOwner reports whether a record tells of an owner.
 func IsOwner(r platform.Record) bool { return r.Key == keyOwner }
-
-// IsNode reports whether a record tells of a node.
-func IsNode(r platform.Record) bool { return strings.HasPrefix(r.Key, prefixNode) }
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -35,7 +35,6 @@
 	owner    Owner
 	ownerAt  uint64
 	beats    int64
-	nodes    map[string]Node
 	hosts    map[string]Host
 	listener Listener
 }
@@ -47,7 +46,7 @@
 
 // New returns an empty registry.
 func New(log *slog.Logger) *Registry {
-	r := &Registry{log: log, seed: maphash.MakeSeed(), nodes: make(map[string]Node), hosts: make(map[string]Host)}
+	r := &Registry{log: log, seed: maphash.MakeSeed(), hosts: make(map[string]Host)}
 	for i := range r.shards {
 		r.shards[i].entries = make(map[string]*Entry)
 	}
@@ -74,8 +73,6 @@
 		err = r.applyOwner(rec)
 	case strings.HasPrefix(key, prefixHost):
 		err = r.applyHost(key[len(prefixHost):], rec)
-	case strings.HasPrefix(key, prefixNode):
-		err = r.applyNode(rec)
 	case strings.HasPrefix(key, prefixSubmission):
 		err = r.applySubmission(key[len(prefixSubmission):], rec)
 	case strings.HasPrefix(key, prefixProgress):
@@ -120,21 +117,6 @@
 	return nil
 }
 
-func (r *Registry) applyNode(rec platform.Record) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(rec.Value) == 0 {
-		delete(r.nodes, rec.Key[len(prefixNode):])
-		return nil
-	}
-	var n Node
-	if err := json.Unmarshal(rec.Value, &n); err != nil {
-		return err
-	}
-	r.nodes[n.Name] = n
-	return nil
-}
-
 func (r *Registry) applySubmission(id string, rec platform.Record) error {
 	s := r.shard(id)
 	if len(rec.Value) == 0 {
@@ -280,13 +262,6 @@
 	return r.owner, r.beats
 }
 
-// Nodes returns the known nodes by name.
-func (r *Registry) Nodes() map[string]Node {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return maps.Clone(r.nodes)
-}
-
 // Hosts returns the hosts that the owners have used.
 func (r *Registry) Hosts() map[string]Host {
 	r.mu.RLock()
--- a/internal/cell/worklog/worklog_test.go
+++ b/internal/cell/worklog/worklog_test.go
@@ -134,11 +134,15 @@
 		// was never sent.
 		ginkgo.It("drops a record that was given up before it was sent", func() {
 			standin.Set(users.Silent)
-			go func() { _ = a.Append(ctx, record("first")) }()
+			first := &pending{record: record("first"), done: make(chan error, 1)}
+			a.mu.Lock()
+			a.queue = append(a.queue, first)
+			a.mu.Unlock()
+			a.wake <- struct{}{}
 			gomega.Eventually(func() bool {
 				a.mu.Lock()
 				defer a.mu.Unlock()
-				return len(a.queue) == 0
+				return first.sent
 			}, "5s").Should(gomega.BeTrue())
 			c, cancel := context.WithCancel(ctx)
 			done := make(chan error, 1)
