Decide in milliseconds while a large cell is full

Cause: with 350 full hosts and 1,000 submissions waiting, one decision took 500 ms (BenchmarkDecide, new; 2,000 waiting: 296 ms), beside other load on the machine. Each gang that room is gathered for sorted the ends of all runs by formatted names; each waiting group looked at all hosts although nearly none had room, also while its call for advice was on its way.

Change: hosts without room for the smallest waiting task are left out of a pass; the ends of a host's runs are sorted once a pass; sort keys are worked out once a host; a group whose call is on its way looks for nothing to ask; the longest chain of a submission is kept; groups of ended jobs are dropped once a decision.

Ruled out: deciding less often (the time between decisions already grows with their duration, which delays urgent work).

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -23,8 +23,8 @@
 
 // advice is what the advice service has said about a group.
 type advice struct {
-	tickets map[string]ticket
-	denied  map[string]bool
+	tickets map[*host]ticket
+	denied  map[*host]bool
 	// hosts are the approved ones, in the scheduler's order.
 	hosts    []*host
 	inFlight bool
@@ -47,7 +47,7 @@
 	if g.policy() == nil {
 		return true
 	}
-	_, ok := g.advice.tickets[h.spec.ID]
+	_, ok := g.advice.tickets[h]
 	return ok
 }
 
@@ -56,7 +56,7 @@
 	if g.policy() == nil {
 		return "", true
 	}
-	t, ok := g.advice.tickets[h.spec.ID]
+	t, ok := g.advice.tickets[h]
 	if !ok || now >= t.expires || t.born != h.born {
 		return "", false
 	}
@@ -73,7 +73,7 @@
 
 // ask plans a call that names hosts.
 func (s *Scheduler) ask(g *group, hosts []*host) {
-	if len(hosts) == 0 || g.advice.inFlight || s.now < g.advice.notUntil {
+	if len(hosts) == 0 || !s.mayAsk(g) {
 		return
 	}
 	names := make([]string, len(hosts))
@@ -95,13 +95,11 @@
 	}
 	var hosts []*host
 	for _, h := range s.order {
-		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h.spec.ID] {
+		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h] {
 			hosts = append(hosts, h)
 		}
 	}
-	slices.SortStableFunc(hosts, func(a, b *host) int {
-		return slots(g.size, b.free()) - slots(g.size, a.free())
-	})
+	rankHosts(hosts, func(h *host) int { return -slots(g.size, h.free()) })
 	if n := nameable(g.policy()); len(hosts) > n {
 		hosts = hosts[:n]
 	}
@@ -118,36 +116,51 @@
 	}
 	g.advice.inFlight = false
 	if g.advice.tickets == nil {
-		g.advice.tickets, g.advice.denied = make(map[string]ticket), make(map[string]bool)
+		g.advice.tickets, g.advice.denied = make(map[*host]ticket), make(map[*host]bool)
 	}
 	p := g.policy()
 	if p == nil {
 		return
 	}
 	for _, name := range named {
+		h := s.hosts[name]
+		if h == nil {
+			continue
+		}
 		value, ok := tickets[name]
 		if !ok {
-			g.advice.denied[name] = true
+			g.advice.denied[h] = true
 			continue
 		}
-		if h := s.hosts[name]; h != nil {
-			if _, known := g.advice.tickets[name]; !known {
-				g.advice.hosts = append(g.advice.hosts, h)
-			}
-			g.advice.tickets[name] = ticket{value: value, expires: received + p.Validity - ticketMargin, born: h.born}
+		if !g.approved(h) {
+			g.advice.hosts = append(g.advice.hosts, h)
 		}
+		g.advice.tickets[h] = ticket{value: value, expires: received + p.Validity - ticketMargin, born: h.born}
 	}
 	slices.SortFunc(g.advice.hosts, func(a, b *host) int { return strings.Compare(a.spec.ID, b.spec.ID) })
 }
 
-// candidates returns the hosts that a group may run on, as far as advice tells.
-func (s *Scheduler) candidates(g *group) []*host {
+// approvedHosts returns the hosts that a group may run on, as far as advice tells.
+func (s *Scheduler) approvedHosts(g *group) []*host {
 	if g.policy() == nil {
 		return s.order
 	}
 	return g.advice.hosts
 }
 
+// candidates returns the hosts that a group may run on and that may have room.
+func (s *Scheduler) candidates(g *group) []*host {
+	if g.policy() == nil || len(s.roomy) < len(g.advice.hosts) {
+		return s.roomy
+	}
+	return g.advice.hosts
+}
+
+// mayAsk reports whether a call for advice may be sent now.
+func (s *Scheduler) mayAsk(g *group) bool {
+	return g.policy() != nil && !g.advice.inFlight && s.now >= g.advice.notUntil
+}
+
 // AdviceFailed records that a call got no advice.
 func (s *Scheduler) AdviceFailed(id cell.GroupID, now time.Duration) {
 	if g := s.group(id); g != nil {
--- /dev/null
+++ b/internal/cell/schedule/decide_bench_test.go
@@ -0,0 +1,88 @@
+package schedule
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// backlog is a full cell of 350 hosts with work of three kinds waiting, as after
+// a takeover in a burst.
+func backlog(waiting int) *cluster {
+	c := newCluster(350, resource.Vector{MilliCPU: 16_000, MemoryMiB: 64_000})
+	c.teams = map[string]cell.Team{}
+	for i := range 20 {
+		name := fmt.Sprintf("t%d", i)
+		c.teams[name] = cell.Team{Name: name, Weight: 1000}
+	}
+	c.approves = func(g cell.GroupID, host string) bool {
+		h := fnv.New32a()
+		_, _ = fmt.Fprint(h, g, host)
+		return h.Sum32()%10 < 4
+	}
+	policy := &cell.AdvicePolicy{Decision: 50 * time.Millisecond, PerHost: time.Millisecond, Validity: 2 * time.Second}
+	c.queue(cell.Queue{Name: "urgent", Priority: 0, Stretch: 1.5, Latency: 250 * time.Millisecond, Advice: policy})
+	c.queue(cell.Queue{Name: "wide", Priority: 1, Stretch: 1.5, Latency: time.Second, Advice: policy})
+	c.queue(cell.Queue{Name: "many", Priority: 2, Stretch: 3, Latency: 3 * time.Second, Advice: policy})
+	for i := range waiting {
+		team := fmt.Sprintf("t%d", i%20)
+		id := fmt.Sprintf("%016x", i)
+		switch i % 10 {
+		case 0:
+			c.submit(id, "wide", team, cell.Step{Count: 20, Gang: true, Estimate: 6 * time.Second, Size: resource.Vector{MilliCPU: 4500, MemoryMiB: 4000}})
+		case 1:
+			c.submit(id, "many", team, cell.Step{Count: 25, Estimate: 3 * time.Second, Size: resource.Vector{MilliCPU: 1700, MemoryMiB: 2000}})
+		default:
+			c.submit(id, "urgent", team, cell.Step{Count: 3, Estimate: time.Second, Size: resource.Vector{MilliCPU: 2500, MemoryMiB: 1000}})
+		}
+	}
+	return c
+}
+
+// fillUp decides until the hosts are full; no run ends.
+func (c *cluster) fillUp() {
+	for range 40 {
+		c.now += 10 * time.Millisecond
+		p := c.s.Decide(c.now, c.now)
+		c.s.Notes()
+		c.answerAsks(p)
+		for _, o := range p.Starts {
+			c.s.Started(o.Host, o.Task, o.Run, c.now)
+		}
+	}
+}
+
+func (c *cluster) answerAsks(p *Plan) {
+	for _, a := range p.Asks {
+		tickets := map[string]string{}
+		for _, h := range a.Hosts {
+			if c.approves(a.Group, h) {
+				tickets[h] = "t"
+			}
+		}
+		c.s.Advised(a.Group, a.Hosts, tickets, c.now)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, waiting := range []int{200, 1000, 2000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			c := backlog(waiting)
+			c.fillUp()
+			b.ResetTimer()
+			for range b.N {
+				c.now += 25 * time.Millisecond
+				p := c.s.Decide(c.now, c.now)
+				c.s.Notes()
+				c.answerAsks(p)
+				for _, o := range p.Starts {
+					c.s.Started(o.Host, o.Task, o.Run, c.now)
+				}
+			}
+		})
+	}
+}
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // repairWithin is the part of the gang timeout in which a refused member is
@@ -71,6 +73,13 @@
 	if !g.step.RackLocal {
 		return s.fill(g, all, n)
 	}
+	total := 0
+	for _, h := range all {
+		total += s.room(g, h)
+	}
+	if total < n {
+		return nil
+	}
 	var best []*host
 	for _, rack := range racks(all) {
 		near := slices.DeleteFunc(slices.Clone(all), func(h *host) bool { return h.rack != rack })
@@ -110,25 +119,38 @@
 // fill spreads n tasks over hosts: sound and fast hosts first, then those with
 // the most room, so that the gang depends on few hosts.
 func (s *Scheduler) fill(g *group, hosts []*host, n int) []*host {
-	slices.SortStableFunc(hosts, func(a, b *host) int {
-		if c := cmp.Compare(s.gangScore(g, a), s.gangScore(g, b)); c != 0 {
+	type option struct {
+		host               *host
+		score, spare, room int
+	}
+	options := make([]option, len(hosts))
+	total := 0
+	for i, h := range hosts {
+		options[i] = option{host: h, score: s.gangScore(g, h), room: s.room(g, h)}
+		if g.step.Fills {
+			options[i].spare = int(h.spare())
+		}
+		total += options[i].room
+	}
+	if total < n {
+		return nil
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		if c := cmp.Compare(a.score, b.score); c != 0 {
 			return c
 		}
-		if g.step.Fills {
-			return cmp.Compare(b.spare(), a.spare())
+		if c := cmp.Compare(b.spare, a.spare); c != 0 {
+			return c
 		}
-		return cmp.Compare(s.room(g, b), s.room(g, a))
+		return cmp.Compare(b.room, a.room)
 	})
 	var out []*host
-	for _, h := range hosts {
-		for range min(s.room(g, h), n-len(out)) {
-			out = append(out, h)
-		}
-		if len(out) == n {
-			return out
+	for _, o := range options {
+		for range min(o.room, n-len(out)) {
+			out = append(out, o.host)
 		}
 	}
-	return nil
+	return out
 }
 
 // slowBucket makes hosts of about the same speed equal.
@@ -214,7 +236,7 @@
 
 // capacityOf returns how many tasks the approved hosts hold when they are empty.
 func (s *Scheduler) capacityOf(g *group) (n int) {
-	for _, h := range s.candidates(g) {
+	for _, h := range s.approvedHosts(g) {
 		if s.eligible(g, h) {
 			k := slots(g.size, h.spec.Capacity)
 			if g.step.MaxPerHost > 0 {
@@ -226,65 +248,97 @@
 	return n
 }
 
-// release is the expected end of an attempt.
+// release is the expected end of an attempt, with the room that it leaves.
 type release struct {
-	at time.Duration
-	a  *attempt
+	at   time.Duration
+	size resource.Vector
 }
 
 // overdue is how much longer an attempt is expected to take once it has taken
 // as long as estimated.
 const overdue = 500 * time.Millisecond
 
+// releases returns the expected ends of a host's attempts, in order.
+func (s *Scheduler) releases(h *host) []release {
+	if h.ends == nil {
+		h.ends = make([]release, 0, len(h.attempts))
+		for _, a := range h.attempts {
+			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdue)
+			h.ends = append(h.ends, release{end, a.task.group.size})
+		}
+		slices.SortFunc(h.ends, func(a, b release) int {
+			if c := cmp.Compare(a.at, b.at); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.size.MilliCPU, b.size.MilliCPU)
+		})
+	}
+	return h.ends
+}
+
+// opening is room for more members of a gang that a host has from a time on.
+type opening struct {
+	at   time.Duration
+	host int
+	more int
+}
+
 // gather finds the earliest time at which the approved hosts hold n tasks of a
 // gang, and keeps their room until then from work that would not end before.
 func (s *Scheduler) gather(g *group, n int) {
 	var hosts []*host
-	var releases []release
-	free := make(map[*host]int)
-	total := 0
-	for _, h := range s.candidates(g) {
-		if !s.eligible(g, h) {
-			continue
+	for _, h := range s.approvedHosts(g) {
+		if s.eligible(g, h) {
+			hosts = append(hosts, h)
 		}
-		hosts = append(hosts, h)
-		free[h] = slots(g.size, h.free().Sub(h.reserved))
-		total += free[h]
-		for _, a := range h.attempts {
-			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdue)
-			releases = append(releases, release{end, a})
+	}
+	room := make([]int, len(hosts))
+	var openings []opening
+	total := 0
+	for i, h := range hosts {
+		free := h.free().Sub(h.reserved)
+		room[i] = slots(g.size, free)
+		total += room[i]
+		known := room[i]
+		for _, r := range s.releases(h) {
+			free = free.Add(r.size)
+			if k := slots(g.size, free); k > known {
+				openings = append(openings, opening{r.at, i, k - known})
+				known = k
+			}
 		}
 	}
-	slices.SortFunc(releases, func(a, b release) int {
+	slices.SortFunc(openings, func(a, b opening) int {
 		if c := cmp.Compare(a.at, b.at); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.a.task.id.String(), b.a.task.id.String())
+		return cmp.Compare(a.host, b.host)
 	})
 	until := s.now
-	for _, r := range releases {
+	for _, o := range openings {
 		if total >= n {
 			break
 		}
-		h := r.a.host
-		freed := h.free().Sub(h.reserved)
-		for _, other := range releases {
-			if other.at <= r.at && other.a.host == h {
-				freed = freed.Add(other.a.task.group.size)
-			}
-		}
-		total += slots(g.size, freed) - free[h]
-		free[h] = slots(g.size, freed)
-		until = r.at
+		total += o.more
+		room[o.host] += o.more
+		until = o.at
 	}
 	if total < n {
 		return
 	}
-	slices.SortStableFunc(hosts, func(a, b *host) int { return cmp.Compare(free[b], free[a]) })
-	for _, h := range hosts {
-		k := min(free[h], n)
-		if k > 0 {
-			h.keep(g, k, until)
+	s.keepRoom(g, n, hosts, room, until)
+}
+
+// keepRoom reserves room for n tasks of a gang, on as few hosts as possible.
+func (s *Scheduler) keepRoom(g *group, n int, hosts []*host, room []int, until time.Duration) {
+	order := make([]int, len(hosts))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(room[b], room[a]) })
+	for _, i := range order {
+		if k := min(room[i], n); k > 0 {
+			hosts[i].keep(g, k, until)
 			n -= k
 		}
 	}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -32,7 +32,10 @@
 	// reserved is room that this pass keeps for gangs ahead in the queue.
 	reserved      resource.Vector
 	reservedUntil time.Duration
-	health        health
+	// ends are the expected ends of the attempts, in order; nil until this pass
+	// needs them.
+	ends   []release
+	health health
 	// quietUntil is how long tasks that fill stay away from the tasks that serve.
 	quietUntil time.Duration
 }
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -12,6 +12,8 @@
 	queue  cell.Queue
 	team   *team
 	groups []*group
+	// chains caches the result of chain for each step.
+	chains []time.Duration
 	// steps is the number of steps; groups has as many for each occurrence.
 	steps int
 	state cell.State
@@ -45,8 +47,15 @@
 // chain returns the longest time that steps which follow each other take,
 // counted from a step on.
 func (j *job) chain(from int) time.Duration {
+	if j.chains == nil {
+		j.chains = j.chainOfEach()
+	}
+	return j.chains[from]
+}
+
+// chainOfEach returns the chain from each step on.
+func (j *job) chainOfEach() []time.Duration {
 	longest := make([]time.Duration, j.steps)
-	var most time.Duration
 	for i := j.steps - 1; i >= 0; i-- {
 		step := &j.sub.Steps[i]
 		longest[i] += step.Estimate
@@ -56,17 +65,15 @@
 		for _, a := range step.After {
 			longest[a] = max(longest[a], longest[i])
 		}
-		if i >= from {
-			most = max(most, longest[i])
-		}
-	}
-	if from >= 0 && from < j.steps {
-		return longest[from]
 	}
-	return most
+	return longest
 }
 
 // objective returns how long the submission may take.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.queue.Stretch*float64(j.chain(-1))) + j.queue.Latency
+	var longest time.Duration
+	for i := range j.steps {
+		longest = max(longest, j.chain(i))
+	}
+	return time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Latency
 }
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -35,6 +35,9 @@
 		}
 	}
 	s.jobs[sub.ID] = j
+	if sub.Timed() {
+		s.timed = append(s.timed, j)
+	}
 	s.groups = append(s.groups, j.groups...)
 	s.openGroups(j)
 	s.finishIfDone(j)
@@ -112,29 +115,41 @@
 
 // dropIfGone forgets a job that is over and has no runs left.
 func (s *Scheduler) dropIfGone(j *job) {
-	if !j.state.Final() {
+	if !j.state.Final() || j.present() {
+		return
+	}
+	// The job itself stays until its last progress is taken; its groups go with
+	// the next decision.
+	s.stale = true
+}
+
+// sweep drops the groups of jobs that are over and have no runs left.
+func (s *Scheduler) sweep() {
+	if !s.stale {
 		return
 	}
+	s.stale = false
+	gone := func(j *job) bool { return j.state.Final() && !j.present() }
+	s.groups = slices.DeleteFunc(s.groups, func(g *group) bool { return gone(g.job) })
+	s.timed = slices.DeleteFunc(s.timed, gone)
+}
+
+// present reports whether any run of the job may be present.
+func (j *job) present() bool {
 	for _, g := range j.groups {
 		if g.present > 0 {
-			return
+			return true
 		}
 	}
-	// The job itself stays until its last progress is taken; groups go at once.
-	s.groups = slices.DeleteFunc(s.groups, func(g *group) bool { return g.job == j })
+	return false
 }
 
 // Drop forgets a job that is over, once its progress is stored.
 func (s *Scheduler) Drop(id string) bool {
 	j := s.jobs[id]
-	if j == nil || !j.state.Final() {
+	if j == nil || !j.state.Final() || j.present() {
 		return false
 	}
-	for _, g := range j.groups {
-		if g.present > 0 {
-			return false
-		}
-	}
 	delete(s.jobs, id)
 	return true
 }
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -30,12 +30,12 @@
 // Decide returns what to do next.
 func (s *Scheduler) Decide(now, wall time.Duration) *Plan {
 	s.now, s.wall = now, wall
+	s.sweep()
 	s.openDue()
-	for _, h := range s.order {
-		h.reserved, h.reservedUntil = resource.Vector{}, 0
-	}
+	queue := s.queue()
+	s.findRoom(queue)
 	gangs := 0
-	for _, e := range s.queue() {
+	for _, e := range queue {
 		if e.group.step.Gang {
 			s.placeGang(e.group, &gangs)
 		} else {
@@ -55,13 +55,33 @@
 
 // openDue opens groups of occurrences that have become due.
 func (s *Scheduler) openDue() {
-	for _, j := range s.jobs {
-		if j.sub.Timed() && !j.state.Final() {
+	for _, j := range s.timed {
+		if !j.state.Final() {
 			s.openGroups(j)
 		}
 	}
 }
 
+// findRoom begins a pass over the queue: nothing is reserved yet, and hosts
+// without room for the smallest waiting task are left out of it. In a full cell
+// these are nearly all.
+func (s *Scheduler) findRoom(queue []entry) {
+	s.roomy = s.roomy[:0]
+	if len(queue) == 0 {
+		return
+	}
+	least := queue[0].group.size
+	for _, e := range queue {
+		least = least.Min(e.group.size)
+	}
+	for _, h := range s.order {
+		h.reserved, h.reservedUntil, h.ends = resource.Vector{}, 0, nil
+		if h.usable(s.now) && least.Fits(h.free()) {
+			s.roomy = append(s.roomy, h)
+		}
+	}
+}
+
 // eligible reports whether a host could take tasks of a group if it had room.
 func (s *Scheduler) eligible(g *group, h *host) bool {
 	if g.step.Fills && s.now < h.quietUntil {
@@ -117,7 +137,10 @@
 	s.waits(g, waitNone)
 	var fresh []*host
 	for _, h := range s.candidates(g) {
-		if _, ok := g.ticketFor(h, s.now); ok && s.eligible(g, h) && s.room(g, h) > 0 {
+		if !s.eligible(g, h) || s.room(g, h) < 1 {
+			continue
+		}
+		if _, ok := g.ticketFor(h, s.now); ok {
 			fresh = append(fresh, h)
 		}
 	}
@@ -130,7 +153,7 @@
 		}
 		s.start(t, h, t.lastRun+1)
 	}
-	if unplaced > 0 && g.policy() != nil {
+	if unplaced > 0 && s.mayAsk(g) {
 		s.askForRoom(g, unplaced)
 	}
 }
@@ -153,14 +176,14 @@
 func (s *Scheduler) askForRoom(g *group, needed int) {
 	var expired []*host
 	open := false
-	for _, h := range s.order {
+	for _, h := range s.roomy {
 		if !s.eligible(g, h) || s.room(g, h) < 1 {
 			continue
 		}
 		if _, fresh := g.ticketFor(h, s.now); g.approved(h) && !fresh {
 			expired = append(expired, h)
 		}
-		if !g.approved(h) && !g.advice.denied[h.spec.ID] {
+		if !g.approved(h) && !g.advice.denied[h] {
 			open = true
 		}
 	}
@@ -175,7 +198,7 @@
 // firstByRoom returns the hosts with the most room that together hold a number
 // of tasks, and a few more.
 func (s *Scheduler) firstByRoom(g *group, hosts []*host, needed int) []*host {
-	slices.SortStableFunc(hosts, func(a, b *host) int { return cmp.Compare(s.room(g, b), s.room(g, a)) })
+	rankHosts(hosts, func(h *host) int { return -s.room(g, h) })
 	for i, h := range hosts {
 		needed -= s.room(g, h)
 		if needed <= 0 {
@@ -185,6 +208,22 @@
 	return hosts
 }
 
+// rankHosts sorts hosts by a key, lowest first, that is worked out once for each.
+func rankHosts(hosts []*host, key func(h *host) int) {
+	type ranked struct {
+		h   *host
+		key int
+	}
+	list := make([]ranked, len(hosts))
+	for i, h := range hosts {
+		list[i] = ranked{h, key(h)}
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.key, b.key) })
+	for i := range list {
+		hosts[i] = list[i].h
+	}
+}
+
 // start orders a run.
 func (s *Scheduler) start(t *task, h *host, run int64) {
 	g := t.group
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -62,7 +62,7 @@
 	case RefusedRoom:
 		h.health.avoid(now, fullPause)
 	case RefusedTicket:
-		g.advice.tickets[host] = ticket{}
+		g.advice.tickets[h] = ticket{}
 	case RefusedUnhealthy:
 		h.health.avoid(now, unhealthyPause)
 	case RefusedInvalid:
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -28,10 +28,16 @@
 	hosts   map[string]*host
 	// order is the hosts in a fixed order.
 	order []*host
+	// roomy are the usable hosts that have room for the smallest waiting task.
+	roomy []*host
 	jobs  map[string]*job
+	// timed are the jobs with occurrences that become due.
+	timed []*job
 	teams map[string]*team
 	// groups are those with tasks that are not done, by order of arrival.
-	groups  []*group
+	groups []*group
+	// stale is set if groups may have to be dropped; see sweep.
+	stale   bool
 	settled bool
 	// surveyAt is when all groups are looked at next.
 	surveyAt time.Duration
@@ -69,6 +75,7 @@
 	for _, j := range s.jobs {
 		if q, ok := d.Queue(j.sub.Queue.Name); ok {
 			j.queue = q
+			j.chains = nil
 		}
 	}
 }
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -1,6 +1,6 @@
 package cell
 
-import "fmt"
+import "strconv"
 
 // TaskID names one task of a submission.
 type TaskID struct {
@@ -19,10 +19,10 @@
 
 // String returns a form for logs.
 func (t TaskID) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Submission, t.Occurrence, t.Step, t.Index)
+	return t.Group().String() + "." + strconv.Itoa(t.Index)
 }
 
 // String returns a form for logs.
 func (g GroupID) String() string {
-	return fmt.Sprintf("%s.%d.%d", g.Submission, g.Occurrence, g.Step)
+	return g.Submission + "." + strconv.Itoa(g.Occurrence) + "." + strconv.Itoa(g.Step)
 }
--- a/internal/resource/vector.go
+++ b/internal/resource/vector.go
@@ -46,6 +46,11 @@
 	return Vector{v.MilliCPU * n, v.MemoryMiB * n, v.Accelerators * n}
 }
 
+// Min returns the lower amount of each resource.
+func (v Vector) Min(w Vector) Vector {
+	return Vector{min(v.MilliCPU, w.MilliCPU), min(v.MemoryMiB, w.MemoryMiB), min(v.Accelerators, w.Accelerators)}
+}
+
 // Fits reports whether v is at most w in every resource.
 func (v Vector) Fits(w Vector) bool {
 	return v.MilliCPU <= w.MilliCPU && v.MemoryMiB <= w.MemoryMiB && v.Accelerators <= w.Accelerators
