Name every fault of a submission that is not accepted; rejoin at once

A refusal showed the last fault only (no other node up), not what the store said. A node that starts again follows at once if an earlier life of it is known; its own new record hid that, which cost 0.6 s after each restart.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -118,7 +119,9 @@
 func (c *call) settle(ctx context.Context, r platform.Record) (*peers.ForwardResponse, error) {
 	begun := time.Now()
 	v := verdict.DidNotRun
+	var faults []error
 	for {
+		faults = faults[:0]
 		done := make(chan error, 1)
 		go func() { done <- c.front.Records.Append(ctx, r) }()
 		silent := time.NewTimer(silentAfter)
@@ -130,6 +133,7 @@
 				return nil, nil
 			}
 			v = v.Merge(verdict.Of(err))
+			faults = append(faults, err)
 			done = nil
 		case <-silent.C:
 		}
@@ -144,16 +148,17 @@
 				forwardErr = verdict.New(verdict.MayHaveRun, "open", "another node answers %d", a.Status)
 			}
 			v = v.Merge(verdict.Of(forwardErr))
-			err = forwardErr
+			faults = append(faults, forwardErr)
 		}
 		if done != nil {
 			if err = <-done; err == nil {
 				return nil, nil
 			}
 			v = v.Merge(verdict.Of(err))
+			faults = append(faults, err)
 		}
 		if ctx.Err() != nil || time.Since(begun) > hopelessAfter {
-			return nil, verdict.Wrap(err, v, "not-stored")
+			return nil, verdict.Wrap(errors.Join(faults...), v, "not-stored")
 		}
 		time.Sleep(againAfter)
 	}
--- a/internal/cell/membership/following.go
+++ b/internal/cell/membership/following.go
@@ -25,6 +25,9 @@
 // before the process does.
 type Following struct {
 	Self Node
+	// Returning is set if an earlier life of this node was known when it first
+	// read of the others: they are known already.
+	Returning bool
 	// since is when this node first saw a record of itself, shortAt when followers
 	// began to be too few; zero if they are not.
 	since, shortAt time.Duration
@@ -32,17 +35,13 @@
 
 // Due reports whether to begin now. alive are the nodes that are not gone.
 func (f *Following) Due(now time.Duration, alive []Node) bool {
-	i := slices.IndexFunc(alive, func(n Node) bool { return n.Name == f.Self.Name })
-	if i < 0 {
+	if !slices.ContainsFunc(alive, func(n Node) bool { return n.Name == f.Self.Name }) {
 		return false
 	}
 	if f.since == 0 {
 		f.since = now
-		if alive[i].Boot != f.Self.Boot {
-			f.since -= acquaintance // after a restart, the others are known already
-		}
 	}
-	if now < f.since+acquaintance {
+	if !f.Returning && now < f.since+acquaintance {
 		return false
 	}
 	if rank(f.Self, alive) < wanted {
--- a/internal/cell/node/follow.go
+++ b/internal/cell/node/follow.go
@@ -21,7 +21,7 @@
 	followTick = 50 * time.Millisecond
 	// announceFor bounds the wait for the record of this node.
 	announceFor = 5 * time.Second
-	// firstPage bounds the wait for the first read of the work topic.
+	// firstPage is the time between two looks for the first read of a topic.
 	firstPage = 20 * time.Millisecond
 )
 
@@ -59,6 +59,10 @@
 	for _, r := range p.Records {
 		n.members.Apply(r, now)
 	}
+	if p.Rebuilt {
+		self, known := n.members.Nodes()[n.self.Name]
+		n.returning.Store(known && self.Boot != n.self.Boot || n.returning.Load())
+	}
 	others := make(map[string]peers.Other)
 	for _, other := range n.members.Alive(p.AsOf) {
 		if other.Name != n.self.Name {
@@ -68,8 +72,12 @@
 	n.pool.SetNodes(others)
 }
 
-// announce keeps this node known to the others.
+// announce keeps this node known to the others. It begins once the others have
+// been read, so that an earlier life of this node is seen.
 func (n *Node) announce(ctx context.Context) {
+	for _, read := n.nodes.AsOf(); !read && ctx.Err() == nil; _, read = n.nodes.AsOf() {
+		time.Sleep(firstPage)
+	}
 	for beat := int64(1); ctx.Err() == nil; beat++ {
 		self := n.identity()
 		self.Beat = beat
@@ -98,15 +106,16 @@
 
 // followWork follows the work topic from the time on when that is due.
 func (n *Node) followWork(ctx context.Context) {
-	f := membership.Following{Self: n.self}
 	t := time.NewTicker(followTick)
 	defer t.Stop()
+	f := membership.Following{Self: n.self}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		f.Returning = n.returning.Load()
 		asOf, read := n.nodes.AsOf()
 		if read && f.Due(n.clock.Now(), n.members.Alive(asOf)) {
 			break
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -79,7 +79,9 @@
 	// following is set once this node follows the work topic, left by its planned
 	// stop. announce is told of changes of either.
 	following, left atomic.Bool
-	changed         chan struct{}
+	// returning is set if an earlier life of this node is known.
+	returning atomic.Bool
+	changed   chan struct{}
 	// yielded is the token of an owner that cannot go on.
 	yielded atomic.Int64
 
