Claim the ownership once the owner's machine refuses connections

Cause: after a kill of the owner the others waited for 1.2 s of silence in the log (takeover 1.4 s after the kill in, no start meanwhile).

Change: followers keep a connection to the owner. When it ends they try to connect; a machine that refuses connections is up without the process, so the owner is gone for certain. A machine that does not answer (power, partition) is still judged by the silence of its records. Safety rests on the fencing token, as before.

Ruled out: a broken connection alone (connections are reset while processes go on).

--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -49,6 +49,8 @@
 	asOf time.Duration
 	// yielded is the token of an owner that told it cannot go on.
 	yielded int64
+	// ended is the boot of an owner whose process is known to have ended.
+	ended string
 }
 
 // due reports whether to claim now.
@@ -77,9 +79,9 @@
 
 // free reports whether nobody owns the cell for certain: there was no owner,
 // it has released the ownership, told that it cannot go on, or its process has
-// been replaced.
+// ended or been replaced.
 func (v view) free() bool {
-	if v.owner.Node == "" || v.owner.Released || v.yielded != 0 && v.yielded == v.owner.Token {
+	if v.owner.Node == "" || v.owner.Released || v.yielded != 0 && v.yielded == v.owner.Token || v.ended == v.owner.Boot {
 		return true
 	}
 	n, ok := v.nodes[v.owner.Node]
--- a/internal/cell/node/election_test.go
+++ b/internal/cell/node/election_test.go
@@ -28,6 +28,8 @@
 		{"this node reads nothing", held, 2 * time.Second, 2 * time.Second, nil, false},
 		{"owner has released", registry.Owner{Node: "a", Boot: "a1", Token: 4, Released: true}, 0, 0, nil, true},
 		{"owner has yielded", held, 0, 0, func(v *view) { v.yielded = 4 }, true},
+		{"owner's machine refuses connections", held, 0, 0, func(v *view) { v.ended = "a1" }, true},
+		{"that of an earlier owner did", held, 0, 0, func(v *view) { v.ended = "a0" }, false},
 		{"an earlier owner has yielded", held, 0, 0, func(v *view) { v.yielded = 3 }, false},
 		{"owner's process was replaced", registry.Owner{Node: "a", Boot: "a0", Token: 4}, 0, 0, nil, true},
 		{"this process is the owner", registry.Owner{Node: "b", Boot: "b1", Token: 4}, 5 * time.Second, 0, nil, false},
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -82,6 +82,10 @@
 	// returning is set if an earlier life of this node is known.
 	returning atomic.Bool
 	changed   chan struct{}
+	// ended is the boot of an owner whose process has ended; probing is set while
+	// that is found out.
+	ended   atomic.Pointer[string]
+	probing atomic.Bool
 	// yielded is the token of an owner that cannot go on.
 	yielded atomic.Int64
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -81,7 +81,8 @@
 			continue
 		}
 		o, beats := n.registry.Owner()
-		v := view{owner: o, beats: beats, nodes: n.members.Nodes(), followers: n.followers(), asOf: asOf, yielded: n.yielded.Load()}
+		n.probeOwner(ctx, o)
+		v := view{ended: n.endedBoot(), owner: o, beats: beats, nodes: n.members.Nodes(), followers: n.followers(), asOf: asOf, yielded: n.yielded.Load()}
 		if n.owner() == nil && e.due(n.clock.Now(), v) {
 			n.tryClaim(ctx, o)
 			e.retryAt = n.clock.Now() + claimPause
@@ -89,6 +90,28 @@
 	}
 }
 
+// probeOwner finds out whether the owner's process has ended, one probe at a time.
+func (n *Node) probeOwner(ctx context.Context, o registry.Owner) {
+	if o.Node == "" || o.Node == n.self.Name || n.endedBoot() == o.Boot || !n.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.probing.Store(false)
+		if n.pool.Refuses(ctx, o.Node) {
+			n.log.Info("election: The owner's machine refuses connections; its process has ended.", "owner", o.Node, "boot", o.Boot)
+			n.ended.Store(&o.Boot)
+		}
+	}()
+}
+
+// endedBoot returns the boot of the last owner whose process is known to have ended.
+func (n *Node) endedBoot() string {
+	if b := n.ended.Load(); b != nil {
+		return *b
+	}
+	return ""
+}
+
 // tryClaim appends a claim. The term begins when the claim is read back, since
 // only the log tells which of several claims came first.
 func (n *Node) tryClaim(ctx context.Context, former registry.Owner) {
--- a/internal/cell/peers/lane.go
+++ b/internal/cell/peers/lane.go
@@ -69,6 +69,15 @@
 	return l.conn.Invoke(ctx, "/"+serviceName+"/"+method, request, response, grpc.CallContentSubtype(codecName))
 }
 
+// follow sets whether the node answers forwarded calls. The connection to such a
+// node is opened at once, and shows when its process ends.
+func (l *lane) follow(follows bool) {
+	l.follows = follows
+	if follows && l.conn != nil {
+		l.conn.Connect()
+	}
+}
+
 // connected returns once the lane's connection is ready, or false after a while.
 func (l *lane) connected(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, connectFor)
--- a/internal/cell/peers/others.go
+++ b/internal/cell/peers/others.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
+	"google.golang.org/grpc/connectivity"
+
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 )
 
@@ -75,6 +81,28 @@
 	return nil, last
 }
 
+// Refuses reports whether a node's machine refuses connections: it is up, and
+// the process that listened is gone. It asks only while the connection that is
+// kept to the node is not in order.
+func (p *Pool) Refuses(ctx context.Context, name string) bool {
+	p.mu.Lock()
+	i := slices.IndexFunc(p.lanes, func(l *lane) bool { return l.name == name && l.local == nil })
+	if i < 0 || p.lanes[i].conn.GetState() == connectivity.Ready {
+		p.mu.Unlock()
+		return false
+	}
+	l := p.lanes[i]
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, connectFor)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.address)
+	if err == nil {
+		_ = conn.Close() // it only had to open
+		l.conn.Connect()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // CanForward reports whether a node is known that calls can be forwarded to.
 func (p *Pool) CanForward() bool { return len(p.followers()) > 0 }
 
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -57,7 +57,7 @@
 		address := other.Address
 		i := slices.IndexFunc(p.lanes, func(l *lane) bool { return l.name == name })
 		if i >= 0 && (p.lanes[i].local != nil || p.lanes[i].address == address) {
-			p.lanes[i].follows = other.Follows
+			p.lanes[i].follow(other.Follows)
 			continue
 		}
 		conn, err := dial(address)
@@ -65,7 +65,8 @@
 			p.log.Warn("A node cannot be used for advice.", "node", name, "error", err)
 			continue
 		}
-		l := &lane{name: name, address: address, conn: conn, follows: other.Follows}
+		l := &lane{name: name, address: address, conn: conn}
+		l.follow(other.Follows)
 		if i >= 0 {
 			p.close(p.lanes[i])
 			p.lanes[i] = l
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -147,6 +147,27 @@
 		}
 	})
 
+	// Guards against a cell that waits for the silence of an owner whose process
+	// has ended, and against one that takes the ownership from a live owner.
+	ginkgo.It("tells when a machine refuses connections", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		server := NewServer(newFakePeer())
+		go func() { _ = server.Serve(l) }()
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(silent.Close)
+		pool.SetNodes(map[string]Other{
+			"owner": {Address: l.Addr().String(), Follows: true}, "silent": {Address: silent.Addr().String(), Follows: true},
+		})
+		gomega.Expect(pool.Refuses(ctx, "owner")).To(gomega.BeFalse())
+		gomega.Expect(pool.Refuses(ctx, "silent")).To(gomega.BeFalse())
+		gomega.Expect(pool.Refuses(ctx, "unknown")).To(gomega.BeFalse())
+		gomega.Expect(pool.Refuses(ctx, "self")).To(gomega.BeFalse())
+		server.Stop()
+		gomega.Eventually(func() bool { return pool.Refuses(ctx, "owner") }, "5s").Should(gomega.BeTrue())
+	})
+
 	// Guards against a cell that waits for the silence of an owner that knows it
 	// cannot go on.
 	ginkgo.It("tells every other node that the owner yields", func() {
