Pass no refusal on once another node may have acted

Cause: a call that was forwarded to a node without an answer, and then to a second one, got the second one's refusal (401, 404, 409, 410), though the first may have stored it. The node that forwards did the same with its own refusal.

Change: for calls that store something, only success is passed on then; else the outcome is open (504). Both tests fail without the change.

--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -113,7 +113,7 @@
 		return a
 	}
 	a = f.Answer(ctx, r, f.Peers)
-	if a.Status == http.StatusServiceUnavailable && verdict.Of(err) != verdict.DidNotRun {
+	if a.Status != http.StatusOK && r.Changes() && verdict.Of(err) != verdict.DidNotRun {
 		// The other node may have stored the work before its answer was lost.
 		return refused(http.StatusGatewayTimeout, "another node has not answered; the outcome is open")
 	}
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -137,6 +137,19 @@
 		gomega.Expect(call("DELETE", "/q/"+id, "key-a", "").Code).To(gomega.Equal(503))
 	})
 
+	// Guards against a refusal of what the node that was asked first may have stored.
+	ginkgo.DescribeTable("a forwarded call without an answer", func(method, key string, status int) {
+		n.cut = true
+		n.forward = func() (*peers.ForwardResponse, error) { return nil, maybeRun() }
+		gomega.Expect(call(method, "/q/"+other, key, body).Code).To(gomega.Equal(status))
+	},
+		ginkgo.Entry("submission under a key that is unknown here", "POST", "key-x", 504),
+		ginkgo.Entry("submission that another team has", "POST", "key-a", 504),
+		ginkgo.Entry("cancellation of what is unknown here", "DELETE", "key-a", 504),
+		ginkgo.Entry("state under a key that is unknown here", "GET", "key-x", 401),
+		ginkgo.Entry("submission that is known", "POST", "key-b", 200),
+	)
+
 	// Guards against a withdrawn key that works at a node without a fresh state.
 	ginkgo.It("checks keys against a fresh desired state only", func() {
 		n.fresh = false
--- a/internal/cell/peers/others.go
+++ b/internal/cell/peers/others.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -68,7 +67,7 @@
 		err := l.invoke(callCtx, forwardMethod, r, &out)
 		cancel()
 		switch {
-		case err == nil && out.Status != http.StatusServiceUnavailable:
+		case err == nil && out.final(r, v):
 			return &out, nil
 		case err == nil:
 			last = verdict.New(v, "peer-unavailable", "node %s answers %d", l.name, out.Status)
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -34,6 +34,8 @@
 	yielded  atomic.Int64
 	forwards atomic.Int64
 	status   int
+	// mute keeps forwarded calls without an answer.
+	mute bool
 }
 
 func newFakePeer() *fakePeer { return &fakePeer{release: make(chan struct{}), status: http.StatusOK} }
@@ -49,8 +51,12 @@
 	return &AdviseResponse{Tickets: map[string]string{r.Hosts[0]: "t"}}, nil
 }
 
-func (p *fakePeer) Forward(context.Context, *ForwardRequest) (*ForwardResponse, error) {
+func (p *fakePeer) Forward(ctx context.Context, _ *ForwardRequest) (*ForwardResponse, error) {
 	p.forwards.Add(1)
+	if p.mute {
+		<-ctx.Done()
+		return nil, eris.Wrap(ctx.Err(), "mute")
+	}
 	return &ForwardResponse{Status: p.status}, nil
 }
 
@@ -129,6 +135,23 @@
 		gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.DidNotRun))
 	})
 
+	// Guards against a refusal of what an earlier node may have stored.
+	ginkgo.It("passes no refusal on once another node may have acted", func() {
+		for muteFirst := false; !muteFirst; {
+			peers[1].mute, peers[2].status = true, http.StatusUnauthorized
+			before := peers[1].forwards.Load()
+			a, err := pool.Forward(ctx, &ForwardRequest{Method: "POST"})
+			muteFirst = peers[1].forwards.Load() > before
+			if muteFirst {
+				gomega.Expect(err).To(gomega.HaveOccurred())
+				gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.MayHaveRun))
+			} else {
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(a.Status).To(gomega.Equal(http.StatusUnauthorized))
+			}
+		}
+	})
+
 	// Guards against callers that wait for their whole patience for a connection
 	// to a machine that is gone.
 	ginkgo.It("forwards past a node that cannot be reached", func() {
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
 )
 
 const (
@@ -50,6 +52,18 @@
 	Desired []byte `json:"desired,omitempty"`
 }
 
+// Changes reports whether the call stores something.
+func (r *ForwardRequest) Changes() bool { return r.Method != http.MethodGet }
+
+// final reports whether an answer can be passed on. Once an earlier node may have
+// stored what the caller sent, a refusal by a later one would be untrue.
+func (a *ForwardResponse) final(r *ForwardRequest, earlier verdict.Verdict) bool {
+	if a.Status == http.StatusServiceUnavailable {
+		return false
+	}
+	return earlier == verdict.DidNotRun || !r.Changes() || a.Status == http.StatusOK
+}
+
 // YieldRequest tells that the owner with a token does not reach the store.
 type YieldRequest struct {
 	Token int64 `json:"token"`
