--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -184,14 +184,23 @@
 }
 
 // applyWork applies records of the work topic, and begins a term at the very
-// record that claims it.
+// record that claims it. The newest records of a topic whose history is gone come
+// in the order of their keys, so that a term begins after all of them.
 func (n *Node) applyWork(p worklog.Page) {
+	var claimed *platform.Record
 	for _, r := range p.Records {
 		n.registry.Apply(r)
-		if registry.IsOwner(r) {
+		switch {
+		case !registry.IsOwner(r):
+		case p.Rebuilt:
+			claimed = &r
+		default:
 			n.ownerRead(r.Offset)
 		}
 	}
+	if claimed != nil {
+		n.ownerRead(claimed.Offset)
+	}
 }
 
 // Advise implements peers.Handler.
--- /dev/null
+++ b/internal/cell/node/rebuilt_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/config"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// Guards against a new owner that starts work again whose end an earlier owner
+// had stored, when the history between the two is gone: the newest records come
+// in the order of their keys, and the claim before the progress.
+func TestClaimInNewestRecordsSeesAllProgress(t *testing.T) {
+	s := config.Default()
+	s.Node.Name, s.Node.Zone = "n1", "z"
+	s.Platform.Store, s.Platform.Advice = "127.0.0.1:1", "127.0.0.1:1" // nothing answers there
+	n, err := New(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.pool.Close()
+	at := func(offset uint64, r platform.Record) platform.Record { r.Offset = offset; return r }
+	sub := &cell.Submission{ID: "5c0e7a21d94b36f8", Team: "a", Queue: cell.Queue{Name: "q"}, Steps: []cell.Step{{Count: 1, Estimate: time.Second}}}
+	n.applyWork(worklog.Page{Records: []platform.Record{at(1, registry.SubmissionRecord(sub))}})
+
+	claimed := registry.Owner{Node: "n1", Boot: n.self.Boot, Token: 2, Claim: 7}
+	n.claim = &claim{owner: claimed, journal: worklog.NewJournal(n.store, n.log, platform.TopicWork, 2, 7, func() {})}
+	n.applyWork(worklog.Page{Rebuilt: true, Records: []platform.Record{
+		at(9, registry.OwnerRecord(claimed)),
+		at(5, registry.ProgressRecord(sub.ID, cell.Progress{State: cell.Completed})),
+	}})
+	o := n.owner()
+	if o == nil {
+		t.Fatal("the claim began no term")
+	}
+	if got := o.Explain(sub.ID); len(got) != 0 {
+		t.Errorf("a completed submission is work of the new owner: %q", got)
+	}
+	n.mu.Lock()
+	n.endTerm("the test is over")
+	n.mu.Unlock()
+	n.terms.Wait()
+}
--- a/internal/standin/users/host.go
+++ b/internal/standin/users/host.go
@@ -29,6 +29,8 @@
 	highest  map[string]int64
 	closing  chan struct{}
 	silenced bool
+	// late is how long after its arrival a start is carried out, without an answer.
+	late time.Duration
 }
 
 type run struct {
@@ -52,6 +54,8 @@
 	// Ended is when the run ended and how; zero while it is present.
 	Ended time.Time
 	How   string
+	// Noted is when the end was acknowledged.
+	Noted time.Time
 }
 
 // NewHost returns a host that serves on loopback and registers itself in a store.
@@ -79,6 +83,14 @@
 	h.silenced = on
 }
 
+// Delay carries starts out after a time and leaves them without an answer; zero
+// ends that.
+func (h *Host) Delay(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.late = d
+}
+
 // History returns every run that the host has begun.
 func (h *Host) History() []Started {
 	h.mu.Lock()
@@ -113,6 +125,15 @@
 		}
 		return
 	}
+	if late := h.late; late > 0 && r.URL.Path == "/run-start" {
+		h.mu.Unlock()
+		time.AfterFunc(late, func() { h.startLate(o) })
+		select {
+		case <-r.Context().Done():
+		case <-h.closing:
+		}
+		return
+	}
 	h.lapse()
 	if o.FencingToken < h.token {
 		h.mu.Unlock()
@@ -185,6 +206,19 @@
 	return ""
 }
 
+// startLate carries out a start that was held up.
+func (h *Host) startLate(o order) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lapse()
+	if o.FencingToken < h.token {
+		return
+	}
+	h.token = o.FencingToken
+	h.until = max(h.until, o.UntilMs)
+	h.start(o) // a refusal reaches nobody
+}
+
 func (h *Host) end(x *run, how string) {
 	x.timer.Stop()
 	delete(h.runs, x.task)
@@ -200,9 +234,19 @@
 	h.changed = make(chan struct{})
 }
 
+// note records that an end was acknowledged.
+func (h *Host) note(e end) {
+	for i := range h.history {
+		if h.history[i].Task == e.task && h.history[i].Run == e.run {
+			h.history[i].Noted = time.Now()
+		}
+	}
+}
+
 func (h *Host) hold(w http.ResponseWriter, r *http.Request, o order) {
 	h.mu.Lock()
 	for len(h.ended) > 0 && h.ended[0].number <= o.AckCursor {
+		h.note(h.ended[0])
 		h.ended = h.ended[1:]
 	}
 	changed, wait := h.changed, o.WaitMs > 0 && len(h.ended) == 0
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -26,8 +26,13 @@
 	Forgetful
 	// Silent: nothing is done and nothing is answered.
 	Silent
+	// Late: appends are carried out after lateBy, and never answered.
+	Late
 )
 
+// lateBy is how long a late append takes.
+const lateBy = 1500 * time.Millisecond
+
 // Store is a log store with keyed topics, conditional epochs and sequence
 // numbers, long reads and a short history.
 type Store struct {
@@ -129,6 +134,11 @@
 	}
 	switch r.URL.Path {
 	case "/log-append":
+		if fault == Late {
+			time.AfterFunc(lateBy, func() { s.append(r, body) })
+			s.hang(r)
+			return
+		}
 		status, answer := s.append(r, body)
 		if fault == Forgetful {
 			s.hang(r)
