Pause between heartbeats that the store refuses

Change: a pause of 0.4 s after a heartbeat that is not stored, and one line of log for a whole outage.

--- a/internal/cell/node/follow.go
+++ b/internal/cell/node/follow.go
@@ -19,8 +19,10 @@
 	startFor  = 4 * time.Second
 	// followTick is the time between two looks at whether to follow the work topic.
 	followTick = 50 * time.Millisecond
-	// announceFor bounds the wait for the record of this node.
-	announceFor = 5 * time.Second
+	// announceFor bounds the wait for the record of this node, and announcePause is
+	// the wait after one that was not stored.
+	announceFor   = 5 * time.Second
+	announcePause = 400 * time.Millisecond
 	// firstPage is the time between two looks for the first read of a topic.
 	firstPage = 20 * time.Millisecond
 )
@@ -78,6 +80,7 @@
 	for _, read := n.nodes.AsOf(); !read && ctx.Err() == nil; _, read = n.nodes.AsOf() {
 		time.Sleep(firstPage)
 	}
+	failing := false
 	for beat := int64(1); ctx.Err() == nil; beat++ {
 		self := n.identity()
 		self.Beat = beat
@@ -85,9 +88,14 @@
 		err := n.announcer.Append(callCtx, membership.Record(self))
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			n.log.Warn("node: The record of this node is not stored.", "left", self.Left, "error", err)
+			if !failing { // a long outage must not fill the log
+				n.log.Warn("node: The record of this node is not stored.", "left", self.Left, "error", err)
+			}
+			failing = true
+			time.Sleep(announcePause)
 			continue
 		}
+		failing = false
 		select {
 		case <-ctx.Done():
 		case <-n.changed:
