--- a/internal/cell/membership/following.go
+++ b/internal/cell/membership/following.go
@@ -67,7 +67,7 @@
 }
 
 // rank returns the place of a node among others: the most powerful first, and
-// among equals an order that spreads over zones and machines.
+// equals in an order drawn from their names.
 func rank(self Node, others []Node) (r int) {
 	for _, n := range others {
 		if n.Name != self.Name && before(n, self) {
