Call one piece where the cell and the rest had their own, and drop what nothing calls

- A wait for time or a context stood four times (internal/node, internal/measure, cell/owner, cell/worklog): ctxtime.Sleep.
Two loops that polled for the first read of a topic wait for it now: Follower.Ready.
- The set-up of the metrics stood in internal/node and cell/node: metrics.NewScope.
Three test clocks became boottime.Clock, which the process uses.
- The desired state was read again in two places: Node.readDesired.
Owner.Settled and isSettled were one.
- The test of refused heartbeats uses the stand-in, so that no name of the wire stands outside platform/ and internal/standin/users; the stand-in encodes only the records that it answers.

Left alone: cell.Service and the published limits of headers, which are decoded and read by nobody yet; Registry.Pending, which walks all submissions.

--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -26,9 +26,8 @@
 
 // Node says which process this is and where it runs.
 type Node struct {
-	Name   string `toml:"name"`
-	Zone   string `toml:"zone"`
-	Region string `toml:"region"`
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
 }
 
 // Listen holds listening addresses.
@@ -42,11 +41,8 @@
 
 // Platform holds the addresses of the platform's services.
 type Platform struct {
-	Store    string `toml:"store"`
-	Advice   string `toml:"advice"`
-	Machines string `toml:"machines"`
-	// KeepSeconds is how long the store keeps its history.
-	KeepSeconds float64 `toml:"keep_seconds"`
+	Store  string `toml:"store"`
+	Advice string `toml:"advice"`
 }
 
 // Bounds are the platform's figures that decisions rest on.
@@ -56,7 +52,6 @@
 	RevokeMs      int64   `toml:"revoke_ms"`
 	GraceSeconds  float64 `toml:"grace_seconds"`
 	StatusSeconds float64 `toml:"status_seconds"`
-	RemotePenalty float64 `toml:"remote_penalty"`
 }
 
 // Limits bound what the process uses.
@@ -75,10 +70,9 @@
 // Default returns the settings that a file may leave out.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{KeepSeconds: 20},
-		Bounds:   Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, GraceSeconds: 6, StatusSeconds: 120, RemotePenalty: 2},
-		Limits:   Limits{MemoryMiB: 284, Cores: 1},
-		Log:      Log{Level: "info", Format: "text"},
+		Bounds: Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, GraceSeconds: 6, StatusSeconds: 120},
+		Limits: Limits{MemoryMiB: 284, Cores: 1},
+		Log:    Log{Level: "info", Format: "text"},
 	}
 }
 
--- a/internal/cell/node/announce_test.go
+++ b/internal/cell/node/announce_test.go
@@ -3,32 +3,21 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
+	"github.com/medlarpulley/medlarpulley/internal/standin/users"
 )
 
 // Guards against a node that calls a store which refuses it without a pause, as
 // all nodes would do at once in an outage.
 func TestHeartbeatsPauseWhileTheStoreRefuses(t *testing.T) {
-	var appends atomic.Int64
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/log-append" {
-			appends.Add(1)
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNotFound) // an empty topic
-	}))
+	store := users.NewStore()
 	defer store.Close()
 	s := config.Default()
 	s.Node.Name, s.Node.Zone = "n1", "z"
-	s.Platform.Store = strings.TrimPrefix(store.URL, "http://")
+	s.Platform.Store = store.Address()
 	n, err := New(s, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -36,6 +25,10 @@
 	defer n.pool.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	go n.nodes.Run(ctx)
+	if !n.nodes.Ready(ctx) {
+		t.Fatal("the store is not read")
+	}
+	store.Set(users.Refusing)
 	go n.announcer.Run(ctx)
 	const pauses = 3
 	begun := time.Now()
@@ -44,7 +37,7 @@
 		n.announce(ctx)
 		close(announced)
 	}()
-	for appends.Load() <= pauses {
+	for store.Appends() <= pauses {
 		time.Sleep(time.Millisecond)
 	}
 	if took := time.Since(begun); took < pauses*announcePause {
--- a/internal/cell/node/follow.go
+++ b/internal/cell/node/follow.go
@@ -7,6 +7,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 )
 
 const (
@@ -23,8 +24,6 @@
 	// the wait after one that was not stored.
 	announceFor   = 5 * time.Second
 	announcePause = 400 * time.Millisecond
-	// firstPage is the time between two looks for the first read of a topic.
-	firstPage = 20 * time.Millisecond
 )
 
 // nodesPacing returns the least time between two reads of the topic of nodes.
@@ -77,9 +76,7 @@
 // announce keeps this node known to the others. It begins once the others have
 // been read, so that an earlier life of this node is seen.
 func (n *Node) announce(ctx context.Context) {
-	for _, read := n.nodes.AsOf(); !read && ctx.Err() == nil; _, read = n.nodes.AsOf() {
-		time.Sleep(firstPage)
-	}
+	n.nodes.Ready(ctx)
 	failing := false
 	for beat := int64(1); ctx.Err() == nil; beat++ {
 		self := n.identity()
@@ -92,7 +89,7 @@
 				n.log.Warn("node: The record of this node is not stored.", "left", self.Left, "error", err)
 			}
 			failing = true
-			time.Sleep(announcePause)
+			ctxtime.Sleep(ctx, announcePause)
 			continue
 		}
 		failing = false
@@ -133,8 +130,7 @@
 	n.following.Store(true)
 	go n.work.Run(ctx)
 	go n.elect(ctx)
-	for _, read := n.work.AsOf(); !read && ctx.Err() == nil; _, read = n.work.AsOf() {
-		time.Sleep(firstPage)
+	if n.work.Ready(ctx) {
+		n.announceNow()
 	}
-	n.announceNow()
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/front"
@@ -22,6 +23,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/internal/logging"
+	"github.com/medlarpulley/medlarpulley/internal/metrics"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -102,14 +104,14 @@
 		return nil, eris.Wrap(err, "boot id")
 	}
 	n := &Node{
-		s: s, log: log, clock: bootClock{}, changed: make(chan struct{}, 1),
+		s: s, log: log, clock: boottime.Clock{}, changed: make(chan struct{}, 1),
 		self:    membership.Node{Name: s.Node.Name, Boot: hex.EncodeToString(boot), Address: s.Listen.Peers, Zone: s.Node.Zone, Power: s.Limits.Cores},
 		store:   platform.NewStore(s.Platform.Store),
 		runners: platform.NewRunners(),
 		advice:  platform.NewAdvice(s.Platform.Advice),
 	}
 	part := func(name string) *slog.Logger { return logging.Part(log, name) }
-	n.metrics, n.scrape = newScope(s.Node.Name)
+	n.metrics, n.scrape = metrics.NewScope(s.Node.Name)
 	n.registry = registry.New(part("registry"))
 	n.members = membership.NewTable(part("members"))
 	n.pool = peers.NewPool(n.clock, part("peers"), s.Node.Name, n)
@@ -227,11 +229,7 @@
 	if d := n.desired.Load(); d != nil && d.Version >= version {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, refreshFor)
-	defer cancel()
-	if err := n.desires.CatchUp(ctx); err != nil {
-		n.log.Debug("node: The desired state is not refreshed.", "error", err)
-	}
+	n.readDesired(ctx)
 	d := n.desired.Load()
 	return d != nil && d.Version >= version
 }
@@ -279,6 +277,11 @@
 	if !ok || n.clock.Now()-asOf < refreshAfter {
 		return
 	}
+	n.readDesired(ctx)
+}
+
+// readDesired reads the desired state again, for at most refreshFor.
+func (n *Node) readDesired(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshFor)
 	defer cancel()
 	if err := n.desires.CatchUp(ctx); err != nil {
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -4,11 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
-
-	client "github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
@@ -17,25 +12,11 @@
 )
 
 const (
-	// metricsInterval is how often counters are passed on for scraping.
-	metricsInterval = time.Second
-	metricsPath     = "/metrics"
-	dumpPath        = "/dump"
-	explainPath     = "/explain/"
+	metricsPath = "/metrics"
+	dumpPath    = "/dump"
+	explainPath = "/explain/"
 )
 
-// newScope returns the root of the metrics and the handler that serves them.
-func newScope(node string) (tally.Scope, http.Handler) {
-	// A registry of its own lets several nodes run in one process.
-	r := client.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: r, Gatherer: r})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "medlarpulley", Tags: map[string]string{"node": node},
-		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-	}, metricsInterval)
-	return scope, reporter.HTTPHandler()
-}
-
 // Dump is the state of a process for people.
 type Dump struct {
 	Node        membership.Node            `json:"node"`
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -171,7 +171,7 @@
 		ClaimOffset: offset, ClaimSent: c.sent, ClaimedAt: n.clock.Now(),
 		FormerGone: func() bool { return processGone(c.former, n.self, n.members.Nodes()) },
 		MaxLease:   config.Millis(n.s.Bounds.MaxLeaseMs), KeepFor: config.Seconds(n.s.Bounds.StatusSeconds) + keepMargin,
-		GangTimeout: config.Millis(n.s.Bounds.GangTimeoutMs), RemotePenalty: n.s.Bounds.RemotePenalty,
+		GangTimeout: config.Millis(n.s.Bounds.GangTimeoutMs),
 	})
 	if d := n.desired.Load(); d != nil {
 		t.owner.SetDesired(d.Desired)
--- a/internal/cell/owner/closing_test.go
+++ b/internal/cell/owner/closing_test.go
@@ -3,8 +3,8 @@
 import (
 	"log/slog"
 	"testing"
-	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
@@ -24,7 +24,7 @@
 		{"answers", func(_ *Owner, h *hostLoop) { h.adopted = true }, false},
 	} {
 		w := New(Options{
-			Self: registry.Owner{Token: 2}, Clock: steadyClock{time.Now()}, Log: slog.New(slog.DiscardHandler),
+			Self: registry.Owner{Token: 2}, Clock: boottime.Clock{}, Log: slog.New(slog.DiscardHandler),
 			FormerGone: func() bool { return false },
 		})
 		h := &hostLoop{host: cell.Host{ID: "h"}, listed: true}
--- a/internal/cell/owner/hostloop.go
+++ b/internal/cell/owner/hostloop.go
@@ -9,6 +9,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -158,7 +159,7 @@
 		default:
 		}
 		if !w.authority.holds() {
-			pause(ctx, lookPause)
+			ctxtime.Sleep(ctx, lookPause)
 			continue
 		}
 		if !w.look(ctx, h) && w.gone(h) {
@@ -200,7 +201,7 @@
 	case err == nil && refusal == platform.RefusedLifetime:
 		w.o.Log.Info("A host is another one now; its runs are gone.", "host", h.host.ID)
 		w.lapse(h, now)
-		pause(ctx, lookPause)
+		ctxtime.Sleep(ctx, lookPause)
 		return false
 	case err != nil || refusal != platform.NotRefused:
 		if poked {
@@ -208,7 +209,7 @@
 			return true
 		}
 		w.failedLook(h, now, refusal, err)
-		pause(ctx, lookPause)
+		ctxtime.Sleep(ctx, lookPause)
 		return false
 	}
 	if unread > 0 {
@@ -307,12 +308,3 @@
 	}
 	return err.Error()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/cell/owner/hostloop_test.go
+++ b/internal/cell/owner/hostloop_test.go
@@ -10,16 +10,14 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
+	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-type steadyClock struct{ begun time.Time }
-
-func (c steadyClock) Now() time.Duration { return time.Since(c.begun) }
-
 // fakeRunners answers looks until it is told to refuse connections.
 type fakeRunners struct {
 	Runners
@@ -34,7 +32,7 @@
 		return cell.Listing{}, 0, platform.NotRefused, verdict.New(verdict.DidNotRun, "test", "connection refused")
 	}
 	if o.Wait > 0 {
-		pause(ctx, 20*time.Millisecond)
+		ctxtime.Sleep(ctx, 20*time.Millisecond)
 	}
 	return cell.Listing{Born: 1, ClockMs: time.Since(r.begun).Milliseconds()}, 0, platform.NotRefused, nil
 }
@@ -51,7 +49,7 @@
 func TestLeaseOfADeadHostEnds(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	g := gomega.NewWithT(t)
-	clock := steadyClock{time.Now()}
+	clock := boottime.Clock{}
 	runners := &fakeRunners{begun: time.Now()}
 	w := New(Options{
 		Self: registry.Owner{Node: "n", Boot: "b", Token: 1}, Clock: clock, Wall: func() time.Duration { return 0 },
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -51,7 +51,6 @@
 	// MaxLease bounds the lease that hosts accept.
 	MaxLease time.Duration
 	// KeepFor is how long the state of an ended submission is kept.
-	KeepFor       time.Duration
-	GangTimeout   time.Duration
-	RemotePenalty float64
+	KeepFor     time.Duration
+	GangTimeout time.Duration
 }
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -133,7 +134,7 @@
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.StopAnswered(s.Host, s.Task, s.Run, now) })
 	default:
 		log.Warn("A stop is not carried out and is sent again.", "refusal", why.String(), "error", errText(err))
-		pause(ctx, stopAgain)
+		ctxtime.Sleep(ctx, stopAgain)
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.StopUnanswered(s.Host, s.Task, s.Run, now) })
 	}
 }
@@ -143,7 +144,7 @@
 	if err != nil {
 		w.o.Log.Warn("No advice was given.", "id", a.Group.Submission, "step", a.Group.Step, "error", err)
 		w.scheduled(func(c *schedule.Scheduler, now time.Duration) { c.AdviceFailed(a.Group, now) })
-		pause(ctx, tick)
+		ctxtime.Sleep(ctx, tick)
 	} else {
 		w.metrics.advised.Inc(1)
 		w.o.Log.Info("Advice was given.", "id", a.Group.Submission, "step", a.Group.Step, "named", len(a.Hosts), "approved", len(tickets))
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -56,7 +56,7 @@
 	w := &Owner{
 		o: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orders: make(chan struct{}, maxOrders),
 		scheduler: schedule.New(schedule.Options{
-			FirstRun: (o.Self.Token - 1) * runsPerOwner, GangTimeout: o.GangTimeout, RemotePenalty: o.RemotePenalty,
+			FirstRun: (o.Self.Token - 1) * runsPerOwner, GangTimeout: o.GangTimeout,
 		}),
 		hosts: make(map[string]*hostLoop), ends: make(map[string]time.Duration), finals: make(map[string]bool),
 		deposed: make(chan struct{}),
@@ -226,7 +226,11 @@
 }
 
 // Settled reports whether every run of earlier owners is known or over.
-func (w *Owner) Settled() bool { return w.isSettled() }
+func (w *Owner) Settled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.settled
+}
 
 func (w *Owner) lease() time.Duration {
 	if w.o.MaxLease > 0 {
--- a/internal/cell/owner/progress.go
+++ b/internal/cell/owner/progress.go
@@ -101,7 +101,7 @@
 			forgotten = now
 			records = append(records, w.expired(now)...)
 		}
-		settled := w.isSettled()
+		settled := w.Settled()
 		if len(records) == 0 && now-last > beatEvery || settled != self.Settled {
 			self.Settled = settled
 			self.Beat++
@@ -119,12 +119,6 @@
 	}
 }
 
-func (w *Owner) isSettled() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.settled
-}
-
 // store writes records in order. An error ends the term.
 func (w *Owner) store(ctx context.Context, records []platform.Record) error {
 	for len(records) > 0 {
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 )
@@ -23,10 +24,6 @@
 	ginkgo.RunSpecs(t, "peers")
 }
 
-type steadyClock struct{ begun time.Time }
-
-func (c steadyClock) Now() time.Duration { return time.Since(c.begun) }
-
 // fakePeer answers when it is released.
 type fakePeer struct {
 	release  chan struct{}
@@ -73,7 +70,7 @@
 	ginkgo.BeforeEach(func() {
 		self := newFakePeer()
 		peers = []*fakePeer{self}
-		pool = NewPool(steadyClock{time.Now()}, slog.New(slog.DiscardHandler), "self", self)
+		pool = NewPool(boottime.Clock{}, slog.New(slog.DiscardHandler), "self", self)
 		others := map[string]Other{}
 		for _, name := range []string{"a", "b"} {
 			p := newFakePeer()
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -50,7 +50,7 @@
 
 func newCluster(hosts int, capacity resource.Vector) *cluster {
 	c := &cluster{
-		s: New(Options{GangTimeout: 3 * time.Second, RemotePenalty: 2}), now: time.Hour,
+		s: New(Options{GangTimeout: 3 * time.Second}), now: time.Hour,
 		hosts: make(map[string]*fakeHost), jobs: make(map[string]*cell.Submission),
 		done: make(map[cell.TaskID]bool), noted: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
 		fails:    func(cell.TaskID, int64) bool { return false },
@@ -213,16 +213,21 @@
 		}
 		c.s.StopAnswered(o.Host, o.Task, o.Run, c.now)
 	}
+	c.answerAsks(p)
+	c.track()
+}
+
+// answerAsks answers the calls for advice of a plan.
+func (c *cluster) answerAsks(p *Plan) {
 	for _, a := range p.Asks {
 		tickets := map[string]string{}
-		for _, id := range a.Hosts {
-			if c.approves(a.Group, id) {
-				tickets[id] = "t"
+		for _, h := range a.Hosts {
+			if c.approves(a.Group, h) {
+				tickets[h] = "t"
 			}
 		}
 		c.s.Advised(a.Group, a.Hosts, tickets, c.now)
 	}
-	c.track()
 }
 
 // track reads the states that would be shown to callers.
--- a/internal/cell/schedule/decide_bench_test.go
+++ b/internal/cell/schedule/decide_bench_test.go
@@ -49,22 +49,15 @@
 		c.now += 10 * time.Millisecond
 		p := c.s.Decide(c.now, c.now)
 		c.s.Notes()
-		c.answerAsks(p)
-		for _, o := range p.Starts {
-			c.s.Started(o.Host, o.Task, o.Run, c.now)
-		}
+		c.accept(p)
 	}
 }
 
-func (c *cluster) answerAsks(p *Plan) {
-	for _, a := range p.Asks {
-		tickets := map[string]string{}
-		for _, h := range a.Hosts {
-			if c.approves(a.Group, h) {
-				tickets[h] = "t"
-			}
-		}
-		c.s.Advised(a.Group, a.Hosts, tickets, c.now)
+// accept answers every start and call for advice of a plan; no run is kept.
+func (c *cluster) accept(p *Plan) {
+	c.answerAsks(p)
+	for _, o := range p.Starts {
+		c.s.Started(o.Host, o.Task, o.Run, c.now)
 	}
 }
 
@@ -78,10 +71,7 @@
 				c.now += 25 * time.Millisecond
 				p := c.s.Decide(c.now, c.now)
 				c.s.Notes()
-				c.answerAsks(p)
-				for _, o := range p.Starts {
-					c.s.Started(o.Host, o.Task, o.Run, c.now)
-				}
+				c.accept(p)
 			}
 		})
 	}
--- a/internal/cell/schedule/plan.go
+++ b/internal/cell/schedule/plan.go
@@ -43,6 +43,3 @@
 	Stops  []Stop
 	Asks   []Ask
 }
-
-// Empty reports whether there is nothing to do.
-func (p *Plan) Empty() bool { return len(p.Starts)+len(p.Stops)+len(p.Asks) == 0 }
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -15,8 +15,6 @@
 	FirstRun int64
 	// GangTimeout is how long a member waits for the others.
 	GangTimeout time.Duration
-	// RemotePenalty is how many times longer a task takes away from its data.
-	RemotePenalty float64
 }
 
 // Scheduler holds the state of the cell as the owner believes it to be.
--- a/internal/cell/worklog/follower.go
+++ b/internal/cell/worklog/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -81,7 +82,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.report(err)
-			pause(ctx, readPause)
+			ctxtime.Sleep(ctx, readPause)
 		}
 	}
 }
@@ -129,7 +130,7 @@
 	f.behind = next < page.End
 	f.deliver(Page{Records: page.Records, AsOf: sent, Complete: next >= page.End}, next)
 	if len(page.Records) > 0 && !f.behind {
-		pause(ctx, f.o.Pace())
+		ctxtime.Sleep(ctx, f.o.Pace())
 	}
 	return nil
 }
@@ -186,6 +187,24 @@
 	return f.asOf, f.read
 }
 
+// Ready returns once the topic has been read for the first time. It reports
+// whether ctx is still live.
+func (f *Follower) Ready(ctx context.Context) bool {
+	for {
+		f.mu.Lock()
+		read, advanced := f.read, f.advanced
+		f.mu.Unlock()
+		if read {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-advanced:
+		}
+	}
+}
+
 // Failing reports whether the last read failed.
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
@@ -220,15 +239,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/cell/worklog/worklog_test.go
+++ b/internal/cell/worklog/worklog_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/standin/users"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -22,11 +23,6 @@
 
 const topicName = "keyed.test"
 
-// steadyClock measures time since it was made.
-type steadyClock struct{ begun time.Time }
-
-func (c steadyClock) Now() time.Duration { return time.Since(c.begun) }
-
 func keys(s *platform.Store) func() []string {
 	return func() (out []string) {
 		page, err := s.Read(context.Background(), topicName, 0, 0)
@@ -167,7 +163,7 @@
 	// between two of its reads is gone.
 	ginkgo.It("reads the newest records when the history is gone", func() {
 		seen := make(chan string, 1000)
-		f := NewFollower(store, steadyClock{time.Now()}, log, Options{Topic: topicName, Wait: 50 * time.Millisecond}, func(p Page) {
+		f := NewFollower(store, boottime.Clock{}, log, Options{Topic: topicName, Wait: 50 * time.Millisecond}, func(p Page) {
 			for _, r := range p.Records {
 				seen <- r.Key
 			}
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 	standinlog "github.com/medlarpulley/medlarpulley/internal/standin/logsvc"
 )
@@ -43,12 +44,12 @@
 		func() string { l.cluster.Log.SetFaults(standinlog.Faults{Away: true}); return "log away" },
 	}
 	for _, step := range steps {
-		if !sleep(ctx, part) {
+		if !ctxtime.Sleep(ctx, part) {
 			return
 		}
 		f.note(step())
 	}
-	sleep(ctx, logAway)
+	ctxtime.Sleep(ctx, logAway)
 	l.cluster.Log.SetFaults(standinlog.Faults{})
 	f.note("log back")
 }
--- a/internal/measure/lab.go
+++ b/internal/measure/lab.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarpulley/medlarpulley/internal/apiclient"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/devcluster"
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/objects"
@@ -163,20 +164,8 @@
 	defer cancel()
 	for {
 		err := f()
-		if err == nil || !sleep(ctx, poll) {
+		if err == nil || !ctxtime.Sleep(ctx, poll) {
 			return err
 		}
 	}
 }
-
-// sleep waits and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -7,6 +7,8 @@
 	"github.com/rotisserie/eris"
 
 	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
+
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 )
 
 const (
@@ -81,16 +83,16 @@
 		return err
 	}
 	idle := l.read(ctx, true)
-	sleep(ctx, idleWindow)
+	ctxtime.Sleep(ctx, idleWindow)
 	cost := l.cost(idle, l.read(ctx, false))
 	r.Idle = &cost
 	loadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
 	go func() { defer close(done); d.slopes(loadCtx) }()
-	sleep(ctx, l.o.Duration/2)
+	ctxtime.Sleep(ctx, l.o.Duration/2)
 	loaded := l.read(ctx, true)
-	sleep(ctx, l.o.Duration/2)
+	ctxtime.Sleep(ctx, l.o.Duration/2)
 	r.Loaded = l.cost(loaded, l.read(ctx, false))
 	var err error
 	if l.o.Kill {
@@ -112,7 +114,7 @@
 func (l *lab) awaitAllotments(ctx context.Context) error {
 	return retry(ctx, readyLimit, func() error {
 		before := l.read(ctx, true)
-		sleep(ctx, quietTime)
+		ctxtime.Sleep(ctx, quietTime)
 		if rates := l.recordRates(before, l.read(ctx, false), quietTime.Seconds()); rates["transfer"] > 0 {
 			return eris.Errorf("%.0f transfers of allotment a second", rates["transfer"])
 		}
--- a/internal/measure/takeover.go
+++ b/internal/measure/takeover.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 )
 
 const (
@@ -30,7 +32,7 @@
 	ctx2, cancel := context.WithTimeout(ctx, takeoverLimit)
 	defer cancel()
 	wanted := maps.Clone(shards)
-	for (len(shards) > 0 || len(adopted) < len(wanted)) && sleep(ctx2, poll) {
+	for (len(shards) > 0 || len(adopted) < len(wanted)) && ctxtime.Sleep(ctx2, poll) {
 		l.noteAdopted(ctx2, victim, wanted, adopted)
 		for _, e := range l.cluster.Fleet.Journal().Executions()[seen:] {
 			for name, hosts := range shards {
--- a/internal/node/metrics.go
+++ b/internal/metrics/scope.go
@@ -1,4 +1,5 @@
-package node
+// Package metrics sets up the metrics of a process.
+package metrics
 
 import (
 	"net/http"
@@ -9,18 +10,18 @@
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
-// metricsInterval is how often counters are passed on for scraping.
-const metricsInterval = time.Second
+// interval is how often counters are passed on for scraping.
+const interval = time.Second
 
-// newScope returns the root of the metrics of a node and the handler that
+// NewScope returns the root of the metrics of a node and the handler that
 // serves them for scraping.
-func newScope(node string) (tally.Scope, http.Handler) {
+func NewScope(node string) (tally.Scope, http.Handler) {
 	// A registry of its own lets several nodes run in one process.
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "medlarpulley", Tags: map[string]string{"node": node},
 		CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-	}, metricsInterval)
+	}, interval)
 	return scope, reporter.HTTPHandler()
 }
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/ownership"
@@ -28,7 +29,7 @@
 func (n *Node) drain() {
 	n.log.Info("Draining.")
 	n.draining.Store(true)
-	sleep(n.ctx, n.settings.Timing.DrainWait)
+	ctxtime.Sleep(n.ctx, n.settings.Timing.DrainWait)
 	ctx, cancel := context.WithTimeout(n.ctx, n.settings.Timing.DrainTimeout)
 	defer cancel()
 	left := n.requests.Drain(ctx)
--- a/internal/node/fresh.go
+++ b/internal/node/fresh.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
@@ -57,7 +58,7 @@
 // freshLoop stops the starts of tasks while the configuration is not proved to
 // be the last one: a limit may have been lowered without this node's knowledge.
 func (n *Node) freshLoop(ctx context.Context) {
-	for sleep(ctx, freshInterval) {
+	for ctxtime.Sleep(ctx, freshInterval) {
 		stale := n.provedFresh() != nil
 		for _, o := range n.shards.all() {
 			o.run.PauseStarts(stale)
--- a/internal/node/gangs.go
+++ b/internal/node/gangs.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/ganghold"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/work"
@@ -120,7 +121,7 @@
 
 // loop lets time pass for the coordinators.
 func (g *gangs) loop(ctx context.Context) {
-	for sleep(ctx, gangTick) {
+	for ctxtime.Sleep(ctx, gangTick) {
 		runs := g.all()
 		g.count.Update(float64(len(runs)))
 		for _, r := range runs {
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/lending"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -23,7 +24,7 @@
 
 // lendLoop moves allotments of the shards of this process with the demand.
 func (n *Node) lendLoop(ctx context.Context) {
-	for sleep(ctx, lendInterval) {
+	for ctxtime.Sleep(ctx, lendInterval) {
 		others := n.demandElsewhere()
 		for _, o := range n.shards.all() {
 			n.lend(o, others)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/internal/membership"
+	"github.com/medlarpulley/medlarpulley/internal/metrics"
 	"github.com/medlarpulley/medlarpulley/internal/ownership"
 	"github.com/medlarpulley/medlarpulley/internal/peer"
 	"github.com/medlarpulley/medlarpulley/internal/platform/hostlist"
@@ -83,7 +84,7 @@
 		waits: newWaits(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.scope, n.metrics = newScope(s.Node.Name)
+	n.scope, n.metrics = metrics.NewScope(s.Node.Name)
 	if err := n.connect(); err != nil {
 		return nil, err
 	}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
@@ -61,17 +62,17 @@
 // once the ledger is as new as that of every peer that can be reached.
 func (n *Node) join(ctx context.Context) {
 	for !n.logClient.Contact().ReachedEnd {
-		if !sleep(ctx, catchUpPoll) {
+		if !ctxtime.Sleep(ctx, catchUpPoll) {
 			return
 		}
 	}
 	for ctx.Err() == nil && !n.joinOnce(ctx) {
-		if !sleep(ctx, joinRetry) {
+		if !ctxtime.Sleep(ctx, joinRetry) {
 			return
 		}
 	}
 	for ctx.Err() == nil && !n.caughtUp() {
-		if !sleep(ctx, catchUpPoll) {
+		if !ctxtime.Sleep(ctx, catchUpPoll) {
 			return
 		}
 	}
@@ -84,7 +85,7 @@
 // process may have forgotten promises of its membership, so only a new
 // incarnation joins again.
 func (n *Node) watchMembership(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for ctxtime.Sleep(ctx, time.Second) {
 		m, ok := n.replica.Member(n.settings.Node.Name)
 		if n.draining.Load() || (ok && m.Incarnation == n.incarnation) {
 			continue
@@ -124,18 +125,6 @@
 	return n.gossip.tracker.CaughtUp()
 }
 
-// sleep waits and reports whether ctx is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Kill ends the node at once, as if its process had died. Nothing is released.
 func (n *Node) Kill() {
 	n.cancel()
--- a/internal/node/shards.go
+++ b/internal/node/shards.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/dispatch"
 	"github.com/medlarpulley/medlarpulley/internal/lease"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
@@ -143,7 +144,7 @@
 // that is applied later would give away tasks that were started here.
 func (s *shards) startLater(t ownership.ShardToken) {
 	go func() {
-		if sleep(s.node.ctx, movePoll) && s.node.owner.authority(t.Shard, t.Token) {
+		if ctxtime.Sleep(s.node.ctx, movePoll) && s.node.owner.authority(t.Shard, t.Token) {
 			s.start(t)
 		}
 	}()
--- a/internal/objects/main_test.go
+++ b/internal/objects/main_test.go
@@ -1,16 +1,9 @@
 package objects
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/medlarpulley/medlarpulley/internal/rapidseed"
 )
 
-// TestMain fixes the seed of the property tests, so that every run has the
-// same verdict; -rapid.seed on the command line overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m, 1) }
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -1,7 +1,6 @@
 package users
 
 import (
-	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -10,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,6 +43,7 @@
 	fault   Fault
 	changed chan struct{}
 	closing chan struct{}
+	appends atomic.Int64
 }
 
 type topic struct {
@@ -84,6 +85,9 @@
 	s.fault = f
 }
 
+// Appends returns how many calls to append have arrived.
+func (s *Store) Appends() int64 { return s.appends.Load() }
+
 // Forget drops the history of a topic; the newest record of each key stays.
 func (s *Store) Forget(name string) {
 	s.mu.Lock()
@@ -124,6 +128,9 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.mu.Unlock()
+	if r.URL.Path == "/log-append" {
+		s.appends.Add(1)
+	}
 	switch fault {
 	case Refusing:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -252,7 +259,7 @@
 func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
 	type item struct {
 		Key    string `json:"key"`
-		Value  string `json:"value"`
+		Value  []byte `json:"value"`
 		Offset uint64 `json:"offset"`
 	}
 	// pageItems is small, so that tests read several pages.
@@ -267,7 +274,7 @@
 			delete(newest, key)
 			continue
 		}
-		newest[key] = item{key, base64.StdEncoding.EncodeToString(value), uint64(i)}
+		newest[key] = item{key, value, uint64(i)}
 	}
 	end := len(t.records)
 	s.mu.Unlock()
