Count what may run on silent hosts against a team's limit after a takeover

Cause: a new owner counted only the runs that hosts had reported. Change: until a host has answered, was closed or has no leases left, each team is charged the most that its unknown runs may use: the tasks without a known run, at most the capacity of these hosts. Teams far below their limit start as before. Ruled out by reading: anti-affinity and gangs (steps from before the claim do not start until all runs are known, and later steps have none elsewhere). The same reasoning for rates: a new owner loads all submissions at one moment and took most of them for work beyond the team's rate; the time of arrival counts now. Open: runs of submissions whose final state is stored have no known size at a new owner.

--- a/internal/cell/schedule/closing.go
+++ b/internal/cell/schedule/closing.go
@@ -19,7 +19,7 @@
 	if h == nil {
 		return nil
 	}
-	h.closed = true
+	h.closed, h.earlierRunsUnknown = true, false
 	list := make([]*taskRun, 0, len(h.runs))
 	for _, a := range h.runs {
 		list = append(list, a)
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -105,6 +107,18 @@
 	return out
 }
 
+// jobIDs returns the submissions in the order in which they were accepted.
+func (c *cluster) jobIDs() []string {
+	ids := slices.Collect(maps.Keys(c.jobs))
+	slices.SortFunc(ids, func(a, b string) int {
+		if d := cmp.Compare(c.jobs[a].Received, c.jobs[b].Received); d != 0 {
+			return d
+		}
+		return cmp.Compare(a, b)
+	})
+	return ids
+}
+
 // start checks a start order against every rule that hosts do not enforce.
 func (c *cluster) start(o Start) {
 	h, sub := c.hosts[o.Host], c.jobs[o.Task.Submission]
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -18,6 +18,9 @@
 	runsKnown bool
 	// reachable is set while the host answers.
 	reachable bool
+	// earlierRunsUnknown is set while runs of earlier owners may be present that are
+	// not recorded here.
+	earlierRunsUnknown bool
 	// closed is set from when the owner closes the host to new runs, or takes it
 	// over as closed, until the record that opens it is stored.
 	closed bool
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -29,7 +29,7 @@
 	}
 	j.arrived = now - min(max(wall-sub.Received, 0), maxSubmissionAge)
 	j.due = j.arrived + j.objective()
-	j.overRate = !j.team.takeCredit(now)
+	j.overRate = !j.team.takeCredit(j.arrived)
 	for k := range sub.OccurrenceCount() {
 		for i := range sub.Steps {
 			j.groups = append(j.groups, s.newGroup(j, k, i, p))
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -24,7 +24,7 @@
 	if l.StartedMs != 0 {
 		h.startedMs = l.StartedMs
 	}
-	h.runsKnown, h.reachable = true, true
+	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
 	for _, e := range l.Ended {
 		if e.Number > h.lastEndNumber {
 			h.lastEndNumber = e.Number
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -35,6 +35,7 @@
 	s.now, s.wallClock = now, wall
 	s.removeFinishedGroups()
 	s.markDueGroupsReady()
+	s.updateUnknownUsage()
 	queue := s.queue()
 	s.beginPass(queue)
 	reservingGangs := 0
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -111,7 +111,7 @@
 func (s *Scheduler) MarkAllRunsGone(id string, now time.Duration) {
 	s.now = now
 	if h := s.hosts[id]; h != nil {
-		h.runsKnown = false
+		h.runsKnown, h.earlierRunsUnknown = false, false
 		s.handleAllRunsGone(h)
 	}
 }
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -91,9 +91,8 @@
 func (s *Scheduler) team(name string) *team {
 	t := s.teams[name]
 	if t == nil {
-		t = &team{name: name, creditAt: s.now}
+		t = &team{name: name}
 		s.applyTeamLimits(t)
-		t.credit = t.rate * rateWindow.Seconds()
 		s.teams[name] = t
 	}
 	return t
@@ -120,7 +119,7 @@
 	for _, spec := range list {
 		h := s.hosts[spec.ID]
 		if h == nil {
-			h = &host{runs: make(map[runKey]*taskRun), health: health{slowness: 1}}
+			h = &host{runs: make(map[runKey]*taskRun), health: health{slowness: 1}, earlierRunsUnknown: !s.reconciled}
 			s.hosts[spec.ID] = h
 			s.sortedHosts = append(s.sortedHosts, h)
 		}
@@ -158,6 +157,9 @@
 	for _, j := range s.jobs {
 		j.unreconciled = false
 	}
+	for _, h := range s.hosts {
+		h.earlierRunsUnknown = false
+	}
 	for _, g := range s.groups {
 		if g.step.Gang && g.present > 0 && g.present < g.left {
 			s.stopGroup(g, "gang of an earlier owner is incomplete")
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -14,6 +14,9 @@
 	rate  float64
 	limit resource.Vector
 	used  resource.Vector
+	// unknownUsage is the most that runs of earlier owners may use on hosts that have
+	// not answered this owner; see updateUnknownUsage.
+	unknownUsage resource.Vector
 	// urgentUsage is the part of used that belongs to queues of priority 0, and
 	// urgentPeak is its recent peak.
 	urgentUsage, urgentPeak resource.Vector
@@ -22,20 +25,29 @@
 	// its rate.
 	credit   float64
 	creditAt time.Duration
+	// hasCredit is set once credit is valid.
+	hasCredit bool
 }
 
 // rateWindow is the time over which a team's rate is averaged.
 const rateWindow = 5 * time.Second
 
-// takeCredit takes the credit for one submission. It reports false if the team
-// has exceeded its rate.
-func (t *team) takeCredit(now time.Duration) bool {
+// takeCredit takes the credit for one submission that arrived at a time. It reports
+// false if the team has exceeded its rate. A new owner takes over many submissions
+// at once, so the time of their arrival counts. Arrivals may be out of order by the
+// difference between the clocks of two nodes.
+func (t *team) takeCredit(arrived time.Duration) bool {
 	if t.rate <= 0 {
 		return true
 	}
 	maxCredit := t.rate * rateWindow.Seconds()
-	t.credit = min(t.credit+t.rate*(now-t.creditAt).Seconds(), maxCredit)
-	t.creditAt = now
+	if !t.hasCredit {
+		t.hasCredit, t.credit, t.creditAt = true, maxCredit, arrived
+	}
+	if arrived > t.creditAt {
+		t.credit = min(t.credit+t.rate*(arrived-t.creditAt).Seconds(), maxCredit)
+		t.creditAt = arrived
+	}
 	if t.credit < 1 {
 		return false
 	}
@@ -77,7 +89,7 @@
 		if !urgent && t.used != t.urgentUsage {
 			limit -= min(max(t.urgentPeak.At(i)-t.urgentUsage.At(i), 0), limit/urgentReserveDivisor)
 		}
-		n = min(n, (limit-t.used.At(i))/size.At(i))
+		n = min(n, (limit-t.used.At(i)-t.unknownUsage.At(i))/size.At(i))
 	}
 	return int(max(n, 0))
 }
