Confirm appends by reading them, and let time-outs follow the speed of the store

Change: the time-out of an append is three times what the store takes at present (0.7 to 4 s). Each append ends with a mark that no other append holds; who reads it knows that the append is stored, without its answer.

--- a/internal/cell/node/newest_only_test.go
+++ b/internal/cell/node/newest_only_test.go
@@ -30,7 +30,7 @@
 	n.applyWork(worklog.Page{Records: []platform.Record{at(1, registry.SubmissionRecord(sub))}})
 
 	claimed := registry.Ownership{Node: "n1", InstanceID: n.self.InstanceID, Token: 2, FirstSequence: 7}
-	n.claim = &claim{owner: claimed, journal: worklog.NewJournal(n.store, n.log, platform.TopicWork, 2, 7, func() {})}
+	n.claim = &claim{owner: claimed, journal: worklog.NewJournal(n.workTarget("election", ownerAppender), 2, 7, func() {})}
 	n.applyWork(worklog.Page{NewestOnly: true, Records: []platform.Record{
 		at(9, registry.OwnershipRecord(claimed)),
 		at(5, registry.ProgressRecord(sub.ID, cell.Progress{State: cell.Completed})),
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/front"
+	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
 	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
@@ -63,12 +64,14 @@
 
 // Node is one node of a cell: the process that serves callers.
 type Node struct {
-	settings   config.Settings
-	log        *slog.Logger
-	clock      cell.Clock
-	startedAt  time.Duration
-	self       membership.Node
-	store      *platform.Store
+	settings  config.Settings
+	log       *slog.Logger
+	clock     cell.Clock
+	startedAt time.Duration
+	self      membership.Node
+	store     *platform.Store
+	// storeSpeed measures the answers of the store.
+	storeSpeed *latency.Meter
 	hostClient *platform.HostClient
 	advice     *platform.Advice
 	pool       *peers.Pool
@@ -132,21 +135,33 @@
 	n.pool = peers.NewPool(n.clock, componentLogger("peers"), s.Node.Name, n)
 	n.startedAt = n.clock.Now()
 	producer := n.self.Name + "/" + n.self.InstanceID
-	n.workAppender = worklog.NewAppender(n.store, componentLogger("append"), platform.TopicWork, producer)
-	n.heartbeatAppender = worklog.NewAppender(n.store, componentLogger("append"), platform.TopicNodes, producer)
+	n.storeSpeed = latency.New()
+	n.workAppender = worklog.NewAppender(n.workTarget("append", n.self.Name), producer)
+	n.heartbeatAppender = worklog.NewAppender(worklog.Target{
+		Store: n.store, Clock: n.clock, Speed: n.storeSpeed, Log: componentLogger("append"), Topic: platform.TopicNodes,
+	}, producer)
 	n.workReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval,
+		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Speed: n.storeSpeed,
 	}, n.applyWork)
 	n.desiredReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicDesired, Wait: desiredLongPollTimeout, TimeoutMargin: desiredTimeoutMargin,
+		Topic: platform.TopicDesired, Wait: desiredLongPollTimeout, TimeoutMargin: desiredTimeoutMargin, Speed: n.storeSpeed,
 	}, n.applyDesired)
 	n.nodesReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval,
+		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Speed: n.storeSpeed,
 	}, n.applyNodes)
 	n.callerHandler = &front.Handler{State: n, Records: n.workAppender, Forwarder: forwarder{n}, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
 	return n, nil
 }
 
+// workTarget returns the target of appends to the work topic. appender is the name
+// of the appender in the marks of its appends.
+func (n *Node) workTarget(component, appender string) worklog.Target {
+	return worklog.Target{
+		Store: n.store, Clock: n.clock, Speed: n.storeSpeed, Log: logging.WithComponent(n.log, component), Topic: platform.TopicWork,
+		Mark: func(p platform.Producer) platform.Record { return registry.MarkRecord(appender, n.self.InstanceID, p) },
+	}
+}
+
 // workBatchInterval returns the wait after a read of the work topic that returned
 // records.
 func (n *Node) workBatchInterval() time.Duration {
@@ -167,6 +182,19 @@
 	return n.term.owner
 }
 
+// journal returns the journal of this node's claim or term, nil if there is none.
+func (n *Node) journal() *worklog.Journal {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.term != nil:
+		return n.term.claim.journal
+	case n.claim != nil:
+		return n.claim.journal
+	}
+	return nil
+}
+
 // applyDesired applies records of the desired state, which operators write.
 func (n *Node) applyDesired(p worklog.Page) {
 	for _, r := range p.Records {
@@ -210,6 +238,10 @@
 // has been trimmed, the page holds the newest record of each key in the order of
 // keys, not of offsets; the term then begins after all records of the page.
 func (n *Node) applyWork(p worklog.Page) {
+	n.workAppender.Observe(p.Records)
+	if j := n.journal(); j != nil {
+		j.Observe(p.Records)
+	}
 	var claimed *platform.Record
 	for _, r := range p.Records {
 		n.registry.Apply(r)
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -42,6 +42,8 @@
 	// retentionMargin is added to the time for which callers may query the state of
 	// finished submissions.
 	retentionMargin = 30 * time.Second
+	// ownerAppender is the name of owners in the marks of their appends.
+	ownerAppender = "owner"
 	// maxFirstSequence limits the random sequence number at which a claim starts.
 	maxFirstSequence = 1 << 30
 )
@@ -131,7 +133,7 @@
 	next := registry.Ownership{Node: n.self.Name, InstanceID: n.self.InstanceID, Token: previous.Token + 1, FirstSequence: firstSequence}
 	c := &claim{
 		owner: next, previous: previous, sentAt: n.clock.Now(),
-		journal: worklog.NewJournal(n.store, log, platform.TopicWork, next.Token, firstSequence, func() { n.pool.RequestTakeover(next.Token) }),
+		journal: worklog.NewJournal(n.workTarget("election", ownerAppender), next.Token, firstSequence, func() { n.pool.RequestTakeover(next.Token) }),
 	}
 	n.mu.Lock()
 	if open := n.claim; open != nil && open.owner.Token == next.Token && c.sentAt < open.sentAt+unresolvedClaimTimeout {
@@ -236,7 +238,7 @@
 // followHosts follows the hosts topic of the platform during a term.
 func (n *Node) followHosts(ctx context.Context, t *term) {
 	f := worklog.NewTopicReader(n.store, n.clock, logging.WithComponent(n.log, "hosts"), worklog.Options{
-		Topic: platform.TopicHosts, Wait: hostsLongPollTimeout, BatchInterval: func() time.Duration { return hostsBatchInterval },
+		Topic: platform.TopicHosts, Wait: hostsLongPollTimeout, BatchInterval: func() time.Duration { return hostsBatchInterval }, Speed: n.storeSpeed,
 	}, func(p worklog.Page) { n.applyHosts(ctx, t, p) })
 	f.Run(ctx)
 }
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -16,6 +17,8 @@
 	prefixSubmission = "s/"
 	prefixProgress   = "p/"
 	prefixCancel     = "c/"
+	// prefixMark is followed by the name of the appender; see MarkRecord.
+	prefixMark = "a/"
 )
 
 // Ownership is the record of which process owns the cell.
@@ -86,5 +89,13 @@
 	return []platform.Record{{Key: prefixProgress + id}, {Key: prefixCancel + id}, {Key: prefixSubmission + id}}
 }
 
+// MarkRecord returns the record that marks one append of an appender. The registry
+// ignores it: it tells the appender that its append is stored. producer is that of
+// the append.
+func MarkRecord(appender, instanceID string, producer platform.Producer) platform.Record {
+	value := instanceID + "/" + strconv.FormatInt(producer.Epoch, 10) + "/" + strconv.FormatInt(producer.Seq, 10)
+	return platform.Record{Key: prefixMark + appender, Value: []byte(value)}
+}
+
 // IsOwnership reports whether a record is the record of an ownership.
 func IsOwnership(r platform.Record) bool { return r.Key == keyOwner }
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -79,6 +79,7 @@
 		err = r.applyProgress(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
 		r.applyCancel(key[len(prefixCancel):], rec)
+	case strings.HasPrefix(key, prefixMark):
 	default:
 		r.log.Warn("A record with an unknown key is ignored.", "key", rec.Key, "offset", rec.Offset)
 	}
--- a/internal/cell/worklog/appender.go
+++ b/internal/cell/worklog/appender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -20,9 +19,7 @@
 
 // Appender stores the records of one process in batches, one batch at a time.
 type Appender struct {
-	store Store
-	log   *slog.Logger
-	topic string
+	sender
 
 	mu       sync.Mutex
 	producer platform.Producer
@@ -41,9 +38,9 @@
 }
 
 // NewAppender returns an appender. The producer name must be unique to the process.
-func NewAppender(s Store, log *slog.Logger, topic, producer string) *Appender {
+func NewAppender(t Target, producer string) *Appender {
 	return &Appender{
-		store: s, log: log, topic: topic, wake: make(chan struct{}, 1),
+		sender: sender{Target: t}, wake: make(chan struct{}, 1),
 		producer: platform.Producer{Name: producer, Epoch: 1},
 	}
 }
@@ -123,7 +120,7 @@
 	for i, p := range batch {
 		records[i] = p.record
 	}
-	err := appendUntilResolved(ctx, a.store, a.log, a.topic, a.producer, records, func(int) bool { return true })
+	err := a.appendUntilResolved(ctx, a.producer, records, func(int) bool { return true })
 	if err == nil {
 		a.producer.Seq++
 	}
--- a/internal/cell/worklog/journal.go
+++ b/internal/cell/worklog/journal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -17,9 +16,7 @@
 // producer is the owner's fencing token, so that the store refuses late appends
 // of an earlier owner.
 type Journal struct {
-	store Store
-	log   *slog.Logger
-	topic string
+	sender
 
 	// onRepeatedRefusal is called if try refusalThreshold of an append is refused.
 	// It is not called for the append of the claim.
@@ -35,8 +32,8 @@
 // claimants of one token, so that the store accepts the claim of only one.
 // onRepeatedRefusal is called if try refusalThreshold of an append other than the
 // claim is refused.
-func NewJournal(s Store, log *slog.Logger, topic string, token, firstSeq int64, onRepeatedRefusal func()) *Journal {
-	return &Journal{store: s, log: log, topic: topic, onRepeatedRefusal: onRepeatedRefusal, producer: platform.Producer{Name: "owner", Epoch: token, Seq: firstSeq}}
+func NewJournal(t Target, token, firstSeq int64, onRepeatedRefusal func()) *Journal {
+	return &Journal{sender: sender{Target: t}, onRepeatedRefusal: onRepeatedRefusal, producer: platform.Producer{Name: "owner", Epoch: token, Seq: firstSeq}}
 }
 
 // Claim stores the first record of the owner. It does not retry a refused append
@@ -69,7 +66,7 @@
 	if j.failed {
 		return verdict.New(verdict.DidNotRun, "journal-broken", "an earlier append of this owner failed or has an unknown outcome")
 	}
-	err := appendUntilResolved(ctx, j.store, j.log, j.topic, j.producer, records, onRefused)
+	err := j.appendUntilResolved(ctx, j.producer, records, onRefused)
 	// An append with an unknown outcome may have been stored. Its sequence number must
 	// not be reused: the store would treat a new record as a repeat of the old one,
 	// report success and not store it.
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -22,6 +23,8 @@
 	// BatchInterval returns the wait after a read that returned records, so that
 	// records arrive in batches.
 	BatchInterval func() time.Duration
+	// Speed measures the answers of the store.
+	Speed *latency.Meter
 }
 
 const (
@@ -58,6 +61,7 @@
 	log     *slog.Logger
 	options Options
 	apply   func(Page)
+	ends    endReads
 
 	// behind is set while the topic has records that have not been read. Only Run
 	// uses it.
@@ -80,7 +84,9 @@
 	if o.TimeoutMargin == 0 {
 		o.TimeoutMargin = defaultTimeoutMargin
 	}
-	return &TopicReader{store: s, clock: clock, log: log, options: o, apply: apply, pageApplied: make(chan struct{})}
+	r := &TopicReader{store: s, clock: clock, log: log, options: o, apply: apply, pageApplied: make(chan struct{})}
+	r.ends.read = r.readEnd
+	return r
 }
 
 // Run reads until ctx ends.
@@ -128,6 +134,9 @@
 	if err != nil {
 		return err
 	}
+	if took := r.clock.Now() - sent - wait; took >= 0 && len(page.Records) == 0 || wait == 0 {
+		r.options.Speed.Observe(took) // otherwise it is unknown how long the store waited for a record
+	}
 	if page.End < next {
 		r.log.Error("The topic ends before the next offset; reading the newest record of each key.", "topic", r.options.Topic, "next", next, "end", page.End)
 		return r.readNewest(ctx)
@@ -219,23 +228,34 @@
 	return r.failingSince != 0
 }
 
-// CatchUp blocks until every record stored before the call has been applied. It
-// returns an error if the end of the topic cannot be read or ctx ends.
-func (r *TopicReader) CatchUp(ctx context.Context) error {
+// readEnd reads the end of the topic.
+func (r *TopicReader) readEnd(ctx context.Context) (uint64, error) {
 	r.mu.Lock()
 	next := r.next
 	r.mu.Unlock()
+	sent := r.clock.Now()
 	page, err := r.store.Read(ctx, r.options.Topic, next, 0)
+	var trimmed *platform.TrimmedError
+	switch {
+	case errors.As(err, &trimmed):
+		return trimmed.First, nil
+	case err != nil:
+		return 0, err
+	}
+	r.options.Speed.Observe(r.clock.Now() - sent)
+	return page.End, nil
+}
+
+// CatchUp blocks until every record stored before the call has been applied. It
+// returns an error if the end of the topic cannot be read or ctx ends.
+func (r *TopicReader) CatchUp(ctx context.Context) error {
+	end, err := r.ends.wait(ctx)
 	if err != nil {
-		var trimmed *platform.TrimmedError
-		if !errors.As(err, &trimmed) {
-			return err
-		}
-		page.End = trimmed.First
+		return err
 	}
 	for {
 		r.mu.Lock()
-		done, pageApplied := r.initialized && r.next >= page.End, r.pageApplied
+		done, pageApplied := r.initialized && r.next >= end, r.pageApplied
 		r.mu.Unlock()
 		if done {
 			return nil
--- a/internal/cell/worklog/worklog_test.go
+++ b/internal/cell/worklog/worklog_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
+	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
 	"github.com/medlarpulley/medlarpulley/internal/standin/users"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -51,6 +52,9 @@
 		ctx, cancel = context.WithCancel(context.Background())
 		ginkgo.DeferCleanup(cancel)
 	})
+	target := func() Target {
+		return Target{Store: store, Clock: boottime.Clock{}, Speed: latency.New(), Log: log, Topic: topicName}
+	}
 	record := func(key string) platform.Record { return platform.Record{Key: key, Value: []byte("1")} }
 	briefly := func() context.Context {
 		c, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
@@ -62,7 +66,7 @@
 	// claim: the store takes it for a repeat and does not store it, so that
 	// acknowledged results are lost.
 	ginkgo.It("never reuses the sequence number of a claim whose outcome is unknown", func() {
-		j := NewJournal(store, log, topicName, 1, 7, func() {})
+		j := NewJournal(target(), 1, 7, func() {})
 		standin.SetFault(users.DropAppendResponses)
 		err := j.Claim(briefly(), record("claim"))
 		gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.MayHaveRun))
@@ -74,8 +78,8 @@
 	// Guards against two owners with one token: the store must accept only one of
 	// two claims.
 	ginkgo.It("lets one of two claims of a token succeed", func() {
-		first := NewJournal(store, log, topicName, 3, 10, func() {})
-		second := NewJournal(store, log, topicName, 3, 20, func() {})
+		first := NewJournal(target(), 3, 10, func() {})
+		second := NewJournal(target(), 3, 20, func() {})
 		gomega.Expect(first.Claim(ctx, record("first"))).To(gomega.Succeed())
 		gomega.Expect(second.Claim(ctx, record("second"))).NotTo(gomega.Succeed())
 		gomega.Expect(keys(store)()).To(gomega.Equal([]string{"first"}))
@@ -83,8 +87,8 @@
 
 	// Guards against an earlier owner whose progress overwrites that of a later one.
 	ginkgo.It("fences an owner once a higher token is known", func() {
-		old := NewJournal(store, log, topicName, 1, 1, func() {})
-		next := NewJournal(store, log, topicName, 2, 1, func() {})
+		old := NewJournal(target(), 1, 1, func() {})
+		next := NewJournal(target(), 2, 1, func() {})
 		gomega.Expect(old.Claim(ctx, record("old"))).To(gomega.Succeed())
 		gomega.Expect(next.Claim(ctx, record("next"))).To(gomega.Succeed())
 		gomega.Expect(old.Store(ctx, []platform.Record{record("late")})).To(gomega.MatchError(platform.ErrFenced))
@@ -96,7 +100,7 @@
 	// its appends.
 	ginkgo.It("reports when the store refuses the owner several times", func() {
 		refused := make(chan struct{})
-		j := NewJournal(store, log, topicName, 1, 1, func() { close(refused) })
+		j := NewJournal(target(), 1, 1, func() { close(refused) })
 		standin.SetFault(users.RejectAll)
 		go func() { _ = j.Store(ctx, []platform.Record{record("x")}) }()
 		gomega.Eventually(refused, "5s").Should(gomega.BeClosed())
@@ -105,7 +109,7 @@
 	ginkgo.Describe("the appender", func() {
 		var a *Appender
 		ginkgo.BeforeEach(func() {
-			a = NewAppender(store, log, topicName, "node/boot")
+			a = NewAppender(target(), "node/boot")
 			go a.Run(ctx)
 		})
 
@@ -167,7 +171,7 @@
 	// records between two of its reads were deleted.
 	ginkgo.It("reads the newest records when older ones were deleted", func() {
 		seen := make(chan string, 1000)
-		f := NewTopicReader(store, boottime.Clock{}, log, Options{Topic: topicName, Wait: 50 * time.Millisecond}, func(p Page) {
+		f := NewTopicReader(store, boottime.Clock{}, log, Options{Topic: topicName, Wait: 50 * time.Millisecond, Speed: latency.New()}, func(p Page) {
 			for _, r := range p.Records {
 				seen <- r.Key
 			}
