Judge a silent owner by the store's speed and its own answer, and append through one node while it is slow

Change: followers ask a silent owner whether it acts. At a slow store an owner that acts stays; one that does not answer is replaced after 0.9 s and three times the store's answer. A token that the store says is taken is waited for and then passed over with the next one. An owner refused by an overloaded store asks for no takeover. Ruled out: the size of the cell; reads and hosts answered in time.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -7,17 +7,15 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/acceptance"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 const (
-	// hedgeDelay is how long the store may take before another node is asked to
-	// store the same record as well. A record that is stored twice has the same
-	// effect as once.
-	hedgeDelay = 700 * time.Millisecond
 	// appendRetryDelay is the wait before a record that could not be stored is sent
 	// again.
 	appendRetryDelay = 120 * time.Millisecond
@@ -110,7 +108,11 @@
 		return okResponse(nil)
 	case v == verdict.DidNotRun:
 		log.Warn(failedMessage, "verdict", v.String(), "error", err)
-		return unavailableResponse("the platform's store is unavailable")
+		resp := unavailableResponse("the platform's store is unavailable")
+		if overload := new(worklog.OverloadError); errors.As(err, &overload) {
+			resp.RetryAfterSeconds = int((overload.RetryAfter + time.Second - 1) / time.Second)
+		}
+		return resp
 	default:
 		log.Warn(failedMessage, "verdict", v.String(), "error", err)
 		return errorResponse(http.StatusGatewayTimeout, "the platform's store did not answer; the outcome is unknown")
@@ -119,8 +121,8 @@
 
 // appendWithFallback tries to store a record until the record is known to be
 // stored, the attempts have failed for appendRetryTimeout, or ctx ends. If the
-// store has not answered within hedgeDelay, or refuses, it asks another node as
-// well. The response is that of another node; it is nil if this
+// store has not answered within acceptance.SecondWayDelay, or refuses, it asks another
+// node as well: a record that is stored twice has the same effect as once. The response is that of another node; it is nil if this
 // node stored the record. The verdict of the error covers every attempt.
 func (c *call) appendWithFallback(ctx context.Context, r platform.Record) (*peers.CallResponse, error) {
 	startedAt := time.Now()
@@ -130,7 +132,7 @@
 		errs = errs[:0]
 		done := make(chan error, 1)
 		go func() { done <- c.handler.Records.Append(ctx, r) }()
-		hedgeTimer := time.NewTimer(hedgeDelay)
+		hedgeTimer := time.NewTimer(acceptance.SecondWayDelay(c.handler.State.StoreAnswerTime()))
 		var err error
 		select {
 		case err = <-done:
@@ -141,6 +143,9 @@
 			v = v.Merge(verdict.Of(err))
 			errs = append(errs, err)
 			done = nil
+			if overload := new(worklog.OverloadError); errors.As(err, &overload) {
+				return nil, verdict.Wrap(errors.Join(errs...), v, "not-stored")
+			}
 		case <-hedgeTimer.C:
 		}
 		if c.fallback != nil {
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/acceptance"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -47,6 +48,8 @@
 	// SubmissionsFresh reports whether the state of submissions is recent enough to be
 	// reported to callers.
 	SubmissionsFresh() bool
+	// StoreAnswerTime returns the usual time of an answer of the store.
+	StoreAnswerTime() time.Duration
 	// Disconnected reports whether this node has no recent read of the work topic,
 	// so that calls are better answered by another node.
 	Disconnected() bool
@@ -122,6 +125,11 @@
 	if err == nil {
 		return resp
 	}
+	if r.IsWrite() && verdict.Of(err) != verdict.DidNotRun && acceptance.IsSlow(h.State.StoreAnswerTime()) {
+		// The other node may be about to store the work; a second append would only make
+		// a slow store slower.
+		return errorResponse(http.StatusGatewayTimeout, "another node did not answer; the outcome is unknown")
+	}
 	resp = h.Answer(ctx, r, h.Forwarder)
 	if resp.Status != http.StatusOK && r.IsWrite() && verdict.Of(err) != verdict.DidNotRun {
 		// The other node may have stored the work before its answer was lost.
@@ -141,7 +149,7 @@
 }
 
 // Answer answers a call from the state of this node. fallback forwards the call to
-// another node if the store refuses a record or does not answer within hedgeDelay;
+// another node if the store refuses a record or does not answer within acceptance.SecondWayDelay;
 // it is nil for a call that another node forwarded.
 func (h *Handler) Answer(ctx context.Context, r *peers.CallRequest, fallback Forwarder) *peers.CallResponse {
 	h.State.Refresh(ctx)
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -15,6 +15,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -35,6 +36,7 @@
 	stored              []string
 	forward             func() (*peers.CallResponse, error)
 	forwardCalls        int
+	answerTime          time.Duration
 }
 
 func (n *fakeNode) Refresh(context.Context)               {}
@@ -43,6 +45,7 @@
 func (n *fakeNode) Pending(string) int                    { return 12 }
 func (n *fakeNode) CatchUp(context.Context) error         { return n.catchUp }
 func (n *fakeNode) SubmissionsFresh() bool                { return true }
+func (n *fakeNode) StoreAnswerTime() time.Duration        { return n.answerTime }
 func (n *fakeNode) Disconnected() bool                    { return n.disconnected }
 func (n *fakeNode) Append(ctx context.Context, r platform.Record) error {
 	if n.append != nil {
@@ -186,6 +189,26 @@
 		ginkgo.Entry("disconnected, stored by another node", true, didNotRunError(), forwardAnswers(&peers.CallResponse{Status: 200}, nil), 200),
 	)
 
+	// Guards against calls that wait at a slow store although their time cannot suffice.
+	ginkgo.It("refuses at once what a slow store cannot store in time", func() {
+		n.append = func(context.Context) error {
+			return verdict.Wrap(&worklog.OverloadError{RetryAfter: 2500 * time.Millisecond}, verdict.DidNotRun, "store-overloaded")
+		}
+		w := call("POST", "/q/"+id, "key-a", body)
+		gomega.Expect(w.Code).To(gomega.Equal(503))
+		gomega.Expect(w.Header().Get("Retry-After")).To(gomega.Equal("3"))
+		gomega.Expect(n.forwardCalls).To(gomega.BeNumerically("<=", 1))
+	})
+
+	// Guards against a second append of work that another node is about to store, at a
+	// store that is slow already.
+	ginkgo.It("leaves the outcome open when another node was asked at a slow store", func() {
+		n.disconnected, n.answerTime = true, time.Second
+		n.forward = forwardAnswers(nil, mayHaveRunError())
+		gomega.Expect(call("POST", "/q/"+id, "key-a", body).Code).To(gomega.Equal(504))
+		gomega.Expect(n.stored).To(gomega.BeEmpty())
+	})
+
 	// Guards against a caller that waits for a store that does not answer although
 	// another node could answer, and against a refusal while the record may still be
 	// stored.
--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -8,13 +8,29 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
+	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
 const (
 	// ownerSilenceTimeout is how long the owner may write no ownership or progress
 	// record before it is considered failed. The owner writes a heartbeat every 400 ms.
-	ownerSilenceTimeout = 1200 * time.Millisecond
+	// unreachableOwnerTimeout applies instead if the owner's process does not answer
+	// this node either.
+	ownerSilenceTimeout     = 1200 * time.Millisecond
+	unreachableOwnerTimeout = 900 * time.Millisecond
+	// slowStoreThreshold is the time of an answer of the store from which silence in the
+	// log says little about the owner: its records may wait for the store.
+	slowStoreThreshold = 100 * time.Millisecond
+	// slowStoreFactor times the time of an answer is added to the time-outs and delays
+	// at a slow store.
+	slowStoreFactor = 3
+	// ownerAnswerValidity is how long an answer of the owner shows that it acts.
+	ownerAnswerValidity = 700 * time.Millisecond
+	// takenTokenTimeout is how long a claim of another node that the store knows, but
+	// that has not been read yet, is waited for. An append waits in the store for at
+	// most 2 s.
+	takenTokenTimeout = 3 * time.Second
 	// The candidate of rank r delays its claim by r times one of these, so that
 	// candidates do not claim at the same moment: silentOwnerRankDelay applies
 	// when the owner has timed out, freeOwnershipRankDelay when it is certain that
@@ -59,16 +75,31 @@
 	// takeoverToken is the token of an owner that asked the others to take over,
 	// since it cannot reach the store or is shutting down.
 	takeoverToken int64
+	// storeAnswerTime is how long the store takes to answer this node at present.
+	storeAnswerTime time.Duration
+	// ownerActsAt is when the owner last answered this node that it acts; zero if it
+	// has not.
+	ownerActsAt time.Duration
+	// takenToken is the highest token that the store refused to this node, since
+	// another node had claimed it, and takenAt when it did.
+	takenToken int64
+	takenAt    time.Duration
 	// exitedOwnerInstance is the instance ID of an owner whose process is known to
 	// have exited.
 	exitedOwnerInstance string
 }
 
-// shouldClaim reports whether this node should claim the ownership now.
-func (e *election) shouldClaim(now time.Duration, v electionInput) bool {
+// ownerSilentFor returns how long the owner has written no record.
+func (e *election) ownerSilentFor(now time.Duration, v electionInput) time.Duration {
 	if v.ownerWrites != e.ownerWrites || e.lastOwnerWriteAt == 0 {
 		e.ownerWrites, e.lastOwnerWriteAt = v.ownerWrites, now
 	}
+	return now - e.lastOwnerWriteAt
+}
+
+// shouldClaim reports whether this node should claim the ownership now.
+func (e *election) shouldClaim(now time.Duration, v electionInput) bool {
+	silentFor := e.ownerSilentFor(now, v)
 	if !v.ownershipFree() {
 		e.freeSince = 0
 	} else if e.freeSince == 0 {
@@ -77,17 +108,57 @@
 	if now < e.nextClaimAt || v.owner.InstanceID == e.self.InstanceID && !v.owner.Released {
 		return false
 	}
+	if v.claimIsPending(now) {
+		return false
+	}
 	rank := time.Duration(e.rank(v))
 	if e.freeSince != 0 {
 		discovery := time.Duration(0)
 		if v.owner.Node == "" {
 			discovery = firstClaimDelay
 		}
-		return now >= e.freeSince+discovery+rank*freeOwnershipRankDelay
+		return now >= e.freeSince+discovery+rank*(freeOwnershipRankDelay+v.storeDelay())
+	}
+	if v.asOf < now-maxReadAge-v.storeDelay() {
+		return false
 	}
-	return now >= e.lastOwnerWriteAt+ownerSilenceTimeout+rank*silentOwnerRankDelay && v.asOf >= now-maxReadAge
+	return silentFor >= v.silenceTimeout(now)+rank*(silentOwnerRankDelay+v.storeDelay())
 }
 
+// storeDelay returns how much longer than usual a record may take from its writer to
+// this node, since the store is slow.
+func (v electionInput) storeDelay() time.Duration {
+	if v.storeAnswerTime < slowStoreThreshold {
+		return 0
+	}
+	return slowStoreFactor * v.storeAnswerTime
+}
+
+// silenceTimeout returns how long the owner may write no record. An owner that
+// answers this node that it acts is not replaced while the store is slow: it stops
+// acting by itself when the store has accepted none of its appends for
+// owner.AuthorityDuration. At a fast store such an owner cannot reach the store.
+func (v electionInput) silenceTimeout(now time.Duration) time.Duration {
+	switch answered := v.ownerActsAt != 0 && now < v.ownerActsAt+ownerAnswerValidity; {
+	case answered && v.storeDelay() > 0:
+		return owner.AuthorityDuration + ownerSilenceTimeout + v.storeDelay()
+	case answered:
+		return ownerSilenceTimeout
+	default:
+		return unreachableOwnerTimeout + v.storeDelay()
+	}
+}
+
+// claimIsPending reports whether another node's claim is known to the store, and may
+// still be read. It is passed over once an append would certainly have been read.
+func (v electionInput) claimIsPending(now time.Duration) bool {
+	return v.takenToken > v.owner.Token && (now < v.takenAt+takenTokenTimeout+v.storeDelay() || v.asOf < v.takenAt+takenTokenTimeout)
+}
+
+// nextToken returns the token of the next claim. It is higher than that of a claim
+// that is passed over, so that its claimer is fenced.
+func (v electionInput) nextToken() int64 { return max(v.owner.Token, v.takenToken) + 1 }
+
 // ownershipFree reports whether it is certain that nobody owns the cell: there
 // was no owner, or the owner has released the ownership or asked the others to take
 // over, or its process has exited or been replaced by a new one.
--- a/internal/cell/node/election_test.go
+++ b/internal/cell/node/election_test.go
@@ -16,6 +16,8 @@
 	const now = 100 * time.Second
 	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a1"}, "b": {Name: "b", InstanceID: "b1"}}
 	held := registry.Ownership{Node: "a", InstanceID: "a1", Token: 4}
+	acts := func(v *electionInput) { v.ownerActsAt = now }
+	slow := func(v *electionInput) { v.storeAnswerTime = 300 * time.Millisecond }
 	for _, c := range []struct {
 		name      string
 		owner     registry.Ownership
@@ -34,6 +36,18 @@
 		{"an earlier owner had asked the others to take over", held, 0, 0, func(v *electionInput) { v.takeoverToken = 3 }, false},
 		{"owner's process was replaced", registry.Ownership{Node: "a", InstanceID: "a0", Token: 4}, 0, 0, nil, true},
 		{"this process is the owner", registry.Ownership{Node: "b", InstanceID: "b1", Token: 4}, 5 * time.Second, 0, nil, false},
+		{"owner is silent and does not answer", held, 950 * time.Millisecond, 0, nil, true},
+		{"owner is silent for a short time and does not answer", held, 700 * time.Millisecond, 0, nil, false},
+		{"silent owner answers that it acts", held, 1050 * time.Millisecond, 0, acts, false},
+		{"owner that acts cannot reach a store that is fast", held, 1200 * time.Millisecond, 0, acts, true},
+		{"owner that acts is silent at a slow store", held, 4 * time.Second, 0, func(v *electionInput) { acts(v); slow(v) }, false},
+		{"owner was silent for longer than its authority at a slow store", held, 7 * time.Second, 0, func(v *electionInput) { acts(v); slow(v) }, true},
+		{"owner's answer is old", held, 950 * time.Millisecond, 0, func(v *electionInput) { v.ownerActsAt = now - time.Second }, true},
+		{"silence is short for a slow store", held, 1500 * time.Millisecond, 0, slow, false},
+		{"silence is long even for a slow store", held, 1900 * time.Millisecond, 0, slow, true},
+		{"another node has claimed", held, 2 * time.Second, 0, func(v *electionInput) { v.takenToken, v.takenAt = 5, now-time.Second }, false},
+		{"another node's claim was never read", held, 5 * time.Second, 0, func(v *electionInput) { v.takenToken, v.takenAt = 5, now-4*time.Second }, true},
+		{"another node's claim was read", registry.Ownership{Node: "a", InstanceID: "a1", Token: 5}, 2 * time.Second, 0, func(v *electionInput) { v.takenToken, v.takenAt = 5, now-time.Second }, true},
 		{"an earlier process of this node was the owner", registry.Ownership{Node: "b", InstanceID: "b0", Token: 4}, 0, 0, nil, true},
 	} {
 		e := &election{self: nodes["b"], ownerWrites: 9, lastOwnerWriteAt: now - c.silentFor}
@@ -69,3 +83,34 @@
 		}
 	}
 }
+
+// Guards against a live owner that is replaced because the store is slow, as on a day
+// when the store answered 52 times slower: its appends took 0.3 to 2 s, so that
+// followers read no record of it for up to 2.2 s.
+func TestSlowStoreReplacesNoLiveOwner(t *testing.T) {
+	self := membership.Node{Name: "b", InstanceID: "b1"}
+	held := registry.Ownership{Node: "a", InstanceID: "a1", Token: 4}
+	e := &election{self: self}
+	const tick = 40 * time.Millisecond
+	writes, lastWrite := int64(0), time.Duration(0)
+	for now := 10 * time.Second; now < 60*time.Second; now += tick {
+		if now-lastWrite > 2200*time.Millisecond {
+			writes, lastWrite = writes+1, now
+		}
+		v := electionInput{
+			owner: held, ownerWrites: writes, followers: []membership.Node{self}, asOf: now - 700*time.Millisecond,
+			storeAnswerTime: 300 * time.Millisecond, ownerActsAt: now - 400*time.Millisecond,
+		}
+		if e.shouldClaim(now, v) {
+			t.Fatalf("the node claims %s after the owner's last record", now-lastWrite)
+		}
+	}
+}
+
+// Guards against a claimer of a token that is passed over, but not fenced.
+func TestNextTokenFencesPassedOverClaim(t *testing.T) {
+	v := electionInput{owner: registry.Ownership{Token: 4}, takenToken: 5}
+	if got := v.nextToken(); got != 6 {
+		t.Errorf("next token %d, want 6", got)
+	}
+}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -70,8 +70,8 @@
 	startedAt time.Duration
 	self      membership.Node
 	store     *platform.Store
-	// storeSpeed measures the answers of the store.
-	storeSpeed *latency.Meter
+	// storeMeter measures the answers of the store.
+	storeMeter *latency.Meter
 	hostClient *platform.HostClient
 	advice     *platform.Advice
 	pool       *peers.Pool
@@ -106,10 +106,16 @@
 	// over.
 	takeoverToken atomic.Int64
 
-	// mu guards term and claim. Each is nil if there is none.
+	// mu guards the fields below. term and claim are nil if there is none.
 	mu    sync.Mutex
 	term  *term
 	claim *claim
+	// taken is the highest token that the store refused to this node, since another
+	// node had claimed it.
+	taken tokenAt
+	// ownerAnswer is the token of the last owner that answered that it acts, and when
+	// it was asked.
+	ownerAnswer tokenAt
 	// termGoroutines counts the running goroutines of terms.
 	termGoroutines sync.WaitGroup
 }
@@ -135,21 +141,21 @@
 	n.pool = peers.NewPool(n.clock, componentLogger("peers"), s.Node.Name, n)
 	n.startedAt = n.clock.Now()
 	producer := n.self.Name + "/" + n.self.InstanceID
-	n.storeSpeed = latency.New()
+	n.storeMeter = latency.New()
 	n.workAppender = worklog.NewAppender(n.workTarget("append", n.self.Name), producer)
 	n.heartbeatAppender = worklog.NewAppender(worklog.Target{
-		Store: n.store, Clock: n.clock, Speed: n.storeSpeed, Log: componentLogger("append"), Topic: platform.TopicNodes,
+		Store: n.store, Clock: n.clock, Meter: n.storeMeter, Log: componentLogger("append"), Topic: platform.TopicNodes,
 	}, producer)
 	n.workReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Speed: n.storeSpeed,
+		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Meter: n.storeMeter,
 	}, n.applyWork)
 	n.desiredReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicDesired, Wait: desiredLongPollTimeout, TimeoutMargin: desiredTimeoutMargin, Speed: n.storeSpeed,
+		Topic: platform.TopicDesired, Wait: desiredLongPollTimeout, TimeoutMargin: desiredTimeoutMargin, Meter: n.storeMeter,
 	}, n.applyDesired)
 	n.nodesReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Speed: n.storeSpeed,
+		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Meter: n.storeMeter,
 	}, n.applyNodes)
-	n.callerHandler = &front.Handler{State: n, Records: n.workAppender, Forwarder: forwarder{n}, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
+	n.callerHandler = &front.Handler{State: n, Records: relayAppender{n}, Forwarder: forwarder{n}, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
 	return n, nil
 }
 
@@ -157,7 +163,7 @@
 // of the appender in the marks of its appends.
 func (n *Node) workTarget(component, appender string) worklog.Target {
 	return worklog.Target{
-		Store: n.store, Clock: n.clock, Speed: n.storeSpeed, Log: logging.WithComponent(n.log, component), Topic: platform.TopicWork,
+		Store: n.store, Clock: n.clock, Meter: n.storeMeter, Log: logging.WithComponent(n.log, component), Topic: platform.TopicWork,
 		Mark: func(p platform.Producer) platform.Record { return registry.MarkRecord(appender, n.self.InstanceID, p) },
 	}
 }
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -9,11 +10,14 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/acceptance"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
+	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
+	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -22,6 +26,10 @@
 const (
 	// electionInterval is the time between two checks whether to claim.
 	electionInterval = 40 * time.Millisecond
+	// ownerProbeSilence is how long the owner has written no record when its process is
+	// asked whether it acts, and ownerProbeInterval the wait between two questions.
+	ownerProbeSilence  = 500 * time.Millisecond
+	ownerProbeInterval = 150 * time.Millisecond
 	// claimTimeout limits the append of a claim.
 	claimTimeout = 2 * time.Second
 	// unresolvedClaimTimeout is how long this node makes no second claim of the same
@@ -91,18 +99,44 @@
 		if !ok || n.desired.Load() == nil || n.draining.Load() {
 			continue
 		}
-		o, ownerWrites := n.registry.Owner()
-		n.probeOwner(ctx, o)
-		v := electionInput{exitedOwnerInstance: n.exitedOwner(), owner: o, ownerWrites: ownerWrites, nodes: n.members.Nodes(), followers: n.followers(), asOf: asOf, takeoverToken: n.takeoverToken.Load()}
-		if n.owner() == nil && e.shouldClaim(n.clock.Now(), v) {
-			n.tryClaim(ctx, o)
+		now := n.clock.Now()
+		v := n.electionInput(now, asOf)
+		if e.ownerSilentFor(now, v) >= ownerProbeSilence {
+			n.probeOwner(ctx, v.owner)
+		}
+		if n.owner() == nil && e.shouldClaim(now, v) {
+			n.tryClaim(ctx, v.owner, v.nextToken())
 			e.nextClaimAt = n.clock.Now() + claimRetryDelay
 		}
 	}
 }
 
-// probeOwner starts a probe of whether the owner's process has exited, unless one
-// is running. The result is stored in exitedOwnerInstance.
+// electionInput returns what the election is decided on. asOf is the time up to which
+// the work topic has been read.
+func (n *Node) electionInput(now, asOf time.Duration) electionInput {
+	o, ownerWrites := n.registry.Owner()
+	v := electionInput{
+		owner: o, ownerWrites: ownerWrites, nodes: n.members.Nodes(), followers: n.followers(), asOf: asOf,
+		takeoverToken: n.takeoverToken.Load(), exitedOwnerInstance: n.exitedOwner(), storeAnswerTime: n.storeMeter.AnswerTime(now),
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	v.takenToken, v.takenAt = n.taken.token, n.taken.at
+	if n.ownerAnswer.token == o.Token {
+		v.ownerActsAt = n.ownerAnswer.at
+	}
+	return v
+}
+
+// tokenAt is a token and when something became known about it.
+type tokenAt struct {
+	token int64
+	at    time.Duration
+}
+
+// probeOwner asks the owner's process whether it acts, unless a probe is running. It
+// is called while the owner is silent in the log. The results are stored in
+// ownerAnswer and exitedOwnerInstance.
 func (n *Node) probeOwner(ctx context.Context, o registry.Ownership) {
 	if o.Node == "" || o.Node == n.self.Name || n.exitedOwner() == o.InstanceID || !n.probingOwner.CompareAndSwap(false, true) {
 		return
@@ -112,10 +146,30 @@
 		if n.pool.RefusesConnections(ctx, o.Node) {
 			n.log.Info("election: The owner's machine refuses connections; the owner process has exited.", "owner", o.Node, "boot", o.InstanceID)
 			n.exitedOwnerInstance.Store(&o.InstanceID)
+			return
 		}
+		sent := n.clock.Now()
+		acts, err := n.pool.OwnerActs(ctx, o.Node, o.Token)
+		if err != nil || !acts {
+			n.log.Debug("election: The silent owner does not answer that it acts.", "owner", o.Node, "token", o.Token, "error", err)
+			ctxtime.Sleep(ctx, ownerProbeInterval)
+			return
+		}
+		n.mu.Lock()
+		n.ownerAnswer = tokenAt{o.Token, sent}
+		n.mu.Unlock()
+		ctxtime.Sleep(ctx, ownerProbeInterval)
 	}()
 }
 
+// OwnerStatus implements peers.Handler.
+func (n *Node) OwnerStatus(_ context.Context, r *peers.OwnerStatusRequest) (*peers.OwnerStatusResponse, error) {
+	n.mu.Lock()
+	t := n.term
+	n.mu.Unlock()
+	return &peers.OwnerStatusResponse{Acts: t != nil && t.claim.owner.Token == r.Token && t.owner.Acts()}, nil
+}
+
 // exitedOwner returns the instance ID of the last owner whose process is known to
 // have exited, or an empty string.
 func (n *Node) exitedOwner() string {
@@ -127,13 +181,13 @@
 
 // tryClaim appends a claim. The term begins only when the claim is read back,
 // since the order of the log decides which of several claims wins.
-func (n *Node) tryClaim(ctx context.Context, previous registry.Ownership) {
+func (n *Node) tryClaim(ctx context.Context, previous registry.Ownership, token int64) {
 	log := logging.WithComponent(n.log, "election")
 	firstSequence := 1 + rand.Int64N(maxFirstSequence)
-	next := registry.Ownership{Node: n.self.Name, InstanceID: n.self.InstanceID, Token: previous.Token + 1, FirstSequence: firstSequence}
+	next := registry.Ownership{Node: n.self.Name, InstanceID: n.self.InstanceID, Token: token, FirstSequence: firstSequence}
 	c := &claim{
 		owner: next, previous: previous, sentAt: n.clock.Now(),
-		journal: worklog.NewJournal(n.workTarget("election", ownerAppender), next.Token, firstSequence, func() { n.pool.RequestTakeover(next.Token) }),
+		journal: worklog.NewJournal(n.workTarget("election", ownerAppender), next.Token, firstSequence, func() { n.requestTakeover(next.Token) }),
 	}
 	n.mu.Lock()
 	if open := n.claim; open != nil && open.owner.Token == next.Token && c.sentAt < open.sentAt+unresolvedClaimTimeout {
@@ -151,10 +205,31 @@
 		if n.claim == c && verdict.Of(err) == verdict.DidNotRun {
 			n.claim = nil
 		}
+		if tokenIsTaken(err) && next.Token > n.taken.token {
+			n.taken = tokenAt{next.Token, n.clock.Now()}
+		}
 		n.mu.Unlock()
 	}
 }
 
+// requestTakeover asks the other nodes to take over, since the store has refused
+// several appends of this node. At a slow store that concerns all nodes, and a new
+// owner would fare no better.
+func (n *Node) requestTakeover(token int64) {
+	if acceptance.IsSlow(n.StoreAnswerTime()) {
+		n.log.Warn("owner: The store is overloaded and refuses appends of the owner.", "token", token)
+		return
+	}
+	n.pool.RequestTakeover(token)
+}
+
+// tokenIsTaken reports whether the store refused a claim since it knows another claim
+// of the same or a higher token.
+func tokenIsTaken(err error) bool {
+	var sequence *platform.SequenceError
+	return errors.Is(err, platform.ErrFenced) || errors.As(err, &sequence)
+}
+
 // onOwnerRecord is called for each ownership record, in the order of the log. It ends
 // the term if another node's claim has a higher token, and begins one if the
 // record is the claim of this node.
@@ -238,7 +313,7 @@
 // followHosts follows the hosts topic of the platform during a term.
 func (n *Node) followHosts(ctx context.Context, t *term) {
 	f := worklog.NewTopicReader(n.store, n.clock, logging.WithComponent(n.log, "hosts"), worklog.Options{
-		Topic: platform.TopicHosts, Wait: hostsLongPollTimeout, BatchInterval: func() time.Duration { return hostsBatchInterval }, Speed: n.storeSpeed,
+		Topic: platform.TopicHosts, Wait: hostsLongPollTimeout, BatchInterval: func() time.Duration { return hostsBatchInterval }, Meter: n.storeMeter,
 	}, func(p worklog.Page) { n.applyHosts(ctx, t, p) })
 	f.Run(ctx)
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -254,6 +254,14 @@
 	return LeaseDuration
 }
 
+// Acts reports whether the owner may send orders: its authority is valid and it is
+// not shutting down.
+func (ow *Owner) Acts() bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.authority.valid() && !ow.stopping
+}
+
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
 // ones, and stores everything that is known. It reports whether that was done
 // before ctx ended.
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -9,9 +9,11 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc/connectivity"
 
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 const (
@@ -24,6 +26,8 @@
 	forwardTimeout = 900 * time.Millisecond
 	// takeoverTimeout limits a takeover request to another node.
 	takeoverTimeout = 500 * time.Millisecond
+	// statusTimeout limits the question to the owner whether it acts.
+	statusTimeout = 300 * time.Millisecond
 )
 
 // forwardTargets returns the other nodes that follow the work topic and are not in
@@ -88,14 +92,10 @@
 // machine is up, but the process that listened there has exited. It opens a probe
 // connection only while the permanent connection to the node is not ready.
 func (p *Pool) RefusesConnections(ctx context.Context, name string) bool {
-	p.mu.Lock()
-	i := slices.IndexFunc(p.endpoints, func(e *endpoint) bool { return e.name == name && e.local == nil })
-	if i < 0 || p.endpoints[i].conn.GetState() == connectivity.Ready {
-		p.mu.Unlock()
+	e := p.remote(name)
+	if e == nil || e.conn.GetState() == connectivity.Ready {
 		return false
 	}
-	e := p.endpoints[i]
-	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.address)
@@ -106,6 +106,47 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// Append appends a record to the work topic through another node. The verdict of an
+// error is DidNotRun only if the record is not stored and never will be.
+func (p *Pool) Append(ctx context.Context, name string, r platform.Record) error {
+	e := p.remote(name)
+	if e == nil || !e.waitConnected(ctx) {
+		return verdict.New(verdict.DidNotRun, "peer-unreachable", "node %s cannot be reached", name)
+	}
+	var out AppendResponse
+	if err := e.invoke(ctx, appendMethod, &AppendRequest{Key: r.Key, Value: r.Value}, &out); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, "peer-silent")
+	}
+	if out.Verdict == verdict.DidRun {
+		return nil
+	}
+	return verdict.New(out.Verdict, "peer-not-stored", "node %s: %s", name, out.Reason)
+}
+
+// OwnerActs asks a node whether it acts as the owner that holds the token.
+func (p *Pool) OwnerActs(ctx context.Context, name string, token int64) (bool, error) {
+	e := p.remote(name)
+	if e == nil {
+		return false, eris.Errorf("node %s is not known", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var out OwnerStatusResponse
+	err := e.invoke(ctx, statusMethod, &OwnerStatusRequest{Token: token}, &out)
+	return out.Acts, err
+}
+
+// remote returns the endpoint of another node, nil if it is not known.
+func (p *Pool) remote(name string) *endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.endpoints, func(e *endpoint) bool { return e.name == name && e.local == nil })
+	if i < 0 {
+		return nil
+	}
+	return p.endpoints[i]
+}
+
 // CanForward reports whether there is a node that calls can be forwarded to.
 func (p *Pool) CanForward() bool { return len(p.forwardTargets()) > 0 }
 
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -17,6 +17,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 func TestPeers(t *testing.T) {
@@ -31,6 +32,9 @@
 	takeoverToken atomic.Int64
 	forwards      atomic.Int64
 	status        int
+	// appended is the key of the last record to append; appendVerdict is the answer.
+	appended      atomic.Value
+	appendVerdict verdict.Verdict
 	// unresponsive makes forwarded calls wait until their context ends.
 	unresponsive bool
 }
@@ -62,6 +66,15 @@
 	return &TakeoverResponse{}, nil
 }
 
+func (p *fakePeer) OwnerStatus(context.Context, *OwnerStatusRequest) (*OwnerStatusResponse, error) {
+	return &OwnerStatusResponse{}, nil
+}
+
+func (p *fakePeer) AppendRecord(_ context.Context, r *AppendRequest) (*AppendResponse, error) {
+	p.appended.Store(r.Key)
+	return &AppendResponse{Verdict: p.appendVerdict}, nil
+}
+
 var _ = ginkgo.Describe("the pool", func() {
 	var pool *Pool
 	var address string
@@ -119,6 +132,20 @@
 		gomega.Eventually(pool.Waiting, "5s").Should(gomega.BeZero())
 	})
 
+	// Guards against a record that another node stored and that counts as not stored,
+	// and against one that counts as stored since the other node answered.
+	ginkgo.It("appends a record through another node and returns its verdict", func() {
+		r := platform.Record{Key: "s/1", Value: []byte("x")}
+		peers[1].appendVerdict = verdict.DidRun
+		gomega.Expect(pool.Append(ctx, "a", r)).To(gomega.Succeed())
+		gomega.Expect(peers[1].appended.Load()).To(gomega.Equal("s/1"))
+		for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.DidNotRun} {
+			peers[2].appendVerdict = v
+			gomega.Expect(verdict.Of(pool.Append(ctx, "b", r))).To(gomega.Equal(v))
+		}
+		gomega.Expect(verdict.Of(pool.Append(ctx, "unknown", r))).To(gomega.Equal(verdict.DidNotRun))
+	})
+
 	// Guards against a caller that is told "did not run" about work that another node
 	// may have stored, and against endless attempts at nodes that cannot answer.
 	ginkgo.It("forwards to nodes that can answer", func() {
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -16,6 +16,8 @@
 	adviseMethod   = "Advise"
 	forwardMethod  = "Forward"
 	takeoverMethod = "Yield"
+	statusMethod   = "OwnerStatus"
+	appendMethod   = "Append"
 )
 
 // AdviseRequest asks a node to call the advice service for a group of tasks.
@@ -77,11 +79,36 @@
 // TakeoverResponse is empty.
 type TakeoverResponse struct{}
 
+// OwnerStatusRequest asks a node whether it acts as the owner that holds the token.
+type OwnerStatusRequest struct {
+	Token int64 `json:"token"`
+}
+
+// OwnerStatusResponse is the answer to an OwnerStatusRequest.
+type OwnerStatusResponse struct {
+	Acts bool `json:"acts"`
+}
+
+// AppendRequest asks a node to append a record of a caller to the work topic.
+type AppendRequest struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// AppendResponse is the answer to an AppendRequest. Verdict is DidRun if the record
+// is stored, and DidNotRun only if it is not stored and never will be.
+type AppendResponse struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
 // Handler serves the calls of other nodes.
 type Handler interface {
 	Advise(ctx context.Context, r *AdviseRequest) (*AdviseResponse, error)
 	Forward(ctx context.Context, r *CallRequest) (*CallResponse, error)
 	HandleTakeoverRequest(ctx context.Context, r *TakeoverRequest) (*TakeoverResponse, error)
+	OwnerStatus(ctx context.Context, r *OwnerStatusRequest) (*OwnerStatusResponse, error)
+	AppendRecord(ctx context.Context, r *AppendRequest) (*AppendResponse, error)
 }
 
 var serviceDesc = grpc.ServiceDesc{
@@ -91,6 +118,8 @@
 		methodDesc(adviseMethod, Handler.Advise),
 		methodDesc(forwardMethod, Handler.Forward),
 		methodDesc(takeoverMethod, Handler.HandleTakeoverRequest),
+		methodDesc(statusMethod, Handler.OwnerStatus),
+		methodDesc(appendMethod, Handler.AppendRecord),
 	},
 }
 
--- a/internal/cell/worklog/appender.go
+++ b/internal/cell/worklog/appender.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/acceptance"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -50,6 +52,10 @@
 func (a *Appender) Append(ctx context.Context, r platform.Record) error {
 	p := &pending{record: r, done: make(chan error, 1)}
 	a.mu.Lock()
+	if err := a.admit(ctx); err != nil {
+		a.mu.Unlock()
+		return err
+	}
 	if len(a.queue) >= maxQueued {
 		a.mu.Unlock()
 		return verdict.New(verdict.DidNotRun, "append-queue-full", "%d records wait for the store", maxQueued)
@@ -74,6 +80,34 @@
 	return verdict.Wrap(ctx.Err(), verdict.DidNotRun, "store-unavailable")
 }
 
+// admit refuses a record that cannot be stored before the deadline of ctx. The caller
+// holds a.mu.
+func (a *Appender) admit(ctx context.Context) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	ok, retryAfter := acceptance.Admit(acceptance.AdmitInput{
+		Queued: len(a.queue), Batch: maxBatch, AnswerTime: a.Meter.Smoothed(), Remaining: time.Until(deadline),
+	})
+	if ok {
+		return nil
+	}
+	return verdict.Wrap(&OverloadError{RetryAfter: retryAfter}, verdict.DidNotRun, "store-overloaded")
+}
+
+// OverloadError is returned when a record is refused at once, since the store is too
+// slow to store it in time.
+type OverloadError struct {
+	// RetryAfter is when the records that wait now will have been stored.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *OverloadError) Error() string {
+	return "the store is too slow; the queue will be stored in " + e.RetryAfter.String()
+}
+
 // Run stores queued records until ctx ends.
 func (a *Appender) Run(ctx context.Context) {
 	for {
--- a/internal/cell/worklog/sender.go
+++ b/internal/cell/worklog/sender.go
@@ -36,8 +36,8 @@
 type Target struct {
 	Store Store
 	Clock cell.Clock
-	// Speed measures the answers of the store.
-	Speed *latency.Meter
+	// Meter measures the answers of the store.
+	Meter *latency.Meter
 	Log   *slog.Logger
 	Topic string
 	// Mark returns the record that is appended behind the records of an append, and
@@ -101,7 +101,7 @@
 	records, confirmed := s.begin(p, records)
 	defer s.end()
 	outcomeUnknown := false
-	timeout := min(max(minAppendTimeout, answerTimeFactor*s.Speed.Smoothed()), maxAppendTimeout)
+	timeout := min(max(minAppendTimeout, answerTimeFactor*s.Meter.Smoothed()), maxAppendTimeout)
 	for try := 1; ; try++ {
 		err := s.try(ctx, timeout, p, records, confirmed)
 		var seq *platform.SequenceError
@@ -141,7 +141,7 @@
 func (s *sender) try(ctx context.Context, timeout time.Duration, p platform.Producer, records []platform.Record, confirmed <-chan struct{}) error {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	end := s.Speed.Begin(s.Clock.Now())
+	end := s.Meter.Begin(s.Clock.Now())
 	answer := make(chan error, 1)
 	go func() {
 		_, err := s.Store.Append(callCtx, s.Topic, p, records)
--- a/internal/cell/worklog/slow_store_test.go
+++ b/internal/cell/worklog/slow_store_test.go
@@ -40,7 +40,7 @@
 func newFakeTarget() (*fakeStore, Target) {
 	s := &fakeStore{appends: make(chan fakeAppend, 100)}
 	return s, Target{
-		Store: s, Clock: boottime.Clock{}, Speed: latency.New(), Log: slog.New(slog.DiscardHandler), Topic: topicName,
+		Store: s, Clock: boottime.Clock{}, Meter: latency.New(), Log: slog.New(slog.DiscardHandler), Topic: topicName,
 		Mark: func(p platform.Producer) platform.Record {
 			return platform.Record{Key: "mark", Value: []byte{byte(p.Epoch), byte(p.Seq)}}
 		},
@@ -56,7 +56,7 @@
 		{time.Minute, maxAppendTimeout},
 	} {
 		store, target := newFakeTarget()
-		target.Speed.Observe(c.answer)
+		target.Meter.Observe(c.answer)
 		a := NewAppender(target, "n")
 		ctx, cancel := context.WithCancel(context.Background())
 		go a.Run(ctx)
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -23,8 +23,8 @@
 	// BatchInterval returns the wait after a read that returned records, so that
 	// records arrive in batches.
 	BatchInterval func() time.Duration
-	// Speed measures the answers of the store.
-	Speed *latency.Meter
+	// Meter measures the answers of the store.
+	Meter *latency.Meter
 }
 
 const (
@@ -135,7 +135,7 @@
 		return err
 	}
 	if took := r.clock.Now() - sent - wait; took >= 0 && len(page.Records) == 0 || wait == 0 {
-		r.options.Speed.Observe(took) // otherwise it is unknown how long the store waited for a record
+		r.options.Meter.Observe(took) // otherwise it is unknown how long the store waited for a record
 	}
 	if page.End < next {
 		r.log.Error("The topic ends before the next offset; reading the newest record of each key.", "topic", r.options.Topic, "next", next, "end", page.End)
@@ -242,7 +242,7 @@
 	case err != nil:
 		return 0, err
 	}
-	r.options.Speed.Observe(r.clock.Now() - sent)
+	r.options.Meter.Observe(r.clock.Now() - sent)
 	return page.End, nil
 }
 
--- a/internal/cell/worklog/worklog_test.go
+++ b/internal/cell/worklog/worklog_test.go
@@ -53,7 +53,7 @@
 		ginkgo.DeferCleanup(cancel)
 	})
 	target := func() Target {
-		return Target{Store: store, Clock: boottime.Clock{}, Speed: latency.New(), Log: log, Topic: topicName}
+		return Target{Store: store, Clock: boottime.Clock{}, Meter: latency.New(), Log: log, Topic: topicName}
 	}
 	record := func(key string) platform.Record { return platform.Record{Key: key, Value: []byte("1")} }
 	briefly := func() context.Context {
@@ -171,7 +171,7 @@
 	// records between two of its reads were deleted.
 	ginkgo.It("reads the newest records when older ones were deleted", func() {
 		seen := make(chan string, 1000)
-		f := NewTopicReader(store, boottime.Clock{}, log, Options{Topic: topicName, Wait: 50 * time.Millisecond, Speed: latency.New()}, func(p Page) {
+		f := NewTopicReader(store, boottime.Clock{}, log, Options{Topic: topicName, Wait: 50 * time.Millisecond, Meter: latency.New()}, func(p Page) {
 			for _, r := range p.Records {
 				seen <- r.Key
 			}
