Hold a forwarded call at a node that is alive while the store is slow; fewer calls to the store

Followers kept sending what timed out before the first slow answer was known. Change: the wait for one node is ten answers of the store, at least 900 ms; a node that does not answer a probe is given up at once. A time-out of an append is decided when it ends, by what the store takes then. A call is refused as hopeless only at twice its time.

--- a/internal/cell/acceptance/timing.go
+++ b/internal/cell/acceptance/timing.go
@@ -9,6 +9,9 @@
 	// secondWayFactor times the usual time of an answer is the delay at a slow store,
 	// where a second append of the same record makes all others wait longer.
 	secondWayFactor = 4
+	// hopelessFactor is how many times longer than the caller waits a record must be
+	// expected to take for it to be refused: the speed of a store changes.
+	hopelessFactor = 2
 	// maxRetryAfter limits the time after which a refused caller is asked to return.
 	maxRetryAfter = 5 * time.Second
 )
@@ -36,7 +39,7 @@
 func Admit(v AdmitInput) (ok bool, retryAfter time.Duration) {
 	appends := 1 + v.Queued/max(v.Batch, 1)
 	expected := time.Duration(appends) * v.AnswerTime
-	if expected <= v.Remaining {
+	if expected <= hopelessFactor*v.Remaining {
 		return true, 0
 	}
 	return false, min(max(expected, time.Second), maxRetryAfter)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -34,8 +34,8 @@
 	workLongPollTimeout = 400 * time.Millisecond
 	// ownerBatchInterval and followerBatchInterval are the waits after a read of the
 	// work topic that returned records, so that the next read returns many.
-	ownerBatchInterval    = 5 * time.Millisecond
-	followerBatchInterval = 70 * time.Millisecond
+	ownerBatchInterval    = 10 * time.Millisecond
+	followerBatchInterval = 100 * time.Millisecond
 	// desiredLongPollTimeout is how long the store may hold a read of the desired
 	// state open. Each answer proves that the state was fresh when the read was
 	// sent.
@@ -139,6 +139,7 @@
 	n.registry = registry.New(componentLogger("registry"))
 	n.members = membership.NewTable(componentLogger("members"))
 	n.pool = peers.NewPool(n.clock, componentLogger("peers"), s.Node.Name, n)
+	n.pool.StoreAnswerTime = n.StoreAnswerTime
 	n.startedAt = n.clock.Now()
 	producer := n.self.Name + "/" + n.self.InstanceID
 	n.storeMeter = latency.New()
--- a/internal/cell/peers/endpoint.go
+++ b/internal/cell/peers/endpoint.go
@@ -75,6 +75,36 @@
 	return e.conn.Invoke(ctx, "/"+serviceName+"/"+method, request, response, grpc.CallContentSubtype(codecName))
 }
 
+// invokeAlive calls a method and waits for the response as long as the node answers
+// that it is alive. The response may be used only if the error is nil.
+func (e *endpoint) invokeAlive(ctx context.Context, method string, request, response any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- e.invoke(ctx, method, request, response) }()
+	for {
+		probe := time.NewTimer(probeDelay)
+		select {
+		case err := <-done:
+			probe.Stop()
+			return err
+		case <-probe.C:
+		}
+		if err := e.probe(ctx); err != nil {
+			cancel()
+			<-done
+			return eris.Wrapf(err, "node %s does not answer", e.name)
+		}
+	}
+}
+
+// probe asks the node whether it is alive.
+func (e *endpoint) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return e.invoke(ctx, statusMethod, &OwnerStatusRequest{}, &OwnerStatusResponse{})
+}
+
 // setFollows sets whether the node answers forwarded calls. The connection to such
 // a node is opened at once: when it breaks, the node's process may have exited.
 func (e *endpoint) setFollows(follows bool) {
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -20,10 +20,16 @@
 	// maxForwardAttempts is the greatest number of nodes that one call is forwarded
 	// to.
 	maxForwardAttempts = 3
-	// forwardTimeout limits the wait for the response of one node, except in the last
-	// attempt, which may use the rest of the deadline. To try the next node is safe,
-	// since a call that is sent to two nodes has the same effect as one.
-	forwardTimeout = 900 * time.Millisecond
+	// forwardTimeout is the least time that the response of one node is waited for,
+	// except in the last attempt, which may use the rest of the deadline. At a slow store
+	// it is answerTimeFactor times the store's answer.
+	forwardTimeout   = 900 * time.Millisecond
+	answerTimeFactor = 10
+	// probeDelay is the time without a response after which a node is asked whether it
+	// is alive, again and again; probeTimeout limits the answer. To try the next node is
+	// safe, since a call that is sent to two nodes has the same effect as one.
+	probeDelay   = 600 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 	// takeoverTimeout limits a takeover request to another node.
 	takeoverTimeout = 500 * time.Millisecond
 	// statusTimeout limits the question to the owner whether it acts.
@@ -69,10 +75,10 @@
 		}
 		callCtx, cancel := ctx, context.CancelFunc(func() {})
 		if i < maxForwardAttempts-1 {
-			callCtx, cancel = context.WithTimeout(ctx, forwardTimeout)
+			callCtx, cancel = context.WithTimeout(ctx, p.forwardTimeout())
 		}
 		var out CallResponse
-		err := e.invoke(callCtx, forwardMethod, r, &out)
+		err := e.invokeAlive(callCtx, forwardMethod, r, &out)
 		cancel()
 		switch {
 		case err == nil && out.canPassOn(r, v):
@@ -88,6 +94,16 @@
 	return nil, lastErr
 }
 
+// forwardTimeout returns how long the response of one node is waited for at present. A
+// node that is alive may wait for a slow store, and to give up on it would only send
+// the call to another one that waits as well.
+func (p *Pool) forwardTimeout() time.Duration {
+	if p.StoreAnswerTime == nil {
+		return forwardTimeout
+	}
+	return max(forwardTimeout, answerTimeFactor*p.StoreAnswerTime())
+}
+
 // RefusesConnections reports whether a node's machine refuses connections: the
 // machine is up, but the process that listened there has exited. It opens a probe
 // connection only while the permanent connection to the node is not ready.
@@ -114,7 +130,7 @@
 		return verdict.New(verdict.DidNotRun, "peer-unreachable", "node %s cannot be reached", name)
 	}
 	var out AppendResponse
-	if err := e.invoke(ctx, appendMethod, &AppendRequest{Key: r.Key, Value: r.Value}, &out); err != nil {
+	if err := e.invokeAlive(ctx, appendMethod, &AppendRequest{Key: r.Key, Value: r.Value}, &out); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, "peer-silent")
 	}
 	if out.Verdict == verdict.DidRun {
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -26,6 +26,10 @@
 // Pool holds the connections to the other nodes and distributes advice requests
 // over them.
 type Pool struct {
+	// StoreAnswerTime returns how long the store takes to answer at present; nil if that
+	// is not known. It is set before the first call.
+	StoreAnswerTime func() time.Duration
+
 	clock cell.Clock
 	log   *slog.Logger
 
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -178,6 +178,20 @@
 		}
 	})
 
+	// Guards against a call that is sent to one node after the other at a slow store,
+	// although the first one is alive and waits for the store.
+	ginkgo.It("waits longer for a node that is alive at a slow store", func() {
+		pool.StoreAnswerTime = func() time.Duration { return time.Second }
+		for _, p := range peers {
+			p.unresponsive = true
+		}
+		c, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		_, err := pool.Forward(c, &CallRequest{Method: "POST"})
+		gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.MayHaveRun))
+		gomega.Expect(peers[1].forwards.Load() + peers[2].forwards.Load()).To(gomega.Equal(int64(1)))
+	})
+
 	// Guards against calls that spend their whole deadline on the connection to a
 	// machine that no longer exists.
 	ginkgo.It("forwards past a node that cannot be reached", func() {
--- a/internal/cell/worklog/sender.go
+++ b/internal/cell/worklog/sender.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	// minAppendTimeout is the least timeout of the first try of an append. The timeout
-	// is answerTimeFactor times the time that the store takes at present, and doubles
-	// after each try without an answer, up to maxAppendTimeout: a repeated append
-	// takes a turn in the store's queue, so that repeats at a store that is only slow
-	// make it slower.
+	// minAppendTimeout is the least timeout of the first try of an append. It doubles
+	// after each try without an answer, up to maxAppendTimeout, and is at least
+	// answerTimeFactor times the time that the store takes at present: a repeated
+	// append takes a turn in the store's queue, so that repeats at a store that is only
+	// slow make it slower. An append may wait for those of several other nodes.
 	minAppendTimeout = 700 * time.Millisecond
 	maxAppendTimeout = 4 * time.Second
-	answerTimeFactor = 3
+	answerTimeFactor = 6
 	// appendRetryInterval is the wait after a failed try.
 	appendRetryInterval = 60 * time.Millisecond
 	// confirmedAnswerTimeout is how long the answer of an append is awaited after its
@@ -101,7 +101,7 @@
 	records, confirmed := s.begin(p, records)
 	defer s.end()
 	outcomeUnknown := false
-	timeout := min(max(minAppendTimeout, answerTimeFactor*s.Meter.Smoothed()), maxAppendTimeout)
+	timeout := minAppendTimeout
 	for try := 1; ; try++ {
 		err := s.try(ctx, timeout, p, records, confirmed)
 		var seq *platform.SequenceError
@@ -139,21 +139,38 @@
 // try sends an append once. It returns nil if the store answers so, or once the
 // append is confirmed.
 func (s *sender) try(ctx context.Context, timeout time.Duration, p platform.Producer, records []platform.Record, confirmed <-chan struct{}) error {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	end := s.Meter.Begin(s.Clock.Now())
+	sent := s.Clock.Now()
+	end := s.Meter.Begin(sent)
 	answer := make(chan error, 1)
 	go func() {
 		_, err := s.Store.Append(callCtx, s.Topic, p, records)
 		answer <- err
 	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	var err error
-	select {
-	case err = <-answer:
-	case <-confirmed:
+	for waiting := true; waiting; {
 		select {
-		case <-answer:
-		case <-time.After(confirmedAnswerTimeout):
+		case err = <-answer:
+			waiting = false
+		case <-confirmed:
+			confirmed, waiting = nil, false
+			select {
+			case <-answer:
+			case <-time.After(confirmedAnswerTimeout):
+			}
+		case <-timer.C:
+			// The store may have become slow since the append was sent.
+			left := sent + min(answerTimeFactor*s.Meter.Smoothed(), maxAppendTimeout) - s.Clock.Now()
+			if left > 0 {
+				timer.Reset(left)
+				continue
+			}
+			cancel()
+			err = <-answer
+			waiting = false
 		}
 	}
 	end(s.Clock.Now(), err == nil)
