--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -34,8 +34,8 @@
 	workLongPollTimeout = 400 * time.Millisecond
 	// ownerBatchInterval and followerBatchInterval are the waits after a read of the
 	// work topic that returned records, so that the next read returns many.
-	ownerBatchInterval    = 10 * time.Millisecond
-	followerBatchInterval = 100 * time.Millisecond
+	ownerBatchInterval    = 5 * time.Millisecond
+	followerBatchInterval = 70 * time.Millisecond
 	// desiredLongPollTimeout is how long the store may hold a read of the desired
 	// state open. Each answer proves that the state was fresh when the read was
 	// sent.
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -16,7 +16,7 @@
 	// progress records that it is alive.
 	heartbeatInterval = 400 * time.Millisecond
 	// storeBatchWindow is how long changes are collected for one append.
-	storeBatchWindow = 20 * time.Millisecond
+	storeBatchWindow = 3 * time.Millisecond
 	// maxRecordsPerAppend bounds the records of one append.
 	maxRecordsPerAppend = 400
 	// expiryScanInterval is the time between two scans for expired submissions.
