Keep a process alive through one unexpected failure

Change: only known tickets are taken back; a call of a node that panics gets an error; a caller's call that panics is logged as an error and its connection closed, as the outcome is open.

--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -86,6 +87,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer h.logPanic(r)
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -115,6 +117,17 @@
 	writeResponse(w, resp)
 }
 
+// logPanic logs a panic of the handler and closes the connection without a response,
+// since the outcome of the call is open.
+func (h *Handler) logPanic(r *http.Request) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	h.Logger.Error("A call failed unexpectedly; its connection is closed.", "method", r.Method, "path", r.URL.Path, "panic", p, "stack", string(debug.Stack()))
+	panic(http.ErrAbortHandler)
+}
+
 // forwardOrAnswer answers a call. A disconnected node forwards it to another node first, and
 // answers it itself if that fails.
 func (h *Handler) forwardOrAnswer(ctx context.Context, r *peers.CallRequest) *peers.CallResponse {
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net/http"
@@ -61,6 +62,11 @@
 	return n.forward()
 }
 
+// panickingState panics when a submission is looked for.
+type panickingState struct{ *fakeNode }
+
+func (panickingState) Find(string) (registry.Entry, bool) { panic("a fault that nobody expected") }
+
 const (
 	id    = "5c0e7a21d94b36f8"
 	other = "5c0e7a21d94b36f9"
@@ -189,6 +195,16 @@
 		ginkgo.Entry("disconnected, stored by another node", true, didNotRunError(), forwardAnswers(&peers.CallResponse{Status: 200}, nil), 200),
 	)
 
+	// Guards against an unexpected failure of one call that nobody sees, and against an
+	// answer to it although its outcome is open.
+	ginkgo.It("logs a call that panics and closes its connection", func() {
+		var out bytes.Buffer
+		f.Logger = slog.New(slog.NewTextHandler(&out, nil))
+		f.State = panickingState{n}
+		gomega.Expect(func() { call("POST", "/q/"+id, "key-a", body) }).To(gomega.PanicWith(http.ErrAbortHandler))
+		gomega.Expect(out.String()).To(gomega.ContainSubstring("a fault that nobody expected"))
+	})
+
 	// Guards against calls that wait at a slow store although their time cannot suffice.
 	ginkgo.It("refuses at once what a slow store cannot store in time", func() {
 		n.append = func(context.Context) error {
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -37,6 +37,7 @@
 	appendVerdict verdict.Verdict
 	// unresponsive makes forwarded calls wait until their context ends.
 	unresponsive bool
+	panics       bool
 }
 
 func newFakePeer() *fakePeer { return &fakePeer{release: make(chan struct{}), status: http.StatusOK} }
@@ -54,6 +55,9 @@
 
 func (p *fakePeer) Forward(ctx context.Context, _ *CallRequest) (*CallResponse, error) {
 	p.forwards.Add(1)
+	if p.panics {
+		panic("a fault that nobody expected")
+	}
 	if p.unresponsive {
 		<-ctx.Done()
 		return nil, eris.Wrap(ctx.Err(), "forwarded call not answered")
@@ -146,6 +150,15 @@
 		gomega.Expect(verdict.Of(pool.Append(ctx, "unknown", r))).To(gomega.Equal(verdict.DidNotRun))
 	})
 
+	// Guards against a process that ends since one call of another node fails in an
+	// unexpected way.
+	ginkgo.It("survives a call that panics", func() {
+		peers[1].panics, peers[2].panics = true, true
+		_, err := pool.Forward(ctx, &CallRequest{Method: "POST"})
+		gomega.Expect(verdict.Of(err)).To(gomega.Equal(verdict.MayHaveRun))
+		gomega.Expect(pool.remote("a").probe(ctx)).To(gomega.Succeed())
+	})
+
 	// Guards against a caller that is told "did not run" about work that another node
 	// may have stored, and against endless attempts at nodes that cannot answer.
 	ginkgo.It("forwards to nodes that can answer", func() {
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
@@ -127,7 +130,13 @@
 func methodDesc[Q, A any](name string, do func(Handler, context.Context, *Q) (*A, error)) grpc.MethodDesc {
 	return grpc.MethodDesc{
 		MethodName: name,
-		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (response any, err error) {
+			// gRPC recovers no panic; without this, one call could end the process.
+			defer func() {
+				if p := recover(); p != nil {
+					response, err = nil, status.Errorf(codes.Internal, "call of %s failed unexpectedly: %v\n%s", name, p, debug.Stack())
+				}
+			}()
 			request := new(Q)
 			if err := decode(request); err != nil {
 				return nil, err
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -66,7 +66,9 @@
 	case RefusedNoCapacity:
 		h.health.avoid(now, noRoomBackoff)
 	case RefusedInvalidTicket:
-		g.advice.tickets[h] = ticket{}
+		if g.approved(h) && g.policy() != nil {
+			g.advice.tickets[h] = ticket{} // it has expired, but the host stays approved
+		}
 	case RefusedUnhealthy:
 		h.health.avoid(now, unhealthyBackoff)
 	case RefusedInvalid:
