Leave a busy owner that answers in place for longer

An owner of 3,002 hosts may write nothing for 0.9 s, the time after which a follower without an answer claimed; a change of the owner of so many hosts takes seconds.

--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -15,10 +15,11 @@
 const (
 	// ownerSilenceTimeout is how long the owner may write no ownership or progress
 	// record before it is considered failed. The owner writes a heartbeat every 400 ms.
-	// unreachableOwnerTimeout applies instead if the owner's process does not answer
-	// this node either.
-	ownerSilenceTimeout     = 1200 * time.Millisecond
-	unreachableOwnerTimeout = 900 * time.Millisecond
+	// actingOwnerTimeout applies instead if its process answers this node that it acts:
+	// it may only be busy, and the change to another owner of many hosts takes longer
+	// than such a pause.
+	ownerSilenceTimeout = 1200 * time.Millisecond
+	actingOwnerTimeout  = 2 * time.Second
 	// slowStoreThreshold is the time of an answer of the store from which silence in the
 	// log says little about the owner: its records may wait for the store.
 	slowStoreThreshold = 100 * time.Millisecond
@@ -143,9 +144,9 @@
 	case answered && v.storeDelay() > 0:
 		return owner.AuthorityDuration + ownerSilenceTimeout + v.storeDelay()
 	case answered:
-		return ownerSilenceTimeout
+		return actingOwnerTimeout
 	default:
-		return unreachableOwnerTimeout + v.storeDelay()
+		return ownerSilenceTimeout + v.storeDelay()
 	}
 }
 
