Notice at once again that the owner's process has exited

Found by reading: since the question whether the owner acts was added, its machine was probed for a refused connection only after 0.5 s of silence, so each kill of the owner cost half a second more. The probe runs at once again; only the question waits. Also: the sums of what may run on silent hosts are no longer worked out once all runs are known.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -101,9 +101,7 @@
 		}
 		now := n.clock.Now()
 		v := n.electionInput(now, asOf)
-		if e.ownerSilentFor(now, v) >= ownerProbeSilence {
-			n.probeOwner(ctx, v.owner)
-		}
+		n.probeOwner(ctx, v.owner, e.ownerSilentFor(now, v) >= ownerProbeSilence)
 		if n.owner() == nil && e.shouldClaim(now, v) {
 			n.tryClaim(ctx, v.owner, v.nextToken())
 			e.nextClaimAt = n.clock.Now() + claimRetryDelay
@@ -134,10 +132,10 @@
 	at    time.Duration
 }
 
-// probeOwner asks the owner's process whether it acts, unless a probe is running. It
-// is called while the owner is silent in the log. The results are stored in
-// ownerAnswer and exitedOwnerInstance.
-func (n *Node) probeOwner(ctx context.Context, o registry.Ownership) {
+// probeOwner finds out whether the owner's process has exited and, if it is silent in
+// the log, asks it whether it acts, unless a probe is running. The results are stored
+// in exitedOwnerInstance and ownerAnswer.
+func (n *Node) probeOwner(ctx context.Context, o registry.Ownership, silent bool) {
 	if o.Node == "" || o.Node == n.self.Name || n.exitedOwner() == o.InstanceID || !n.probingOwner.CompareAndSwap(false, true) {
 		return
 	}
@@ -148,6 +146,9 @@
 			n.exitedOwnerInstance.Store(&o.InstanceID)
 			return
 		}
+		if !silent {
+			return
+		}
 		sent := n.clock.Now()
 		acts, err := n.pool.OwnerActs(ctx, o.Node, o.Token)
 		if err != nil || !acts {
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // Options configure a Scheduler.
@@ -160,6 +161,9 @@
 	for _, h := range s.hosts {
 		h.earlierRunsUnknown = false
 	}
+	for _, t := range s.teams {
+		t.unknownUsage = resource.Vector{}
+	}
 	for _, g := range s.groups {
 		if g.step.Gang && g.present > 0 && g.present < g.left {
 			s.stopGroup(g, "gang of an earlier owner is incomplete")
--- a/internal/cell/schedule/unknown_usage.go
+++ b/internal/cell/schedule/unknown_usage.go
@@ -7,6 +7,9 @@
 // runs are not known, and no more than these hosts can hold. Without it a team
 // could exceed its limit after a takeover, since newer submissions start at once.
 func (s *Scheduler) updateUnknownUsage() {
+	if s.reconciled {
+		return // every host has answered, or its runs have ended
+	}
 	for _, t := range s.teams {
 		t.unknownUsage = resource.Vector{}
 	}
