Count a passed-over claimer as an owner that may have acted

Found in the last read of the change: a claim that passes over another node's token kept the owner before that node as its previous one. Had that one released, hosts that do not answer were waited for too briefly, though the passed-over node may have started runs there. Now the longer wait holds.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -187,7 +187,7 @@
 	firstSequence := 1 + rand.Int64N(maxFirstSequence)
 	next := registry.Ownership{Node: n.self.Name, InstanceID: n.self.InstanceID, Token: token, FirstSequence: firstSequence}
 	c := &claim{
-		owner: next, previous: previous, sentAt: n.clock.Now(),
+		owner: next, previous: ownerBefore(token, previous), sentAt: n.clock.Now(),
 		journal: worklog.NewJournal(n.workTarget("election", ownerAppender), next.Token, firstSequence, func() { n.requestTakeover(next.Token) }),
 	}
 	n.mu.Lock()
@@ -213,6 +213,16 @@
 	}
 }
 
+// ownerBefore returns the owner before a claim of token, given the last one that was
+// read. If the claim passes over another node's, that node may have acted, so nothing
+// is known to be reconciled.
+func ownerBefore(token int64, read registry.Ownership) registry.Ownership {
+	if token == read.Token+1 {
+		return read
+	}
+	return registry.Ownership{Node: "unknown", Token: token - 1}
+}
+
 // requestTakeover asks the other nodes to take over, since the store has refused
 // several appends of this node. At a slow store that concerns all nodes, and a new
 // owner would fare no better.
