Log under which version and how old a state a call was refused, and whose refusal was passed on

Each refusal with 401 or 404 now names version and age of the state, a refusal that another node gave names that node, and the line about a new desired state names the age of the one before. No logic is changed.

--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -39,6 +39,9 @@
 	// Desired returns the applied desired state, nil before the first read, and
 	// whether it is fresh enough to check keys.
 	Desired() (d *cell.Desired, fresh bool)
+	// DesiredAge returns how long ago the applied desired state was known to be the
+	// newest one.
+	DesiredAge() time.Duration
 	// Find returns what is stored about a submission, false if nothing is.
 	Find(id string) (registry.Entry, bool)
 	// Pending returns how many accepted submissions of a queue have not started.
@@ -111,6 +114,9 @@
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, Authorization: r.Header.Get("Authorization"), Body: body,
 	}
 	resp := h.forwardOrAnswer(ctx, request)
+	if resp.Node != "" && resp.Status != http.StatusOK {
+		h.Logger.Info("The refusal of another node was passed on.", "status", resp.Status, "method", r.Method, "path", r.URL.Path, "node", resp.Node)
+	}
 	if h.Metrics != nil {
 		h.Metrics.Tagged(map[string]string{"method": r.Method, "status": strconv.Itoa(resp.Status)}).Counter("answers").Inc(1)
 	}
@@ -173,7 +179,7 @@
 	host, _, _ := strings.Cut(r.Host, ":")
 	q, id, ok := d.Route(host, r.Path)
 	if !ok {
-		return errorResponse(http.StatusNotFound, "no queue has this host and path")
+		return h.refuse(r, d, http.StatusNotFound, "no queue has this host and path")
 	}
 	c := call{handler: h, request: r, fallback: fallback, queue: q, id: id}
 	if !q.WithoutKey {
@@ -185,7 +191,7 @@
 			c.team, ok = d.TeamOf(key)
 		}
 		if !ok {
-			return errorResponse(http.StatusUnauthorized, "the Authorization header has no valid API key")
+			return h.refuse(r, d, http.StatusUnauthorized, "the Authorization header has no valid API key")
 		}
 	}
 	if q.Timeout > 0 {
@@ -196,6 +202,13 @@
 	return c.dispatch(ctx)
 }
 
+// refuse returns the refusal of a call that the desired state does not allow, and
+// logs the version and the age of the state.
+func (h *Handler) refuse(r *peers.CallRequest, d *cell.Desired, status int, reason string) *peers.CallResponse {
+	h.Logger.Info("A call was refused.", "status", status, "method", r.Method, "path", r.Path, "reason", reason, "version", d.Version, "age", h.State.DesiredAge())
+	return errorResponse(status, reason)
+}
+
 // errorResponse returns a response with an error status and without a Retry-After
 // header.
 func errorResponse(status int, reason string) *peers.CallResponse {
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -42,6 +42,7 @@
 
 func (n *fakeNode) Refresh(context.Context)               {}
 func (n *fakeNode) Desired() (*cell.Desired, bool)        { return n.desired, n.fresh }
+func (n *fakeNode) DesiredAge() time.Duration             { return 0 }
 func (n *fakeNode) Find(id string) (registry.Entry, bool) { e, ok := n.entries[id]; return e, ok }
 func (n *fakeNode) Pending(string) int                    { return 12 }
 func (n *fakeNode) CatchUp(context.Context) error         { return n.catchUp }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -234,7 +234,7 @@
 			break
 		}
 	}
-	n.log.Info("node: A new desired state was applied.", "version", d.Version, "from", from, "queues", len(d.Queues), "teams", len(d.Teams))
+	n.log.Info("node: A new desired state was applied.", "version", d.Version, "from", from, "age", n.DesiredAge(), "queues", len(d.Queues), "teams", len(d.Teams))
 	if o := n.owner(); o != nil {
 		o.SetDesired(d)
 	}
@@ -335,6 +335,12 @@
 	return current.Desired, ok && age < config.Millis(n.settings.Bounds.RevokeMs)-revokeMargin
 }
 
+// DesiredAge implements front.State.
+func (n *Node) DesiredAge() time.Duration {
+	asOf, _ := n.desiredReader.AsOf()
+	return n.clock.Now() - asOf
+}
+
 // Refresh implements front.State. The state is read again from an age of
 // desiredRefreshAge.
 func (n *Node) Refresh(ctx context.Context) {
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -82,6 +82,7 @@
 		cancel()
 		switch {
 		case err == nil && out.canPassOn(r, v):
+			out.Node = e.name
 			return &out, nil
 		case err == nil:
 			lastErr = verdict.New(v, "peer-unavailable", "node %s answered with status %d", e.name, out.Status)
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -56,6 +56,8 @@
 	// Desired is the record of the desired state of the answering node, if its
 	// version is newer than that of the forwarding node.
 	Desired []byte `json:"desired,omitempty"`
+	// Node is the node that answered a forwarded call. The forwarding node sets it.
+	Node string `json:"-"`
 }
 
 // IsWrite reports whether the call stores a record.
