Decide calls only on a desired state that is proved fresh

Cause: the age of the desired state was compared with one bound only, that of withdrawn keys (revokeMs less 0.7 s: 4.3 s), and only for a call with a known queue that needs a key. A refresh was tried for 0.4 s and its failure ignored.

Change: the shorter one of config_apply_ms (new setting) and revoke_ms, less 0.2 s, bounds the state for every call. A node whose state is older forwards the call to another node, which has to prove its own; if none can, the call gets 503 and Retry-After. The proof holds for the moment of the decision, which is later than that at which the call was sent, so it is enough wherever the call waited.

The expectation that a call to a queue without keys is accepted on an old state was wrong: the queue may have been removed. It is replaced by the entries "queue without keys" and "pending count of a queue without keys", which expect 503 and nothing stored.

--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -48,9 +48,12 @@
 
 // Bounds holds the platform's time limits that decisions depend on.
 type Bounds struct {
-	MaxLeaseMs    int64   `toml:"max_lease_ms"`
-	GangTimeoutMs int64   `toml:"gang_timeout_ms"`
-	RevokeMs      int64   `toml:"revoke_ms"`
+	MaxLeaseMs    int64 `toml:"max_lease_ms"`
+	GangTimeoutMs int64 `toml:"gang_timeout_ms"`
+	RevokeMs      int64 `toml:"revoke_ms"`
+	// ConfigApplyMs is the time within which a confirmed desired state has to be in
+	// force.
+	ConfigApplyMs int64   `toml:"config_apply_ms"`
 	GraceSeconds  float64 `toml:"grace_seconds"`
 	StatusSeconds float64 `toml:"status_seconds"`
 }
@@ -72,7 +75,7 @@
 // Default returns the default values of the settings that a file may omit.
 func Default() Settings {
 	return Settings{
-		Bounds: Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, GraceSeconds: 6, StatusSeconds: 120},
+		Bounds: Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, ConfigApplyMs: 2000, GraceSeconds: 6, StatusSeconds: 120},
 		Limits: Limits{MemoryMiB: 284, Cores: 1},
 		Log:    Log{Level: "info", Format: "text"},
 	}
@@ -125,7 +128,7 @@
 		value float64
 	}{
 		{"bounds.max_lease_ms", float64(s.Bounds.MaxLeaseMs)}, {"bounds.gang_timeout_ms", float64(s.Bounds.GangTimeoutMs)},
-		{"bounds.revoke_ms", float64(s.Bounds.RevokeMs)}, {"bounds.grace_seconds", s.Bounds.GraceSeconds},
+		{"bounds.revoke_ms", float64(s.Bounds.RevokeMs)}, {"bounds.config_apply_ms", float64(s.Bounds.ConfigApplyMs)}, {"bounds.grace_seconds", s.Bounds.GraceSeconds},
 		{"limits.memory_mib", float64(s.Limits.MemoryMiB)},
 	} {
 		require(b.value > 0, b.field, "", "a number above 0")
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -37,7 +37,7 @@
 	// Refresh reads the desired state again if the last read is too old.
 	Refresh(ctx context.Context)
 	// Desired returns the applied desired state, nil before the first read, and
-	// whether it is fresh enough to check keys.
+	// whether it is fresh enough to decide calls on it.
 	Desired() (d *cell.Desired, fresh bool)
 	// DesiredAge returns how long ago the applied desired state was known to be the
 	// newest one.
@@ -176,6 +176,9 @@
 	if d == nil {
 		return unavailableResponse("no desired state has been read yet")
 	}
+	if !fresh {
+		return h.answerElsewhere(ctx, r, d, fallback)
+	}
 	host, _, _ := strings.Cut(r.Host, ":")
 	q, id, ok := d.Route(host, r.Path)
 	if !ok {
@@ -183,9 +186,6 @@
 	}
 	c := call{handler: h, request: r, fallback: fallback, queue: q, id: id}
 	if !q.WithoutKey {
-		if !fresh {
-			return unavailableResponse("keys cannot be checked, since the desired state may be out of date")
-		}
 		key, ok := platform.APIKey(r.Authorization)
 		if ok {
 			c.team, ok = d.TeamOf(key)
@@ -202,6 +202,23 @@
 	return c.dispatch(ctx)
 }
 
+// answerElsewhere forwards a call that cannot be decided here, since a newer version
+// of the desired state may be in force. A disconnected node has already tried that.
+// d is the applied desired state.
+func (h *Handler) answerElsewhere(ctx context.Context, r *peers.CallRequest, d *cell.Desired, fallback Forwarder) *peers.CallResponse {
+	if fallback != nil && !h.State.Disconnected() {
+		resp, err := fallback.Forward(ctx, r)
+		if err == nil {
+			return resp
+		}
+		if r.IsWrite() && verdict.Of(err) != verdict.DidNotRun {
+			return errorResponse(http.StatusGatewayTimeout, "another node did not answer; the outcome is unknown")
+		}
+	}
+	h.Logger.Warn("A call was not decided, since the desired state may be out of date.", "method", r.Method, "path", r.Path, "version", d.Version, "age", h.State.DesiredAge())
+	return unavailableResponse("the desired state may be out of date")
+}
+
 // refuse returns the refusal of a call that the desired state does not allow, and
 // logs the version and the age of the state.
 func (h *Handler) refuse(r *peers.CallRequest, d *cell.Desired, status int, reason string) *peers.CallResponse {
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -168,7 +168,41 @@
 	ginkgo.It("checks keys only against a fresh desired state", func() {
 		n.fresh = false
 		gomega.Expect(call("POST", "/q/"+id, "key-a", body).Code).To(gomega.Equal(503))
-		gomega.Expect(call("POST", "/q/open/"+id, "", body).Code).To(gomega.Equal(200))
+	})
+
+	// Guards against a call that is handled as only an older version of the desired state
+	// allows: refused for a queue or a key that a newer version has, or answered through
+	// a queue that a newer version has removed.
+	ginkgo.DescribeTable("decides nothing on a desired state that may be out of date", func(method, path, key string) {
+		n.fresh = false
+		w := call(method, path, key, body)
+		gomega.Expect(w.Code).To(gomega.Equal(503))
+		gomega.Expect(w.Header().Get("Retry-After")).NotTo(gomega.BeEmpty())
+		gomega.Expect(n.stored).To(gomega.BeEmpty())
+		n.forward = forwardAnswers(&peers.CallResponse{Status: 200}, nil)
+		gomega.Expect(call(method, path, key, body).Code).To(gomega.Equal(200), "another node has a fresh state")
+		n.forward = forwardAnswers(&peers.CallResponse{Status: 404}, nil)
+		gomega.Expect(call(method, path, key, body).Code).To(gomega.Equal(404), "another node has a fresh state")
+	},
+		ginkgo.Entry("unknown queue", "POST", "/x/"+id, "key-a"),
+		ginkgo.Entry("pending count of an unknown queue", "GET", "/x/", "key-a"),
+		ginkgo.Entry("unknown key", "POST", "/q/"+id, "key-x"),
+		ginkgo.Entry("no key", "GET", "/q/"+id, ""),
+		ginkgo.Entry("known key", "POST", "/q/"+id, "key-a"),
+		ginkgo.Entry("queue without keys", "POST", "/q/open/"+id, ""),
+		ginkgo.Entry("pending count of a queue without keys", "GET", "/q/open/", ""),
+	)
+
+	// Guards against a refusal on an old state by a node whose call no other node
+	// answered, and against work that is refused though another node may have stored it.
+	ginkgo.It("refuses nothing on an old state after the other nodes have not answered", func() {
+		n.fresh, n.disconnected = false, true
+		n.forward = forwardAnswers(nil, didNotRunError())
+		gomega.Expect(call("GET", "/x/"+id, "key-a", "").Code).To(gomega.Equal(503))
+		gomega.Expect(n.forwardCalls).To(gomega.Equal(1))
+		n.disconnected = false
+		n.forward = forwardAnswers(nil, mayHaveRunError())
+		gomega.Expect(call("POST", "/q/"+id, "key-a", body).Code).To(gomega.Equal(504))
 	})
 	ginkgo.It("answers 503 with Retry-After before the first read of the desired state", func() {
 		n.desired = nil
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -45,13 +45,8 @@
 	// cannot hide a change for longer than the time within which the change has to
 	// take effect.
 	desiredTimeoutMargin = 600 * time.Millisecond
-	// revokeMargin is the safety margin for withdrawn keys: the desired state counts
-	// as out of date this long before the time at which a withdrawn key must no
-	// longer be accepted.
-	revokeMargin = 700 * time.Millisecond
-	// desiredRefreshAge is the age from which the desired state is read again
-	// before a call is answered, desiredRefreshTimeout the timeout of that read.
-	desiredRefreshAge     = 1200 * time.Millisecond
+	// desiredRefreshTimeout is the timeout of a read of the desired state before a call
+	// is answered.
 	desiredRefreshTimeout = 400 * time.Millisecond
 	// disconnectedThreshold is the age of the last read of the work topic above
 	// which calls are forwarded to other nodes. A read that waits for a record
@@ -332,7 +327,7 @@
 	if current == nil {
 		return nil, false
 	}
-	return current.Desired, ok && age < config.Millis(n.settings.Bounds.RevokeMs)-revokeMargin
+	return current.Desired, ok && age < maxDesiredAge(n.settings.Bounds)
 }
 
 // DesiredAge implements front.State.
@@ -341,11 +336,11 @@
 	return n.clock.Now() - asOf
 }
 
-// Refresh implements front.State. The state is read again from an age of
-// desiredRefreshAge.
+// Refresh implements front.State. The state is read again from the age
+// desiredRefreshAge on.
 func (n *Node) Refresh(ctx context.Context) {
 	asOf, ok := n.desiredReader.AsOf()
-	if !ok || n.clock.Now()-asOf < desiredRefreshAge {
+	if !ok || n.clock.Now()-asOf < desiredRefreshAge(n.settings.Bounds) {
 		return
 	}
 	n.readDesired(ctx)
