Let the reader of the desired state never wait for the owner

Cause: the goroutine that reads the desired state passed each version to the scheduler and waited for the owner's lock, which a decision holds, and for the node's lock, which the start of a term holds while all submissions are loaded. The next version was not even asked for meanwhile. Class: a reader that is coupled to the work of its consumer.

Change: the owner fetches the applied state when it loads submissions and before each decision; nothing is pushed. That also ends a race in which two versions that arrived from the store and from another node could be passed to the scheduler in the wrong order.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -230,9 +230,14 @@
 		}
 	}
 	n.log.Info("node: A new desired state was applied.", "version", d.Version, "from", from, "age", n.DesiredAge(), "queues", len(d.Queues), "teams", len(d.Teams))
-	if o := n.owner(); o != nil {
-		o.SetDesired(d)
+}
+
+// appliedDesired returns the desired state that is applied, nil before the first one.
+func (n *Node) appliedDesired() *cell.Desired {
+	if d := n.desired.Load(); d != nil {
+		return d.Desired
 	}
+	return nil
 }
 
 // applyWork applies records of the work topic. A term begins at the record of its
--- a/internal/cell/owner/hostpoller_test.go
+++ b/internal/cell/owner/hostpoller_test.go
@@ -52,7 +52,7 @@
 	clock := boottime.Clock{}
 	hostClient := &fakeHostClient{startedAt: time.Now()}
 	w := New(Options{
-		Self: registry.Ownership{Node: "n", InstanceID: "b", Token: 1}, Clock: clock, WallClock: func() time.Duration { return 0 },
+		Self: registry.Ownership{Node: "n", InstanceID: "b", Token: 1}, Clock: clock, WallClock: func() time.Duration { return 0 }, Desired: func() *cell.Desired { return nil },
 		Log: slog.New(slog.DiscardHandler), HostClient: hostClient, Journal: &fakeJournal{},
 		EarlierOwnersGone: func() bool { return true }, MaxLease: 300 * time.Millisecond, RetentionPeriod: time.Minute,
 	})
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -45,6 +45,9 @@
 	Log       *slog.Logger
 	// Metrics counts orders and results.
 	Metrics    tally.Scope
+	// Desired returns the newest desired state that this process has applied, nil before
+	// the first one.
+	Desired func() *cell.Desired
 	HostClient HostClient
 	Advisor    Advisor
 	Journal    Journal
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -40,6 +40,8 @@
 
 	mu        sync.Mutex
 	scheduler *schedule.Scheduler
+	// desired is the desired state that the scheduler has.
+	desired *cell.Desired
 	hosts     map[string]*hostPoller
 	// reconciled is set once every run of earlier owners is known or has ended.
 	reconciled bool
@@ -84,6 +86,7 @@
 func (ow *Owner) Load(entries []registry.Entry) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
+	ow.updateDesired()
 	now, wall := ow.options.Clock.Now(), ow.options.WallClock()
 	for _, e := range entries {
 		if e.Progress.State.Final() {
@@ -117,12 +120,13 @@
 	ow.requestDecision()
 }
 
-// SetDesired replaces the desired state.
-func (ow *Owner) SetDesired(d *cell.Desired) {
-	ow.mu.Lock()
-	ow.scheduler.SetDesired(d)
-	ow.mu.Unlock()
-	ow.requestDecision()
+// updateDesired passes a new desired state to the scheduler. The owner fetches the
+// state, so that the reader of the desired state never waits for a decision.
+func (ow *Owner) updateDesired() {
+	if d := ow.options.Desired(); d != nil && d != ow.desired {
+		ow.desired = d
+		ow.scheduler.SetDesired(d)
+	}
 }
 
 func (ow *Owner) requestDecision() {
@@ -198,6 +202,7 @@
 		ow.mu.Unlock()
 		return
 	}
+	ow.updateDesired()
 	startedAt := ow.options.Clock.Now()
 	plan := ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
