Count crashes of hosts under tasks, and try suspected tasks apart

What callers saw: one task in fifty of the quick kind that crashes its hosts took the service down for all.

Cause: a run that is gone with its host was started again at once, without bound; only ends `failed` count. What had run beside it started again together with it. Class: a failure without a report is not counted.

When the process of a host goes (its connections break or are refused, or it answers as another instance), the runs that had started last before that are suspected; if none had started within 150 ms, every run there is, and a second crash makes it a suspect. The crashes are stored with the progress. A suspected submission comes after all sound work and starts one task, or its gang, alone on a host that is kept free of other work: one host in eight, or what no other work needs. It is cleared when the task has run there three times as long as the crash took, or is done; it fails after a second crash that only it can have caused, or a third in any case. A trial that a new owner finds without an outcome counts as a crash. If 6 % of a queue's starts crash their hosts, its submissions start one task first, and as many as are expected to crash a quarter of the hosts; from 15 % on they start only like suspected ones. A host that leaves, or whose leases expired while it was silent, has not crashed.

--- /dev/null
+++ b/internal/cell/crash.go
@@ -0,0 +1,14 @@
+package cell
+
+// Crash is a crash of the host of a run.
+type Crash struct {
+	Run int64 `json:"run"`
+	// Recent is set if the run had started right before the crash, so that it may have
+	// caused it. Otherwise every run on the host may have.
+	Recent bool `json:"recent,omitempty"`
+	// Suspects is the number of submissions that may have caused the crash.
+	Suspects int `json:"suspects,omitempty"`
+	// Seen is set if the run was known to be present before the crash. Otherwise its
+	// start had no answer.
+	Seen bool `json:"seen,omitempty"`
+}
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -25,6 +25,9 @@
 	// pollRetryInterval is the wait after a failed poll, and between checks of the
 	// authority while it is not valid.
 	pollRetryInterval = 100 * time.Millisecond
+	// minHeldPoll is the least duration of a failed poll from which the host has held it
+	// open.
+	minHeldPoll = 20 * time.Millisecond
 	// storeWaitTimeout is how long a poller waits for the results of a poll to be
 	// stored. While they cannot be stored it is the interval between polls.
 	storeWaitTimeout = 300 * time.Millisecond
@@ -54,6 +57,8 @@
 	// of a fencing token or a restart. After an interrupted poll it is at least one.
 	// While it is not zero, polls do not renew the lease.
 	failures int
+	// answeredAt is when the host last answered a poll.
+	answeredAt time.Duration
 	// startedMs is the start time of the host in Unix milliseconds.
 	startedMs int64
 	// storedResult and seenResult are the highest numbers of results that are
@@ -217,8 +222,7 @@
 		ow.loseOwnership("host " + h.host.ID + " has seen a higher fencing token")
 		return false
 	case err == nil && refusal == platform.RefusedHostRestarted:
-		ow.options.Log.Info("A host has restarted as another instance; its runs are gone.", "host", h.host.ID)
-		ow.recordAllRunsGone(h, now)
+		ow.recordRestart(h, now)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
 	case err != nil || refusal != platform.NotRefused:
@@ -226,6 +230,9 @@
 			h.failures = max(h.failures, 1) // so that the next poll renews no lease and the host answers it at once
 			return true
 		}
+		if err != nil && platform.ProcessGone(err) {
+			ow.recordCrash(h, sentAt, now)
+		}
 		ow.pollFailed(h, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
@@ -233,7 +240,7 @@
 	if unreadable > 0 {
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
-	h.failures = 0
+	h.failures, h.answeredAt = 0, now
 	ow.applyReport(ctx, h, sentAt, now, l)
 	return true
 }
@@ -297,6 +304,31 @@
 	}
 }
 
+// recordCrash informs the scheduler that the process of a host has gone. A poll that
+// the host held open breaks at that moment; one that is refused at once only shows
+// that it has happened since the last answer.
+func (ow *Owner) recordCrash(h *hostPoller, sentAt, now time.Duration) {
+	notBefore := now
+	if now-sentAt < minHeldPoll {
+		notBefore = h.answeredAt
+	}
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
+}
+
+// recordRestart records that a host has restarted as another instance.
+func (ow *Owner) recordRestart(h *hostPoller, now time.Duration) {
+	if h.allRunsGone {
+		return // known already; the host list still names the earlier instance
+	}
+	ow.options.Log.Info("A host has restarted as another instance; its runs are gone.", "host", h.host.ID)
+	ow.mu.Lock()
+	ow.scheduler.MarkCrashed(h.host.ID, h.answeredAt, now)
+	ow.mu.Unlock()
+	ow.recordAllRunsGone(h, now)
+}
+
 // recordAllRunsGone informs the scheduler that a host has no runs any more: all
 // leases there have expired, or the host has restarted.
 func (ow *Owner) recordAllRunsGone(h *hostPoller, now time.Duration) {
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -44,10 +44,10 @@
 	WallClock func() time.Duration
 	Log       *slog.Logger
 	// Metrics counts orders and results.
-	Metrics    tally.Scope
+	Metrics tally.Scope
 	// Desired returns the newest desired state that this process has applied, nil before
 	// the first one.
-	Desired func() *cell.Desired
+	Desired    func() *cell.Desired
 	HostClient HostClient
 	Advisor    Advisor
 	Journal    Journal
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -42,7 +42,7 @@
 	scheduler *schedule.Scheduler
 	// desired is the desired state that the scheduler has.
 	desired *cell.Desired
-	hosts     map[string]*hostPoller
+	hosts   map[string]*hostPoller
 	// reconciled is set once every run of earlier owners is known or has ended.
 	reconciled bool
 	// stopping is set once no further orders may be sent.
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -37,6 +37,13 @@
 	// host lists again is counted once. The failures of a gang are stored under
 	// its first task.
 	Failures map[int][]int64 `json:"failures,omitempty"`
+	// Crashes lists the crashes of hosts that each task may have caused, by index. Those
+	// of a gang are stored under its first task.
+	Crashes map[int][]Crash `json:"crashes,omitempty"`
+	// Trials holds the run of each suspected task that was started alone on a host and
+	// has not ended, by index. If nothing becomes known of it after a takeover, its host
+	// is assumed to have crashed.
+	Trials map[int]int64 `json:"trials,omitempty"`
 	// Checkpoints holds the checkpoints from which tasks resume, by index.
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -53,6 +53,18 @@
 	return ok
 }
 
+// deniedOn reports whether advice lets the group not run on a host.
+func (g *group) deniedOn(h *host) bool { return g.policy() != nil && g.advice.denied[h] }
+
+// adviceDuration returns how long advice about one host takes; zero if the group needs
+// none.
+func (g *group) adviceDuration() time.Duration {
+	if p := g.policy(); p != nil {
+		return p.CallDuration(1)
+	}
+	return 0
+}
+
 // ticketFor returns the ticket for a host and whether it is valid. A restart of
 // the host invalidates its ticket. A group without an advice policy needs none.
 func (g *group) ticketFor(h *host, now time.Duration) (string, bool) {
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -29,6 +29,10 @@
 	violations         []string
 	// fails decides whether a run fails.
 	fails func(t cell.TaskID, run int64) bool
+	// deadly decides whether a task crashes its host when it starts there. crashes counts
+	// the crashes that a task caused, and startsAfter its starts after the third one.
+	deadly               func(t cell.TaskID) bool
+	crashes, startsAfter map[cell.TaskID]int
 	// approves decides whether the advice service lets a group run on a host.
 	approves func(g cell.GroupID, host string) bool
 }
@@ -48,6 +52,8 @@
 	endCount    int64
 	startedMs   int64
 	unreachable bool
+	// downUntil is when a crashed host is back; zero unless it has crashed.
+	downUntil time.Duration
 }
 
 func newCluster(hosts int, capacity resource.Vector) *cluster {
@@ -55,7 +61,8 @@
 		s: New(Options{GangTimeout: 3 * time.Second}), now: time.Hour,
 		hosts: make(map[string]*fakeHost), jobs: make(map[string]*cell.Submission),
 		done: make(map[cell.TaskID]bool), reportedDone: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
-		fails:    func(cell.TaskID, int64) bool { return false },
+		fails:  func(cell.TaskID, int64) bool { return false },
+		deadly: func(cell.TaskID) bool { return false }, crashes: make(map[cell.TaskID]int), startsAfter: make(map[cell.TaskID]int),
 		approves: func(cell.GroupID, string) bool { return true },
 	}
 	c.teams = map[string]cell.Team{"a": {Name: "a", Weight: 100}, "b": {Name: "b", Weight: 100}}
@@ -172,6 +179,13 @@
 		c.violation("%s starts on %s without approval", o.Task, o.Host)
 	}
 	h.runs = append(h.runs, &fakeRun{task: o.Task, run: o.Run, endsAt: c.now + step.Estimate})
+	if c.crashes[o.Task] >= 3 {
+		c.startsAfter[o.Task]++
+	}
+	if c.deadly(o.Task) {
+		c.crashes[o.Task]++
+		c.crash(h.id)
+	}
 }
 
 // teamUsage returns the size of a run of submission s if it belongs to the team
@@ -187,6 +201,7 @@
 // is answered.
 func (c *cluster) advance(d time.Duration) {
 	c.now += d
+	c.restartCrashed()
 	c.endDueRuns()
 	c.pollHosts()
 	c.decide(nil)
--- /dev/null
+++ b/internal/cell/schedule/crash_test.go
@@ -0,0 +1,310 @@
+package schedule
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// crashDowntime is how long a crashed host is away.
+const crashDowntime = 3300 * time.Millisecond
+
+// crash ends the process of a host, which is back after crashDowntime.
+func (c *cluster) crash(id string) {
+	h := c.hosts[id]
+	if h.downUntil != 0 {
+		return
+	}
+	h.unreachable, h.downUntil = true, c.now+crashDowntime
+	h.runs, h.ended = nil, nil
+	c.s.MarkCrashed(id, c.now, c.now)
+	c.s.MarkUnreachable(id)
+}
+
+// restartCrashed brings back the crashed hosts whose time has come.
+func (c *cluster) restartCrashed() {
+	for _, id := range c.ids() {
+		if h := c.hosts[id]; h.downUntil != 0 && c.now >= h.downUntil {
+			h.downUntil = 0
+			c.restart(id)
+		}
+	}
+}
+
+func isDeadly(t cell.TaskID) bool { return strings.HasPrefix(t.Submission, "deadly") }
+
+func crashCluster(hosts int) *cluster {
+	c := newCluster(hosts, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, MaxAttempts: 3})
+	c.deadly = isDeadly
+	return c
+}
+
+func smallStep(count int, estimate time.Duration) cell.Step {
+	return cell.Step{Count: count, Size: resource.Vector{MilliCPU: 1400, MemoryMiB: 1024}, Estimate: estimate}
+}
+
+// checkCrashes checks what a task that crashes its hosts may cost: its submission is
+// given up, it does not start three times after its third crash, and no other
+// submission fails.
+func checkCrashes(t rapid.TB, c *cluster) {
+	for id := range c.jobs {
+		want := cell.Completed
+		if strings.HasPrefix(id, "deadly") {
+			want = cell.Failed
+		}
+		if c.state[id] != want {
+			t.Errorf("%s is %s, want %s", id, c.state[id], want)
+		}
+	}
+	for id, n := range c.startsAfter {
+		if n >= 3 {
+			t.Errorf("%s was started %d times after three hosts had crashed under it", id, n)
+		}
+	}
+	for _, v := range c.violations {
+		t.Error(v)
+	}
+}
+
+// Guards against a task that crashes host after host: its runs were lost without an
+// outcome, so it was started again without bound, and with it whatever had run beside
+// it.
+func TestTaskThatCrashesItsHostsIsGivenUp(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		c := crashCluster(8)
+		for i := range 20 {
+			c.submit(fmt.Sprintf("sound%02d", i), "q", "a", smallStep(3, 2*time.Second))
+		}
+		c.advance(time.Second)
+		step := smallStep(3, time.Second)
+		step.Gang = gang
+		c.submit("deadly", "q", "b", step)
+		if !c.stepUntilFinished(400, 100*time.Millisecond) {
+			t.Errorf("gang %t: submissions are open after 40 s", gang)
+		}
+		checkCrashes(t, c)
+		for id, n := range c.crashes {
+			if n > crashesToFail {
+				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crashesToFail)
+			}
+		}
+	}
+}
+
+// Guards against crash counts that a takeover forgets, against bystanders that are
+// given up, and against suspected work that waits for ever, whatever else crashes.
+func TestCrashesAreBoundedAcrossTakeovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := crashCluster(rapid.IntRange(4, 12).Draw(t, "hosts"))
+		jobs, takeovers, crashes := 0, 0, 0
+		for range rapid.IntRange(5, 60).Draw(t, "events") {
+			switch e := rapid.IntRange(0, 9).Draw(t, "event"); {
+			case e < 6:
+				jobs++
+				name := rapid.SampledFrom([]string{"sound", "sound", "sound", "deadly"}).Draw(t, "kind")
+				step := smallStep(rapid.IntRange(1, 4).Draw(t, "tasks"), time.Duration(rapid.IntRange(300, 4000).Draw(t, "estimate"))*time.Millisecond)
+				step.Gang = rapid.Bool().Draw(t, "gang")
+				c.submit(fmt.Sprintf("%s%02d", name, jobs), "q", "a", step)
+			case e == 6 && takeovers < 2:
+				takeovers++
+				c.replaceOwner()
+				if !c.anyUnreachable() {
+					c.s.MarkReconciled(c.now)
+				}
+			case e == 7 && crashes < 1:
+				crashes++
+				c.crash(rapid.SampledFrom(c.ids()).Draw(t, "host"))
+			}
+			c.advance(time.Duration(rapid.IntRange(5, 900).Draw(t, "ms")) * time.Millisecond)
+		}
+		for range 45 { // every crashed host is back and has answered the owner
+			c.advance(100 * time.Millisecond)
+		}
+		c.s.MarkReconciled(c.now)
+		if !c.stepUntilFinished(3000, 100*time.Millisecond) {
+			t.Errorf("submissions are open after 300 s")
+		}
+		checkCrashes(t, c)
+	})
+}
+
+// Guards against a new owner that begins to count again: the crashes under a task and
+// its trial have to be on the log.
+func TestCrashCountsSurviveTakeover(t *testing.T) {
+	c := crashCluster(4)
+	c.submit("deadly", "q", "a", smallStep(1, time.Second))
+	takeOver := func() []cell.Crash {
+		c.replaceOwner()
+		for range 45 { // the crashed host is back and has answered
+			c.now += 100 * time.Millisecond
+			c.restartCrashed()
+			c.pollHosts()
+		}
+		c.s.MarkReconciled(c.now)
+		return c.s.jobs["deadly"].groups[0].tasks[0].crashes
+	}
+	c.advance(10 * time.Millisecond)
+	for range 34 {
+		c.advance(100 * time.Millisecond)
+	}
+	if got := takeOver(); c.crashes[cell.TaskID{Submission: "deadly"}] != 2 || len(got) != 2 {
+		t.Errorf("%d hosts crashed under the task, %+v is known after the takeover, want 2", c.crashes[cell.TaskID{Submission: "deadly"}], got)
+	}
+	if !c.s.underTrial(c.s.jobs["deadly"]) {
+		t.Error("the task is not suspected after the takeover")
+	}
+	if !c.stepUntilFinished(100, 100*time.Millisecond) {
+		t.Error("the submission is open after 10 s")
+	}
+	checkCrashes(t, c)
+	if got := c.crashes[cell.TaskID{Submission: "deadly"}]; got > maxCrashes {
+		t.Errorf("%d hosts crashed under the task, want %d at most", got, maxCrashes)
+	}
+}
+
+// Guards against sound work beside a suspected task, which would be lost with it, and
+// against suspected tasks that hold more hosts than they may while other work waits.
+func TestSuspectedTasksRunAloneOnFewHosts(t *testing.T) {
+	c := crashCluster(16)
+	c.queue(cell.Queue{Name: "other", Stretch: 2, Latency: time.Second, MaxAttempts: 3})
+	trials := 0
+	for i := range 150 {
+		c.submit(fmt.Sprintf("sound%03d", i), "other", "a", smallStep(10, 2*time.Second))
+		if i > 20 && i%4 == 0 {
+			c.submit(fmt.Sprintf("deadly%03d", i), "q", "b", smallStep(1, time.Second))
+		}
+		c.advance(100 * time.Millisecond)
+		held := 0
+		for _, h := range c.s.sortedHosts {
+			if h.quarantinedFor == nil {
+				continue
+			}
+			held++
+			if h.trial == nil {
+				continue
+			}
+			trials++
+			for _, a := range h.runs {
+				if a.task.group != h.trial.task.group && (!a.alone || a.orderedAt > h.trial.orderedAt-crashWindow) {
+					t.Fatalf("host %s has another run beside a suspected one that may be the cause of a crash as well", h.spec.ID)
+				}
+			}
+		}
+		if want := len(c.hosts) / hostsPerTrial; held > want {
+			t.Fatalf("suspected tasks hold %d hosts while other work waits, want %d at most", held, want)
+		}
+	}
+	if trials == 0 {
+		t.Error("no suspected task was tried while other work waited")
+	}
+	if !c.stepUntilFinished(2000, 100*time.Millisecond) {
+		t.Error("submissions are open after 200 s")
+	}
+	checkCrashes(t, c)
+}
+
+// Guards against one kind of work that takes down the hosts of all others: when most
+// of its tasks crash their hosts, its new submissions start on few hosts only.
+func TestQueueThatCrashesHostsIsConfined(t *testing.T) {
+	c := crashCluster(16)
+	c.queue(cell.Queue{Name: "other", Stretch: 2, Latency: time.Second, MaxAttempts: 3})
+	worst := 0
+	for i := range 200 {
+		c.submit(fmt.Sprintf("deadly%03d", i), "q", "b", smallStep(2, 500*time.Millisecond))
+		if i%4 == 0 {
+			c.submit(fmt.Sprintf("sound%03d", i), "other", "a", smallStep(8, 2*time.Second))
+		}
+		c.advance(100 * time.Millisecond)
+		down := 0
+		for _, h := range c.hosts {
+			if h.downUntil != 0 {
+				down++
+			}
+		}
+		if i > 60 { // the first crashes have been confirmed
+			worst = max(worst, down)
+		}
+	}
+	if worst > len(c.hosts)/2 {
+		t.Errorf("%d of %d hosts are down at one time", worst, len(c.hosts))
+	}
+	late := 0
+	for id := range c.jobs {
+		if strings.HasPrefix(id, "sound") && c.state[id] != cell.Completed {
+			late++
+		}
+	}
+	if late > 10 {
+		t.Errorf("%d of 50 submissions of the other queue are open", late)
+	}
+	for id, n := range c.startsAfter {
+		if n >= 3 {
+			t.Errorf("%s was started %d times after three hosts had crashed under it", id, n)
+		}
+	}
+	for _, v := range c.violations {
+		t.Error(v)
+	}
+}
+
+// Guards against work that is suspected for good since a connection to its host broke.
+func TestHostThatAnswersAgainClearsItsRuns(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("sound", "q", "a", smallStep(6, 2*time.Second))
+	c.advance(10 * time.Millisecond)
+	j := c.s.jobs["sound"]
+	for _, id := range c.ids() {
+		c.s.MarkCrashed(id, c.now, c.now)
+	}
+	if !c.s.underTrial(j) {
+		t.Error("runs that started right before their hosts went are not suspected")
+	}
+	c.advance(100 * time.Millisecond)
+	if c.s.underTrial(j) {
+		t.Error("runs are suspected although their hosts have not restarted")
+	}
+}
+
+// Guards against a host that leaves, or whose leases expired while it was cut off,
+// being taken for one that crashed.
+func TestOnlyCrashesAreCounted(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("sound", "q", "a", smallStep(2, 10*time.Second))
+	c.advance(10 * time.Millisecond)
+	for id, h := range c.hosts {
+		if len(h.runs) == 0 {
+			continue
+		}
+		h.runs, h.unreachable = nil, true
+		c.s.MarkUnreachable(id)
+		c.s.MarkAllRunsGone(id, c.now)
+	}
+	if c.s.jobs["sound"].suspected {
+		t.Error("runs whose leases expired are suspected")
+	}
+	c.advance(10 * time.Millisecond)
+	var leaving []cell.Host
+	for _, id := range c.ids() {
+		h := c.hosts[id]
+		h.spec.Leaving = len(h.runs) > 0
+		leaving = append(leaving, h.spec)
+	}
+	c.s.SetListedHosts(leaving)
+	for id, h := range c.hosts {
+		if h.spec.Leaving {
+			c.crash(id)
+			c.restart(id)
+		}
+	}
+	c.advance(10 * time.Millisecond)
+	if c.s.jobs["sound"].suspected {
+		t.Error("runs on a host that left are suspected")
+	}
+}
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -29,6 +29,10 @@
 	// memberEndedAt is when the scheduler learned of it.
 	memberEndedAt time.Duration
 	startedAt     time.Duration
+	// trialRetryAt is the earliest time at which hosts are kept free for a trial again.
+	trialRetryAt time.Duration
+	// trial is set while the group is placed that may use only hosts without other runs.
+	trial bool
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -44,6 +44,18 @@
 	// until this pass needs them.
 	expectedEnds []expectedEnd
 	health       health
+	// crashed is set from when the process of the host has gone until the host answers
+	// again or its runs are known to be gone.
+	crashed bool
+	// reportedAt is when the host last reported its runs.
+	reportedAt time.Duration
+	// trial is the run of a suspected task that may crash the host; nil if none.
+	trial *taskRun
+	// quarantinedFor is the group under trial for which the host is kept free of other
+	// work; nil if none.
+	quarantinedFor *group
+	// freeSince is since when a quarantined host is free for the trial.
+	freeSince time.Duration
 	// bestEffortBlockedUntil is until when the host gets no best-effort tasks,
 	// to protect its latency-sensitive tasks.
 	bestEffortBlockedUntil time.Duration
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -35,6 +35,13 @@
 	// subtracted from the same counters.
 	urgent        bool
 	arrivalNumber int
+	// suspected is set while one of the tasks may be the cause of a crash of a host, and
+	// suspectedRuns counts the runs on hosts whose crash is not confirmed yet.
+	suspected     bool
+	suspectedRuns int
+	// proven is set once a task has run for so long that the submission's tasks do not
+	// crash their hosts at their start.
+	proven bool
 }
 
 func (j *job) group(id cell.GroupID) *group {
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -51,10 +51,11 @@
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: stored.IsDone(i), failures: stored.Failures[i],
+			group: g, done: stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i], trialRun: stored.Trials[i],
 			checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		if !t.done {
+			j.suspected = j.suspected || t.suspectedCause()
 			g.left++
 			g.waiting++
 			j.left++
@@ -227,6 +228,20 @@
 			p.Failures[i] = t.failures
 			any = true
 		}
+		if len(t.crashes) > 0 {
+			if p.Crashes == nil {
+				p.Crashes = make(map[int][]cell.Crash)
+			}
+			p.Crashes[i] = t.crashes
+			any = true
+		}
+		if t.trialRun != 0 {
+			if p.Trials == nil {
+				p.Trials = make(map[int]int64)
+			}
+			p.Trials[i] = t.trialRun
+			any = true
+		}
 		if t.checkpoint != "" {
 			if p.Checkpoints == nil {
 				p.Checkpoints = make(map[int]string)
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -18,6 +18,9 @@
 	s.now = now
 	if h.startedMs != 0 && l.StartedMs != 0 && l.StartedMs != h.startedMs {
 		s.logMessage("", id, "The host has restarted; its runs are gone.")
+		if !h.crashed && !h.spec.Leaving {
+			s.suspectRuns(h, h.reportedAt)
+		}
 		s.handleAllRunsGone(h)
 		h.lastEndNumber = 0
 	}
@@ -25,6 +28,8 @@
 		h.startedMs = l.StartedMs
 	}
 	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
+	h.reportedAt = now
+	h.clearSuspectedRuns()
 	for _, e := range l.Ended {
 		if e.Number > h.lastEndNumber {
 			h.lastEndNumber = e.Number
@@ -134,6 +139,7 @@
 // detach removes a run that is gone.
 func (s *Scheduler) detach(a *taskRun) {
 	delete(a.host.runs, runKey{a.task.id, a.run})
+	a.endSuspicion()
 	a.host.used = a.host.used.Sub(a.task.group.size)
 	a.host.bestEffortCPU -= a.task.group.bestEffortCPU()
 	j := a.task.group.job
@@ -221,6 +227,7 @@
 		all = append(all, a)
 	}
 	sortRuns(all)
+	s.countCrashes(h, all)
 	for _, a := range all {
 		s.handleLostRun(a)
 	}
@@ -249,6 +256,8 @@
 	}
 	switch e.Outcome {
 	case cell.OutcomeDone:
+		s.clear(t, h.spec.ID)
+		g.job.proven = true
 		if g.step.LongRunning {
 			return
 		}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -36,11 +36,17 @@
 	s.removeFinishedGroups()
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
+	s.updateRisks()
 	queue := s.queue()
 	s.beginPass(queue)
+	s.updateTrials(queue)
 	reservingGangs := 0
 	for _, e := range queue {
-		if e.group.step.Gang {
+		if s.underTrial(e.group.job) {
+			s.placeTrial(e.group, &reservingGangs)
+		} else if !s.mayStartFirstTask(e.group.job) && e.group.run == 0 {
+			s.setWaitReason(e.group, waitFirstTask)
+		} else if e.group.step.Gang {
 			s.placeGang(e.group, &reservingGangs)
 		} else {
 			s.placeTasks(e.group)
@@ -92,6 +98,14 @@
 	if g.step.BestEffort && s.now < h.bestEffortBlockedUntil {
 		return false
 	}
+	if g.trial && (h.quarantinedFor != g || !h.freeForTrial(g, s.now)) || !g.trial && h.quarantinedFor != nil {
+		return false
+	}
+	return s.suitable(g, h)
+}
+
+// suitable reports whether a host could take tasks of a group if it had no runs.
+func (s *Scheduler) suitable(g *group, h *host) bool {
 	return h.usable(s.now) && h.spec.Service == g.job.queue.Service &&
 		(g.step.Label == "" || h.spec.HasLabel(g.step.Label)) && g.size.Fits(h.spec.Capacity)
 }
@@ -140,6 +154,17 @@
 		s.setWaitReason(g, waitLimit)
 		return
 	}
+	if !g.trial && s.awaitsFirstTask(g.job) {
+		tasks = tasks[:1]
+	}
+	if g.trial {
+		tasks = tasks[:1]
+		for _, t := range g.waitingTasks() {
+			if len(t.crashes) > len(tasks[0].crashes) {
+				tasks[0] = t
+			}
+		}
+	}
 	s.setWaitReason(g, waitNone)
 	var withTicket []*host
 	for _, h := range s.candidates(g) {
@@ -235,9 +260,19 @@
 // start orders a host to start a run of a task.
 func (s *Scheduler) start(t *task, h *host, run int64) {
 	g := t.group
+	r := s.risk(g.job)
+	r.add(1, 0, s.now)
+	if !g.job.proven && !g.job.hasRuns() {
+		r.unproven++
+	}
 	value, _ := g.ticketFor(h, s.now)
 	waited := s.now - t.waitingSince
-	s.attach(t, h, run)
+	a := s.attach(t, h, run)
+	if g.trial {
+		a.alone, h.trial = true, a
+		t.countedAt().trialRun = run
+		s.changed[t.id.Submission] = true
+	}
 	s.plan.Starts = append(s.plan.Starts, Start{
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: value, Waited: waited,
 	})
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -29,6 +29,9 @@
 	// overRateOffset is not a rank: it is added to the rank of submissions beyond a
 	// team's rate, so that they come after all others. Incomplete gangs are exempt.
 	overRateOffset
+	// rankSuspected is the rank of submissions that may have crashed a host, so that
+	// sound work is not delayed by them.
+	rankSuspected = 2 * overRateOffset
 )
 
 // queueEntry is a waiting group with its sort keys.
@@ -83,8 +86,17 @@
 	default:
 		e.rank = rankTooLate
 	}
+	if e.rank >= rankLate && s.awaitsFirstTask(j) {
+		// Later submissions are more likely to be sound than those that wait since hosts
+		// began to crash.
+		e.laxity = -j.arrived
+	}
 	if j.overRate {
 		e.rank += overRateOffset
 	}
+	if j.suspected {
+		// Those that are least likely to crash a host come first.
+		e.rank, e.laxity = rankSuspected, time.Duration(j.blame()*float64(time.Hour))
+	}
 	return e
 }
--- /dev/null
+++ b/internal/cell/schedule/queue_risk.go
@@ -0,0 +1,163 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// riskMemory is the time after which a start or a crash counts for 1/e of what it
+	// did at first.
+	riskMemory = 5 * time.Second
+	// minRiskCrashes is how many crashes a queue must have caused before its new
+	// submissions are started with care.
+	minRiskCrashes = 2
+	// From the share riskyShare of starts that crash their hosts on, a submission of the
+	// queue starts one task first; from confinedShare on, its tasks are started only
+	// alone on the few hosts for suspected tasks.
+	riskyShare    = 0.06
+	confinedShare = 0.15
+	// hostsPerRiskyQueue limits the hosts that the new submissions of such a queue may
+	// crash to one in hostsPerRiskyQueue: those that are down, and those that are expected
+	// to crash among the submissions that have just started.
+	hostsPerRiskyQueue = 4
+)
+
+// queueRisk is how often the tasks of a queue have crashed their hosts of late.
+type queueRisk struct {
+	starts, crashes float64
+	at              time.Duration
+	// down is how many hosts are down of which the queue's tasks are the suspected cause,
+	// unproven the number of submissions whose first tasks have not run for long enough.
+	down     float64
+	unproven int
+}
+
+// add counts starts and crashes. A crash that several runs may have caused counts for
+// each of them in part.
+func (r *queueRisk) add(starts, crashes float64, now time.Duration) {
+	r.decay(now)
+	r.starts += starts
+	r.crashes += crashes
+}
+
+func (r *queueRisk) decay(now time.Duration) {
+	f := math.Exp(-(now - r.at).Seconds() / riskMemory.Seconds())
+	r.starts, r.crashes, r.at = r.starts*f, r.crashes*f, now
+}
+
+// exceeds reports whether the share of starts that crashed their hosts is at least a
+// given one.
+func (r *queueRisk) exceeds(share float64, now time.Duration) bool {
+	if r.crashes == 0 {
+		return false
+	}
+	r.decay(now)
+	return r.crashes >= minRiskCrashes && r.crashes >= share*r.starts
+}
+
+// risk returns the risk of the queue of a job.
+func (s *Scheduler) risk(j *job) *queueRisk {
+	r := s.risks[j.queue.Name]
+	if r == nil {
+		r = &queueRisk{at: s.now}
+		s.risks[j.queue.Name] = r
+	}
+	return r
+}
+
+// addRisk counts a crash for the queues of the runs that had started right before it.
+func (s *Scheduler) addRisk(h *host) {
+	for r, share := range s.recentQueues(h) {
+		r.add(0, share, s.now)
+	}
+}
+
+// recentQueues returns the queues of the runs that had started right before a crash,
+// and the share that each of them has.
+func (s *Scheduler) recentQueues(h *host) map[*queueRisk]float64 {
+	recent := 0
+	out := make(map[*queueRisk]float64)
+	for _, a := range h.runs {
+		if a.recent {
+			recent++
+			out[s.risk(a.task.group.job)]++
+		}
+	}
+	for r := range out {
+		out[r] /= float64(recent)
+	}
+	return out
+}
+
+// updateRisks counts the hosts that are down because of each queue, and its
+// submissions whose first tasks have not run for long enough.
+func (s *Scheduler) updateRisks() {
+	risky := false
+	for _, r := range s.risks {
+		r.down, r.unproven = 0, 0
+		risky = risky || r.exceeds(riskyShare, s.now)
+	}
+	if !risky {
+		return
+	}
+	for _, h := range s.sortedHosts {
+		if h.crashed {
+			for r, share := range s.recentQueues(h) {
+				r.down += share
+			}
+		}
+	}
+	for _, j := range s.jobs {
+		if !j.proven && j.hasRuns() && s.awaitsFirstTask(j) {
+			s.risk(j).unproven++
+		}
+	}
+}
+
+// maxRiskyHosts returns how many hosts the new submissions of a queue may have crashed
+// at one time.
+func (s *Scheduler) maxRiskyHosts(r *queueRisk) int {
+	return max(1, len(s.sortedHosts)/hostsPerRiskyQueue, int(r.down)+s.spareHosts())
+}
+
+// underTrial reports whether the waiting tasks of a job are started only alone on
+// their hosts, one task or one gang at a time.
+func (s *Scheduler) underTrial(j *job) bool {
+	r := s.risk(j)
+	return j.suspected || j.suspectedRuns > 0 || !j.proven && r.exceeds(confinedShare, s.now)
+}
+
+// mayStartFirstTask reports whether a submission may start, or may start more tasks,
+// in view of the crashes of its queue.
+func (s *Scheduler) mayStartFirstTask(j *job) bool {
+	if !s.awaitsFirstTask(j) {
+		return true
+	}
+	r := s.risk(j)
+	expected := r.down + float64(r.unproven+1)*r.crashes/max(r.starts, 1)
+	return !j.hasRuns() && (expected <= float64(s.maxRiskyHosts(r)) || r.unproven == 0)
+}
+
+// awaitsFirstTask reports whether the other tasks of a submission wait, since tasks
+// of its queue have crashed their hosts of late and none of its own has run for long
+// enough yet.
+func (s *Scheduler) awaitsFirstTask(j *job) bool {
+	if j.proven || !s.risk(j).exceeds(riskyShare, s.now) {
+		return false
+	}
+	for _, g := range j.groups {
+		if g.present == 0 {
+			continue
+		}
+		for _, t := range g.tasks {
+			for _, a := range t.runs {
+				if a.phase == phaseRunning && !a.host.crashed && s.now >= a.acceptedAt+crashWindow {
+					j.proven = true
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -42,6 +42,15 @@
 	// removeFinishedGroups.
 	cleanupNeeded bool
 	reconciled    bool
+	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
+	idleHosts int
+	// quarantinedAt is when a host was last chosen for suspected tasks.
+	quarantinedAt time.Duration
+	// soundWorkAt is when work last waited that is not suspected and whose queue has not
+	// crashed hosts of late.
+	soundWorkAt time.Duration
+	// risks holds the risk of each queue by name.
+	risks map[string]*queueRisk
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
@@ -65,7 +74,7 @@
 func New(o Options) *Scheduler {
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
-		teams: make(map[string]*team), changed: make(map[string]bool), plan: &Plan{},
+		teams: make(map[string]*team), changed: make(map[string]bool), risks: make(map[string]*queueRisk), plan: &Plan{},
 	}
 }
 
@@ -164,6 +173,7 @@
 	for _, t := range s.teams {
 		t.unknownUsage = resource.Vector{}
 	}
+	s.countUnknownTrials()
 	for _, g := range s.groups {
 		if g.step.Gang && g.present > 0 && g.present < g.left {
 			s.stopGroup(g, "gang of an earlier owner is incomplete")
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -12,8 +12,15 @@
 	group *group
 	done  bool
 	// runs are the runs that are or may be present.
-	runs       []*taskRun
-	failures   []int64
+	runs     []*taskRun
+	failures []int64
+	// crashes are the crashes of hosts that the task may have caused; those of a gang
+	// are recorded at its first task.
+	crashes []cell.Crash
+	// trialRun is the run that was started alone on a host, since the task is suspected
+	// of crashing hosts, until its outcome is known; zero if there is none. That of a
+	// gang is recorded at its first task.
+	trialRun   int64
 	checkpoint string
 	lastRun    int64
 	// waitingSince is when the task became ready, or ready again after its last
@@ -67,4 +74,10 @@
 	// adopted is set for a run that this owner did not order, resumed for a run
 	// that started from a checkpoint.
 	adopted, resumed bool
+	// suspected is set while the run may be the cause of a crash that is not confirmed
+	// yet, recent if it had started right before the crash.
+	suspected, recent bool
+	// alone is set for a run that was started on a host without other runs, on which
+	// nothing else is started before the run has ended or its task is cleared.
+	alone bool
 }
--- /dev/null
+++ b/internal/cell/schedule/trial.go
@@ -0,0 +1,217 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// hostsPerTrial limits the hosts that suspected tasks hold at one time to one in
+	// hostsPerTrial, at least one.
+	hostsPerTrial = 8
+	// soundWorkMemory is how long after other work has last waited some of the idle hosts
+	// are kept for it.
+	soundWorkMemory = 2 * time.Second
+	// soonEmpty is the time within which a host has to be empty to be kept free for
+	// suspected tasks; other hosts are chosen only if there was none for
+	// maxEmptyHostWait. Hosts are empty when they come back after a crash.
+	soonEmpty        = 300 * time.Millisecond
+	maxEmptyHostWait = 500 * time.Millisecond
+	// maxQuarantineIdle is how long a host is kept free for a suspected task that does not
+	// use it, and trialRetryDelay the wait before hosts are kept free for it again.
+	maxQuarantineIdle = 1500 * time.Millisecond
+	trialRetryDelay   = 3 * time.Second
+)
+
+// updateTrials ends the trials of runs that are gone or cleared, and chooses the hosts
+// that are kept free of other work for the suspected tasks in the queue.
+func (s *Scheduler) updateTrials(queue []queueEntry) {
+	var waiting []*group
+	for _, e := range queue {
+		switch j := e.group.job; {
+		case s.underTrial(j):
+			if s.readyForTrial(e.group) {
+				waiting = append(waiting, e.group)
+			}
+		case !s.awaitsFirstTask(j):
+			s.soundWorkAt = s.now
+		}
+	}
+	held := 0
+	assigned := make(map[*group]int)
+	s.idleHosts = 0
+	for _, h := range s.sortedHosts {
+		s.updateTrial(h)
+		if h.quarantinedFor != nil {
+			held++
+			assigned[h.quarantinedFor]++
+		}
+		if h.usable(s.now) && (len(h.runs) == 0 || h.quarantinedFor != nil) {
+			s.idleHosts++
+		}
+	}
+	most := s.maxTrialHosts()
+	for _, g := range waiting {
+		needed := s.trialHostsNeeded(g) - assigned[g]
+		if needed > 0 && held+needed <= most && s.now >= g.trialRetryAt && s.quarantine(g, needed) {
+			held += needed
+		}
+	}
+}
+
+// updateTrial ends the trial on a host if its run is gone or its task is cleared, and
+// gives the host back to other work if the group for which it is kept free does not use
+// it.
+func (s *Scheduler) updateTrial(h *host) {
+	g := h.quarantinedFor
+	switch {
+	case g == nil:
+	case h.trial != nil && g.runsOn(h) == 0:
+		h.trial, h.quarantinedFor = nil, nil
+	case h.trial != nil && h.trial.survivedTrial(s.now):
+		s.clear(h.trial.task, h.spec.ID)
+		h.trial, h.quarantinedFor = nil, nil
+	case h.trial != nil:
+	case g.deniedOn(h) || !h.usable(s.now) || g.waiting == 0 || !g.ready || !s.underTrial(g.job):
+		h.quarantinedFor = nil
+	case !h.freeForTrial(g, s.now):
+		h.freeSince = s.now
+	case s.now > h.freeSince+maxQuarantineIdle:
+		h.quarantinedFor = nil
+		g.trialRetryAt = s.now + trialRetryDelay
+	}
+}
+
+// quarantine keeps the hosts that will be empty soonest, of those that a group may use,
+// free of other work. It reports whether it has found as many as are needed.
+func (s *Scheduler) quarantine(g *group, needed int) bool {
+	type option struct {
+		host *host
+		end  time.Duration
+	}
+	var options []option
+	for _, h := range s.sortedHosts {
+		if h.quarantinedFor != nil || g.deniedOn(h) || !s.suitable(g, h) {
+			continue
+		}
+		o := option{h, s.now}
+		if !g.approved(h) {
+			o.end += g.adviceDuration()
+		}
+		if ends := s.expectedEnds(h); len(ends) > 0 && !h.freeForTrial(g, s.now) {
+			o.end = max(o.end, ends[len(ends)-1].at)
+		}
+		options = append(options, o)
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.end, b.end) })
+	if len(options) < needed || options[needed-1].end > s.now+soonEmpty+g.adviceDuration() && s.now < s.quarantinedAt+maxEmptyHostWait {
+		return false
+	}
+	for _, o := range options[:needed] {
+		o.host.quarantinedFor, o.host.freeSince = g, s.now
+	}
+	s.quarantinedAt = s.now
+	return true
+}
+
+// maxTrialHosts returns how many hosts suspected tasks may hold at one time: a small
+// part of all hosts, or those that no other work needs.
+func (s *Scheduler) maxTrialHosts() int {
+	return max(1, len(s.sortedHosts)/hostsPerTrial, s.spareHosts())
+}
+
+// spareHosts returns how many of the idle hosts no other work needs: all but a
+// reserve, or all if there has been no other work for a while.
+func (s *Scheduler) spareHosts() int {
+	if s.now > s.soundWorkAt+soundWorkMemory {
+		return s.idleHosts
+	}
+	return s.idleHosts - len(s.sortedHosts)/hostsPerTrial
+}
+
+// trialHostsNeeded returns how many empty hosts the trial of a group needs at least.
+func (s *Scheduler) trialHostsNeeded(g *group) int {
+	if !g.step.Gang {
+		return 1
+	}
+	perHost := 1
+	for _, h := range s.sortedHosts {
+		perHost = max(perHost, tasksIn(g.size, h.spec.Capacity))
+	}
+	if g.step.MaxPerHost > 0 {
+		perHost = min(perHost, g.step.MaxPerHost)
+	}
+	return (g.left + perHost - 1) / perHost
+}
+
+// readyForTrial reports whether a waiting group of a job under trial may start one
+// task, or its gang: the outcome of earlier runs has to be known.
+func (s *Scheduler) readyForTrial(g *group) bool {
+	if g.job.suspectedRuns > 0 {
+		return false
+	}
+	if g.step.Gang {
+		return g.run != 0 || g.present == 0
+	}
+	return !g.job.hasRuns()
+}
+
+// placeTrial starts one waiting task, or the gang, of a job under trial on hosts that
+// are kept free of other work.
+func (s *Scheduler) placeTrial(g *group, reservingGangs *int) {
+	if !s.readyForTrial(g) {
+		s.setWaitReason(g, waitTrial)
+		return
+	}
+	if s.trialHostsNeeded(g) > s.maxTrialHosts() {
+		s.placeGang(g, reservingGangs) // too wide to be tried alone
+		return
+	}
+	g.trial = true
+	if g.step.Gang {
+		s.placeGang(g, reservingGangs)
+	} else {
+		s.placeTasks(g)
+	}
+	g.trial = false
+}
+
+// tried reports whether nothing runs on the host but tasks that were tried there and
+// that do not crash their hosts at their start.
+func (h *host) tried(now time.Duration) bool {
+	for _, a := range h.runs {
+		if !a.alone || !a.survivedTrial(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// freeForTrial reports whether a suspected task of a group would be the only possible
+// cause if the host crashed.
+func (h *host) freeForTrial(g *group, now time.Duration) bool {
+	return h.trial != nil || len(h.runs) == 0 || h.tried(now) && !g.crashesLate()
+}
+
+// survivedTrial reports whether a run has been tried on its host for long enough.
+func (a *taskRun) survivedTrial(now time.Duration) bool {
+	needed := trialDuration
+	if a.task.group.crashesLate() {
+		needed = lateTrialDuration
+	}
+	return a.phase == phaseRunning && !a.host.crashed && a.host.reachable && now >= a.acceptedAt+needed
+}
+
+// crashesLate reports whether a task of the group may crash its host long after its
+// start.
+func (g *group) crashesLate() bool {
+	for _, t := range g.tasks {
+		for _, c := range t.crashes {
+			if !c.Recent {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/cell/schedule/wait.go
+++ b/internal/cell/schedule/wait.go
@@ -24,12 +24,19 @@
 	// waitPreviousRuns means that runs of the gang's previous start are not gone
 	// yet.
 	waitPreviousRuns
+	// waitTrial means that the submission is suspected of crashing hosts, and that no
+	// host is free for its trial or an earlier run has to end first.
+	waitTrial
+	// waitFirstTask means that tasks of the queue have crashed hosts, and that the
+	// submission's first task has not run for long enough yet.
+	waitFirstTask
 )
 
 var waitTexts = [...]string{
 	"starts", "waits for room under the limit of its team", "waits for advice", "waits for new tickets",
 	"waits behind gangs that come first", "waits for room on hosts", "waits for hosts that can hold it",
-	"waits for runs of its former start to end",
+	"waits for runs of its former start to end", "waits to be tried alone on a host, since a host crashed under it",
+	"waits until its first task has run for a while, since others of its queue crashed hosts",
 }
 
 // String returns the reason as text for operators.
