Count a submission as begun only once a task has started

It now counts from the answer of a host that the start was accepted, or a report that shows a run or its end. Test: TestSubmissionIsQueuedUntilATaskHasStarted fails on the commit before ("running after a refused start").

--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -59,6 +59,7 @@
 	}
 	if a.phase == phaseStarting || a.phase == phaseUnanswered {
 		a.phase, a.acceptedAt, a.lastProgressAt = phaseRunning, s.now, s.now
+		s.markActive(a.task.group.job)
 	}
 	if r.UsageOrLatencyMs > 0 {
 		s.usageReported = true
@@ -102,6 +103,7 @@
 	a := s.attach(t, h, key.run)
 	a.phase, a.acceptedAt, a.lastProgressAt, a.adopted = phaseRunning, s.now, s.now, true
 	g := t.group
+	s.markActive(g.job)
 	switch {
 	case t.done || g.job.state.Final():
 		s.stop(a, "the task is done or its submission has finished")
@@ -248,6 +250,7 @@
 		return
 	}
 	g := t.group
+	s.markActive(g.job)
 	if g.step.Gang && g.present > 0 && e.Outcome != cell.OutcomeDone {
 		g.markMemberEnded(s.now)
 	}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -276,10 +276,6 @@
 	s.plan.Starts = append(s.plan.Starts, Start{
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: value, Waited: waited,
 	})
-	if g.job.state == 0 {
-		g.job.state = 1
-		s.changed[g.job.sub.ID] = true
-	}
 }
 
 // prefetchAdvice requests advice for steps that become ready soon.
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -52,6 +52,15 @@
 		a.phase = phaseRunning
 	}
 	a.acceptedAt, a.lastProgressAt = now, now
+	s.markActive(a.task.group.job)
+}
+
+// markActive records that a task of a job has started.
+func (s *Scheduler) markActive(j *job) {
+	if j.state == cell.Queued {
+		j.state = cell.Active
+		s.changed[j.sub.ID] = true
+	}
 }
 
 // Refused records that a start certainly did not happen.
