Ask for new tickets only on hosts that advice has approved

Cause: when fewer hosts have room than are approved, the hosts with room are searched, and the choice of hosts for new tickets did not ask whether they are approved. Found while the crashes of hosts were looked into, which make such moments frequent; the code is older.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -62,14 +62,15 @@
 }
 
 // chooseHosts returns a host for each of n tasks, or nil if they do not fit.
-// With requireTicket, it considers only hosts with a valid ticket.
+// With requireTicket, it considers only hosts with a valid ticket, otherwise all
+// approved hosts.
 func (s *Scheduler) chooseHosts(g *group, n int, requireTicket bool) []*host {
 	var all []*host
 	for _, h := range s.candidates(g) {
 		if !s.eligible(g, h) || s.tasksThatFit(g, h) < 1 {
 			continue
 		}
-		if _, ok := g.ticketFor(h, s.now); ok || !requireTicket {
+		if _, ok := g.ticketFor(h, s.now); ok || !requireTicket && g.approved(h) {
 			all = append(all, h)
 		}
 	}
