Give up a task after three shared crashes only if few others may have caused them

A wide gang, or a task on a host that crashes by itself, could fail after three crashes that many runs may have caused. It now takes a blame of 1.5, in which each crash counts in equal parts for the submissions that may have caused it, or five crashes, the last number at which the task has not been started three times after its third.

--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -33,6 +33,8 @@
 	// the crashes that a task caused, and startsAfter its starts after the third one.
 	deadly               func(t cell.TaskID) bool
 	crashes, startsAfter map[cell.TaskID]int
+	// crashesUnder counts the hosts that crashed while a task ran there.
+	crashesUnder map[cell.TaskID]int
 	// approves decides whether the advice service lets a group run on a host.
 	approves func(g cell.GroupID, host string) bool
 }
@@ -62,7 +64,7 @@
 		hosts: make(map[string]*fakeHost), jobs: make(map[string]*cell.Submission),
 		done: make(map[cell.TaskID]bool), reportedDone: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
 		fails:  func(cell.TaskID, int64) bool { return false },
-		deadly: func(cell.TaskID) bool { return false }, crashes: make(map[cell.TaskID]int), startsAfter: make(map[cell.TaskID]int),
+		deadly: func(cell.TaskID) bool { return false }, crashes: make(map[cell.TaskID]int), startsAfter: make(map[cell.TaskID]int), crashesUnder: make(map[cell.TaskID]int),
 		approves: func(cell.GroupID, string) bool { return true },
 	}
 	c.teams = map[string]cell.Team{"a": {Name: "a", Weight: 100}, "b": {Name: "b", Weight: 100}}
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -17,10 +17,14 @@
 	// crashesUnlessRecent is how often the host of a task has to crash, without the task
 	// having started right before, until the task is suspected.
 	crashesUnlessRecent = 2
-	// crashesToFail is how many crashes show that a task crashes its hosts, if it was
-	// alone on the last one, and maxCrashes how many do in any case.
-	crashesToFail = 2
-	maxCrashes    = 3
+	// crashesToFail is how many crashes show that a task crashes its hosts if it was
+	// alone on the last one. crashesToFailBlamed is how many do otherwise if few others
+	// may have caused them, which is the case from blameToFail on, and maxCrashes how
+	// many in any case.
+	crashesToFail       = 2
+	crashesToFailBlamed = 3
+	blameToFail         = 1.5
+	maxCrashes          = 5
 	// trialDuration is how long a task that was suspected since it had started right
 	// before a crash has to run alone on a host to be cleared.
 	trialDuration = 3 * crashWindow
@@ -106,12 +110,18 @@
 	t.trialRun = 0
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, a.host.spec.ID, "The host crashed, and a task of the submission may be the cause.")
-	switch {
-	case len(t.crashes) >= maxCrashes, a.alone && t.seenCrashes() >= crashesToFail:
+	if t.crashesHosts(a.alone) {
 		s.finalize(j, cell.Failed, "hosts crashed under one of its tasks")
-	case t.suspectedCause():
-		j.suspected = true
+		return
 	}
+	j.suspected = j.suspected || t.suspectedCause()
+}
+
+// crashesHosts reports whether the crashes under a task show that it crashes its hosts.
+// alone is set if it was alone on the last of them.
+func (t *task) crashesHosts(alone bool) bool {
+	n := len(t.crashes)
+	return alone && t.seenCrashes() >= crashesToFail || n >= crashesToFailBlamed && t.blame() >= blameToFail || n >= maxCrashes
 }
 
 // countedAt returns the task at which crashes under a task are counted: for a gang its
@@ -142,19 +152,25 @@
 	return n
 }
 
-// blame returns how much the crashes under the job's tasks speak against it: each
-// counts in equal parts for the submissions that may have caused it.
+// blame returns how much the crashes under the job's tasks speak against it.
 func (j *job) blame() (sum float64) {
 	for _, g := range j.groups {
 		for _, t := range g.tasks {
-			for _, c := range t.crashes {
-				sum += 1 / float64(max(c.Suspects, 1))
-			}
+			sum += t.blame()
 		}
 	}
 	return sum
 }
 
+// blame returns how much the crashes under a task speak against it: each counts in
+// equal parts for the submissions that may have caused it.
+func (t *task) blame() (sum float64) {
+	for _, c := range t.crashes {
+		sum += 1 / float64(max(c.Suspects, 1))
+	}
+	return sum
+}
+
 // suspectedCause reports whether the crashes under the task make it a suspected cause.
 func (t *task) suspectedCause() bool {
 	if len(t.crashes) >= crashesUnlessRecent {
@@ -185,11 +201,11 @@
 			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.countsCrash(t.trialRun) {
 				continue
 			}
-			t.crashes = append(t.crashes, cell.Crash{Run: t.trialRun, Recent: true})
+			t.crashes = append(t.crashes, cell.Crash{Run: t.trialRun, Recent: true, Suspects: 1})
 			t.trialRun = 0
 			s.changed[t.id.Submission] = true
 			s.logMessage(t.id.Submission, "", "The outcome of a task that an earlier owner started alone is unknown; its host is assumed to have crashed.")
-			if len(t.crashes) >= maxCrashes {
+			if t.crashesHosts(false) {
 				s.finalize(g.job, cell.Failed, "hosts crashed under one of its tasks")
 			}
 		}
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -22,6 +22,9 @@
 		return
 	}
 	h.unreachable, h.downUntil = true, c.now+crashDowntime
+	for _, r := range h.runs {
+		c.crashesUnder[r.task]++
+	}
 	h.runs, h.ended = nil, nil
 	c.s.MarkCrashed(id, c.now, c.now)
 	c.s.MarkUnreachable(id)
@@ -254,6 +257,38 @@
 	}
 }
 
+// Guards against sound submissions that fail although fewer than two hosts crashed
+// under each of their tasks, while hosts crash by themselves, again and again.
+func TestHostsThatCrashByThemselvesFailNoSubmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := crashCluster(12)
+		for i := range rapid.IntRange(10, 60).Draw(t, "events") {
+			step := smallStep(rapid.IntRange(1, 40).Draw(t, "tasks"), time.Duration(rapid.IntRange(300, 3000).Draw(t, "estimate"))*time.Millisecond)
+			step.Gang = rapid.Bool().Draw(t, "gang")
+			c.submit(fmt.Sprintf("sound%02d", i), "q", "a", step)
+			if rapid.IntRange(0, 3).Draw(t, "crash") == 0 {
+				c.crash(rapid.SampledFrom(c.ids()).Draw(t, "host"))
+			}
+			c.advance(time.Duration(rapid.IntRange(50, 900).Draw(t, "ms")) * time.Millisecond)
+		}
+		if !c.stepUntilFinished(4000, 100*time.Millisecond) {
+			t.Error("submissions are open after 400 s")
+		}
+		most := make(map[string]int)
+		for id, n := range c.crashesUnder {
+			most[id.Submission] = max(most[id.Submission], n)
+		}
+		for id := range c.jobs {
+			if c.state[id] == cell.Failed && most[id] < 2 {
+				t.Errorf("%s failed, though at most %d hosts crashed under each of its tasks", id, most[id])
+			}
+		}
+		for _, v := range c.violations {
+			t.Error(v)
+		}
+	})
+}
+
 // Guards against work that is suspected for good since a connection to its host broke.
 func TestHostThatAnswersAgainClearsItsRuns(t *testing.T) {
 	c := crashCluster(3)
