--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -45,9 +45,6 @@
 	// cannot hide a change for longer than the time within which the change has to
 	// take effect.
 	desiredTimeoutMargin = 600 * time.Millisecond
-	// desiredRefreshTimeout is the timeout of a read of the desired state before a call
-	// is answered.
-	desiredRefreshTimeout = 400 * time.Millisecond
 	// disconnectedThreshold is the age of the last read of the work topic above
 	// which calls are forwarded to other nodes. A read that waits for a record
 	// takes up to workLongPollTimeout.
@@ -197,49 +194,6 @@
 	return nil
 }
 
-// applyDesired applies records of the desired state, which operators write.
-func (n *Node) applyDesired(p worklog.Page) {
-	for _, r := range p.Records {
-		if r.Key == platform.KeyDesired {
-			n.applyDesiredRecord(r.Value, "store")
-		}
-	}
-}
-
-// appliedDesired is a decoded desired state with the record that it came from.
-type appliedDesired struct {
-	*cell.Desired
-	record []byte
-}
-
-// applyDesiredRecord applies a desired state, unless the same or a newer version
-// has been applied already. from names the source of the record for the log.
-func (n *Node) applyDesiredRecord(record []byte, from string) {
-	d, err := platform.DecodeDesired(record)
-	if err != nil {
-		n.log.Error("node: A desired state cannot be decoded and is ignored.", "from", from, "error", err)
-		return
-	}
-	for {
-		old := n.desired.Load()
-		if old != nil && d.Version <= old.Version {
-			return
-		}
-		if n.desired.CompareAndSwap(old, &appliedDesired{d, record}) {
-			break
-		}
-	}
-	n.log.Info("node: A new desired state was applied.", "version", d.Version, "from", from, "age", n.DesiredAge(), "queues", len(d.Queues), "teams", len(d.Teams))
-}
-
-// appliedDesired returns the desired state that is applied, nil before the first one.
-func (n *Node) appliedDesired() *cell.Desired {
-	if d := n.desired.Load(); d != nil {
-		return d.Desired
-	}
-	return nil
-}
-
 // applyWork applies records of the work topic. A term begins at the record of its
 // claim, before later records are applied. At the first read, and after the history
 // has been trimmed, the page holds the newest record of each key in the order of
@@ -284,18 +238,6 @@
 	return a, nil
 }
 
-// hasDesiredVersion reports whether this node has applied the given version of the
-// desired state or a newer one. It reads the topic again if the forwarding
-// node has a newer version.
-func (n *Node) hasDesiredVersion(ctx context.Context, version int64) bool {
-	if d := n.desired.Load(); d != nil && d.Version >= version {
-		return true
-	}
-	n.readDesired(ctx)
-	d := n.desired.Load()
-	return d != nil && d.Version >= version
-}
-
 // forwarder forwards calls to other nodes and applies their desired state if it is
 // newer: a caller that was answered under one version must not be answered under
 // an older one later.
@@ -324,44 +266,6 @@
 	return &peers.TakeoverResponse{}, nil
 }
 
-// Desired implements front.State.
-func (n *Node) Desired() (d *cell.Desired, fresh bool) {
-	asOf, ok := n.desiredReader.AsOf()
-	age := n.clock.Now() - asOf
-	current := n.desired.Load()
-	if current == nil {
-		return nil, false
-	}
-	return current.Desired, ok && age < maxDesiredAge(n.settings.Bounds)
-}
-
-// DesiredAge implements front.State.
-func (n *Node) DesiredAge() time.Duration {
-	asOf, _ := n.desiredReader.AsOf()
-	return n.clock.Now() - asOf
-}
-
-// Refresh implements front.State. The state is read again from the age
-// desiredRefreshAge on.
-func (n *Node) Refresh(ctx context.Context) {
-	asOf, ok := n.desiredReader.AsOf()
-	if !ok || n.clock.Now()-asOf < desiredRefreshAge(n.settings.Bounds) {
-		return
-	}
-	n.readDesired(ctx)
-}
-
-// readDesired reads the desired state again, for at most desiredRefreshTimeout.
-// A failure is only logged: the age of the state determines whether it may be
-// used.
-func (n *Node) readDesired(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, desiredRefreshTimeout)
-	defer cancel()
-	if err := n.desiredReader.CatchUp(ctx); err != nil {
-		n.log.Debug("node: The desired state could not be refreshed.", "error", err)
-	}
-}
-
 // Find implements front.State.
 func (n *Node) Find(id string) (registry.Entry, bool) { return n.registry.Find(id) }
 
--- /dev/null
+++ b/internal/cell/owner/hostfailure.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// pollFailed counts a failed or refused poll. It marks the host as unreachable
+// after unreachableThreshold of them, and its runs as gone once their leases have
+// certainly expired.
+func (ow *Owner) pollFailed(h *hostPoller, now time.Duration, refusal platform.Refusal, err error) {
+	h.failures++
+	if h.failures == unreachableThreshold {
+		ow.options.Log.Warn("Polls of a host fail.", "host", h.host.ID, "refusal", refusal.String(), "error", errText(err))
+		ow.mu.Lock()
+		h.unreachable = true
+		ow.scheduler.MarkUnreachable(h.host.ID)
+		ow.mu.Unlock()
+		ow.storeRounds.request()
+	}
+	expiresAt, ok := h.lease.expiry()
+	if !ok {
+		ow.mu.Lock()
+		expiresAt = ow.earlierRunsEndBy()
+		ow.mu.Unlock()
+	}
+	if now > expiresAt && h.failures > unreachableThreshold {
+		ow.recordAllRunsGone(h, now)
+	}
+}
+
+// recordCrash informs the scheduler that the process of a host has gone. A poll that
+// the host held open breaks at that moment; one that is refused at once only shows
+// that it has happened since the last answer.
+func (ow *Owner) recordCrash(h *hostPoller, sentAt, now time.Duration) {
+	notBefore := now
+	if now-sentAt < minHeldPoll {
+		notBefore = h.answeredAt
+	}
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
+}
+
+// recordRestart records that a host has restarted as another instance.
+func (ow *Owner) recordRestart(h *hostPoller, now time.Duration) {
+	if h.allRunsGone {
+		return // known already; the host list still names the earlier instance
+	}
+	ow.options.Log.Info("A host has restarted as another instance; its runs are gone.", "host", h.host.ID)
+	ow.mu.Lock()
+	ow.scheduler.MarkCrashed(h.host.ID, h.answeredAt, now)
+	ow.mu.Unlock()
+	ow.recordAllRunsGone(h, now)
+}
+
+// recordAllRunsGone informs the scheduler that a host has no runs any more: all
+// leases there have expired, or the host has restarted.
+func (ow *Owner) recordAllRunsGone(h *hostPoller, now time.Duration) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if h.allRunsGone {
+		return
+	}
+	h.allRunsGone = true
+	ow.scheduler.MarkUnreachable(h.host.ID)
+	ow.scheduler.MarkAllRunsGone(h.host.ID, now)
+	ow.options.Log.Info("A host has no runs any more.", "host", h.host.ID)
+	ow.requestDecision()
+}
+
+// removeIfGone removes a host that the platform no longer lists and that has no
+// runs any more. It reports whether it did.
+func (ow *Owner) removeIfGone(h *hostPoller) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if h.inHostList || !h.allRunsGone {
+		return false
+	}
+	delete(ow.hosts, h.host.ID)
+	ow.removedHosts = append(ow.removedHosts, h.host.ID)
+	ow.scheduler.RemoveHost(h.host.ID)
+	h.cancel()
+	return true
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
