Keep the hosts of a trial free while advice about them is awaited

Cause: hosts that are kept free for a suspected gang were given back after 1.5 s without a start; a call for advice takes half a second there, and two or three follow one another while denied hosts are replaced. The gang then waited 3 s and began again. Test: TestSuspectedGangIsTriedThoughAdviceIsSlow fails on the commit before ("hosts were given back while advice about them was awaited").

--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -75,7 +75,7 @@
 	case h.trial != nil:
 	case g.deniedOn(h) || !h.usable(s.now) || g.waiting == 0 || !g.ready || !s.underTrial(g.job):
 		h.quarantinedFor = nil
-	case !h.freeForTrial(g, s.now):
+	case !h.freeForTrial(g, s.now), g.advice.inFlight:
 		h.freeSince = s.now
 	case s.now > h.freeSince+maxQuarantineIdle:
 		h.quarantinedFor = nil
--- /dev/null
+++ b/internal/cell/schedule/trial_test.go
@@ -0,0 +1,45 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// Guards against a suspected gang that never starts, since its hosts are given back
+// while advice about them is awaited.
+func TestSuspectedGangIsTriedThoughAdviceIsSlow(t *testing.T) {
+	c := newCluster(24, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	advice := &cell.AdvicePolicy{Decision: 630 * time.Millisecond, PerHost: time.Millisecond, Validity: 2 * time.Second}
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, Advice: advice})
+	c.approves = func(_ cell.GroupID, host string) bool { return host[len(host)-1]%3 == 0 } // a third of the hosts
+	c.submit("gang", "q", "a", cell.Step{Count: 5, Size: resource.Vector{MilliCPU: 9000, MemoryMiB: 1024}, Estimate: time.Second, Gang: true})
+	c.s.jobs["gang"].suspected = true
+	type call struct {
+		request AdviceRequest
+		at      time.Duration
+	}
+	var calls []call
+	for range 400 { // 20 s
+		c.now += 50 * time.Millisecond
+		c.endDueRuns()
+		c.pollHosts()
+		p := c.s.Decide(c.now, c.now)
+		if len(p.Starts) == 5 {
+			return
+		}
+		if c.s.jobs["gang"].groups[0].trialRetryAt != 0 {
+			t.Fatal("hosts were given back while advice about them was awaited")
+		}
+		for _, a := range p.AdviceRequests {
+			calls = append(calls, call{a, c.now + a.Duration})
+		}
+		for len(calls) > 0 && c.now >= calls[0].at {
+			c.answerAdviceRequests(&Plan{AdviceRequests: []AdviceRequest{calls[0].request}})
+			calls = calls[1:]
+		}
+	}
+	t.Errorf("the gang has not been started in 20 s on 24 idle hosts, of which a third is approved; it %s", c.s.jobs["gang"].groups[0].waitReason)
+}
