Show suspected work in the dump, count crashes of hosts, and bound the queues that are remembered

The dump names the hosts that are kept free for suspected steps, the number of suspected submissions and the queues whose tasks crashed hosts of late; host_crashes counts each crash once. A queue from which nothing has started for 100 s is forgotten: names of queues come and go with the desired state, and the map had no bound.

--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -38,9 +38,17 @@
 	if now-sentAt < minHeldPoll {
 		notBefore = h.answeredAt
 	}
+	ow.markCrashed(h, notBefore, now)
+}
+
+func (ow *Owner) markCrashed(h *hostPoller, notBefore, now time.Duration) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
+	crashed := ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
+	ow.mu.Unlock()
+	if crashed {
+		ow.metrics.hostCrashes.Inc(1)
+		ow.options.Log.Info("The process of a host has gone.", "host", h.host.ID)
+	}
 }
 
 // recordRestart records that a host has restarted as another instance.
@@ -49,9 +57,7 @@
 		return // known already; the host list still names the earlier instance
 	}
 	ow.options.Log.Info("A host has restarted as another instance; its runs are gone.", "host", h.host.ID)
-	ow.mu.Lock()
-	ow.scheduler.MarkCrashed(h.host.ID, h.answeredAt, now)
-	ow.mu.Unlock()
+	ow.markCrashed(h, h.answeredAt, now)
 	ow.recordAllRunsGone(h, now)
 }
 
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -34,12 +34,16 @@
 
 // MarkCrashed records that the process of a host has gone, not before a time. The
 // runs that may be the cause are suspected; the suspicion ends if the host answers
-// without having restarted. A host that leaves ends its runs by itself.
-func (s *Scheduler) MarkCrashed(id string, notBefore, now time.Duration) {
+// without having restarted. A host that leaves ends its runs by itself. It reports
+// whether the host had not been known to have crashed.
+func (s *Scheduler) MarkCrashed(id string, notBefore, now time.Duration) bool {
 	s.now = now
-	if h := s.hosts[id]; h != nil && !h.spec.Leaving && !h.crashed {
-		s.suspectRuns(h, notBefore)
+	h := s.hosts[id]
+	if h == nil || h.spec.Leaving || h.crashed {
+		return false
 	}
+	s.suspectRuns(h, notBefore)
+	return true
 }
 
 // suspectRuns marks the runs that may be the cause of a crash.
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -37,6 +37,17 @@
 	Teams   []TeamDump     `json:"teams"`
 	Waiting map[string]int `json:"waiting_groups"`
 	Jobs    int            `json:"jobs"`
+	// Suspected is the number of submissions that may have crashed a host.
+	Suspected int `json:"suspected"`
+	// Queues holds the queues whose tasks have crashed hosts of late.
+	Queues []QueueDump `json:"queues_with_crashes,omitempty"`
+}
+
+// QueueDump is how often the tasks of a queue have crashed their hosts of late.
+type QueueDump struct {
+	Name       string  `json:"name"`
+	CrashShare float64 `json:"crash_share"`
+	HostsDown  float64 `json:"hosts_down"`
 }
 
 // HostDump is the state of one host.
@@ -47,6 +58,8 @@
 	Used     string  `json:"used"`
 	Runs     int     `json:"runs"`
 	Slowness float64 `json:"slowness"`
+	// QuarantinedFor is the step under trial for which the host is kept free.
+	QuarantinedFor string `json:"quarantined_for,omitempty"`
 }
 
 // TeamDump is the resource usage of a team and its limit.
@@ -60,14 +73,28 @@
 func (s *Scheduler) Dump() Dump {
 	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs)}
 	for _, h := range s.sortedHosts {
-		d.Hosts = append(d.Hosts, HostDump{
+		hd := HostDump{
 			ID: h.spec.ID, Usable: h.usable(s.now), Closed: h.closed, Used: h.used.String(), Runs: len(h.runs), Slowness: h.health.slowness,
-		})
+		}
+		if h.quarantinedFor != nil {
+			hd.QuarantinedFor = h.quarantinedFor.id.String()
+		}
+		d.Hosts = append(d.Hosts, hd)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
 		t := s.teams[name]
 		d.Teams = append(d.Teams, TeamDump{Name: name, Used: t.used.String(), Limit: t.limit.String()})
 	}
+	for _, j := range s.jobs {
+		if j.suspected {
+			d.Suspected++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.risks)) {
+		if r := s.risks[name]; r.crashes > 0 {
+			d.Queues = append(d.Queues, QueueDump{Name: name, CrashShare: r.share(), HostsDown: r.down})
+		}
+	}
 	for _, g := range s.groups {
 		if g.ready && g.waiting > 0 {
 			d.Waiting[g.waitReason.String()]++
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -57,6 +57,7 @@
 		s.prefetchAdvice()
 		s.stopHungAndCopySlowRuns()
 		s.stopInterferingTasks()
+		s.forgetOldRisks()
 	}
 	p := s.plan
 	s.plan = &Plan{}
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -9,6 +9,9 @@
 	// riskMemory is the time after which a start or a crash counts for 1/e of what it
 	// did at first.
 	riskMemory = 5 * time.Second
+	// forgetRiskAfter is how long after the last start nothing is known of a queue any
+	// more. It bounds the queues that are remembered.
+	forgetRiskAfter = 20 * riskMemory
 	// minRiskCrashes is how many crashes a queue must have caused before its new
 	// submissions are started with care.
 	minRiskCrashes = 2
@@ -56,6 +59,18 @@
 	return r.crashes >= minRiskCrashes && r.crashes >= share*r.starts
 }
 
+// share returns the share of starts that crashed their hosts.
+func (r *queueRisk) share() float64 { return r.crashes / max(r.starts, 1) }
+
+// forgetOldRisks removes the queues from which nothing has started for a long time.
+func (s *Scheduler) forgetOldRisks() {
+	for name, r := range s.risks {
+		if s.now > r.at+forgetRiskAfter {
+			delete(s.risks, name)
+		}
+	}
+}
+
 // risk returns the risk of the queue of a job.
 func (s *Scheduler) risk(j *job) *queueRisk {
 	r := s.risks[j.queue.Name]
@@ -135,7 +150,7 @@
 		return true
 	}
 	r := s.risk(j)
-	expected := r.down + float64(r.unproven+1)*r.crashes/max(r.starts, 1)
+	expected := r.down + float64(r.unproven+1)*r.share()
 	return !j.hasRuns() && (expected <= float64(s.maxRiskyHosts(r)) || r.unproven == 0)
 }
 
--- a/internal/cell/schedule/trial_test.go
+++ b/internal/cell/schedule/trial_test.go
@@ -8,6 +8,20 @@
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
+// Guards against a scheduler that remembers every queue that there ever was.
+func TestRisksOfOldQueuesAreForgotten(t *testing.T) {
+	c := newCluster(2, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	for i := range 20 {
+		name := string(rune('a' + i))
+		c.queue(cell.Queue{Name: name, Stretch: 2, Latency: time.Second})
+		c.submit("job-"+name, name, "a", smallStep(1, time.Second))
+		c.advance(30 * time.Second)
+	}
+	if got, want := len(c.s.risks), int(forgetRiskAfter/(30*time.Second))+1; got > want {
+		t.Errorf("%d queues are remembered, want %d at most", got, want)
+	}
+}
+
 // Guards against a suspected gang that never starts, since its hosts are given back
 // while advice about them is awaited.
 func TestSuspectedGangIsTriedThoughAdviceIsSlow(t *testing.T) {
