--- a/internal/cell/node/desired_reader_test.go
+++ b/internal/cell/node/desired_reader_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
-	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -14,14 +12,7 @@
 // Guards against a node on which newer versions of the desired state come into force
 // only after its owner has loaded all submissions or has ended a long decision.
 func TestDesiredStateIsReadWhileTheOwnerIsBusy(t *testing.T) {
-	s := config.Default()
-	s.Node.Name, s.Node.Zone = "n1", "z"
-	s.Platform.Store, s.Platform.Advice = "127.0.0.1:1", "127.0.0.1:1" // nothing listens there
-	n, err := New(s, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer n.pool.Close()
+	n := newUnconnectedNode(t)
 	n.mu.Lock() // as while a term begins
 	defer n.mu.Unlock()
 	applied := make(chan struct{})
--- a/internal/cell/node/newest_only_test.go
+++ b/internal/cell/node/newest_only_test.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
-	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -17,14 +15,7 @@
 // claim comes before the progress that an earlier owner had stored; the term must
 // begin after all of them.
 func TestClaimInNewestRecordsSeesAllProgress(t *testing.T) {
-	s := config.Default()
-	s.Node.Name, s.Node.Zone = "n1", "z"
-	s.Platform.Store, s.Platform.Advice = "127.0.0.1:1", "127.0.0.1:1" // nothing listens there
-	n, err := New(s, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer n.pool.Close()
+	n := newUnconnectedNode(t)
 	at := func(offset uint64, r platform.Record) platform.Record { r.Offset = offset; return r }
 	sub := &cell.Submission{ID: "5c0e7a21d94b36f8", Team: "a", Queue: cell.Queue{Name: "q"}, Steps: []cell.Step{{Count: 1, Estimate: time.Second}}}
 	n.applyWork(worklog.Page{Records: []platform.Record{at(1, registry.SubmissionRecord(sub))}})
--- /dev/null
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -0,0 +1,103 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// Guards against crash counts that a takeover forgets, against bystanders that are
+// given up, and against suspected work that waits for ever, whatever else crashes.
+func TestCrashesAreBoundedAcrossTakeovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := crashCluster(rapid.IntRange(4, 12).Draw(t, "hosts"))
+		jobs, takeovers, crashes := 0, 0, 0
+		for range rapid.IntRange(5, 60).Draw(t, "events") {
+			switch e := rapid.IntRange(0, 9).Draw(t, "event"); {
+			case e < 6:
+				jobs++
+				name := rapid.SampledFrom([]string{"sound", "sound", "sound", "deadly"}).Draw(t, "kind")
+				step := smallStep(rapid.IntRange(1, 4).Draw(t, "tasks"), time.Duration(rapid.IntRange(300, 4000).Draw(t, "estimate"))*time.Millisecond)
+				step.Gang = rapid.Bool().Draw(t, "gang")
+				c.submit(fmt.Sprintf("%s%02d", name, jobs), "q", "a", step)
+			case e == 6 && takeovers < 2:
+				takeovers++
+				c.replaceOwner()
+				if !c.anyUnreachable() {
+					c.s.MarkReconciled(c.now)
+				}
+			case e == 7 && crashes < 1:
+				crashes++
+				c.crash(rapid.SampledFrom(c.ids()).Draw(t, "host"))
+			}
+			c.advance(time.Duration(rapid.IntRange(5, 900).Draw(t, "ms")) * time.Millisecond)
+		}
+		for range 45 { // every crashed host is back and has answered the owner
+			c.advance(100 * time.Millisecond)
+		}
+		c.s.MarkReconciled(c.now)
+		if !c.stepUntilFinished(3000, 100*time.Millisecond) {
+			t.Errorf("submissions are open after 300 s")
+		}
+		checkCrashes(t, c)
+	})
+}
+
+// Guards against a new owner that begins to count again: the crashes under a task and
+// its trial have to be on the log.
+func TestCrashCountsSurviveTakeover(t *testing.T) {
+	c := crashCluster(4)
+	c.submit("deadly", "q", "a", smallStep(1, time.Second))
+	takeOver := func() []cell.Crash {
+		c.replaceOwner()
+		for range 45 { // the crashed host is back and has answered
+			c.now += 100 * time.Millisecond
+			c.restartCrashed()
+			c.pollHosts()
+		}
+		c.s.MarkReconciled(c.now)
+		return c.s.jobs["deadly"].groups[0].tasks[0].crashes
+	}
+	c.advance(10 * time.Millisecond)
+	for range 34 {
+		c.advance(100 * time.Millisecond)
+	}
+	if got := takeOver(); c.crashes[cell.TaskID{Submission: "deadly"}] != 2 || len(got) != 2 {
+		t.Errorf("%d hosts crashed under the task, %+v is known after the takeover, want 2", c.crashes[cell.TaskID{Submission: "deadly"}], got)
+	}
+	if !c.s.underTrial(c.s.jobs["deadly"]) {
+		t.Error("the task is not suspected after the takeover")
+	}
+	if !c.stepUntilFinished(100, 100*time.Millisecond) {
+		t.Error("the submission is open after 10 s")
+	}
+	checkCrashes(t, c)
+	if got := c.crashes[cell.TaskID{Submission: "deadly"}]; got > maxCrashes {
+		t.Errorf("%d hosts crashed under the task, want %d at most", got, maxCrashes)
+	}
+}
+
+// Guards against a crash that a new owner counts for a trial whose outcome was known.
+func TestTrialWithKnownOutcomeIsForgotten(t *testing.T) {
+	c := crashCluster(3)
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, MaxAttempts: 9})
+	c.fails = func(cell.TaskID, int64) bool { return true }
+	c.submit("sound", "q", "a", smallStep(1, 100*time.Millisecond))
+	c.s.jobs["sound"].suspected = true
+	c.decide(nil)
+	c.now += 200 * time.Millisecond
+	c.endDueRuns()
+	c.pollHosts() // the end is reported, and the next run has not been started
+	if n := c.failed[cell.TaskID{Submission: "sound"}]; n != 1 {
+		t.Fatalf("%d runs have failed, want 1", n)
+	}
+	c.replaceOwner()
+	c.s.MarkReconciled(c.now)
+	if got := c.s.jobs["sound"].groups[0].tasks[0].crashes; len(got) > 0 {
+		t.Errorf("%+v is counted for a trial that ended as failed", got)
+	}
+}
