Let a gang span racks once waiting for one rack no longer pays

Callers saw, or would see: a submission with a rack-local gang that never starts with most of the room free, and that holds one of the few reservations meanwhile.

Cause: chooseHosts gave such a gang to several racks only if no rack could hold it when empty, counting hosts that advice had denied. If no rack had enough approved hosts, or its hosts were full of long work, it returned nothing for ever. The platform makes several racks slower, not forbidden.

Fix: the gang waits for one rack until the time at which it could first have started on several racks plus its estimate, which is what several racks would cost it, and only if a rack of usable hosts is expected to hold it by then; hosts not asked about yet count if the answer comes in time. The bound counts from a fixed moment, so work that takes longer than estimated cannot extend it. Room is reserved in that rack, no longer anywhere.

Ruled out: racks whose hosts are down. They did not count before either (that case of the test passed before). The other cases, the overdue rack and the gang of 2 s behind 3 s of work in each rack failed before: not started after 10 s, or after 3 s.

The slowdown is assumed to be 2; the settings of the platform have the true value (2 or 3), which is not passed to the scheduler yet.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -55,12 +55,14 @@
 	if g.policy() != nil {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
-	s.reserveEarliestRoom(g, len(tasks))
+	if p := s.planRoom(g, len(tasks)); p != nil {
+		p.reserve(g, len(tasks))
+	}
 }
 
-// chooseHosts returns a host for each of n tasks, or nil if they do not fit.
-// With requireTicket, it considers only hosts with a valid ticket, otherwise all
-// approved hosts.
+// chooseHosts returns a host for each of n tasks, or nil if they do not fit or are to
+// wait for one rack. With requireTicket, it considers only hosts with a valid ticket,
+// otherwise all approved hosts.
 func (s *Scheduler) chooseHosts(g *group, n int, requireTicket bool) []*host {
 	var all []*host
 	for _, h := range s.candidates(g) {
@@ -74,47 +76,14 @@
 	if !g.step.RackLocal {
 		return s.assignHosts(g, all, n)
 	}
-	total := 0
-	for _, h := range all {
-		total += s.tasksThatFit(g, h)
+	if picked := s.assignInRack(g, all, n); picked != nil {
+		return picked
 	}
-	if total < n {
+	spread := s.assignHosts(g, all, n)
+	if spread != nil && s.worthWaitingForRack(g, n) {
 		return nil
 	}
-	var best []*host
-	for _, rack := range racks(all) {
-		inRack := slices.DeleteFunc(slices.Clone(all), func(h *host) bool { return h.rack != rack })
-		if picked := s.assignHosts(g, inRack, n); picked != nil && (best == nil || rack == g.step.DataRack) {
-			best = picked
-		}
-	}
-	if best == nil && s.largestRackCapacity(g) < n {
-		return s.assignHosts(g, all, n) // no rack is large enough for the gang
-	}
-	return best
-}
-
-// racks returns the racks of hosts, sorted.
-func racks(hosts []*host) (out []string) {
-	for _, h := range hosts {
-		if !slices.Contains(out, h.rack) {
-			out = append(out, h.rack)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// largestRackCapacity returns how many tasks fit into the largest rack when it is empty.
-func (s *Scheduler) largestRackCapacity(g *group) (most int) {
-	count := make(map[string]int)
-	for _, h := range s.sortedHosts {
-		if s.eligible(g, h) {
-			count[h.rack] += tasksIn(g.size, h.spec.Capacity)
-			most = max(most, count[h.rack])
-		}
-	}
-	return most
+	return spread
 }
 
 // assignHosts assigns n tasks to hosts, or returns nil if they do not fit. The
@@ -184,7 +153,7 @@
 	for i, t := range tasks {
 		s.start(t, hosts[i], run)
 	}
-	g.run, g.startedAt = run, s.now
+	g.run, g.startedAt, g.couldSpreadAt = run, s.now, 0
 }
 
 // retryRefusedMembers starts refused members again, on hosts that are chosen
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -29,6 +29,9 @@
 	// memberEndedAt is when the scheduler learned of it.
 	memberEndedAt time.Duration
 	startedAt     time.Duration
+	// couldSpreadAt is since when a gang that waits for one rack could have started on
+	// several ones; zero if it could not yet.
+	couldSpreadAt time.Duration
 	// trialRetryAt is the earliest time at which hosts are kept free for a trial again.
 	trialRetryAt time.Duration
 	// trial is set while the group is placed that may use only hosts without other runs.
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -54,24 +54,40 @@
 	extra int
 }
 
-// reserveEarliestRoom finds the earliest time at which n tasks of a gang fit on
-// the approved hosts. It reserves that capacity against work that would not end
-// before then.
-func (s *Scheduler) reserveEarliestRoom(g *group, n int) {
-	var hosts []*host
-	for _, h := range s.approvedHosts(g) {
-		if s.eligible(g, h) {
-			hosts = append(hosts, h)
-		}
+// roomPlan is the capacity that a gang is expected to get.
+type roomPlan struct {
+	hosts []*host
+	// tasksPerHost is how many members fit on each host at the time at.
+	tasksPerHost []int
+	at           time.Duration
+}
+
+// planRoom returns where and when n tasks of a gang are expected to fit on the approved
+// hosts, or nil if they never do. A gang that wants one rack gets it if it does not wait
+// for it longer than it would lose on several.
+func (s *Scheduler) planRoom(g *group, n int) *roomPlan {
+	hosts := s.usableHosts(g)
+	plan := s.earliestRoom(g, n, hosts)
+	if plan == nil || !g.step.RackLocal {
+		return plan
 	}
-	tasksPerHost := make([]int, len(hosts))
+	if rack := s.earliestRackPlan(g, n, hosts); rack != nil && rack.at <= g.rackDeadline(plan.at) {
+		return rack
+	}
+	return plan
+}
+
+// earliestRoom returns the earliest time at which n tasks of a gang fit on the given
+// hosts, or nil if they never do.
+func (s *Scheduler) earliestRoom(g *group, n int, hosts []*host) *roomPlan {
+	plan := &roomPlan{hosts: hosts, tasksPerHost: make([]int, len(hosts)), at: s.now}
 	var gains []roomGain
 	total := 0
 	for i, h := range hosts {
 		free := h.free().Sub(h.reserved)
-		tasksPerHost[i] = tasksIn(g.size, free)
-		total += tasksPerHost[i]
-		counted := tasksPerHost[i]
+		plan.tasksPerHost[i] = tasksIn(g.size, free)
+		total += plan.tasksPerHost[i]
+		counted := plan.tasksPerHost[i]
 		for _, r := range s.expectedEnds(h) {
 			free = free.Add(r.size)
 			if k := tasksIn(g.size, free); k > counted {
@@ -86,32 +102,31 @@
 		}
 		return cmp.Compare(a.host, b.host)
 	})
-	until := s.now
 	for _, o := range gains {
 		if total >= n {
 			break
 		}
 		total += o.extra
-		tasksPerHost[o.host] += o.extra
-		until = o.at
+		plan.tasksPerHost[o.host] += o.extra
+		plan.at = o.at
 	}
 	if total < n {
-		return
+		return nil
 	}
-	s.reserveRoom(g, n, hosts, tasksPerHost, until)
+	return plan
 }
 
-// reserveRoom reserves capacity for n tasks of a gang on as few hosts as
-// possible.
-func (s *Scheduler) reserveRoom(g *group, n int, hosts []*host, tasksPerHost []int, until time.Duration) {
-	order := make([]int, len(hosts))
+// reserve reserves the capacity of a plan for n tasks of a gang, on as few hosts as
+// possible, against work that would not end before.
+func (p *roomPlan) reserve(g *group, n int) {
+	order := make([]int, len(p.hosts))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(tasksPerHost[b], tasksPerHost[a]) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(p.tasksPerHost[b], p.tasksPerHost[a]) })
 	for _, i := range order {
-		if k := min(tasksPerHost[i], n); k > 0 {
-			hosts[i].reserve(g, k, until)
+		if k := min(p.tasksPerHost[i], n); k > 0 {
+			p.hosts[i].reserve(g, k, p.at)
 			n -= k
 		}
 	}
