Let only gangs whose room will come free hold a reservation

Cause: the few places for reservations were counted before it was known whether a gang can get its room. A gang kept its place though its hosts leave or are down, though it has more members than its hosts hold (never checked without an advice policy), or though MaxPerHost, which the search for room ignored, keeps it apart; also while it waited for advice about more hosts, and when gangs ahead had reserved all of its hosts.

Fix: a place is held only by a gang with a plan: its room is there and tickets are being renewed, or the time at which running work leaves it enough room is known. The next gang in order gets the place otherwise. The plan keeps to MaxPerHost.

The three cases of the new test failed before (not started after 100 decisions in 10 s).

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // refusedMemberTimeoutDivisor divides the gang timeout. If a refused member cannot be
@@ -35,29 +37,34 @@
 		s.requestAdviceOnUndecidedHosts(g)
 		return
 	}
-	if g.policy() != nil && s.approvedCapacity(g) < len(tasks) && !s.requestAdviceOnUndecidedHosts(g) {
+	if s.approvedCapacity(g) < len(tasks) {
 		s.setWaitReason(g, waitCapacity)
-		// The approved hosts are too few and no host is left to ask about, so others
-		// must not wait for this gang.
+		if g.policy() != nil {
+			s.requestAdviceOnUndecidedHosts(g)
+		}
 		return
 	}
-	*reservingGangs++
-	if *reservingGangs > max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
+	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
 		s.setWaitReason(g, waitOtherGangs)
 		return
 	}
 	if hosts := s.chooseHosts(g, len(tasks), false); hosts != nil {
+		*reservingGangs++
 		s.setWaitReason(g, waitTickets)
 		s.renewTickets(g, hosts)
 		return
 	}
+	plan := s.planRoom(g, len(tasks))
+	if plan == nil {
+		s.setWaitReason(g, waitOtherGangs) // they have reserved the room that it needs
+		return
+	}
+	*reservingGangs++
 	s.setWaitReason(g, waitRoom)
+	plan.reserve(g, len(tasks))
 	if g.policy() != nil {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
-	if p := s.planRoom(g, len(tasks)); p != nil {
-		p.reserve(g, len(tasks))
-	}
 }
 
 // chooseHosts returns a host for each of n tasks, or nil if they do not fit or are to
@@ -207,12 +214,18 @@
 func (s *Scheduler) approvedCapacity(g *group) (n int) {
 	for _, h := range s.approvedHosts(g) {
 		if s.eligible(g, h) {
-			k := tasksIn(g.size, h.spec.Capacity)
-			if g.step.MaxPerHost > 0 {
-				k = min(k, g.step.MaxPerHost)
-			}
-			n += k
+			n += g.membersIn(h.spec.Capacity)
 		}
 	}
 	return n
 }
+
+// membersIn returns how many tasks of a group fit into the free resources of a host
+// without tasks of the group.
+func (g *group) membersIn(free resource.Vector) int {
+	n := tasksIn(g.size, free)
+	if g.step.MaxPerHost > 0 {
+		n = min(n, g.step.MaxPerHost)
+	}
+	return n
+}
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -85,12 +85,12 @@
 	total := 0
 	for i, h := range hosts {
 		free := h.free().Sub(h.reserved)
-		plan.tasksPerHost[i] = tasksIn(g.size, free)
+		plan.tasksPerHost[i] = g.membersIn(free)
 		total += plan.tasksPerHost[i]
 		counted := plan.tasksPerHost[i]
 		for _, r := range s.expectedEnds(h) {
 			free = free.Add(r.size)
-			if k := tasksIn(g.size, free); k > counted {
+			if k := g.membersIn(free); k > counted {
 				gains = append(gains, roomGain{r.at, i, k - counted})
 				counted = k
 			}
--- /dev/null
+++ b/internal/cell/schedule/reservation_test.go
@@ -0,0 +1,70 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// hostSized is a gang of n tasks that fill a host each.
+func hostSized(n int, estimate time.Duration) cell.Step {
+	return cell.Step{Count: n, Size: resource.Vector{MilliCPU: 16000, MemoryMiB: 1024}, Estimate: estimate, Gang: true}
+}
+
+// streamUntil keeps the hosts busy with small tasks until a submission runs, for at most
+// n decisions. It reports whether the submission has started.
+func (c *cluster) streamUntil(id string, n int) bool {
+	for i := range n {
+		for k := range 4 {
+			c.submit(fmt.Sprintf("small%d-%d", i, k), "small", "b", smallStep(4, time.Second))
+		}
+		c.advance(100 * time.Millisecond)
+		if c.running(id) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against gangs that can never get their room, and that keep the other gangs from
+// getting theirs.
+func TestGangWithoutRoomHoldsNoReservation(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		step    cell.Step
+		prepare func(*cluster)
+	}{
+		{"more members than hosts, one on each", cell.Step{Count: 7, Size: resource.Vector{MilliCPU: 2000}, Estimate: time.Second, Gang: true, MaxPerHost: 1}, func(*cluster) {}},
+		{"more members than hosts hold", hostSized(7, time.Second), func(*cluster) {}},
+		{"hosts with the label leave", cell.Step{Count: 5, Size: resource.Vector{MilliCPU: 8000}, Estimate: time.Second, Gang: true, Label: "l"}, func(c *cluster) {
+			for _, id := range []string{"h00", "h01", "h02"} {
+				c.hosts[id].spec.Labels = append(c.hosts[id].spec.Labels, "l")
+				c.hosts[id].spec.Leaving = id == "h00"
+			}
+			c.resize("h01", c.hosts["h01"].spec.Capacity)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newCluster(6, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+			cl.teams["b"] = cell.Team{Name: "b", Weight: 1000}
+			cl.queue(cell.Queue{Name: "first", Priority: 0, Stretch: 100, Latency: time.Hour})
+			cl.queue(cell.Queue{Name: "q", Priority: 0, Stretch: 200, Latency: time.Hour})
+			cl.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 2, Latency: time.Second})
+			c.prepare(cl)
+			for i := range minReservingGangs {
+				cl.submit(fmt.Sprintf("never%d", i), "first", "a", c.step)
+			}
+			cl.streamUntil("none", 20)
+			cl.submit("gang", "q", "a", hostSized(4, time.Second))
+			if !cl.streamUntil("gang", 100) {
+				t.Errorf("the gang has not started in 10 s; it %s", cl.s.jobs["gang"].groups[0].waitReason)
+			}
+			for _, v := range cl.violations {
+				t.Error(v)
+			}
+		})
+	}
+}
