Let a gang whose room is free renew its tickets beside gangs that reserve

Callers saw: a gang that "waits behind gangs that come first" although its hosts are idle.

Cause: the tickets that were asked for ahead of a step expire when the steps before it take longer than estimated, or when the gang waits. Asking for new ones needed one of the few places for reservations, and these may all be held by gangs that wait for other hosts.

Fix: a gang that fits on its approved hosts now renews its tickets without such a place. It can take only room that is reserved for no gang ahead, and keeps it for the duration of one call, so the number of such gangs is bounded by the room.

Ruled out: tickets that a call has just renewed and that expire before they can be used; their validity counts from the answer.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -44,16 +44,15 @@
 		}
 		return
 	}
-	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
-		s.setWaitReason(g, waitOtherGangs)
-		return
-	}
 	if hosts := s.chooseHosts(g, len(tasks), false); hosts != nil {
-		*reservingGangs++
 		s.setWaitReason(g, waitTickets)
 		s.renewTickets(g, hosts)
 		return
 	}
+	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
+		s.setWaitReason(g, waitOtherGangs)
+		return
+	}
 	plan := s.planRoom(g, len(tasks))
 	if plan == nil {
 		s.setWaitReason(g, waitOtherGangs) // they have reserved the room that it needs
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -20,9 +20,9 @@
 	// periodicCheckInterval is the time between two checks of all groups and
 	// hosts, for conditions that no event reports.
 	periodicCheckInterval = 100 * time.Millisecond
-	// minReservingGangs and hostsPerReservingGang limit the gangs that have
-	// capacity reserved at one time: more of them would keep most of the cell
-	// idle, and fewer would make gangs wait for each other's advice.
+	// minReservingGangs and hostsPerReservingGang limit the gangs for which capacity
+	// is gathered at one time: more of them would keep most of the cell idle, and
+	// fewer would make gangs wait for each other's advice.
 	minReservingGangs     = 3
 	hostsPerReservingGang = 16
 	// extraTicketHosts is how many hosts beyond the needed ones a call that
--- a/internal/cell/schedule/reservation_test.go
+++ b/internal/cell/schedule/reservation_test.go
@@ -68,3 +68,41 @@
 		})
 	}
 }
+
+// Guards against a gang that does not start on idle hosts: its tickets had expired, and
+// it might not renew them while other gangs waited for room elsewhere.
+func TestGangWithRoomRenewsTicketsBesideReservingGangs(t *testing.T) {
+	c := newCluster(6, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	advice := &cell.AdvicePolicy{Decision: 100 * time.Millisecond, PerHost: time.Millisecond, Validity: time.Second}
+	c.queue(cell.Queue{Name: "first", Priority: 0, Stretch: 100, Latency: time.Hour, Advice: advice})
+	c.queue(cell.Queue{Name: "q", Priority: 1, Stretch: 100, Latency: time.Hour, Advice: advice})
+	c.approves = func(g cell.GroupID, host string) bool { return g.Submission == "gang" || host <= "h02" }
+	for _, h := range []string{"h00", "h01", "h02"} {
+		c.occupy(h, time.Minute)
+	}
+	for i := range minReservingGangs {
+		c.submit(fmt.Sprintf("waits%d", i), "first", "a", hostSized(1, time.Second))
+	}
+	first := smallStep(1, 500*time.Millisecond)
+	gang := cell.Step{Count: 8, Size: first.Size, Estimate: time.Second, Gang: true, After: []int{0}}
+	c.submit("gang", "q", "a", first, gang)
+	for range 30 { // the first step takes longer than estimated, so that the tickets for the second expire
+		c.advance(100 * time.Millisecond)
+		for _, h := range c.hosts {
+			for _, r := range h.runs {
+				if r.task.Submission == "gang" {
+					r.endsAt = c.now + 200*time.Millisecond
+				}
+			}
+		}
+	}
+	if n := len(c.s.jobs["gang"].groups[1].advice.tickets); n == 0 {
+		t.Fatal("no advice was asked for ahead")
+	}
+	for range 10 {
+		c.advance(100 * time.Millisecond)
+	}
+	if got := c.running("gang"); got != 8 {
+		t.Errorf("%d of 8 members run a second after the first step, on idle hosts; it %s", got, c.s.jobs["gang"].groups[1].waitReason)
+	}
+}
