Keep no room for gangs where only long-running tasks could free it

Callers would see: hosts that stay empty beside long-running tasks, while work waits.

Cause: the search for the room of a gang expected every run to end after its estimate, or half a second later if that had passed. A long-running task never ends, so a gang too wide for what is left beside such tasks was expected to start half a second later, for ever: it held a reservation place and the room beside them.

Fix: long-running tasks free no room in a plan, and their size does not count as capacity that a gang may get.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -208,12 +208,12 @@
 	s.requestAdvice(g, named)
 }
 
-// approvedCapacity returns how many tasks fit on the approved hosts when they
-// are empty.
+// approvedCapacity returns how many tasks fit on the approved hosts once all runs
+// there have ended but those of long-running tasks.
 func (s *Scheduler) approvedCapacity(g *group) (n int) {
 	for _, h := range s.approvedHosts(g) {
 		if s.eligible(g, h) {
-			n += g.membersIn(h.spec.Capacity)
+			n += g.membersIn(h.spec.Capacity.Sub(h.longRunning))
 		}
 	}
 	return n
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -30,6 +30,8 @@
 	// lastEndNumber is the highest number of an ended run that has been applied.
 	lastEndNumber int64
 	used          resource.Vector
+	// longRunning is the part of used that belongs to long-running tasks.
+	longRunning resource.Vector
 	// bestEffortCPU is the CPU demand, in thousandths of a core, of best-effort
 	// tasks. They use only CPU time that other tasks leave idle.
 	bestEffortCPU int64
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -133,6 +133,9 @@
 	t.lastRun = max(t.lastRun, run)
 	h.runs[runKey{t.id, run}] = a
 	h.used = h.used.Add(t.group.size)
+	if t.group.step.LongRunning {
+		h.longRunning = h.longRunning.Add(t.group.size)
+	}
 	h.bestEffortCPU += t.group.bestEffortCPU()
 	t.group.job.team.addUsage(t.group.step.Size, t.group.urgent(), 1, s.now)
 	return a
@@ -144,6 +147,9 @@
 	a.endSuspicion()
 	a.task.forgetTrial(a.run)
 	a.host.used = a.host.used.Sub(a.task.group.size)
+	if a.task.group.step.LongRunning {
+		a.host.longRunning = a.host.longRunning.Sub(a.task.group.size)
+	}
 	a.host.bestEffortCPU -= a.task.group.bestEffortCPU()
 	j := a.task.group.job
 	j.team.addUsage(a.task.group.step.Size, a.task.group.urgent(), -1, s.now)
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -28,12 +29,18 @@
 // exceeded its estimate.
 const overdueExtension = 500 * time.Millisecond
 
+// neverEnds is the expected end of long-running tasks.
+const neverEnds = time.Duration(math.MaxInt64)
+
 // expectedEnds returns the expected ends of a host's runs, sorted by time.
 func (s *Scheduler) expectedEnds(h *host) []expectedEnd {
 	if h.expectedEnds == nil {
 		h.expectedEnds = make([]expectedEnd, 0, len(h.runs))
 		for _, a := range h.runs {
 			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdueExtension)
+			if a.task.group.step.LongRunning {
+				end = neverEnds
+			}
 			h.expectedEnds = append(h.expectedEnds, expectedEnd{end, a.task.group.size})
 		}
 		slices.SortFunc(h.expectedEnds, func(a, b expectedEnd) int {
@@ -89,6 +96,9 @@
 		total += plan.tasksPerHost[i]
 		counted := plan.tasksPerHost[i]
 		for _, r := range s.expectedEnds(h) {
+			if r.at == neverEnds {
+				break
+			}
 			free = free.Add(r.size)
 			if k := g.membersIn(free); k > counted {
 				gains = append(gains, roomGain{r.at, i, k - counted})
--- a/internal/cell/schedule/reservation_test.go
+++ b/internal/cell/schedule/reservation_test.go
@@ -106,3 +106,29 @@
 		t.Errorf("%d of 8 members run a second after the first step, on idle hosts; it %s", got, c.s.jobs["gang"].groups[1].waitReason)
 	}
 }
+
+// Guards against a gang that waits for room on hosts where long-running tasks never free
+// it, and for which that room is kept: they were expected to end after their estimate.
+func TestRoomOfLongRunningTasksIsNotExpected(t *testing.T) {
+	c := newCluster(6, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.teams["b"] = cell.Team{Name: "b", Weight: 1000}
+	c.queue(cell.Queue{Name: "first", Priority: 0, Stretch: 200, Latency: time.Hour})
+	c.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 2, Latency: time.Second})
+	service := cell.Step{Count: 5, Size: resource.Vector{MilliCPU: 9000, MemoryMiB: 1024}, Estimate: time.Second, LongRunning: true, MaxPerHost: 1}
+	c.submit("service", "first", "a", service)
+	c.advance(10 * time.Millisecond)
+	for _, h := range c.hosts {
+		for _, r := range h.runs {
+			r.endsAt = c.now + time.Hour
+		}
+	}
+	for i := range minReservingGangs {
+		c.submit(fmt.Sprintf("never%d", i), "first", "a", hostSized(2, time.Second))
+	}
+	c.advance(10 * time.Millisecond)
+	c.submit("long", "small", "b", smallStep(25, 20*time.Second))
+	c.advance(10 * time.Millisecond)
+	if got := c.running("long"); got != 25 {
+		t.Errorf("%d of 25 tasks run beside long-running ones, where nothing else can", got)
+	}
+}
