--- a/internal/cell/schedule/rack.go
+++ b/internal/cell/schedule/rack.go
@@ -94,7 +94,7 @@
 // hostsNotDenied returns the hosts that take tasks of a group unless advice denies them.
 func (s *Scheduler) hostsNotDenied(g *group) (out []*host) {
 	for _, h := range s.sortedHosts {
-		if s.eligible(g, h) && !g.deniedOn(h) {
+		if s.eligible(g, h) && !g.advice.denied[h] {
 			out = append(out, h)
 		}
 	}
