Tie the use of a host to what the log has of it

Callers would see: a task that runs twice after a takeover, or a team over its limit, since the successor does not know a host and its runs.

Cause: the host list decided what the owner may use, not the log. (1) A new host was noted as stored before its append; if that failed, the next reading of the list gave it to the owner, which used it for up to 0.4 s, until its own append failed. (2) A host that left the list, was removed with its record and was listed again under its id before the list was cleaned up counted as stored: it was used while the log had it closed without runs, and then not at all.

Fix: the owner writes all host records, from one place and in order. A host of which it has stored no open record gets no start; that holds for new ones and for ones that return. A record that was on its way while its host was removed opens nothing. The host list now only lists. A listed host of which the log has no record at the claim cannot have runs of earlier owners, so a new owner no longer waits for it.

--- a/internal/cell/node/hosts.go
+++ b/internal/cell/node/hosts.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
-	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -57,7 +56,7 @@
 		delete(t.missingSince, r.Key)
 	}
 	t.dropMissing(n.clock.Now())
-	n.storeAndSetHosts(ctx, t)
+	t.setHosts(ctx)
 }
 
 // markMissing notes that the entry of a host is missing. The host is not dropped at
@@ -83,36 +82,11 @@
 	}
 }
 
-// storeAndSetHosts passes the listed hosts to the owner. New hosts, and hosts with a
-// new address, are stored first, since a later owner has to know on which hosts there
-// may be runs.
-func (n *Node) storeAndSetHosts(ctx context.Context, t *term) {
-	listed := make([]cell.Host, 0, len(t.listedHosts))
-	for _, h := range t.listedHosts {
-		listed = append(listed, h)
-	}
-	var records []platform.Record
-	for _, h := range listed {
-		old, ok := t.storedHosts[h.ID]
-		if !ok || old.Spec.Address != h.Address {
-			t.storedHosts[h.ID] = registry.Host{Spec: h}
-			records = append(records, registry.HostRecord(t.storedHosts[h.ID]))
-		}
-	}
+// setHosts passes the listed hosts to the owner, and with the first list the hosts that
+// were stored before the term.
+func (t *term) setHosts(ctx context.Context) {
+	listed := slices.Collect(maps.Values(t.listedHosts))
 	slices.SortFunc(listed, func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) })
-	if len(records) > 0 {
-		if err := t.claim.journal.Store(ctx, records); err != nil {
-			n.log.Warn("hosts: The append of new hosts failed.", "count", len(records), "error", err)
-			return
-		}
-	}
-	if t.hostsLoaded {
-		known := t.owner.PolledHosts()
-		maps.DeleteFunc(t.storedHosts, func(id string, _ registry.Host) bool {
-			_, used := t.listedHosts[id]
-			return !used && !known[id]
-		})
-	}
-	t.hostsLoaded = true
 	t.owner.SetHosts(ctx, t.storedHosts, listed)
+	t.storedHosts = nil
 }
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -25,11 +25,9 @@
 	listedHosts map[string]cell.Host
 	// missingSince is when the entry of a listed host was found to be missing.
 	missingSince map[string]time.Duration
-	// storedHosts are the hosts that have a record in the work topic.
+	// storedHosts are the hosts that were stored before the term, until the owner has
+	// received them.
 	storedHosts map[string]registry.Host
-	// hostsLoaded is set once the owner has received the hosts that were stored
-	// before the term.
-	hostsLoaded bool
 	// done is closed when the term has ended.
 	done chan struct{}
 }
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -43,9 +43,12 @@
 	// inHostList is set while the platform lists the host.
 	inHostList bool
 	// closedByPreviousOwner is set if the previous owner had closed the host to new
-	// runs, so that only the runs it recorded may be present. storedClosed is the
-	// state that is stored in the log.
-	closedByPreviousOwner, storedClosed bool
+	// runs, so that only the runs it recorded may be present, or had not stored it, so
+	// that none may be.
+	closedByPreviousOwner bool
+	// stored is set once the log has a record of the host, storedClosed if the host is
+	// closed there.
+	stored, storedClosed bool
 	// unreachable is set after unreachableThreshold failed or refused polls, until one
 	// succeeds.
 	unreachable bool
--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -5,9 +5,15 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
+// hostChange is a change of the record of a host.
+type hostChange struct {
+	poller *hostPoller
+	closed bool
+}
+
 // hostRecords returns the records of hosts that are to be closed or opened to new
 // runs. A host is closed at once, but opened only once its record is stored.
-func (ow *Owner) hostRecords() (records []platform.Record, changed []*hostPoller) {
+func (ow *Owner) hostRecords() (records []platform.Record, changes []hostChange) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	for _, id := range ow.removedHosts {
@@ -16,10 +22,7 @@
 	ow.removedHosts = nil
 	for _, h := range ow.hosts {
 		closed := h.host.Leaving || !h.inHostList || h.allRunsGone || h.unreachable
-		// The runs of earlier owners on a host that has never answered are unknown. A
-		// successor would assume that a closed host has only the recorded runs.
-		known := h.runsKnown || h.allRunsGone || ow.reconciled
-		if closed == h.storedClosed || closed && !known || !closed && !h.runsKnown {
+		if !ow.needsRecord(h, closed) {
 			continue
 		}
 		rec := registry.Host{Spec: h.host, Closed: closed}
@@ -29,19 +32,34 @@
 			}
 		}
 		records = append(records, registry.HostRecord(rec))
-		changed = append(changed, h)
+		changes = append(changes, hostChange{h, closed})
+	}
+	return records, changes
+}
+
+// needsRecord reports whether a record is to be stored that closes or opens a host. The
+// caller holds the lock.
+func (ow *Owner) needsRecord(h *hostPoller, closed bool) bool {
+	if !closed {
+		return h.runsKnown && (h.storedClosed || !h.stored)
 	}
-	return records, changed
+	// The runs of earlier owners on a host that has never answered are unknown. A
+	// successor would assume that a closed host has only the recorded runs.
+	known := h.runsKnown || h.allRunsGone || ow.reconciled
+	return known && h.stored && !h.storedClosed
 }
 
 // hostRecordsStored is called once the records of changed hosts are stored.
-func (ow *Owner) hostRecordsStored(changed []*hostPoller) {
+func (ow *Owner) hostRecordsStored(changes []hostChange) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	for _, h := range changed {
-		h.storedClosed = !h.storedClosed
-		if !h.storedClosed {
-			ow.scheduler.OpenHost(h.host.ID)
+	for _, c := range changes {
+		if ow.hosts[c.poller.host.ID] != c.poller {
+			continue // the host was removed, and may have come back, while its record was stored
+		}
+		c.poller.stored, c.poller.storedClosed = true, c.closed
+		if !c.closed {
+			ow.scheduler.OpenHost(c.poller.host.ID)
 		}
 	}
 }
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -2,53 +2,57 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
-	"strings"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 )
 
-// SetHosts adds the hosts that may have runs (stored), and replaces the set of
-// hosts that the platform lists. Every listed host must be stored in the log
-// before.
+// SetHosts adds the hosts of which the log has a record (stored), and replaces the set
+// of hosts that the platform lists. stored is given once, with the first list. Nothing
+// is started on other hosts until their records are stored: a later owner has to know
+// on which hosts there may be runs.
 func (ow *Owner) SetHosts(ctx context.Context, stored map[string]registry.Host, listed []cell.Host) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	for _, h := range ow.hosts {
 		h.inHostList = false
 	}
-	list := make([]cell.Host, 0, len(stored))
-	for _, h := range stored {
-		list = append(list, h.Spec)
+	for _, id := range slices.Sorted(maps.Keys(stored)) {
+		h := ow.addHost(ctx, stored[id].Spec)
+		h.stored = true
+		ow.restoreClosed(h, stored[id])
 	}
-	slices.SortFunc(list, func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) })
-	ow.scheduler.SetHosts(list)
-	for _, spec := range list {
+	for _, spec := range listed {
 		h := ow.hosts[spec.ID]
 		if h == nil {
-			h = &hostPoller{host: spec, interrupt: make(chan struct{}, 1), lease: lease{duration: ow.leaseDuration()}}
-			ow.hosts[spec.ID] = h
-			ow.restoreClosed(h, stored[spec.ID])
-			var pollCtx context.Context
-			pollCtx, h.cancel = context.WithCancel(ctx)
-			ow.goroutines.Add(1)
-			go func() {
-				defer ow.goroutines.Done()
-				ow.pollLoop(pollCtx, h)
-			}()
-		}
-	}
-	for _, spec := range listed {
-		if h := ow.hosts[spec.ID]; h != nil {
-			h.inHostList, h.host.Leaving = true, spec.Leaving
+			h = ow.addHost(ctx, spec)
+			h.closedByPreviousOwner = true
+			ow.scheduler.CloseHost(spec.ID)
 		}
+		h.inHostList, h.host.Leaving = true, spec.Leaving
 	}
 	ow.scheduler.SetListedHosts(listed)
 	ow.requestDecision()
 }
 
+// addHost adds a host and begins to poll it. The caller holds the lock.
+func (ow *Owner) addHost(ctx context.Context, spec cell.Host) *hostPoller {
+	h := &hostPoller{host: spec, interrupt: make(chan struct{}, 1), lease: lease{duration: ow.leaseDuration()}}
+	ow.hosts[spec.ID] = h
+	ow.scheduler.SetHosts([]cell.Host{spec})
+	var pollCtx context.Context
+	pollCtx, h.cancel = context.WithCancel(ctx)
+	ow.goroutines.Add(1)
+	go func() {
+		defer ow.goroutines.Done()
+		ow.pollLoop(pollCtx, h)
+	}()
+	return h
+}
+
 // restoreClosed takes over what the previous owner stored about a host that it had
 // closed to new runs.
 func (ow *Owner) restoreClosed(h *hostPoller, stored registry.Host) {
@@ -61,14 +65,3 @@
 		ow.scheduler.AssumeRunPresent(h.host.ID, schedule.Run{Task: r.Task, Run: r.Run}, ow.options.Clock.Now())
 	}
 }
-
-// PolledHosts returns the IDs of the hosts that are polled.
-func (ow *Owner) PolledHosts() map[string]bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	known := make(map[string]bool, len(ow.hosts))
-	for id := range ow.hosts {
-		known[id] = true
-	}
-	return known
-}
