Follow a host to its new address, and take no odd address for its own

Callers would see: a host that stays unused until the next takeover, with the work that needs it (a label, a rack, the approved hosts of a gang); after a takeover, runs on a sound host that lapse, or tasks that run twice.

Cause: the poller kept the address with which a host was first listed. A host that came back under its ID elsewhere was polled at the old one for the whole term. An entry that another writer had changed at the moment of a takeover was stored and polled instead of the address in the log; if another host answered there, its refusal (421) counted as the host's restart, and all its runs as gone.

Fix: the host is polled where it answered last, at first where the log says. If that fails, the listed address is tried in turn. Polls that follow a failed one renew no lease, so the lease of the former instance ends in a known time, and until then, or until the host answers, its runs count. Before the first start at a new address the log has it, so a successor polls it first. A 421 is a restart only where the host was and if it is listed nowhere else. A refused connection at an address where the host was not is no crash.

Not covered: a platform whose reports lack the start time; then a host that has answered is not followed to another address.

--- /dev/null
+++ b/internal/cell/owner/hostaddress.go
@@ -0,0 +1,68 @@
+package owner
+
+import "github.com/medlarpulley/medlarpulley/internal/cell"
+
+// A host is polled, and gets its orders, at the address at which it answered last. The
+// host list may give another one: the host has come back elsewhere, or another writer has
+// changed its entry. The listed address is tried when the host does not answer, and used
+// once the host has answered there under its ID and not as an earlier instance. Nothing
+// is started there until the log has the new address.
+
+// pollTarget returns the host with the address for the next poll.
+func (ow *Owner) pollTarget(h *hostPoller) cell.Host {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	target := h.spec()
+	if h.failedAddress == h.address {
+		target.Address = h.listed.Address
+	}
+	return target
+}
+
+// orderTarget returns the host with the address for orders.
+func (ow *Owner) orderTarget(h *hostPoller) cell.Host {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return h.spec()
+}
+
+// spec returns the listed host with the address at which it answered last. The caller
+// holds the lock.
+func (h *hostPoller) spec() cell.Host {
+	spec := h.listed
+	spec.Address = h.address
+	return spec
+}
+
+// isElsewhere reports whether an address is not the one at which the host answered last.
+func (ow *Owner) isElsewhere(h *hostPoller, address string) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return address != h.address
+}
+
+// showsRestart reports whether an answer of another instance at an address shows that the
+// host has restarted: the host was there, and is listed nowhere else.
+func (ow *Owner) showsRestart(h *hostPoller, address string) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return address == h.address && (!h.inHostList || h.listed.Address == address)
+}
+
+// settleAddress records that a host answered at an address. It reports false if the
+// answer is that of an earlier instance, or may be.
+func (ow *Owner) settleAddress(h *hostPoller, address string, startedMs int64) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if address == h.address {
+		return true
+	}
+	if h.answeredAt != 0 && (h.startedMs == 0 || startedMs < h.startedMs) {
+		ow.options.Log.Warn("A host that may be an earlier instance answers at the listed address.", "host", h.host.ID, "address", address, "started_ms", startedMs, "known", h.startedMs)
+		return false
+	}
+	ow.options.Log.Info("A host answers at another address.", "host", h.host.ID, "address", address, "former", h.address)
+	h.address, h.storedAddress = address, ""
+	ow.scheduler.CloseHost(h.host.ID)
+	return true
+}
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -6,13 +6,14 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-// pollFailed counts a failed or refused poll. It marks the host as unreachable
+// pollFailed counts a failed or refused poll of an address. It marks the host as unreachable
 // after unreachableThreshold of them, and its runs as gone once their leases have
 // certainly expired.
-func (ow *Owner) pollFailed(h *hostPoller, now time.Duration, refusal platform.Refusal, err error) {
+func (ow *Owner) pollFailed(h *hostPoller, address string, now time.Duration, refusal platform.Refusal, err error) {
+	h.failedAddress = address
 	h.failures++
 	if h.failures == unreachableThreshold {
-		ow.options.Log.Warn("Polls of a host fail.", "host", h.host.ID, "refusal", refusal.String(), "error", errText(err))
+		ow.options.Log.Warn("Polls of a host fail.", "host", h.host.ID, "address", address, "refusal", refusal.String(), "error", errText(err))
 		ow.mu.Lock()
 		h.unreachable = true
 		ow.scheduler.MarkUnreachable(h.host.ID)
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -31,8 +31,16 @@
 
 // hostPoller polls one host and holds what is known about it.
 type hostPoller struct {
-	host  cell.Host
-	lease lease
+	// host is the host as it was when it was added. listed is what the platform's list
+	// says, or the log if it is not listed.
+	host, listed cell.Host
+	// address is where the host answered last, or was when it was stored. storedAddress
+	// is the one in the log, empty if it has to be stored again. Both are guarded by the
+	// owner's lock, as is listed.
+	address, storedAddress string
+	// failedAddress is where the last poll failed; empty if it did not.
+	failedAddress string
+	lease         lease
 	// interrupt ends a poll that the host holds open.
 	interrupt chan struct{}
 	cancel    context.CancelFunc
@@ -107,7 +115,8 @@
 		case <-done:
 		}
 	}()
-	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &h.host, o)
+	target := ow.pollTarget(h)
+	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &target, o)
 	close(done)
 	interrupted := callCtx.Err() == context.Canceled && ctx.Err() == nil
 	cancel()
@@ -116,7 +125,7 @@
 	case err == nil && refusal == platform.RefusedFenced:
 		ow.loseOwnership("host " + h.host.ID + " has seen a higher fencing token")
 		return false
-	case err == nil && refusal == platform.RefusedHostRestarted:
+	case err == nil && refusal == platform.RefusedHostRestarted && ow.showsRestart(h, target.Address):
 		ow.recordRestart(h, now)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
@@ -125,17 +134,21 @@
 			h.failures = max(h.failures, 1) // so that the next poll renews no lease and the host answers it at once
 			return true
 		}
-		if err != nil && platform.ProcessGone(err) {
+		if err != nil && platform.ProcessGone(err) && !ow.isElsewhere(h, target.Address) {
 			ow.recordCrash(h, sentAt, now)
 		}
-		ow.pollFailed(h, now, refusal, err)
+		ow.pollFailed(h, target.Address, now, refusal, err)
+		ctxtime.Sleep(ctx, pollRetryInterval)
+		return false
+	case !ow.settleAddress(h, target.Address, l.StartedMs):
+		ow.pollFailed(h, target.Address, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
 	}
 	if unreadable > 0 {
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
-	h.failures, h.answeredAt = 0, now
+	h.failures, h.failedAddress, h.answeredAt = 0, "", now
 	ow.applyReport(ctx, h, sentAt, now, l)
 	return true
 }
--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -7,8 +7,9 @@
 
 // hostChange is a change of the record of a host.
 type hostChange struct {
-	poller *hostPoller
-	closed bool
+	poller  *hostPoller
+	address string
+	closed  bool
 }
 
 // hostRecords returns the records of hosts that are to be closed or opened to new
@@ -21,32 +22,32 @@
 	}
 	ow.removedHosts = nil
 	for _, h := range ow.hosts {
-		closed := h.host.Leaving || !h.inHostList || h.allRunsGone || h.unreachable
+		closed := h.listed.Leaving || !h.inHostList || h.allRunsGone || h.unreachable
 		if !ow.needsRecord(h, closed) {
 			continue
 		}
-		rec := registry.Host{Spec: h.host, Closed: closed}
+		rec := registry.Host{Spec: h.spec(), Closed: closed}
 		if closed {
 			for _, r := range ow.scheduler.CloseHost(h.host.ID) {
 				rec.Runs = append(rec.Runs, registry.Run{Task: r.Task, Run: r.Run})
 			}
 		}
 		records = append(records, registry.HostRecord(rec))
-		changes = append(changes, hostChange{h, closed})
+		changes = append(changes, hostChange{h, h.address, closed})
 	}
 	return records, changes
 }
 
-// needsRecord reports whether a record is to be stored that closes or opens a host. The
-// caller holds the lock.
+// needsRecord reports whether a record is to be stored that closes or opens a host or has
+// its new address. The caller holds the lock.
 func (ow *Owner) needsRecord(h *hostPoller, closed bool) bool {
 	if !closed {
-		return h.runsKnown && (h.storedClosed || !h.stored)
+		return h.runsKnown && (h.storedClosed || !h.stored || h.storedAddress != h.address)
 	}
 	// The runs of earlier owners on a host that has never answered are unknown. A
 	// successor would assume that a closed host has only the recorded runs.
 	known := h.runsKnown || h.allRunsGone || ow.reconciled
-	return known && h.stored && !h.storedClosed
+	return known && h.stored && (!h.storedClosed || h.storedAddress != h.address)
 }
 
 // hostRecordsStored is called once the records of changed hosts are stored.
@@ -57,8 +58,8 @@
 		if ow.hosts[c.poller.host.ID] != c.poller {
 			continue // the host was removed, and may have come back, while its record was stored
 		}
-		c.poller.stored, c.poller.storedClosed = true, c.closed
-		if !c.closed {
+		c.poller.stored, c.poller.storedClosed, c.poller.storedAddress = true, c.closed, c.address
+		if !c.closed && c.address == c.poller.address {
 			ow.scheduler.OpenHost(c.poller.host.ID)
 		}
 	}
--- a/internal/cell/owner/hostrecords_test.go
+++ b/internal/cell/owner/hostrecords_test.go
@@ -28,7 +28,7 @@
 			Self: registry.Ownership{Token: 2}, Clock: boottime.Clock{}, Log: slog.New(slog.DiscardHandler),
 			EarlierOwnersGone: func() bool { return false },
 		})
-		h := &hostPoller{host: cell.Host{ID: "h"}, inHostList: true, stored: true}
+		h := &hostPoller{host: cell.Host{ID: "h"}, listed: cell.Host{ID: "h"}, inHostList: true, stored: true}
 		w.hosts["h"] = h
 		c.change(w, h)
 		records, _ := w.hostRecords()
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -22,7 +22,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(stored)) {
 		h := ow.addHost(ctx, stored[id].Spec)
-		h.stored = true
+		h.stored, h.storedAddress = true, h.address
 		ow.restoreClosed(h, stored[id])
 	}
 	for _, spec := range listed {
@@ -32,7 +32,10 @@
 			h.closedByPreviousOwner = true
 			ow.scheduler.CloseHost(spec.ID)
 		}
-		h.inHostList, h.host.Leaving = true, spec.Leaving
+		if spec.Address != h.listed.Address && spec.Address != h.address {
+			h.pollNow() // the host may have gone from its former address
+		}
+		h.inHostList, h.listed = true, spec
 	}
 	ow.scheduler.SetListedHosts(listed)
 	ow.requestDecision()
@@ -40,7 +43,7 @@
 
 // addHost adds a host and begins to poll it. The caller holds the lock.
 func (ow *Owner) addHost(ctx context.Context, spec cell.Host) *hostPoller {
-	h := &hostPoller{host: spec, interrupt: make(chan struct{}, 1), lease: lease{duration: ow.leaseDuration()}}
+	h := &hostPoller{host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), lease: lease{duration: ow.leaseDuration()}}
 	ow.hosts[spec.ID] = h
 	ow.scheduler.SetHosts([]cell.Host{spec})
 	var pollCtx context.Context
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
@@ -21,13 +21,12 @@
 	err     error
 }
 
-// addressedHosts is a client of fake hosts, which answer polls by address and accept
-// every start.
+// addressedHosts is a client of fake hosts, which answer by address.
 type addressedHosts struct {
 	HostClient
 	mu      sync.Mutex
 	answers map[string]hostAnswer
-	// polled and started hold the addresses of polls and starts, in order.
+	// polled and started hold the addresses of polls and accepted starts, in order.
 	polled, started []string
 }
 
@@ -39,10 +38,16 @@
 	return a.report, 0, a.refusal, a.err
 }
 
-func (c *addressedHosts) Start(_ context.Context, h *cell.Host, _ platform.Start) (int64, platform.Refusal, error) {
+func (c *addressedHosts) Start(_ context.Context, h *cell.Host, o platform.Start) (int64, platform.Refusal, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	a := c.answers[h.Address]
+	if a.err != nil || a.refusal != platform.NotRefused {
+		return 0, a.refusal, a.err
+	}
 	c.started = append(c.started, h.Address)
+	a.report.Running = append(slices.Clone(a.report.Running), cell.Running{Task: o.Task, Run: o.Run})
+	c.answers[h.Address] = a
 	return 0, platform.NotRefused, nil
 }
 
@@ -50,11 +55,17 @@
 	return 0, platform.NotRefused, nil
 }
 
+// stepClock is a clock that the test moves.
+type stepClock struct{ now time.Duration }
+
+func (c *stepClock) Now() time.Duration { return c.now }
+
 // hostTest is an owner whose polls, decisions and rounds of storing are made by the test,
 // and what is stored of its hosts.
 type hostTest struct {
 	*Owner
 	t      *testing.T
+	clock  *stepClock
 	client *addressedHosts
 	log    *registry.Registry
 	offset uint64
@@ -67,12 +78,13 @@
 	client := &addressedHosts{answers: make(map[string]hostAnswer)}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
+	clock := &stepClock{now: time.Hour}
 	w := New(Options{
-		Self: registry.Ownership{Token: 2}, Clock: boottime.Clock{}, WallClock: func() time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler),
-		HostClient: client, Desired: func() *cell.Desired { return desired }, ClaimSent: boottime.Clock{}.Now(), ClaimedAt: boottime.Clock{}.Now(),
+		Self: registry.Ownership{Token: 2}, Clock: clock, WallClock: func() time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler),
+		HostClient: client, Desired: func() *cell.Desired { return desired }, ClaimSent: clock.now, ClaimedAt: clock.now,
 		EarlierOwnersGone: func() bool { return true },
 	})
-	return &hostTest{Owner: w, t: t, client: client, log: registry.New(slog.New(slog.DiscardHandler)), ended: ended}
+	return &hostTest{Owner: w, t: t, clock: clock, client: client, log: registry.New(slog.New(slog.DiscardHandler)), ended: ended}
 }
 
 func testHost(id, address string) cell.Host {
@@ -96,6 +108,8 @@
 
 // decideOnce makes one decision and returns the addresses to which starts were sent.
 func (h *hostTest) decideOnce() []string {
+	h.clock.now += 100 * time.Millisecond
+	h.authority.extend(h.clock.now)
 	h.client.started = nil
 	h.decide(h.t.Context())
 	h.goroutines.Wait()
@@ -142,7 +156,7 @@
 	h.list(stored, spec)
 	h.pollOnce("h")
 	h.list(nil)
-	h.recordAllRunsGone(h.poller("h"), h.options.Clock.Now())
+	h.recordAllRunsGone(h.poller("h"), h.clock.now)
 	h.storeHosts()
 	if !h.removeIfGone(h.poller("h")) {
 		t.Fatal("the host is not removed")
@@ -171,7 +185,7 @@
 	h.pollOnce("h")
 	_, changes := h.hostRecords()
 	h.list(nil)
-	h.recordAllRunsGone(h.poller("h"), h.options.Clock.Now())
+	h.recordAllRunsGone(h.poller("h"), h.clock.now)
 	if !h.removeIfGone(h.poller("h")) {
 		t.Fatal("the host is not removed")
 	}
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -79,7 +79,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, why, err := ow.options.HostClient.Start(callCtx, &h.host, order)
+	target := ow.orderTarget(h)
+	_, why, err := ow.options.HostClient.Start(callCtx, &target, order)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
 	case err != nil && verdict.Of(err) == verdict.DidNotRun:
@@ -127,7 +128,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, why, err := ow.options.HostClient.Stop(callCtx, &h.host, s.Task, s.Run, ow.options.Self.Token)
+	target := ow.orderTarget(h)
+	_, why, err := ow.options.HostClient.Stop(callCtx, &target, s.Task, s.Run, ow.options.Self.Token)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
 	case err == nil && why == platform.RefusedFenced:
