Poll a host as long as a run may be attached to it

Callers would see: a submission that never goes on, and a team whose limit is used up by a run that nobody watches.

Cause: the owner dropped the poller of a host that had left and whose runs had gone, while the scheduler kept the host if a run was attached to it. That run could not end any more.

By reading, no way was found in which it happens: when a host's runs are marked as gone, all are detached under the owner's lock and the host is unusable, and only a report of it attaches a run afterwards, which also takes back that they are gone. So this closes a gap between the two sides rather than a failure that was seen.

Fix: the scheduler says whether it removed the host; if not, the owner keeps polling, and the next failed poll, or refusal of another instance, marks its runs as gone again. The test forces the state, and failed before: the host was removed although a run was attached.

--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -85,9 +85,12 @@
 	if h.inHostList || !h.allRunsGone {
 		return false
 	}
+	if !ow.scheduler.RemoveHost(h.host.ID) {
+		h.allRunsGone = false // the next failed poll records it again
+		return false
+	}
 	delete(ow.hosts, h.host.ID)
 	ow.removedHosts = append(ow.removedHosts, h.host.ID)
-	ow.scheduler.RemoveHost(h.host.ID)
 	h.cancel()
 	return true
 }
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -197,3 +198,28 @@
 		t.Error("a task is started on a host of which the log has no record")
 	}
 }
+
+// Guards against runs that count for ever on a host that nobody polls any more.
+func TestHostWithRunsIsPolledOn(t *testing.T) {
+	h := newHostTest(t)
+	spec := testHost("h", "a")
+	h.list(map[string]registry.Host{"h": {Spec: spec}}, spec)
+	h.submit("job")
+	h.pollOnce("h")
+	h.list(nil)
+	p := h.poller("h")
+	h.recordAllRunsGone(p, h.clock.now)
+	// A run that became known after all others had gone.
+	h.scheduler.AssumeRunPresent("h", schedule.Run{Task: cell.TaskID{Submission: "job"}, Run: 5}, h.clock.now)
+	if h.removeIfGone(p) {
+		t.Fatal("the host is removed although a run is attached to it")
+	}
+	if h.poller("h") != p {
+		t.Error("the host is not polled any more")
+	}
+	h.client.answers["a"] = isAnotherInstance
+	h.pollOnce("h")
+	if !h.removeIfGone(p) || h.running("h") != -1 {
+		t.Error("the host is not removed once its run has gone")
+	}
+}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -151,14 +151,19 @@
 	}
 }
 
-// RemoveHost removes a host that is no longer listed and certainly runs nothing.
-func (s *Scheduler) RemoveHost(id string) {
+// RemoveHost removes a host that is no longer listed and certainly runs nothing. It
+// reports false if the host is listed, or a run may be present on it.
+func (s *Scheduler) RemoveHost(id string) bool {
 	h := s.hosts[id]
-	if h == nil || h.listed || len(h.runs) > 0 {
-		return
+	if h == nil {
+		return true
+	}
+	if h.listed || len(h.runs) > 0 {
+		return false
 	}
 	delete(s.hosts, id)
 	s.sortedHosts = slices.DeleteFunc(s.sortedHosts, func(o *host) bool { return o == h })
+	return true
 }
 
 // MarkReconciled records that every run of earlier owners is known or has ended.
