Count a run whose start order is on its way while its host restarts

Callers would see: a task that runs twice.

Cause: when a host answered as another instance under its ID, all its runs counted as gone, also those whose start orders had no answer yet. Such an order may reach the new instance, which accepts it: it has the expected ID and knows no fencing token yet. The task was then started on a second host.

Fix: a run whose order is on its way stays until the order is answered, refused or times out (0.7 s). After that it is handled like any other: the next report lists it, or it is stopped before it counts as gone. Orders that timed out before the restart are lost with the former instance. Instances under another ID refuse such orders (421) and are not concerned, nor are hosts whose leases have expired.

--- a/internal/cell/schedule/closing.go
+++ b/internal/cell/schedule/closing.go
@@ -20,12 +20,7 @@
 		return nil
 	}
 	h.closed, h.earlierRunsUnknown = true, false
-	list := make([]*taskRun, 0, len(h.runs))
-	for _, a := range h.runs {
-		list = append(list, a)
-	}
-	sortRuns(list)
-	for _, a := range list {
+	for _, a := range h.sortedRuns() {
 		runs = append(runs, Run{Task: a.task.id, Run: a.run})
 	}
 	return runs
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -98,3 +98,13 @@
 	}
 	return int(max(n, 0))
 }
+
+// sortedRuns returns the runs on the host in a fixed order.
+func (h *host) sortedRuns() []*taskRun {
+	out := make([]*taskRun, 0, len(h.runs))
+	for _, a := range h.runs {
+		out = append(out, a)
+	}
+	sortRuns(out)
+	return out
+}
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -21,7 +20,7 @@
 		if !h.crashed && !h.spec.Leaving {
 			s.suspectRuns(h, h.reportedAt)
 		}
-		s.handleAllRunsGone(h)
+		s.handleRestart(h)
 		h.lastEndNumber = 0
 	}
 	if l.StartedMs != 0 {
@@ -230,114 +229,27 @@
 	}
 }
 
-func (s *Scheduler) handleAllRunsGone(h *host) {
-	all := make([]*taskRun, 0, len(h.runs))
-	for _, a := range h.runs {
-		all = append(all, a)
-	}
-	sortRuns(all)
-	s.countCrashes(h, all)
-	for _, a := range all {
-		s.handleLostRun(a)
-	}
-}
+// handleAllRunsGone handles the runs of a host that carries out no earlier order.
+func (s *Scheduler) handleAllRunsGone(h *host) { s.handleRunsGone(h, h.sortedRuns()) }
 
-// applyEnded applies one run that a host reports as ended.
-func (s *Scheduler) applyEnded(h *host, e cell.Ended) {
-	t := s.task(e.Task)
-	if t == nil {
-		return
-	}
-	t.lastRun = max(t.lastRun, e.Run)
-	a := h.runs[runKey{e.Task, e.Run}]
-	if a != nil {
-		s.detach(a)
-	}
-	if t.done || t.group.job.state.Final() {
-		return
-	}
-	g := t.group
-	s.markActive(g.job)
-	if g.step.Gang && g.present > 0 && e.Outcome != cell.OutcomeDone {
-		g.markMemberEnded(s.now)
-	}
-	if e.Checkpoint != "" && e.Outcome != cell.OutcomeDone {
-		s.recordCheckpoint(t, e.Checkpoint)
-	}
-	switch e.Outcome {
-	case cell.OutcomeDone:
-		s.clear(t, h.spec.ID)
-		g.job.proven = true
-		if g.step.LongRunning {
-			return
-		}
-		if a != nil && a.measuresHostSpeed() {
-			h.health.recordSuccess(s.now-a.orderedAt, g.step.Estimate)
-		}
-		s.markDone(t)
-	case cell.OutcomeFailed:
-		if a == nil || a.phase != phaseStopping {
-			h.health.recordFailure(s.now)
-		}
-		s.countFailure(t, h, e.Run)
-	case cell.OutcomeLeaseExpired, cell.OutcomeGangTimeout:
-		s.stopIncompleteGang(g, "a member of the gang ended with the outcome "+e.Outcome.String())
-	}
-}
-
-// measuresHostSpeed reports whether the duration of the run is a measure of its
-// host's speed.
-func (a *taskRun) measuresHostSpeed() bool {
-	return !a.adopted && !a.resumed && !a.task.group.step.Gang
-}
-
-// markDone marks a task as done. One member of a gang that ends as done
-// completes the whole gang.
-func (s *Scheduler) markDone(t *task) {
-	g, j := t.group, t.group.job
-	members := []*task{t}
-	if g.step.Gang {
-		members = g.tasks
-	}
-	for _, m := range members {
-		if m.done {
-			continue
-		}
-		if m.waiting() {
-			g.waiting--
-		}
-		m.done, m.checkpoint = true, ""
-		g.left--
-		j.left--
-		for _, a := range m.runs {
-			if !g.step.Gang {
-				s.stop(a, "another run of the task is done")
-			}
+// handleRestart handles the runs of a host that answers as another instance. A start
+// order on its way may still reach this instance: its run counts until the order is
+// answered.
+func (s *Scheduler) handleRestart(h *host) {
+	var gone []*taskRun
+	for _, a := range h.sortedRuns() {
+		if a.phase == phaseStarting {
+			a.endSuspicion()
+		} else {
+			gone = append(gone, a)
 		}
 	}
-	s.changed[j.sub.ID] = true
-	if g.left == 0 {
-		g.ready = false
-		s.markReadyGroups(j)
-	}
-	s.finishIfDone(j)
+	s.handleRunsGone(h, gone)
 }
 
-// countFailure counts a failed run. A run that the host reports again is not
-// counted twice.
-func (s *Scheduler) countFailure(t *task, h *host, run int64) {
-	g, j := t.group, t.group.job
-	t.failedOn = h.spec.ID
-	if g.step.Gang {
-		t = g.tasks[0] // failures of a gang are counted at its first task
-	}
-	if g.step.LongRunning || slices.Contains(t.failures, run) {
-		return
-	}
-	t.failures = append(t.failures, run)
-	s.changed[j.sub.ID] = true
-	s.logMessage(j.sub.ID, h.spec.ID, "A run has failed.")
-	if j.queue.MaxAttempts > 0 && len(t.failures) >= j.queue.MaxAttempts {
-		s.finalize(j, cell.Failed, "a task has reached the queue's limit of failed runs")
+func (s *Scheduler) handleRunsGone(h *host, gone []*taskRun) {
+	s.countCrashes(h, gone)
+	for _, a := range gone {
+		s.handleLostRun(a)
 	}
 }
