Gather the room of a gang in bounded time, whatever is let into it

Callers saw: gangs that hold a reservation for seconds and do not start, and the others behind them. With a stream of short tasks, or of tasks whose estimates are too low, a gang that comes before them never started.

Cause: work that ends before a gang is expected to start may use the room that is kept for it. (1) Each run was expected to end in half a second at the earliest, also one that had 100 ms left, so the gang was always expected half a second ahead, and tasks with shorter estimates were always let in. (2) The expected time was worked out anew in each pass. A run that exceeded its estimate moved it by half a second, so more work was let in, which exceeded its estimate too.

Fix: only a run that has exceeded its estimate is expected to take longer, by as much as it has exceeded it already. The time that was expected first is a promise: nothing is let in that would end after it, and from then on the gang waits for the hosts that it was promised, where nothing else starts in its room. A promise that is overdue by as much as it was long (5 s at least) is given up for room elsewhere.

The wait from the first reservation on is bounded so by the promised time and the longest run that was let in.

--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -35,6 +35,8 @@
 	crashes, startsAfter map[cell.TaskID]int
 	// crashesUnder counts the hosts that crashed while a task ran there.
 	crashesUnder map[cell.TaskID]int
+	// takes returns how long a run takes whose estimate is given.
+	takes func(t cell.TaskID, estimate time.Duration) time.Duration
 	// approves decides whether the advice service lets a group run on a host.
 	approves func(g cell.GroupID, host string) bool
 }
@@ -66,6 +68,7 @@
 		fails:  func(cell.TaskID, int64) bool { return false },
 		deadly: func(cell.TaskID) bool { return false }, crashes: make(map[cell.TaskID]int), startsAfter: make(map[cell.TaskID]int), crashesUnder: make(map[cell.TaskID]int),
 		approves: func(cell.GroupID, string) bool { return true },
+		takes:    func(_ cell.TaskID, estimate time.Duration) time.Duration { return estimate },
 	}
 	c.teams = map[string]cell.Team{"a": {Name: "a", Weight: 100}, "b": {Name: "b", Weight: 100}}
 	c.queues = map[string]cell.Queue{}
@@ -180,7 +183,7 @@
 	if !c.approves(o.Task.Group(), o.Host) && c.queues[sub.Queue.Name].Advice != nil {
 		c.violation("%s starts on %s without approval", o.Task, o.Host)
 	}
-	h.runs = append(h.runs, &fakeRun{task: o.Task, run: o.Run, endsAt: c.now + step.Estimate})
+	h.runs = append(h.runs, &fakeRun{task: o.Task, run: o.Run, endsAt: c.now + c.takes(o.Task, step.Estimate)})
 	if c.crashes[o.Task] >= 3 {
 		c.startsAfter[o.Task]++
 	}
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -60,7 +60,7 @@
 	}
 	*reservingGangs++
 	s.setWaitReason(g, waitRoom)
-	plan.reserve(g, len(tasks))
+	s.reserve(plan, g, len(tasks))
 	if g.policy() != nil {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
@@ -159,7 +159,7 @@
 	for i, t := range tasks {
 		s.start(t, hosts[i], run)
 	}
-	g.run, g.startedAt, g.couldSpreadAt = run, s.now, 0
+	g.run, g.startedAt, g.couldSpreadAt, g.promise = run, s.now, 0, nil
 }
 
 // retryRefusedMembers starts refused members again, on hosts that are chosen
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -32,6 +32,9 @@
 	// couldSpreadAt is since when a gang that waits for one rack could have started on
 	// several ones; zero if it could not yet.
 	couldSpreadAt time.Duration
+	// promise is what a gang was first expected to get; nil if nothing was reserved for
+	// it since its last start.
+	promise *promise
 	// trialRetryAt is the earliest time at which hosts are kept free for a trial again.
 	trialRetryAt time.Duration
 	// trial is set while the group is placed that may use only hosts without other runs.
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -25,7 +25,7 @@
 	size resource.Vector
 }
 
-// overdueExtension is how much longer a run is expected to take once it has
+// overdueExtension is how much longer a run is expected to take at least once it has
 // exceeded its estimate.
 const overdueExtension = 500 * time.Millisecond
 
@@ -37,11 +37,7 @@
 	if h.expectedEnds == nil {
 		h.expectedEnds = make([]expectedEnd, 0, len(h.runs))
 		for _, a := range h.runs {
-			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdueExtension)
-			if a.task.group.step.LongRunning {
-				end = neverEnds
-			}
-			h.expectedEnds = append(h.expectedEnds, expectedEnd{end, a.task.group.size})
+			h.expectedEnds = append(h.expectedEnds, expectedEnd{s.expectedEnd(a), a.task.group.size})
 		}
 		slices.SortFunc(h.expectedEnds, func(a, b expectedEnd) int {
 			if c := cmp.Compare(a.at, b.at); c != 0 {
@@ -53,6 +49,19 @@
 	return h.expectedEnds
 }
 
+// expectedEnd returns when a run is expected to end. One that has exceeded its estimate
+// is expected to exceed it by as much again.
+func (s *Scheduler) expectedEnd(a *taskRun) time.Duration {
+	if a.task.group.step.LongRunning {
+		return neverEnds
+	}
+	end := a.orderedAt + a.task.group.estimate(a.host)
+	if overdue := s.now - end; overdue >= 0 {
+		end = s.now + max(overdue, overdueExtension)
+	}
+	return end
+}
+
 // roomGain is the number of additional gang members that fit on a host from a
 // time on.
 type roomGain struct {
@@ -69,21 +78,55 @@
 	at           time.Duration
 }
 
+// minPromiseOverrun is the least time after which a promise that was not kept is given up.
+const minPromiseOverrun = 5 * time.Second
+
+// promise is what a gang was first expected to get.
+type promise struct {
+	madeAt, at time.Duration
+	hosts      []*host
+}
+
+// givenUp reports whether the gang should have started so long ago that it looks for room
+// elsewhere.
+func (p *promise) givenUp(now time.Duration) bool {
+	return now >= p.at+max(p.at-p.madeAt, minPromiseOverrun)
+}
+
 // planRoom returns where and when n tasks of a gang are expected to fit on the approved
-// hosts, or nil if they never do. A gang that wants one rack gets it if it does not wait
-// for it longer than it would lose on several.
+// hosts, or nil if they never do. From the promised time on, the gang waits for the
+// promised hosts, where nothing else starts any more.
 func (s *Scheduler) planRoom(g *group, n int) *roomPlan {
+	if p := g.promise; p != nil && s.now >= p.at {
+		if p.givenUp(s.now) {
+			g.promise = nil
+		} else if plan := s.earliestRoom(g, n, s.stillUsable(g, p.hosts)); plan != nil {
+			return plan
+		}
+	}
 	hosts := s.usableHosts(g)
 	plan := s.earliestRoom(g, n, hosts)
 	if plan == nil || !g.step.RackLocal {
 		return plan
 	}
+	// A gang that wants one rack gets it if it does not wait for it longer than it would
+	// lose on several.
 	if rack := s.earliestRackPlan(g, n, hosts); rack != nil && rack.at <= g.rackDeadline(plan.at) {
 		return rack
 	}
 	return plan
 }
 
+// stillUsable returns those of the hosts that take tasks of a group.
+func (s *Scheduler) stillUsable(g *group, hosts []*host) (out []*host) {
+	for _, h := range hosts {
+		if s.eligible(g, h) && g.approved(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // earliestRoom returns the earliest time at which n tasks of a gang fit on the given
 // hosts, or nil if they never do.
 func (s *Scheduler) earliestRoom(g *group, n int, hosts []*host) *roomPlan {
@@ -127,8 +170,13 @@
 }
 
 // reserve reserves the capacity of a plan for n tasks of a gang, on as few hosts as
-// possible, against work that would not end before.
-func (p *roomPlan) reserve(g *group, n int) {
+// possible, against work that would not end before. The time that was promised first is
+// kept to, so that work which takes longer than estimated delays the gang only once.
+func (s *Scheduler) reserve(p *roomPlan, g *group, n int) {
+	if g.promise == nil {
+		g.promise = &promise{madeAt: s.now, at: p.at}
+	}
+	g.promise.hosts = g.promise.hosts[:0]
 	order := make([]int, len(p.hosts))
 	for i := range order {
 		order[i] = i
@@ -136,7 +184,8 @@
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(p.tasksPerHost[b], p.tasksPerHost[a]) })
 	for _, i := range order {
 		if k := min(p.tasksPerHost[i], n); k > 0 {
-			p.hosts[i].reserve(g, k, p.at)
+			p.hosts[i].reserve(g, k, min(p.at, g.promise.at))
+			g.promise.hosts = append(g.promise.hosts, p.hosts[i])
 			n -= k
 		}
 	}
--- a/internal/cell/schedule/reservation_test.go
+++ b/internal/cell/schedule/reservation_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
@@ -132,3 +135,50 @@
 		t.Errorf("%d of 25 tasks run beside long-running ones, where nothing else can", got)
 	}
 }
+
+// Guards against a gang that gathers room without end, since tasks are let into it again
+// and again that are short, or take longer than estimated.
+func TestRoomIsGatheredInBoundedTime(t *testing.T) {
+	const (
+		longestEstimate = 900 * time.Millisecond
+		longestFactor   = 3
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		shortest := time.Duration(rapid.IntRange(50, 850).Draw(t, "shortest estimate")) * time.Millisecond
+		c := newCluster(6, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+		c.teams["b"] = cell.Team{Name: "b", Weight: 1000}
+		c.queue(cell.Queue{Name: "first", Priority: 0, Stretch: 200, Latency: time.Hour})
+		c.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 2, Latency: time.Second})
+		factor := rapid.Float64Range(0, longestFactor).Draw(t, "spread of the durations")
+		c.takes = func(id cell.TaskID, estimate time.Duration) time.Duration {
+			if id.Submission == "gang" {
+				return estimate
+			}
+			return time.Duration(float64(estimate) * (longestFactor - factor*r.Float64()))
+		}
+		stream := func(i int) {
+			for k := range 3 {
+				estimate := shortest + time.Duration(r.Int64N(int64(longestEstimate-shortest)))
+				c.submit(fmt.Sprintf("small%d-%d", i, k), "small", "b", smallStep(1+r.IntN(4), estimate))
+			}
+			c.advance(50 * time.Millisecond)
+		}
+		for i := range 60 {
+			stream(i)
+		}
+		c.submit("gang", "first", "a", hostSized(4, time.Second))
+		at := c.now
+		var promised time.Duration
+		for i := 60; i < 460 && c.running("gang") == 0; i++ {
+			stream(i)
+			if p := c.s.jobs["gang"].groups[0].promise; p != nil {
+				promised = p.at
+			}
+		}
+		most := max(promised-at, 0) + longestFactor*longestEstimate + 100*time.Millisecond
+		if took := c.now - at; c.running("gang") == 0 || took > most {
+			t.Errorf("after %s, %d of 4 members run, want all after %s", took, c.running("gang"), most)
+		}
+	})
+}
