Use a restarted host once it is listed anew

Callers would see: nothing; the rule on the capacity of hosts that do not guard it would break.

Cause: capacity, labels and service come from the host list, the runs from the host's own reports. A host that starts again under its ID may be of another kind. Its first report may come before its new entry has been read, and it was then filled up to what the instance before it had.

Fix: a host takes new work only while the start time in its entry is that of the instance that answers, if both are known. Entries are written at each liveness report, so the wait is short.

The new test failed before: 4 tasks of 3 cores started on a host that had 4 cores left.

--- a/internal/cell/schedule/capacity_test.go
+++ b/internal/cell/schedule/capacity_test.go
@@ -52,3 +52,30 @@
 		}
 	})
 }
+
+// Guards against a host that is filled up to what an earlier instance had: it restarted as
+// one of another kind, and its report came before its new entry in the host list.
+func TestRestartedHostIsUsedOnceListedAnew(t *testing.T) {
+	c := newCluster(1, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second})
+	c.hosts["h00"].spec.StartedMs = 1
+	c.resize("h00", c.hosts["h00"].spec.Capacity)
+	c.restart("h00")
+	h := c.hosts["h00"]
+	small := resource.Vector{MilliCPU: 4000, MemoryMiB: 65536}
+	h.spec.Capacity = small
+	c.submit("job", "q", "a", cell.Step{Count: 4, Size: resource.Vector{MilliCPU: 3000}, Estimate: time.Second})
+	c.advance(100 * time.Millisecond)
+	if got := c.running("job"); got > 0 {
+		t.Errorf("%d tasks run on a host that is not listed yet", got)
+	}
+	h.spec.StartedMs = h.startedMs
+	c.resize("h00", small)
+	c.advance(100 * time.Millisecond)
+	if got := c.running("job"); got != 1 {
+		t.Errorf("%d tasks run on the host once it is listed, want 1", got)
+	}
+	for _, v := range c.violations {
+		t.Error(v)
+	}
+}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -71,7 +71,13 @@
 
 // usable reports whether the host takes new work.
 func (h *host) usable(now time.Duration) bool {
-	return h.unknownRuns == 0 && !h.closed && h.listed && h.runsKnown && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+	return h.unknownRuns == 0 && !h.closed && h.listedAsIs() && h.runsKnown && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+}
+
+// listedAsIs reports whether the host list describes the instance that answers. After a
+// restart the host may be of another kind.
+func (h *host) listedAsIs() bool {
+	return h.listed && (h.spec.StartedMs == 0 || h.startedMs == 0 || h.spec.StartedMs == h.startedMs)
 }
 
 // free returns the capacity that no run uses; ordered starts count as runs. It
