Count host records as signs of life of the owner

Callers saw: a takeover while the owner worked; with many hosts that come, go or restart, one takeover after the other.

Cause: an owner appends a heartbeat only if it has stored nothing else for 0.4 s, but followers counted only its ownership and progress records. An owner that stores records of hosts, and nothing else, was silent for them, and was replaced after 1.2 or 2 s.

Fix: host records count. Only the owner writes them, under its fencing token.

The new test failed before for both kinds of host records.

--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -106,6 +106,7 @@
 func (r *Registry) applyHost(id string, rec platform.Record) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ownerWrites++
 	if len(rec.Value) == 0 {
 		delete(r.hosts, id)
 		return nil
@@ -256,8 +257,8 @@
 	return n
 }
 
-// Owner returns the ownership and the number of ownership records and progress
-// records read so far. A rising number shows that the owner is alive.
+// Owner returns the ownership and the number of ownership records, progress records and
+// host records read so far. A rising number shows that the owner is alive.
 func (r *Registry) Owner() (o Ownership, ownerWrites int64) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/cell/registry/registry_test.go
+++ b/internal/cell/registry/registry_test.go
@@ -113,3 +113,20 @@
 		}
 	}
 }
+
+// Guards against an owner that is replaced as silent while it stores records of hosts, since
+// it appends no heartbeat beside other records.
+func TestEachRecordOfTheOwnerShowsThatItIsAlive(t *testing.T) {
+	r := New(slog.New(slog.DiscardHandler))
+	for i, rec := range []platform.Record{
+		OwnershipRecord(Ownership{Token: 1}), ProgressRecord("x", cell.Progress{}),
+		HostRecord(Host{Spec: cell.Host{ID: "h"}}), HostDeletionRecord("h"),
+	} {
+		rec.Offset = uint64(i)
+		_, before := r.Owner()
+		r.Apply(rec)
+		if _, after := r.Owner(); after <= before {
+			t.Errorf("the record with the key %s does not count", rec.Key)
+		}
+	}
+}
