Send a stop again that was due while the owner might not act

Callers would see: a submission whose step never goes on, or a team's limit used up by a cancelled task: its run counts as being stopped for ever.

Cause: a stop order that came up while the authority of the owner had expired (an append outstanding for 4 s, a suspended process) was dropped without a word to the scheduler, which waited for its answer. A run that ends by itself resolved that; a hung or long-running one, or a gang that waits for its former runs, did not.

Fix: such a stop counts as failed, as one without an answer does, and is planned again. The new test failed before.

--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -27,8 +27,8 @@
 	HostClient
 	mu      sync.Mutex
 	answers map[string]hostAnswer
-	// polled and started hold the addresses of polls and accepted starts, in order.
-	polled, started []string
+	// polled, started and stopped hold the addresses of polls and accepted orders.
+	polled, started, stopped []string
 }
 
 func (c *addressedHosts) Poll(_ context.Context, h *cell.Host, _ platform.Poll) (cell.HostReport, int, platform.Refusal, error) {
@@ -52,7 +52,16 @@
 	return 0, platform.NotRefused, nil
 }
 
-func (c *addressedHosts) Stop(context.Context, *cell.Host, cell.TaskID, int64, int64) (int64, platform.Refusal, error) {
+func (c *addressedHosts) Stop(_ context.Context, h *cell.Host, task cell.TaskID, run, _ int64) (int64, platform.Refusal, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.answers[h.Address]
+	if a.err != nil || a.refusal != platform.NotRefused {
+		return 0, a.refusal, a.err
+	}
+	c.stopped = append(c.stopped, h.Address)
+	a.report.Running = slices.DeleteFunc(slices.Clone(a.report.Running), func(r cell.Running) bool { return r.Task == task && r.Run <= run })
+	c.answers[h.Address] = a
 	return 0, platform.NotRefused, nil
 }
 
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -123,7 +123,12 @@
 
 func (ow *Owner) stop(ctx context.Context, s schedule.Stop) {
 	h := ow.poller(s.Host)
-	if h == nil || !ow.authority.valid() {
+	if h == nil {
+		return // the host was removed: no run can be present there
+	}
+	if !ow.authority.valid() {
+		ctxtime.Sleep(ctx, stopRetryInterval)
+		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopFailed(s.Host, s.Task, s.Run, now) })
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
--- /dev/null
+++ b/internal/cell/owner/orders_test.go
@@ -0,0 +1,30 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a run that is never stopped, and counts for ever: its stop order was
+// dropped since the owner might not act at that moment, and was not sent again.
+func TestStopIsSentOnceTheOwnerMayActAgain(t *testing.T) {
+	h := usedAt(t, "a")
+	h.pollOnce("h")
+	h.CancelRequested("first")
+	plan := h.scheduler.Decide(h.clock.now, 0)
+	if len(plan.Stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(plan.Stops))
+	}
+	h.clock.now += AuthorityDuration + time.Second // no append has been accepted
+	h.execute(t.Context(), plan)
+	h.goroutines.Wait()
+	if len(h.client.stopped) > 0 {
+		t.Fatal("a stop is sent without authority")
+	}
+	for range 3 {
+		h.decideOnce()
+	}
+	if got := len(h.client.stopped); got == 0 {
+		t.Error("the stop is not sent once the owner may act again")
+	}
+}
