Send no start order of a run that was given up while the order waited

Callers would see: a task that runs twice.

Cause: orders wait for a free slot when many are unanswered, or while the process is suspended. The owner checked its authority before sending one, not whether the run still counts. If its host was unreachable meanwhile and its leases had certainly expired, or it had restarted, the run was gone for the scheduler and the task started elsewhere; the late order then started it once more, if the host could be reached again.

Fix: an order is sent only while its run waits for it. The new test failed before.

--- a/internal/cell/owner/orders_test.go
+++ b/internal/cell/owner/orders_test.go
@@ -28,3 +28,22 @@
 		t.Error("the stop is not sent once the owner may act again")
 	}
 }
+
+// Guards against a task that runs twice: its start order was sent late, after the run had
+// been given up and the task been started elsewhere.
+func TestStartOfARunThatWasGivenUpIsNotSent(t *testing.T) {
+	h := usedAt(t, "a")
+	h.pollOnce("h")
+	h.submit("late")
+	plan := h.scheduler.Decide(h.clock.now, 0)
+	if len(plan.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(plan.Starts))
+	}
+	h.scheduler.MarkAllRunsGone("h", h.clock.now)
+	h.client.started = nil
+	h.execute(t.Context(), plan)
+	h.goroutines.Wait()
+	if len(h.client.started) > 0 {
+		t.Error("the start is sent")
+	}
+}
--- a/internal/cell/schedule/plan.go
+++ b/internal/cell/schedule/plan.go
@@ -44,3 +44,10 @@
 	Stops          []Stop
 	AdviceRequests []AdviceRequest
 }
+
+// AwaitsStart reports whether a start order that was planned is still to be sent: its run
+// has been neither given up nor ordered to stop meanwhile.
+func (s *Scheduler) AwaitsStart(o Start) bool {
+	a := s.findRun(o.Host, o.Task, o.Run)
+	return a != nil && a.phase == phaseStarting
+}
