Forget the peak of a team's urgent work when there is none any more

Callers saw: work that "waits for room under the limit of its team" with a quarter of the limit unused.

Cause: a part of the limit is kept for the urgent work of the last 10 s. Its peak was updated only when urgent work started or ended, so after the last of it the part, up to a quarter, was kept for ever from other work of the team.

Fix: the peak is forgotten at the first pass after its time. The test failed before: 29 tasks of one core under a limit of 40 cores, beside one other, 15 s after the urgent work.

--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -79,6 +79,9 @@
 // these are nearly all hosts.
 func (s *Scheduler) beginPass(queue []queueEntry) {
 	s.hostsWithRoom = s.hostsWithRoom[:0]
+	for _, t := range s.teams {
+		t.beginPass(s.now)
+	}
 	if len(queue) == 0 {
 		return
 	}
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// beginPass forgets an old peak of urgent work.
+func (t *team) beginPass(now time.Duration) {
+	if now > t.urgentPeakAt+urgentPeakRetention {
+		t.urgentPeak, t.urgentPeakAt = t.urgentUsage, now
+	}
+}
+
 // tasksUnderLimit returns how many more tasks of a size the team may run. Work
 // that is not urgent leaves a part of the limit free for the recent peak of urgent
 // work, which would otherwise wait until long tasks end.
