Keep the limit of a team for the gang that waits for it first

Callers saw: gangs that wait "for room under the limit of their team" while smaller work of the same team, which comes later, goes on starting; with a steady stream of it, for ever.

Cause: a gang needs its whole size under the limit at one time. Nothing kept what became free for it, so the next smaller task took it.

Fix: what the first such gang of a team needs is kept from the work behind it in the queue until it starts, also while it renews its tickets or its room is gathered. It is not kept if long-running tasks leave less of the limit, or if the gang's hosts could not hold it; a gang that has not asked for advice yet asks meanwhile. The wait is bounded by the runs of the team that are present.

Two gangs that each wait for the limit take it in the order of the queue.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -25,6 +25,7 @@
 	}
 	if g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) < len(tasks) {
 		s.setWaitReason(g, waitLimit)
+		s.holdLimit(g, len(tasks))
 		return
 	}
 	if hosts := s.chooseHosts(g, len(tasks), true); hosts != nil {
@@ -47,6 +48,7 @@
 	if hosts := s.chooseHosts(g, len(tasks), false); hosts != nil {
 		s.setWaitReason(g, waitTickets)
 		s.renewTickets(g, hosts)
+		g.job.team.holdLimit(g.step.Size, len(tasks))
 		return
 	}
 	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
@@ -61,11 +63,25 @@
 	*reservingGangs++
 	s.setWaitReason(g, waitRoom)
 	s.reserve(plan, g, len(tasks))
+	g.job.team.holdLimit(g.step.Size, len(tasks))
 	if g.policy() != nil {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
 }
 
+// holdLimit keeps the limit of its team for a gang that waits for it, and asks for advice
+// meanwhile. Nothing is kept for a gang that its hosts cannot hold.
+func (s *Scheduler) holdLimit(g *group, n int) {
+	asked := g.policy() == nil || len(g.advice.tickets)+len(g.advice.denied) > 0
+	if asked && s.approvedCapacity(g) < n || g.job.team.held != (resource.Vector{}) {
+		return
+	}
+	g.job.team.holdLimit(g.step.Size, n)
+	if !asked && g.job.team.held != (resource.Vector{}) {
+		s.requestAdviceOnUndecidedHosts(g)
+	}
+}
+
 // chooseHosts returns a host for each of n tasks, or nil if they do not fit or are to
 // wait for one rack. With requireTicket, it considers only hosts with a valid ticket,
 // otherwise all approved hosts.
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -134,6 +134,7 @@
 	h.used = h.used.Add(t.group.size)
 	if t.group.step.LongRunning {
 		h.longRunning = h.longRunning.Add(t.group.size)
+		t.group.job.team.longRunning = t.group.job.team.longRunning.Add(t.group.step.Size)
 	}
 	h.bestEffortCPU += t.group.bestEffortCPU()
 	t.group.job.team.addUsage(t.group.step.Size, t.group.urgent(), 1, s.now)
@@ -148,6 +149,7 @@
 	a.host.used = a.host.used.Sub(a.task.group.size)
 	if a.task.group.step.LongRunning {
 		a.host.longRunning = a.host.longRunning.Sub(a.task.group.size)
+		a.task.group.job.team.longRunning = a.task.group.job.team.longRunning.Sub(a.task.group.step.Size)
 	}
 	a.host.bestEffortCPU -= a.task.group.bestEffortCPU()
 	j := a.task.group.job
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -17,6 +17,10 @@
 	// unknownUsage is the most that runs of earlier owners may use on hosts that have
 	// not answered this owner; see updateUnknownUsage.
 	unknownUsage resource.Vector
+	// longRunning is the part of used that belongs to long-running tasks.
+	longRunning resource.Vector
+	// held is what this pass keeps of the limit for a gang ahead in the queue.
+	held resource.Vector
 	// urgentUsage is the part of used that belongs to queues of priority 0, and
 	// urgentPeak is its recent peak.
 	urgentUsage, urgentPeak resource.Vector
@@ -76,13 +80,30 @@
 	}
 }
 
-// beginPass forgets an old peak of urgent work.
+// beginPass clears what was kept of the limit, and forgets an old peak of urgent work.
 func (t *team) beginPass(now time.Duration) {
+	t.held = resource.Vector{}
 	if now > t.urgentPeakAt+urgentPeakRetention {
 		t.urgentPeak, t.urgentPeakAt = t.urgentUsage, now
 	}
 }
 
+// holdLimit keeps a part of the team's limit from the work that comes after a gang of n
+// tasks in the queue, so that the gang gets it once enough has ended. Nothing is kept if
+// long-running tasks do not leave it enough, or another gang is ahead.
+func (t *team) holdLimit(size resource.Vector, n int) {
+	need := size.Scale(int64(n))
+	if t.held != (resource.Vector{}) {
+		return
+	}
+	for i := range resource.Dimensions {
+		if limit := t.limit.At(i); limit != 0 && need.At(i) > limit-t.longRunning.At(i) {
+			return
+		}
+	}
+	t.held = need
+}
+
 // tasksUnderLimit returns how many more tasks of a size the team may run. Work
 // that is not urgent leaves a part of the limit free for the recent peak of urgent
 // work, which would otherwise wait until long tasks end.
@@ -96,7 +117,7 @@
 		if !urgent && t.used != t.urgentUsage {
 			limit -= min(max(t.urgentPeak.At(i)-t.urgentUsage.At(i), 0), limit/urgentReserveDivisor)
 		}
-		n = min(n, (limit-t.used.At(i)-t.unknownUsage.At(i))/size.At(i))
+		n = min(n, (limit-t.used.At(i)-t.unknownUsage.At(i)-t.held.At(i))/size.At(i))
 	}
 	return int(max(n, 0))
 }
