Name no more hosts in a call for advice than one call may

Callers would see: a wide step that never starts, with its hosts free.

Cause: the bound of 100 hosts applied to hosts not asked about yet. A gang on more than 100 hosts, or a step with expired tickets on more than 100, named all of them when it renewed its tickets. The service refuses such a call, and the same call was made again.

Fix: a call names 100 hosts at most. A gang renews the tickets that expire first, then the others. Beyond about as many calls as fit into the validity of a ticket a gang cannot get all tickets at one time; that is not covered.

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -86,11 +86,13 @@
 	return min(max(int(perHostTimeShare*float64(p.Decision)/float64(p.PerHost)), minAdviceHosts), maxAdviceHosts)
 }
 
-// requestAdvice plans an advice call about the given hosts.
+// requestAdvice plans an advice call about the given hosts, or the first of them if they
+// are more than one call may name.
 func (s *Scheduler) requestAdvice(g *group, hosts []*host) {
 	if len(hosts) == 0 || !s.mayRequestAdvice(g) {
 		return
 	}
+	hosts = hosts[:min(len(hosts), maxAdviceHosts)]
 	names := make([]string, len(hosts))
 	for i, h := range hosts {
 		names[i] = h.spec.ID
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -217,6 +217,10 @@
 			named = append(named, h)
 		}
 	}
+	if len(named) > maxAdviceHosts {
+		rankHosts(named, func(h *host) int { return int(g.advice.tickets[h].expires) }) // the others are renewed next
+		named = named[:maxAdviceHosts]
+	}
 	until := s.now + g.policy().CallDuration(len(named))
 	for _, h := range hosts {
 		h.reserve(g, 1, until)
