--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
-	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
-	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -35,8 +31,16 @@
 
 // hostPoller polls one host and holds what is known about it.
 type hostPoller struct {
-	host  cell.Host
-	lease lease
+	// host is the host as it was when it was added. listed is what the platform's list
+	// says, or the log if it is not listed.
+	host, listed cell.Host
+	// address is where the host answered last, or was when it was stored. storedAddress
+	// is the one in the log, empty if it has to be stored again. Both are guarded by the
+	// owner's lock, as is listed.
+	address, storedAddress string
+	// failedAddress is where the last poll failed; empty if it did not.
+	failedAddress string
+	lease         lease
 	// interrupt ends a poll that the host holds open.
 	interrupt chan struct{}
 	cancel    context.CancelFunc
@@ -47,9 +51,12 @@
 	// inHostList is set while the platform lists the host.
 	inHostList bool
 	// closedByPreviousOwner is set if the previous owner had closed the host to new
-	// runs, so that only the runs it recorded may be present. storedClosed is the
-	// state that is stored in the log.
-	closedByPreviousOwner, storedClosed bool
+	// runs, so that only the runs it recorded may be present, or had not stored it, so
+	// that none may be.
+	closedByPreviousOwner bool
+	// stored is set once the log has a record of the host, storedClosed if the host is
+	// closed there.
+	stored, storedClosed bool
 	// unreachable is set after unreachableThreshold failed or refused polls, until one
 	// succeeds.
 	unreachable bool
@@ -67,110 +74,6 @@
 	seenResult   int64
 }
 
-// SetHosts adds the hosts that may have runs (stored), and replaces the set of
-// hosts that the platform lists. Every listed host must be stored in the log
-// before.
-func (ow *Owner) SetHosts(ctx context.Context, stored map[string]registry.Host, listed []cell.Host) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	for _, h := range ow.hosts {
-		h.inHostList = false
-	}
-	list := make([]cell.Host, 0, len(stored))
-	for _, h := range stored {
-		list = append(list, h.Spec)
-	}
-	slices.SortFunc(list, func(a, b cell.Host) int { return strings.Compare(a.ID, b.ID) })
-	ow.scheduler.SetHosts(list)
-	for _, spec := range list {
-		h := ow.hosts[spec.ID]
-		if h == nil {
-			h = &hostPoller{host: spec, interrupt: make(chan struct{}, 1), lease: lease{duration: ow.leaseDuration()}}
-			ow.hosts[spec.ID] = h
-			ow.restoreClosed(h, stored[spec.ID])
-			var pollCtx context.Context
-			pollCtx, h.cancel = context.WithCancel(ctx)
-			ow.goroutines.Add(1)
-			go func() {
-				defer ow.goroutines.Done()
-				ow.pollLoop(pollCtx, h)
-			}()
-		}
-	}
-	for _, spec := range listed {
-		if h := ow.hosts[spec.ID]; h != nil {
-			h.inHostList, h.host.Leaving = true, spec.Leaving
-		}
-	}
-	ow.scheduler.SetListedHosts(listed)
-	ow.requestDecision()
-}
-
-// restoreClosed takes over what the previous owner stored about a host that it had
-// closed to new runs.
-func (ow *Owner) restoreClosed(h *hostPoller, stored registry.Host) {
-	if !stored.Closed {
-		return
-	}
-	h.closedByPreviousOwner, h.storedClosed = true, true
-	ow.scheduler.CloseHost(h.host.ID)
-	for _, r := range stored.Runs {
-		ow.scheduler.AssumeRunPresent(h.host.ID, schedule.Run{Task: r.Task, Run: r.Run}, ow.options.Clock.Now())
-	}
-}
-
-// hostRecords returns the records of hosts that are to be closed or opened to new
-// runs. A host is closed at once, but opened only once its record is stored.
-func (ow *Owner) hostRecords() (records []platform.Record, changed []*hostPoller) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	for _, id := range ow.removedHosts {
-		records = append(records, registry.HostDeletionRecord(id))
-	}
-	ow.removedHosts = nil
-	for _, h := range ow.hosts {
-		closed := h.host.Leaving || !h.inHostList || h.allRunsGone || h.unreachable
-		// The runs of earlier owners on a host that has never answered are unknown. A
-		// successor would assume that a closed host has only the recorded runs.
-		known := h.runsKnown || h.allRunsGone || ow.reconciled
-		if closed == h.storedClosed || closed && !known || !closed && !h.runsKnown {
-			continue
-		}
-		rec := registry.Host{Spec: h.host, Closed: closed}
-		if closed {
-			for _, r := range ow.scheduler.CloseHost(h.host.ID) {
-				rec.Runs = append(rec.Runs, registry.Run{Task: r.Task, Run: r.Run})
-			}
-		}
-		records = append(records, registry.HostRecord(rec))
-		changed = append(changed, h)
-	}
-	return records, changed
-}
-
-// hostRecordsStored is called once the records of changed hosts are stored.
-func (ow *Owner) hostRecordsStored(changed []*hostPoller) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	for _, h := range changed {
-		h.storedClosed = !h.storedClosed
-		if !h.storedClosed {
-			ow.scheduler.OpenHost(h.host.ID)
-		}
-	}
-}
-
-// PolledHosts returns the IDs of the hosts that are polled.
-func (ow *Owner) PolledHosts() map[string]bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	known := make(map[string]bool, len(ow.hosts))
-	for id := range ow.hosts {
-		known[id] = true
-	}
-	return known
-}
-
 // pollLoop polls a host until ctx ends, the ownership is lost, or the host is
 // removed.
 func (ow *Owner) pollLoop(ctx context.Context, h *hostPoller) {
@@ -212,7 +115,8 @@
 		case <-done:
 		}
 	}()
-	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &h.host, o)
+	target := ow.pollTarget(h)
+	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &target, o)
 	close(done)
 	interrupted := callCtx.Err() == context.Canceled && ctx.Err() == nil
 	cancel()
@@ -221,7 +125,7 @@
 	case err == nil && refusal == platform.RefusedFenced:
 		ow.loseOwnership("host " + h.host.ID + " has seen a higher fencing token")
 		return false
-	case err == nil && refusal == platform.RefusedHostRestarted:
+	case err == nil && refusal == platform.RefusedHostRestarted && ow.showsRestart(h, target.Address):
 		ow.recordRestart(h, now)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
@@ -230,17 +134,21 @@
 			h.failures = max(h.failures, 1) // so that the next poll renews no lease and the host answers it at once
 			return true
 		}
-		if err != nil && platform.ProcessGone(err) {
+		if err != nil && platform.ProcessGone(err) && !ow.isElsewhere(h, target.Address) {
 			ow.recordCrash(h, sentAt, now)
 		}
-		ow.pollFailed(h, now, refusal, err)
+		ow.pollFailed(h, target.Address, now, refusal, err)
+		ctxtime.Sleep(ctx, pollRetryInterval)
+		return false
+	case !ow.settleAddress(h, target.Address, l.StartedMs):
+		ow.pollFailed(h, target.Address, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
 	}
 	if unreadable > 0 {
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
-	h.failures, h.answeredAt = 0, now
+	h.failures, h.failedAddress, h.answeredAt = 0, "", now
 	ow.applyReport(ctx, h, sentAt, now, l)
 	return true
 }
--- /dev/null
+++ b/internal/cell/owner/hostrecords.go
@@ -0,0 +1,66 @@
+package owner
+
+import (
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// hostChange is a change of the record of a host.
+type hostChange struct {
+	poller  *hostPoller
+	address string
+	closed  bool
+}
+
+// hostRecords returns the records of hosts that are to be closed or opened to new
+// runs. A host is closed at once, but opened only once its record is stored.
+func (ow *Owner) hostRecords() (records []platform.Record, changes []hostChange) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	for _, id := range ow.removedHosts {
+		records = append(records, registry.HostDeletionRecord(id))
+	}
+	ow.removedHosts = nil
+	for _, h := range ow.hosts {
+		closed := h.listed.Leaving || !h.inHostList || h.allRunsGone || h.unreachable
+		if !ow.needsRecord(h, closed) {
+			continue
+		}
+		rec := registry.Host{Spec: h.spec(), Closed: closed}
+		if closed {
+			for _, r := range ow.scheduler.CloseHost(h.host.ID) {
+				rec.Runs = append(rec.Runs, registry.Run{Task: r.Task, Run: r.Run})
+			}
+		}
+		records = append(records, registry.HostRecord(rec))
+		changes = append(changes, hostChange{h, h.address, closed})
+	}
+	return records, changes
+}
+
+// needsRecord reports whether a record is to be stored that closes or opens a host or has
+// its new address. The caller holds the lock.
+func (ow *Owner) needsRecord(h *hostPoller, closed bool) bool {
+	if !closed {
+		return h.runsKnown && (h.storedClosed || !h.stored || h.storedAddress != h.address)
+	}
+	// The runs of earlier owners on a host that has never answered are unknown. A
+	// successor would assume that a closed host has only the recorded runs.
+	known := h.runsKnown || h.allRunsGone || ow.reconciled
+	return known && h.stored && (!h.storedClosed || h.storedAddress != h.address)
+}
+
+// hostRecordsStored is called once the records of changed hosts are stored.
+func (ow *Owner) hostRecordsStored(changes []hostChange) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	for _, c := range changes {
+		if ow.hosts[c.poller.host.ID] != c.poller {
+			continue // the host was removed, and may have come back, while its record was stored
+		}
+		c.poller.stored, c.poller.storedClosed, c.poller.storedAddress = true, c.closed, c.address
+		if !c.closed && c.address == c.poller.address {
+			ow.scheduler.OpenHost(c.poller.host.ID)
+		}
+	}
+}
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -69,7 +69,7 @@
 	refused := func(why schedule.Refusal) {
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Refused(s.Host, s.Task, s.Run, why, now) })
 	}
-	if h == nil || !ow.authority.valid() {
+	if h == nil || !ow.authority.valid() || !ow.awaitsStart(s) {
 		refused(schedule.RefusedOther)
 		return
 	}
@@ -79,7 +79,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, why, err := ow.options.HostClient.Start(callCtx, &h.host, order)
+	target := ow.orderTarget(h)
+	_, why, err := ow.options.HostClient.Start(callCtx, &target, order)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
 	case err != nil && verdict.Of(err) == verdict.DidNotRun:
@@ -104,6 +105,13 @@
 	}
 }
 
+// awaitsStart reports whether a start order that may have waited is still to be sent.
+func (ow *Owner) awaitsStart(s schedule.Start) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.scheduler.AwaitsStart(s)
+}
+
 // schedulerRefusals maps the refusals of hosts to those of the scheduler.
 var schedulerRefusals = map[platform.Refusal]schedule.Refusal{
 	platform.RefusedNoCapacity: schedule.RefusedNoCapacity, platform.RefusedInvalidTicket: schedule.RefusedInvalidTicket,
@@ -122,12 +130,18 @@
 
 func (ow *Owner) stop(ctx context.Context, s schedule.Stop) {
 	h := ow.poller(s.Host)
-	if h == nil || !ow.authority.valid() {
+	if h == nil {
+		return // the host was removed: no run can be present there
+	}
+	if !ow.authority.valid() {
+		ctxtime.Sleep(ctx, stopRetryInterval)
+		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopFailed(s.Host, s.Task, s.Run, now) })
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, why, err := ow.options.HostClient.Stop(callCtx, &h.host, s.Task, s.Run, ow.options.Self.Token)
+	target := ow.orderTarget(h)
+	_, why, err := ow.options.HostClient.Stop(callCtx, &target, s.Task, s.Run, ow.options.Self.Token)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
 	case err == nil && why == platform.RefusedFenced:
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // refusedMemberTimeoutDivisor divides the gang timeout. If a refused member cannot be
@@ -23,6 +25,7 @@
 	}
 	if g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) < len(tasks) {
 		s.setWaitReason(g, waitLimit)
+		s.holdLimit(g, len(tasks))
 		return
 	}
 	if hosts := s.chooseHosts(g, len(tasks), true); hosts != nil {
@@ -35,32 +38,53 @@
 		s.requestAdviceOnUndecidedHosts(g)
 		return
 	}
-	if g.policy() != nil && s.approvedCapacity(g) < len(tasks) && !s.requestAdviceOnUndecidedHosts(g) {
+	if s.approvedCapacity(g) < len(tasks) {
 		s.setWaitReason(g, waitCapacity)
-		// The approved hosts are too few and no host is left to ask about, so others
-		// must not wait for this gang.
-		return
-	}
-	*reservingGangs++
-	if *reservingGangs > max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
-		s.setWaitReason(g, waitOtherGangs)
+		if g.policy() != nil {
+			s.requestAdviceOnUndecidedHosts(g)
+		}
 		return
 	}
 	if hosts := s.chooseHosts(g, len(tasks), false); hosts != nil {
 		s.setWaitReason(g, waitTickets)
 		s.renewTickets(g, hosts)
+		g.job.team.holdLimit(g.step.Size, len(tasks))
+		return
+	}
+	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
+		s.setWaitReason(g, waitOtherGangs)
+		return
+	}
+	plan := s.planRoom(g, len(tasks))
+	if plan == nil {
+		s.setWaitReason(g, waitOtherGangs) // they have reserved the room that it needs
 		return
 	}
+	*reservingGangs++
 	s.setWaitReason(g, waitRoom)
+	s.reserve(plan, g, len(tasks))
+	g.job.team.holdLimit(g.step.Size, len(tasks))
 	if g.policy() != nil {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
-	s.reserveEarliestRoom(g, len(tasks))
 }
 
-// chooseHosts returns a host for each of n tasks, or nil if they do not fit.
-// With requireTicket, it considers only hosts with a valid ticket, otherwise all
-// approved hosts.
+// holdLimit keeps the limit of its team for a gang that waits for it, and asks for advice
+// meanwhile. Nothing is kept for a gang that its hosts cannot hold.
+func (s *Scheduler) holdLimit(g *group, n int) {
+	asked := g.policy() == nil || len(g.advice.tickets)+len(g.advice.denied) > 0
+	if asked && s.approvedCapacity(g) < n || g.job.team.held != (resource.Vector{}) {
+		return
+	}
+	g.job.team.holdLimit(g.step.Size, n)
+	if !asked && g.job.team.held != (resource.Vector{}) {
+		s.requestAdviceOnUndecidedHosts(g)
+	}
+}
+
+// chooseHosts returns a host for each of n tasks, or nil if they do not fit or are to
+// wait for one rack. With requireTicket, it considers only hosts with a valid ticket,
+// otherwise all approved hosts.
 func (s *Scheduler) chooseHosts(g *group, n int, requireTicket bool) []*host {
 	var all []*host
 	for _, h := range s.candidates(g) {
@@ -74,47 +98,14 @@
 	if !g.step.RackLocal {
 		return s.assignHosts(g, all, n)
 	}
-	total := 0
-	for _, h := range all {
-		total += s.tasksThatFit(g, h)
+	if picked := s.assignInRack(g, all, n); picked != nil {
+		return picked
 	}
-	if total < n {
+	spread := s.assignHosts(g, all, n)
+	if spread != nil && s.worthWaitingForRack(g, n) {
 		return nil
 	}
-	var best []*host
-	for _, rack := range racks(all) {
-		inRack := slices.DeleteFunc(slices.Clone(all), func(h *host) bool { return h.rack != rack })
-		if picked := s.assignHosts(g, inRack, n); picked != nil && (best == nil || rack == g.step.DataRack) {
-			best = picked
-		}
-	}
-	if best == nil && s.largestRackCapacity(g) < n {
-		return s.assignHosts(g, all, n) // no rack is large enough for the gang
-	}
-	return best
-}
-
-// racks returns the racks of hosts, sorted.
-func racks(hosts []*host) (out []string) {
-	for _, h := range hosts {
-		if !slices.Contains(out, h.rack) {
-			out = append(out, h.rack)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// largestRackCapacity returns how many tasks fit into the largest rack when it is empty.
-func (s *Scheduler) largestRackCapacity(g *group) (most int) {
-	count := make(map[string]int)
-	for _, h := range s.sortedHosts {
-		if s.eligible(g, h) {
-			count[h.rack] += tasksIn(g.size, h.spec.Capacity)
-			most = max(most, count[h.rack])
-		}
-	}
-	return most
+	return spread
 }
 
 // assignHosts assigns n tasks to hosts, or returns nil if they do not fit. The
@@ -184,7 +175,7 @@
 	for i, t := range tasks {
 		s.start(t, hosts[i], run)
 	}
-	g.run, g.startedAt = run, s.now
+	g.run, g.startedAt, g.couldSpreadAt, g.promise = run, s.now, 0, nil
 }
 
 // retryRefusedMembers starts refused members again, on hosts that are chosen
@@ -226,6 +217,10 @@
 			named = append(named, h)
 		}
 	}
+	if len(named) > maxAdviceHosts {
+		rankHosts(named, func(h *host) int { return int(g.advice.tickets[h].expires) }) // the others are renewed next
+		named = named[:maxAdviceHosts]
+	}
 	until := s.now + g.policy().CallDuration(len(named))
 	for _, h := range hosts {
 		h.reserve(g, 1, until)
@@ -233,17 +228,23 @@
 	s.requestAdvice(g, named)
 }
 
-// approvedCapacity returns how many tasks fit on the approved hosts when they
-// are empty.
+// approvedCapacity returns how many tasks fit on the approved hosts once all runs
+// there have ended but those of long-running tasks.
 func (s *Scheduler) approvedCapacity(g *group) (n int) {
 	for _, h := range s.approvedHosts(g) {
 		if s.eligible(g, h) {
-			k := tasksIn(g.size, h.spec.Capacity)
-			if g.step.MaxPerHost > 0 {
-				k = min(k, g.step.MaxPerHost)
-			}
-			n += k
+			n += g.membersIn(h.spec.Capacity.Sub(h.longRunning))
 		}
 	}
 	return n
 }
+
+// membersIn returns how many tasks of a group fit into the free resources of a host
+// without tasks of the group.
+func (g *group) membersIn(free resource.Vector) int {
+	n := tasksIn(g.size, free)
+	if g.step.MaxPerHost > 0 {
+		n = min(n, g.step.MaxPerHost)
+	}
+	return n
+}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -30,6 +30,8 @@
 	// lastEndNumber is the highest number of an ended run that has been applied.
 	lastEndNumber int64
 	used          resource.Vector
+	// longRunning is the part of used that belongs to long-running tasks.
+	longRunning resource.Vector
 	// bestEffortCPU is the CPU demand, in thousandths of a core, of best-effort
 	// tasks. They use only CPU time that other tasks leave idle.
 	bestEffortCPU int64
@@ -69,7 +71,13 @@
 
 // usable reports whether the host takes new work.
 func (h *host) usable(now time.Duration) bool {
-	return h.unknownRuns == 0 && !h.closed && h.listed && h.runsKnown && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+	return h.unknownRuns == 0 && !h.closed && h.listedAsIs() && h.runsKnown && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+}
+
+// listedAsIs reports whether the host list describes the instance that answers. After a
+// restart the host may be of another kind.
+func (h *host) listedAsIs() bool {
+	return h.listed && (h.spec.StartedMs == 0 || h.startedMs == 0 || h.spec.StartedMs == h.startedMs)
 }
 
 // free returns the capacity that no run uses; ordered starts count as runs. It
@@ -96,3 +104,13 @@
 	}
 	return int(max(n, 0))
 }
+
+// sortedRuns returns the runs on the host in a fixed order.
+func (h *host) sortedRuns() []*taskRun {
+	out := make([]*taskRun, 0, len(h.runs))
+	for _, a := range h.runs {
+		out = append(out, a)
+	}
+	sortRuns(out)
+	return out
+}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -20,9 +20,9 @@
 	// periodicCheckInterval is the time between two checks of all groups and
 	// hosts, for conditions that no event reports.
 	periodicCheckInterval = 100 * time.Millisecond
-	// minReservingGangs and hostsPerReservingGang limit the gangs that have
-	// capacity reserved at one time: more of them would keep most of the cell
-	// idle, and fewer would make gangs wait for each other's advice.
+	// minReservingGangs and hostsPerReservingGang limit the gangs for which capacity
+	// is gathered at one time: more of them would keep most of the cell idle, and
+	// fewer would make gangs wait for each other's advice.
 	minReservingGangs     = 3
 	hostsPerReservingGang = 16
 	// extraTicketHosts is how many hosts beyond the needed ones a call that
@@ -79,6 +79,9 @@
 // these are nearly all hosts.
 func (s *Scheduler) beginPass(queue []queueEntry) {
 	s.hostsWithRoom = s.hostsWithRoom[:0]
+	for _, t := range s.teams {
+		t.beginPass(s.now)
+	}
 	if len(queue) == 0 {
 		return
 	}
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -24,17 +25,19 @@
 	size resource.Vector
 }
 
-// overdueExtension is how much longer a run is expected to take once it has
+// overdueExtension is how much longer a run is expected to take at least once it has
 // exceeded its estimate.
 const overdueExtension = 500 * time.Millisecond
 
+// neverEnds is the expected end of long-running tasks.
+const neverEnds = time.Duration(math.MaxInt64)
+
 // expectedEnds returns the expected ends of a host's runs, sorted by time.
 func (s *Scheduler) expectedEnds(h *host) []expectedEnd {
 	if h.expectedEnds == nil {
 		h.expectedEnds = make([]expectedEnd, 0, len(h.runs))
 		for _, a := range h.runs {
-			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdueExtension)
-			h.expectedEnds = append(h.expectedEnds, expectedEnd{end, a.task.group.size})
+			h.expectedEnds = append(h.expectedEnds, expectedEnd{s.expectedEnd(a), a.task.group.size})
 		}
 		slices.SortFunc(h.expectedEnds, func(a, b expectedEnd) int {
 			if c := cmp.Compare(a.at, b.at); c != 0 {
@@ -46,6 +49,19 @@
 	return h.expectedEnds
 }
 
+// expectedEnd returns when a run is expected to end. One that has exceeded its estimate
+// is expected to exceed it by as much again.
+func (s *Scheduler) expectedEnd(a *taskRun) time.Duration {
+	if a.task.group.step.LongRunning {
+		return neverEnds
+	}
+	end := a.orderedAt + a.task.group.estimate(a.host)
+	if overdue := s.now - end; overdue >= 0 {
+		end = s.now + max(overdue, overdueExtension)
+	}
+	return end
+}
+
 // roomGain is the number of additional gang members that fit on a host from a
 // time on.
 type roomGain struct {
@@ -54,27 +70,80 @@
 	extra int
 }
 
-// reserveEarliestRoom finds the earliest time at which n tasks of a gang fit on
-// the approved hosts. It reserves that capacity against work that would not end
-// before then.
-func (s *Scheduler) reserveEarliestRoom(g *group, n int) {
-	var hosts []*host
-	for _, h := range s.approvedHosts(g) {
-		if s.eligible(g, h) {
-			hosts = append(hosts, h)
+// roomPlan is the capacity that a gang is expected to get.
+type roomPlan struct {
+	hosts []*host
+	// tasksPerHost is how many members fit on each host at the time at.
+	tasksPerHost []int
+	at           time.Duration
+}
+
+// minPromiseOverrun is the least time after which a promise that was not kept is given up.
+const minPromiseOverrun = 5 * time.Second
+
+// promise is what a gang was first expected to get.
+type promise struct {
+	madeAt, at time.Duration
+	hosts      []*host
+}
+
+// givenUp reports whether the gang should have started so long ago that it looks for room
+// elsewhere.
+func (p *promise) givenUp(now time.Duration) bool {
+	return now >= p.at+max(p.at-p.madeAt, minPromiseOverrun)
+}
+
+// planRoom returns where and when n tasks of a gang are expected to fit on the approved
+// hosts, or nil if they never do. From the promised time on, the gang waits for the
+// promised hosts, where nothing else starts any more.
+func (s *Scheduler) planRoom(g *group, n int) *roomPlan {
+	if p := g.promise; p != nil && s.now >= p.at {
+		if p.givenUp(s.now) {
+			g.promise = nil
+		} else if plan := s.earliestRoom(g, n, s.stillUsable(g, p.hosts)); plan != nil {
+			return plan
 		}
 	}
-	tasksPerHost := make([]int, len(hosts))
+	hosts := s.usableHosts(g)
+	plan := s.earliestRoom(g, n, hosts)
+	if plan == nil || !g.step.RackLocal {
+		return plan
+	}
+	// A gang that wants one rack gets it if it does not wait for it longer than it would
+	// lose on several.
+	if rack := s.earliestRackPlan(g, n, hosts); rack != nil && rack.at <= g.rackDeadline(plan.at) {
+		return rack
+	}
+	return plan
+}
+
+// stillUsable returns those of the hosts that take tasks of a group.
+func (s *Scheduler) stillUsable(g *group, hosts []*host) (out []*host) {
+	for _, h := range hosts {
+		if s.eligible(g, h) && g.approved(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// earliestRoom returns the earliest time at which n tasks of a gang fit on the given
+// hosts, or nil if they never do.
+func (s *Scheduler) earliestRoom(g *group, n int, hosts []*host) *roomPlan {
+	plan := &roomPlan{hosts: hosts, tasksPerHost: make([]int, len(hosts)), at: s.now}
 	var gains []roomGain
 	total := 0
 	for i, h := range hosts {
 		free := h.free().Sub(h.reserved)
-		tasksPerHost[i] = tasksIn(g.size, free)
-		total += tasksPerHost[i]
-		counted := tasksPerHost[i]
+		plan.tasksPerHost[i] = g.membersIn(free)
+		total += plan.tasksPerHost[i]
+		counted := plan.tasksPerHost[i]
 		for _, r := range s.expectedEnds(h) {
+			if r.at == neverEnds {
+				break
+			}
 			free = free.Add(r.size)
-			if k := tasksIn(g.size, free); k > counted {
+			if k := g.membersIn(free); k > counted {
 				gains = append(gains, roomGain{r.at, i, k - counted})
 				counted = k
 			}
@@ -86,32 +155,37 @@
 		}
 		return cmp.Compare(a.host, b.host)
 	})
-	until := s.now
 	for _, o := range gains {
 		if total >= n {
 			break
 		}
 		total += o.extra
-		tasksPerHost[o.host] += o.extra
-		until = o.at
+		plan.tasksPerHost[o.host] += o.extra
+		plan.at = o.at
 	}
 	if total < n {
-		return
+		return nil
 	}
-	s.reserveRoom(g, n, hosts, tasksPerHost, until)
+	return plan
 }
 
-// reserveRoom reserves capacity for n tasks of a gang on as few hosts as
-// possible.
-func (s *Scheduler) reserveRoom(g *group, n int, hosts []*host, tasksPerHost []int, until time.Duration) {
-	order := make([]int, len(hosts))
+// reserve reserves the capacity of a plan for n tasks of a gang, on as few hosts as
+// possible, against work that would not end before. The time that was promised first is
+// kept to, so that work which takes longer than estimated delays the gang only once.
+func (s *Scheduler) reserve(p *roomPlan, g *group, n int) {
+	if g.promise == nil {
+		g.promise = &promise{madeAt: s.now, at: p.at}
+	}
+	g.promise.hosts = g.promise.hosts[:0]
+	order := make([]int, len(p.hosts))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(tasksPerHost[b], tasksPerHost[a]) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(p.tasksPerHost[b], p.tasksPerHost[a]) })
 	for _, i := range order {
-		if k := min(tasksPerHost[i], n); k > 0 {
-			hosts[i].reserve(g, k, until)
+		if k := min(p.tasksPerHost[i], n); k > 0 {
+			p.hosts[i].reserve(g, k, min(p.at, g.promise.at))
+			g.promise.hosts = append(g.promise.hosts, p.hosts[i])
 			n -= k
 		}
 	}
