Suspect no work of a crash behind a cut

Cause: the time of a crash was guessed. An order without an answer counted as a start right before the crash although its host could not be reached, and the window of a crash was widened to everything since the host's last answer. Class: missing knowledge is taken for evidence.

Now the owner tells the scheduler when a host leaves a call without an answer. If its process is found to be gone after that, or before it has answered this owner at all, the crash suspects nobody and adds nothing to the risk of a queue.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -11,4 +11,7 @@
 	// Seen is set if the run was known to be present before the crash. Otherwise its
 	// start had no answer.
 	Seen bool `json:"seen,omitempty"`
+	// Silent is set if the host had not answered for a while before its process was found
+	// to be gone, so that the time and the cause of the crash are unknown.
+	Silent bool `json:"silent,omitempty"`
 }
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -31,9 +31,12 @@
 }
 
 // recordCrash informs the scheduler that the process of a host has gone. A poll that
-// the host held open breaks at that moment; one that is refused at once only shows
-// that it has happened since the last answer.
-func (ow *Owner) recordCrash(h *hostPoller, sentAt, now time.Duration) {
+// the host may hold open breaks at that moment, unless the host had been silent before;
+// one that is refused at once only shows that it has happened since the last answer.
+func (ow *Owner) recordCrash(h *hostPoller, sentAt, hold, now time.Duration) {
+	if now-sentAt > hold+answerMargin {
+		ow.markSilent(h)
+	}
 	notBefore := now
 	if now-sentAt < minHeldPoll {
 		notBefore = h.answeredAt
@@ -41,6 +44,13 @@
 	ow.markCrashed(h, notBefore, now)
 }
 
+// markSilent informs the scheduler that a host left a poll without an answer.
+func (ow *Owner) markSilent(h *hostPoller) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.scheduler.MarkSilent(h.host.ID)
+}
+
 func (ow *Owner) markCrashed(h *hostPoller, notBefore, now time.Duration) {
 	ow.mu.Lock()
 	crashed := ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -28,6 +28,9 @@
 	// minHeldPoll is the least duration of a failed poll from which the host has held it
 	// open.
 	minHeldPoll = 20 * time.Millisecond
+	// answerMargin is how long after the hold time of a poll a host that can be reached
+	// has answered.
+	answerMargin = 200 * time.Millisecond
 	// storeWaitTimeout is how long a poller waits for the results of a poll to be
 	// stored. While they cannot be stored it is the interval between polls.
 	storeWaitTimeout = 300 * time.Millisecond
@@ -231,7 +234,9 @@
 			return true
 		}
 		if err != nil && platform.ProcessGone(err) {
-			ow.recordCrash(h, sentAt, now)
+			ow.recordCrash(h, sentAt, o.Wait, now)
+		} else if err != nil {
+			ow.markSilent(h)
 		}
 		ow.pollFailed(h, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -20,7 +21,7 @@
 	// crashesToFail is how many crashes show that a task crashes its hosts if it was
 	// alone on the last one. crashesToFailBlamed is how many do otherwise if few others
 	// may have caused them, which is the case from blameToFail on, and maxCrashes how
-	// many in any case.
+	// many in any case, crashes of hosts that were silent before included.
 	crashesToFail       = 2
 	crashesToFailBlamed = 3
 	blameToFail         = 1.5
@@ -46,9 +47,23 @@
 	return true
 }
 
+// MarkSilent records that a host left a call without an answer. If its process is gone
+// when calls reach it again, nobody knows when it crashed and what ran there then.
+func (s *Scheduler) MarkSilent(id string) {
+	if h := s.hosts[id]; h != nil {
+		h.silent = true
+	}
+}
+
 // suspectRuns marks the runs that may be the cause of a crash.
 func (s *Scheduler) suspectRuns(h *host, notBefore time.Duration) {
-	h.crashed = true
+	h.crashed, h.crashedSilently = true, h.silent || !h.runsKnown
+	if h.crashedSilently {
+		for _, a := range h.runs {
+			a.suspected = a.acceptedAt == 0 || a.acceptedAt >= h.reportedAt-crashWindow
+		}
+		return
+	}
 	inWindow := func(a *taskRun) bool { return a.acceptedAt == 0 || a.acceptedAt >= notBefore-crashWindow }
 	var last time.Duration
 	any := false
@@ -99,23 +114,30 @@
 		}
 	}
 	for _, a := range runs {
-		if a.suspected {
-			s.countCrash(a, len(suspects))
+		switch {
+		case !a.suspected:
+		case h.crashedSilently:
+			s.countCrash(a, cell.Crash{Run: a.run, Silent: true}, "The host crashed while it did not answer, and a task of the submission may have started there.")
+		default:
+			s.countCrash(a, cell.Crash{Run: a.run, Recent: a.recent, Suspects: len(suspects), Seen: a.acceptedAt != 0},
+				"The host crashed, and a task of the submission may be the cause.")
 		}
 	}
 }
 
 // countCrash counts a crash for the task of a run, or for its gang.
-func (s *Scheduler) countCrash(a *taskRun, suspects int) {
+func (s *Scheduler) countCrash(a *taskRun, c cell.Crash, message string) {
 	t, j := a.task.countedAt(), a.task.group.job
-	if t.done || j.state.Final() || t.countsCrash(a.run) {
+	if t.done || j.state.Final() || t.countsCrash(a.run, c.Silent) {
 		return
 	}
-	t.crashes = append(t.crashes, cell.Crash{Run: a.run, Recent: a.recent, Suspects: suspects, Seen: a.acceptedAt != 0})
+	// Of a gang that lost several hosts, one crash counts: the one that says most.
+	t.crashes = slices.DeleteFunc(t.crashes, func(o cell.Crash) bool { return o.Run == a.run })
+	t.crashes = append(t.crashes, c)
 	t.trialRun = 0
 	s.changed[j.sub.ID] = true
-	s.logMessage(j.sub.ID, a.host.spec.ID, "The host crashed, and a task of the submission may be the cause.")
-	if t.crashesHosts(a.alone) {
+	s.logMessage(j.sub.ID, a.host.spec.ID, message)
+	if t.crashesHosts(a.alone && !c.Silent) {
 		s.finalize(j, cell.Failed, "hosts crashed under one of its tasks")
 		return
 	}
@@ -125,8 +147,19 @@
 // crashesHosts reports whether the crashes under a task show that it crashes its hosts.
 // alone is set if it was alone on the last of them.
 func (t *task) crashesHosts(alone bool) bool {
-	n := len(t.crashes)
-	return alone && t.seenCrashes() >= crashesToFail || n >= crashesToFailBlamed && t.blame() >= blameToFail || n >= maxCrashes
+	n := len(t.crashesInTouch())
+	return alone && t.seenCrashes() >= crashesToFail || n >= crashesToFailBlamed && t.blame() >= blameToFail || len(t.crashes) >= maxCrashes
+}
+
+// crashesInTouch returns the crashes of hosts that had answered until then. The others
+// count only towards maxCrashes: their cause is unknown.
+func (t *task) crashesInTouch() (out []cell.Crash) {
+	for _, c := range t.crashes {
+		if !c.Silent {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 // countedAt returns the task at which crashes under a task are counted: for a gang its
@@ -145,9 +178,11 @@
 	}
 }
 
-func (t *task) countsCrash(run int64) bool {
+// countsCrash reports whether a crash under a run is counted already. One of a silent
+// host gives way to another one.
+func (t *task) countsCrash(run int64, silent bool) bool {
 	for _, c := range t.crashes {
-		if c.Run == run {
+		if c.Run == run && (silent || !c.Silent) {
 			return true
 		}
 	}
@@ -177,7 +212,7 @@
 // blame returns how much the crashes under a task speak against it: each counts in
 // equal parts for the submissions that may have caused it.
 func (t *task) blame() (sum float64) {
-	for _, c := range t.crashes {
+	for _, c := range t.crashesInTouch() {
 		sum += 1 / float64(max(c.Suspects, 1))
 	}
 	return sum
@@ -185,10 +220,8 @@
 
 // suspectedCause reports whether the crashes under the task make it a suspected cause.
 func (t *task) suspectedCause() bool {
-	if len(t.crashes) >= crashesUnlessRecent {
-		return true
-	}
-	return len(t.crashes) > 0 && t.crashes[0].Recent
+	crashes := t.crashesInTouch()
+	return len(crashes) >= crashesUnlessRecent || len(crashes) > 0 && crashes[0].Recent
 }
 
 // clear ends the suspicion of the job of a task that has ended as done, or has run
@@ -210,7 +243,7 @@
 func (s *Scheduler) countUnknownTrials() {
 	for _, g := range s.groups {
 		for _, t := range g.tasks {
-			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.countsCrash(t.trialRun) {
+			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.countsCrash(t.trialRun, false) {
 				continue
 			}
 			t.crashes = append(t.crashes, cell.Crash{Run: t.trialRun, Recent: true, Suspects: 1})
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -30,6 +30,16 @@
 	c.s.MarkUnreachable(id)
 }
 
+// crashSilently cuts a host off whose process ends behind the cut. It is back as another
+// instance after crashDowntime.
+func (c *cluster) crashSilently(id string) {
+	h := c.hosts[id]
+	h.unreachable, h.downUntil = true, c.now+crashDowntime
+	h.runs, h.ended = nil, nil
+	c.s.MarkSilent(id)
+	c.s.MarkUnreachable(id)
+}
+
 // restartCrashed brings back the crashed hosts whose time has come.
 func (c *cluster) restartCrashed() {
 	for _, id := range c.ids() {
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -47,6 +47,9 @@
 	// crashed is set from when the process of the host has gone until the host answers
 	// again or its runs are known to be gone.
 	crashed bool
+	// silent is set from when the host left a call without an answer until it answers
+	// again; crashedSilently is set if it was silent before its process had gone.
+	silent, crashedSilently bool
 	// reportedAt is when the host last reported its runs.
 	reportedAt time.Duration
 	// trial is the run of a suspected task that may crash the host; nil if none.
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -28,7 +28,7 @@
 		h.startedMs = l.StartedMs
 	}
 	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
-	h.reportedAt = now
+	h.reportedAt, h.silent = now, false
 	s.clearSuspectedRuns(h)
 	for _, e := range l.Ended {
 		if e.Number > h.lastEndNumber {
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -207,7 +207,7 @@
 // start.
 func (g *group) crashesLate() bool {
 	for _, t := range g.tasks {
-		for _, c := range t.crashes {
+		for _, c := range t.crashesInTouch() {
 			if !c.Recent {
 				return true
 			}
