Try a suspected task beside runs that have survived their start

What callers would see: a task of a step that runs until it is cancelled starts never again once its submission is suspected (LOST, which holds for each such task at any time).

Cause: a trial waited until all other runs of the submission had ended, which tasks that run until they are cancelled do not do. Class: a wait for an event that need not come.

Now it waits only until each of them has been present for as long as a trial takes, which is what a trial would show of them. On a host that is silent, only the time up to its last report counts.

Evidence: TestLostTaskOfLongRunningStepIsTriedBesideTheOthers fails on the former code: 5 tasks run 6 s after the crash, want 6.

--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -146,7 +146,7 @@
 }
 
 // readyForTrial reports whether a waiting group of a job under trial may start one
-// task, or its gang: the outcome of earlier runs has to be known.
+// task, or its gang: the job's other runs have to have survived their start.
 func (s *Scheduler) readyForTrial(g *group) bool {
 	if g.job.suspectedRuns > 0 {
 		return false
@@ -154,7 +154,24 @@
 	if g.step.Gang {
 		return g.run != 0 || g.present == 0
 	}
-	return !g.job.hasRuns()
+	for _, other := range g.job.groups {
+		if other.present > 0 && !other.survivedTrial(s.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// survivedTrial reports whether all runs of the group have been present for long enough.
+func (g *group) survivedTrial(now time.Duration) bool {
+	for _, t := range g.tasks {
+		for _, a := range t.runs {
+			if !a.survivedTrial(now) {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // placeTrial starts one waiting task, or the gang, of a job under trial on hosts that
@@ -194,13 +211,17 @@
 	return h.trial != nil || len(h.runs) == 0 || h.tried(now) && !g.crashesLate()
 }
 
-// survivedTrial reports whether a run has been tried on its host for long enough.
+// survivedTrial reports whether a run has been present on its host for so long that its
+// task does not crash hosts.
 func (a *taskRun) survivedTrial(now time.Duration) bool {
 	needed := trialDuration
 	if a.task.group.crashesLate() {
 		needed = lateTrialDuration
 	}
-	return a.phase == phaseRunning && !a.host.crashed && a.host.reachable && now >= a.acceptedAt+needed
+	if a.host.silent || !a.host.reachable {
+		now = a.host.reportedAt // nothing is known of the host since then
+	}
+	return a.phase == phaseRunning && !a.host.crashed && now >= a.acceptedAt+needed
 }
 
 // crashesLate reports whether a task of the group may crash its host long after its
--- a/internal/cell/schedule/trial_test.go
+++ b/internal/cell/schedule/trial_test.go
@@ -57,3 +57,20 @@
 	}
 	t.Errorf("the gang has not been started in 20 s on 24 idle hosts, of which a third is approved; it %s", c.s.jobs["gang"].groups[0].waitReason)
 }
+
+// Guards against a task that runs until it is cancelled and never starts again, since its
+// submission is suspected and the other tasks, whose ends it waits for, have none.
+func TestLostTaskOfLongRunningStepIsTriedBesideTheOthers(t *testing.T) {
+	c := crashCluster(6)
+	step := smallStep(6, time.Hour)
+	step.LongRunning, step.MaxPerHost = true, 1
+	c.submit("serving", "q", "a", step)
+	c.advance(10 * time.Millisecond)
+	c.crash("h00")
+	for range 60 {
+		c.advance(100 * time.Millisecond)
+	}
+	if got := c.running("serving"); got != step.Count {
+		t.Errorf("%d tasks run 6 s after a host crashed right after their start, want %d", got, step.Count)
+	}
+}
