Suspect a submission whose lost trial is counted; judge crashes in one place

Cause: countCrash and countUnknownTrials decided the same thing twice and differently; both call judge now. TestLostOutcomeOfConfinedSubmissionMakesItASuspect fails on the former code.

The queue holds for each entry whether it is under trial and whether it awaits its first task, which was asked up to five times an entry in a decision. Trials end before the queue is built, so that the answers hold for the pass.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -137,7 +137,14 @@
 	t.trialRun = 0
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, a.host.spec.ID, message)
-	if t.crashesHosts(a.alone && !c.Silent) {
+	s.judge(t, a.alone && !c.Silent)
+}
+
+// judge gives a job up if the crashes under one of its tasks show that it crashes its
+// hosts, or suspects it. alone is set if the task was alone on the last of them.
+func (s *Scheduler) judge(t *task, alone bool) {
+	j := t.group.job
+	if t.crashesHosts(alone) {
 		s.finalize(j, cell.Failed, "hosts crashed under one of its tasks")
 		return
 	}
@@ -250,9 +257,7 @@
 			t.trialRun = 0
 			s.changed[t.id.Submission] = true
 			s.logMessage(t.id.Submission, "", "The outcome of a task that an earlier owner started alone is unknown; its host is assumed to have crashed.")
-			if t.crashesHosts(false) {
-				s.finalize(g.job, cell.Failed, "hosts crashed under one of its tasks")
-			}
+			s.judge(t, false)
 		}
 	}
 }
--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -101,3 +101,16 @@
 		t.Errorf("%+v is counted for a trial that ended as failed", got)
 	}
 }
+
+// Guards against a submission that was started alone since its queue is confined, and
+// that is not suspected after a takeover lost the outcome.
+func TestLostOutcomeOfConfinedSubmissionMakesItASuspect(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("job", "q", "a", smallStep(2, time.Second))
+	c.s.jobs["job"].groups[0].tasks[0].trialRun = 1
+	c.replaceOwner()
+	c.s.MarkReconciled(c.now)
+	if !c.s.jobs["job"].suspected {
+		t.Error("the submission is not suspected")
+	}
+}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -37,20 +37,13 @@
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
 	s.updateRisks()
+	s.endTrials()
 	queue := s.queue()
 	s.beginPass(queue)
-	s.updateTrials(queue)
+	s.chooseTrialHosts(queue)
 	reservingGangs := 0
 	for _, e := range queue {
-		if s.underTrial(e.group.job) {
-			s.placeTrial(e.group, &reservingGangs)
-		} else if !s.mayStartFirstTask(e.group.job) && e.group.run == 0 {
-			s.setWaitReason(e.group, waitFirstTask)
-		} else if e.group.step.Gang {
-			s.placeGang(e.group, &reservingGangs)
-		} else {
-			s.placeTasks(e.group)
-		}
+		s.place(e, &reservingGangs)
 	}
 	if now >= s.nextPeriodicCheck {
 		s.nextPeriodicCheck = now + periodicCheckInterval
@@ -64,6 +57,23 @@
 	return p
 }
 
+// place starts tasks of a waiting group, or prepares their start.
+func (s *Scheduler) place(e queueEntry, reservingGangs *int) {
+	g := e.group
+	switch {
+	case e.underTrial:
+		s.placeTrial(g, reservingGangs)
+	case e.awaitsFirstTask && g.run == 0 && !s.mayStartFirstTask(g.job):
+		s.setWaitReason(g, waitFirstTask)
+	case g.step.Gang:
+		s.placeGang(g, reservingGangs)
+	case e.awaitsFirstTask:
+		s.placeTasks(g, 1)
+	default:
+		s.placeTasks(g, g.waiting)
+	}
+}
+
 // markDueGroupsReady marks the groups of occurrences that have become due as
 // ready.
 func (s *Scheduler) markDueGroupsReady() {
@@ -145,27 +155,17 @@
 	return v
 }
 
-// placeTasks starts the waiting tasks of a group one by one.
-func (s *Scheduler) placeTasks(g *group) {
+// placeTasks starts the waiting tasks of a group one by one, at most some of them.
+func (s *Scheduler) placeTasks(g *group, most int) {
 	tasks := g.waitingTasks()
-	if n := g.job.team.tasksUnderLimit(g.step.Size, g.urgent()); n < len(tasks) {
-		tasks = tasks[:n]
+	if g.trial {
+		slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
 	}
+	tasks = tasks[:min(most, g.job.team.tasksUnderLimit(g.step.Size, g.urgent()), len(tasks))]
 	if len(tasks) == 0 {
 		s.setWaitReason(g, waitLimit)
 		return
 	}
-	if !g.trial && s.awaitsFirstTask(g.job) {
-		tasks = tasks[:1]
-	}
-	if g.trial {
-		tasks = tasks[:1]
-		for _, t := range g.waitingTasks() {
-			if len(t.crashes) > len(tasks[0].crashes) {
-				tasks[0] = t
-			}
-		}
-	}
 	s.setWaitReason(g, waitNone)
 	var withTicket []*host
 	for _, h := range s.candidates(g) {
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -34,11 +34,14 @@
 	rankSuspected = 2 * overRateOffset
 )
 
-// queueEntry is a waiting group with its sort keys.
+// queueEntry is a waiting group with its sort keys and what the crashes of hosts mean
+// for its job.
 type queueEntry struct {
 	group  *group
 	rank   int
 	laxity time.Duration
+	// underTrial and awaitsFirstTask are what the methods of these names returned.
+	underTrial, awaitsFirstTask bool
 }
 
 // queue returns the groups with waiting tasks in the order in which they are placed.
@@ -67,7 +70,7 @@
 func (s *Scheduler) rank(g *group) queueEntry {
 	j := g.job
 	work := j.criticalPath(g.id.Step)
-	e := queueEntry{group: g, laxity: j.due - s.now - work}
+	e := queueEntry{group: g, laxity: j.due - s.now - work, underTrial: s.underTrial(j), awaitsFirstTask: s.awaitsFirstTask(j)}
 	urgent := j.queue.Priority == 0
 	switch {
 	case g.step.Gang && g.run != 0:
@@ -86,7 +89,7 @@
 	default:
 		e.rank = rankTooLate
 	}
-	if e.rank >= rankLate && s.awaitsFirstTask(j) {
+	if e.rank >= rankLate && e.awaitsFirstTask {
 		// Later submissions are more likely to be sound than those that wait since hosts
 		// began to crash.
 		e.laxity = -j.arrived
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -144,12 +144,9 @@
 	return j.suspected || j.suspectedRuns > 0 || !j.proven && r.exceeds(confinedShare, s.now)
 }
 
-// mayStartFirstTask reports whether a submission may start, or may start more tasks,
+// mayStartFirstTask reports whether a submission that awaits its first task may start it
 // in view of the crashes of its queue.
 func (s *Scheduler) mayStartFirstTask(j *job) bool {
-	if !s.awaitsFirstTask(j) {
-		return true
-	}
 	r := s.risk(j)
 	expected := r.down + float64(r.unproven+1)*r.share()
 	return !j.hasRuns() && (expected <= float64(s.maxRiskyHosts(r)) || r.unproven == 0)
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -24,32 +24,38 @@
 	trialRetryDelay   = 3 * time.Second
 )
 
-// updateTrials ends the trials of runs that are gone or cleared, and chooses the hosts
-// that are kept free of other work for the suspected tasks in the queue.
-func (s *Scheduler) updateTrials(queue []queueEntry) {
+// endTrials ends the trials of runs that are gone or cleared.
+func (s *Scheduler) endTrials() {
+	s.idleHosts = 0
+	for _, h := range s.sortedHosts {
+		s.updateTrial(h)
+		if h.usable(s.now) && (len(h.runs) == 0 || h.quarantinedFor != nil) {
+			s.idleHosts++
+		}
+	}
+}
+
+// chooseTrialHosts chooses the hosts that are kept free of other work for the suspected
+// tasks in the queue.
+func (s *Scheduler) chooseTrialHosts(queue []queueEntry) {
 	var waiting []*group
 	for _, e := range queue {
-		switch j := e.group.job; {
-		case s.underTrial(j):
+		switch {
+		case e.underTrial:
 			if s.readyForTrial(e.group) {
 				waiting = append(waiting, e.group)
 			}
-		case !s.awaitsFirstTask(j):
+		case !e.awaitsFirstTask:
 			s.soundWorkAt = s.now
 		}
 	}
 	held := 0
 	assigned := make(map[*group]int)
-	s.idleHosts = 0
 	for _, h := range s.sortedHosts {
-		s.updateTrial(h)
 		if h.quarantinedFor != nil {
 			held++
 			assigned[h.quarantinedFor]++
 		}
-		if h.usable(s.now) && (len(h.runs) == 0 || h.quarantinedFor != nil) {
-			s.idleHosts++
-		}
 	}
 	most := s.maxTrialHosts()
 	for _, g := range waiting {
@@ -189,7 +195,7 @@
 	if g.step.Gang {
 		s.placeGang(g, reservingGangs)
 	} else {
-		s.placeTasks(g)
+		s.placeTasks(g, 1)
 	}
 	g.trial = false
 }
