Ask for advice about all hosts before a suspect's hosts are kept free

What callers saw: a suspected gang did not start for 31.7 s although hosts were idle, or never (LOST). In a play with all logs it named one to three hosts a call, 0.5 to 4 s apart, of which a third were approved, so it never held as many approved hosts as it needed at one time.

Cause: hosts were chosen for a trial, and kept free of other work, before advice about them was known; a denied one was given back and replaced by one more that was not decided. Class: a resource is held while it is found out whether it can be used. Advice about a step does not change, so it can be asked ahead.

Now a suspect asks about all undecided hosts, as sound work does, and hosts are kept free for it only among approved ones. More calls follow only while a host could be kept free for it and the approved ones do not serve.

Evidence: TestSuspectAsksAboutAllHostsBeforeOnesAreKeptFree, 24 idle hosts of which a third are approved: on the former code calls about 3, 2, 1 and 1 hosts and a start after 2.15 s; now one call about all.

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -53,9 +53,6 @@
 	return ok
 }
 
-// deniedOn reports whether advice lets the group not run on a host.
-func (g *group) deniedOn(h *host) bool { return g.policy() != nil && g.advice.denied[h] }
-
 // adviceDuration returns how long advice about one host takes; zero if the group needs
 // none.
 func (g *group) adviceDuration() time.Duration {
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -59,6 +59,10 @@
 	}
 	most := s.maxTrialHosts()
 	for _, g := range waiting {
+		if g.policy() != nil && len(g.advice.tickets)+len(g.advice.denied) == 0 {
+			s.requestAdviceOnUndecidedHosts(g)
+			continue
+		}
 		needed := s.trialHostsNeeded(g) - assigned[g]
 		if needed > 0 && held+needed <= most && s.now >= g.trialRetryAt && s.quarantine(g, needed) {
 			held += needed
@@ -79,7 +83,7 @@
 		s.clear(h.trial.task, h.spec.ID)
 		h.trial, h.quarantinedFor = nil, nil
 	case h.trial != nil:
-	case g.deniedOn(h) || !h.usable(s.now) || g.waiting == 0 || !g.ready || !s.underTrial(g.job):
+	case !h.usable(s.now) || g.waiting == 0 || !g.ready || !s.underTrial(g.job):
 		h.quarantinedFor = nil
 	case !h.freeForTrial(g, s.now), g.advice.inFlight:
 		h.freeSince = s.now
@@ -89,8 +93,9 @@
 	}
 }
 
-// quarantine keeps the hosts that will be empty soonest, of those that a group may use,
-// free of other work. It reports whether it has found as many as are needed.
+// quarantine keeps the hosts that will be empty soonest, of those that are approved for
+// a group, free of other work. It reports whether it has found as many as are needed;
+// otherwise it asks for advice about the hosts that are not decided.
 func (s *Scheduler) quarantine(g *group, needed int) bool {
 	type option struct {
 		host *host
@@ -98,11 +103,11 @@
 	}
 	var options []option
 	for _, h := range s.sortedHosts {
-		if h.quarantinedFor != nil || g.deniedOn(h) || !s.suitable(g, h) {
+		if h.quarantinedFor != nil || !g.approved(h) || !s.suitable(g, h) {
 			continue
 		}
 		o := option{h, s.now}
-		if !g.approved(h) {
+		if _, ok := g.ticketFor(h, s.now); !ok {
 			o.end += g.adviceDuration()
 		}
 		if ends := s.expectedEnds(h); len(ends) > 0 && !h.freeForTrial(g, s.now) {
@@ -111,7 +116,11 @@
 		options = append(options, o)
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.end, b.end) })
-	if len(options) < needed || options[needed-1].end > s.now+soonEmpty+g.adviceDuration() && s.now < s.quarantinedAt+maxEmptyHostWait {
+	soon := s.now + soonEmpty + g.adviceDuration()
+	if len(options) < needed || options[needed-1].end > soon && s.now < s.quarantinedAt+maxEmptyHostWait {
+		if g.policy() != nil {
+			s.requestAdviceOnUndecidedHosts(g)
+		}
 		return false
 	}
 	for _, o := range options[:needed] {
