Count the hosts of a trial by what each of them holds

What callers would see: a suspected gang that never starts where hosts differ in size. Found by reading; not shown in a play.

Cause: the hosts that a trial needs were counted with the capacity of the largest host of all, also if the gang may not run there, and the chosen ones were taken to be as large. Class: an estimate for one host is applied to others.

Now the chosen hosts are added up by what each of them holds, and the least number is counted on the hosts on which the gang may run.

Evidence: TestHostsOfATrialAreCountedByWhatTheyHold (12 idle hosts, one of them large and denied) fails on the former code: the gang of four has not started after 3 s.

--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -50,11 +50,11 @@
 		}
 	}
 	held := 0
-	assigned := make(map[*group]int)
+	room := make(map[*group]int)
 	for _, h := range s.sortedHosts {
-		if h.quarantinedFor != nil {
+		if g := h.quarantinedFor; g != nil {
 			held++
-			assigned[h.quarantinedFor]++
+			room[g] += g.emptyRoom(h)
 		}
 	}
 	most := s.maxTrialHosts()
@@ -63,9 +63,8 @@
 			s.requestAdviceOnUndecidedHosts(g)
 			continue
 		}
-		needed := s.trialHostsNeeded(g) - assigned[g]
-		if needed > 0 && held+needed <= most && s.now >= g.trialRetryAt && s.quarantine(g, needed) {
-			held += needed
+		if missing := g.trialWidth() - room[g]; missing > 0 && s.now >= g.trialRetryAt {
+			held += s.quarantine(g, missing, most-held)
 		}
 	}
 }
@@ -94,9 +93,13 @@
 }
 
 // quarantine keeps the hosts that will be empty soonest, of those that are approved for
-// a group, free of other work. It reports whether it has found as many as are needed;
-// otherwise it asks for advice about the hosts that are not decided.
-func (s *Scheduler) quarantine(g *group, needed int) bool {
+// a group, free of other work. It returns how many it keeps free: as many as hold the
+// given number of tasks, or none if that would be more than most. Then it asks for advice
+// about the hosts that are not decided.
+func (s *Scheduler) quarantine(g *group, tasks, most int) int {
+	if most <= 0 {
+		return 0
+	}
 	type option struct {
 		host *host
 		end  time.Duration
@@ -117,17 +120,39 @@
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.end, b.end) })
 	soon := s.now + soonEmpty + g.adviceDuration()
-	if len(options) < needed || options[needed-1].end > soon && s.now < s.quarantinedAt+maxEmptyHostWait {
+	n := 0
+	for n < len(options) && tasks > 0 {
+		tasks -= g.emptyRoom(options[n].host)
+		n++
+	}
+	if tasks > 0 || n > most || options[n-1].end > soon && s.now < s.quarantinedAt+maxEmptyHostWait {
 		if g.policy() != nil {
 			s.requestAdviceOnUndecidedHosts(g)
 		}
-		return false
+		return 0
 	}
-	for _, o := range options[:needed] {
+	for _, o := range options[:n] {
 		o.host.quarantinedFor, o.host.freeSince = g, s.now
 	}
 	s.quarantinedAt = s.now
-	return true
+	return n
+}
+
+// emptyRoom returns how many tasks of the group fit on a host without runs.
+func (g *group) emptyRoom(h *host) int {
+	n := tasksIn(g.size, h.spec.Capacity)
+	if g.step.MaxPerHost > 0 {
+		n = min(n, g.step.MaxPerHost)
+	}
+	return n
+}
+
+// trialWidth returns how many tasks of the group start together in a trial.
+func (g *group) trialWidth() int {
+	if g.step.Gang {
+		return g.left
+	}
+	return 1
 }
 
 // maxTrialHosts returns how many hosts suspected tasks may hold at one time: a small
@@ -145,19 +170,23 @@
 	return s.idleHosts - len(s.sortedHosts)/hostsPerTrial
 }
 
-// trialHostsNeeded returns how many empty hosts the trial of a group needs at least.
+// trialHostsNeeded returns how many of the hosts on which a group may run its trial
+// needs at least; zero if they cannot hold it.
 func (s *Scheduler) trialHostsNeeded(g *group) int {
-	if !g.step.Gang {
-		return 1
-	}
-	perHost := 1
-	for _, h := range s.sortedHosts {
-		perHost = max(perHost, tasksIn(g.size, h.spec.Capacity))
+	var rooms []int
+	for _, h := range s.approvedHosts(g) {
+		if s.suitable(g, h) {
+			rooms = append(rooms, g.emptyRoom(h))
+		}
 	}
-	if g.step.MaxPerHost > 0 {
-		perHost = min(perHost, g.step.MaxPerHost)
+	slices.SortFunc(rooms, func(a, b int) int { return cmp.Compare(b, a) })
+	left := g.trialWidth()
+	for i, room := range rooms {
+		if left -= room; left <= 0 {
+			return i + 1
+		}
 	}
-	return (g.left + perHost - 1) / perHost
+	return 0
 }
 
 // readyForTrial reports whether a waiting group of a job under trial may start one
