Bound the wait of a suspect

What callers saw: suspected submissions waited for 15 to 40 s, or for ever, while hosts had room (LOST).

Cause: nothing bounded their wait. They came after all other work for good; a trial needed hosts without any other run, which a busy cell does not have; suspects with little blame came before those with more however long these had waited; one in eight hosts was shared with the new work of confined queues, which came first; and a trial that had given up waited 3 s and then took the same hosts. Class: strict priorities without ageing.

What makes a trial conclusive is that nothing else started on the host right before, not that the host is empty. So after one second without an empty host a suspect may be tried on any approved host with room, once all runs there have been present for longer than the window of a crash; nothing else starts there until the trial is over. Runs beside it are not blamed for a crash, and a crash that they may have caused as well counts for the suspect only in part, as before. Every second trial goes to the suspect that has waited longest. Suspects and the new work of confined queues have one in eight hosts each, those that are down after a trial included, and share what is spare. After that second a suspect has the rank that its work has without the suspicion. Hosts that were not used come last the next time, in place of the pause of 3 s. A gang that fits nowhere within these bounds for two seconds starts like other work, as one did already that needs more than an eighth of all hosts.

TestSuspectedTasksRunAloneOnFewHosts said that all work under trial holds one in eight hosts and that no other run is present. It now checks one in eight for each of the two kinds, that whatever runs beside a suspect has started before the window, and that a run which was not tried itself is there only if the suspect has waited for an empty host. TestSuspectedGangIsTriedThoughAdviceIsSlow looks for hosts that were given back under the name that this has now.

Evidence: on the former code TestSuspectStartsWithinABoundOnHostsWithRoom fails for a task, a gang, a gang that prefers one rack and a wide gang (not started after 2.66 and 3.66 s), and TestEachSuspectHasItsTurn (not started in 60 s). Without the new rules one at a time: bystanders blamed (TestLateCrashBesideASuspectIsCountedForItInPart), a start 20 ms before a trial (TestTrialWaitsUntilOtherRunsHaveSettled), the same host again (TestHostsThatWereGivenBackAreChosenLast). At most 8 of 16 hosts are down in TestQueueThatCrashesHostsIsConfined, as before.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -115,7 +115,7 @@
 	}
 	for _, a := range runs {
 		switch {
-		case !a.suspected:
+		case !a.suspected, h.trial != nil && h.trial.task.group != a.task.group: // beside a suspect, others are not blamed
 		case h.crashedSilently:
 			s.countCrash(a, cell.Crash{Run: a.run, Silent: true}, "The host crashed while it did not answer, and a task of the submission may have started there.")
 		default:
@@ -137,7 +137,7 @@
 	t.trialRun = 0
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, a.host.spec.ID, message)
-	s.judge(t, a.alone && !c.Silent)
+	s.judge(t, a.alone && !c.Silent && c.Suspects == 1)
 }
 
 // judge gives a job up if the crashes under one of its tasks show that it crashes its
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -29,8 +29,13 @@
 	// memberEndedAt is when the scheduler learned of it.
 	memberEndedAt time.Duration
 	startedAt     time.Duration
-	// trialRetryAt is the earliest time at which hosts are kept free for a trial again.
-	trialRetryAt time.Duration
+	// trialSince is since when the group, of a suspected job, waits for a trial; zero if it
+	// does not. givenBack holds the hosts that were kept free for it and that it did not
+	// use since its last trial.
+	trialSince time.Duration
+	givenBack  map[*host]bool
+	// notTried is set for a gang that was awaiting its trial for too long.
+	notTried bool
 	// trial is set while the group is placed that may use only hosts without other runs.
 	trial bool
 	// waitReason is why the group does not start; see setWaitReason.
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -57,8 +57,10 @@
 	// quarantinedFor is the group under trial for which the host is kept free of other
 	// work; nil if none.
 	quarantinedFor *group
-	// freeSince is since when a quarantined host is free for the trial.
-	freeSince time.Duration
+	// trialRoom is for how many tasks of the group the host is kept free, and useBy when
+	// it is given back unless the trial has begun.
+	trialRoom int
+	useBy     time.Duration
 	// bestEffortBlockedUntil is until when the host gets no best-effort tasks,
 	// to protect its latency-sensitive tasks.
 	bestEffortBlockedUntil time.Duration
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -274,6 +274,7 @@
 		t.countedAt().trialRun = run
 		s.changed[t.id.Submission] = true
 	}
+	g.trialSince, g.givenBack, g.notTried = 0, nil, false
 	s.plan.Starts = append(s.plan.Starts, Start{
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: value, Waited: waited,
 	})
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -30,7 +30,7 @@
 	// team's rate, so that they come after all others. Incomplete gangs are exempt.
 	overRateOffset
 	// rankSuspected is the rank of submissions that may have crashed a host, so that
-	// sound work is not delayed by them.
+	// sound work is not delayed by them. It lasts for trialPatience.
 	rankSuspected = 2 * overRateOffset
 )
 
@@ -97,9 +97,8 @@
 	if j.overRate {
 		e.rank += overRateOffset
 	}
-	if j.suspected {
-		// Those that are least likely to crash a host come first.
-		e.rank, e.laxity = rankSuspected, time.Duration(j.blame()*float64(time.Hour))
+	if j.suspected && !g.waitsLong(s.now) {
+		e.rank = rankSuspected
 	}
 	return e
 }
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -44,13 +44,17 @@
 	reconciled    bool
 	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
 	idleHosts int
-	// quarantinedAt is when a host was last chosen for suspected tasks.
+	// quarantinedAt is when a host was last kept free for work of a confined queue, and
+	// suspectTrials how often hosts were for suspects.
 	quarantinedAt time.Duration
+	suspectTrials int
 	// soundWorkAt is when work last waited that is not suspected and whose queue has not
 	// crashed hosts of late.
 	soundWorkAt time.Duration
 	// risks holds the risk of each queue by name.
 	risks map[string]*queueRisk
+	// trialBudget bounds the hosts that work under trial holds in this pass.
+	trialBudget trialBudget
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
