Reserve no capacity of tasks that run until they are cancelled

What callers would see: a gang that waits while smaller work takes the capacity that becomes free; and a suspect for which a host is kept free that never becomes empty.

Cause: every run was expected to end at its estimate, or half a second from now if it had exceeded it, those of long-running steps too. So their capacity was always the next to become free, and the gang's reservation lay there. Class: a wait for an event that need not come.

Evidence: TestGangReservesNoCapacityOfLongRunningTasks fails on the former code: the gang has not started after 10 s, though two hosts become free after 1 and 2 s.

--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -28,11 +28,15 @@
 // exceeded its estimate.
 const overdueExtension = 500 * time.Millisecond
 
-// expectedEnds returns the expected ends of a host's runs, sorted by time.
+// expectedEnds returns the expected ends of a host's runs, sorted by time. Runs of
+// long-running steps have none.
 func (s *Scheduler) expectedEnds(h *host) []expectedEnd {
 	if h.expectedEnds == nil {
 		h.expectedEnds = make([]expectedEnd, 0, len(h.runs))
 		for _, a := range h.runs {
+			if a.task.group.step.LongRunning {
+				continue
+			}
 			end := max(a.orderedAt+a.task.group.estimate(h), s.now+overdueExtension)
 			h.expectedEnds = append(h.expectedEnds, expectedEnd{end, a.task.group.size})
 		}
