--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -148,7 +148,10 @@
 		s.finalize(j, cell.Failed, "hosts crashed under one of its tasks")
 		return
 	}
-	j.suspected = j.suspected || t.suspectedCause()
+	if !j.suspected && t.suspectedCause() {
+		j.suspected = true
+		s.logMessage(j.sub.ID, "", "The submission is suspected of crashing hosts.")
+	}
 }
 
 // crashesHosts reports whether the crashes under a task show that it crashes its hosts.
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -271,6 +271,9 @@
 	a := s.attach(t, h, run)
 	if g.trial {
 		a.alone, h.trial = true, a
+		if len(h.runs) > g.runsOn(h) {
+			s.logMessage(t.id.Submission, h.spec.ID, "A task is tried beside other runs, since no empty host was found for long.")
+		}
 		t.countedAt().trialRun = run
 		s.changed[t.id.Submission] = true
 	}
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -95,7 +95,10 @@
 	if g.policy() != nil && s.requestAdviceOnUndecidedHosts(g) {
 		return
 	}
-	g.notTried = g.step.Gang && g.trialSince != 0 && s.now >= g.trialSince+2*trialPatience
+	if g.step.Gang && g.trialSince != 0 && s.now >= g.trialSince+2*trialPatience {
+		g.notTried = true
+		s.logMessage(g.id.Submission, "", "A suspected gang is not tried alone, since no hosts for it were found for long.")
+	}
 }
 
 // tooWideForTrial reports whether a gang is started like other work, since it cannot be
