Count a trial that a takeover lost only if its host may have crashed

What callers would see: a sound submission fails after three takeovers in a row that each lost the outcome of its trial (LOST: failed without cause).

Cause: a new owner counted a crash for each trial without a known run, also if the order had never reached the host. Class: missing knowledge is taken for evidence.

Now the record of a trial names its hosts and when each had last started. A trial on hosts that have not restarted is forgotten; on a host that has restarted or is gone it counts as before; on one that has not answered the new owner it counts only towards the five crashes in any case. Records without hosts are read as before.

Evidence: with the former rule TestLostTrialOnHostThatDidNotCrashIsNotCounted has no trial left to begin, since the submission has failed, and TestLostTrialOnUnreachableHostCountsInPart counts a crash that makes a suspect. TestCrashCountsSurviveTakeover and TestCrashesAreBoundedAcrossTakeovers hold unchanged: a task that crashes its hosts is still given up across takeovers.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,5 +1,12 @@
 package cell
 
+// TrialHost is a host on which a suspected task was started alone.
+type TrialHost struct {
+	ID string `json:"id"`
+	// StartedMs is when the host had last started, in Unix milliseconds; zero if unknown.
+	StartedMs int64 `json:"born,omitempty"`
+}
+
 // Crash is a crash of the host of a run.
 type Crash struct {
 	Run int64 `json:"run"`
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -41,9 +41,11 @@
 	// of a gang are stored under its first task.
 	Crashes map[int][]Crash `json:"crashes,omitempty"`
 	// Trials holds the run of each suspected task that was started alone on a host and
-	// has not ended, by index. If nothing becomes known of it after a takeover, its host
-	// is assumed to have crashed.
+	// has not ended, by index. If nothing becomes known of it after a takeover, a crash is
+	// counted, unless its hosts are known not to have restarted.
 	Trials map[int]int64 `json:"trials,omitempty"`
+	// TrialHosts holds the hosts of these runs, by index.
+	TrialHosts map[int][]TrialHost `json:"trial_hosts,omitempty"`
 	// Checkpoints holds the checkpoints from which tasks resume, by index.
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -106,7 +106,7 @@
 	if !h.crashed {
 		return
 	}
-	h.crashed = false
+	h.crashed, h.restarted = false, true
 	suspects := make(map[*job]bool)
 	for _, a := range runs {
 		if a.suspected {
@@ -134,7 +134,7 @@
 	// Of a gang that lost several hosts, one crash counts: the one that says most.
 	t.crashes = slices.DeleteFunc(t.crashes, func(o cell.Crash) bool { return o.Run == a.run })
 	t.crashes = append(t.crashes, c)
-	t.trialRun = 0
+	t.trialRun, t.trialHosts = 0, nil
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, a.host.spec.ID, message)
 	s.judge(t, a.alone && !c.Silent && c.Suspects == 1)
@@ -181,13 +181,6 @@
 	return t
 }
 
-// forgetTrial records that the outcome of a trial is known, or that it did not begin.
-func (t *task) forgetTrial(run int64) {
-	if c := t.countedAt(); c.trialRun == run {
-		c.trialRun = 0
-	}
-}
-
 // countsCrash reports whether a crash under a run is counted already. One of a silent
 // host gives way to another one.
 func (t *task) countsCrash(run int64, silent bool) bool {
@@ -239,7 +232,7 @@
 func (s *Scheduler) clear(t *task, host string) {
 	j, t := t.group.job, t.countedAt()
 	if len(t.crashes) > 0 || t.trialRun != 0 {
-		t.crashes, t.trialRun = nil, 0
+		t.crashes, t.trialRun, t.trialHosts = nil, 0, nil
 		s.changed[j.sub.ID] = true
 	}
 	if j.suspected {
@@ -247,20 +240,3 @@
 		s.logMessage(j.sub.ID, host, "A suspected task did not crash its host.")
 	}
 }
-
-// countUnknownTrials counts a crash for each trial that an earlier owner began and of
-// which no run is known, now that all runs of earlier owners are known.
-func (s *Scheduler) countUnknownTrials() {
-	for _, g := range s.groups {
-		for _, t := range g.tasks {
-			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.countsCrash(t.trialRun, false) {
-				continue
-			}
-			t.crashes = append(t.crashes, cell.Crash{Run: t.trialRun, Recent: true, Suspects: 1})
-			t.trialRun = 0
-			s.changed[t.id.Submission] = true
-			s.logMessage(t.id.Submission, "", "The outcome of a task that an earlier owner started alone is unknown; its host is assumed to have crashed.")
-			s.judge(t, false)
-		}
-	}
-}
--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -114,3 +114,46 @@
 		t.Error("the submission is not suspected")
 	}
 }
+
+// Guards against sound submissions that fail since several owners in a row were lost
+// right after they had ordered a trial, though its host has not crashed.
+func TestLostTrialOnHostThatDidNotCrashIsNotCounted(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		c := crashCluster(8)
+		step := smallStep(12, time.Second)
+		step.Gang = gang
+		c.submit("sound", "q", "a", step)
+		for range maxCrashes {
+			c.s.jobs["sound"].suspected = true
+			c.decide(func(Start) int { return 2 }) // the orders are lost with the owner
+			if c.s.jobs["sound"].groups[0].tasks[0].trialRun == 0 {
+				t.Fatalf("gang %t: no trial has begun", gang)
+			}
+			c.replaceOwner()
+			c.s.MarkReconciled(c.now)
+			c.now += 100 * time.Millisecond
+		}
+		j := c.s.jobs["sound"]
+		if got := j.groups[0].tasks[0].crashes; len(got) > 0 || j.state.Final() {
+			t.Errorf("gang %t: the submission is %s, and %d crashes are counted, though no host has crashed", gang, j.state, len(got))
+		}
+	}
+}
+
+// Guards against a trial that counts for nothing after a takeover, since its host has not
+// answered the new owner, or whose cause is taken for known then.
+func TestLostTrialOnUnreachableHostCountsInPart(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("job", "q", "a", smallStep(1, time.Second))
+	c.s.jobs["job"].suspected = true
+	c.decide(nil)
+	for _, h := range c.hosts {
+		h.unreachable, h.runs = true, nil
+	}
+	c.replaceOwner()
+	c.s.MarkReconciled(c.now) // the leases have expired
+	j := c.s.jobs["job"]
+	if got := j.groups[0].tasks[0].crashes; len(got) != 1 || !got[0].Silent || j.suspected {
+		t.Errorf("%+v is counted, suspected is %t", got, j.suspected)
+	}
+}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -50,6 +50,9 @@
 	// silent is set from when the host left a call without an answer until it answers
 	// again; crashedSilently is set if it was silent before its process had gone.
 	silent, crashedSilently bool
+	// restarted is set once the host is known to have crashed and to have restarted since
+	// this owner has known it.
+	restarted bool
 	// reportedAt is when the host last reported its runs.
 	reportedAt time.Duration
 	// trial is the run of a suspected task that may crash the host; nil if none.
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -51,8 +51,8 @@
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i], trialRun: stored.Trials[i],
-			checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
+			group: g, done: stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i],
+			trialRun: stored.Trials[i], trialHosts: stored.TrialHosts[i], checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		if !t.done {
 			j.suspected = j.suspected || t.suspectedCause()
@@ -240,6 +240,10 @@
 				p.Trials = make(map[int]int64)
 			}
 			p.Trials[i] = t.trialRun
+			if p.TrialHosts == nil {
+				p.TrialHosts = make(map[int][]cell.TrialHost)
+			}
+			p.TrialHosts[i] = t.trialHosts
 			any = true
 		}
 		if t.checkpoint != "" {
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -274,7 +274,7 @@
 		if len(h.runs) > g.runsOn(h) {
 			s.logMessage(t.id.Submission, h.spec.ID, "A task is tried beside other runs, since no empty host was found for long.")
 		}
-		t.countedAt().trialRun = run
+		t.countedAt().recordTrial(run, h)
 		s.changed[t.id.Submission] = true
 	}
 	g.trialSince, g.givenBack, g.notTried = 0, nil, false
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -19,8 +19,9 @@
 	crashes []cell.Crash
 	// trialRun is the run that was started alone on a host, since the task is suspected
 	// of crashing hosts, until its outcome is known; zero if there is none. That of a
-	// gang is recorded at its first task.
+	// gang is recorded at its first task. trialHosts are its hosts.
 	trialRun   int64
+	trialHosts []cell.TrialHost
 	checkpoint string
 	lastRun    int64
 	// waitingSince is when the task became ready, or ready again after its last
