--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,5 +1,12 @@
 package cell
 
+// TrialHost is a host on which a suspected task was started alone.
+type TrialHost struct {
+	ID string `json:"id"`
+	// StartedMs is when the host had last started, in Unix milliseconds; zero if unknown.
+	StartedMs int64 `json:"born,omitempty"`
+}
+
 // Crash is a crash of the host of a run.
 type Crash struct {
 	Run int64 `json:"run"`
@@ -11,4 +18,7 @@
 	// Seen is set if the run was known to be present before the crash. Otherwise its
 	// start had no answer.
 	Seen bool `json:"seen,omitempty"`
+	// Silent is set if the host had not answered for a while before its process was found
+	// to be gone, so that the time and the cause of the crash are unknown.
+	Silent bool `json:"silent,omitempty"`
 }
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -31,10 +31,23 @@
 	}
 }
 
+// recordNoAnswer informs the scheduler of a poll that the host did not answer: its process
+// has gone, or it is silent.
+func (ow *Owner) recordNoAnswer(h *hostPoller, sentAt, hold, now time.Duration, err error) {
+	if platform.ProcessGone(err) {
+		ow.recordCrash(h, sentAt, hold, now)
+	} else {
+		ow.markSilent(h)
+	}
+}
+
 // recordCrash informs the scheduler that the process of a host has gone. A poll that
-// the host held open breaks at that moment; one that is refused at once only shows
-// that it has happened since the last answer.
-func (ow *Owner) recordCrash(h *hostPoller, sentAt, now time.Duration) {
+// the host may hold open breaks at that moment, unless the host had been silent before;
+// one that is refused at once only shows that it has happened since the last answer.
+func (ow *Owner) recordCrash(h *hostPoller, sentAt, hold, now time.Duration) {
+	if now-sentAt > hold+answerMargin {
+		ow.markSilent(h)
+	}
 	notBefore := now
 	if now-sentAt < minHeldPoll {
 		notBefore = h.answeredAt
@@ -42,6 +55,13 @@
 	ow.markCrashed(h, notBefore, now)
 }
 
+// markSilent informs the scheduler that a host left a poll without an answer.
+func (ow *Owner) markSilent(h *hostPoller) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.scheduler.MarkSilent(h.host.ID)
+}
+
 func (ow *Owner) markCrashed(h *hostPoller, notBefore, now time.Duration) {
 	ow.mu.Lock()
 	crashed := ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -24,6 +24,9 @@
 	// minHeldPoll is the least duration of a failed poll from which the host has held it
 	// open.
 	minHeldPoll = 20 * time.Millisecond
+	// answerMargin is how long after the hold time of a poll a host that can be reached
+	// has answered.
+	answerMargin = 200 * time.Millisecond
 	// storeWaitTimeout is how long a poller waits for the results of a poll to be
 	// stored. While they cannot be stored it is the interval between polls.
 	storeWaitTimeout = 300 * time.Millisecond
@@ -134,8 +137,8 @@
 			h.failures = max(h.failures, 1) // so that the next poll renews no lease and the host answers it at once
 			return true
 		}
-		if err != nil && platform.ProcessGone(err) && !ow.isElsewhere(h, target.Address) {
-			ow.recordCrash(h, sentAt, now)
+		if err != nil && !ow.isElsewhere(h, target.Address) {
+			ow.recordNoAnswer(h, sentAt, o.Wait, now, err)
 		}
 		ow.pollFailed(h, target.Address, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -49,6 +49,12 @@
 	// crashed is set from when the process of the host has gone until the host answers
 	// again or its runs are known to be gone.
 	crashed bool
+	// silent is set from when the host left a call without an answer until it answers
+	// again; crashedSilently is set if it was silent before its process had gone.
+	silent, crashedSilently bool
+	// restarted is set once the host is known to have crashed and to have restarted since
+	// this owner has known it.
+	restarted bool
 	// reportedAt is when the host last reported its runs.
 	reportedAt time.Duration
 	// trial is the run of a suspected task that may crash the host; nil if none.
@@ -56,8 +62,10 @@
 	// quarantinedFor is the group under trial for which the host is kept free of other
 	// work; nil if none.
 	quarantinedFor *group
-	// freeSince is since when a quarantined host is free for the trial.
-	freeSince time.Duration
+	// trialRoom is for how many tasks of the group the host is kept free, and useBy when
+	// it is given back unless the trial has begun.
+	trialRoom int
+	useBy     time.Duration
 	// bestEffortBlockedUntil is until when the host gets no best-effort tasks,
 	// to protect its latency-sensitive tasks.
 	bestEffortBlockedUntil time.Duration
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -30,15 +30,18 @@
 	// team's rate, so that they come after all others. Incomplete gangs are exempt.
 	overRateOffset
 	// rankSuspected is the rank of submissions that may have crashed a host, so that
-	// sound work is not delayed by them.
+	// sound work is not delayed by them. It lasts for trialPatience.
 	rankSuspected = 2 * overRateOffset
 )
 
-// queueEntry is a waiting group with its sort keys.
+// queueEntry is a waiting group with its sort keys and what the crashes of hosts mean
+// for its job.
 type queueEntry struct {
 	group  *group
 	rank   int
 	laxity time.Duration
+	// underTrial and awaitsFirstTask are what the methods of these names returned.
+	underTrial, awaitsFirstTask bool
 }
 
 // queue returns the groups with waiting tasks in the order in which they are placed.
@@ -67,7 +70,7 @@
 func (s *Scheduler) rank(g *group) queueEntry {
 	j := g.job
 	work := j.criticalPath(g.id.Step)
-	e := queueEntry{group: g, laxity: j.due - s.now - work}
+	e := queueEntry{group: g, laxity: j.due - s.now - work, underTrial: s.underTrial(j), awaitsFirstTask: s.awaitsFirstTask(j)}
 	urgent := j.queue.Priority == 0
 	switch {
 	case g.step.Gang && g.run != 0:
@@ -86,7 +89,7 @@
 	default:
 		e.rank = rankTooLate
 	}
-	if e.rank >= rankLate && s.awaitsFirstTask(j) {
+	if e.rank >= rankLate && e.awaitsFirstTask {
 		// Later submissions are more likely to be sound than those that wait since hosts
 		// began to crash.
 		e.laxity = -j.arrived
@@ -94,9 +97,8 @@
 	if j.overRate {
 		e.rank += overRateOffset
 	}
-	if j.suspected {
-		// Those that are least likely to crash a host come first.
-		e.rank, e.laxity = rankSuspected, time.Duration(j.blame()*float64(time.Hour))
+	if j.suspected && !g.waitsLong(s.now) {
+		e.rank = rankSuspected
 	}
 	return e
 }
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -29,15 +28,15 @@
 // exceeded its estimate.
 const overdueExtension = 500 * time.Millisecond
 
-// neverEnds is the expected end of long-running tasks.
-const neverEnds = time.Duration(math.MaxInt64)
-
-// expectedEnds returns the expected ends of a host's runs, sorted by time.
+// expectedEnds returns the expected ends of a host's runs, sorted by time. Runs of
+// long-running steps have none.
 func (s *Scheduler) expectedEnds(h *host) []expectedEnd {
 	if h.expectedEnds == nil {
 		h.expectedEnds = make([]expectedEnd, 0, len(h.runs))
 		for _, a := range h.runs {
-			h.expectedEnds = append(h.expectedEnds, expectedEnd{s.expectedEnd(a), a.task.group.size})
+			if !a.task.group.step.LongRunning {
+				h.expectedEnds = append(h.expectedEnds, expectedEnd{s.expectedEnd(a), a.task.group.size})
+			}
 		}
 		slices.SortFunc(h.expectedEnds, func(a, b expectedEnd) int {
 			if c := cmp.Compare(a.at, b.at); c != 0 {
@@ -52,9 +51,6 @@
 // expectedEnd returns when a run is expected to end. One that has exceeded its estimate
 // is expected to exceed it by as much again.
 func (s *Scheduler) expectedEnd(a *taskRun) time.Duration {
-	if a.task.group.step.LongRunning {
-		return neverEnds
-	}
 	end := a.orderedAt + a.task.group.estimate(a.host)
 	if overdue := s.now - end; overdue >= 0 {
 		end = s.now + max(overdue, overdueExtension)
@@ -139,9 +135,6 @@
 		total += plan.tasksPerHost[i]
 		counted := plan.tasksPerHost[i]
 		for _, r := range s.expectedEnds(h) {
-			if r.at == neverEnds {
-				break
-			}
 			free = free.Add(r.size)
 			if k := g.membersIn(free); k > counted {
 				gains = append(gains, roomGain{r.at, i, k - counted})
