Refuse records that cannot be stored one by one, not with their batch

What callers would see: while one caller submitted work whose record is above the store's limit for a record (a body of 60,000 bytes is enough, since "<" takes six bytes when it is stored), the submissions of others that waited for the same append were answered with 503. What operators would see: an owner that repeats one append for ever, and its successor as well; and records under keys that nobody wrote, since the length of a key is one byte: a key of 258 bytes was read back with 2 bytes, one of 256 bytes with none.

The front answered 200 or 503 to a submission that the store never takes.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -97,6 +97,10 @@
 // response to the caller. storedMessage and failedMessage are the log messages.
 func (c *call) storeRecord(ctx context.Context, r platform.Record, storedMessage, failedMessage string) *peers.CallResponse {
 	log := c.handler.Logger.With("id", c.id, "queue", c.queue.Name, "team", c.team)
+	if err := r.Check(); err != nil {
+		log.Warn(failedMessage, "error", err)
+		return errorResponse(http.StatusRequestEntityTooLarge, err.Error())
+	}
 	resp, err := c.appendWithFallback(ctx, r)
 	v := verdict.Of(err)
 	switch {
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -126,6 +126,15 @@
 		ginkgo.Entry("another team's id", "POST", "/q/"+other, "key-a", body, 409),
 	)
 
+	// Guards against a caller who is told to try again, although the store never takes
+	// the record of the submission.
+	ginkgo.It("refuses a submission whose record would be too large", func() {
+		n.desired.Limits.BodyBytes = 1 << 20
+		large := `{"spec":"x","steps":[{"count":1,"image":"` + strings.Repeat("<", 60_000) + `"}]}`
+		gomega.Expect(call("POST", "/q/"+id, "key-a", large).Code).To(gomega.Equal(413))
+		gomega.Expect(n.stored).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("stores accepted submissions", func() {
 		gomega.Expect(call("POST", "/q/"+id, "key-a", body).Code).To(gomega.Equal(200))
 		gomega.Expect(n.stored).To(gomega.Equal([]string{"s/" + id}))
--- a/internal/cell/worklog/appender.go
+++ b/internal/cell/worklog/appender.go
@@ -50,6 +50,9 @@
 // Append returns nil once the record is stored. The verdict of an error is
 // DidNotRun only if the record is not stored and never will be.
 func (a *Appender) Append(ctx context.Context, r platform.Record) error {
+	if err := r.Check(); err != nil {
+		return verdict.Wrap(err, verdict.DidNotRun, "invalid-record") // the store would refuse the whole batch
+	}
 	p := &pending{record: r, done: make(chan error, 1)}
 	a.mu.Lock()
 	if err := a.admit(ctx); err != nil {
--- a/internal/cell/worklog/journal.go
+++ b/internal/cell/worklog/journal.go
@@ -44,8 +44,14 @@
 
 // Store stores records in order. It retries until they are stored, the owner is
 // fenced, the store has certainly not stored them and expects another sequence
-// number, or ctx ends. After an error, every later call fails at once.
+// number, or ctx ends. After an error, every later call fails at once. A record that
+// can never be stored is left out, since it would hold up all others; its key keeps the
+// value that it had.
 func (j *Journal) Store(ctx context.Context, records []platform.Record) error {
+	records = j.storable(records)
+	if len(records) == 0 {
+		return nil
+	}
 	err := j.append(ctx, records, func(try int) bool {
 		if try == refusalThreshold {
 			j.onRepeatedRefusal()
@@ -60,6 +66,19 @@
 	return err
 }
 
+// storable returns the records that the store accepts, and logs the others.
+func (j *Journal) storable(records []platform.Record) []platform.Record {
+	out := make([]platform.Record, 0, len(records))
+	for _, r := range records {
+		if err := r.Check(); err != nil {
+			j.Log.Error("A record cannot be stored and is left out.", "error", err)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 func (j *Journal) append(ctx context.Context, records []platform.Record, onRefused func(try int) (giveUp bool)) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- /dev/null
+++ b/internal/cell/worklog/odd_records_test.go
@@ -0,0 +1,82 @@
+package worklog
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/boottime"
+	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
+	"github.com/medlarpulley/medlarpulley/internal/standin/users"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// oddRecords are records that the store refuses, or that would be read back as others.
+var oddRecords = map[string]platform.Record{
+	"a value above the limit": {Key: "large", Value: bytes.Repeat([]byte("x"), 262144)},
+	"a key of 256 bytes":      {Key: strings.Repeat("k", 256), Value: []byte("1")},
+	"a key of 258 bytes":      {Key: strings.Repeat("k", 258), Value: []byte("1")},
+	"no key":                  {Value: []byte("1")},
+}
+
+func oddRecordsTarget(t *testing.T) (Target, *platform.Store) {
+	standin := users.NewStore()
+	t.Cleanup(standin.Close)
+	store := platform.NewStore(standin.Address())
+	return Target{Store: store, Clock: boottime.Clock{}, Meter: latency.New(), Log: slog.New(slog.DiscardHandler), Topic: topicName}, store
+}
+
+// Guards against one record that the store refuses, so that no record of its batch is
+// stored, or that is stored under another key.
+func TestAppenderRefusesOddRecordsAlone(t *testing.T) {
+	for name, odd := range oddRecords {
+		t.Run(name, func(t *testing.T) {
+			target, store := oddRecordsTarget(t)
+			a := NewAppender(target, "node/boot")
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			results := make(chan error, 2)
+			oddResult := make(chan error, 1)
+			go func() { results <- a.Append(ctx, platform.Record{Key: "x", Value: []byte("1")}) }()
+			go func() { oddResult <- a.Append(ctx, odd) }()
+			go func() { results <- a.Append(ctx, platform.Record{Key: "y", Value: []byte("1")}) }()
+			time.Sleep(50 * time.Millisecond) // all of them wait for the same append
+			go a.Run(ctx)
+			for range 2 {
+				if err := <-results; err != nil {
+					t.Errorf("an ordinary record of the batch: %v", err)
+				}
+			}
+			if err := <-oddResult; err == nil || verdict.Of(err) != verdict.DidNotRun {
+				t.Errorf("the odd record: %v", err)
+			}
+			if stored := keys(store)(); len(stored) != 2 {
+				t.Errorf("stored under %.100q", stored)
+			}
+		})
+	}
+}
+
+// Guards against an owner that repeats an append for ever, since one of its records can
+// never be stored.
+func TestJournalLeavesOutOddRecords(t *testing.T) {
+	for name, odd := range oddRecords {
+		t.Run(name, func(t *testing.T) {
+			target, store := oddRecordsTarget(t)
+			j := NewJournal(target, 1, 1, func() {})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			records := []platform.Record{{Key: "x", Value: []byte("1")}, odd, {Key: "y", Value: []byte("1")}}
+			if err := j.Store(ctx, records); err != nil {
+				t.Errorf("store: %v", err)
+			}
+			if stored := keys(store)(); len(stored) != 2 {
+				t.Errorf("stored under %.100q", stored)
+			}
+		})
+	}
+}
--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -60,6 +60,12 @@
 	responseOrder  []int64
 }
 
+// Limits of one append, in bytes.
+const (
+	maxRecordBytes  = 262144
+	maxRequestBytes = 2097152
+)
+
 // maxRememberedResponses is the number of most recent appends of a producer that
 // can be repeated with the same response.
 const maxRememberedResponses = 5
@@ -183,6 +189,9 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !withinLimits(body) {
+		return http.StatusBadRequest, []byte(`{"reason":"size"}`)
+	}
 	t := s.topic(q.Get("topic"))
 	if name := q.Get("producer"); name != "" {
 		epoch, _ := strconv.ParseInt(q.Get("epoch"), 10, 64)
@@ -214,6 +223,25 @@
 	return http.StatusOK, s.appendRecords(t, body)
 }
 
+// withinLimits reports whether the records of a body are complete and within the limits
+// of one append.
+func withinLimits(body []byte) bool {
+	if len(body) > maxRequestBytes {
+		return false
+	}
+	for len(body) > 0 {
+		if len(body) < 4 {
+			return false
+		}
+		n := int(binary.BigEndian.Uint32(body))
+		if n > maxRecordBytes || n > len(body)-4 {
+			return false
+		}
+		body = body[4+n:]
+	}
+	return true
+}
+
 // appendRecords appends the records of a body, each with its length as a 32-bit
 // prefix, and returns the body of the response.
 func (s *Store) appendRecords(t *topic, body []byte) []byte {
