Split what the owner stores into appends that the store accepts

What operators would see: an owner that stays silent after many submissions changed at once, for example after the loss of many hosts, and is replaced; its successor loads the same state and stays silent as well.

Cause: the owner stores up to 400 records by one append, and all new hosts by one, without a look at their size. The store takes 2,097,152 bytes; 400 records of more than 5.2 KB exceed that.

Before: TestJournalSplitsLargeAppends (20 records of 200,000 bytes) does not return within 3 s, all tries refused with status 400.

--- a/internal/cell/worklog/journal.go
+++ b/internal/cell/worklog/journal.go
@@ -12,6 +12,9 @@
 // means that the store refuses this node and not only this call.
 const refusalThreshold = 3
 
+// maxMarkBytes bounds the mark of an append.
+const maxMarkBytes = 4 << 10
+
 // Journal stores the records of one owner of the cell. The epoch of its
 // producer is the owner's fencing token, so that the store refuses late appends
 // of an earlier owner.
@@ -49,9 +52,18 @@
 // value that it had.
 func (j *Journal) Store(ctx context.Context, records []platform.Record) error {
 	records = j.storable(records)
-	if len(records) == 0 {
-		return nil
+	for len(records) > 0 {
+		n := fitsOneAppend(records)
+		if err := j.storeOnce(ctx, records[:n]); err != nil {
+			return err
+		}
+		records = records[n:]
 	}
+	return nil
+}
+
+// storeOnce stores records by one append.
+func (j *Journal) storeOnce(ctx context.Context, records []platform.Record) error {
 	err := j.append(ctx, records, func(try int) bool {
 		if try == refusalThreshold {
 			j.onRepeatedRefusal()
@@ -66,6 +78,19 @@
 	return err
 }
 
+// fitsOneAppend returns how many of the records, from the first on, one append holds
+// besides its mark. It is at least one.
+func fitsOneAppend(records []platform.Record) int {
+	size := 0
+	for i, r := range records {
+		size += r.AppendBytes()
+		if i > 0 && size > platform.MaxAppendBytes-maxMarkBytes {
+			return i
+		}
+	}
+	return len(records)
+}
+
 // storable returns the records that the store accepts, and logs the others.
 func (j *Journal) storable(records []platform.Record) []platform.Record {
 	out := make([]platform.Record, 0, len(records))
--- a/internal/cell/worklog/odd_records_test.go
+++ b/internal/cell/worklog/odd_records_test.go
@@ -80,3 +80,23 @@
 		})
 	}
 }
+
+// Guards against an owner that repeats an append for ever, since its records together
+// exceed the limit of the store on one append.
+func TestJournalSplitsLargeAppends(t *testing.T) {
+	target, store := oddRecordsTarget(t)
+	var refusals int
+	j := NewJournal(target, 1, 1, func() { refusals++ })
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	var records []platform.Record
+	for i := range 20 {
+		records = append(records, platform.Record{Key: string(rune('a' + i)), Value: make([]byte, 200_000)})
+	}
+	if err := j.Store(ctx, records); err != nil || refusals != 0 {
+		t.Fatalf("store: %v, refused several times: %d", err, refusals)
+	}
+	if stored := keys(store)(); len(stored) != len(records) || stored[0] != "a" || stored[19] != "t" {
+		t.Errorf("stored under %.100q", stored)
+	}
+}
