Keep a report with a task number out of range from ending the owner's process

The same happens with such a run in the stored record of a closed host.

Cause: the index of a group is the occurrence times the number of steps, plus the step. The product overflows for large occurrences, becomes negative, and passed the check of the upper bound; others wrap to a valid index, so that the task of another occurrence is taken for the one that is named.

Before: TestReportOfTasksOutOfRange ends with "panic: index out of range [-]". The occurrence is now compared with the number of occurrences, so that nothing is multiplied before it is known to be in range.

--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -45,11 +45,10 @@
 }
 
 func (j *job) group(id cell.GroupID) *group {
-	i := id.Occurrence*j.steps + id.Step
-	if id.Occurrence < 0 || id.Step < 0 || id.Step >= j.steps || i >= len(j.groups) {
+	if id.Step < 0 || id.Step >= j.steps || id.Occurrence < 0 || id.Occurrence >= len(j.groups)/j.steps {
 		return nil
 	}
-	return j.groups[i]
+	return j.groups[id.Occurrence*j.steps+id.Step]
 }
 
 // assumedAdviceHosts is the number of hosts in an advice call that is assumed when
