--- a/internal/cell/limits.go
+++ b/internal/cell/limits.go
@@ -4,3 +4,6 @@
 // of memory. Sums over all hosts or over all tasks of a submission stay far below the
 // largest integer.
 const MaxAmount = 1_000_000_000
+
+// MaxTasks bounds the tasks of a submission over all steps and occurrences.
+const MaxTasks = 100_000
