Check stored records before they become state

What operators would see: one damaged record in the work topic, or one of another writer, ends the process of each node that becomes the owner. Values of no meaning cancelled work, and a record under one ID could replace another's host.

Cause: records were decoded and used without a check.

The registry now decodes and checks each record in one place (decode.go): IDs have to be those of the keys, the steps of a submission have to pass Submission.Check, tokens and states have bounds, and null is no record. A refused record is logged with the field, the value and what would be accepted; the key keeps the value that it had.

--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"encoding/json"
 	"hash/maphash"
 	"log/slog"
 	"maps"
@@ -78,7 +77,7 @@
 	case strings.HasPrefix(key, prefixProgress):
 		err = r.applyProgress(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
-		r.applyCancel(key[len(prefixCancel):], rec)
+		err = r.applyCancel(key[len(prefixCancel):], rec)
 	case strings.HasPrefix(key, prefixMark):
 	default:
 		r.log.Warn("A record with an unknown key is ignored.", "key", rec.Key, "offset", rec.Offset)
@@ -89,8 +88,8 @@
 }
 
 func (r *Registry) applyOwner(rec platform.Record) error {
-	var o Ownership
-	if err := json.Unmarshal(rec.Value, &o); err != nil {
+	o, err := decodeOwnership(rec)
+	if err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -110,8 +109,8 @@
 		delete(r.hosts, id)
 		return nil
 	}
-	var h Host
-	if err := json.Unmarshal(rec.Value, &h); err != nil {
+	h, err := decodeHost(id, rec)
+	if err != nil {
 		return err
 	}
 	r.hosts[id] = h
@@ -126,8 +125,8 @@
 		delete(s.entries, id)
 		return nil
 	}
-	var sub cell.Submission
-	if err := json.Unmarshal(rec.Value, &sub); err != nil {
+	sub, err := decodeSubmission(id, rec)
+	if err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -136,7 +135,7 @@
 		s.mu.Unlock()
 		return nil // a repeated submission counts once
 	}
-	e.Submission, e.Offset = &sub, rec.Offset
+	e.Submission, e.Offset = sub, rec.Offset
 	copied := *e
 	s.mu.Unlock()
 	if l := r.currentListener(); l != nil {
@@ -146,22 +145,22 @@
 }
 
 func (r *Registry) applyProgress(id string, rec platform.Record) error {
-	s := r.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if len(rec.Value) == 0 {
 		return nil // the record that deletes the submission follows
 	}
+	// It is decoded into a new value, because maps of the old one may be in use.
+	p, err := decodeProgress(rec)
+	if err != nil {
+		return err
+	}
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	e := s.entry(id)
 	if rec.Offset < e.progressOffset {
 		return nil
 	}
 	e.progressOffset = rec.Offset
-	// It is decoded into a new value, because maps of the old one may be in use.
-	var p cell.Progress
-	if err := json.Unmarshal(rec.Value, &p); err != nil {
-		return err
-	}
 	e.Progress = p
 	r.countOwnerWrite()
 	if p.State.Final() && e.Submission != nil {
@@ -170,9 +169,12 @@
 	return nil
 }
 
-func (r *Registry) applyCancel(id string, rec platform.Record) {
+func (r *Registry) applyCancel(id string, rec platform.Record) error {
 	if len(rec.Value) == 0 {
-		return
+		return nil
+	}
+	if err := decodeCancel(rec); err != nil {
+		return err
 	}
 	s := r.shard(id)
 	s.mu.Lock()
@@ -181,6 +183,7 @@
 	if l := r.currentListener(); l != nil {
 		l.CancelRequested(id)
 	}
+	return nil
 }
 
 func (s *shard) entry(id string) *Entry {
