--- a/internal/cell/queue.go
+++ b/internal/cell/queue.go
@@ -39,7 +39,7 @@
 	Validity time.Duration `json:"validity"`
 }
 
-// CallDuration returns the duration of a call about n hosts.
+// CallDuration returns the duration of a call about n hosts, at most MaxDuration.
 func (p AdvicePolicy) CallDuration(n int) time.Duration {
-	return p.Decision + time.Duration(n)*p.PerHost
+	return ClampDuration(TimeAfter(p.Decision, p.PerHost, n))
 }
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -73,6 +73,7 @@
 		if j.queue.Advice != nil {
 			longest[i] += j.queue.Advice.CallDuration(assumedAdviceHosts)
 		}
+		longest[i] = cell.ClampDuration(longest[i])
 		for _, a := range step.After {
 			longest[a] = max(longest[a], longest[i])
 		}
@@ -87,5 +88,5 @@
 	for i := range j.steps {
 		longest = max(longest, j.criticalPath(i))
 	}
-	return time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Latency
+	return cell.ScaleDuration(longest, j.queue.Stretch) + j.queue.Latency
 }
--- a/internal/cell/submission.go
+++ b/internal/cell/submission.go
@@ -41,5 +41,5 @@
 
 // Due returns the due time of an occurrence, since the Unix epoch.
 func (s *Submission) Due(occurrence int) time.Duration {
-	return s.FirstDue + time.Duration(occurrence)*s.Interval
+	return TimeAfter(s.FirstDue, s.Interval, occurrence)
 }
