Check the records of nodes

What operators would see: a record of another writer in the nodes topic replaces that of a node, if it has its name under another key, so that calls are forwarded to another address; or it comes before all nodes as a follower and is waited for as an owner, since it claims 1e300 cores.

Cause: the table used what it could decode, and took the name from the value and not from the key. The name has to be the key now, and address, instance and cores are checked; a refused record leaves the one that the table has.

The nodes of the other tests of the package had no address; they have one now.

--- a/internal/cell/membership/membership_test.go
+++ b/internal/cell/membership/membership_test.go
@@ -25,7 +25,7 @@
 }
 
 func (s *simulatedCell) startNode(name, instanceID string, cores float64) {
-	n := Node{Name: name, InstanceID: instanceID, Cores: cores}
+	n := Node{Name: name, InstanceID: instanceID, Address: "10.0.0.1:7420", Cores: cores}
 	s.nodes[name] = &FollowPolicy{Self: n}
 	s.table.Apply(Record(n), s.now)
 }
--- a/internal/cell/membership/table.go
+++ b/internal/cell/membership/table.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
@@ -39,8 +38,8 @@
 		delete(t.nodes, r.Key)
 		return
 	}
-	var n Node
-	if err := json.Unmarshal(r.Value, &n); err != nil {
+	n, err := decode(r)
+	if err != nil {
 		t.log.Error("The record of a node cannot be decoded and is ignored.", "key", r.Key, "offset", r.Offset, "error", err)
 		return
 	}
