Refuse settings that end the process later or overflow

What operators would see: a process that ends at each start with "encode node" (cores = nan: JSON has no such number), or one that acts on overflowed times (a lease of ms, an infinite grace period), or that cannot be found by others (ports out of range, a node name that no key of the store holds).

Cause: only a few values were checked, numbers only for being above 0.

--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"errors"
-	"net"
 	"os"
 	"time"
 
@@ -102,40 +101,15 @@
 		if errors.As(err, &unknown) {
 			return Settings{}, eris.Errorf("no such setting:\n%s", unknown.String())
 		}
+		var position *toml.DecodeError
+		if errors.As(err, &position) {
+			return Settings{}, eris.Errorf("syntax:\n%s", position.String())
+		}
 		return Settings{}, eris.Wrap(err, "syntax")
 	}
 	return s, s.check()
 }
 
-func (s *Settings) check() error {
-	var faults []error
-	require := func(ok bool, field, value, accepted string) {
-		if !ok {
-			faults = append(faults, eris.Errorf("%s = %q, accepted: %s", field, value, accepted))
-		}
-	}
-	require(s.Node.Name != "", "node.name", s.Node.Name, "a name")
-	require(s.Node.Zone != "", "node.zone", s.Node.Zone, "a name")
-	for _, a := range []struct{ field, value string }{
-		{"listen.callers", s.Listen.Callers}, {"listen.status", s.Listen.Status}, {"listen.peers", s.Listen.Peers},
-		{"platform.store", s.Platform.Store},
-	} {
-		_, _, err := net.SplitHostPort(a.value)
-		require(err == nil, a.field, a.value, "HOST:PORT")
-	}
-	for _, b := range []struct {
-		field string
-		value float64
-	}{
-		{"bounds.max_lease_ms", float64(s.Bounds.MaxLeaseMs)}, {"bounds.gang_timeout_ms", float64(s.Bounds.GangTimeoutMs)},
-		{"bounds.revoke_ms", float64(s.Bounds.RevokeMs)}, {"bounds.config_apply_ms", float64(s.Bounds.ConfigApplyMs)}, {"bounds.grace_seconds", s.Bounds.GraceSeconds},
-		{"limits.memory_mib", float64(s.Limits.MemoryMiB)},
-	} {
-		require(b.value > 0, b.field, "", "a number above 0")
-	}
-	return errors.Join(faults...)
-}
-
 // Millis converts milliseconds to a duration.
 func Millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
--- a/internal/cell/config/config_test.go
+++ b/internal/cell/config/config_test.go
@@ -20,6 +20,22 @@
 		"address":            {`store = "1.2.3.4:4"`, `store = "nowhere"`, "platform.store"},
 		"another type":       {`zone = "z"`, `zone = 7`, "Zone"},
 		"bound out of range": {"[platform]", "[bounds]\nrevoke_ms = 0\n[platform]", "bounds.revoke_ms"},
+		"overflow":           {"[platform]", "[bounds]\nmax_lease_ms = 9223372036854775807\n[platform]", "bounds.max_lease_ms"},
+		"too large a number": {"[platform]", "[bounds]\nmax_lease_ms = 9223372036854775808\n[platform]", "max_lease_ms"},
+		"infinite grace":     {"[platform]", "[bounds]\ngrace_seconds = inf\n[platform]", "bounds.grace_seconds"},
+		"no number":          {"[platform]", "[bounds]\nstatus_seconds = nan\n[platform]", "bounds.status_seconds"},
+		"negative time":      {"[platform]", "[bounds]\nstatus_seconds = -1.0\n[platform]", "bounds.status_seconds"},
+		"cores, no number":   {"[platform]", "[limits]\ncores = nan\n[platform]", "limits.cores"},
+		"infinite cores":     {"[platform]", "[limits]\ncores = inf\n[platform]", "limits.cores"},
+		"negative cores":     {"[platform]", "[limits]\ncores = -1.0\n[platform]", "limits.cores"},
+		"no memory":          {"[platform]", "[limits]\nmemory_mib = 0\n[platform]", "limits.memory_mib"},
+		"port above 65535":   {`store = "1.2.3.4:4"`, `store = "1.2.3.4:70000"`, "platform.store"},
+		"negative port":      {`peers = "1.2.3.4:3"`, `peers = "1.2.3.4:-1"`, "listen.peers"},
+		"named port":         {`peers = "1.2.3.4:3"`, `peers = "1.2.3.4:http"`, "listen.peers"},
+		"no port":            {`peers = "1.2.3.4:3"`, `peers = "1.2.3.4:"`, "listen.peers"},
+		"address of advice":  {"[platform]", "[platform]\nadvice = \"nowhere\"", "platform.advice"},
+		"long name":          {`name = "n"`, `name = "` + strings.Repeat("n", 201) + `"`, "node.name"},
+		"name with a break":  {`name = "n"`, `name = "a\nb"`, "node.name"},
 	} {
 		_, err := Parse([]byte(strings.Replace(validSettings, c.change, c.with, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.want) {
