Refuse answers of other nodes without a status or without tickets

What callers would see: a connection that breaks, since a node passes on the answer of another one without a valid status, and net/http panics at it; or work that never starts, since an answer to a request for advice without tickets denies every host that it named. A node of another version may answer so.

Cause: fields that a message lacks were decoded as empty. Both are errors now; the outcome of the forwarded call counts as unknown.

--- a/internal/cell/peers/endpoint.go
+++ b/internal/cell/peers/endpoint.go
@@ -68,7 +68,13 @@
 		return e.local.Advise(ctx, r)
 	}
 	var out AdviseResponse
-	return &out, e.invoke(ctx, adviseMethod, r, &out)
+	if err := e.invoke(ctx, adviseMethod, r, &out); err != nil {
+		return nil, err
+	}
+	if out.Tickets == nil {
+		return nil, eris.Errorf("node %s answered without tickets", e.name) // it would deny every host
+	}
+	return &out, nil
 }
 
 func (e *endpoint) invoke(ctx context.Context, method string, request, response any) error {
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -81,6 +81,10 @@
 		err := e.invokeAlive(callCtx, forwardMethod, r, &out)
 		cancel()
 		switch {
+		case err == nil && !out.validStatus():
+			v = verdict.MayHaveRun
+			lastErr = verdict.New(v, "bad-answer", "node %s answered with status %d", e.name, out.Status)
+			continue
 		case err == nil && out.canPassOn(r, v):
 			out.Node = e.name
 			return &out, nil
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -63,6 +63,9 @@
 // IsWrite reports whether the call stores a record.
 func (r *CallRequest) IsWrite() bool { return r.Method != http.MethodGet }
 
+// validStatus reports whether the status is one that a caller can be given.
+func (resp *CallResponse) validStatus() bool { return resp.Status >= 200 && resp.Status < 600 }
+
 // canPassOn reports whether the response can be passed on to the caller. A response
 // with status 503 cannot: the next node may be able to answer. earlier is the
 // verdict of the previous attempts: once another node may have stored the record of
