Let a fault in the owner end its term, not its process

What operators would see: a panic in a goroutine of the owner (a poll, an order, a decision, the storing, a call for advice, the load of the state) ends the process, which also serves callers. The next owner reads the same state and polls the same hosts, and ends as well. Connections are refused, and accepted work is LOST.

Cause: nothing recovered there. With the faults injected in TestFaultEndsTheTermAndNotTheProcess the test's process ended with "panic: a fault that nobody expected" in five of six cases; in the sixth, and in TestLoadLeavesOutSubmissionsThatFail, the reader of the work topic would have ended.

Each goroutine of the owner now recovers, logs the panic with its stack and ends the term in good order: the authority is revoked at once, and a state that was changed in part is neither used nor stored any more, since the lock is given back only after it was marked as broken. Not covered: between a panic in SetHosts and the end of the term the host list may be half replaced.

--- a/internal/cell/owner/authority.go
+++ b/internal/cell/owner/authority.go
@@ -26,8 +26,12 @@
 type authority struct {
 	clock     cell.Clock
 	expiresAt atomic.Int64
+	revoked   atomic.Bool
 }
 
+// revoke ends the authority for good.
+func (a *authority) revoke() { a.revoked.Store(true) }
+
 // extend renews the authority from the time at which an accepted append was sent.
 func (a *authority) extend(sentAt time.Duration) {
 	expiresAt := int64(sentAt + AuthorityDuration)
@@ -41,7 +45,9 @@
 
 // valid reports whether the owner may act. It is checked right before each
 // order is sent.
-func (a *authority) valid() bool { return int64(a.clock.Now()) < a.expiresAt.Load() }
+func (a *authority) valid() bool {
+	return !a.revoked.Load() && int64(a.clock.Now()) < a.expiresAt.Load()
+}
 
 // runsEndWithin returns how long to wait on the local clock until a lease of
 // duration d has certainly expired on a host with the slowest clock allowed, and
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -13,17 +13,15 @@
 	h.failures++
 	if h.failures == unreachableThreshold {
 		ow.options.Log.Warn("Polls of a host fail.", "host", h.host.ID, "refusal", refusal.String(), "error", errText(err))
-		ow.mu.Lock()
-		h.unreachable = true
-		ow.scheduler.MarkUnreachable(h.host.ID)
-		ow.mu.Unlock()
+		ow.withState(func() {
+			h.unreachable = true
+			ow.scheduler.MarkUnreachable(h.host.ID)
+		})
 		ow.storeRounds.request()
 	}
 	expiresAt, ok := h.lease.expiry()
 	if !ok {
-		ow.mu.Lock()
-		expiresAt = ow.earlierRunsEndBy()
-		ow.mu.Unlock()
+		ow.withState(func() { expiresAt = ow.earlierRunsEndBy() })
 	}
 	if now > expiresAt && h.failures > unreachableThreshold {
 		ow.recordAllRunsGone(h, now)
@@ -42,9 +40,8 @@
 }
 
 func (ow *Owner) markCrashed(h *hostPoller, notBefore, now time.Duration) {
-	ow.mu.Lock()
-	crashed := ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
-	ow.mu.Unlock()
+	crashed := false
+	ow.withState(func() { crashed = ow.scheduler.MarkCrashed(h.host.ID, notBefore, now) })
 	if crashed {
 		ow.metrics.connectionsLost.Inc(1)
 		ow.options.Log.Info("The connections of a host broke or are refused; it may have crashed.", "host", h.host.ID)
@@ -65,8 +62,8 @@
 // leases there have expired, or the host has restarted.
 func (ow *Owner) recordAllRunsGone(h *hostPoller, now time.Duration) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if h.allRunsGone {
+	defer ow.unlock()
+	if h.allRunsGone || ow.broken {
 		return
 	}
 	h.allRunsGone = true
@@ -80,8 +77,8 @@
 // runs any more. It reports whether it did.
 func (ow *Owner) removeIfGone(h *hostPoller) bool {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if h.inHostList || !h.allRunsGone {
+	defer ow.unlock()
+	if h.inHostList || !h.allRunsGone || ow.broken {
 		return false
 	}
 	delete(ow.hosts, h.host.ID)
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -123,7 +123,10 @@
 // runs. A host is closed at once, but opened only once its record is stored.
 func (ow *Owner) hostRecords() (records []platform.Record, changed []*hostPoller) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
+	if ow.broken {
+		return nil, nil
+	}
 	for _, id := range ow.removedHosts {
 		records = append(records, registry.HostDeletionRecord(id))
 	}
@@ -151,7 +154,7 @@
 // hostRecordsStored is called once the records of changed hosts are stored.
 func (ow *Owner) hostRecordsStored(changed []*hostPoller) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
 	for _, h := range changed {
 		h.storedClosed = !h.storedClosed
 		if !h.storedClosed {
@@ -174,6 +177,7 @@
 // pollLoop polls a host until ctx ends, the ownership is lost, or the host is
 // removed.
 func (ow *Owner) pollLoop(ctx context.Context, h *hostPoller) {
+	defer ow.guard()
 	for ctx.Err() == nil {
 		select {
 		case <-ow.ownershipLost:
@@ -210,6 +214,7 @@
 		case <-h.interrupt:
 			cancel()
 		case <-done:
+		case <-ctx.Done():
 		}
 	}()
 	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &h.host, o)
@@ -258,10 +263,10 @@
 	for _, e := range l.Ended {
 		highestResult = max(highestResult, e.Number)
 	}
-	ow.mu.Lock()
-	ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
-	h.runsKnown, h.allRunsGone, h.unreachable = true, false, false
-	ow.mu.Unlock()
+	ow.withState(func() {
+		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
+		h.runsKnown, h.allRunsGone, h.unreachable = true, false, false
+	})
 	ow.requestDecision()
 	for _, e := range l.Ended {
 		if e.Number > h.seenResult {
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -29,6 +29,7 @@
 		ow.goroutines.Add(1)
 		go func() {
 			defer ow.goroutines.Done()
+			defer ow.guard()
 			ow.requestAdvice(ctx, a)
 		}()
 	}
@@ -46,6 +47,7 @@
 	go func() {
 		defer ow.goroutines.Done()
 		defer func() { <-ow.orderSlots }()
+		defer ow.guard()
 		send()
 		ow.requestDecision()
 	}()
@@ -59,9 +61,7 @@
 
 // withScheduler runs f on the scheduler under the owner's lock.
 func (ow *Owner) withScheduler(f func(s *schedule.Scheduler, now time.Duration)) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	f(ow.scheduler, ow.options.Clock.Now())
+	ow.withState(func() { f(ow.scheduler, ow.options.Clock.Now()) })
 }
 
 func (ow *Owner) start(ctx context.Context, s schedule.Start) {
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -43,8 +43,12 @@
 	// desired is the desired state that the scheduler has.
 	desired *cell.Desired
 	hosts   map[string]*hostPoller
+	// loading is the ID of the submission that is loaded.
+	loading string
 	// reconciled is set once every run of earlier owners is known or has ended.
 	reconciled bool
+	// broken is set after a panic: the state may be changed in part, and must not be used.
+	broken bool
 	// stopping is set once no further orders may be sent.
 	stopping bool
 	// finishedAt is when a submission finished, by ID. For one that finished before
@@ -69,10 +73,8 @@
 func New(o Options) *Owner {
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight),
-		scheduler: schedule.New(schedule.Options{
-			RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout,
-		}),
-		hosts: make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
+		scheduler: newScheduler(o),
+		hosts:     make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
 		ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
@@ -81,42 +83,21 @@
 	return ow
 }
 
-// Load adds the stored state of every submission. It is called before Run, by the
-// goroutine that reads the log.
-func (ow *Owner) Load(entries []registry.Entry) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	ow.updateDesired()
-	now, wall := ow.options.Clock.Now(), ow.options.WallClock()
-	for _, e := range entries {
-		if e.Progress.State.Final() {
-			ow.finishedAt[e.Submission.ID] = now
-			continue
-		}
-		ow.add(e, now, wall)
-	}
-}
-
-func (ow *Owner) add(e registry.Entry, now, wall time.Duration) {
-	ow.scheduler.Add(e.Submission, e.Progress, e.Offset < ow.options.ClaimOffset, now, wall)
-	if e.Cancelled {
-		ow.scheduler.Cancel(e.Submission.ID, now)
-	}
+func newScheduler(o Options) *schedule.Scheduler {
+	return schedule.New(schedule.Options{
+		RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout,
+	})
 }
 
 // Submitted implements registry.Listener.
 func (ow *Owner) Submitted(e registry.Entry) {
-	ow.mu.Lock()
-	ow.add(e, ow.options.Clock.Now(), ow.options.WallClock())
-	ow.mu.Unlock()
+	ow.withState(func() { ow.add(e, ow.options.Clock.Now(), ow.options.WallClock()) })
 	ow.requestDecision()
 }
 
 // CancelRequested implements registry.Listener.
 func (ow *Owner) CancelRequested(id string) {
-	ow.mu.Lock()
-	ow.scheduler.Cancel(id, ow.options.Clock.Now())
-	ow.mu.Unlock()
+	ow.withState(func() { ow.scheduler.Cancel(id, ow.options.Clock.Now()) })
 	ow.requestDecision()
 }
 
@@ -154,6 +135,7 @@
 	ow.goroutines.Add(1)
 	go func() {
 		defer ow.goroutines.Done()
+		defer ow.guard()
 		ow.persist(ctx)
 	}()
 	t := time.NewTicker(maxDecisionInterval)
@@ -196,23 +178,33 @@
 	if !ow.authority.valid() {
 		return
 	}
+	plan, messages := ow.plan()
+	if plan == nil {
+		return
+	}
+	ow.storeRounds.request()
+	for _, n := range messages {
+		ow.options.Log.Info(n.Text, "id", n.Submission, "host", n.Host)
+	}
+	ow.execute(ctx, plan)
+}
+
+// plan returns the next orders, nil if none may be sent.
+func (ow *Owner) plan() (*schedule.Plan, []schedule.LogMessage) {
 	ow.mu.Lock()
+	defer ow.unlock()
+	if ow.broken {
+		return nil, nil
+	}
 	ow.checkReconciled()
 	if ow.stopping {
-		ow.mu.Unlock()
-		return
+		return nil, nil
 	}
 	ow.updateDesired()
 	startedAt := ow.options.Clock.Now()
 	plan := ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
-	messages := ow.scheduler.TakeLogMessages()
-	ow.mu.Unlock()
-	ow.storeRounds.request()
-	for _, n := range messages {
-		ow.options.Log.Info(n.Text, "id", n.Submission, "host", n.Host)
-	}
-	ow.execute(ctx, plan)
+	return plan, ow.scheduler.TakeLogMessages()
 }
 
 // checkReconciled informs the scheduler once no unknown run of an earlier owner
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -106,6 +106,9 @@
 			lastExpiryScan = now
 			records = append(records, ow.expiryRecords(now)...)
 		}
+		if ow.isBroken() {
+			return
+		}
 		reconciled := ow.Reconciled()
 		if len(records) == 0 && now-lastStored > heartbeatInterval || reconciled != self.Reconciled {
 			self.Reconciled = reconciled
@@ -148,7 +151,10 @@
 // that are in a final state.
 func (ow *Owner) progressRecords() (records []platform.Record, finished []string) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
+	if ow.broken {
+		return nil, nil
+	}
 	for _, id := range ow.scheduler.Changed() {
 		p, ok := ow.scheduler.Progress(id)
 		if !ok {
@@ -168,7 +174,10 @@
 // stored and whose runs are gone.
 func (ow *Owner) removeFinished(ids []string) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
+	if ow.broken {
+		return
+	}
 	now := ow.options.Clock.Now()
 	for _, id := range ids {
 		ow.finished[id] = true
@@ -185,7 +194,7 @@
 // ago than the retention period.
 func (ow *Owner) expiryRecords(now time.Duration) (records []platform.Record) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
 	for id, at := range ow.finishedAt {
 		if now-at > ow.options.RetentionPeriod && len(records) < maxRecordsPerAppend {
 			records = append(records, registry.SubmissionDeletionRecords(id)...)
