Leave out records and pages that cannot be applied

What operators would see: one record at which the code that applies it fails ends the process of each node that reads the topic, and again after each start, since the record is read again.

Cause: nothing recovered in the goroutines of the topic readers.

A record at which a panic occurs is logged with its key, its offset and the stack, and left out; the others of its page are applied. A page that fails as a whole is logged and counts as read, since it would fail again; if it is one of the work topic or of the host list, the owner's term ends, as its state may have been changed in part. The registry unlocks its shards by defer, so that a fault leaves no lock behind.

--- a/internal/cell/node/desired_state.go
+++ b/internal/cell/node/desired_state.go
@@ -25,11 +25,11 @@
 
 // applyDesired applies records of the desired state, which operators write.
 func (n *Node) applyDesired(p worklog.Page) {
-	for _, r := range p.Records {
+	p.ForEach(n.log, func(r platform.Record) {
 		if r.Key == platform.KeyDesired {
 			n.applyDesiredRecord(r.Value, "store")
 		}
-	}
+	})
 }
 
 // applyDesiredRecord applies a desired state, unless the same or a newer version
--- a/internal/cell/node/follow.go
+++ b/internal/cell/node/follow.go
@@ -8,6 +8,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
+	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 const (
@@ -65,9 +66,7 @@
 // peer pool.
 func (n *Node) applyNodes(p worklog.Page) {
 	now := n.clock.Now()
-	for _, r := range p.Records {
-		n.members.Apply(r, now)
-	}
+	p.ForEach(n.log, func(r platform.Record) { n.members.Apply(r, now) })
 	if p.NewestOnly {
 		self, known := n.members.Nodes()[n.self.Name]
 		n.restarted.Store(known && self.InstanceID != n.self.InstanceID || n.restarted.Load())
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -140,7 +140,7 @@
 		Store: n.store, Clock: n.clock, Meter: n.storeMeter, Log: componentLogger("append"), Topic: platform.TopicNodes,
 	}, producer)
 	n.workReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Meter: n.storeMeter,
+		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Meter: n.storeMeter, OnFault: n.abortTerm,
 	}, n.applyWork)
 	n.desiredReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
 		Topic: platform.TopicDesired, Wait: desiredLongPollTimeout, TimeoutMargin: desiredTimeoutMargin, Meter: n.storeMeter,
@@ -205,7 +205,7 @@
 	}
 	var claimed *platform.Record
 	for _, r := range p.Records {
-		n.registry.Apply(r)
+		worklog.ApplyRecord(n.log, r, n.registry.Apply)
 		switch {
 		case !registry.IsOwnership(r):
 		case p.NewestOnly:
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -319,10 +319,19 @@
 	n.term = nil
 }
 
+// abortTerm ends the term after a fault at which the state of the owner may have been
+// changed in part.
+func (n *Node) abortTerm() {
+	if o := n.owner(); o != nil {
+		o.Abort("a page of the work topic cannot be applied")
+	}
+}
+
 // followHosts follows the hosts topic of the platform during a term.
 func (n *Node) followHosts(ctx context.Context, t *term) {
 	f := worklog.NewTopicReader(n.store, n.clock, logging.WithComponent(n.log, "hosts"), worklog.Options{
 		Topic: platform.TopicHosts, Wait: hostsLongPollTimeout, BatchInterval: func() time.Duration { return hostsBatchInterval }, Meter: n.storeMeter,
+		OnFault: func() { t.owner.Abort("the host list cannot be applied") },
 	}, func(p worklog.Page) { n.applyHosts(ctx, t, p) })
 	f.Run(ctx)
 }
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -129,19 +129,24 @@
 	if err != nil {
 		return err
 	}
+	copied, added := s.accept(id, sub, rec.Offset)
+	if l := r.currentListener(); l != nil && added {
+		l.Submitted(copied)
+	}
+	return nil
+}
+
+// accept adds a submission and returns a copy of its entry. A repeated submission counts
+// once.
+func (s *shard) accept(id string, sub *cell.Submission, offset uint64) (copied Entry, added bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	e := s.entry(id)
 	if e.Submission != nil {
-		s.mu.Unlock()
-		return nil // a repeated submission counts once
-	}
-	e.Submission, e.Offset = sub, rec.Offset
-	copied := *e
-	s.mu.Unlock()
-	if l := r.currentListener(); l != nil {
-		l.Submitted(copied)
+		return *e, false
 	}
-	return nil
+	e.Submission, e.Offset = sub, offset
+	return *e, true
 }
 
 func (r *Registry) applyProgress(id string, rec platform.Record) error {
@@ -177,15 +182,19 @@
 		return err
 	}
 	s := r.shard(id)
-	s.mu.Lock()
-	s.entry(id).Cancelled = true
-	s.mu.Unlock()
+	s.cancel(id)
 	if l := r.currentListener(); l != nil {
 		l.CancelRequested(id)
 	}
 	return nil
 }
 
+func (s *shard) cancel(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry(id).Cancelled = true
+}
+
 func (s *shard) entry(id string) *Entry {
 	e := s.entries[id]
 	if e == nil {
--- /dev/null
+++ b/internal/cell/worklog/page.go
@@ -0,0 +1,43 @@
+package worklog
+
+import (
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// Page is a sequence of records of a topic, in the order of the log, or of keys if
+// NewestOnly is set.
+type Page struct {
+	Records []platform.Record
+	// NewestOnly is set if the records are the newest record of each key and not all
+	// records: at the first read, and when records since the last read are no
+	// longer stored.
+	NewestOnly bool
+	// AsOf is when the read was sent. Every record stored before that has been read
+	// if the page is complete.
+	AsOf time.Duration
+	// Complete is set if the page reaches the end of the topic.
+	Complete bool
+}
+
+// ForEach calls ApplyRecord for each record.
+func (p Page) ForEach(log *slog.Logger, apply func(r platform.Record)) {
+	for _, r := range p.Records {
+		ApplyRecord(log, r, apply)
+	}
+}
+
+// ApplyRecord calls apply for a record. If apply panics, the record is logged and left
+// out, so that it holds up neither the others nor the process. apply must not leave a
+// state that is changed in part.
+func ApplyRecord(log *slog.Logger, r platform.Record, apply func(r platform.Record)) {
+	defer func() {
+		if v := recover(); v != nil {
+			log.Error("A record cannot be applied and is left out.", "key", r.Key, "offset", r.Offset, "panic", v, "stack", string(debug.Stack()))
+		}
+	}()
+	apply(r)
+}
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	BatchInterval func() time.Duration
 	// Meter measures the answers of the store.
 	Meter *latency.Meter
+	// OnFault is called after a panic while a page was applied; nil for nothing.
+	OnFault func()
 }
 
 const (
@@ -39,21 +42,6 @@
 	readRetryInterval = 50 * time.Millisecond
 )
 
-// Page is a sequence of records of a topic, in the order of the log, or of keys if
-// NewestOnly is set.
-type Page struct {
-	Records []platform.Record
-	// NewestOnly is set if the records are the newest record of each key and not all
-	// records: at the first read, and when records since the last read are no
-	// longer stored.
-	NewestOnly bool
-	// AsOf is when the read was sent. Every record stored before that has been read
-	// if the page is complete.
-	AsOf time.Duration
-	// Complete is set if the page reaches the end of the topic.
-	Complete bool
-}
-
 // TopicReader reads a keyed topic in order.
 type TopicReader struct {
 	store   Store
@@ -179,8 +167,24 @@
 	return nil
 }
 
-func (r *TopicReader) deliver(p Page, next uint64) {
+// applyPage applies a page. A page at which that fails is not read again, since it would
+// fail again.
+func (r *TopicReader) applyPage(p Page) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		r.log.Error("A page cannot be applied and is left out.", "topic", r.options.Topic, "records", len(p.Records), "panic", v, "stack", string(debug.Stack()))
+		if r.options.OnFault != nil {
+			r.options.OnFault()
+		}
+	}()
 	r.apply(p)
+}
+
+func (r *TopicReader) deliver(p Page, next uint64) {
+	r.applyPage(p)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.next, r.initialized = next, true
