End reads of the store that would repeat for ever

What operators would see: a process whose memory fills until it is killed, and again after each start. The newest records of a topic are read page by page, each page after the last key of the one before. With an empty key, or with one whose bytes JSON cannot carry and that comes back as another key, the next page is the same one. Or a process that sends reads without a pause, since the store names an end of the topic but returns no record before it; one cause could be a record of the largest size, which an answer of 256 KB cannot hold with its length.

Before: TestReaderEndsPagesThatRepeat did not end; its process was killed after 221 s for its memory.

A page whose last key is empty or the one before is an error now, and so is an answer without the record that the topic has. Not covered: an odd key at the end of a page keeps the topic from being read; it takes more than 500 keys.

--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
@@ -129,6 +131,9 @@
 		r.log.Error("The topic ends before the next offset; reading the newest record of each key.", "topic", r.options.Topic, "next", next, "end", page.End)
 		return r.readNewest(ctx)
 	}
+	if r.behind && len(page.Records) == 0 && next < page.End {
+		return eris.Errorf("no record at offset %d, though the topic ends at %d", next, page.End)
+	}
 	next += uint64(len(page.Records))
 	r.behind = next < page.End
 	r.deliver(Page{Records: page.Records, AsOf: sent, Complete: next >= page.End}, next)
@@ -160,7 +165,11 @@
 		if !more || len(page.Records) == 0 {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := page.Records[len(page.Records)-1].Key
+		if last == "" || last == after {
+			return eris.Errorf("the newest records after key %.60q end with key %.60q, and more are to follow", after, last)
+		}
+		after = last
 	}
 	r.behind = true // records stored since the first answer have to be read
 	r.deliver(Page{Records: all, NewestOnly: true, AsOf: sent, Complete: true}, next)
