Log an odd entry or report once, not each time it is read

What operators would see: a log that fills. Another writer may write one odd entry of the host list again with each heartbeat, and a host repeats an odd row in each report, about once a second; each time one line was written.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -71,6 +71,7 @@
 	owner       *owner.Owner
 	cancel      context.CancelFunc
 	listedHosts map[string]cell.Host
+	entries     hostEntries
 	// missingSince is when the entry of a listed host was found to be missing.
 	missingSince map[string]time.Duration
 	// storedHosts are the hosts that have a record in the work topic.
@@ -349,9 +350,8 @@
 			t.markMissing(r.Key, n.clock.Now())
 			continue
 		}
-		h, err := platform.DecodeHost(r.Key, r.Value)
-		if err != nil {
-			n.log.Warn("hosts: The entry of a host is invalid; the host counts as missing.", "error", err)
+		h, ok := t.entries.decode(n.log, r)
+		if !ok {
 			t.markMissing(r.Key, n.clock.Now())
 			continue
 		}
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -57,6 +57,8 @@
 	// of a fencing token or a restart. After an interrupted poll it is at least one.
 	// While it is not zero, polls do not renew the lease.
 	failures int
+	// unreadable is the number of rows in the last report that cannot be decoded.
+	unreadable int
 	// answeredAt is when the host last answered a poll.
 	answeredAt time.Duration
 	// startedMs is the start time of the host in Unix milliseconds.
@@ -242,9 +244,10 @@
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
 	}
-	if unreadable > 0 {
+	if unreadable > 0 && unreadable != h.unreadable {
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
+	h.unreadable = unreadable
 	h.failures, h.answeredAt = 0, now
 	ow.applyReport(ctx, h, sentAt, now, l)
 	return true
