--- a/internal/cell/node/hosts.go
+++ b/internal/cell/node/hosts.go
@@ -29,6 +29,7 @@
 func (n *Node) followHosts(ctx context.Context, t *term) {
 	f := worklog.NewTopicReader(n.store, n.clock, logging.WithComponent(n.log, "hosts"), worklog.Options{
 		Topic: platform.TopicHosts, Wait: hostsLongPollTimeout, BatchInterval: func() time.Duration { return hostsBatchInterval }, Meter: n.storeMeter,
+		OnFault: func() { t.owner.Abort("the host list cannot be applied") },
 	}, func(p worklog.Page) { n.applyHosts(ctx, t, p) })
 	f.Run(ctx)
 }
@@ -46,9 +47,8 @@
 			t.markMissing(r.Key, n.clock.Now())
 			continue
 		}
-		h, err := platform.DecodeHost(r.Key, r.Value)
-		if err != nil {
-			n.log.Warn("hosts: The entry of a host is invalid; the host counts as missing.", "error", err)
+		h, ok := t.entries.decode(n.log, r)
+		if !ok {
 			t.markMissing(r.Key, n.clock.Now())
 			continue
 		}
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -23,6 +23,7 @@
 	owner       *owner.Owner
 	cancel      context.CancelFunc
 	listedHosts map[string]cell.Host
+	entries     hostEntries
 	// missingSince is when the entry of a listed host was found to be missing.
 	missingSince map[string]time.Duration
 	// storedHosts are the hosts that were stored before the term, until the owner has
@@ -110,6 +111,14 @@
 	n.term = nil
 }
 
+// abortTerm ends the term after a fault at which the state of the owner may have been
+// changed in part.
+func (n *Node) abortTerm() {
+	if o := n.owner(); o != nil {
+		o.Abort("a page of the work topic cannot be applied")
+	}
+}
+
 // handOver asks the other nodes to claim the ownership, and waits until the term
 // ends or handOverTimeout has passed. Meanwhile this node remains the owner until
 // the next owner appears in the log or at a host, so that work keeps starting.
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -14,17 +14,15 @@
 	h.failures++
 	if h.failures == unreachableThreshold {
 		ow.options.Log.Warn("Polls of a host fail.", "host", h.host.ID, "address", address, "refusal", refusal.String(), "error", errText(err))
-		ow.mu.Lock()
-		h.unreachable = true
-		ow.scheduler.MarkUnreachable(h.host.ID)
-		ow.mu.Unlock()
+		ow.withState(func() {
+			h.unreachable = true
+			ow.scheduler.MarkUnreachable(h.host.ID)
+		})
 		ow.storeRounds.request()
 	}
 	expiresAt, ok := h.lease.expiry()
 	if !ok {
-		ow.mu.Lock()
-		expiresAt = ow.earlierRunsEndBy()
-		ow.mu.Unlock()
+		ow.withState(func() { expiresAt = ow.earlierRunsEndBy() })
 	}
 	if now > expiresAt && h.failures > unreachableThreshold {
 		ow.recordAllRunsGone(h, now)
@@ -57,15 +55,12 @@
 
 // markSilent informs the scheduler that a host left a poll without an answer.
 func (ow *Owner) markSilent(h *hostPoller) {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	ow.scheduler.MarkSilent(h.host.ID)
+	ow.withState(func() { ow.scheduler.MarkSilent(h.host.ID) })
 }
 
 func (ow *Owner) markCrashed(h *hostPoller, notBefore, now time.Duration) {
-	ow.mu.Lock()
-	crashed := ow.scheduler.MarkCrashed(h.host.ID, notBefore, now)
-	ow.mu.Unlock()
+	crashed := false
+	ow.withState(func() { crashed = ow.scheduler.MarkCrashed(h.host.ID, notBefore, now) })
 	if crashed {
 		ow.metrics.connectionsLost.Inc(1)
 		ow.options.Log.Info("The connections of a host broke or are refused; it may have crashed.", "host", h.host.ID)
@@ -86,8 +81,8 @@
 // leases there have expired, or the host has restarted.
 func (ow *Owner) recordAllRunsGone(h *hostPoller, now time.Duration) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if h.allRunsGone {
+	defer ow.unlock()
+	if h.allRunsGone || ow.broken {
 		return
 	}
 	h.allRunsGone = true
@@ -101,8 +96,8 @@
 // runs any more. It reports whether it did.
 func (ow *Owner) removeIfGone(h *hostPoller) bool {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	if h.inHostList || !h.allRunsGone {
+	defer ow.unlock()
+	if h.inHostList || !h.allRunsGone || ow.broken {
 		return false
 	}
 	if !ow.scheduler.RemoveHost(h.host.ID) {
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -67,6 +67,8 @@
 	// of a fencing token or a restart. After an interrupted poll it is at least one.
 	// While it is not zero, polls do not renew the lease.
 	failures int
+	// unreadable is the number of rows in the last report that cannot be decoded.
+	unreadable int
 	// answeredAt is when the host last answered a poll.
 	answeredAt time.Duration
 	// startedMs is the start time of the host in Unix milliseconds.
@@ -80,6 +82,7 @@
 // pollLoop polls a host until ctx ends, the ownership is lost, or the host is
 // removed.
 func (ow *Owner) pollLoop(ctx context.Context, h *hostPoller) {
+	defer ow.guard()
 	for ctx.Err() == nil {
 		select {
 		case <-ow.ownershipLost:
@@ -116,6 +119,7 @@
 		case <-h.interrupt:
 			cancel()
 		case <-done:
+		case <-ctx.Done():
 		}
 	}()
 	target := ow.pollTarget(h)
@@ -148,9 +152,10 @@
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
 	}
-	if unreadable > 0 {
+	if unreadable > 0 && unreadable != h.unreadable {
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
+	h.unreadable = unreadable
 	h.failures, h.failedAddress, h.answeredAt = 0, "", now
 	ow.applyReport(ctx, h, sentAt, now, l)
 	return true
@@ -169,10 +174,10 @@
 	for _, e := range l.Ended {
 		highestResult = max(highestResult, e.Number)
 	}
-	ow.mu.Lock()
-	ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
-	h.runsKnown, h.allRunsGone, h.unreachable = true, false, false
-	ow.mu.Unlock()
+	ow.withState(func() {
+		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
+		h.runsKnown, h.allRunsGone, h.unreachable = true, false, false
+	})
 	ow.requestDecision()
 	for _, e := range l.Ended {
 		if e.Number > h.seenResult {
--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -16,7 +16,10 @@
 // runs. A host is closed at once, but opened only once its record is stored.
 func (ow *Owner) hostRecords() (records []platform.Record, changes []hostChange) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
+	if ow.broken {
+		return nil, nil
+	}
 	for _, id := range ow.removedHosts {
 		records = append(records, registry.HostDeletionRecord(id))
 	}
@@ -53,7 +56,7 @@
 // hostRecordsStored is called once the records of changed hosts are stored.
 func (ow *Owner) hostRecordsStored(changes []hostChange) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
 	for _, c := range changes {
 		if ow.hosts[c.poller.host.ID] != c.poller {
 			continue // the host was removed, and may have come back, while its record was stored
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -16,7 +16,10 @@
 // on which hosts there may be runs.
 func (ow *Owner) SetHosts(ctx context.Context, stored map[string]registry.Host, listed []cell.Host) {
 	ow.mu.Lock()
-	defer ow.mu.Unlock()
+	defer ow.unlock()
+	if ow.broken {
+		return
+	}
 	for _, h := range ow.hosts {
 		h.inHostList = false
 	}
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"encoding/json"
 	"hash/maphash"
 	"log/slog"
 	"maps"
@@ -78,7 +77,7 @@
 	case strings.HasPrefix(key, prefixProgress):
 		err = r.applyProgress(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
-		r.applyCancel(key[len(prefixCancel):], rec)
+		err = r.applyCancel(key[len(prefixCancel):], rec)
 	case strings.HasPrefix(key, prefixMark):
 	default:
 		r.log.Warn("A record with an unknown key is ignored.", "key", rec.Key, "offset", rec.Offset)
@@ -89,8 +88,8 @@
 }
 
 func (r *Registry) applyOwner(rec platform.Record) error {
-	var o Ownership
-	if err := json.Unmarshal(rec.Value, &o); err != nil {
+	o, err := decodeOwnership(rec)
+	if err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -111,8 +110,8 @@
 		delete(r.hosts, id)
 		return nil
 	}
-	var h Host
-	if err := json.Unmarshal(rec.Value, &h); err != nil {
+	h, err := decodeHost(id, rec)
+	if err != nil {
 		return err
 	}
 	r.hosts[id] = h
@@ -127,42 +126,47 @@
 		delete(s.entries, id)
 		return nil
 	}
-	var sub cell.Submission
-	if err := json.Unmarshal(rec.Value, &sub); err != nil {
+	sub, err := decodeSubmission(id, rec)
+	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	e := s.entry(id)
-	if e.Submission != nil {
-		s.mu.Unlock()
-		return nil // a repeated submission counts once
-	}
-	e.Submission, e.Offset = &sub, rec.Offset
-	copied := *e
-	s.mu.Unlock()
-	if l := r.currentListener(); l != nil {
+	copied, added := s.accept(id, sub, rec.Offset)
+	if l := r.currentListener(); l != nil && added {
 		l.Submitted(copied)
 	}
 	return nil
 }
 
-func (r *Registry) applyProgress(id string, rec platform.Record) error {
-	s := r.shard(id)
+// accept adds a submission and returns a copy of its entry. A repeated submission counts
+// once.
+func (s *shard) accept(id string, sub *cell.Submission, offset uint64) (copied Entry, added bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	e := s.entry(id)
+	if e.Submission != nil {
+		return *e, false
+	}
+	e.Submission, e.Offset = sub, offset
+	return *e, true
+}
+
+func (r *Registry) applyProgress(id string, rec platform.Record) error {
 	if len(rec.Value) == 0 {
 		return nil // the record that deletes the submission follows
 	}
+	// It is decoded into a new value, because maps of the old one may be in use.
+	p, err := decodeProgress(rec)
+	if err != nil {
+		return err
+	}
+	s := r.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	e := s.entry(id)
 	if rec.Offset < e.progressOffset {
 		return nil
 	}
 	e.progressOffset = rec.Offset
-	// It is decoded into a new value, because maps of the old one may be in use.
-	var p cell.Progress
-	if err := json.Unmarshal(rec.Value, &p); err != nil {
-		return err
-	}
 	e.Progress = p
 	r.countOwnerWrite()
 	if p.State.Final() && e.Submission != nil {
@@ -171,17 +175,25 @@
 	return nil
 }
 
-func (r *Registry) applyCancel(id string, rec platform.Record) {
+func (r *Registry) applyCancel(id string, rec platform.Record) error {
 	if len(rec.Value) == 0 {
-		return
+		return nil
+	}
+	if err := decodeCancel(rec); err != nil {
+		return err
 	}
 	s := r.shard(id)
-	s.mu.Lock()
-	s.entry(id).Cancelled = true
-	s.mu.Unlock()
+	s.cancel(id)
 	if l := r.currentListener(); l != nil {
 		l.CancelRequested(id)
 	}
+	return nil
+}
+
+func (s *shard) cancel(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry(id).Cancelled = true
 }
 
 func (s *shard) entry(id string) *Entry {
--- a/internal/cell/registry/registry_test.go
+++ b/internal/cell/registry/registry_test.go
@@ -119,7 +119,7 @@
 func TestEachRecordOfTheOwnerShowsThatItIsAlive(t *testing.T) {
 	r := New(slog.New(slog.DiscardHandler))
 	for i, rec := range []platform.Record{
-		OwnershipRecord(Ownership{Token: 1}), ProgressRecord("x", cell.Progress{}),
+		OwnershipRecord(Ownership{Node: "n", InstanceID: "b", Token: 1}), ProgressRecord("x", cell.Progress{}),
 		HostRecord(Host{Spec: cell.Host{ID: "h"}}), HostDeletionRecord("h"),
 	} {
 		rec.Offset = uint64(i)
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -45,11 +45,10 @@
 }
 
 func (j *job) group(id cell.GroupID) *group {
-	i := id.Occurrence*j.steps + id.Step
-	if id.Occurrence < 0 || id.Step < 0 || id.Step >= j.steps || i >= len(j.groups) {
+	if id.Step < 0 || id.Step >= j.steps || id.Occurrence < 0 || id.Occurrence >= len(j.groups)/j.steps {
 		return nil
 	}
-	return j.groups[i]
+	return j.groups[id.Occurrence*j.steps+id.Step]
 }
 
 // assumedAdviceHosts is the number of hosts in an advice call that is assumed when
@@ -74,6 +73,7 @@
 		if j.queue.Advice != nil {
 			longest[i] += j.queue.Advice.CallDuration(assumedAdviceHosts)
 		}
+		longest[i] = cell.ClampDuration(longest[i])
 		for _, a := range step.After {
 			longest[a] = max(longest[a], longest[i])
 		}
@@ -88,5 +88,5 @@
 	for i := range j.steps {
 		longest = max(longest, j.criticalPath(i))
 	}
-	return time.Duration(j.queue.Stretch*float64(longest)) + j.queue.Latency
+	return cell.ScaleDuration(longest, j.queue.Stretch) + j.queue.Latency
 }
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
@@ -25,6 +28,8 @@
 	BatchInterval func() time.Duration
 	// Meter measures the answers of the store.
 	Meter *latency.Meter
+	// OnFault is called after a panic while a page was applied; nil for nothing.
+	OnFault func()
 }
 
 const (
@@ -39,21 +44,6 @@
 	readRetryInterval = 50 * time.Millisecond
 )
 
-// Page is a sequence of records of a topic, in the order of the log, or of keys if
-// NewestOnly is set.
-type Page struct {
-	Records []platform.Record
-	// NewestOnly is set if the records are the newest record of each key and not all
-	// records: at the first read, and when records since the last read are no
-	// longer stored.
-	NewestOnly bool
-	// AsOf is when the read was sent. Every record stored before that has been read
-	// if the page is complete.
-	AsOf time.Duration
-	// Complete is set if the page reaches the end of the topic.
-	Complete bool
-}
-
 // TopicReader reads a keyed topic in order.
 type TopicReader struct {
 	store   Store
@@ -141,6 +131,9 @@
 		r.log.Error("The topic ends before the next offset; reading the newest record of each key.", "topic", r.options.Topic, "next", next, "end", page.End)
 		return r.readNewest(ctx)
 	}
+	if r.behind && len(page.Records) == 0 && next < page.End {
+		return eris.Errorf("no record at offset %d, though the topic ends at %d", next, page.End)
+	}
 	next += uint64(len(page.Records))
 	r.behind = next < page.End
 	r.deliver(Page{Records: page.Records, AsOf: sent, Complete: next >= page.End}, next)
@@ -172,15 +165,35 @@
 		if !more || len(page.Records) == 0 {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := page.Records[len(page.Records)-1].Key
+		if last == "" || last == after {
+			return eris.Errorf("the newest records after key %.60q end with key %.60q, and more are to follow", after, last)
+		}
+		after = last
 	}
 	r.behind = true // records stored since the first answer have to be read
 	r.deliver(Page{Records: all, NewestOnly: true, AsOf: sent, Complete: true}, next)
 	return nil
 }
 
-func (r *TopicReader) deliver(p Page, next uint64) {
+// applyPage applies a page. A page at which that fails is not read again, since it would
+// fail again.
+func (r *TopicReader) applyPage(p Page) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		r.log.Error("A page cannot be applied and is left out.", "topic", r.options.Topic, "records", len(p.Records), "panic", v, "stack", string(debug.Stack()))
+		if r.options.OnFault != nil {
+			r.options.OnFault()
+		}
+	}()
 	r.apply(p)
+}
+
+func (r *TopicReader) deliver(p Page, next uint64) {
+	r.applyPage(p)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.next, r.initialized = next, true
