Test that work starts within 3 s once faults have ended, and bound the wait for a rack so

The new property test states what callers may expect: from 14 s after the last fault on, no submission has nothing running for more than 3 s while the turn of a step has come, there is free room for it twice over on hosts that it may use, and less than half of the capacity is in use. Gangs, racks, data racks, MaxPerHost, labels, advice that takes its time, fails and denies hosts, hosts of different size, silent hosts, lost and refused orders, hosts that come back under another ID, and takeovers are drawn.

The wait is now 2 s at most.

--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -37,6 +37,11 @@
 	crashesUnder map[cell.TaskID]int
 	// takes returns how long a run takes whose estimate is given.
 	takes func(t cell.TaskID, estimate time.Duration) time.Duration
+	// adviceTakesTime is set if advice calls are answered after their duration; calls holds
+	// those that are not answered yet, and callCount counts all by group.
+	adviceTakesTime bool
+	calls           []adviceCall
+	callCount       map[cell.GroupID]int
 	// approves decides whether the advice service lets a group run on a host.
 	approves func(g cell.GroupID, host string) bool
 }
@@ -67,8 +72,9 @@
 		done: make(map[cell.TaskID]bool), reportedDone: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
 		fails:  func(cell.TaskID, int64) bool { return false },
 		deadly: func(cell.TaskID) bool { return false }, crashes: make(map[cell.TaskID]int), startsAfter: make(map[cell.TaskID]int), crashesUnder: make(map[cell.TaskID]int),
-		approves: func(cell.GroupID, string) bool { return true },
-		takes:    func(_ cell.TaskID, estimate time.Duration) time.Duration { return estimate },
+		approves:  func(cell.GroupID, string) bool { return true },
+		callCount: make(map[cell.GroupID]int),
+		takes:     func(_ cell.TaskID, estimate time.Duration) time.Duration { return estimate },
 	}
 	c.teams = map[string]cell.Team{"a": {Name: "a", Weight: 100}, "b": {Name: "b", Weight: 100}}
 	c.queues = map[string]cell.Queue{}
@@ -207,6 +213,7 @@
 func (c *cluster) advance(d time.Duration) {
 	c.now += d
 	c.restartCrashed()
+	c.answerAdvice(func(call adviceCall) bool { return c.now >= call.due })
 	c.endDueRuns()
 	c.pollHosts()
 	c.decide(nil)
@@ -240,6 +247,9 @@
 	}
 	for _, o := range p.Stops {
 		h := c.hosts[o.Host]
+		if h == nil {
+			continue // it was replaced
+		}
 		if h.unreachable {
 			c.s.StopFailed(o.Host, o.Task, o.Run, c.now)
 			continue
@@ -255,19 +265,6 @@
 	c.recordStates()
 }
 
-// answerAdviceRequests answers the advice requests of a plan.
-func (c *cluster) answerAdviceRequests(p *Plan) {
-	for _, a := range p.AdviceRequests {
-		tickets := map[string]string{}
-		for _, h := range a.Hosts {
-			if c.approves(a.Group, h) {
-				tickets[h] = "t"
-			}
-		}
-		c.s.AdviceReceived(a.Group, a.Hosts, tickets, c.now)
-	}
-}
-
 // recordStates records the states that callers would see.
 func (c *cluster) recordStates() {
 	for _, id := range c.s.Changed() {
--- a/internal/cell/schedule/rack.go
+++ b/internal/cell/schedule/rack.go
@@ -5,13 +5,20 @@
 	"time"
 )
 
-// spreadSlowdown is how many times as long the members of a gang that wants one rack are
-// assumed to take on several racks.
-const spreadSlowdown = 2
+const (
+	// spreadSlowdown is how many times as long the members of a gang that wants one rack
+	// are assumed to take on several racks.
+	spreadSlowdown = 2
+	// longestRackWait bounds the wait for one rack: work for which there is room has to
+	// start within 3 s.
+	longestRackWait = 2 * time.Second
+)
 
 // maxRackWait returns how long a gang may wait for one rack: as long as it would lose on
-// several ones.
-func (g *group) maxRackWait() time.Duration { return (spreadSlowdown - 1) * g.step.Estimate }
+// several ones, up to longestRackWait.
+func (g *group) maxRackWait() time.Duration {
+	return min((spreadSlowdown-1)*g.step.Estimate, longestRackWait)
+}
 
 // rackDeadline returns until when a gang waits for one rack. spreadAt is when it can
 // start on several racks, if that has not been possible before.
--- a/internal/cell/schedule/rack_test.go
+++ b/internal/cell/schedule/rack_test.go
@@ -101,22 +101,23 @@
 // racks, since the work there takes longer than estimated.
 func TestGangWaitsForItsRackAsLongAsItIsWorth(t *testing.T) {
 	for _, c := range []struct {
-		estimated, actual time.Duration
-		racks             int
-		most              time.Duration
+		gang, estimated, actual time.Duration
+		racks                   int
+		most                    time.Duration
 	}{
-		{500 * time.Millisecond, 500 * time.Millisecond, 1, time.Second},
-		{500 * time.Millisecond, time.Hour, 2, 2500 * time.Millisecond},
-		{3 * time.Second, 3 * time.Second, 2, time.Second},
+		{2 * time.Second, 500 * time.Millisecond, 500 * time.Millisecond, 1, time.Second},
+		{2 * time.Second, 500 * time.Millisecond, time.Hour, 2, 2500 * time.Millisecond},
+		{2 * time.Second, 3 * time.Second, 3 * time.Second, 2, time.Second},
+		{20 * time.Second, 500 * time.Millisecond, time.Hour, 2, 2500 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprint(c.estimated, c.actual), func(t *testing.T) {
+		t.Run(fmt.Sprint(c.gang, c.estimated, c.actual), func(t *testing.T) {
 			cl := newCluster(9, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
 			cl.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second})
 			for _, h := range []string{"h00", "h03", "h06"} {
 				cl.occupy(h, c.estimated)
 				cl.hosts[h].runs[0].endsAt = cl.now + c.actual
 			}
-			cl.submit("gang", "q", "a", rackGang(2*time.Second))
+			cl.submit("gang", "q", "a", rackGang(c.gang))
 			took, ok := cl.waitForStart("gang", 10*time.Second)
 			if !ok || took > c.most {
 				t.Errorf("started: %t after %s, want within %s", ok, took, c.most)
--- a/internal/cell/schedule/takeover_test.go
+++ b/internal/cell/schedule/takeover_test.go
@@ -15,6 +15,7 @@
 // stored submissions and what the reachable hosts report.
 func (c *cluster) replaceOwner() {
 	old := c.s
+	c.calls = nil
 	c.s = New(Options{GangTimeout: 3 * time.Second, RunNumberBase: old.options.RunNumberBase + 1000})
 	c.publish()
 	for _, id := range c.jobIDs() {
