--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -29,8 +29,8 @@
 // exceeded its estimate.
 const overdueExtension = 500 * time.Millisecond
 
-// neverEnds is the expected end of long-running tasks.
-const neverEnds = time.Duration(math.MaxInt64)
+// neverEnds is the expected end of long-running tasks. A duration can be added to it.
+const neverEnds = time.Duration(math.MaxInt64 / 2)
 
 // expectedEnds returns the expected ends of a host's runs, sorted by time.
 func (s *Scheduler) expectedEnds(h *host) []expectedEnd {
