Try no suspect beside other runs while trials crash hosts

Now a suspect shares hosts only if no trial of its queue has crashed its host of late (a crash counts for half after 3.5 s); otherwise the first suspect in line is given hosts that become empty, however long that takes. Suspects and the new work of confined queues hold one in eight hosts together again, those with the least blame first; one in four trials goes to the suspect that has waited longest. A gang is started untried only if it could share hosts and none were found. Calls for advice about undecided hosts are bounded by the hosts that a trial may take now, and a group without hosts for its trial is passed over when tasks are placed.

TestSuspectedTasksRunAloneOnFewHosts checks one in eight hosts for all work under trial again, as it did at first.

--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -34,8 +34,11 @@
 	// use since its last trial.
 	trialSince time.Duration
 	givenBack  map[*host]bool
-	// notTried is set for a gang that was awaiting its trial for too long.
-	notTried bool
+	// trialRoom is for how many of its tasks hosts are kept free.
+	trialRoom int
+	// tooWide is set for a gang that is not tried alone, since it would need more hosts than
+	// a trial may hold; notTried if that showed only while it was awaiting them.
+	tooWide, notTried bool
 	// trial is set while the group is placed that may use only hosts without other runs.
 	trial bool
 	// waitReason is why the group does not start; see setWaitReason.
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -63,17 +63,29 @@
 	switch {
 	case e.underTrial:
 		s.placeTrial(g, reservingGangs)
-	case e.awaitsFirstTask && g.run == 0 && !s.mayStartFirstTask(g.job):
-		s.setWaitReason(g, waitFirstTask)
+	case e.awaitsFirstTask && g.run == 0:
+		s.placeFirstTask(g, reservingGangs)
 	case g.step.Gang:
 		s.placeGang(g, reservingGangs)
-	case e.awaitsFirstTask:
-		s.placeTasks(g, 1)
 	default:
 		s.placeTasks(g, g.waiting)
 	}
 }
 
+// placeFirstTask starts the first task, or the gang, of a submission whose queue has
+// crashed hosts, if it may start now.
+func (s *Scheduler) placeFirstTask(g *group, reservingGangs *int) {
+	if !s.mayStartFirstTask(g.job) {
+		s.setWaitReason(g, waitFirstTask)
+		return
+	}
+	if g.step.Gang {
+		s.placeGang(g, reservingGangs)
+	} else {
+		s.placeTasks(g, 1)
+	}
+}
+
 // markDueGroupsReady marks the groups of occurrences that have become due as
 // ready.
 func (s *Scheduler) markDueGroupsReady() {
@@ -109,7 +121,7 @@
 	if g.step.BestEffort && s.now < h.bestEffortBlockedUntil {
 		return false
 	}
-	if g.trial && (h.quarantinedFor != g || !h.freeForTrial(g, s.now)) || !g.trial && h.quarantinedFor != nil {
+	if g.trial && (h.quarantinedFor != g || !s.freeForTrial(h, g)) || !g.trial && h.quarantinedFor != nil {
 		return false
 	}
 	return s.suitable(g, h)
@@ -277,7 +289,7 @@
 		t.countedAt().recordTrial(run, h)
 		s.changed[t.id.Submission] = true
 	}
-	g.trialSince, g.givenBack, g.notTried = 0, nil, false
+	g.trialSince, g.givenBack, g.tooWide, g.notTried = 0, nil, false, false
 	s.plan.Starts = append(s.plan.Starts, Start{
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: value, Waited: waited,
 	})
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -29,7 +29,9 @@
 // queueRisk is how often the tasks of a queue have crashed their hosts of late.
 type queueRisk struct {
 	starts, crashes float64
-	at              time.Duration
+	// trialCrashes counts the trials that have crashed their hosts likewise.
+	trialCrashes float64
+	at           time.Duration
 	// down is how many hosts are down of which the queue's tasks are the suspected cause,
 	// unproven the number of submissions whose first tasks have not run for long enough.
 	down     float64
@@ -46,7 +48,13 @@
 
 func (r *queueRisk) decay(now time.Duration) {
 	f := math.Exp(-(now - r.at).Seconds() / riskMemory.Seconds())
-	r.starts, r.crashes, r.at = r.starts*f, r.crashes*f, now
+	r.starts, r.crashes, r.trialCrashes, r.at = r.starts*f, r.crashes*f, r.trialCrashes*f, now
+}
+
+// trialsCrash reports whether trials have crashed their hosts of late.
+func (r *queueRisk) trialsCrash(now time.Duration) bool {
+	r.decay(now)
+	return r.trialCrashes >= maxSharedCrashes
 }
 
 // exceeds reports whether the share of starts that crashed their hosts is at least a
@@ -87,6 +95,11 @@
 	for r, share := range s.recentQueues(h) {
 		r.add(0, crashes*share, s.now)
 	}
+	if h.trial != nil {
+		r := s.risk(h.trial.task.group.job)
+		r.decay(s.now)
+		r.trialCrashes = max(r.trialCrashes+crashes, 0)
+	}
 }
 
 // recentQueues returns the queues of the runs that had started right before a crash,
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -44,17 +44,15 @@
 	reconciled    bool
 	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
 	idleHosts int
-	// quarantinedAt is when a host was last kept free for work of a confined queue, and
-	// suspectTrials how often hosts were for suspects.
+	// quarantinedAt is when hosts were last kept free for work under trial, and trials how
+	// often they were.
 	quarantinedAt time.Duration
-	suspectTrials int
+	trials        int
 	// soundWorkAt is when work last waited that is not suspected and whose queue has not
 	// crashed hosts of late.
 	soundWorkAt time.Duration
 	// risks holds the risk of each queue by name.
 	risks map[string]*queueRisk
-	// trialBudget bounds the hosts that work under trial holds in this pass.
-	trialBudget trialBudget
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
