Bound the calls for advice of submissions that await their first task

Cause: how many of them may start was counted by runs only. Until the first of them ran, all were allowed to prepare a start, and asked for advice.

Now those whose call for advice is awaited count like those that have started.

Evidence: TestSubmissionsThatAwaitTheirFirstTaskDoNotAllAskForAdvice fails on the former code: 400 calls where 16 hosts may crash at a share of 0.1.

--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -84,6 +84,9 @@
 	} else {
 		s.placeTasks(g, 1)
 	}
+	if g.advice.inFlight {
+		s.risk(g.job).preparing++
+	}
 }
 
 // markDueGroupsReady marks the groups of occurrences that have become due as
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -33,9 +33,10 @@
 	trialCrashes float64
 	at           time.Duration
 	// down is how many hosts are down of which the queue's tasks are the suspected cause,
-	// unproven the number of submissions whose first tasks have not run for long enough.
-	down     float64
-	unproven int
+	// unproven the number of submissions whose first tasks have not run for long enough,
+	// and preparing the number of those that may start one and wait for advice.
+	down                float64
+	unproven, preparing int
 }
 
 // add counts starts and crashes. A crash that several runs may have caused counts for
@@ -124,7 +125,7 @@
 func (s *Scheduler) updateRisks() {
 	risky := false
 	for _, r := range s.risks {
-		r.down, r.unproven = 0, 0
+		r.down, r.unproven, r.preparing = 0, 0, 0
 		risky = risky || r.exceeds(riskyShare, s.now)
 	}
 	if !risky {
@@ -161,8 +162,8 @@
 // in view of the crashes of its queue.
 func (s *Scheduler) mayStartFirstTask(j *job) bool {
 	r := s.risk(j)
-	expected := r.down + float64(r.unproven+1)*r.share()
-	return !j.hasRuns() && (expected <= float64(s.maxRiskyHosts(r)) || r.unproven == 0)
+	expected := r.down + float64(r.unproven+r.preparing+1)*r.share()
+	return !j.hasRuns() && (expected <= float64(s.maxRiskyHosts(r)) || r.unproven+r.preparing == 0)
 }
 
 // awaitsFirstTask reports whether the other tasks of a submission wait, since tasks
--- a/internal/cell/schedule/trial_share_test.go
+++ b/internal/cell/schedule/trial_share_test.go
@@ -73,3 +73,20 @@
 		t.Errorf("%d calls for advice are sent though one host is free, want 1 to %d", len(p.AdviceRequests), callsPerTrialHost)
 	}
 }
+
+// Guards against calls for advice by all submissions of a queue that has crashed hosts,
+// though few of them may start their first task.
+func TestSubmissionsThatAwaitTheirFirstTaskDoNotAllAskForAdvice(t *testing.T) {
+	c := newCluster(16, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, Advice: rescanAdvice})
+	r := &queueRisk{starts: 100, crashes: 10, at: c.now}
+	c.s.risks["q"] = r
+	for i := range 400 {
+		c.submit(fmt.Sprintf("job%03d", i), "q", "b", smallStep(1, time.Second))
+	}
+	p := c.s.Decide(c.now, c.now)
+	// As many may start as are expected to crash the hosts that are spare.
+	if n := len(p.AdviceRequests); n == 0 || float64(n)*r.share() > float64(c.s.maxRiskyHosts(r)) {
+		t.Errorf("%d calls for advice are sent, and %d hosts may crash at a share of %.2f", n, c.s.maxRiskyHosts(r), r.share())
+	}
+}
