--- a/internal/standin/users/store.go
+++ b/internal/standin/users/store.go
@@ -312,7 +312,8 @@
 	t := s.topic(q.Get("topic"))
 	newest := map[string]item{}
 	for i, rec := range t.records {
-		key, value := string(rec[1:1+rec[0]]), rec[1+rec[0]:]
+		keyEnd := 1 + int(rec[0])
+		key, value := string(rec[1:keyEnd]), rec[keyEnd:]
 		if len(value) == 0 {
 			delete(newest, key)
 			continue
