Keep the progress of a submission within one record

What operators would see: from some moment on the owner stores nothing, is replaced for its silence, and so is each successor. The progress of a submission is one record, and the store takes 262,144 bytes. A submission with about 6,200 occurrences done or 9,700 checkpoints of 16 bytes (worked out from the sizes below) exceeds that, and callers may submit 100,000 tasks.

Cause: each group that is done kept an entry of 45 bytes for good, and nothing looked at the size.

In a submission of more than 1,000 groups those that are done are bits now. If a record is still too large, the owner stores it without the checkpoints, and then without the failures, and logs that once for each submission: a later owner starts lost tasks from the beginning and counts failures from zero, but repeats no work that is done.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -57,6 +57,8 @@
 	// finished are submissions whose final state is stored. They are removed once
 	// their runs are gone.
 	finished map[string]bool
+	// reduced are submissions whose progress is too large to be stored in full.
+	reduced map[string]bool
 	// removedHosts are hosts whose records are to be deleted from the log.
 	removedHosts []string
 
@@ -74,7 +76,7 @@
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight),
 		scheduler: newScheduler(o),
-		hosts:     make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
+		hosts:     make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool), reduced: make(map[string]bool),
 		ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -160,7 +161,7 @@
 		if !ok {
 			continue
 		}
-		records = append(records, registry.ProgressRecord(id, p))
+		records = append(records, ow.progressRecord(id, p))
 		if p.State.Final() {
 			// The summary limits what a starting node has to read.
 			records = append(records, registry.SubmissionRecord(ow.scheduler.Submission(id).Summary()))
@@ -170,6 +171,26 @@
 	return records, finished
 }
 
+// progressRecord returns the record of the progress of a submission. If it exceeds the
+// limit of the store, it lacks what a later owner can do without: checkpoints, and then
+// the failures. Without a record nothing that has ended could be acknowledged.
+func (ow *Owner) progressRecord(id string, p cell.Progress) platform.Record {
+	r := registry.ProgressRecord(id, p)
+	for _, reduce := range []func(cell.Progress) cell.Progress{cell.Progress.WithoutCheckpoints, cell.Progress.WithoutFailures} {
+		err := r.Check()
+		if err == nil {
+			break
+		}
+		if !ow.reduced[id] {
+			ow.reduced[id] = true
+			ow.options.Log.Warn("The progress of a submission is stored without checkpoints or failures.", "id", id, "error", err)
+		}
+		p = reduce(p)
+		r = registry.ProgressRecord(id, p)
+	}
+	return r
+}
+
 // removeFinished removes from the scheduler the submissions whose final state is
 // stored and whose runs are gone.
 func (ow *Owner) removeFinished(ids []string) {
@@ -186,6 +207,7 @@
 	for id := range ow.finished {
 		if ow.scheduler.RemoveSubmission(id) {
 			delete(ow.finished, id)
+			delete(ow.reduced, id)
 		}
 	}
 }
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -27,6 +27,38 @@
 	State State `json:"state"`
 	// Groups has an entry for each group with progress, under its GroupID.
 	Groups map[string]GroupProgress `json:"groups,omitempty"`
+	// DoneGroups is a bit set of groups that are done and have no entry in Groups, by
+	// their number: the occurrence times the number of steps, plus the step. It keeps the
+	// progress of a submission with many groups small.
+	DoneGroups []byte `json:"done_groups,omitempty"`
+}
+
+// SetGroupDone marks a group as done.
+func (p *Progress) SetGroupDone(number int) { p.DoneGroups = setBit(p.DoneGroups, number) }
+
+// IsGroupDone reports whether a group is marked as done.
+func (p *Progress) IsGroupDone(number int) bool { return hasBit(p.DoneGroups, number) }
+
+// WithoutCheckpoints returns the progress without checkpoints: tasks that are lost start
+// from the beginning.
+func (p Progress) WithoutCheckpoints() Progress {
+	return p.reduced(func(g *GroupProgress) { g.Checkpoints = nil })
+}
+
+// WithoutFailures returns the progress without failed runs, crashes and trials: a later
+// owner counts them from zero.
+func (p Progress) WithoutFailures() Progress {
+	return p.reduced(func(g *GroupProgress) { g.Failures, g.Crashes, g.Trials = nil, nil, nil })
+}
+
+func (p Progress) reduced(reduce func(g *GroupProgress)) Progress {
+	groups := make(map[string]GroupProgress, len(p.Groups))
+	for id, g := range p.Groups {
+		reduce(&g)
+		groups[id] = g
+	}
+	p.Groups = groups
+	return p
 }
 
 // GroupProgress is the progress of one step in one occurrence.
@@ -49,14 +81,17 @@
 }
 
 // SetDone marks a task as done.
-func (g *GroupProgress) SetDone(index int) {
-	for len(g.Done) <= index/8 {
-		g.Done = append(g.Done, 0)
-	}
-	g.Done[index/8] |= 1 << (index % 8)
-}
+func (g *GroupProgress) SetDone(index int) { g.Done = setBit(g.Done, index) }
 
 // IsDone reports whether a task is done.
-func (g *GroupProgress) IsDone(index int) bool {
-	return index/8 < len(g.Done) && g.Done[index/8]&(1<<(index%8)) != 0
+func (g *GroupProgress) IsDone(index int) bool { return hasBit(g.Done, index) }
+
+func setBit(bits []byte, i int) []byte {
+	if n := i/8 + 1; len(bits) < n {
+		bits = append(bits, make([]byte, n-len(bits))...)
+	}
+	bits[i/8] |= 1 << (i % 8)
+	return bits
 }
+
+func hasBit(bits []byte, i int) bool { return i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 }
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -11,6 +11,10 @@
 // the clock of another machine.
 const maxSubmissionAge = 60 * time.Second
 
+// maxListedGroups is the number of groups of a submission up to which each group has an
+// entry of its own in the progress. An entry takes about 45 bytes.
+const maxListedGroups = 1000
+
 // Add adds an accepted submission. unreconciled is set if runs of an earlier
 // owner may exist that are not known yet.
 func (s *Scheduler) Add(sub *cell.Submission, p cell.Progress, unreconciled bool, now, wall time.Duration) {
@@ -48,10 +52,11 @@
 	step := &j.sub.Steps[number]
 	g := &group{id: cell.GroupID{Submission: j.sub.ID, Occurrence: occurrence, Step: number}, job: j, step: step, size: step.Reserved()}
 	stored := p.Groups[g.id.String()]
+	allDone := p.IsGroupDone(occurrence*len(j.sub.Steps) + number)
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i], trialRun: stored.Trials[i],
+			group: g, done: allDone || stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i], trialRun: stored.Trials[i],
 			checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		if !t.done {
@@ -203,7 +208,11 @@
 	if j.state.Final() {
 		return p, true
 	}
-	for _, g := range j.groups {
+	for i, g := range j.groups {
+		if g.left == 0 && len(j.groups) > maxListedGroups {
+			p.SetGroupDone(i)
+			continue
+		}
 		if gp, any := g.progress(); any {
 			if p.Groups == nil {
 				p.Groups = make(map[string]cell.GroupProgress)
@@ -252,3 +261,12 @@
 	}
 	return p, any
 }
+
+// TasksLeft returns the number of tasks of a submission that are not done; zero if the
+// submission is unknown.
+func (s *Scheduler) TasksLeft(id string) int {
+	if j := s.jobs[id]; j != nil {
+		return j.left
+	}
+	return 0
+}
