Bound the body and the deadline that a caller may set

What operators would see: a process that is killed for its memory, since the desired state allows bodies of any size.

A body has at most 1 MiB, which is more than the store takes for a record, and a call takes at most 5 minutes.

--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -30,6 +30,11 @@
 	responseMargin = 100 * time.Millisecond
 	// defaultBodyBytes limits a request body while the desired state sets no limit.
 	defaultBodyBytes = 256 << 10
+	// maxBodyBytes bounds a request body whatever the desired state allows. The store
+	// takes no record that is as large.
+	maxBodyBytes = 1 << 20
+	// maxCallTimeout bounds the deadline that a caller may set.
+	maxCallTimeout = 5 * time.Minute
 )
 
 // State is the state of the cell as one node has read it from the store.
@@ -96,7 +101,7 @@
 	}
 	maxBytes := int64(defaultBodyBytes)
 	if d, _ := h.State.Desired(); d != nil && d.Limits.BodyBytes > 0 {
-		maxBytes = int64(d.Limits.BodyBytes)
+		maxBytes = int64(min(d.Limits.BodyBytes, maxBodyBytes))
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
@@ -157,12 +162,12 @@
 	return resp
 }
 
-// callTimeout returns how long a call may take: the deadline from the header, or
-// defaultCallTimeout, less responseMargin, but at least responseMargin.
+// callTimeout returns how long a call may take: the deadline from the header, at most
+// maxCallTimeout, or defaultCallTimeout, less responseMargin, but at least responseMargin.
 func callTimeout(h http.Header) time.Duration {
 	d := defaultCallTimeout
 	if ms, err := strconv.ParseInt(h.Get(platform.HeaderDeadline), 10, 64); err == nil && ms > 0 {
-		d = time.Duration(ms) * time.Millisecond
+		d = time.Duration(min(ms, maxCallTimeout.Milliseconds())) * time.Millisecond
 	}
 	return max(d-responseMargin, responseMargin)
 }
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -126,6 +127,31 @@
 		ginkgo.Entry("another team's id", "POST", "/q/"+other, "key-a", body, 409),
 	)
 
+	// Guards against a body that fills the memory of the process, since the desired state
+	// allows any size.
+	ginkgo.It("bounds the body whatever the desired state allows", func() {
+		n.desired.Limits.BodyBytes = math.MaxInt
+		large := `{"spec":"x","unknown":"` + strings.Repeat("x", 4<<20) + `","steps":[{"count":1}]}`
+		gomega.Expect(call("POST", "/q/"+id, "key-a", large).Code).To(gomega.Equal(413))
+		gomega.Expect(n.stored).To(gomega.BeEmpty())
+	})
+
+	// Guards against a call that is given up at once, or that is held for years, since its
+	// deadline overflows or is far away.
+	ginkgo.DescribeTable("deadlines", func(header string, want time.Duration) {
+		gomega.Expect(callTimeout(http.Header{platform.HeaderDeadline: {header}})).To(gomega.Equal(want))
+	},
+		ginkgo.Entry("none", "", defaultCallTimeout-responseMargin),
+		ginkgo.Entry("ordinary", "2000", 1900*time.Millisecond),
+		ginkgo.Entry("zero", "0", defaultCallTimeout-responseMargin),
+		ginkgo.Entry("negative", "-5", defaultCallTimeout-responseMargin),
+		ginkgo.Entry("a fraction", "1.5", defaultCallTimeout-responseMargin),
+		ginkgo.Entry("no number", "NaN", defaultCallTimeout-responseMargin),
+		ginkgo.Entry("above 64 bits", "9223372036854775808", defaultCallTimeout-responseMargin),
+		ginkgo.Entry("overflows as a duration", "9223372036854775807", maxCallTimeout-responseMargin),
+		ginkgo.Entry("a year", "31536000000", maxCallTimeout-responseMargin),
+	)
+
 	// Guards against a caller who is told to try again, although the store never takes
 	// the record of the submission.
 	ginkgo.It("refuses a submission whose record would be too large", func() {
