Read the host list of the earlier design beside odd entries

What operators would see of "medlarpulley serve": after another writer has left one entry with a field of another type, a number too large or more than 10,000 levels of nesting, the host list cannot be read any more. No host that leaves or comes is seen, and a process that starts has no hosts at all.

Cause: the list is decoded as one JSON text, and encoding/json refuses all of it.

The list is split into its entries before they are decoded, each is decoded and checked alone, and an odd one is left out, as entries with an unknown role were before.

--- a/internal/platform/hostlist/client.go
+++ b/internal/platform/hostlist/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -68,8 +67,8 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Hosts implements List. It omits hosts without an ID or with an unknown role;
-// of several hosts with the same ID it returns the first. If the server supports
+// Hosts implements List. It omits entries that cannot be decoded, that have no ID or an
+// unknown role, or whose capacity or slots are out of range; of several hosts with the same ID it returns the first. If the server supports
 // entity tags, an unchanged list is not transferred again. The caller must not
 // modify the result, because it is cached. Hosts returns an error if the server
 // does not respond within the timeout, responds with another status than 200
@@ -96,14 +95,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("read the host list: status %d", resp.StatusCode)
 	}
-	var list HostsResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&list); err != nil {
-		return nil, eris.Wrap(err, "read the host list: decode the response")
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "read the host list")
 	}
-	if len(list.Hosts) > MaxHosts {
-		return nil, eris.Errorf("host list has %d entries, at most %d", len(list.Hosts), MaxHosts)
+	hosts, err := decodeHosts(body)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the host list")
 	}
-	hosts := validHosts(list.Hosts)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.etag, c.cachedHosts = resp.Header.Get("ETag"), hosts
@@ -116,18 +115,3 @@
 	defer c.mu.Unlock()
 	return c.etag, c.cachedHosts
 }
-
-// validHosts removes the hosts that have no ID, a duplicate ID or an unknown
-// role. It reuses the array of its argument.
-func validHosts(hosts []Host) []Host {
-	seen := make(map[string]bool, len(hosts))
-	kept := hosts[:0]
-	for _, h := range hosts {
-		if h.ID == "" || seen[h.ID] || (h.Role != RoleWorker && h.Role != RoleRunner) {
-			continue
-		}
-		seen[h.ID] = true
-		kept = append(kept, h)
-	}
-	return kept
-}
