Show that a host is used again after its entry was odd for a while

An odd entry under the ID of a real host takes it out of use only while it stands there: the test of odd entries now replaces the entries of all hosts for 4 s, and the submissions after that are completed.

--- a/cmd/medlarpulley/odd_entries_test.go
+++ b/cmd/medlarpulley/odd_entries_test.go
@@ -82,6 +82,14 @@
 	serve("odd entries before the start")
 	putOddEntries(store)
 	serve("odd entries while the cell runs")
+	for _, h := range hosts {
+		store.Put("keyed.servers", h.ID, []byte(`{"service":7}`))
+	}
+	time.Sleep(4 * time.Second) // longer than a host counts as listed without its entry
+	for _, h := range hosts {
+		h.Register(store)
+	}
+	serve("odd entries under the IDs of the hosts, for a while")
 	owner := ownerOf(t, procs)
 	if err := procs[owner].cmd.Process.Kill(); err != nil {
 		t.Fatal(err)
--- a/internal/standin/users/host.go
+++ b/internal/standin/users/host.go
@@ -67,10 +67,15 @@
 	h := &Host{ID: id, startedAt: time.Now(), runDuration: runDuration, runs: make(map[string]*run), changed: make(chan struct{}),
 		highestRun: make(map[string]int64), closing: make(chan struct{})}
 	h.server = httptest.NewServer(http.HandlerFunc(h.serve))
-	s.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",`+
+	h.Register(s)
+	return h
+}
+
+// Register writes the entry of the host to a store.
+func (h *Host) Register(s *Store) {
+	s.Put("keyed.servers", h.ID, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",`+
 		`"coldRemainingMs":0,"capacity":{"cpu":4000,"memMb":8192,"gpu":0},"labels":["a","r1-1"],"clockMs":0,"seq":1,"born":%d}`,
 		h.server.Listener.Addr().String(), h.startedAt.UnixMilli()))
-	return h
 }
 
 // Close stops the host and closes its connections.
