--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -52,6 +53,10 @@
 	// maxSubmissionStateAge is the greatest age at which the state of submissions may be
 	// reported to callers.
 	maxSubmissionStateAge = 2 * time.Second
+	// slowApplyThreshold is the time to apply a page of the work topic from which it is
+	// logged, at most once in slowApplyLogInterval.
+	slowApplyThreshold   = 200 * time.Millisecond
+	slowApplyLogInterval = time.Second
 )
 
 // Node is one node of a cell: the process that serves callers.
@@ -78,6 +83,7 @@
 	heartbeatAppender *worklog.Appender
 	metrics           tally.Scope
 	metricsHandler    http.Handler
+	slowApply         rate.Sometimes
 	callerHandler     *front.Handler
 
 	desired  atomic.Pointer[appliedDesired]
@@ -125,6 +131,7 @@
 		store:      platform.NewStore(s.Platform.Store),
 		hostClient: platform.NewHostClient(),
 		advice:     platform.NewAdvice(s.Platform.Advice),
+		slowApply:  rate.Sometimes{Interval: slowApplyLogInterval},
 	}
 	componentLogger := func(name string) *slog.Logger { return logging.WithComponent(log, name) }
 	n.metrics, n.metricsHandler = metrics.NewScope(s.Node.Name)
@@ -199,6 +206,14 @@
 // has been trimmed, the page holds the newest record of each key in the order of
 // keys, not of offsets; the term then begins after all records of the page.
 func (n *Node) applyWork(p worklog.Page) {
+	startedAt := n.clock.Now()
+	defer func() {
+		if took := n.clock.Now() - startedAt; took > slowApplyThreshold {
+			n.slowApply.Do(func() {
+				n.log.Warn("follow: Records of the work topic were applied slowly.", "records", len(p.Records), "took", took)
+			})
+		}
+	}()
 	n.workAppender.Observe(p.Records)
 	if j := n.journal(); j != nil {
 		j.Observe(p.Records)
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -29,11 +29,13 @@
 	Owner        registry.Ownership         `json:"owner"`
 	Nodes        map[string]membership.Node `json:"nodes"`
 	Submissions  int                        `json:"submissions"`
-	Term         *owner.Dump                `json:"term,omitempty"`
+	// AdviceWaiting is the number of advice calls of the owner that wait for a node.
+	AdviceWaiting int         `json:"advice_waiting"`
+	Term          *owner.Dump `json:"term,omitempty"`
 }
 
 func (n *Node) dump() Dump {
-	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len()}
+	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting()}
 	d.Owner, _ = n.registry.Owner()
 	if s := n.desired.Load(); s != nil {
 		d.Version = s.Version
--- /dev/null
+++ b/internal/cell/owner/delaylog.go
@@ -0,0 +1,67 @@
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
+)
+
+const (
+	// slowDecisionThreshold is the time of a decision, or of the wait for the owner's
+	// lock before it, from which it is logged.
+	slowDecisionThreshold = 200 * time.Millisecond
+	// lateRecordThreshold is the time between two appends of the owner from which the
+	// later one is logged.
+	lateRecordThreshold = 2 * heartbeatInterval
+	// delayLogInterval is the shortest time between two lines about the same kind of
+	// delay.
+	delayLogInterval = time.Second
+)
+
+// delayLog reports what delays the owner: decisions, the wait for the owner's lock,
+// and appends.
+type delayLog struct {
+	log                                  *slog.Logger
+	decisionTime, lockWait, timeToAppend tally.Timer
+	slowDecisions, lateRecords           *rate.Sometimes
+	// lastSentAt is when the last append was sent. Only the goroutine that appends uses it.
+	lastSentAt time.Duration
+}
+
+func newDelayLog(log *slog.Logger, s tally.Scope) delayLog {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	return delayLog{
+		log: log, decisionTime: s.Timer("decision_time"), lockWait: s.Timer("decision_lock_wait"), timeToAppend: s.Timer("owner_append_time"),
+		slowDecisions: &rate.Sometimes{Interval: delayLogInterval}, lateRecords: &rate.Sometimes{Interval: delayLogInterval},
+	}
+}
+
+// decision reports a decision that waited for the owner's lock and then took a time.
+func (d *delayLog) decision(waited, took time.Duration, p *schedule.Plan) {
+	d.lockWait.Record(waited)
+	d.decisionTime.Record(took)
+	if max(waited, took) < slowDecisionThreshold {
+		return
+	}
+	d.slowDecisions.Do(func() {
+		d.log.Warn("A decision was slow.", "lock_wait", waited, "took", took, "starts", len(p.Starts), "stops", len(p.Stops), "advice_requests", len(p.AdviceRequests))
+	})
+}
+
+// stored reports an append that was sent at a time and took a time.
+func (d *delayLog) stored(sentAt, took time.Duration, records int) {
+	d.timeToAppend.Record(took)
+	gap := sentAt - d.lastSentAt
+	if d.lastSentAt != 0 && gap > lateRecordThreshold {
+		d.lateRecords.Do(func() {
+			d.log.Warn("The records of the owner are late.", "after", gap, "took", took, "records", records)
+		})
+	}
+	d.lastSentAt = sentAt
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -58,6 +58,7 @@
 
 	storeRounds       storeRounds
 	metrics           metrics
+	delays            delayLog
 	ownershipLost     chan struct{}
 	loseOwnershipOnce sync.Once
 	// lastDecisionTime is how long the last decision took. Only Run uses it.
@@ -77,6 +78,7 @@
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
+	ow.delays = newDelayLog(o.Log, o.Metrics)
 	ow.authority.extend(o.ClaimSent)
 	return ow
 }
@@ -196,6 +198,7 @@
 	if !ow.authority.valid() {
 		return
 	}
+	requestedAt := ow.options.Clock.Now()
 	ow.mu.Lock()
 	ow.checkReconciled()
 	if ow.stopping {
@@ -208,6 +211,7 @@
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
 	messages := ow.scheduler.TakeLogMessages()
 	ow.mu.Unlock()
+	ow.delays.decision(startedAt-requestedAt, ow.lastDecisionTime, plan)
 	ow.storeRounds.request()
 	for _, n := range messages {
 		ow.options.Log.Info(n.Text, "id", n.Submission, "host", n.Host)
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -138,6 +138,7 @@
 			}
 			return err
 		}
+		ow.delays.stored(sentAt, ow.options.Clock.Now()-sentAt, n)
 		ow.authority.extend(sentAt)
 		records = records[n:]
 	}
--- a/internal/cell/schedule/decide_bench_test.go
+++ b/internal/cell/schedule/decide_bench_test.go
@@ -63,7 +63,7 @@
 }
 
 func BenchmarkDecide(b *testing.B) {
-	for _, waiting := range []int{200, 1000, 2000} {
+	for _, waiting := range []int{200, 1000, 2000, 6000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
 			c := backlog(waiting)
 			c.fillHosts()
