Let the cost of waiting advice requests not grow with the square of their number

What callers saw: under load, or after a takeover with a backlog, hardly anything started any more and nothing recovered (docs/incidents/lost-owners-overloaded.md). Cause (one of several): each group that waits for advice is a request at the pool of nodes. Whenever one arrived, and once a second for each of them, every waiting request was compared with every endpoint under the pool's lock. With 6,000 requests at 42 endpoints that never have room, 3 s took 4.15 s of processor time, 91 % of it in Pool.pick: more than an owner on 0.4 of a core has, so that its decisions, heartbeats and orders got none. Now the waiting requests stand in two heaps, by the kind of call; when the first of a kind gets no endpoint, the others are not looked at, and one timer at the end of a cooldown takes the place of one for each request. Ruled out: the decision as the main cost there; with 6,000 submissions waiting it takes 8 ms (BenchmarkDecide), or 0.29 s when all of them ask for advice at once, which is a fault of its own.

--- a/internal/cell/peers/endpoint.go
+++ b/internal/cell/peers/endpoint.go
@@ -22,6 +22,9 @@
 	maxShortInFlight = 2
 	// endpointCooldown is how long an endpoint is not used after a failed call.
 	endpointCooldown = time.Second
+	// cooldownTimerMargin lets the timer at the end of a cooldown end after it on the
+	// pool's clock too.
+	cooldownTimerMargin = 5 * time.Millisecond
 	// connectTimeout limits the wait for a connection. Without it, a connection to a
 	// machine that no longer exists would use up the caller's whole deadline.
 	connectTimeout = 250 * time.Millisecond
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -55,7 +55,7 @@
 func (p *Pool) markDown(e *endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e.downUntil = p.clock.Now() + endpointCooldown
+	p.coolDown(e)
 }
 
 // Forward forwards a call to other nodes, one after the other, until a response can
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -35,15 +35,10 @@
 
 	mu        sync.Mutex
 	endpoints []*endpoint
-	// waiters are ordered by priority, and by arrival within a priority.
-	waiters []*waiter
-}
-
-// waiter is an advice request that waits for an endpoint.
-type waiter struct {
-	long     bool
-	priority int
-	granted  chan *endpoint
+	// shortWaiters and longWaiters hold the requests that wait for an endpoint;
+	// arrivals counts them.
+	shortWaiters, longWaiters waitQueue
+	arrivals                  int64
 }
 
 // NewPool returns a pool with this node as its only endpoint.
@@ -133,36 +128,31 @@
 func (p *Pool) acquire(ctx context.Context, long bool, priority int) *endpoint {
 	w := &waiter{long: long, priority: priority, granted: make(chan *endpoint, 1)}
 	p.mu.Lock()
-	i, _ := slices.BinarySearchFunc(p.waiters, w, func(a, b *waiter) int {
-		if a.priority <= b.priority {
-			return -1 // insert after waiters of the same priority
-		}
-		return 1
-	})
-	p.waiters = slices.Insert(p.waiters, i, w)
+	p.arrivals++
+	w.arrival = p.arrivals
+	p.waiters(long).push(w)
 	p.grant()
 	p.mu.Unlock()
-	for {
-		select {
-		case e := <-w.granted:
-			return e
-		case <-time.After(endpointCooldown):
-			p.mu.Lock()
-			p.grant() // the cooldown of an endpoint may have ended
-			p.mu.Unlock()
-		case <-ctx.Done():
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
-			select {
-			case e := <-w.granted:
-				p.freeSlot(e, w.long)
-				p.grant()
-			default:
-			}
-			return nil
-		}
+	select {
+	case e := <-w.granted:
+		return e
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.waiters(long).remove(w) {
+		p.freeSlot(<-w.granted, long)
+		p.grant()
+	}
+	return nil
+}
+
+// waiters returns the queue of the long or of the short calls.
+func (p *Pool) waiters(long bool) *waitQueue {
+	if long {
+		return &p.longWaiters
 	}
+	return &p.shortWaiters
 }
 
 // release returns an acquired endpoint. After a failure the endpoint is not used
@@ -172,11 +162,22 @@
 	defer p.mu.Unlock()
 	p.freeSlot(e, long)
 	if failed && len(p.endpoints) > 1 {
-		e.downUntil = p.clock.Now() + endpointCooldown
+		p.coolDown(e)
 	}
 	p.grant()
 }
 
+// coolDown begins the cooldown of an endpoint. At its end waiting requests may use the
+// endpoint again. The caller holds p.mu.
+func (p *Pool) coolDown(e *endpoint) {
+	e.downUntil = p.clock.Now() + endpointCooldown
+	time.AfterFunc(endpointCooldown+cooldownTimerMargin, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.grant()
+	})
+}
+
 func (p *Pool) freeSlot(e *endpoint, long bool) {
 	if long {
 		e.longInFlight--
@@ -185,14 +186,24 @@
 	}
 }
 
-// grant assigns endpoints with capacity to waiters, in order. The caller holds p.mu.
+// grant assigns endpoints with capacity to waiters, in order. Its cost does not grow
+// with the number of waiters that get none. The caller holds p.mu.
 func (p *Pool) grant() {
 	now := p.clock.Now()
-	for i := 0; i < len(p.waiters); {
-		w := p.waiters[i]
+	short, long := &p.shortWaiters, &p.longWaiters
+	for {
+		q := p.next(short, long)
+		if q == nil {
+			return
+		}
+		w := q.first()
 		e := p.pick(w.long, now)
 		if e == nil {
-			i++
+			if q == short {
+				short = nil // no other short call gets an endpoint either
+			} else {
+				long = nil
+			}
 			continue
 		}
 		if w.long {
@@ -200,11 +211,26 @@
 		} else {
 			e.shortInFlight++
 		}
-		p.waiters = slices.Delete(p.waiters, i, i+1)
+		q.remove(w)
 		w.granted <- e
 	}
 }
 
+// next returns the queue whose first waiter is served next, nil if none waits. A queue
+// may be nil.
+func (p *Pool) next(short, long *waitQueue) *waitQueue {
+	if short == nil || short.len() == 0 {
+		short, long = long, nil
+	}
+	if short == nil || short.len() == 0 {
+		return nil
+	}
+	if long == nil || long.len() == 0 || short.first().before(long.first()) {
+		return short
+	}
+	return long
+}
+
 // pick returns the endpoint with capacity that has the fewest short calls in
 // flight, or nil. For a long call it returns nil also if that call would use the
 // reserve for short calls while another long call is in flight.
@@ -233,5 +259,5 @@
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.waiters)
+	return p.shortWaiters.len() + p.longWaiters.len()
 }
