Pass a machine's advice calls on in turn, and drop those whose caller has left

What callers saw: work that needs advice did not start any more, long after the cause of the load had gone. Cause: the advice service handles one call of a machine at a time. A call that its caller had given up went on at the service, and the owner, which counted the node as free again, sent the next one, which waited behind it and was given up in its turn. After a takeover the calls of the former owner stood before those of its successor. Now each node passes the calls to its service through a gate: two at a time at most (one is handled while the next one is on the network), in the order of arrival. A call keeps its place until the service has answered, whether or not its caller still waits; one that has not been sent is dropped with its caller, or when an owner with a higher token calls. A call that can't be answered before its deadline is refused at once with the time until the service is free, and the owner does not use that node before. A refusal because of the token tells a former owner that it has been replaced. Ruled out: that net/http keeps abandoned calls back; it waits with them only beyond four connections.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/front"
 	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
@@ -70,7 +71,7 @@
 	// storeMeter measures the answers of the store.
 	storeMeter *latency.Meter
 	hostClient *platform.HostClient
-	advice     *platform.Advice
+	advice     *advice.Gate
 	pool       *peers.Pool
 
 	registry      *registry.Registry
@@ -130,10 +131,10 @@
 		self:       membership.Node{Name: s.Node.Name, InstanceID: hex.EncodeToString(instanceID), Address: s.Listen.Peers, Zone: s.Node.Zone, Cores: s.Limits.Cores},
 		store:      platform.NewStore(s.Platform.Store),
 		hostClient: platform.NewHostClient(),
-		advice:     platform.NewAdvice(s.Platform.Advice),
 		slowApply:  rate.Sometimes{Interval: slowApplyLogInterval},
 	}
 	componentLogger := func(name string) *slog.Logger { return logging.WithComponent(log, name) }
+	n.advice = advice.NewGate(platform.NewAdvice(s.Platform.Advice), n.clock, componentLogger("advice"))
 	n.metrics, n.metricsHandler = metrics.NewScope(s.Node.Name)
 	n.registry = registry.New(componentLogger("registry"))
 	n.members = membership.NewTable(componentLogger("members"))
@@ -234,12 +235,6 @@
 	}
 }
 
-// Advise implements peers.Handler: it calls the advice service for the owner.
-func (n *Node) Advise(ctx context.Context, r *peers.AdviseRequest) (*peers.AdviseResponse, error) {
-	tickets, err := n.advice.Ask(ctx, r.Group, r.Hosts)
-	return &peers.AdviseResponse{Tickets: tickets}, err
-}
-
 // Forward implements peers.Handler: it answers a caller's call for another node.
 // The status is 503 if this node cannot answer either.
 func (n *Node) Forward(ctx context.Context, r *peers.CallRequest) (*peers.CallResponse, error) {
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -23,10 +24,10 @@
 // for a group and issues a ticket for each approved host. If the queue has an advice
 // policy, a task is started only with a ticket for its host.
 type Advisor interface {
-	// Ask returns a ticket for each of hosts that may run the group.
-	// expectedDuration is how long the service takes to answer; priority is that of
-	// the queue, 0 comes first.
-	Ask(ctx context.Context, group cell.GroupID, hosts []string, expectedDuration time.Duration, priority int) (map[string]string, error)
+	// Ask returns a ticket for each of the hosts in the call that may run the group.
+	// priority is that of the queue, 0 comes first. The error is advice.ErrStale if an
+	// owner with a higher fencing token has called.
+	Ask(ctx context.Context, c advice.Call, priority int) (map[string]string, error)
 }
 
 // Journal stores the owner's records under its fencing token. Store retries until
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -141,17 +141,3 @@
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopFailed(s.Host, s.Task, s.Run, now) })
 	}
 }
-
-func (ow *Owner) requestAdvice(ctx context.Context, a schedule.AdviceRequest) {
-	tickets, err := ow.options.Advisor.Ask(ctx, a.Group, a.Hosts, a.Duration, a.Priority)
-	if err != nil {
-		ow.options.Log.Warn("All attempts to call the advice service failed.", "id", a.Group.Submission, "step", a.Group.Step, "error", err)
-		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.AdviceFailed(a.Group, now) })
-		ctxtime.Sleep(ctx, maxDecisionInterval)
-	} else {
-		ow.metrics.adviceAnswers.Inc(1)
-		ow.options.Log.Info("The advice service answered.", "id", a.Group.Submission, "step", a.Group.Step, "named", len(a.Hosts), "approved", len(tickets))
-		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.AdviceReceived(a.Group, a.Hosts, tickets, now) })
-	}
-	ow.requestDecision()
-}
--- a/internal/cell/peers/endpoint.go
+++ b/internal/cell/peers/endpoint.go
@@ -10,6 +10,8 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 )
 
 const (
@@ -66,6 +68,31 @@
 	return e.shortInFlight < maxShortInFlight
 }
 
+// askInTime makes an advice call through the node, for at most twice the time that the
+// service takes and adviceTimeoutMargin.
+func (e *endpoint) askInTime(ctx context.Context, c advice.Call) (map[string]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*c.Duration+adviceTimeoutMargin)
+	defer cancel()
+	r, err := e.advise(ctx, &AdviseRequest{Group: c.Group, Hosts: c.Hosts, Token: c.Token, Duration: c.Duration})
+	if err != nil {
+		return nil, err
+	}
+	return r.Tickets, r.refusalError()
+}
+
+// refusalError returns the error of a call that the node refused, nil if it called the
+// service.
+func (r *AdviseResponse) refusalError() error {
+	switch r.Refusal {
+	case advice.NotRefused:
+		return nil
+	case advice.RefusedStale:
+		return advice.ErrStale
+	default:
+		return &advice.BusyError{FreeIn: r.FreeIn}
+	}
+}
+
 func (e *endpoint) advise(ctx context.Context, r *AdviseRequest) (*AdviseResponse, error) {
 	if e.local != nil {
 		return e.local.Advise(ctx, r)
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 )
 
 const (
@@ -99,30 +101,41 @@
 // Close closes all connections.
 func (p *Pool) Close() { p.SetPeers(nil) }
 
-// Ask requests advice from the service through one of the nodes, and returns a
-// ticket for each approved host. expectedDuration is that of the call; requests
-// with a lower priority value are served first, from 0. The error is that
-// of the last attempt, or of ctx.
-func (p *Pool) Ask(ctx context.Context, group cell.GroupID, hosts []string, expectedDuration time.Duration, priority int) (tickets map[string]string, err error) {
-	long := expectedDuration >= longCallThreshold
+// Ask makes an advice call through one of the nodes, and returns a ticket for each
+// approved host. Requests with a lower priority value are served first, from 0. The
+// error is that of the last attempt, or of ctx; it is advice.ErrStale, or a
+// *advice.BusyError, if the node did not call the service.
+func (p *Pool) Ask(ctx context.Context, c advice.Call, priority int) (tickets map[string]string, err error) {
+	long := c.Duration >= longCallThreshold
 	for range maxAdviceAttempts {
 		e := p.acquire(ctx, long, priority)
 		if e == nil {
 			return nil, ctx.Err()
 		}
-		callCtx, cancel := context.WithTimeout(ctx, 2*expectedDuration+adviceTimeoutMargin)
-		var r *AdviseResponse
-		r, err = e.advise(callCtx, &AdviseRequest{Group: group, Hosts: hosts})
-		cancel()
-		p.release(e, long, err != nil)
-		if err == nil {
-			return r.Tickets, nil
+		tickets, err = e.askInTime(ctx, c)
+		p.release(e, long, cooldownAfter(err))
+		if err == nil || errors.Is(err, advice.ErrStale) {
+			return tickets, err
 		}
-		p.log.Warn("An attempt to call the advice service through a node failed.", "id", group.Submission, "step", group.Step, "node", e.name, "error", err)
+		p.log.Warn("An attempt to call the advice service through a node failed.", "id", c.Group.Submission, "step", c.Group.Step, "node", e.name, "error", err)
 	}
 	return nil, err
 }
 
+// cooldownAfter returns how long an endpoint is not used after a call that ended with
+// an error. A node that refused since the service is busy tells when it will be free.
+func cooldownAfter(err error) time.Duration {
+	var busy *advice.BusyError
+	switch {
+	case err == nil, errors.Is(err, advice.ErrStale):
+		return 0
+	case errors.As(err, &busy):
+		return min(busy.FreeIn, endpointCooldown)
+	default:
+		return endpointCooldown
+	}
+}
+
 // acquire waits for an endpoint with capacity for a call. It returns nil when ctx
 // ends first.
 func (p *Pool) acquire(ctx context.Context, long bool, priority int) *endpoint {
@@ -155,23 +168,23 @@
 	return &p.shortWaiters
 }
 
-// release returns an acquired endpoint. After a failure the endpoint is not used
-// for endpointCooldown, unless it is the only one.
-func (p *Pool) release(e *endpoint, long, failed bool) {
+// release returns an acquired endpoint. It is not used during a cooldown, unless it is
+// the only one.
+func (p *Pool) release(e *endpoint, long bool, cooldown time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.freeSlot(e, long)
-	if failed && len(p.endpoints) > 1 {
-		p.coolDown(e)
+	if cooldown > 0 && len(p.endpoints) > 1 {
+		p.coolDown(e, cooldown)
 	}
 	p.grant()
 }
 
 // coolDown begins the cooldown of an endpoint. At its end waiting requests may use the
 // endpoint again. The caller holds p.mu.
-func (p *Pool) coolDown(e *endpoint) {
-	e.downUntil = p.clock.Now() + endpointCooldown
-	time.AfterFunc(endpointCooldown+cooldownTimerMargin, func() {
+func (p *Pool) coolDown(e *endpoint, d time.Duration) {
+	e.downUntil = p.clock.Now() + d
+	time.AfterFunc(d+cooldownTimerMargin, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.grant()
--- a/internal/cell/peers/pool_test.go
+++ b/internal/cell/peers/pool_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -112,7 +113,7 @@
 	ask := func(cost time.Duration, priority int) chan error {
 		done := make(chan error, 1)
 		go func() {
-			_, err := pool.Ask(ctx, cell.GroupID{Submission: "x"}, []string{"h"}, cost, priority)
+			_, err := pool.Ask(ctx, advice.Call{Group: cell.GroupID{Submission: "x"}, Hosts: []string{"h"}, Duration: cost}, priority)
 			done <- err
 		}()
 		return done
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -11,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 )
 
@@ -27,11 +29,19 @@
 type AdviseRequest struct {
 	Group cell.GroupID `json:"group"`
 	Hosts []string     `json:"hosts"`
+	// Token is the fencing token of the owner that asks.
+	Token int64 `json:"token,omitempty"`
+	// Duration is how long the service takes for the call.
+	Duration time.Duration `json:"duration,omitempty"`
 }
 
-// AdviseResponse holds the tickets of the approved hosts by host.
+// AdviseResponse holds the tickets of the approved hosts by host, or why the service
+// was not called.
 type AdviseResponse struct {
 	Tickets map[string]string `json:"tickets"`
+	Refusal advice.Refusal    `json:"refusal,omitempty"`
+	// FreeIn is when a node that refused since the service is busy may be asked again.
+	FreeIn time.Duration `json:"free_in,omitempty"`
 }
 
 // CallRequest is the HTTP call of a caller, which a node answers itself or forwards
--- a/internal/cell/peers/waitqueue_test.go
+++ b/internal/cell/peers/waitqueue_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
-	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 )
 
 // waitTime returns how long it takes until n requests wait at a pool whose endpoints
@@ -26,7 +26,7 @@
 	defer cancel()
 	begun := time.Now()
 	for i := range n {
-		go func() { _, _ = pool.Ask(ctx, cell.GroupID{}, []string{"h"}, time.Minute, i%3) }()
+		go func() { _, _ = pool.Ask(ctx, advice.Call{Hosts: []string{"h"}, Duration: time.Minute}, i%3) }()
 	}
 	waitFor := func(waiting int) {
 		for pool.Waiting() != waiting {
