Bound the advice calls in flight by what the nodes take, and retries by what succeeds

What callers saw: after a takeover in a burst hardly anything started; 7,222 advice requests failed while 414 were answered (docs/incidents/lost-owners-overloaded.md). Cause: the scheduler planned an advice call for every waiting group at once, the owner held a goroutine for each, and a call that failed was tried at up to three nodes and planned again 0.1 s later, for ever. The requests waited at the pool of nodes in the order of their queues' priority, so that what the scheduler would start first waited behind thousands that it could not start anyway, and each decision searched and sorted all hosts for each of them. Now the nodes that can be used say how many short and long calls they take at one time; the scheduler plans no more, and the groups that come first get them. When all nodes fail, no call is planned. Ruled out: a fixed number of calls; it would be too many for a cell of a few nodes and too few for a large one.

--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -28,6 +28,8 @@
 	// priority is that of the queue, 0 comes first. The error is advice.ErrStale if an
 	// owner with a higher fencing token has called.
 	Ask(ctx context.Context, c advice.Call, priority int) (map[string]string, error)
+	// Capacity returns how many calls can be in flight at one time at present.
+	Capacity() cell.AdviceRoom
 }
 
 // Journal stores the owner's records under its fencing token. Store retries until
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -56,6 +56,9 @@
 	// removedHosts are hosts whose records are to be deleted from the log.
 	removedHosts []string
 
+	// advice are the advice calls in flight.
+	advice adviceCalls
+
 	storeRounds       storeRounds
 	metrics           metrics
 	delays            delayLog
@@ -74,7 +77,7 @@
 			RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout,
 		}),
 		hosts: make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
-		ownershipLost: make(chan struct{}),
+		advice: make(adviceCalls), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
@@ -206,9 +209,11 @@
 		return
 	}
 	ow.updateDesired()
+	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	startedAt := ow.options.Clock.Now()
 	plan := ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
+	ow.advice.planned(plan.AdviceRequests)
 	messages := ow.scheduler.TakeLogMessages()
 	ow.mu.Unlock()
 	ow.delays.decision(startedAt-requestedAt, ow.lastDecisionTime, plan)
--- a/internal/cell/peers/endpoint.go
+++ b/internal/cell/peers/endpoint.go
@@ -22,8 +22,10 @@
 	// maxShortInFlight is the greatest number of short calls in flight to an
 	// endpoint: one is processed while the next one is on the network.
 	maxShortInFlight = 2
-	// endpointCooldown is how long an endpoint is not used after a failed call.
-	endpointCooldown = time.Second
+	// endpointCooldown is how long an endpoint is not used after a failed call. For advice
+	// calls it doubles with each further failure, up to maxAdviceCooldown.
+	endpointCooldown  = time.Second
+	maxAdviceCooldown = 8 * time.Second
 	// cooldownTimerMargin lets the timer at the end of a cooldown end after it on the
 	// pool's clock too.
 	cooldownTimerMargin = 5 * time.Millisecond
@@ -53,13 +55,25 @@
 	// shortInFlight and longInFlight count the advice calls in flight.
 	shortInFlight int
 	longInFlight  int
-	// downUntil is the end of the cooldown after a failed call.
-	downUntil time.Duration
+	// downUntil is the end of the cooldown after a call that could not be forwarded,
+	// adviceDownUntil that after an advice call that failed or was refused.
+	downUntil, adviceDownUntil time.Duration
+	// adviceCooldown is the cooldown after the last advice call, zero if it was answered.
+	adviceCooldown time.Duration
+}
+
+// isDown reports whether no advice call may be made through the endpoint.
+func (e *endpoint) isDown(now time.Duration) bool { return now < max(e.downUntil, e.adviceDownUntil) }
+
+// adviceFailed returns the cooldown after an advice call that failed.
+func (e *endpoint) adviceFailed() time.Duration {
+	e.adviceCooldown = min(max(2*e.adviceCooldown, endpointCooldown), maxAdviceCooldown)
+	return e.adviceCooldown
 }
 
 // hasCapacity reports whether the endpoint can take one more advice call.
 func (e *endpoint) hasCapacity(long bool, now time.Duration) bool {
-	if now < e.downUntil || e.longInFlight > 0 {
+	if e.isDown(now) || e.longInFlight > 0 {
 		return false
 	}
 	if long {
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -55,7 +55,7 @@
 func (p *Pool) markDown(e *endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.coolDown(e, endpointCooldown)
+	e.downUntil = p.clock.Now() + endpointCooldown
 }
 
 // Forward forwards a call to other nodes, one after the other, until a response can
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -17,8 +17,10 @@
 	perHostTimeShare = 0.5
 	minAdviceHosts   = 16
 	maxAdviceHosts   = 100
-	// adviceRetryBackoff is the wait after a failed call.
-	adviceRetryBackoff = 100 * time.Millisecond
+	// adviceRetryBackoff is the wait after a failed call. It doubles with each further
+	// failure, up to maxAdviceRetryBackoff.
+	adviceRetryBackoff    = 100 * time.Millisecond
+	maxAdviceRetryBackoff = 3200 * time.Millisecond
 )
 
 // advice holds the answers of the advice service for a group.
@@ -29,6 +31,8 @@
 	hosts    []*host
 	inFlight bool
 	retryAt  time.Duration
+	// backoff is the wait after the last call, zero if it was answered.
+	backoff time.Duration
 }
 
 // ticket permits tasks of a group to start on a host until it expires.
@@ -96,9 +100,33 @@
 		names[i] = h.spec.ID
 	}
 	p := g.policy()
+	d := p.CallDuration(len(names))
+	if !s.hasAdviceRoom(d) {
+		return
+	}
+	if s.adviceRoom != nil {
+		s.adviceRoom.Take(d)
+	}
 	g.advice.inFlight = true
 	s.plan.AdviceRequests = append(s.plan.AdviceRequests, AdviceRequest{
-		Group: g.id, Hosts: names, Duration: p.CallDuration(len(names)), Priority: g.job.queue.Priority, Validity: p.Validity,
+		Group: g.id, Hosts: names, Duration: d, Priority: g.job.queue.Priority, Validity: p.Validity,
+	})
+}
+
+// SetAdviceRoom sets how many advice calls the next decisions may plan. The groups that
+// come first in the queue use it.
+func (s *Scheduler) SetAdviceRoom(r cell.AdviceRoom) { s.adviceRoom = &r }
+
+// hasAdviceRoom reports whether a call that takes a time may be planned.
+func (s *Scheduler) hasAdviceRoom(d time.Duration) bool {
+	return s.adviceRoom == nil || s.adviceRoom.Has(d)
+}
+
+// hasUndecidedHost reports whether there is a host that the service has neither approved
+// nor denied for the group.
+func (s *Scheduler) hasUndecidedHost(g *group) bool {
+	return slices.ContainsFunc(s.sortedHosts, func(h *host) bool {
+		return !g.approved(h) && !g.advice.denied[h] && s.eligible(g, h)
 	})
 }
 
@@ -109,6 +137,9 @@
 	if g.advice.inFlight {
 		return true
 	}
+	if !s.mayRequestAdvice(g) {
+		return s.hasUndecidedHost(g)
+	}
 	var hosts []*host
 	for _, h := range s.sortedHosts {
 		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h] {
@@ -130,7 +161,7 @@
 	if g == nil {
 		return
 	}
-	g.advice.inFlight = false
+	g.advice.inFlight, g.advice.backoff = false, 0
 	if g.advice.tickets == nil {
 		g.advice.tickets, g.advice.denied = make(map[*host]ticket), make(map[*host]bool)
 	}
@@ -173,15 +204,19 @@
 	return g.advice.hosts
 }
 
-// mayRequestAdvice reports whether an advice call may be sent now.
+// mayRequestAdvice reports whether an advice call about at least one host may be planned
+// now.
 func (s *Scheduler) mayRequestAdvice(g *group) bool {
-	return g.policy() != nil && !g.advice.inFlight && s.now >= g.advice.retryAt
+	p := g.policy()
+	return p != nil && !g.advice.inFlight && s.now >= g.advice.retryAt &&
+		(s.hasAdviceRoom(p.CallDuration(1)) || s.hasAdviceRoom(p.CallDuration(adviceHostLimit(p))))
 }
 
 // AdviceFailed records that an advice call failed.
 func (s *Scheduler) AdviceFailed(id cell.GroupID, now time.Duration) {
 	if g := s.group(id); g != nil {
 		g.advice.inFlight = false
-		g.advice.retryAt = now + adviceRetryBackoff
+		g.advice.backoff = min(max(2*g.advice.backoff, adviceRetryBackoff), maxAdviceRetryBackoff)
+		g.advice.retryAt = now + g.advice.backoff
 	}
 }
--- a/internal/cell/schedule/decide_bench_test.go
+++ b/internal/cell/schedule/decide_bench_test.go
@@ -77,3 +77,18 @@
 		})
 	}
 }
+
+// BenchmarkDecideUnanswered measures decisions of an owner that has just taken over a
+// backlog and gets no advice.
+func BenchmarkDecideUnanswered(b *testing.B) {
+	c := backlog(6000)
+	for b.Loop() {
+		c.now += 25 * time.Millisecond
+		c.s.SetAdviceRoom(cell.AdviceRoom{Short: 60, Long: 28, LongFrom: 150 * time.Millisecond})
+		p := c.s.Decide(c.now, c.now)
+		c.s.TakeLogMessages()
+		for _, r := range p.AdviceRequests {
+			c.s.AdviceFailed(r.Group, c.now)
+		}
+	}
+}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -55,7 +55,9 @@
 	nextPeriodicCheck time.Duration
 	lastArrival       int
 	plan              *Plan
-	changed           map[string]bool
+	// adviceRoom is how many advice calls may be planned; nil for no bound.
+	adviceRoom *cell.AdviceRoom
+	changed    map[string]bool
 	// logMessages holds the messages that TakeLogMessages returns next.
 	logMessages []LogMessage
 	// usageReported is set once a host has reported the usage of a run. From
