Let the owner's heartbeats wait for no decision, and stop them when it decides no more

Cause: the heartbeat was written by the loop that stores progress, which takes the owner's lock before each append; a decision, thousands of pollers and requests hold or want that lock. The answer to a follower that asks whether the owner acts waited for the same lock, so that a busy owner looked as dead as one that has gone. Now heartbeats have a goroutine of their own, which needs no lock of the owner and waits at most for the append in flight. So that they still show that the owner acts and not only that a goroutine lives, they stop, like the answer that it acts, when no decision has ended for 4 s, the time for which an owner may act without an append. Ruled out: a longer silence before an owner is replaced; it would delay each change of the owner that is needed.

--- a/internal/cell/owner/advice_test.go
+++ b/internal/cell/owner/advice_test.go
@@ -35,8 +35,11 @@
 // newOwnerWithHost returns an owner that has one host, which nothing runs on, and that
 // does not run.
 func newOwnerWithHost(o Options, queue cell.Queue) *Owner {
-	o.Self, o.Clock, o.WallClock = registry.Ownership{Token: 1}, boottime.Clock{}, func() time.Duration { return 0 }
-	o.Log, o.ClaimSent = slog.New(slog.DiscardHandler), boottime.Clock{}.Now()
+	o.Self, o.WallClock = registry.Ownership{Token: 1}, func() time.Duration { return 0 }
+	if o.Clock == nil {
+		o.Clock = boottime.Clock{}
+	}
+	o.Log, o.ClaimSent = slog.New(slog.DiscardHandler), o.Clock.Now()
 	o.Desired = func() *cell.Desired { return &cell.Desired{Version: 1, Queues: []cell.Queue{queue}} }
 	o.EarlierOwnersGone = func() bool { return true }
 	ow := New(o)
@@ -46,7 +49,7 @@
 	now := ow.options.Clock.Now()
 	ow.scheduler.ApplyReport("h", now, now, cell.HostReport{StartedMs: 1})
 	ow.scheduler.MarkReconciled(now)
-	ow.reconciled = true
+	ow.reconciled.Store(true)
 	return ow
 }
 
--- a/internal/cell/owner/delaylog.go
+++ b/internal/cell/owner/delaylog.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -28,8 +29,8 @@
 	log                                  *slog.Logger
 	decisionTime, lockWait, timeToAppend tally.Timer
 	slowDecisions, lateRecords           *rate.Sometimes
-	// lastSentAt is when the last append was sent. Only the goroutine that appends uses it.
-	lastSentAt time.Duration
+	// lastSentAt is when the last append was sent.
+	lastSentAt *atomic.Int64
 }
 
 func newDelayLog(log *slog.Logger, s tally.Scope) delayLog {
@@ -38,7 +39,7 @@
 	}
 	return delayLog{
 		log: log, decisionTime: s.Timer("decision_time"), lockWait: s.Timer("decision_lock_wait"), timeToAppend: s.Timer("owner_append_time"),
-		slowDecisions: &rate.Sometimes{Interval: delayLogInterval}, lateRecords: &rate.Sometimes{Interval: delayLogInterval},
+		lastSentAt: new(atomic.Int64), slowDecisions: &rate.Sometimes{Interval: delayLogInterval}, lateRecords: &rate.Sometimes{Interval: delayLogInterval},
 	}
 }
 
@@ -57,11 +58,10 @@
 // stored reports an append that was sent at a time and took a time.
 func (d *delayLog) stored(sentAt, took time.Duration, records int) {
 	d.timeToAppend.Record(took)
-	gap := sentAt - d.lastSentAt
-	if d.lastSentAt != 0 && gap > lateRecordThreshold {
+	last := time.Duration(d.lastSentAt.Swap(int64(sentAt)))
+	if gap := sentAt - last; last != 0 && gap > lateRecordThreshold {
 		d.lateRecords.Do(func() {
 			d.log.Warn("The records of the owner are late.", "after", gap, "took", took, "records", records)
 		})
 	}
-	d.lastSentAt = sentAt
 }
--- a/internal/cell/owner/dump.go
+++ b/internal/cell/owner/dump.go
@@ -14,7 +14,7 @@
 func (ow *Owner) Dump() Dump {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return Dump{Token: ow.options.Self.Token, Reconciled: ow.reconciled, AuthorityValid: ow.authority.valid(), Cell: ow.scheduler.Dump()}
+	return Dump{Token: ow.options.Self.Token, Reconciled: ow.reconciled.Load(), AuthorityValid: ow.authority.valid(), Cell: ow.scheduler.Dump()}
 }
 
 // Explain returns the reasons for the current state of a submission.
--- /dev/null
+++ b/internal/cell/owner/heartbeat.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+const (
+	// heartbeatInterval is the time without an ownership or progress record in the log
+	// after which the owner appends a heartbeat. The other nodes see from these records
+	// that it acts.
+	heartbeatInterval = 400 * time.Millisecond
+	// heartbeatCheckInterval is the time between two checks whether a heartbeat is due.
+	heartbeatCheckInterval = heartbeatInterval / 4
+	// decisionTimeout is how long an owner that ends no decision counts as acting. It
+	// then writes no heartbeats, so that another node replaces it.
+	decisionTimeout = AuthorityDuration
+)
+
+// sendHeartbeats appends heartbeats until ctx ends or an append fails. It needs no lock
+// that a decision holds, and waits for no other work than the append in flight. A
+// heartbeat also tells that the runs of earlier owners have been reconciled.
+func (ow *Owner) sendHeartbeats(ctx context.Context) {
+	self := ow.options.Self
+	t := time.NewTicker(heartbeatCheckInterval)
+	defer t.Stop()
+	stalled := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := ow.options.Clock.Now()
+		if wasStalled := stalled; !ow.decides(now) {
+			if stalled = true; !wasStalled {
+				ow.options.Log.Error("No decision has ended for a long time; the owner writes no heartbeats.", "token", self.Token, "timeout", decisionTimeout)
+			}
+			continue
+		}
+		stalled = false
+		reconciled := ow.reconciled.Load()
+		if now-time.Duration(ow.lastSeenAppend.Load()) <= heartbeatInterval && reconciled == self.Reconciled {
+			continue
+		}
+		self.Reconciled = reconciled
+		self.HeartbeatNumber++
+		if err := ow.store(ctx, []platform.Record{registry.OwnershipRecord(self)}); err != nil {
+			return
+		}
+	}
+}
+
+// decides reports whether a decision has ended within decisionTimeout.
+func (ow *Owner) decides(now time.Duration) bool {
+	return now-time.Duration(ow.lastDecisionEnd.Load()) < decisionTimeout
+}
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -132,7 +132,7 @@
 		closed := h.host.Leaving || !h.inHostList || h.allRunsGone || h.unreachable
 		// The runs of earlier owners on a host that has never answered are unknown. A
 		// successor would assume that a closed host has only the recorded runs.
-		known := h.runsKnown || h.allRunsGone || ow.reconciled
+		known := h.runsKnown || h.allRunsGone || ow.reconciled.Load()
 		if closed == h.storedClosed || closed && !known || !closed && !h.runsKnown {
 			continue
 		}
--- a/internal/cell/owner/hostrecords_test.go
+++ b/internal/cell/owner/hostrecords_test.go
@@ -21,7 +21,7 @@
 		{"unreachable, its runs are unknown", func(_ *Owner, h *hostPoller) { h.unreachable = true }, false},
 		{"unreachable, its runs are known", func(_ *Owner, h *hostPoller) { h.unreachable, h.runsKnown = true, true }, true},
 		{"all leases there have expired", func(_ *Owner, h *hostPoller) { h.unreachable, h.allRunsGone = true, true }, true},
-		{"all runs of earlier owners have ended", func(w *Owner, h *hostPoller) { h.unreachable, w.reconciled = true, true }, true},
+		{"all runs of earlier owners have ended", func(w *Owner, h *hostPoller) { h.unreachable = true; w.reconciled.Store(true) }, true},
 		{"reachable", func(_ *Owner, h *hostPoller) { h.runsKnown = true }, false},
 	} {
 		w := New(Options{
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -43,10 +44,6 @@
 	// desired is the desired state that the scheduler has.
 	desired *cell.Desired
 	hosts   map[string]*hostPoller
-	// reconciled is set once every run of earlier owners is known or has ended.
-	reconciled bool
-	// stopping is set once no further orders may be sent.
-	stopping bool
 	// finishedAt is when a submission finished, by ID. For one that finished before
 	// the term it is when the term began.
 	finishedAt map[string]time.Duration
@@ -59,6 +56,18 @@
 	// advice are the advice calls in flight.
 	advice adviceCalls
 
+	// reconciled is set once every run of earlier owners is known or has ended. It is set
+	// under mu.
+	reconciled atomic.Bool
+	// stopping is set once no further orders may be sent. It is set under mu.
+	stopping atomic.Bool
+	// lastDecisionEnd is when the last call of decide ended, or the term began. It rises
+	// also while the authority is not valid, since heartbeats restore it.
+	lastDecisionEnd atomic.Int64
+	// lastSeenAppend is when the last append was sent that shows the other nodes that
+	// the owner acts.
+	lastSeenAppend atomic.Int64
+
 	storeRounds       storeRounds
 	metrics           metrics
 	delays            delayLog
@@ -83,6 +92,9 @@
 	ow.metrics = newMetrics(o.Metrics)
 	ow.delays = newDelayLog(o.Log, o.Metrics)
 	ow.authority.extend(o.ClaimSent)
+	now := int64(o.Clock.Now())
+	ow.lastDecisionEnd.Store(now)
+	ow.lastSeenAppend.Store(now)
 	return ow
 }
 
@@ -156,11 +168,8 @@
 func (ow *Owner) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ow.goroutines.Add(1)
-	go func() {
-		defer ow.goroutines.Done()
-		ow.persist(ctx)
-	}()
+	ow.goroutines.Go(func() { ow.sendHeartbeats(ctx) })
+	ow.goroutines.Go(func() { ow.persist(ctx) })
 	t := time.NewTicker(maxDecisionInterval)
 	defer t.Stop()
 	for {
@@ -198,13 +207,14 @@
 }
 
 func (ow *Owner) decide(ctx context.Context) {
+	defer func() { ow.lastDecisionEnd.Store(int64(ow.options.Clock.Now())) }()
 	if !ow.authority.valid() {
 		return
 	}
 	requestedAt := ow.options.Clock.Now()
 	ow.mu.Lock()
 	ow.checkReconciled()
-	if ow.stopping {
+	if ow.stopping.Load() {
 		ow.mu.Unlock()
 		return
 	}
@@ -227,7 +237,7 @@
 // checkReconciled informs the scheduler once no unknown run of an earlier owner
 // can exist.
 func (ow *Owner) checkReconciled() {
-	if ow.reconciled || len(ow.hosts) == 0 {
+	if ow.reconciled.Load() || len(ow.hosts) == 0 {
 		return
 	}
 	now := ow.options.Clock.Now()
@@ -240,7 +250,7 @@
 	if unresolved > 0 && now < ow.earlierRunsEndBy() {
 		return
 	}
-	ow.reconciled = true
+	ow.reconciled.Store(true)
 	ow.scheduler.MarkReconciled(now)
 	ow.options.Log.Info("All runs of earlier owners are known or have ended.", "token", ow.options.Self.Token, "hosts", len(ow.hosts), "silent", unresolved, "after", now-ow.options.ClaimedAt)
 }
@@ -255,11 +265,7 @@
 }
 
 // Reconciled reports whether every run of earlier owners is known or has ended.
-func (ow *Owner) Reconciled() bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.reconciled
-}
+func (ow *Owner) Reconciled() bool { return ow.reconciled.Load() }
 
 func (ow *Owner) leaseDuration() time.Duration {
 	if ow.options.MaxLease > 0 {
@@ -268,12 +274,10 @@
 	return LeaseDuration
 }
 
-// Acts reports whether the owner may send orders: its authority is valid and it is
-// not shutting down.
+// Acts reports whether the owner sends orders: its authority is valid, it makes
+// decisions, and it is not shutting down. It does not wait for a decision.
 func (ow *Owner) Acts() bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.authority.valid() && !ow.stopping
+	return ow.authority.valid() && !ow.stopping.Load() && ow.decides(ow.options.Clock.Now())
 }
 
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
@@ -281,7 +285,7 @@
 // before ctx ended.
 func (ow *Owner) Stop(ctx context.Context) bool {
 	ow.mu.Lock()
-	ow.stopping = true
+	ow.stopping.Store(true)
 	ow.mu.Unlock()
 	for range cap(ow.orderSlots) {
 		select {
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// heartbeatInterval is the time without a record in the log after which the owner
-	// appends a heartbeat. The other nodes see from its ownership records and
-	// progress records that it is alive.
-	heartbeatInterval = 400 * time.Millisecond
+	// maxStoreInterval is the longest time between two rounds of storing changes.
+	maxStoreInterval = 100 * time.Millisecond
 	// storeBatchWindow is how long changes are collected for one append.
 	storeBatchWindow = 3 * time.Millisecond
 	// maxRecordsPerAppend bounds the records of one append.
@@ -82,20 +80,17 @@
 	}
 }
 
-// persist stores changed progress and host records, deletes expired submissions,
-// and appends a heartbeat if there was nothing else to store for
-// heartbeatInterval or the runs of earlier owners have been reconciled, until ctx
-// ends or an append fails.
+// persist stores changed progress and host records and deletes expired submissions,
+// until ctx ends or an append fails.
 func (ow *Owner) persist(ctx context.Context) {
-	self := ow.options.Self
-	lastStored, lastExpiryScan := ow.options.Clock.Now(), ow.options.Clock.Now()
+	lastExpiryScan := ow.options.Clock.Now()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ow.storeRounds.wake:
 			time.Sleep(storeBatchWindow)
-		case <-time.After(heartbeatInterval / 4):
+		case <-time.After(maxStoreInterval):
 		}
 		round := ow.storeRounds.begin()
 		records, changed := ow.hostRecords()
@@ -106,17 +101,10 @@
 			lastExpiryScan = now
 			records = append(records, ow.expiryRecords(now)...)
 		}
-		reconciled := ow.Reconciled()
-		if len(records) == 0 && now-lastStored > heartbeatInterval || reconciled != self.Reconciled {
-			self.Reconciled = reconciled
-			self.HeartbeatNumber++
-			records = append(records, registry.OwnershipRecord(self))
-		}
 		if len(records) > 0 {
 			if err := ow.store(ctx, records); err != nil {
 				return
 			}
-			lastStored = now
 			ow.hostRecordsStored(changed)
 			ow.removeFinished(finished)
 		}
@@ -140,6 +128,7 @@
 		}
 		ow.delays.stored(sentAt, ow.options.Clock.Now()-sentAt, n)
 		ow.authority.extend(sentAt)
+		ow.lastSeenAppend.Store(int64(sentAt))
 		records = records[n:]
 	}
 	return nil
