Count no append of hosts' records as a sign of life of the owner

Cause, found by reading: an owner that appended anything sent no heartbeat for 0.4 s, but the other nodes count only ownership and progress records. While records of hosts are all that it stores (hosts that come and go by turns, or are closed and opened after a takeover), it looks dead. Evidence: TestRecordsOfHostsReplaceNoHeartbeat fails before (1 heartbeat in 1.2 s) and passes now.

--- a/internal/cell/owner/heartbeat_test.go
+++ b/internal/cell/owner/heartbeat_test.go
@@ -106,3 +106,16 @@
 	restore()
 	g.Eventually(ow.Acts, "5s").Should(gomega.BeTrue())
 }
+
+// Guards against an owner that looks dead while it stores only records of hosts, which
+// are no sign that it decides.
+func TestRecordsOfHostsReplaceNoHeartbeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	journal := &heartbeatJournal{}
+	ow := runOwner(t, Options{Journal: journal})
+	for range 3 * heartbeatInterval / heartbeatCheckInterval {
+		g.Expect(ow.store(t.Context(), []platform.Record{registry.HostRecord(registry.Host{})})).To(gomega.Succeed())
+		time.Sleep(heartbeatCheckInterval)
+	}
+	g.Expect(journal.heartbeats.Load()).To(gomega.BeNumerically(">=", 2)) // the first one tells that all is reconciled
+}
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -128,7 +129,9 @@
 		}
 		ow.delays.stored(sentAt, ow.options.Clock.Now()-sentAt, n)
 		ow.authority.extend(sentAt)
-		ow.lastSeenAppend.Store(int64(sentAt))
+		if slices.ContainsFunc(records[:n], registry.IsOwnerWrite) {
+			ow.lastSeenAppend.Store(int64(sentAt))
+		}
 		records = records[n:]
 	}
 	return nil
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -97,5 +98,11 @@
 	return platform.Record{Key: prefixMark + appender, Value: []byte(value)}
 }
 
+// IsOwnerWrite reports whether a record shows the readers of the log that the owner acts;
+// see Registry.Owner.
+func IsOwnerWrite(r platform.Record) bool {
+	return IsOwnership(r) || len(r.Value) > 0 && strings.HasPrefix(r.Key, prefixProgress)
+}
+
 // IsOwnership reports whether a record is the record of an ownership.
 func IsOwnership(r platform.Record) bool { return r.Key == keyOwner }
