Let the reader of the work topic never wait for the owner

Cause: a term began in the goroutine that reads the work topic, which took over thousands of submissions under the lock of the node, and each submission and cancellation that it read later waited for the owner's lock, that is for its decisions. Now what is read goes into a queue that each decision empties first, in the order of the log; it holds a reference for each submission and cancellation since the last decision. The stored submissions are taken over by the owner's own goroutine, after its heartbeats have begun; hosts are polled only after that, as before, so that no run there counts as that of an unknown submission. Ruled out: that a submission is lost or added twice; one that is both stored and passed on as an event is added once.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -262,7 +262,8 @@
 	n.beginTerm(c, offset)
 }
 
-// beginTerm makes this node the owner, with the claim that was read at offset. The
+// beginTerm makes this node the owner, with the claim that was read at offset. It does
+// not wait for the owner, since the goroutine that reads the work topic calls it. The
 // caller holds n.mu.
 func (n *Node) beginTerm(c *claim, offset uint64) {
 	log := logging.WithComponent(n.log, "owner")
@@ -271,13 +272,12 @@
 	t := &term{claim: c, cancel: cancel, done: make(chan struct{}), listedHosts: make(map[string]cell.Host), missingSince: make(map[string]time.Duration), storedHosts: n.registry.Hosts()}
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, WallClock: wallClock, Log: log, Metrics: n.metrics, HostClient: n.hostClient, Advisor: n.pool, Journal: c.journal,
-		Desired:     n.appliedDesired,
+		Desired: n.appliedDesired, Stored: n.registry.All,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
 		EarlierOwnersGone: func() bool { return previousOwnerGone(c.previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs),
 	})
-	t.owner.Load(n.registry.All())
 	n.registry.SetListener(t.owner)
 	n.term = t
 	n.termGoroutines.Add(2)
@@ -292,7 +292,9 @@
 	}()
 	go func() {
 		defer n.termGoroutines.Done()
-		n.followHosts(ctx, t)
+		if t.owner.WaitLoaded(ctx) {
+			n.followHosts(ctx, t)
+		}
 	}()
 }
 
--- a/internal/cell/owner/desired_test.go
+++ b/internal/cell/owner/desired_test.go
@@ -17,9 +17,9 @@
 	w := New(Options{
 		Self: registry.Ownership{Token: 1}, Clock: boottime.Clock{}, WallClock: func() time.Duration { return 0 },
 		Log: slog.New(slog.DiscardHandler), Desired: func() *cell.Desired { return applied },
-		ClaimSent: boottime.Clock{}.Now(), EarlierOwnersGone: func() bool { return true },
+		ClaimSent: boottime.Clock{}.Now(), EarlierOwnersGone: func() bool { return true }, Stored: func() []registry.Entry { return nil },
 	})
-	w.Load(nil)
+	w.load()
 	if w.desired.Version != 1 {
 		t.Errorf("version %d is used after the load, want 1", w.desired.Version)
 	}
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -54,6 +54,9 @@
 	HostClient HostClient
 	Advisor    Advisor
 	Journal    Journal
+	// Stored returns the stored state of every submission; nil if there are none. It is
+	// called once, by Run.
+	Stored func() []registry.Entry
 	// ClaimOffset is the log offset of the claim. Submissions after it have no runs
 	// of earlier owners.
 	ClaimOffset uint64
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -68,6 +68,10 @@
 	// the owner acts.
 	lastSeenAppend atomic.Int64
 
+	events eventQueue
+	// loaded is closed once the stored submissions have been taken over.
+	loaded chan struct{}
+
 	storeRounds       storeRounds
 	metrics           metrics
 	delays            delayLog
@@ -86,7 +90,7 @@
 			RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout,
 		}),
 		hosts: make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
-		advice: make(adviceCalls), ownershipLost: make(chan struct{}),
+		advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
@@ -98,9 +102,14 @@
 	return ow
 }
 
-// Load adds the stored state of every submission. It is called before Run, by the
-// goroutine that reads the log.
-func (ow *Owner) Load(entries []registry.Entry) {
+// load takes over the stored submissions. Those that were read since the term began may
+// be among them, and are passed on as events too; that changes nothing.
+func (ow *Owner) load() {
+	defer close(ow.loaded)
+	if ow.options.Stored == nil {
+		return
+	}
+	entries := ow.options.Stored()
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.updateDesired()
@@ -112,6 +121,18 @@
 		}
 		ow.add(e, now, wall)
 	}
+	ow.options.Log.Info("The stored submissions were taken over.", "token", ow.options.Self.Token, "submissions", len(entries), "took", ow.options.Clock.Now()-now)
+}
+
+// WaitLoaded waits until the stored submissions have been taken over. Runs on hosts are
+// known only then. It returns false if ctx ends first.
+func (ow *Owner) WaitLoaded(ctx context.Context) bool {
+	select {
+	case <-ow.loaded:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func (ow *Owner) add(e registry.Entry, now, wall time.Duration) {
@@ -121,22 +142,6 @@
 	}
 }
 
-// Submitted implements registry.Listener.
-func (ow *Owner) Submitted(e registry.Entry) {
-	ow.mu.Lock()
-	ow.add(e, ow.options.Clock.Now(), ow.options.WallClock())
-	ow.mu.Unlock()
-	ow.requestDecision()
-}
-
-// CancelRequested implements registry.Listener.
-func (ow *Owner) CancelRequested(id string) {
-	ow.mu.Lock()
-	ow.scheduler.Cancel(id, ow.options.Clock.Now())
-	ow.mu.Unlock()
-	ow.requestDecision()
-}
-
 // updateDesired passes a new desired state to the scheduler. The owner fetches the
 // state, so that the reader of the desired state never waits for a decision.
 func (ow *Owner) updateDesired() {
@@ -164,11 +169,12 @@
 	})
 }
 
-// Run makes and executes decisions until ctx ends or the ownership is lost.
+// Run takes over the stored submissions, then makes and executes decisions until ctx ends or the ownership is lost.
 func (ow *Owner) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ow.goroutines.Go(func() { ow.sendHeartbeats(ctx) })
+	ow.load()
 	ow.goroutines.Go(func() { ow.persist(ctx) })
 	t := time.NewTicker(maxDecisionInterval)
 	defer t.Stop()
@@ -219,6 +225,7 @@
 		return
 	}
 	ow.updateDesired()
+	ow.applyEvents()
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	startedAt := ow.options.Clock.Now()
 	plan := ow.scheduler.Decide(startedAt, ow.options.WallClock())
