Count no record that is not read yet as silence of the owner

Cause (one of several): a follower took the time since it last saw a record of the owner for silence, up to its own delay of 0.6 s included. A follower that is as busy as the owner reads late, so that an owner whose records are 0.9 s apart was replaced for a silence of 1.2 s, 0.35 s after its last record. Now the silence ends with the last read. The cost: in a cell where nothing is written the last read may be 0.4 s old, by which a silent owner is replaced later. TestElection now lets the last read advance with the clock, as it does in a node; its cases and bounds are the same. Evidence: TestLateReaderReplacesNoLiveOwner fails before (the node claims 350 ms after the owner's record) and passes now.

--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -90,12 +90,13 @@
 	exitedOwnerInstance string
 }
 
-// ownerSilentFor returns how long the owner has written no record.
+// ownerSilentFor returns for how long the owner has certainly written no record: what
+// this node has not read yet is no silence.
 func (e *election) ownerSilentFor(now time.Duration, v electionInput) time.Duration {
 	if v.ownerWrites != e.ownerWrites || e.lastOwnerWriteAt == 0 {
 		e.ownerWrites, e.lastOwnerWriteAt = v.ownerWrites, now
 	}
-	return now - e.lastOwnerWriteAt
+	return max(v.asOf-e.lastOwnerWriteAt, 0)
 }
 
 // shouldClaim reports whether this node should claim the ownership now.
--- a/internal/cell/node/election_test.go
+++ b/internal/cell/node/election_test.go
@@ -56,6 +56,7 @@
 			c.change(&v)
 		}
 		e.shouldClaim(now, v)
+		v.asOf += freeOwnershipRankDelay
 		if got := e.shouldClaim(now+freeOwnershipRankDelay, v); got != c.want {
 			t.Errorf("%s: shouldClaim is %t, want %t", c.name, got, c.want)
 		}
@@ -107,6 +108,33 @@
 	}
 }
 
+// Guards against an owner that is replaced although it acts, by a node that is late in
+// applying what it reads: the owner's next record is stored but not applied yet.
+func TestLateReaderReplacesNoLiveOwner(t *testing.T) {
+	const (
+		tick      = 10 * time.Millisecond
+		period    = 1400 * time.Millisecond // two reads, the second of which is applied late
+		lateApply = 550 * time.Millisecond
+		nextWrite = 900 * time.Millisecond // after the first write of a period
+	)
+	self := membership.Node{Name: "b", InstanceID: "b1"}
+	e := &election{self: self}
+	for now := 7 * period; now < 60*time.Second; now += tick {
+		asOf := now / period * period
+		if now-asOf >= period/2+lateApply {
+			asOf += period / 2
+		}
+		writes := 2 * int64(asOf/period)
+		if asOf%period >= nextWrite {
+			writes++
+		}
+		v := electionInput{owner: registry.Ownership{Node: "a", InstanceID: "a1", Token: 4}, ownerWrites: writes, followers: []membership.Node{self}, asOf: asOf}
+		if e.shouldClaim(now, v) {
+			t.Fatalf("the node claims at %s, %s after the owner's last record", now, now%period-nextWrite)
+		}
+	}
+}
+
 // Guards against a claimer of a token that is passed over, but not fenced.
 func TestNextTokenFencesPassedOverClaim(t *testing.T) {
 	v := electionInput{owner: registry.Ownership{Token: 4}, takenToken: 5}
