Bound the work of one decision, however long the backlog is

Cause: each decision looked for hosts for every waiting group, and the time of a decision therefore grew with the backlog (0.2 to 0.3 s with several thousand), while a submission needs two or three decisions until it starts. Now a decision examines a bounded number of hosts: first for the groups at the head of the queue, and then for the others in turn, in the order of arrival, so that nothing behind the bound waits for ever behind what can't start. The queue is sorted without copies. Ruled out: only the head of the queue; work that fits nowhere would then keep all that is behind it from starting.

--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -33,6 +33,8 @@
 	trialRetryAt time.Duration
 	// trial is set while the group is placed that may use only hosts without other runs.
 	trial bool
+	// placedIn is the number of the last decision in which the group was placed.
+	placedIn int64
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -40,18 +40,7 @@
 	queue := s.queue()
 	s.beginPass(queue)
 	s.updateTrials(queue)
-	reservingGangs := 0
-	for _, e := range queue {
-		if s.underTrial(e.group.job) {
-			s.placeTrial(e.group, &reservingGangs)
-		} else if !s.mayStartFirstTask(e.group.job) && e.group.run == 0 {
-			s.setWaitReason(e.group, waitFirstTask)
-		} else if e.group.step.Gang {
-			s.placeGang(e.group, &reservingGangs)
-		} else {
-			s.placeTasks(e.group)
-		}
-	}
+	s.placeQueue(queue)
 	if now >= s.nextPeriodicCheck {
 		s.nextPeriodicCheck = now + periodicCheckInterval
 		s.prefetchAdvice()
@@ -96,6 +85,7 @@
 
 // eligible reports whether a host could take tasks of a group if they fitted.
 func (s *Scheduler) eligible(g *group, h *host) bool {
+	s.work.used++
 	if g.step.BestEffort && s.now < h.bestEffortBlockedUntil {
 		return false
 	}
@@ -113,6 +103,7 @@
 
 // tasksThatFit returns how many more tasks of a group fit on a host now.
 func (s *Scheduler) tasksThatFit(g *group, h *host) int {
+	s.work.used++
 	n := tasksIn(g.size, h.freeFor(s.now+g.estimate(h)))
 	if g.step.MaxPerHost > 0 {
 		n = min(n, g.step.MaxPerHost-g.runsOn(h))
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -39,28 +39,39 @@
 	group  *group
 	rank   int
 	laxity time.Duration
+	// position is the position in the order of arrival.
+	position int
 }
 
-// queue returns the groups with waiting tasks in the order in which they are placed.
+// queue returns the groups with waiting tasks in the order in which they are placed. The
+// slice is valid until the next call.
 func (s *Scheduler) queue() []queueEntry {
-	var q []queueEntry
-	for _, g := range s.groups {
-		if g.ready && g.waiting > 0 && !g.job.unreconciled {
-			q = append(q, s.rank(g))
+	q := s.queueBuffer[:0]
+	for i, g := range s.groups {
+		if s.isWaiting(g) {
+			e := s.rank(g)
+			e.position = i
+			q = append(q, e)
 		}
 	}
-	slices.SortStableFunc(q, func(a, b queueEntry) int {
-		if c := cmp.Compare(a.rank, b.rank); c != 0 {
-			return c
+	slices.SortFunc(q, func(a, b queueEntry) int {
+		if a.rank != b.rank {
+			return a.rank - b.rank
 		}
 		if c := cmp.Compare(a.laxity, b.laxity); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.group.job.arrivalNumber, b.group.job.arrivalNumber)
+		return a.position - b.position
 	})
+	s.queueBuffer = q
 	return q
 }
 
+// isWaiting reports whether a group has tasks that can be placed.
+func (s *Scheduler) isWaiting(g *group) bool {
+	return g.ready && g.waiting > 0 && !g.job.unreconciled
+}
+
 // rank computes the sort keys of a group: its rank, and its laxity, which is the
 // time until it is due minus the time that its work takes. Negative laxity means
 // that the work is expected to miss its objective.
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -55,6 +55,9 @@
 	nextPeriodicCheck time.Duration
 	lastArrival       int
 	plan              *Plan
+	work              workBudget
+	// queueBuffer holds the entries of the last queue.
+	queueBuffer []queueEntry
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
 	adviceRoom *cell.AdviceRoom
 	changed    map[string]bool
--- /dev/null
+++ b/internal/cell/schedule/workbudget.go
@@ -0,0 +1,79 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// maxHeadWork bounds the work for the groups at the head of the queue in one decision,
+	// in hosts examined, and maxRestWork that for the others, which take turns.
+	maxHeadWork = 60_000
+	maxRestWork = 20_000
+	// workPerGroup is the work for a group for which no host is examined.
+	workPerGroup = 20
+)
+
+// workBudget bounds the work of one decision, so that an owner with a long backlog goes
+// on deciding often. The groups that come first in the queue are always placed; those
+// behind the bound take turns over the decisions, in the order of arrival.
+type workBudget struct {
+	// used is the work of the current decision, in hosts examined.
+	used int
+	// pass numbers the decisions.
+	pass int64
+	// lastTurn is the arrival number of the last job whose turn it was.
+	lastTurn int
+}
+
+func (b *workBudget) beginPass() {
+	b.used = 0
+	b.pass++
+}
+
+// placeQueue places the groups in the queue as far as the work of one decision goes.
+func (s *Scheduler) placeQueue(queue []queueEntry) {
+	s.work.beginPass()
+	reservingGangs := 0
+	for i, e := range queue {
+		if s.work.used >= maxHeadWork {
+			s.placeInTurn(len(queue)-i, &reservingGangs)
+			return
+		}
+		s.place(e.group, &reservingGangs)
+	}
+}
+
+// placeInTurn places the next ones of the given number of groups that were not placed
+// in this decision.
+func (s *Scheduler) placeInTurn(left int, reservingGangs *int) {
+	end := s.work.used + maxRestWork
+	first, _ := slices.BinarySearchFunc(s.groups, s.work.lastTurn+1, func(g *group, number int) int {
+		return cmp.Compare(g.job.arrivalNumber, number)
+	})
+	for i := 0; i < len(s.groups) && left > 0 && s.work.used < end; i++ {
+		g := s.groups[(first+i)%len(s.groups)]
+		s.work.lastTurn = g.job.arrivalNumber
+		if g.placedIn == s.work.pass || !s.isWaiting(g) {
+			continue
+		}
+		s.place(g, reservingGangs)
+		left--
+	}
+}
+
+// place starts a group, or what is needed before it can start.
+func (s *Scheduler) place(g *group, reservingGangs *int) {
+	g.placedIn = s.work.pass
+	s.work.used += workPerGroup
+	switch {
+	case s.underTrial(g.job):
+		s.placeTrial(g, reservingGangs)
+	case !s.mayStartFirstTask(g.job) && g.run == 0:
+		s.setWaitReason(g, waitFirstTask)
+	case g.step.Gang:
+		s.placeGang(g, reservingGangs)
+	default:
+		s.placeTasks(g)
+	}
+}
