Write no heartbeat behind the record that releases the ownership

Cause, found by reading: an owner that stops goes on writing heartbeats until its term has ended. One that follows the record of the release shows the other nodes an owner that acts, so that they wait for its silence (1.2 s) before one of them claims. Evidence: TestStoppedOwnerWritesNoHeartbeat fails before and passes now.

--- a/internal/cell/owner/heartbeat.go
+++ b/internal/cell/owner/heartbeat.go
@@ -48,12 +48,35 @@
 		}
 		self.Reconciled = reconciled
 		self.HeartbeatNumber++
-		if err := ow.store(ctx, []platform.Record{registry.OwnershipRecord(self)}); err != nil {
+		if !ow.sendHeartbeat(ctx, self) {
 			return
 		}
 	}
 }
 
+// sendHeartbeat appends a heartbeat. It returns false if ctx ends, the append fails or the
+// heartbeats have been ended.
+func (ow *Owner) sendHeartbeat(ctx context.Context, self registry.Ownership) bool {
+	select {
+	case ow.heartbeatSlot <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-ow.heartbeatSlot }()
+	return ow.store(ctx, []platform.Record{registry.OwnershipRecord(self)}) == nil
+}
+
+// endHeartbeats waits for the heartbeat in flight and lets none follow. It returns false
+// if ctx ends first.
+func (ow *Owner) endHeartbeats(ctx context.Context) bool {
+	select {
+	case ow.heartbeatSlot <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // decides reports whether a decision has ended within decisionTimeout.
 func (ow *Owner) decides(now time.Duration) bool {
 	return now-time.Duration(ow.lastDecisionEnd.Load()) < decisionTimeout
--- a/internal/cell/owner/heartbeat_test.go
+++ b/internal/cell/owner/heartbeat_test.go
@@ -119,3 +119,15 @@
 	}
 	g.Expect(journal.heartbeats.Load()).To(gomega.BeNumerically(">=", 2)) // the first one tells that all is reconciled
 }
+
+// Guards against a heartbeat behind the record that releases the ownership: it would show
+// the other nodes an owner that acts.
+func TestStoppedOwnerWritesNoHeartbeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	journal := &heartbeatJournal{}
+	ow := runOwner(t, Options{Journal: journal})
+	g.Eventually(journal.heartbeats.Load, "5s").Should(gomega.BeNumerically(">", 0))
+	g.Expect(ow.Stop(t.Context())).To(gomega.BeTrue())
+	before := journal.heartbeats.Load()
+	g.Consistently(journal.heartbeats.Load, 2*heartbeatInterval).Should(gomega.Equal(before))
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -36,8 +36,8 @@
 	authority authority
 	// wake triggers a decision.
 	wake chan struct{}
-	// orderSlots limits the orders in flight.
-	orderSlots chan struct{}
+	// orderSlots limits the orders in flight, heartbeatSlot the heartbeats to one.
+	orderSlots, heartbeatSlot chan struct{}
 
 	mu        sync.Mutex
 	scheduler *schedule.Scheduler
@@ -85,7 +85,7 @@
 // New returns an owner for the term that began with its claim.
 func New(o Options) *Owner {
 	ow := &Owner{
-		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight),
+		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), heartbeatSlot: make(chan struct{}, 1),
 		scheduler: schedule.New(schedule.Options{
 			RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout,
 		}),
@@ -288,8 +288,8 @@
 }
 
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
-// ones, and stores everything that is known. It reports whether that was done
-// before ctx ended.
+// ones, stores everything that is known, and ends the heartbeats. It reports whether
+// that was done before ctx ended.
 func (ow *Owner) Stop(ctx context.Context) bool {
 	ow.mu.Lock()
 	ow.stopping.Store(true)
@@ -301,5 +301,5 @@
 			return false
 		}
 	}
-	return ow.storeRounds.waitStored(ctx)
+	return ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
 }
