Tell a late record of the owner from one whose predecessor took long

In a play with a silent store the line about a late record read as if the owner had been late (after 4.7 s, took 8 ms): the append before it had taken the time.

--- a/internal/cell/owner/delaylog.go
+++ b/internal/cell/owner/delaylog.go
@@ -29,8 +29,8 @@
 	log                                  *slog.Logger
 	decisionTime, lockWait, timeToAppend tally.Timer
 	slowDecisions, lateRecords           *rate.Sometimes
-	// lastSentAt is when the last append was sent.
-	lastSentAt *atomic.Int64
+	// lastSentAt is when the last append was sent, lastTook how long it took.
+	lastSentAt, lastTook *atomic.Int64
 }
 
 func newDelayLog(log *slog.Logger, s tally.Scope) delayLog {
@@ -39,7 +39,7 @@
 	}
 	return delayLog{
 		log: log, decisionTime: s.Timer("decision_time"), lockWait: s.Timer("decision_lock_wait"), timeToAppend: s.Timer("owner_append_time"),
-		lastSentAt: new(atomic.Int64), slowDecisions: &rate.Sometimes{Interval: delayLogInterval}, lateRecords: &rate.Sometimes{Interval: delayLogInterval},
+		lastSentAt: new(atomic.Int64), lastTook: new(atomic.Int64), slowDecisions: &rate.Sometimes{Interval: delayLogInterval}, lateRecords: &rate.Sometimes{Interval: delayLogInterval},
 	}
 }
 
@@ -59,9 +59,10 @@
 func (d *delayLog) stored(sentAt, took time.Duration, records int) {
 	d.timeToAppend.Record(took)
 	last := time.Duration(d.lastSentAt.Swap(int64(sentAt)))
+	lastTook := time.Duration(d.lastTook.Swap(int64(took)))
 	if gap := sentAt - last; last != 0 && gap > lateRecordThreshold {
 		d.lateRecords.Do(func() {
-			d.log.Warn("The records of the owner are late.", "after", gap, "took", took, "records", records)
+			d.log.Warn("The records of the owner are late.", "after", gap, "took", took, "previous_took", lastTook, "records", records)
 		})
 	}
 }
