--- a/internal/cell/node/advise_test.go
+++ b/internal/cell/node/advise_test.go
@@ -16,14 +16,12 @@
 // Guards against calls that their callers have abandoned and that wait at the advice
 // service all the same, so that it answers no later call in time and refuses the rest.
 func TestAbandonedAdviceCallsDoNotReachTheService(t *testing.T) {
-	const callers, callTime = 20, 200 * time.Millisecond
+	const callers = 20
 	var calls atomic.Int64
-	var turn sync.Mutex // the service handles one call at a time
+	proceed := make(chan struct{})
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		calls.Add(1)
-		turn.Lock()
-		defer turn.Unlock()
-		time.Sleep(callTime)
+		<-proceed // the service handles a call to its end, even if the caller has left
 		_, _ = w.Write([]byte(`{"approvedWorkers":[["h","ticket"]]}`))
 	}))
 	defer service.Close()
@@ -31,13 +29,14 @@
 	var abandoned sync.WaitGroup
 	for range callers {
 		abandoned.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), callTime/4)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 			defer cancel()
 			_, _ = n.Advise(ctx, &peers.AdviseRequest{Hosts: []string{"h"}})
 		})
 	}
 	abandoned.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), 8*callTime)
+	close(proceed)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	r, err := n.Advise(ctx, &peers.AdviseRequest{Hosts: []string{"h"}})
 	if err != nil || r.Tickets["h"] != "ticket" {
--- a/internal/cell/owner/heartbeat_test.go
+++ b/internal/cell/owner/heartbeat_test.go
@@ -80,9 +80,12 @@
 	time.Sleep(4 * maxDecisionInterval) // the next decision waits for the lock
 	clock.shift.Store(int64(decisionTimeout + time.Second))
 	g.Eventually(ow.Acts, "5s").Should(gomega.BeFalse())
-	time.Sleep(heartbeatCheckInterval) // a heartbeat may have been due before
-	before := journal.heartbeats.Load()
-	g.Consistently(journal.heartbeats.Load, 3*heartbeatInterval).Should(gomega.Equal(before))
+	var before int64
+	g.Eventually(func() bool { // a heartbeat may have been due before
+		before = journal.heartbeats.Load()
+		time.Sleep(3 * heartbeatInterval)
+		return journal.heartbeats.Load() == before
+	}, "10s").Should(gomega.BeTrue())
 	unlock()
 	g.Eventually(ow.Acts, "5s").Should(gomega.BeTrue())
 	g.Eventually(journal.heartbeats.Load, "5s").Should(gomega.BeNumerically(">", before))
@@ -113,11 +116,10 @@
 	g := gomega.NewWithT(t)
 	journal := &heartbeatJournal{}
 	ow := runOwner(t, Options{Journal: journal})
-	for range 3 * heartbeatInterval / heartbeatCheckInterval {
+	g.Eventually(func() int64 {
 		g.Expect(ow.store(t.Context(), []platform.Record{registry.HostRecord(registry.Host{})})).To(gomega.Succeed())
-		time.Sleep(heartbeatCheckInterval)
-	}
-	g.Expect(journal.heartbeats.Load()).To(gomega.BeNumerically(">=", 2)) // the first one tells that all is reconciled
+		return journal.heartbeats.Load()
+	}, "3s", heartbeatCheckInterval).Should(gomega.BeNumerically(">=", 2)) // the first one tells that all is reconciled
 }
 
 // Guards against a heartbeat behind the record that releases the ownership: it would show
