--- a/internal/cell/owner/heartbeat.go
+++ b/internal/cell/owner/heartbeat.go
@@ -27,7 +27,7 @@
 	self := ow.options.Self
 	t := time.NewTicker(heartbeatCheckInterval)
 	defer t.Stop()
-	stalled := false
+	decided := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,15 +35,13 @@
 		case <-t.C:
 		}
 		now := ow.options.Clock.Now()
-		if wasStalled := stalled; !ow.decides(now) {
-			if stalled = true; !wasStalled {
-				ow.options.Log.Error("No decision has ended for a long time; the owner writes no heartbeats.", "token", self.Token, "timeout", decisionTimeout)
-			}
-			continue
+		decides := ow.decides(now)
+		if decided && !decides {
+			ow.options.Log.Error("No decision has ended for a long time; the owner writes no heartbeats.", "token", self.Token, "timeout", decisionTimeout)
 		}
-		stalled = false
+		decided = decides
 		reconciled := ow.reconciled.Load()
-		if now-time.Duration(ow.lastSeenAppend.Load()) <= heartbeatInterval && reconciled == self.Reconciled {
+		if !decides || !ow.heartbeatDue(now) && reconciled == self.Reconciled {
 			continue
 		}
 		self.Reconciled = reconciled
@@ -54,6 +52,12 @@
 	}
 }
 
+// heartbeatDue reports whether the other nodes have seen no sign of life of the owner for
+// heartbeatInterval.
+func (ow *Owner) heartbeatDue(now time.Duration) bool {
+	return now-time.Duration(ow.lastSeenAppend.Load()) > heartbeatInterval
+}
+
 // sendHeartbeat appends a heartbeat. It returns false if ctx ends, the append fails or the
 // heartbeats have been ended.
 func (ow *Owner) sendHeartbeat(ctx context.Context, self registry.Ownership) bool {
