Let the bound on the work of a decision grow with the hosts

By reading: at 3,000 hosts the bound of 60,000 hosts examined would have let a decision plan the advice calls of 20 submissions, fewer than arrive there. A decision may now examine all hosts for 170 groups, 60,000 in any case, which is the same as before at 350 hosts.

--- a/internal/cell/schedule/workbudget.go
+++ b/internal/cell/schedule/workbudget.go
@@ -6,10 +6,13 @@
 )
 
 const (
-	// maxHeadWork bounds the work for the groups at the head of the queue in one decision,
-	// in hosts examined, and maxRestWork that for the others, which take turns.
-	maxHeadWork = 60_000
-	maxRestWork = 20_000
+	// fullSearches is for how many groups a decision may examine every host; minHeadWork is
+	// the least bound, in hosts examined, since few hosts are examined fast. They bound the
+	// work for the groups at the head of the queue. That for the others, which take turns, is
+	// bounded to one part in restDivisor of it.
+	fullSearches = 170
+	minHeadWork  = 60_000
+	restDivisor  = 3
 	// workPerGroup is the work for a group for which no host is examined.
 	workPerGroup = 20
 )
@@ -31,23 +34,27 @@
 	b.pass++
 }
 
+// maxHeadWork returns the bound of the work for the groups at the head of the queue.
+func (s *Scheduler) maxHeadWork() int { return max(minHeadWork, fullSearches*len(s.sortedHosts)) }
+
 // placeQueue places the groups in the queue as far as the work of one decision goes.
 func (s *Scheduler) placeQueue(queue []queueEntry) {
 	s.work.beginPass()
 	reservingGangs := 0
+	most := s.maxHeadWork()
 	for i, e := range queue {
-		if s.work.used >= maxHeadWork {
-			s.placeInTurn(len(queue)-i, &reservingGangs)
+		if s.work.used >= most {
+			s.placeInTurn(len(queue)-i, most/restDivisor, &reservingGangs)
 			return
 		}
 		s.place(e.group, &reservingGangs)
 	}
 }
 
-// placeInTurn places the next ones of the given number of groups that were not placed
-// in this decision.
-func (s *Scheduler) placeInTurn(left int, reservingGangs *int) {
-	end := s.work.used + maxRestWork
+// placeInTurn places the next ones of the groups that were not placed in this decision, of
+// which there are left, as far as the given work goes.
+func (s *Scheduler) placeInTurn(left, work int, reservingGangs *int) {
+	end := s.work.used + work
 	first, _ := slices.BinarySearchFunc(s.groups, s.work.lastTurn+1, func(g *group, number int) int {
 		return cmp.Compare(g.job.arrivalNumber, number)
 	})
