--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -12,9 +12,11 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 	"github.com/medlarpulley/medlarpulley/internal/cell/front"
 	"github.com/medlarpulley/medlarpulley/internal/cell/latency"
@@ -52,6 +54,10 @@
 	// maxSubmissionStateAge is the greatest age at which the state of submissions may be
 	// reported to callers.
 	maxSubmissionStateAge = 2 * time.Second
+	// slowApplyThreshold is the time to apply a page of the work topic from which it is
+	// logged, at most once in slowApplyLogInterval.
+	slowApplyThreshold   = 200 * time.Millisecond
+	slowApplyLogInterval = time.Second
 )
 
 // Node is one node of a cell: the process that serves callers.
@@ -65,7 +71,7 @@
 	// storeMeter measures the answers of the store.
 	storeMeter *latency.Meter
 	hostClient *platform.HostClient
-	advice     *platform.Advice
+	advice     *advice.Gate
 	pool       *peers.Pool
 
 	registry      *registry.Registry
@@ -78,6 +84,7 @@
 	heartbeatAppender *worklog.Appender
 	metrics           tally.Scope
 	metricsHandler    http.Handler
+	slowApply         rate.Sometimes
 	callerHandler     *front.Handler
 
 	desired  atomic.Pointer[appliedDesired]
@@ -124,9 +131,10 @@
 		self:       membership.Node{Name: s.Node.Name, InstanceID: hex.EncodeToString(instanceID), Address: s.Listen.Peers, Zone: s.Node.Zone, Cores: s.Limits.Cores},
 		store:      platform.NewStore(s.Platform.Store),
 		hostClient: platform.NewHostClient(),
-		advice:     platform.NewAdvice(s.Platform.Advice),
+		slowApply:  rate.Sometimes{Interval: slowApplyLogInterval},
 	}
 	componentLogger := func(name string) *slog.Logger { return logging.WithComponent(log, name) }
+	n.advice = advice.NewGate(platform.NewAdvice(s.Platform.Advice), n.clock, componentLogger("advice"))
 	n.metrics, n.metricsHandler = metrics.NewScope(s.Node.Name)
 	n.registry = registry.New(componentLogger("registry"))
 	n.members = membership.NewTable(componentLogger("members"))
@@ -199,6 +207,14 @@
 // has been trimmed, the page holds the newest record of each key in the order of
 // keys, not of offsets; the term then begins after all records of the page.
 func (n *Node) applyWork(p worklog.Page) {
+	startedAt := n.clock.Now()
+	defer func() {
+		if took := n.clock.Now() - startedAt; took > slowApplyThreshold {
+			n.slowApply.Do(func() {
+				n.log.Warn("follow: Records of the work topic were applied slowly.", "records", len(p.Records), "took", took)
+			})
+		}
+	}()
 	n.workAppender.Observe(p.Records)
 	if j := n.journal(); j != nil {
 		j.Observe(p.Records)
@@ -219,12 +235,6 @@
 	}
 }
 
-// Advise implements peers.Handler: it calls the advice service for the owner.
-func (n *Node) Advise(ctx context.Context, r *peers.AdviseRequest) (*peers.AdviseResponse, error) {
-	tickets, err := n.advice.Ask(ctx, r.Group, r.Hosts)
-	return &peers.AdviseResponse{Tickets: tickets}, err
-}
-
 // Forward implements peers.Handler: it answers a caller's call for another node.
 // The status is 503 if this node cannot answer either.
 func (n *Node) Forward(ctx context.Context, r *peers.CallRequest) (*peers.CallResponse, error) {
--- a/internal/cell/owner/fault.go
+++ b/internal/cell/owner/fault.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// runGuarded runs f in a goroutine of the owner.
+func (ow *Owner) runGuarded(f func()) {
+	ow.goroutines.Go(func() {
+		defer ow.guard()
+		f()
+	})
+}
+
 // fail ends the term after a panic. The caller holds ow.mu.
 func (ow *Owner) fail(v any) {
 	ow.broken = true
--- a/internal/cell/owner/fault_test.go
+++ b/internal/cell/owner/fault_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -57,10 +58,12 @@
 // faultyAdvisor panics at each call.
 type faultyAdvisor struct{}
 
-func (faultyAdvisor) Ask(context.Context, cell.GroupID, []string, time.Duration, int) (map[string]string, error) {
+func (faultyAdvisor) Ask(context.Context, advice.Call, int) (map[string]string, error) {
 	panic("a fault that nobody expected")
 }
 
+func (faultyAdvisor) Capacity() cell.AdviceRoom { return cell.AdviceRoom{Long: 1, Short: 1} }
+
 // Guards against a fault in one of the owner's goroutines that ends the process, and with
 // it the calls that it serves, again and again; and against an owner that goes on with a
 // state that was changed in part.
@@ -123,7 +126,10 @@
 	entry := func(id string, after ...int) registry.Entry {
 		return registry.Entry{Submission: &cell.Submission{ID: id, Steps: []cell.Step{{Count: 1, After: after}}}}
 	}
-	w.Load([]registry.Entry{entry("a"), entry("odd1", 7), entry("b"), entry("odd2", -1), entry("c")})
+	w.options.Stored = func() []registry.Entry {
+		return []registry.Entry{entry("a"), entry("odd1", 7), entry("b"), entry("odd2", -1), entry("c")}
+	}
+	w.load()
 	for _, id := range []string{"a", "b", "c"} {
 		if w.Explain(id) == nil {
 			t.Errorf("submission %s is lost", id)
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -82,7 +82,6 @@
 // pollLoop polls a host until ctx ends, the ownership is lost, or the host is
 // removed.
 func (ow *Owner) pollLoop(ctx context.Context, h *hostPoller) {
-	defer ow.guard()
 	for ctx.Err() == nil {
 		select {
 		case <-ow.ownershipLost:
--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -49,7 +49,7 @@
 	}
 	// The runs of earlier owners on a host that has never answered are unknown. A
 	// successor would assume that a closed host has only the recorded runs.
-	known := h.runsKnown || h.allRunsGone || ow.reconciled
+	known := h.runsKnown || h.allRunsGone || ow.reconciled.Load()
 	return known && h.stored && (!h.storedClosed || h.storedAddress != h.address)
 }
 
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -51,11 +51,7 @@
 	ow.scheduler.SetHosts([]cell.Host{spec})
 	var pollCtx context.Context
 	pollCtx, h.cancel = context.WithCancel(ctx)
-	ow.goroutines.Add(1)
-	go func() {
-		defer ow.goroutines.Done()
-		ow.pollLoop(pollCtx, h)
-	}()
+	ow.runGuarded(func() { ow.pollLoop(pollCtx, h) })
 	return h
 }
 
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -114,6 +114,7 @@
 func (h *hostTest) submit(id string) {
 	step := cell.Step{Count: 1, Size: resource.Vector{MilliCPU: 1000, MemoryMiB: 1024}, Estimate: time.Second}
 	h.Submitted(registry.Entry{Submission: &cell.Submission{ID: id, Queue: cell.Queue{Name: "q"}, Steps: []cell.Step{step}}})
+	h.withState(h.applyEvents)
 }
 
 // decideOnce makes one decision and returns the addresses to which starts were sent.
--- a/internal/cell/owner/load.go
+++ b/internal/cell/owner/load.go
@@ -1,22 +1,44 @@
 package owner
 
 import (
+	"context"
 	"runtime/debug"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
-// maxLoadFaults bounds the submissions that Load leaves out. If more of them fail, the
+// maxLoadFaults bounds the submissions that load leaves out. If more of them fail, the
 // fault is not that of a submission.
 const maxLoadFaults = 20
 
-// Load adds the stored state of every submission. It is called before Run, by the
-// goroutine that reads the log. A submission at which the scheduler fails is left out:
-// otherwise no node could become the owner.
-func (ow *Owner) Load(entries []registry.Entry) {
-	ow.mu.Lock()
-	defer ow.unlock()
+// load takes over the stored submissions. Those that were read since the term began may
+// be among them, and are passed on as events too; that changes nothing.
+func (ow *Owner) load() {
+	defer close(ow.loaded)
+	if ow.options.Stored == nil {
+		return
+	}
+	entries := ow.options.Stored()
+	startedAt := ow.options.Clock.Now()
+	ow.withState(func() { ow.loadUnlessFaulty(entries) })
+	ow.options.Log.Info("The stored submissions were taken over.", "token", ow.options.Self.Token, "submissions", len(entries), "took", ow.options.Clock.Now()-startedAt)
+}
+
+// WaitLoaded waits until the stored submissions have been taken over. Runs on hosts are
+// known only then. It returns false if ctx ends first.
+func (ow *Owner) WaitLoaded(ctx context.Context) bool {
+	select {
+	case <-ow.loaded:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// loadUnlessFaulty adds the stored state of every submission. One at which the scheduler
+// fails is left out: otherwise no node could become the owner.
+func (ow *Owner) loadUnlessFaulty(entries []registry.Entry) {
 	failed := make(map[string]bool)
 	for len(failed) < maxLoadFaults {
 		id, ok := ow.tryLoad(entries, failed)
@@ -26,7 +48,7 @@
 		failed[id] = true
 		ow.scheduler, ow.desired = newScheduler(ow.options), nil
 	}
-	ow.load(entries, failed)
+	ow.addAll(entries, failed)
 }
 
 // tryLoad adds the stored state of the submissions that are not left out. ok is false
@@ -38,11 +60,11 @@
 			ow.options.Log.Error("A submission cannot be loaded and is left out.", "id", id, "panic", v, "stack", string(debug.Stack()))
 		}
 	}()
-	ow.load(entries, leftOut)
+	ow.addAll(entries, leftOut)
 	return "", true
 }
 
-func (ow *Owner) load(entries []registry.Entry, leftOut map[string]bool) {
+func (ow *Owner) addAll(entries []registry.Entry, leftOut map[string]bool) {
 	ow.updateDesired()
 	now, wall := ow.options.Clock.Now(), ow.options.WallClock()
 	for _, e := range entries {
--- a/internal/cell/owner/odd_records_test.go
+++ b/internal/cell/owner/odd_records_test.go
@@ -25,9 +25,9 @@
 	reg.Apply(platform.Record{Key: "p/s2", Offset: 9, Value: []byte(`{"state":77}`)})
 	ow := New(Options{
 		Self: registry.Ownership{Token: 2}, Clock: boottime.Clock{}, WallClock: func() time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler),
-		Desired: func() *cell.Desired { return nil }, EarlierOwnersGone: func() bool { return false },
+		Desired: func() *cell.Desired { return nil }, EarlierOwnersGone: func() bool { return false }, Stored: reg.All,
 	})
-	ow.Load(reg.All())
+	ow.load()
 	if ow.Explain("s2") == nil {
 		t.Error("the ordinary submission is lost")
 	}
--- a/internal/cell/owner/orders_test.go
+++ b/internal/cell/owner/orders_test.go
@@ -11,6 +11,7 @@
 	h := usedAt(t, "a")
 	h.pollOnce("h")
 	h.CancelRequested("first")
+	h.withState(h.applyEvents)
 	plan := h.scheduler.Decide(h.clock.now, 0)
 	if len(plan.Stops) != 1 {
 		t.Fatalf("%d stops, want 1", len(plan.Stops))
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
-	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 )
 
@@ -35,8 +35,8 @@
 	authority authority
 	// wake triggers a decision.
 	wake chan struct{}
-	// orderSlots limits the orders in flight.
-	orderSlots chan struct{}
+	// orderSlots limits the orders in flight, heartbeatSlot the heartbeats to one.
+	orderSlots, heartbeatSlot chan struct{}
 
 	mu        sync.Mutex
 	scheduler *schedule.Scheduler
@@ -45,12 +45,8 @@
 	hosts   map[string]*hostPoller
 	// loading is the ID of the submission that is loaded.
 	loading string
-	// reconciled is set once every run of earlier owners is known or has ended.
-	reconciled bool
 	// broken is set after a panic: the state may be changed in part, and must not be used.
 	broken bool
-	// stopping is set once no further orders may be sent.
-	stopping bool
 	// finishedAt is when a submission finished, by ID. For one that finished before
 	// the term it is when the term began.
 	finishedAt map[string]time.Duration
@@ -62,8 +58,28 @@
 	// removedHosts are hosts whose records are to be deleted from the log.
 	removedHosts []string
 
+	// advice are the advice calls in flight.
+	advice adviceCalls
+
+	// reconciled is set once every run of earlier owners is known or has ended. It is set
+	// under mu.
+	reconciled atomic.Bool
+	// stopping is set once no further orders may be sent. It is set under mu.
+	stopping atomic.Bool
+	// lastDecisionEnd is when the last call of decide ended, or the term began. It rises
+	// also while the authority is not valid, since heartbeats restore it.
+	lastDecisionEnd atomic.Int64
+	// lastSeenAppend is when the last append was sent that shows the other nodes that
+	// the owner acts.
+	lastSeenAppend atomic.Int64
+
+	events eventQueue
+	// loaded is closed once the stored submissions have been taken over.
+	loaded chan struct{}
+
 	storeRounds       storeRounds
 	metrics           metrics
+	delays            delayLog
 	ownershipLost     chan struct{}
 	loseOwnershipOnce sync.Once
 	// lastDecisionTime is how long the last decision took. Only Run uses it.
@@ -74,14 +90,17 @@
 // New returns an owner for the term that began with its claim.
 func New(o Options) *Owner {
 	ow := &Owner{
-		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight),
-		scheduler: newScheduler(o),
-		hosts:     make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool), reduced: make(map[string]bool),
-		ownershipLost: make(chan struct{}),
+		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), heartbeatSlot: make(chan struct{}, 1),
+		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
+		reduced: make(map[string]bool), advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
+	ow.delays = newDelayLog(o.Log, o.Metrics)
 	ow.authority.extend(o.ClaimSent)
+	now := int64(o.Clock.Now())
+	ow.lastDecisionEnd.Store(now)
+	ow.lastSeenAppend.Store(now)
 	return ow
 }
 
@@ -91,18 +110,6 @@
 	})
 }
 
-// Submitted implements registry.Listener.
-func (ow *Owner) Submitted(e registry.Entry) {
-	ow.withState(func() { ow.add(e, ow.options.Clock.Now(), ow.options.WallClock()) })
-	ow.requestDecision()
-}
-
-// CancelRequested implements registry.Listener.
-func (ow *Owner) CancelRequested(id string) {
-	ow.withState(func() { ow.scheduler.Cancel(id, ow.options.Clock.Now()) })
-	ow.requestDecision()
-}
-
 // updateDesired passes a new desired state to the scheduler. The owner fetches the
 // state, so that the reader of the desired state never waits for a decision.
 func (ow *Owner) updateDesired() {
@@ -130,16 +137,13 @@
 	})
 }
 
-// Run makes and executes decisions until ctx ends or the ownership is lost.
+// Run takes over the stored submissions, then makes and executes decisions until ctx ends or the ownership is lost.
 func (ow *Owner) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ow.goroutines.Add(1)
-	go func() {
-		defer ow.goroutines.Done()
-		defer ow.guard()
-		ow.persist(ctx)
-	}()
+	ow.runGuarded(func() { ow.sendHeartbeats(ctx) })
+	ow.load()
+	ow.runGuarded(func() { ow.persist(ctx) })
 	t := time.NewTicker(maxDecisionInterval)
 	defer t.Stop()
 	for {
@@ -177,13 +181,15 @@
 }
 
 func (ow *Owner) decide(ctx context.Context) {
+	defer func() { ow.lastDecisionEnd.Store(int64(ow.options.Clock.Now())) }()
 	if !ow.authority.valid() {
 		return
 	}
-	plan, messages := ow.plan()
+	plan, messages, waited := ow.plan()
 	if plan == nil {
 		return
 	}
+	ow.delays.decision(waited, ow.lastDecisionTime, plan)
 	ow.storeRounds.request()
 	for _, n := range messages {
 		ow.options.Log.Info(n.Text, "id", n.Submission, "host", n.Host)
@@ -191,28 +197,33 @@
 	ow.execute(ctx, plan)
 }
 
-// plan returns the next orders, nil if none may be sent.
-func (ow *Owner) plan() (*schedule.Plan, []schedule.LogMessage) {
+// plan returns the next orders, nil if none may be sent, the messages for the log, and how
+// long it waited for the owner's lock.
+func (ow *Owner) plan() (p *schedule.Plan, messages []schedule.LogMessage, waited time.Duration) {
+	requestedAt := ow.options.Clock.Now()
 	ow.mu.Lock()
 	defer ow.unlock()
 	if ow.broken {
-		return nil, nil
+		return nil, nil, 0
 	}
 	ow.checkReconciled()
-	if ow.stopping {
-		return nil, nil
+	if ow.stopping.Load() {
+		return nil, nil, 0
 	}
 	ow.updateDesired()
+	ow.applyEvents()
+	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	startedAt := ow.options.Clock.Now()
-	plan := ow.scheduler.Decide(startedAt, ow.options.WallClock())
+	p = ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
-	return plan, ow.scheduler.TakeLogMessages()
+	ow.advice.planned(p.AdviceRequests)
+	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
 // checkReconciled informs the scheduler once no unknown run of an earlier owner
 // can exist.
 func (ow *Owner) checkReconciled() {
-	if ow.reconciled || len(ow.hosts) == 0 {
+	if ow.reconciled.Load() || len(ow.hosts) == 0 {
 		return
 	}
 	now := ow.options.Clock.Now()
@@ -225,7 +236,7 @@
 	if unresolved > 0 && now < ow.earlierRunsEndBy() {
 		return
 	}
-	ow.reconciled = true
+	ow.reconciled.Store(true)
 	ow.scheduler.MarkReconciled(now)
 	ow.options.Log.Info("All runs of earlier owners are known or have ended.", "token", ow.options.Self.Token, "hosts", len(ow.hosts), "silent", unresolved, "after", now-ow.options.ClaimedAt)
 }
@@ -240,11 +251,7 @@
 }
 
 // Reconciled reports whether every run of earlier owners is known or has ended.
-func (ow *Owner) Reconciled() bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.reconciled
-}
+func (ow *Owner) Reconciled() bool { return ow.reconciled.Load() }
 
 func (ow *Owner) leaseDuration() time.Duration {
 	if ow.options.MaxLease > 0 {
@@ -253,20 +260,18 @@
 	return LeaseDuration
 }
 
-// Acts reports whether the owner may send orders: its authority is valid and it is
-// not shutting down.
+// Acts reports whether the owner sends orders: its authority is valid, it makes
+// decisions, and it is not shutting down. It does not wait for a decision.
 func (ow *Owner) Acts() bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.authority.valid() && !ow.stopping
+	return ow.authority.valid() && !ow.stopping.Load() && ow.decides(ow.options.Clock.Now())
 }
 
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
-// ones, and stores everything that is known. It reports whether that was done
-// before ctx ended.
+// ones, stores everything that is known, and ends the heartbeats. It reports whether
+// that was done before ctx ended.
 func (ow *Owner) Stop(ctx context.Context) bool {
 	ow.mu.Lock()
-	ow.stopping = true
+	ow.stopping.Store(true)
 	ow.mu.Unlock()
 	for range cap(ow.orderSlots) {
 		select {
@@ -275,5 +280,5 @@
 			return false
 		}
 	}
-	return ow.storeRounds.waitStored(ctx)
+	return ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
 }
--- a/internal/cell/owner/progress_size_test.go
+++ b/internal/cell/owner/progress_size_test.go
@@ -90,8 +90,8 @@
 	t.Helper()
 	w := New(Options{
 		Self: registry.Ownership{Token: 2}, Clock: boottime.Clock{}, WallClock: func() time.Duration { return 0 }, Log: slog.New(slog.DiscardHandler),
-		Desired: func() *cell.Desired { return nil }, EarlierOwnersGone: func() bool { return false },
+		Desired: func() *cell.Desired { return nil }, EarlierOwnersGone: func() bool { return false }, Stored: func() []registry.Entry { return entries },
 	})
-	w.Load(entries)
+	w.load()
 	return w
 }
--- a/internal/cell/schedule/decide_bench_test.go
+++ b/internal/cell/schedule/decide_bench_test.go
@@ -63,7 +63,7 @@
 }
 
 func BenchmarkDecide(b *testing.B) {
-	for _, waiting := range []int{200, 1000, 2000} {
+	for _, waiting := range []int{200, 1000, 2000, 6000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
 			c := backlog(waiting)
 			c.fillHosts()
@@ -77,3 +77,76 @@
 		})
 	}
 }
+
+// BenchmarkDecideUnanswered measures decisions of an owner that has just taken over a
+// backlog and gets no advice.
+func BenchmarkDecideUnanswered(b *testing.B) {
+	c := backlog(6000)
+	for b.Loop() {
+		c.now += 25 * time.Millisecond
+		c.s.SetAdviceRoom(cell.AdviceRoom{Short: 60, Long: 28, LongFrom: 150 * time.Millisecond})
+		p := c.s.Decide(c.now, c.now)
+		c.s.TakeLogMessages()
+		for _, r := range p.AdviceRequests {
+			c.s.AdviceFailed(r.Group, c.now)
+		}
+	}
+}
+
+// BenchmarkDecideFullCell measures decisions about a backlog whose groups have been given
+// advice, in a cell where a run ends now and then.
+func BenchmarkDecideFullCell(b *testing.B) {
+	for _, waiting := range []int{1000, 6000, 12_000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			c := backlog(waiting)
+			started := 0
+			var ends []Start
+			round := func() {
+				c.now += 25 * time.Millisecond
+				c.s.SetAdviceRoom(cell.AdviceRoom{Short: 60, Long: 28, LongFrom: 150 * time.Millisecond})
+				p := c.s.Decide(c.now, c.now)
+				c.s.TakeLogMessages()
+				c.accept(p)
+				started += len(p.Starts)
+				ends = append(ends, p.Starts...)
+				for n := 0; n < 10 && len(ends) > 0; n++ { // some runs end and start anew
+					c.s.Refused(ends[0].Host, ends[0].Task, ends[0].Run, RefusedOther, c.now)
+					ends = ends[1:]
+				}
+			}
+			for range 300 {
+				round()
+			}
+			b.ResetTimer()
+			for range b.N {
+				round()
+			}
+			b.ReportMetric(float64(started)/float64(b.N+300), "starts/op")
+		})
+	}
+}
+
+// BenchmarkDecideArrivals measures decisions about urgent submissions that arrive at a
+// thousand a second in a cell of 3,000 hosts.
+func BenchmarkDecideArrivals(b *testing.B) {
+	c := newCluster(3000, resource.Vector{MilliCPU: 16_000, MemoryMiB: 64_000})
+	c.teams = map[string]cell.Team{"a": {Name: "a"}}
+	policy := &cell.AdvicePolicy{Decision: 7200 * time.Microsecond, PerHost: 100 * time.Microsecond, Validity: 2500 * time.Millisecond}
+	c.queue(cell.Queue{Name: "urgent", Priority: 0, Stretch: 1.5, Latency: 250 * time.Millisecond, Advice: policy})
+	var ends []Start
+	n := 0
+	b.ResetTimer()
+	for range b.N {
+		c.now += 25 * time.Millisecond
+		for range 27 {
+			n++
+			c.submit(fmt.Sprintf("%016x", n), "urgent", "a", cell.Step{Count: 3, Estimate: time.Second, Size: resource.Vector{MilliCPU: 2500, MemoryMiB: 1000}})
+		}
+		c.s.SetAdviceRoom(cell.AdviceRoom{Short: 600, Long: 200, LongFrom: 150 * time.Millisecond})
+		p := c.s.Decide(c.now, c.now)
+		c.s.TakeLogMessages()
+		c.accept(p)
+		ends = append(ends, p.Starts...)
+	}
+	b.ReportMetric(float64(len(ends))/float64(b.N), "starts/op")
+}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -41,10 +41,7 @@
 	queue := s.queue()
 	s.beginPass(queue)
 	s.chooseTrialHosts(queue)
-	reservingGangs := 0
-	for _, e := range queue {
-		s.place(e, &reservingGangs)
-	}
+	s.placeQueue(queue)
 	if now >= s.nextPeriodicCheck {
 		s.nextPeriodicCheck = now + periodicCheckInterval
 		s.prefetchAdvice()
@@ -60,6 +57,8 @@
 // place starts tasks of a waiting group, or prepares their start.
 func (s *Scheduler) place(e queueEntry, reservingGangs *int) {
 	g := e.group
+	g.placedIn = s.work.pass
+	s.work.used += workPerGroup
 	switch {
 	case e.underTrial:
 		s.placeTrial(g, reservingGangs)
@@ -124,6 +123,7 @@
 
 // eligible reports whether a host could take tasks of a group if they fitted.
 func (s *Scheduler) eligible(g *group, h *host) bool {
+	s.work.used++
 	if g.step.BestEffort && s.now < h.bestEffortBlockedUntil {
 		return false
 	}
@@ -141,6 +141,7 @@
 
 // tasksThatFit returns how many more tasks of a group fit on a host now.
 func (s *Scheduler) tasksThatFit(g *group, h *host) int {
+	s.work.used++
 	n := tasksIn(g.size, h.freeFor(s.now+g.estimate(h)))
 	if g.step.MaxPerHost > 0 {
 		n = min(n, g.step.MaxPerHost-g.runsOn(h))
@@ -226,26 +227,26 @@
 // are neither approved nor denied.
 func (s *Scheduler) requestTicketsForUnplaced(g *group, needed int) {
 	var expired []*host
-	undecided := false
-	for _, h := range s.hostsWithRoom {
-		if !s.eligible(g, h) || s.tasksThatFit(g, h) < 1 {
-			continue
-		}
-		if _, valid := g.ticketFor(h, s.now); g.approved(h) && !valid {
+	for _, h := range s.candidates(g) {
+		if _, valid := g.ticketFor(h, s.now); g.approved(h) && !valid && s.hasRoomFor(g, h) {
 			expired = append(expired, h)
 		}
-		if !g.approved(h) && !g.advice.denied[h] {
-			undecided = true
-		}
 	}
-	switch {
-	case len(expired) > 0:
+	if len(expired) > 0 {
 		s.requestAdvice(g, s.fewestHostsFor(g, expired, needed))
-	case undecided:
+		return
+	}
+	undecided := func(h *host) bool { return !g.approved(h) && !g.advice.denied[h] && s.hasRoomFor(g, h) }
+	if slices.ContainsFunc(s.hostsWithRoom, undecided) {
 		s.requestAdviceOnUndecidedHosts(g)
 	}
 }
 
+// hasRoomFor reports whether a host could take a task of a group now.
+func (s *Scheduler) hasRoomFor(g *group, h *host) bool {
+	return s.eligible(g, h) && s.tasksThatFit(g, h) >= 1
+}
+
 // fewestHostsFor returns the hosts with the most free capacity that together
 // hold the needed tasks, plus extraTicketHosts.
 func (s *Scheduler) fewestHostsFor(g *group, hosts []*host, needed int) []*host {
@@ -259,23 +260,6 @@
 	return hosts
 }
 
-// rankHosts sorts hosts by a key, lowest first. It computes the key once for
-// each host.
-func rankHosts(hosts []*host, key func(h *host) int) {
-	type ranked struct {
-		h   *host
-		key int
-	}
-	list := make([]ranked, len(hosts))
-	for i, h := range hosts {
-		list[i] = ranked{h, key(h)}
-	}
-	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.key, b.key) })
-	for i := range list {
-		hosts[i] = list[i].h
-	}
-}
-
 // start orders a host to start a run of a task.
 func (s *Scheduler) start(t *task, h *host, run int64) {
 	g := t.group
