Shorten the test of large progress records

With the race detector the package took 85 s beside other work, most of it for 20,000 occurrences and for 100 MB of checkpoints in this test. It has 8,000 occurrences and checkpoints of 100 bytes now, and takes 7.5 s with the race detector. Without the fix its records still have 334,889, 2,688,972 and 12,171,761 bytes and it fails in the same three cases; the fourth holds as before.

--- a/internal/cell/owner/progress_size_test.go
+++ b/internal/cell/owner/progress_size_test.go
@@ -20,9 +20,9 @@
 		ends func(i int) (cell.Ended, bool)
 	}{
 		"all occurrences but one are done": {
-			cell.Submission{Occurrences: 20_000, Steps: []cell.Step{{Count: 1}}},
+			cell.Submission{Occurrences: 8_000, Steps: []cell.Step{{Count: 1}}},
 			func(i int) (cell.Ended, bool) {
-				return cell.Ended{Task: cell.TaskID{Occurrence: i}, Outcome: cell.OutcomeDone}, i < 19_999
+				return cell.Ended{Task: cell.TaskID{Occurrence: i}, Outcome: cell.OutcomeDone}, i < 7_999
 			},
 		},
 		"every second task is done": {
@@ -40,7 +40,7 @@
 		"some are done, the others have failed": {
 			cell.Submission{Steps: []cell.Step{{Count: cell.MaxTasks, Checkpoints: true}}},
 			func(i int) (cell.Ended, bool) {
-				e := cell.Ended{Task: cell.TaskID{Index: i}, Outcome: cell.OutcomeFailed, Checkpoint: strings.Repeat("c", 1000)}
+				e := cell.Ended{Task: cell.TaskID{Index: i}, Outcome: cell.OutcomeFailed, Checkpoint: strings.Repeat("c", 100)}
 				if i%100 == 0 {
 					e.Outcome = cell.OutcomeDone
 				}
