Log odd records of the work topic and of nodes once as well

What operators would see: a log that fills while another writer repeats an odd record in one of the topics of the cell. Before: TestOddRecordIsLoggedOnce sees 200 lines for two records that are written 100 times, want 2.

--- a/internal/cell/membership/table.go
+++ b/internal/cell/membership/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -12,8 +13,9 @@
 type Table struct {
 	log *slog.Logger
 
-	mu    sync.RWMutex
-	nodes map[string]member
+	mu     sync.RWMutex
+	nodes  map[string]member
+	faults logging.FaultLog
 }
 
 // member is the last record of a node, with its offset and the time it was read.
@@ -40,9 +42,10 @@
 	}
 	n, err := decode(r)
 	if err != nil {
-		t.log.Error("The record of a node cannot be decoded and is ignored.", "key", r.Key, "offset", r.Offset, "error", err)
+		t.faults.Fault(t.log, slog.LevelError, "The record of a node cannot be decoded and is ignored.", r.Key, err, "offset", r.Offset)
 		return
 	}
+	t.faults.Resolved(r.Key)
 	if old, ok := t.nodes[n.Name]; ok && r.Offset != 0 && r.Offset <= old.offset {
 		return
 	}
--- a/internal/cell/registry/odd_records_test.go
+++ b/internal/cell/registry/odd_records_test.go
@@ -124,3 +124,16 @@
 		}
 	})
 }
+
+// Guards against a log that fills, since another writer repeats an odd record.
+func TestOddRecordIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	reg := New(slog.New(slog.NewTextHandler(&out, nil)))
+	for i := range 100 {
+		reg.Apply(platform.Record{Key: "s/odd", Value: []byte("{"), Offset: uint64(i)})
+		reg.Apply(platform.Record{Key: "unknown", Value: []byte("{"), Offset: uint64(i)})
+	}
+	if n := strings.Count(out.String(), "\n"); n != 2 {
+		t.Errorf("%d lines, want 2", n)
+	}
+}
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -27,6 +28,7 @@
 // called by one goroutine. All other methods are safe for concurrent use.
 type Registry struct {
 	log    *slog.Logger
+	faults logging.FaultLog
 	seed   maphash.Seed
 	shards [shardCount]shard
 
@@ -80,11 +82,13 @@
 		err = r.applyCancel(key[len(prefixCancel):], rec)
 	case strings.HasPrefix(key, prefixMark):
 	default:
-		r.log.Warn("A record with an unknown key is ignored.", "key", rec.Key, "offset", rec.Offset)
+		err = cell.NewFieldError(object(rec), "key", key, "a key of the cell")
 	}
 	if err != nil {
-		r.log.Error("A record cannot be decoded and is ignored.", "key", rec.Key, "offset", rec.Offset, "error", err)
+		r.faults.Fault(r.log, slog.LevelError, "A record cannot be decoded and is ignored.", rec.Key, err, "offset", rec.Offset)
+		return
 	}
+	r.faults.Resolved(rec.Key)
 }
 
 func (r *Registry) applyOwner(rec platform.Record) error {
