Look only at the occurrence of a step for what it makes ready

What operators would see: an owner that is silent and replaced while ends of a submission with many occurrences come in. Each end of a step went through all groups of the submission, under the lock of the owner.

BenchmarkEndsOfManyOccurrences, one report with 500 ends of a submission of 100,000 occurrences: 484 ms before, 0.085 ms now, in the same minute. Steps wait only for steps of their occurrence, so only its groups can become ready; occurrences that become due are found before each decision, as before. TestStepsOfAnOccurrenceBecomeReadyAlone holds on both.

--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -51,6 +51,10 @@
 	return j.groups[id.Occurrence*j.steps+id.Step]
 }
 
+// occurrence returns the groups of an occurrence. The steps of one do not wait for those
+// of another.
+func (j *job) occurrence(n int) []*group { return j.groups[n*j.steps : (n+1)*j.steps] }
+
 // assumedAdviceHosts is the number of hosts in an advice call that is assumed when
 // the objective is computed.
 const assumedAdviceHosts = 30
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -71,8 +71,11 @@
 }
 
 // markReadyGroups marks the groups of a job that can start now as ready.
-func (s *Scheduler) markReadyGroups(j *job) {
-	for _, g := range j.groups {
+func (s *Scheduler) markReadyGroups(j *job) { s.markReady(j.groups) }
+
+// markReady marks those of the groups that can start now as ready.
+func (s *Scheduler) markReady(groups []*group) {
+	for _, g := range groups {
 		if !g.ready && g.left > 0 && s.isReady(g) {
 			g.ready, g.readyAt = true, s.now
 			for _, t := range g.tasks {
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -312,7 +312,7 @@
 	s.changed[j.sub.ID] = true
 	if g.left == 0 {
 		g.ready = false
-		s.markReadyGroups(j)
+		s.markReady(j.occurrence(g.id.Occurrence))
 	}
 	s.finishIfDone(j)
 }
--- /dev/null
+++ b/internal/cell/schedule/occurrences_test.go
@@ -0,0 +1,61 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// Guards against a step that does not become ready when the steps before it are done, in
+// one of several occurrences.
+func TestStepsOfAnOccurrenceBecomeReadyAlone(t *testing.T) {
+	s := New(Options{})
+	sub := &cell.Submission{ID: "x", Occurrences: 3, Steps: []cell.Step{{Count: 1}, {Count: 1, After: []int{0}}, {Count: 1, After: []int{0, 1}}}}
+	s.Add(sub, cell.Progress{}, false, time.Second, time.Second)
+	spec := cell.Host{ID: "h"}
+	s.SetHosts([]cell.Host{spec})
+	done := func(number int64, occurrence, step int) {
+		s.ApplyReport("h", time.Second, time.Second, cell.HostReport{Ended: []cell.Ended{
+			{Number: number, Task: cell.TaskID{Submission: "x", Occurrence: occurrence, Step: step}, Run: 1, Outcome: cell.OutcomeDone},
+		}})
+	}
+	ready := func() (out string) {
+		for _, g := range s.jobs["x"].groups {
+			switch {
+			case g.left == 0:
+				out += "d"
+			case g.ready:
+				out += "r"
+			default:
+				out += "-"
+			}
+		}
+		return out
+	}
+	for i, c := range []struct {
+		occurrence, step int
+		want             string
+	}{{1, 0, "r--dr-r--"}, {1, 1, "r--ddrr--"}, {2, 0, "r--ddrdr-"}, {1, 2, "r--ddddr-"}, {0, 0, "dr-ddddr-"}} {
+		done(int64(i+1), c.occurrence, c.step)
+		if got := ready(); got != c.want {
+			t.Errorf("after step %d of occurrence %d: %s, want %s", c.step, c.occurrence, got, c.want)
+		}
+	}
+}
+
+// BenchmarkEndsOfManyOccurrences measures one report with the ends of 500 occurrences.
+func BenchmarkEndsOfManyOccurrences(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		s := New(Options{})
+		s.Add(&cell.Submission{ID: "x", Occurrences: cell.MaxTasks, Steps: []cell.Step{{Count: 1}}}, cell.Progress{}, false, time.Second, time.Second)
+		s.SetHosts([]cell.Host{{ID: "h"}})
+		var report cell.HostReport
+		for i := range 500 {
+			report.Ended = append(report.Ended, cell.Ended{Number: int64(i + 1), Task: cell.TaskID{Submission: "x", Occurrence: i}, Run: 1, Outcome: cell.OutcomeDone})
+		}
+		b.StartTimer()
+		s.ApplyReport("h", time.Second, time.Second, report)
+	}
+}
