--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -48,7 +48,7 @@
 // WithoutFailures returns the progress without failed runs, crashes and trials: a later
 // owner counts them from zero.
 func (p Progress) WithoutFailures() Progress {
-	return p.reduced(func(g *GroupProgress) { g.Failures, g.Crashes, g.Trials = nil, nil, nil })
+	return p.reduced(func(g *GroupProgress) { g.Failures, g.Crashes, g.Trials, g.TrialHosts = nil, nil, nil, nil })
 }
 
 func (p Progress) reduced(reduce func(g *GroupProgress)) Progress {
