Let trials have the hosts that other crashes leave, and unused capacity

A dump of each decision showed six of 48 hosts held all the time, four or five of them down, one or two in preparation, while no other host was down any more.

Cause: the limit of one in eight hosts did not depend on how many were down for other reasons, nor on how much of the cell was in use. A spare host was one without any run; in a cell that is hardly used each host has some.

Now trials may hold up to a quarter of the hosts together with those that are down after the start of a task, and in any case one in eight; and as many as leave half of all capacity to other work. Hosts that become empty only later are chosen if none was chosen for half a second, for a suspect first in line after three seconds, and at once while most capacity is unused and trials crash.

--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -44,6 +44,12 @@
 	reconciled    bool
 	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
 	idleHosts int
+	// crashedHosts is the number of hosts that are down, outside of trials, of which a run
+	// that had just started is the suspected cause.
+	crashedHosts int
+	// unusedHosts is how many hosts could be held for trials while half of the capacity of
+	// all usable hosts stays free of them and of other runs.
+	unusedHosts int
 	// quarantinedAt is when hosts were last kept free for work under trial, and trials how
 	// often they were.
 	quarantinedAt time.Duration
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -1,11 +1,18 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
 
 const (
 	// hostsPerTrial limits the hosts that suspected tasks hold at one time to one in
 	// hostsPerTrial, at least one.
 	hostsPerTrial = 8
+	// hostsPerCrash limits them likewise, together with the hosts that are down since a run
+	// that had just started there may have crashed them.
+	hostsPerCrash = 4
 	// soundWorkMemory is how long after other work has last waited some of the idle hosts
 	// are kept for it.
 	soundWorkMemory = 2 * time.Second
@@ -19,6 +26,9 @@
 	// at least maxSharedCrashes trials of its queue have crashed their hosts of late.
 	trialPatience    = time.Second
 	maxSharedCrashes = 0.5
+	// maxTrialWait is how long the first suspect in line waits for hosts that are empty
+	// soon, while others take them.
+	maxTrialWait = 3 * time.Second
 	// maxTrialDrain is how long runs on a host may last until it has room for a suspect.
 	maxTrialDrain = 2 * time.Second
 	// maxEmptyHostWait is how long no host was chosen for work under trial until hosts are
@@ -31,13 +41,50 @@
 
 // endTrials ends the trials of runs that are gone or cleared.
 func (s *Scheduler) endTrials() {
-	s.idleHosts = 0
+	s.idleHosts, s.crashedHosts = 0, 0
+	usable, unused := 0, 0.0
 	for _, h := range s.sortedHosts {
 		s.updateTrial(h)
-		if h.usable(s.now) && h.runsOnlyTrials() {
+		if h.crashed && h.quarantinedFor == nil && h.hasRecentRuns() {
+			s.crashedHosts++
+		}
+		if !h.usable(s.now) {
+			continue
+		}
+		usable++
+		if h.runsOnlyTrials() {
 			s.idleHosts++
 		}
+		if h.quarantinedFor != nil {
+			unused++
+		} else {
+			unused += h.unusedShare()
+		}
+	}
+	s.unusedHosts = int(unused - float64(usable)/2)
+}
+
+// hasRecentRuns reports whether a run had started on the host right before it crashed.
+func (h *host) hasRecentRuns() bool {
+	for _, a := range h.runs {
+		if a.recent {
+			return true
+		}
+	}
+	return false
+}
+
+// unusedShare returns the share of the host's capacity that no run uses, in the dimension
+// that is used most.
+func (h *host) unusedShare() float64 {
+	share := 1.0
+	free := h.free()
+	for i := range resource.Dimensions {
+		if capacity := h.spec.Capacity.At(i); capacity > 0 {
+			share = min(share, float64(free.At(i))/float64(capacity))
+		}
 	}
+	return max(share, 0)
 }
 
 // updateTrial ends the trial on a host if its run is gone or its task is cleared, and
--- a/internal/cell/schedule/trial_share_test.go
+++ b/internal/cell/schedule/trial_share_test.go
@@ -90,3 +90,38 @@
 		t.Errorf("%d calls for advice are sent, and %d hosts may crash at a share of %.2f", n, c.s.maxRiskyHosts(r), r.share())
 	}
 }
+
+// Guards against suspects that wait one behind the other in a cell that is hardly used,
+// since some small run is present on each host.
+func TestMoreSuspectsAreTriedWhenMostCapacityIsUnused(t *testing.T) {
+	c := newCluster(24, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.deadly = isDeadly
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second})
+	c.queue(cell.Queue{Name: "small", Stretch: 2, Latency: time.Second})
+	const suspects = 16
+	for i := range 230 { // 23 s
+		if i%10 == 0 {
+			c.submit(fmt.Sprintf("small%03d", i), "small", "a", cell.Step{Count: 24, MaxPerHost: 1, Size: resource.Vector{MilliCPU: 1000, MemoryMiB: 1024}, Estimate: 2500 * time.Millisecond})
+		}
+		if i == 50 {
+			for n := range suspects {
+				id := fmt.Sprintf("deadly%02d", n)
+				c.submit(id, "q", "b", smallStep(1, time.Second))
+				j := c.s.jobs[id]
+				j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
+			}
+			c.s.risks["q"] = &queueRisk{trialCrashes: 10, at: c.now}
+		}
+		c.advance(100 * time.Millisecond)
+	}
+	open := 0
+	for i := range suspects {
+		if !c.state[fmt.Sprintf("deadly%02d", i)].Final() {
+			open++
+		}
+	}
+	if open > 0 {
+		t.Errorf("%d of %d suspects are open after 18 s on 24 hosts that are used by a fifth", open, suspects)
+	}
+	checkViolations(t, c)
+}
