Count a crash once against a submission

Cause: the blame of a submission, by which suspects are ordered, was the sum over its tasks, so one crash counted once for each of them. It is that of the task with the most blame now.

Evidence: TestOneCrashSpeaksOnceAgainstASubmission fails on the former code: blame 1.00 for three tasks and 0.50 for one, want 0.50 each.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -202,14 +202,15 @@
 	return n
 }
 
-// blame returns how much the crashes under the job's tasks speak against it.
-func (j *job) blame() (sum float64) {
+// blame returns how much the crashes under the job's tasks speak against it: as much as
+// those under the task that is blamed most, since one crash may count for several tasks.
+func (j *job) blame() (most float64) {
 	for _, g := range j.groups {
 		for _, t := range g.tasks {
-			sum += t.blame()
+			most = max(most, t.blame())
 		}
 	}
-	return sum
+	return most
 }
 
 // blame returns how much the crashes under a task speak against it: each counts in
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -302,3 +302,19 @@
 		t.Error("runs on a host that left are suspected")
 	}
 }
+
+// Guards against submissions with many tasks that come last of all suspects, since one
+// crash is counted against them once for each task.
+func TestOneCrashSpeaksOnceAgainstASubmission(t *testing.T) {
+	c := crashCluster(1)
+	c.submit("three", "q", "a", smallStep(3, time.Minute))
+	c.submit("one", "q", "a", smallStep(1, time.Minute))
+	c.advance(10 * time.Millisecond)
+	c.crash("h00")
+	for range 40 {
+		c.advance(100 * time.Millisecond)
+	}
+	if three, one := c.s.jobs["three"].blame(), c.s.jobs["one"].blame(); three != 0.5 || one != 0.5 {
+		t.Errorf("the blame of two submissions for one crash is %.2f and %.2f, want 0.5 each", three, one)
+	}
+}
