--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -161,7 +161,7 @@
 // giveUpTrial starts a gang like other work if no hosts for its trial were found for very
 // long, though it might share them: it would need more than a trial may hold.
 func (s *Scheduler) giveUpTrial(g *group) {
-	if g.step.Gang && s.mayShareHosts(g) && s.now >= g.trialSince+2*trialPatience {
+	if g.step.Gang && g.run == 0 && s.mayShareHosts(g) && s.now >= g.trialSince+2*trialPatience {
 		g.notTried = true
 		s.logMessage(g.id.Submission, "", "A suspected gang is not tried alone, since no hosts for it were found for long.")
 	}
