Clear a suspected gang only once all of its members have survived their start

Cause: the trial of a gang ended, and the gang was cleared, when the run on any of its hosts had been present for long enough, also while the host of another member was down and its crash not counted yet. Class: part of an answer is taken for the whole.

Now a gang is cleared once each of its members has been present for long enough.

Evidence: TestGangFailsForCrashesUnderTheSameMember fails on the former code (the gang runs after its host crashed twice under the same member).

--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -95,7 +95,7 @@
 	case g == nil:
 	case h.trial != nil && g.runsOn(h) == 0:
 		h.trial, h.quarantinedFor = nil, nil
-	case h.trial != nil && h.trial.survivedTrial(s.now):
+	case h.trial != nil && h.trial.clearsTask(s.now):
 		s.clear(h.trial.task, h.spec.ID)
 		h.trial, h.quarantinedFor = nil, nil
 	case h.trial != nil:
@@ -221,6 +221,15 @@
 	return a.phase == phaseRunning && !a.host.crashed && now >= a.acceptedAt+needed
 }
 
+// clearsTask reports whether a run under trial shows that its task does not crash hosts. A
+// gang has shown it once all of its members have been present for long enough.
+func (a *taskRun) clearsTask(now time.Duration) bool {
+	if a.task.group.step.Gang {
+		return a.task.group.survivedTrial(now)
+	}
+	return a.survivedTrial(now)
+}
+
 // crashesLate reports whether a task of the group may crash its host long after its
 // start.
 func (g *group) crashesLate() bool {
