Count crashes under a gang for each of its members

What callers would see: a sound gang that is shown as failed (LOST, failed without cause), since two hosts crashed by themselves, each of them under another member. The rule speaks of a task under which two hosts have crashed.

Cause: the crashes under all members are recorded at the first one, without saying which members were there. Class: two different things are counted as one.

Now a crash says which members were on hosts that crashed, and a gang is given up only if at least two hosts crashed under the same member. Records without members count for each of them, as before.

Evidence: the first case of TestGangFailsForCrashesUnderTheSameMember fails on the former code.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -21,4 +21,7 @@
 	// Silent is set if the host had not answered for a while before its process was found
 	// to be gone, so that the time and the cause of the crash are unknown.
 	Silent bool `json:"silent,omitempty"`
+	// Members are the indexes of the gang members that were on hosts which crashed under
+	// the run; nil if they are unknown, or the task belongs to no gang.
+	Members []int `json:"members,omitempty"`
 }
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -128,18 +128,47 @@
 // countCrash counts a crash for the task of a run, or for its gang.
 func (s *Scheduler) countCrash(a *taskRun, c cell.Crash, message string) {
 	t, j := a.task.countedAt(), a.task.group.job
-	if t.done || j.state.Final() || t.countsCrash(a.run, c.Silent) {
+	if t.done || j.state.Final() || !t.addCrash(a.task, c) {
 		return
 	}
-	// Of a gang that lost several hosts, one crash counts: the one that says most.
-	t.crashes = slices.DeleteFunc(t.crashes, func(o cell.Crash) bool { return o.Run == a.run })
-	t.crashes = append(t.crashes, c)
 	t.trialRun, t.trialHosts = 0, nil
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, a.host.spec.ID, message)
 	s.judge(t, a.alone && !c.Silent && c.Suspects == 1)
 }
 
+// addCrash adds a crash under a run of a task, or of the given member of its gang, and
+// reports whether that says something new. Of a gang that lost several hosts, one crash
+// counts: the one that says most.
+func (t *task) addCrash(member *task, c cell.Crash) bool {
+	i := slices.IndexFunc(t.crashes, func(o cell.Crash) bool { return o.Run == c.Run })
+	if i < 0 {
+		c.Members = member.asMembers(nil)
+		t.crashes = append(t.crashes, c)
+		return true
+	}
+	o := t.crashes[i]
+	members := member.asMembers(o.Members)
+	if (c.Silent || !o.Silent) && len(members) == len(o.Members) {
+		return false
+	}
+	if !o.Silent {
+		c = o
+	}
+	c.Members = members
+	t.crashes = append(slices.Delete(slices.Clone(t.crashes), i, i+1), c)
+	return true
+}
+
+// asMembers adds the index of a task to those of members of its gang. It returns nil for
+// a task that belongs to no gang.
+func (t *task) asMembers(others []int) []int {
+	if !t.group.step.Gang || slices.Contains(others, t.id.Index) {
+		return others
+	}
+	return append(slices.Clone(others), t.id.Index)
+}
+
 // judge gives a job up if the crashes under one of its tasks show that it crashes its
 // hosts, or suspects it. alone is set if the task was alone on the last of them.
 func (s *Scheduler) judge(t *task, alone bool) {
@@ -157,10 +186,30 @@
 // crashesHosts reports whether the crashes under a task show that it crashes its hosts.
 // alone is set if it was alone on the last of them.
 func (t *task) crashesHosts(alone bool) bool {
+	if t.mostCrashesOfMember() < crashesToFail {
+		return false
+	}
 	n := len(t.crashesInTouch())
 	return alone && t.seenCrashes() >= crashesToFail || n >= crashesToFailBlamed && t.blame() >= blameToFail || len(t.crashes) >= maxCrashes
 }
 
+// mostCrashesOfMember returns how many hosts crashed under the same task, or the same
+// member of a gang: a gang may lose hosts that have nothing in common.
+func (t *task) mostCrashesOfMember() (most int) {
+	count := make(map[int]int)
+	unknown := 0
+	for _, c := range t.crashes {
+		if c.Members == nil {
+			unknown++
+		}
+		for _, i := range c.Members {
+			count[i]++
+			most = max(most, count[i])
+		}
+	}
+	return most + unknown
+}
+
 // crashesInTouch returns the crashes of hosts that had answered until then. The others
 // count only towards maxCrashes: their cause is unknown.
 func (t *task) crashesInTouch() (out []cell.Crash) {
--- a/internal/cell/schedule/gang_crash_test.go
+++ b/internal/cell/schedule/gang_crash_test.go
@@ -8,13 +8,16 @@
 )
 
 // Guards against a gang that is cleared by members on other hosts while the host of a
-// member is down.
+// member is down, and against a sound one that fails since hosts crashed by themselves,
+// each of them under another member.
 func TestGangFailsForCrashesUnderTheSameMember(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		members []int
 		want    cell.State
 	}{
+		{"another member each time", []int{0, 1}, cell.Active},
+		{"the same member twice", []int{0, 1, 0}, cell.Failed},
 		{"the same member again", []int{1, 1}, cell.Failed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
