Start long-running tasks on room that gangs reserve

A long-running task whose host was lost waited for as long as gangs ahead of it reserved the room, 3 s and more, though its hosts had room for it twice over. Such a task has to start within 3 s however full the cell is.

Ruled out: advice (the hosts were approved) and the limit of the team. The new test failed before with no task running after 2 s.

A long-running task takes no notice of reservations now.

--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -141,7 +141,11 @@
 
 // tasksThatFit returns how many more tasks of a group fit on a host now.
 func (s *Scheduler) tasksThatFit(g *group, h *host) int {
-	n := tasksIn(g.size, h.freeFor(s.now+g.estimate(h)))
+	free := h.free()
+	if !g.step.LongRunning { // such a task may not wait until gangs leave it room
+		free = h.freeFor(s.now + g.estimate(h))
+	}
+	n := tasksIn(g.size, free)
 	if g.step.MaxPerHost > 0 {
 		n = min(n, g.step.MaxPerHost-g.runsOn(h))
 	}
--- /dev/null
+++ b/internal/cell/schedule/reservation_bound_test.go
@@ -0,0 +1,47 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// reservedCluster returns a cell of four hosts that a gang has reserved for half a minute.
+// Tasks of 11 cores each run on some of the hosts meanwhile.
+func reservedCluster(t *testing.T, busyHosts int) *cluster {
+	c := newCluster(4, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.queue(cell.Queue{Name: "q", Priority: 1, Stretch: 2, Latency: time.Second})
+	c.queue(cell.Queue{Name: "urgent", Priority: 0, Stretch: 20, Latency: time.Second})
+	step := func(count int, cores int64) cell.Step {
+		return cell.Step{Count: count, Size: resource.Vector{MilliCPU: cores * 1000, MemoryMiB: 1024}, Estimate: 30 * time.Second}
+	}
+	c.submit("busy", "urgent", "a", step(busyHosts, 11))
+	c.advance(time.Second)
+	gang := step(4, 15)
+	gang.Gang = true
+	c.submit("gang", "urgent", "a", gang)
+	c.advance(time.Second)
+	if h := c.s.hosts["h03"]; h.reserved.MilliCPU == 0 {
+		t.Fatal("the gang has reserved nothing on the last host")
+	}
+	return c
+}
+
+func (c *cluster) advanceFor(d time.Duration) {
+	for range d / (100 * time.Millisecond) {
+		c.advance(100 * time.Millisecond)
+	}
+}
+
+// Guards against long-running tasks that wait, with room for them, while gangs reserve it.
+func TestLongRunningTasksStartOnReservedRoom(t *testing.T) {
+	c := reservedCluster(t, 3)
+	c.submit("serving", "q", "b", cell.Step{Count: 2, LongRunning: true, Size: resource.Vector{MilliCPU: 4000, MemoryMiB: 1024}, Estimate: time.Minute})
+	c.advanceFor(2 * time.Second)
+	if n := c.running("serving"); n != 2 {
+		t.Errorf("%d long-running tasks run after 2 s, want 2: %v", n, c.s.Explain("serving"))
+	}
+	checkViolations(t, c)
+}
