Keep no limit for a gang from its team's other work once no work arrives and most cores are idle

Ruled out: reservations on hosts and suspicion; the reason was the limit from the time at which room had come free until 3 s later. The new test failed before with no member running.

What is kept of a limit is not kept from work that may ignore reservations, as long as less than half of the limit is in use.

--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -43,7 +43,7 @@
 	s.chooseTrialHosts(queue)
 	reservingGangs := 0
 	for _, e := range queue {
-		s.place(e, &reservingGangs)
+		s.placeEntry(e, &reservingGangs)
 	}
 	if now >= s.nextPeriodicCheck {
 		s.nextPeriodicCheck = now + periodicCheckInterval
@@ -60,7 +60,6 @@
 // place starts tasks of a waiting group, or prepares their start.
 func (s *Scheduler) place(e queueEntry, reservingGangs *int) {
 	g := e.group
-	g.ignoresReservations = s.mayIgnoreReservations(g)
 	switch {
 	case e.underTrial:
 		s.placeTrial(g, reservingGangs)
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -37,6 +37,18 @@
 	return s.mostlyIdle && s.now >= s.newestArrival+quietPeriod && !g.job.hasRuns() && s.now >= g.job.idleSince()+longestReservedWait
 }
 
+// placeEntry places a waiting group, which nothing is kept from for gangs if it may ignore
+// reservations.
+func (s *Scheduler) placeEntry(e queueEntry, reservingGangs *int) {
+	g := e.group
+	g.ignoresReservations = s.mayIgnoreReservations(g)
+	if g.ignoresReservations {
+		g.job.team.withoutHold(func() { s.place(e, reservingGangs) })
+	} else {
+		s.place(e, reservingGangs)
+	}
+}
+
 // idleSince returns since when nothing of a job without runs runs that could.
 func (j *job) idleSince() (since time.Duration) {
 	for _, g := range j.groups {
--- a/internal/cell/schedule/reservation_bound_test.go
+++ b/internal/cell/schedule/reservation_bound_test.go
@@ -64,3 +64,22 @@
 		checkViolations(t, c)
 	}
 }
+
+// Guards against a gang that waits, with nothing of its submission running in an idle
+// cell, while the limit of its team is kept for another gang that waits for room, though
+// less than half of the limit is in use.
+func TestLimitKeptForAGangDelaysNoOtherInAnIdleCell(t *testing.T) {
+	c := reservedCluster(t, 1)
+	c.teams["a"] = cell.Team{Name: "a", Weight: 100, Limit: resource.Vector{MilliCPU: 75000}}
+	c.publish()
+	c.submit("other", "q", "a", cell.Step{Count: 4, Gang: true, Size: resource.Vector{MilliCPU: 2000, MemoryMiB: 1024}, Estimate: time.Minute})
+	c.advanceFor(quietPeriod - 100*time.Millisecond)
+	if n := c.running("other"); n != 0 {
+		t.Errorf("%d members run on what is kept for a gang while work arrives", n)
+	}
+	c.advanceFor(200 * time.Millisecond)
+	if n := c.running("other"); n != 4 {
+		t.Errorf("%d of 4 members run once no work has arrived for long: %v", n, c.s.Explain("other"))
+	}
+	checkViolations(t, c)
+}
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -104,6 +104,22 @@
 	t.held = need
 }
 
+// withoutHold calls f while nothing of the limit is kept, if less than half of it is in use.
+func (t *team) withoutHold(f func()) {
+	for i := range resource.Dimensions {
+		if limit := t.limit.At(i); limit != 0 && t.used.At(i) >= limit/2 {
+			f()
+			return
+		}
+	}
+	held := t.held
+	t.held = resource.Vector{}
+	f()
+	if held != (resource.Vector{}) {
+		t.held = held
+	}
+}
+
 // tasksUnderLimit returns how many more tasks of a size the team may run. Work
 // that is not urgent leaves a part of the limit free for the recent peak of urgent
 // work, which would otherwise wait until long tasks end.
