Continue the trial of a suspected task after a takeover

Sound submissions failed ("hosts crashed under one of its tasks") though none of their tasks crashes a host and all hosts answered the new owners. An owner that took over a suspected task in its trial did not keep its host free. It started other work beside it, which crashed the host; when this owner was lost too, the next one knew only of the trial and counted the crash for it alone. After three such takeovers it failed.

Ruled out: orders that were lost with an owner (their hosts have not restarted, so none is counted).

The trial that is recorded with the progress goes on when its run is taken over: its host is kept free until the run has been present for long enough, which clears the submission.

--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -157,3 +157,28 @@
 		t.Errorf("%+v is counted, suspected is %t", got, j.suspected)
 	}
 }
+
+// Guards against other work that a new owner starts beside a task under trial: if it
+// crashed the host and that owner was lost as well, the trial was blamed alone.
+func TestTrialContinuesAfterTakeover(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("suspect", "q", "a", smallStep(1, 3*time.Second))
+	c.s.jobs["suspect"].suspected = true
+	c.decide(nil)
+	c.replaceOwner()
+	c.s.MarkReconciled(c.now)
+	c.submit("other", "q", "a", smallStep(4, time.Second))
+	c.advance(time.Millisecond)
+	if n := c.running("other"); n != 4 {
+		t.Fatalf("%d of 4 other tasks run on the two hosts without a trial", n)
+	}
+	for _, h := range c.hosts {
+		if len(h.runs) > 1 && h.runs[0].task.Submission == "suspect" {
+			t.Errorf("%d tasks have been started beside a task under trial", len(h.runs)-1)
+		}
+	}
+	c.advance(trialDuration + 100*time.Millisecond)
+	if a := c.s.jobs["suspect"]; a.groups[0].tasks[0].trialRun != 0 {
+		t.Error("the trial has not ended, though its task has run for long enough")
+	}
+}
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -59,6 +59,7 @@
 	if a.phase == phaseStarting || a.phase == phaseUnanswered {
 		a.phase, a.acceptedAt, a.lastProgressAt = phaseRunning, s.now, s.now
 		s.markActive(a.task.group.job)
+		s.continueTrial(a)
 	}
 	if r.UsageOrLatencyMs > 0 {
 		s.usageReported = true
@@ -116,6 +117,7 @@
 	default:
 		s.logMessage(t.id.Submission, h.spec.ID, "A run that an earlier owner started continues.")
 	}
+	s.continueTrial(a)
 	return a
 }
 
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -16,6 +16,14 @@
 	}
 }
 
+// continueTrial keeps the host of a run that an earlier owner started under trial free of
+// other work until the trial has ended.
+func (s *Scheduler) continueTrial(a *taskRun) {
+	if a.adopted && a.phase == phaseRunning && a.task.countedAt().trialRun == a.run {
+		a.host.trial, a.host.quarantinedFor = a, a.task.group
+	}
+}
+
 // forgetTrial records that the outcome of a trial is known, or that it did not begin.
 func (t *task) forgetTrial(run int64) {
 	if c := t.countedAt(); c.trialRun == run {
