Let a gang behind others ask for advice about hosts that nobody has asked about

Ruled out: reservations on the hosts that were approved (they were ignored, but held five of six members). The new test failed before with no member running on 16 idle hosts.

A gang that may ignore reservations asks about hosts that are neither approved nor denied in this case too. Each host is asked about once, so that the calls are bounded; while work arrives nothing changes.

--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -52,12 +52,12 @@
 		return
 	}
 	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
-		s.setWaitReason(g, waitOtherGangs)
+		s.waitBehindGangs(g)
 		return
 	}
 	plan := s.planRoom(g, len(tasks))
 	if plan == nil {
-		s.setWaitReason(g, waitOtherGangs) // they have reserved the room that it needs
+		s.waitBehindGangs(g) // they have reserved the room that it needs
 		return
 	}
 	*reservingGangs++
@@ -69,6 +69,15 @@
 	}
 }
 
+// waitBehindGangs lets a gang wait for others that have reserved room. If reservations do
+// not bind it, it looks for room on hosts that are neither approved nor denied.
+func (s *Scheduler) waitBehindGangs(g *group) {
+	s.setWaitReason(g, waitOtherGangs)
+	if g.ignoresReservations && g.policy() != nil {
+		s.requestAdviceOnUndecidedHosts(g)
+	}
+}
+
 // holdLimit keeps the limit of its team for a gang that waits for it, and asks for advice
 // meanwhile. Nothing is kept for a gang that its hosts cannot hold.
 func (s *Scheduler) holdLimit(g *group, n int) {
--- a/internal/cell/schedule/reservation_bound_test.go
+++ b/internal/cell/schedule/reservation_bound_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,31 @@
 	}
 	checkViolations(t, c)
 }
+
+// Guards against a gang that waits behind others for the hosts that are approved for it,
+// and asks about no others, though these are idle.
+func TestGangBehindOthersAsksAboutIdleHosts(t *testing.T) {
+	c := newCluster(20, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.queue(cell.Queue{Name: "q", Priority: 1, Stretch: 2, Latency: time.Second, Advice: rescanAdvice})
+	c.queue(cell.Queue{Name: "urgent", Priority: 0, Stretch: 20, Latency: time.Second})
+	step := func(count int, milliCPU int64) cell.Step {
+		return cell.Step{Count: count, Size: resource.Vector{MilliCPU: milliCPU, MemoryMiB: 1024}, Estimate: 30 * time.Second}
+	}
+	c.submit("busy", "urgent", "a", step(4, 11000)) // h00 to h03
+	c.advance(time.Second)
+	for i := range minReservingGangs {
+		gang := step(1, 15000)
+		gang.Gang, gang.Label = true, "r1-0" // h00 to h02
+		c.submit(fmt.Sprintf("ahead%d", i), "urgent", "a", gang)
+	}
+	gang := step(6, 4500)
+	gang.Gang = true
+	c.submit("gang", "q", "b", gang)
+	tickets := map[string]string{"h00": "t", "h01": "t", "h02": "t", "h03": "t"}
+	c.s.AdviceReceived(cell.GroupID{Submission: "gang"}, []string{"h00", "h01", "h02", "h03"}, tickets, c.now)
+	c.advanceFor(quietPeriod + time.Second)
+	if n := c.running("gang"); n != 6 {
+		t.Errorf("%d of 6 members run on 16 idle hosts: %v", n, c.s.Explain("gang"))
+	}
+	checkViolations(t, c)
+}
