--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -49,6 +49,9 @@
 	trial bool
 	// placedIn is the number of the last decision in which the group was placed.
 	placedIn int64
+	// ignoresReservations is set while the group may use what is reserved for gangs; see
+	// mayIgnoreReservations.
+	ignoresReservations bool
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -50,6 +50,8 @@
 	// unusedHosts is how many hosts could be held for trials while half of the capacity of
 	// all usable hosts stays free of them and of other runs.
 	unusedHosts int
+	// mostlyIdle is set if less than half of the cores are in use at the start of a pass.
+	mostlyIdle bool
 	// quarantinedAt is when hosts were last kept free for work under trial, and trials how
 	// often they were.
 	quarantinedAt time.Duration
@@ -62,8 +64,10 @@
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
-	plan              *Plan
-	work              workBudget
+	// newestArrival is when the newest submission was received.
+	newestArrival time.Duration
+	plan          *Plan
+	work          workBudget
 	// queueBuffer holds the entries of the last queue.
 	queueBuffer []queueEntry
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
--- a/internal/cell/schedule/workbudget.go
+++ b/internal/cell/schedule/workbudget.go
@@ -47,7 +47,7 @@
 			s.placeInTurn(len(queue)-i, most/restDivisor, &reservingGangs)
 			return
 		}
-		s.place(e, &reservingGangs)
+		s.placeEntry(e, &reservingGangs)
 	}
 }
 
@@ -64,7 +64,7 @@
 		if g.placedIn == s.work.pass || !s.isWaiting(g) {
 			continue
 		}
-		s.place(s.entry(g), reservingGangs)
+		s.placeEntry(s.entry(g), reservingGangs)
 		left--
 	}
 }
