Forget the crashes of silent hosts under a task that has lasted

Cause: a crash of a host that had not answered is counted for a run whose start had no answer or was the last thing known of the host. Nothing forgot such a crash but a task that ends as done, or a trial, which these crashes never lead to. A task of a long life collects them until there are five.

They only speak against tasks that crash hosts at their start; such a task does not last. The bound of five crashes in a row holds as before (TestTaskThatCrashesSilentHostsIsGivenUp).

Evidence: the new test failed before, with the submission failed after the fifth cut.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -172,6 +172,20 @@
 	return out
 }
 
+// forgetSilentCrashes forgets the crashes of silent hosts under the task of a run, or under
+// its gang, if the run has lasted on a host that answers. They count only because the task
+// may crash hosts at its start, and would else add up over the life of a task.
+func (s *Scheduler) forgetSilentCrashes(a *taskRun) {
+	t := a.task.countedAt()
+	if len(t.crashes) == 0 || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
+		return
+	}
+	if inTouch := t.crashesInTouch(); len(inTouch) < len(t.crashes) {
+		t.crashes = inTouch
+		s.changed[t.id.Submission] = true
+	}
+}
+
 // countedAt returns the task at which crashes under a task are counted: for a gang its
 // first one, as for failures.
 func (t *task) countedAt() *task {
--- a/internal/cell/schedule/silent_crash_test.go
+++ b/internal/cell/schedule/silent_crash_test.go
@@ -56,3 +56,45 @@
 	}
 	checkCrashes(t, c)
 }
+
+// Guards against a task of a long life that fails since, over all of its life, hosts that
+// had been cut off crashed right after one of its starts.
+func TestSilentCrashesDoNotAddUpOverTheLifeOfATask(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		c := crashCluster(6)
+		c.takes = func(cell.TaskID, time.Duration) time.Duration { return 1000 * time.Hour }
+		step := smallStep(1, time.Second)
+		step.LongRunning, step.Gang = !gang, gang
+		c.submit("lasting", "q", "a", step)
+		for range 2 * maxCrashes {
+			c.decide(nil)
+			c.crashSilently(c.hostOf("lasting"))
+			for range 300 {
+				c.advance(100 * time.Millisecond)
+			}
+			if got := c.state["lasting"]; got != cell.Active {
+				t.Fatalf("gang %t: the submission is %s after runs of 25 s each", gang, got)
+			}
+			c.expireLeases(c.hostOf("lasting"))
+		}
+	}
+}
+
+// hostOf returns a host on which a submission runs.
+func (c *cluster) hostOf(submission string) string {
+	for _, id := range c.ids() {
+		for _, r := range c.hosts[id].runs {
+			if r.task.Submission == submission {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+// expireLeases cuts a host off until its leases have expired.
+func (c *cluster) expireLeases(id string) {
+	c.hosts[id].runs = nil
+	c.s.MarkUnreachable(id)
+	c.s.MarkAllRunsGone(id, c.now)
+}
