Take a run that an earlier owner started for no recent start

Callers would see: right after a change of the owner at which hosts crash, everything that ran on these hosts is suspected and started one by one, and its whole queue is confined, though nothing of it crashes hosts.

Cause: a run of an earlier owner counts as accepted when the new one sees it first, or as one without an answer if the earlier one had recorded it when it closed the host.

Fix: such a run may have started at any time, which is no evidence; a crash in touch then counts for all runs on the host alike, as if none had started before it. Only the run of a trial is known to be recent, and stays counted.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -60,11 +60,11 @@
 	h.crashed, h.crashedSilently = true, h.silent || !h.runsKnown
 	if h.crashedSilently {
 		for _, a := range h.runs {
-			a.suspected = a.acceptedAt == 0 || a.acceptedAt >= h.reportedAt-crashWindow
+			a.suspected = a.mayHaveStartedSince(h.reportedAt - crashWindow)
 		}
 		return
 	}
-	inWindow := func(a *taskRun) bool { return a.acceptedAt == 0 || a.acceptedAt >= notBefore-crashWindow }
+	inWindow := func(a *taskRun) bool { return a.mayHaveStartedSince(notBefore - crashWindow) }
 	var last time.Duration
 	any := false
 	for _, a := range h.runs {
@@ -82,6 +82,16 @@
 	s.addRisk(h, 1)
 }
 
+// mayHaveStartedSince reports whether the run may have started after a time. When a run that
+// an earlier owner ordered started is unknown, which says nothing against it; only that of a
+// trial is known to be recent.
+func (a *taskRun) mayHaveStartedSince(t time.Duration) bool {
+	if a.adopted && a.task.countedAt().trialRun != a.run {
+		return false
+	}
+	return a.acceptedAt == 0 || a.acceptedAt >= t
+}
+
 // clearSuspectedRuns ends the suspicion of the runs on a host that did not crash.
 func (s *Scheduler) clearSuspectedRuns(h *host) {
 	if !h.crashed {
--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -157,3 +157,58 @@
 		t.Errorf("%+v is counted, suspected is %t", got, j.suspected)
 	}
 }
+
+// Guards against sound work that is suspected, and a queue that is confined, since hosts
+// crash right after a takeover: the runs there were first seen by the new owner just before.
+func TestCrashRightAfterTakeoverShowsNoRecentStart(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		c := crashCluster(6)
+		c.submit("sound", "q", "a", smallStep(40, 10*time.Second))
+		for range 20 {
+			c.advance(100 * time.Millisecond)
+		}
+		c.replaceOwner()
+		c.s.MarkReconciled(c.now)
+		c.now += 50 * time.Millisecond
+		for _, id := range c.ids()[:3] {
+			if silent {
+				c.crashSilently(id)
+			} else {
+				c.crash(id)
+			}
+		}
+		j := c.s.jobs["sound"]
+		if j.suspectedRuns > 0 || c.s.risk(j).crashes > 0 {
+			t.Errorf("silent %t: %d runs and %.1f crashes of the queue count as recent", silent, j.suspectedRuns, c.s.risk(j).crashes)
+		}
+		for range 40 {
+			c.advance(100 * time.Millisecond)
+		}
+		for _, task := range j.groups[0].tasks {
+			if silent && len(task.crashes) > 0 || !silent && len(task.crashes) > 0 && task.crashes[0].Recent {
+				t.Errorf("silent %t: %+v is counted", silent, task.crashes)
+				break
+			}
+		}
+	}
+}
+
+// Guards against runs that count as started right before a crash, since an earlier owner
+// recorded them when it closed their host.
+func TestRecordedRunsOnRestartedHostCountNoCrash(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("sound", "q", "a", smallStep(1, 10*time.Second))
+	c.decide(nil)
+	id := c.hostOf("sound")
+	run := c.hosts[id].runs[0]
+	c.crashSilently(id)
+	c.replaceOwner()
+	c.s.AssumeRunPresent(id, Run{Task: run.task, Run: run.run}, c.now)
+	c.s.MarkReconciled(c.now)
+	c.s.MarkCrashed(id, c.now, c.now) // it answers as another instance
+	c.s.MarkAllRunsGone(id, c.now)
+	c.advance(100 * time.Millisecond)
+	if got := c.s.jobs["sound"].groups[0].tasks[0].crashes; len(got) > 0 || c.running("sound") != 1 {
+		t.Errorf("%+v is counted, %d tasks run", got, c.running("sound"))
+	}
+}
