Bound the work of a decision for suspects that wait for hosts

Cause: the bound on the work of a decision begins after the hosts for trials have been chosen. That examined all hosts several times for each waiting suspect, since it ends early only once hosts are held.

Fix: hosts are chosen for as many groups as a third of the work of a decision allows: half of them the first in line, the others in turn.

--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -54,6 +54,8 @@
 	// often they were.
 	quarantinedAt time.Duration
 	trials        int
+	// lastTrialTurn is how many of the groups under trial have had their turn; see trialTurn.
+	lastTrialTurn int
 	// soundWorkAt is when work last waited that is not suspected and whose queue has not
 	// crashed hosts of late.
 	soundWorkAt time.Duration
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -37,7 +37,7 @@
 		return
 	}
 	p := s.newTrialPass(waiting)
-	for i, g := range s.trialOrder(waiting) {
+	for i, g := range s.trialTurn(s.trialOrder(waiting)) {
 		if p.held >= p.most && p.calls <= 0 || !p.examine(g, i == 0) {
 			return
 		}
@@ -98,6 +98,21 @@
 	return waiting
 }
 
+// trialTurn returns the groups for which hosts are chosen in this decision: all of them,
+// or as many as the work of a decision allows. Half of these are the first ones, the others
+// take turns.
+func (s *Scheduler) trialTurn(order []*group) []*group {
+	most := max(s.maxHeadWork()/restDivisor/max(len(s.sortedHosts), 1), 2)
+	if len(order) <= most {
+		return order
+	}
+	head, rest := order[:most/2:most/2], order[most/2:]
+	from := s.lastTrialTurn % len(rest)
+	to := min(from+most-len(head), len(rest))
+	s.lastTrialTurn = to
+	return append(head, rest[from:to]...)
+}
+
 // examine keeps hosts free for a group, if there are any for it. It reports false if the
 // groups after it must not take hosts in this pass.
 func (p *trialPass) examine(g *group, first bool) bool {
