Let decisions wait for no stop order

Callers would see: while many hosts are cut off and run on, and work there is cancelled or has failed, nothing starts anywhere for seconds; with enough such runs the owner is replaced, and so is its successor.

Cause, found by reading: decisions and stops shared 512 slots for orders in flight, and a decision waited until each of its stops had one. A stop on a host that does not answer holds its slot for 0.9 s and is planned again. With 9,000 such runs a decision waits for about 15 s, where an owner whose decision has not ended for 4 s counts as dead.

Fix: stops have a queue and slots of their own. Each run has one stop there at most.

--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -17,30 +17,28 @@
 	stopRetryInterval = 200 * time.Millisecond
 )
 
-// execute sends the orders of a plan, each in its own goroutine.
+// execute sends the orders of a plan.
 func (ow *Owner) execute(ctx context.Context, p *schedule.Plan) {
 	for _, s := range p.Starts {
-		ow.sendOrder(ctx, func() { ow.start(ctx, s) })
-	}
-	for _, s := range p.Stops {
-		ow.sendOrder(ctx, func() { ow.stop(ctx, s) })
+		ow.sendStart(ctx, s)
 	}
+	ow.sendStops(ctx, p.Stops)
 	for _, a := range p.AdviceRequests {
 		ow.runGuarded(func() { ow.requestAdvice(ctx, a) })
 	}
 }
 
-// sendOrder runs send in a goroutine once fewer than maxOrdersInFlight orders are
-// in flight.
-func (ow *Owner) sendOrder(ctx context.Context, send func()) {
+// sendStart sends a start order in a goroutine once fewer than maxStartsInFlight are in
+// flight.
+func (ow *Owner) sendStart(ctx context.Context, s schedule.Start) {
 	select {
-	case ow.orderSlots <- struct{}{}:
+	case ow.startSlots <- struct{}{}:
 	case <-ctx.Done():
 		return
 	}
 	ow.runGuarded(func() {
-		defer func() { <-ow.orderSlots }()
-		send()
+		defer func() { <-ow.startSlots }()
+		ow.start(ctx, s)
 		ow.requestDecision()
 	})
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -24,8 +24,8 @@
 	// on decisions.
 	batchWindowFactor = 4
 	maxBatchWindow    = 25 * time.Millisecond
-	// maxOrdersInFlight bounds the orders that are sent and not answered.
-	maxOrdersInFlight = 512
+	// maxStartsInFlight bounds the start orders that are sent and not answered.
+	maxStartsInFlight = 512
 )
 
 // Owner executes the scheduler's decisions during one term, that is, while this
@@ -35,8 +35,9 @@
 	authority authority
 	// wake triggers a decision.
 	wake chan struct{}
-	// orderSlots limits the orders in flight, heartbeatSlot the heartbeats to one.
-	orderSlots, heartbeatSlot chan struct{}
+	// startSlots limits the start orders in flight, heartbeatSlot the heartbeats to one.
+	startSlots, heartbeatSlot chan struct{}
+	stops                     stopQueue
 
 	mu        sync.Mutex
 	scheduler *schedule.Scheduler
@@ -90,7 +91,7 @@
 // New returns an owner for the term that began with its claim.
 func New(o Options) *Owner {
 	ow := &Owner{
-		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxOrdersInFlight), heartbeatSlot: make(chan struct{}, 1),
+		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), startSlots: make(chan struct{}, maxStartsInFlight), heartbeatSlot: make(chan struct{}, 1),
 		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
 		reduced: make(map[string]bool), advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
@@ -273,12 +274,12 @@
 	ow.mu.Lock()
 	ow.stopping.Store(true)
 	ow.mu.Unlock()
-	for range cap(ow.orderSlots) {
+	for range cap(ow.startSlots) {
 		select {
-		case ow.orderSlots <- struct{}{}:
+		case ow.startSlots <- struct{}{}:
 		case <-ctx.Done():
 			return false
 		}
 	}
-	return ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
+	return ow.endStops(ctx) && ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
 }
