Examine a submission once for all its waiting occurrences

Callers would see: one submission with thousands of occurrences that are due, of which a task is suspected or whose queue has crashed hosts, stops the whole cell: nothing starts, and each owner is replaced.

Cause: for each waiting group, a decision examined all groups of its submission: whether it awaits its first task, whether its runs have survived their start, and, for suspects, how much each of its tasks is blamed. Suspicion is stored, so that the next owner does the same.

Fix: these are found out once for a submission and decision; whether it has runs at all is counted.

--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -21,6 +21,8 @@
 	state cell.State
 	// left is the number of tasks that are not done.
 	left int
+	// present is the number of tasks with runs.
+	present int
 	// unreconciled is set while the job may have runs of an earlier owner that
 	// this owner does not know.
 	unreconciled bool
@@ -42,6 +44,9 @@
 	// proven is set once a task has run for so long that the submission's tasks do not
 	// crash their hosts at their start.
 	proven bool
+	// awaitsFirstTask is the result of Scheduler.awaitsFirstTask in the decision examinedIn.
+	awaitsFirstTask bool
+	examinedIn      int64
 }
 
 func (j *job) group(id cell.GroupID) *group {
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -147,14 +147,7 @@
 }
 
 // hasRuns reports whether any run of the job may be present.
-func (j *job) hasRuns() bool {
-	for _, g := range j.groups {
-		if g.present > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (j *job) hasRuns() bool { return j.present > 0 }
 
 // RemoveSubmission removes a finished submission, once its progress is stored. It
 // reports false if the submission is unknown, not finished or may still have runs.
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -124,6 +124,7 @@
 	a := &taskRun{task: t, run: run, host: h, orderedAt: s.now, checkpoint: t.checkpoint, resumed: t.checkpoint != ""}
 	if len(t.runs) == 0 {
 		t.group.present++
+		t.group.job.present++
 		if !t.done {
 			t.group.waiting--
 		}
@@ -164,6 +165,7 @@
 	if len(a.task.runs) == 0 {
 		a.task.waitingSince = s.now
 		a.task.group.present--
+		j.present--
 		if !a.task.done {
 			a.task.group.waiting++
 		}
--- a/internal/cell/schedule/occurrences_test.go
+++ b/internal/cell/schedule/occurrences_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // Guards against a step that does not become ready when the steps before it are done, in
@@ -59,3 +60,41 @@
 		s.ApplyReport("h", time.Second, time.Second, report)
 	}
 }
+
+// decisionTime returns how long a decision takes while so many occurrences of a submission
+// wait that fit on no host.
+func decisionTime(occurrences int, prepare func(j *job, r *queueRisk)) time.Duration {
+	c := newCluster(50, resource.Vector{MilliCPU: 1000, MemoryMiB: 16_000})
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second})
+	sub := &cell.Submission{ID: "x", Team: "a", Queue: c.queues["q"], Steps: []cell.Step{smallStep(1, time.Second)}, Occurrences: occurrences}
+	c.s.Add(sub, cell.Progress{}, false, c.now, c.now)
+	shortest := time.Hour
+	for range 3 {
+		j := c.s.jobs["x"]
+		prepare(j, c.s.risk(j))
+		c.now += 10 * time.Millisecond
+		startedAt := time.Now()
+		c.s.Decide(c.now, c.now)
+		shortest = min(shortest, time.Since(startedAt))
+	}
+	return shortest
+}
+
+// Guards against one submission of many occurrences, suspected or of a queue whose tasks
+// have crashed hosts, with which each decision of each owner takes seconds.
+func TestCostOfOccurrencesIsNotQuadratic(t *testing.T) {
+	const few, factor = 500, 16
+	for name, prepare := range map[string]func(j *job, r *queueRisk){
+		"suspected":           func(j *job, _ *queueRisk) { j.suspected = true },
+		"of a risky queue":    func(_ *job, r *queueRisk) { r.starts, r.crashes = 100, 10 },
+		"of a confined queue": func(_ *job, r *queueRisk) { r.starts, r.crashes = 100, 30 },
+	} {
+		short, long := time.Hour, time.Hour
+		for range 3 {
+			short, long = min(short, decisionTime(few, prepare)), min(long, decisionTime(few*factor, prepare))
+		}
+		if limit := short * factor * 4; long > limit {
+			t.Errorf("%s: a decision takes %s with %d occurrences and %s with %d, want at most %s", name, short, few, long, few*factor, limit)
+		}
+	}
+}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -33,6 +33,7 @@
 // Decide returns the orders to carry out next.
 func (s *Scheduler) Decide(now, wall time.Duration) *Plan {
 	s.now, s.wallClock = now, wall
+	s.decision++
 	s.removeFinishedGroups()
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -77,7 +77,11 @@
 
 // entry returns the entry of a group without its sort keys.
 func (s *Scheduler) entry(g *group) queueEntry {
-	return queueEntry{group: g, underTrial: s.underTrial(g.job), awaitsFirstTask: s.awaitsFirstTask(g.job)}
+	j := g.job
+	if j.examinedIn != s.decision {
+		j.examinedIn, j.awaitsFirstTask = s.decision, s.awaitsFirstTask(j) // it examines all groups of the job
+	}
+	return queueEntry{group: g, underTrial: s.underTrial(j), awaitsFirstTask: j.awaitsFirstTask}
 }
 
 // rank computes the sort keys of a group: its rank, and its laxity, which is the
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -64,8 +64,10 @@
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
-	plan              *Plan
-	work              workBudget
+	// decision numbers the decisions.
+	decision int64
+	plan     *Plan
+	work     workBudget
 	// queueBuffer holds the entries of the last queue.
 	queueBuffer []queueEntry
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -134,8 +134,17 @@
 	if g.step.Gang {
 		return g.run != 0 || g.present == 0
 	}
-	for _, other := range g.job.groups {
-		if other.present > 0 && !other.survivedTrial(s.now) {
+	return g.job.survivedTrial(s.now)
+}
+
+// survivedTrial reports whether all runs of the job have been present for long enough. It
+// examines all groups of the job, unless there are no runs.
+func (j *job) survivedTrial(now time.Duration) bool {
+	if !j.hasRuns() {
+		return true
+	}
+	for _, g := range j.groups {
+		if g.present > 0 && !g.survivedTrial(now) {
 			return false
 		}
 	}
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -21,13 +21,18 @@
 // under trial in the queue.
 func (s *Scheduler) chooseTrialHosts(queue []queueEntry) {
 	var waiting []*group
+	unready := make(map[*job]bool) // jobs of which a group that is not a gang has to wait
 	for _, e := range queue {
 		g := e.group
 		g.trialRoom = 0
-		if !e.underTrial {
+		switch {
+		case !e.underTrial:
 			g.trialSince = 0
-		} else if s.readyForTrial(g) {
+		case !g.step.Gang && unready[g.job]:
+		case s.readyForTrial(g):
 			waiting = append(waiting, g)
+		case !g.step.Gang:
+			unready[g.job] = true
 		}
 		if !e.underTrial && !e.awaitsFirstTask {
 			s.soundWorkAt = s.now
@@ -77,10 +82,12 @@
 // that are least likely to crash a host come first, but one in agedTrialInterval trials
 // goes to the suspect that has waited longest, so that each has its turn.
 func (s *Scheduler) trialOrder(waiting []*group) []*group {
-	blame := make(map[*group]float64, len(waiting))
+	blame := make(map[*job]float64) // it examines all tasks of a job
 	var oldest *group
 	for _, g := range waiting {
-		blame[g] = g.job.blame()
+		if _, ok := blame[g.job]; !ok {
+			blame[g.job] = g.job.blame()
+		}
 		if !g.job.suspected {
 			continue
 		}
@@ -91,7 +98,7 @@
 			oldest = g
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *group) int { return cmp.Compare(blame[a], blame[b]) })
+	slices.SortStableFunc(waiting, func(a, b *group) int { return cmp.Compare(blame[a.job], blame[b.job]) })
 	if i := slices.Index(waiting, oldest); i > 0 && s.trials%agedTrialInterval == 0 {
 		waiting = slices.Insert(slices.Delete(waiting, i, i+1), 0, oldest)
 	}
