Keep the limit of its team for a suspected gang as well

Cause: keeps the limit for the gang that waits for it first, but a gang under trial does not pass that code.

Fix: it keeps the limit too, while it waits for it or for the hosts that are kept free for it.

Evidence: the new test failed before (no member runs after 10 s, with 14 of 40 cores in use).

--- a/internal/cell/schedule/team_limit_test.go
+++ b/internal/cell/schedule/team_limit_test.go
@@ -62,3 +62,33 @@
 		}
 	}
 }
+
+// Guards against a suspected gang that never starts, since smaller work of its team takes
+// whatever becomes free under the limit of the team, of which less than half is in use.
+func TestSuspectedGangGetsItsTeamsLimit(t *testing.T) {
+	for _, advice := range []*cell.AdvicePolicy{nil, {Decision: 100 * time.Millisecond, PerHost: time.Millisecond, Validity: 600 * time.Millisecond}} {
+		c := newCluster(16, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+		c.teams["a"] = cell.Team{Name: "a", Weight: 1000, Limit: resource.Vector{MilliCPU: 40000}}
+		c.queue(cell.Queue{Name: "q", Priority: 1, Stretch: 2, Latency: time.Second, Advice: advice})
+		c.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 2, Latency: time.Second})
+		stream := func(i int) {
+			c.submit(fmt.Sprintf("small%d", i), "small", "a", smallStep(1, time.Second)) // 14 of 40 cores in all
+			c.advance(100 * time.Millisecond)
+		}
+		for i := range 20 {
+			stream(i)
+		}
+		c.submit("gang", "q", "a", cell.Step{Count: 10, Size: resource.Vector{MilliCPU: 3000}, Estimate: time.Second, Gang: true})
+		c.s.jobs["gang"].suspected = true
+		at := c.now
+		for i := 20; i < 120 && c.running("gang") == 0; i++ {
+			stream(i)
+		}
+		if took := c.now - at; took > 3*time.Second {
+			t.Errorf("advice %+v: after %s, %d members run; it %s", advice, took, c.running("gang"), c.s.jobs["gang"].groups[0].waitReason)
+		}
+		for _, v := range c.violations {
+			t.Error(v)
+		}
+	}
+}
--- a/internal/cell/schedule/trial_place.go
+++ b/internal/cell/schedule/trial_place.go
@@ -9,6 +9,7 @@
 		return
 	case g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) < g.trialWidth():
 		s.setWaitReason(g, waitLimit)
+		s.holdLimitForTrial(g)
 		return
 	case g.trialRoom > 0 || g.run != 0:
 	case g.tooWide:
@@ -25,6 +26,15 @@
 		s.placeTasks(g, 1)
 	}
 	g.trial = false
+	s.holdLimitForTrial(g)
+}
+
+// holdLimitForTrial keeps the limit of its team for a gang that waits for it, or for the
+// hosts that are kept free for it, as for other gangs.
+func (s *Scheduler) holdLimitForTrial(g *group) {
+	if g.step.Gang && g.run == 0 && g.waiting > 0 {
+		s.holdLimit(g, g.waiting)
+	}
 }
 
 // placeTrialGang starts the members of a gang on the hosts that are kept free for it, or
