Understand the refusals of other nodes again

Callers would see: under load, fewer calls for advice than the nodes could make, so that work starts late; a former owner learns of its successor only from the log or from a host.

So a busy node counted as one that fails (not used for 1 to 8 s, an attempt of the retry budget), and a stale call as a failed one. Only calls through the own process were understood.

Fix: tickets are required only of an answer that refuses nothing.

Evidence: the new test, over a connection, failed before for both refusals.

--- a/internal/cell/peers/endpoint.go
+++ b/internal/cell/peers/endpoint.go
@@ -115,7 +115,7 @@
 	if err := e.invoke(ctx, adviseMethod, r, &out); err != nil {
 		return nil, err
 	}
-	if out.Tickets == nil {
+	if out.Refusal == advice.NotRefused && out.Tickets == nil {
 		return nil, eris.Errorf("node %s answered without tickets", e.name) // it would deny every host
 	}
 	return &out, nil
--- a/internal/cell/peers/odd_messages_test.go
+++ b/internal/cell/peers/odd_messages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 )
 
@@ -17,10 +19,11 @@
 type oddPeer struct {
 	*fakePeer
 	response *CallResponse
+	advice   AdviseResponse
 }
 
-func (oddPeer) Advise(context.Context, *AdviseRequest) (*AdviseResponse, error) {
-	return &AdviseResponse{}, nil
+func (p oddPeer) Advise(context.Context, *AdviseRequest) (*AdviseResponse, error) {
+	return &p.advice, nil
 }
 
 func (p oddPeer) Forward(context.Context, *CallRequest) (*CallResponse, error) {
@@ -45,7 +48,7 @@
 // it ends the call with a panic.
 func TestForwardRefusesOddStatus(t *testing.T) {
 	for _, status := range []int{-1, 0, 99, 100, 199, 600, 1 << 40} {
-		pool := newOddPool(t, oddPeer{newFakePeer(), &CallResponse{Status: status}})
+		pool := newOddPool(t, oddPeer{fakePeer: newFakePeer(), response: &CallResponse{Status: status}})
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		response, err := pool.Forward(ctx, &CallRequest{Method: "POST"})
 		cancel()
@@ -57,7 +60,7 @@
 
 // Guards against an answer of a node without tickets that denies every host for good.
 func TestAskRefusesAnswerWithoutTickets(t *testing.T) {
-	pool := newOddPool(t, oddPeer{newFakePeer(), nil})
+	pool := newOddPool(t, oddPeer{fakePeer: newFakePeer()})
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	e := pool.remote("odd")
@@ -66,6 +69,24 @@
 	}
 }
 
+// Guards against a refusal of another node that is taken for a failure: the owner would not
+// learn of its successor, and a busy node would count as one that fails.
+func TestRefusalOfAnotherNodeIsUnderstood(t *testing.T) {
+	call := advice.Call{Group: cell.GroupID{Submission: "x"}, Hosts: []string{"a"}}
+	ask := func(r AdviseResponse) error {
+		pool := newOddPool(t, oddPeer{fakePeer: newFakePeer(), advice: r})
+		_, err := pool.remote("odd").askInTime(t.Context(), call)
+		return err
+	}
+	if err := ask(AdviseResponse{Refusal: advice.RefusedStale}); !errors.Is(err, advice.ErrStale) {
+		t.Errorf("the error of a stale call is %v", err)
+	}
+	var busy *advice.BusyError
+	if err := ask(AdviseResponse{Refusal: advice.RefusedBusy, FreeIn: time.Second}); !errors.As(err, &busy) || busy.FreeIn != time.Second {
+		t.Errorf("the error of a call to a busy node is %v", err)
+	}
+}
+
 // Guards against a message that ends the process of the node that decodes it.
 func FuzzCodec(f *testing.F) {
 	f.Add([]byte(`{"group":{"Submission":"x","Occurrence":-1},"hosts":[null],"status":1e400,"verdict":"x","body":"%%","token":9223372036854775808}`))
