Let a fault in a call to the advice service end the call

Callers would see: an answer of the advice service at which code fails ends the process of the node that called, and then those of the nodes at which the call is tried again.

Cause: the gate calls the service in a goroutine of its own, which no recover of a call covers.

Fix: a panic there becomes the error of the call, with its stack.

Evidence: the new test ended the test process before.

--- a/internal/cell/advice/gate.go
+++ b/internal/cell/advice/gate.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 )
 
@@ -153,7 +156,7 @@
 func (g *Gate) send(r *request, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), timeout)
 	defer cancel()
-	tickets, err := g.service.Ask(ctx, r.Group, r.Hosts)
+	tickets, err := g.askService(ctx, r)
 	r.answered <- answer{tickets, err}
 	if r.ctx.Err() != nil {
 		g.log.Debug("The advice service answered after the caller had left.", "id", r.Group.Submission, "step", r.Group.Step, "error", err)
@@ -168,3 +171,14 @@
 	g.busyUntil = min(g.busyUntil, g.clock.Now()+left)
 	g.sendNext()
 }
+
+// askService calls the service. A panic becomes an error: the call would otherwise end this
+// process, and then that of the node at which it is tried again.
+func (g *Gate) askService(ctx context.Context, r *request) (tickets map[string]string, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			tickets, err = nil, eris.Errorf("a fault of the program ended the call: %v\n%s", v, debug.Stack())
+		}
+	}()
+	return g.service.Ask(ctx, r.Group, r.Hosts)
+}
--- a/internal/cell/advice/gate_test.go
+++ b/internal/cell/advice/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -136,3 +137,21 @@
 	s.proceed <- struct{}{}
 	g.Eventually(ask(gate, ctx, "third", 1, time.Second), "5s").Should(gomega.Receive(gomega.BeNil()))
 }
+
+// faultyService panics at each call.
+type faultyService struct{}
+
+func (faultyService) Ask(context.Context, cell.GroupID, []string) (map[string]string, error) {
+	panic("a fault that nobody expected")
+}
+
+// Guards against a fault in a call that ends the process, and then those of the nodes at
+// which the call is tried again; and against a place at the service that stays taken.
+func TestFaultInACallEndsTheCall(t *testing.T) {
+	gate := NewGate(faultyService{}, boottime.Clock{}, slog.New(slog.DiscardHandler))
+	for range maxAtService + 1 {
+		if err := <-ask(gate, t.Context(), "x", 1, time.Second); err == nil || !strings.Contains(err.Error(), "a fault that nobody expected") {
+			t.Errorf("the error is %v", err)
+		}
+	}
+}
