--- a/internal/cell/peers/ask.go
+++ b/internal/cell/peers/ask.go
@@ -194,6 +194,7 @@
 // flight, or nil. For a long call it returns nil also if that call would use the
 // reserve for short calls while another long call is in flight.
 func (p *Pool) pick(long bool, now time.Duration) (best *endpoint) {
+	p.searches++
 	endpointsWithLong, up := 0, 0
 	for _, e := range p.endpoints {
 		if !e.isDown(now) {
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -25,8 +25,10 @@
 	// shortWaiters and longWaiters hold the requests that wait for an endpoint;
 	// arrivals counts them.
 	shortWaiters, longWaiters waitQueue
-	arrivals                  int64
-	retries                   retryBudget
+	// searches is how often the endpoints were searched for one with capacity.
+	searches int
+	arrivals int64
+	retries  retryBudget
 }
 
 // NewPool returns a pool with this node as its only endpoint.
--- a/internal/cell/peers/waitqueue_test.go
+++ b/internal/cell/peers/waitqueue_test.go
@@ -11,9 +11,10 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 )
 
-// waitTime returns how long it takes until n requests wait at a pool whose endpoints
-// are all busy, and are given up.
-func waitTime(n int) time.Duration {
+// Guards against an owner that spends all of its processor time on the advice requests
+// that wait: each of them was compared with each endpoint whenever another one arrived.
+func TestCostOfWaitingRequestsIsNotQuadratic(t *testing.T) {
+	const requests = 4800
 	busy := newFakePeer()
 	pool := NewPool(boottime.Clock{}, slog.New(slog.DiscardHandler), "self", busy)
 	for i := range 41 {
@@ -24,8 +25,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	begun := time.Now()
-	for i := range n {
+	for i := range requests {
 		go func() { _, _ = pool.Ask(ctx, advice.Call{Hosts: []string{"h"}, Duration: time.Minute}, i%3) }()
 	}
 	waitFor := func(waiting int) {
@@ -33,23 +33,14 @@
 			time.Sleep(100 * time.Microsecond)
 		}
 	}
-	waitFor(n)
+	waitFor(requests)
 	cancel()
 	waitFor(0)
-	return time.Since(begun)
-}
-
-// Guards against an owner that spends all of its processor time on the advice requests
-// that wait: each of them was compared with each endpoint whenever another one arrived.
-func TestCostOfWaitingRequestsIsNotQuadratic(t *testing.T) {
-	const few, factor = 300, 16
-	short, long := time.Hour, time.Hour
-	for range 3 {
-		short, long = min(short, waitTime(few)), min(long, waitTime(few*factor))
-	}
-	t.Logf("%d requests take %s, %d of them %s", few, short, few*factor, long)
-	if limit := short * factor * 4; long > limit {
-		t.Errorf("%d requests take %s, %d of them %s, want at most %s", few, short, few*factor, long, limit)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	// One search for each kind of call when a request arrives, and when it is given up.
+	if limit := 4 * requests; pool.searches > limit {
+		t.Errorf("%d requests that wait need %d searches of the endpoints, want at most %d", requests, pool.searches, limit)
 	}
 }
 
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -126,6 +126,7 @@
 	a := &taskRun{task: t, run: run, host: h, orderedAt: s.now, checkpoint: t.checkpoint, resumed: t.checkpoint != ""}
 	if len(t.runs) == 0 {
 		t.group.present++
+		t.group.job.present++
 		if !t.done {
 			t.group.waiting--
 		}
@@ -148,6 +149,7 @@
 	delete(a.host.runs, runKey{a.task.id, a.run})
 	a.endSuspicion()
 	a.task.forgetTrial(a.run)
+	s.forgetSilentCrashes(a)
 	a.host.used = a.host.used.Sub(a.task.group.size)
 	if a.task.group.step.LongRunning {
 		a.host.longRunning = a.host.longRunning.Sub(a.task.group.size)
@@ -165,6 +167,7 @@
 	if len(a.task.runs) == 0 {
 		a.task.waitingSince = s.now
 		a.task.group.present--
+		j.present--
 		if !a.task.done {
 			a.task.group.waiting++
 		}
--- a/internal/cell/schedule/occurrences_test.go
+++ b/internal/cell/schedule/occurrences_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 // Guards against a step that does not become ready when the steps before it are done, in
@@ -59,3 +60,39 @@
 		s.ApplyReport("h", time.Second, time.Second, report)
 	}
 }
+
+// examinedGroups returns how many groups the second decision examines to judge a submission
+// as a whole, while so many occurrences of it wait that fit on no host.
+func examinedGroups(occurrences int, prepare func(c *cluster, j *job)) int {
+	c := newCluster(50, resource.Vector{MilliCPU: 1000, MemoryMiB: 16_000})
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second})
+	sub := &cell.Submission{ID: "x", Team: "a", Queue: c.queues["q"], Steps: []cell.Step{smallStep(1, time.Second)}, Occurrences: occurrences}
+	c.s.Add(sub, cell.Progress{}, false, c.now, c.now)
+	for range 2 {
+		prepare(c, c.s.jobs["x"])
+		c.now += 10 * time.Millisecond
+		c.s.Decide(c.now, c.now)
+	}
+	return c.s.work.groups
+}
+
+// Guards against one submission of many occurrences, suspected, of a queue whose tasks have
+// crashed hosts, or in a cell that is mostly idle, with which each decision of each owner
+// takes seconds.
+func TestCostOfOccurrencesIsNotQuadratic(t *testing.T) {
+	const few, factor = 500, 16
+	risk := func(crashes float64) func(c *cluster, j *job) {
+		return func(c *cluster, j *job) { c.s.risk(j).starts, c.s.risk(j).crashes = 100, crashes }
+	}
+	for name, prepare := range map[string]func(c *cluster, j *job){
+		"suspected":           func(_ *cluster, j *job) { j.suspected = true },
+		"of a risky queue":    risk(10),
+		"of a confined queue": risk(30),
+		"in an idle cell":     func(c *cluster, _ *job) { c.now += quietPeriod + longestReservedWait },
+	} {
+		short, long := examinedGroups(few, prepare), examinedGroups(few*factor, prepare)
+		if limit := short * factor; short == 0 || long > limit || long > 4*few*factor {
+			t.Errorf("%s: a decision examines %d groups with %d occurrences and %d with %d, want at most %d", name, short, few, long, few*factor, limit)
+		}
+	}
+}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -33,6 +33,8 @@
 // Decide returns the orders to carry out next.
 func (s *Scheduler) Decide(now, wall time.Duration) *Plan {
 	s.now, s.wallClock = now, wall
+	s.decision++
+	s.work.groups = 0
 	s.removeFinishedGroups()
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -75,9 +75,20 @@
 	return g.ready && g.waiting > 0 && !g.job.unreconciled
 }
 
+// examine returns the groups of a job, to judge it as a whole. A job may have as many
+// groups as it has occurrences, so that this must not be done for each of them.
+func (s *Scheduler) examine(j *job) []*group {
+	s.work.groups += len(j.groups)
+	return j.groups
+}
+
 // entry returns the entry of a group without its sort keys.
 func (s *Scheduler) entry(g *group) queueEntry {
-	return queueEntry{group: g, underTrial: s.underTrial(g.job), awaitsFirstTask: s.awaitsFirstTask(g.job)}
+	j := g.job
+	if j.examinedIn != s.decision {
+		j.examinedIn, j.awaitsFirstTask = s.decision, s.awaitsFirstTask(j) // it examines all groups of the job
+	}
+	return queueEntry{group: g, underTrial: s.underTrial(j), awaitsFirstTask: j.awaitsFirstTask}
 }
 
 // rank computes the sort keys of a group: its rank, and its laxity, which is the
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -173,7 +173,7 @@
 	if j.proven || !s.risk(j).exceeds(riskyShare, s.now) {
 		return false
 	}
-	for _, g := range j.groups {
+	for _, g := range s.examine(j) {
 		if g.present == 0 {
 			continue
 		}
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -34,7 +34,7 @@
 	if g.step.LongRunning {
 		return true
 	}
-	return s.mostlyIdle && s.now >= s.newestArrival+quietPeriod && !g.job.hasRuns() && s.now >= g.job.idleSince()+longestReservedWait
+	return s.mostlyIdle && s.now >= s.newestArrival+quietPeriod && !g.job.hasRuns() && s.now >= s.idleSince(g.job)+longestReservedWait
 }
 
 // placeEntry places a waiting group, which nothing is kept from for gangs if it may ignore
@@ -50,16 +50,20 @@
 }
 
 // idleSince returns since when nothing of a job without runs runs that could.
-func (j *job) idleSince() (since time.Duration) {
-	for _, g := range j.groups {
+func (s *Scheduler) idleSince(j *job) time.Duration {
+	if j.idleSinceIn == s.decision {
+		return j.idleSince
+	}
+	j.idleSinceIn, j.idleSince = s.decision, 0
+	for _, g := range s.examine(j) {
 		if !g.ready {
 			continue
 		}
 		for _, t := range g.tasks {
-			since = max(since, t.waitingSince)
+			j.idleSince = max(j.idleSince, t.waitingSince)
 		}
 	}
-	return since
+	return j.idleSince
 }
 
 // expectedEnd is when a run is expected to end and the resources that it then
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -56,6 +56,8 @@
 	// often they were.
 	quarantinedAt time.Duration
 	trials        int
+	// lastTrialTurn is how many of the groups under trial have had their turn; see trialTurn.
+	lastTrialTurn int
 	// soundWorkAt is when work last waited that is not suspected and whose queue has not
 	// crashed hosts of late.
 	soundWorkAt time.Duration
@@ -66,8 +68,10 @@
 	lastArrival       int
 	// newestArrival is when the newest submission was received.
 	newestArrival time.Duration
-	plan          *Plan
-	work          workBudget
+	// decision numbers the decisions.
+	decision int64
+	plan     *Plan
+	work     workBudget
 	// queueBuffer holds the entries of the last queue.
 	queueBuffer []queueEntry
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -134,8 +134,17 @@
 	if g.step.Gang {
 		return g.run != 0 || g.present == 0
 	}
-	for _, other := range g.job.groups {
-		if other.present > 0 && !other.survivedTrial(s.now) {
+	return s.survivedTrial(g.job)
+}
+
+// survivedTrial reports whether all runs of the job have been present for long enough. It
+// examines all groups of the job, unless there are no runs.
+func (s *Scheduler) survivedTrial(j *job) bool {
+	if !j.hasRuns() {
+		return true
+	}
+	for _, g := range s.examine(j) {
+		if g.present > 0 && !g.survivedTrial(s.now) {
 			return false
 		}
 	}
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -21,13 +21,18 @@
 // under trial in the queue.
 func (s *Scheduler) chooseTrialHosts(queue []queueEntry) {
 	var waiting []*group
+	unready := make(map[*job]bool) // jobs of which a group that is not a gang has to wait
 	for _, e := range queue {
 		g := e.group
 		g.trialRoom = 0
-		if !e.underTrial {
+		switch {
+		case !e.underTrial:
 			g.trialSince = 0
-		} else if s.readyForTrial(g) {
+		case !g.step.Gang && unready[g.job]:
+		case s.readyForTrial(g):
 			waiting = append(waiting, g)
+		case !g.step.Gang:
+			unready[g.job] = true
 		}
 		if !e.underTrial && !e.awaitsFirstTask {
 			s.soundWorkAt = s.now
@@ -37,7 +42,7 @@
 		return
 	}
 	p := s.newTrialPass(waiting)
-	for i, g := range s.trialOrder(waiting) {
+	for i, g := range s.trialTurn(s.trialOrder(waiting)) {
 		if p.held >= p.most && p.calls <= 0 || !p.examine(g, i == 0) {
 			return
 		}
@@ -77,10 +82,13 @@
 // that are least likely to crash a host come first, but one in agedTrialInterval trials
 // goes to the suspect that has waited longest, so that each has its turn.
 func (s *Scheduler) trialOrder(waiting []*group) []*group {
-	blame := make(map[*group]float64, len(waiting))
+	blame := make(map[*job]float64) // it examines all tasks of a job
 	var oldest *group
 	for _, g := range waiting {
-		blame[g] = g.job.blame()
+		if _, ok := blame[g.job]; !ok {
+			s.examine(g.job)
+			blame[g.job] = g.job.blame()
+		}
 		if !g.job.suspected {
 			continue
 		}
@@ -91,13 +99,28 @@
 			oldest = g
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *group) int { return cmp.Compare(blame[a], blame[b]) })
+	slices.SortStableFunc(waiting, func(a, b *group) int { return cmp.Compare(blame[a.job], blame[b.job]) })
 	if i := slices.Index(waiting, oldest); i > 0 && s.trials%agedTrialInterval == 0 {
 		waiting = slices.Insert(slices.Delete(waiting, i, i+1), 0, oldest)
 	}
 	return waiting
 }
 
+// trialTurn returns the groups for which hosts are chosen in this decision: all of them,
+// or as many as the work of a decision allows. Half of these are the first ones, the others
+// take turns.
+func (s *Scheduler) trialTurn(order []*group) []*group {
+	most := max(s.maxHeadWork()/restDivisor/max(len(s.sortedHosts), 1), 2)
+	if len(order) <= most {
+		return order
+	}
+	head, rest := order[:most/2:most/2], order[most/2:]
+	from := s.lastTrialTurn % len(rest)
+	to := min(from+most-len(head), len(rest))
+	s.lastTrialTurn = to
+	return append(head, rest[from:to]...)
+}
+
 // examine keeps hosts free for a group, if there are any for it. It reports false if the
 // groups after it must not take hosts in this pass.
 func (p *trialPass) examine(g *group, first bool) bool {
--- a/internal/cell/schedule/workbudget.go
+++ b/internal/cell/schedule/workbudget.go
@@ -23,6 +23,9 @@
 type workBudget struct {
 	// used is the work of the current decision, in hosts examined.
 	used int
+	// groups is how many groups of submissions were examined in the current decision to
+	// judge these submissions as a whole.
+	groups int
 	// pass numbers the decisions.
 	pass int64
 	// lastTurn is the arrival number of the last job whose turn it was.
