Draw crashes of hosts, deadly tasks and small cells in TestWorkRunsOnceFaultsHaveEnded

The test knew no crashes. The bounds are those of before: 14 s after the faults, then 3 s.

Two waits are allowed, by traces: of other tasks of a submission under trial while one of it runs (docs/platform.md), and of work behind gangs' reservations in small cells, or beside long tasks, while other work arrives.

--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -33,6 +33,8 @@
 	// the crashes that a task caused, and startsAfter its starts after the third one.
 	deadly               func(t cell.TaskID) bool
 	crashes, startsAfter map[cell.TaskID]int
+	// cutsDeadly is set if the hosts of such tasks are cut off when they crash.
+	cutsDeadly bool
 	// crashesUnder counts the hosts that crashed while a task ran there.
 	crashesUnder map[cell.TaskID]int
 	// takes returns how long a run takes whose estimate is given.
@@ -195,7 +197,11 @@
 	}
 	if c.deadly(o.Task) {
 		c.crashes[o.Task]++
-		c.crash(h.id)
+		if c.cutsDeadly {
+			c.crashSilently(h.id)
+		} else {
+			c.crash(h.id)
+		}
 	}
 }
 
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -21,6 +21,10 @@
 	if h.downUntil != 0 {
 		return
 	}
+	if h.unreachable {
+		c.crashSilently(id)
+		return
+	}
 	h.unreachable, h.downUntil = true, c.now+crashDowntime
 	for _, r := range h.runs {
 		c.crashesUnder[r.task]++
@@ -34,6 +38,9 @@
 // instance after crashDowntime.
 func (c *cluster) crashSilently(id string) {
 	h := c.hosts[id]
+	if h.downUntil != 0 {
+		return
+	}
 	h.unreachable, h.downUntil = true, c.now+crashDowntime
 	h.runs, h.ended = nil, nil
 	c.s.MarkSilent(id)
--- a/internal/cell/schedule/liveness_test.go
+++ b/internal/cell/schedule/liveness_test.go
@@ -30,37 +30,40 @@
 	idleSince map[string]time.Duration
 	hostCount int
 	jobCount  int
+	// faults is set until the last fault; deadly tasks crash their hosts until then.
+	// One submission in deadlyShare is deadly, none if it is zero.
+	faults      bool
+	deadlyShare int
+	// quiet is set if no work arrives after the faults. While it does, gangs may reserve
+	// the room of others for longer, which shows in small cells and beside long tasks.
+	quiet bool
 }
 
 func (l *livenessTest) addHost() {
 	spec := cell.Host{
 		ID: fmt.Sprintf("h%03d", l.hostCount), Service: "s", Labels: []string{fmt.Sprintf("l%d", l.hostCount%2), fmt.Sprintf("r1-%d", l.hostCount%5)},
-		Capacity: resource.Vector{MilliCPU: int64(6+2*l.r.IntN(6)) * 1000, MemoryMiB: 65536},
+		Capacity: l.anyCapacity(),
 	}
 	l.hostCount++
 	l.hosts[spec.ID] = &fakeHost{id: spec.ID, spec: spec, startedMs: 1}
 }
 
+func (l *livenessTest) anyCapacity() resource.Vector {
+	return resource.Vector{MilliCPU: int64(6+2*l.r.IntN(6)) * 1000, MemoryMiB: 65536}
+}
+
 // relist passes the present hosts to the scheduler, as the host list shows them.
 func (l *livenessTest) relist() {
 	var list []cell.Host
 	for _, id := range l.ids() {
-		list = append(list, l.hosts[id].spec)
+		h := l.hosts[id]
+		h.spec.StartedMs = h.startedMs
+		list = append(list, h.spec)
 	}
 	l.s.SetHosts(list)
 	l.s.SetListedHosts(list)
 }
 
-// replaceHost replaces a host by one with another ID.
-func (l *livenessTest) replaceHost(id string) {
-	delete(l.hosts, id)
-	l.addHost()
-	l.s.MarkUnreachable(id)
-	l.s.MarkAllRunsGone(id, l.now)
-	l.relist()
-	l.s.RemoveHost(id)
-}
-
 func (l *livenessTest) submitAny() {
 	l.jobCount++
 	var steps []cell.Step
@@ -78,47 +81,22 @@
 		if l.r.IntN(3) == 0 {
 			s.Label = fmt.Sprintf("l%d", l.r.IntN(2))
 		}
+		if l.quiet && l.r.IntN(8) == 0 {
+			s.Estimate *= 5
+		}
+		if s.LongRunning = l.r.IntN(20) == 0; s.LongRunning {
+			s.Count = min(s.Count, 3)
+		}
 		if n > 0 && l.r.IntN(2) == 0 {
 			s.After = []int{n - 1}
 		}
 		steps = append(steps, s)
 	}
-	l.submit(fmt.Sprintf("job%d", l.jobCount), []string{"advised", "plain"}[l.r.IntN(2)], []string{"a", "b"}[l.r.IntN(2)], steps...)
-}
-
-// fault causes one fault, or lets orders of the next decision get lost.
-func (l *livenessTest) fault() (deliver func(Start) int) {
-	ids := l.ids()
-	id := ids[l.r.IntN(len(ids))]
-	switch l.r.IntN(8) {
-	case 0:
-		l.hosts[id].unreachable = true
-		l.s.MarkUnreachable(id)
-	case 1:
-		if h := l.hosts[id]; h.unreachable {
-			h.runs = nil // all leases there have expired
-			l.s.MarkAllRunsGone(id, l.now)
-		}
-	case 2:
-		l.hosts[id].unreachable = false
-	case 3:
-		l.replaceHost(id)
-	case 4:
-		if l.r.IntN(4) == 0 {
-			l.replaceOwner()
-			if !l.anyUnreachable() {
-				l.s.MarkReconciled(l.now)
-			}
-		}
-	case 5:
-		for _, call := range l.calls {
-			l.s.AdviceFailed(call.request.Group, l.now)
-		}
-		l.calls = nil
-	case 6:
-		return func(Start) int { return l.r.IntN(4) }
+	kind := "job"
+	if l.deadlyShare > 0 && l.r.IntN(l.deadlyShare) == 0 {
+		kind = "deadly"
 	}
-	return nil
+	l.submit(fmt.Sprintf("%s%d", kind, l.jobCount), []string{"advised", "plain"}[l.r.IntN(2)], []string{"a", "b"}[l.r.IntN(2)], steps...)
 }
 
 // room returns the free room for the tasks of a group on the hosts that it may use, and
@@ -132,31 +110,57 @@
 		}
 		inUse, capacity = inUse+h.spec.Capacity.MilliCPU-free.MilliCPU, capacity+h.spec.Capacity.MilliCPU
 		if (g.step.Label == "" || h.spec.HasLabel(g.step.Label)) && (g.policy() == nil || l.approves(g.id, h.id)) {
-			tasks += g.membersIn(free)
+			tasks += l.tasksThatFit(g, h, free)
 		}
 	}
 	return tasks, float64(inUse) / float64(capacity)
 }
 
-// starved reports whether a submission has nothing running although the turn of a step
-// has come, there is room for it twice over, and less than half of the capacity is in use.
+// tasksThatFit returns how many more tasks of a group fit into the free room of a host.
+func (l *livenessTest) tasksThatFit(g *group, h *fakeHost, free resource.Vector) int {
+	n := tasksIn(g.size, free)
+	if g.step.MaxPerHost == 0 {
+		return n
+	}
+	there := 0
+	for _, r := range h.runs {
+		if r.task.Group() == g.id {
+			there++
+		}
+	}
+	return max(min(n, g.step.MaxPerHost-there), 0)
+}
+
+// starved reports whether a submission has nothing running, or a long-running task does
+// not run whose submission is not under trial, although the turn of a step has come, there is room for it twice over, its
+// team uses less than half of its limit, and less than half of the capacity is in use.
 func (l *livenessTest) starved(id string) bool {
 	j := l.s.jobs[id]
-	if j == nil || l.state[id].Final() || l.running(id) > 0 {
+	if j == nil || l.state[id].Final() || !l.belowHalfOfLimit(j) {
 		return false
 	}
+	idle, underTrial := l.running(id) == 0, l.s.underTrial(j)
 	for _, g := range j.groups {
 		need := 2
 		if g.step.Gang {
 			need = 2 * g.left
 		}
-		if tasks, used := l.room(g); g.ready && g.left > 0 && tasks >= need && used < 0.5 {
+		if !g.ready || g.waiting == 0 || !idle && (underTrial || !g.step.LongRunning) {
+			continue
+		}
+		if tasks, used := l.room(g); tasks >= need && (used < 0.5 || g.step.LongRunning) {
 			return true
 		}
 	}
 	return false
 }
 
+// belowHalfOfLimit reports whether the team of a job uses less than half of its limit.
+func (l *livenessTest) belowHalfOfLimit(j *job) bool {
+	limit := l.teams[j.sub.Team].Limit.MilliCPU
+	return limit == 0 || j.team.used.MilliCPU < limit/2
+}
+
 // check fails if a submission has been starved for too long.
 func (l *livenessTest) check() {
 	for _, id := range l.jobIDs() {
@@ -173,15 +177,25 @@
 	}
 }
 
-// Guards against accepted work that stays behind for ever after faults, with most of the
-// room free.
+// Guards against accepted work that stays behind for ever after faults, crashes of hosts
+// and takeovers included, with most of the room free.
 func TestWorkRunsOnceFaultsHaveEnded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := &livenessTest{cluster: newCluster(0, resource.Vector{}), t: t, r: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), idleSince: make(map[string]time.Duration)}
+		l := &livenessTest{cluster: newCluster(0, resource.Vector{}), t: t, r: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), rapid.Uint64().Draw(t, "stream"))), idleSince: make(map[string]time.Duration)}
 		l.adviceTakesTime = true
-		for range 8 + l.r.IntN(20) {
+		l.takes = func(t cell.TaskID, estimate time.Duration) time.Duration {
+			if l.jobs[t.Submission].Steps[t.Step].LongRunning {
+				return time.Hour
+			}
+			return estimate
+		}
+		if l.r.IntN(2) == 0 {
+			l.teams["b"] = cell.Team{Name: "b", Weight: 100, Limit: resource.Vector{MilliCPU: int64(105+l.r.IntN(60)) * 1000}}
+		}
+		for range 2 + l.r.IntN(26) {
 			l.addHost()
 		}
+		l.quiet = len(l.hosts) < 8 || l.r.IntN(2) == 0
 		denied := uint32(l.r.IntN(7))
 		l.approves = func(g cell.GroupID, host string) bool {
 			h := fnv.New32a()
@@ -194,27 +208,14 @@
 		l.queue(cell.Queue{Name: "plain", Priority: l.r.IntN(3), Stretch: 2, Latency: time.Second})
 		l.relist()
 		l.pollHosts()
-		for range l.r.IntN(50) {
-			for range l.r.IntN(3) {
-				l.submitAny()
-			}
-			l.now += time.Duration(20+l.r.IntN(300)) * time.Millisecond
-			deliver := l.fault()
-			l.answerAdvice(func(call adviceCall) bool { return l.now >= call.due })
-			l.endDueRuns()
-			l.pollHosts()
-			l.decide(deliver)
-		}
-		for _, id := range l.ids() {
-			l.hosts[id].unreachable = false
-		}
-		l.pollHosts()
-		l.s.MarkReconciled(l.now)
+		l.deadlyShare = []int{0, 2, 4, 12}[l.r.IntN(4)]
+		l.causeFaults(l.r.IntN(50))
+		l.endFaults()
 		for end := l.now + livenessGrace; l.now < end; {
 			l.advance(100 * time.Millisecond)
 		}
 		for range 100 {
-			if l.r.IntN(4) == 0 {
+			if !l.quiet && l.r.IntN(4) == 0 {
 				l.submitAny()
 			}
 			l.advance(100 * time.Millisecond)
