Let faults of the soak overlap, restart hosts and publish desired states in series

The soak injected one fault at a time. Two are injected at a time now, and there are new ones: a host restarts as another instance under its ID, also behind a silence; a process gets SIGHUP, SIGTERM, SIGHUP and SIGTERM, or SIGTERM and SIGKILL while it drains; desired states are published in series. Clients use a process until it has ended.

--- a/cmd/medlarpulley/soak_test.go
+++ b/cmd/medlarpulley/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 	soakNodes   = 10
 	soakHosts   = 6
 	soakClients = 12
+	// soakOverlap is how many faults are injected at one time.
+	soakOverlap = 2
 	// soakRunTime is how long each run of a task takes.
 	soakRunTime = 250 * time.Millisecond
 	// soakCompletionTimeout bounds the wait after the last fault until every
@@ -64,7 +67,6 @@
 // soak is a cell of real processes into which faults are injected.
 type soak struct {
 	t      *testing.T
-	random *rand.Rand
 	store  *users.Store
 	advice *users.Advice
 	hosts  []*users.Host
@@ -72,6 +74,18 @@
 	mu    sync.Mutex
 	nodes []*entryProcess
 	jobs  []*soakJob
+	// restarting is held while a process is replaced.
+	restarting [soakNodes]sync.Mutex
+	// version is that of the newest desired state.
+	version atomic.Int64
+}
+
+// publish publishes the next version of the desired state.
+func (s *soak) publish() {
+	version := s.version.Add(1)
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s",`+
+		`"maxAttempts":3,"stretch":%d,"targetLatencyMs":1000,"advice":{"decisionMs":2,"perWorkerMs":0,"validityMs":2500}}],`+
+		`"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":1000}]}`, version, 2+version%3))
 }
 
 func (s *soak) node(i int) *entryProcess {
@@ -125,11 +139,19 @@
 	}
 }
 
-// restart ends a process by a signal, unless it has ended already, and starts it
-// again.
-func (s *soak) restart(i int, signal syscall.Signal) {
+// restart ends a process by a series of signals, unless it has ended already, and starts
+// it again. Clients use their connections to it until it has ended. It does nothing if
+// the process is being replaced.
+func (s *soak) restart(i int, pause time.Duration, signals ...syscall.Signal) {
+	if !s.restarting[i].TryLock() {
+		return
+	}
+	defer s.restarting[i].Unlock()
 	old := s.node(i)
-	_ = old.cmd.Process.Signal(signal) // it may have ended
+	for _, signal := range signals {
+		_ = old.cmd.Process.Signal(signal) // it may have ended
+		time.Sleep(pause)
+	}
 	_ = old.cmd.Wait()
 	p := startEntry(s.t, fmt.Sprintf("n%02d", i), s.store, s.advice)
 	s.mu.Lock()
@@ -139,7 +161,7 @@
 
 // owner returns the index of the first node that has been owner since it
 // started, or a random one if there is none.
-func (s *soak) owner() int {
+func (s *soak) owner(r *rand.Rand) int {
 	for i := range soakNodes {
 		select {
 		case <-s.node(i).becameOwner:
@@ -147,25 +169,25 @@
 		default:
 		}
 	}
-	return s.random.IntN(soakNodes)
+	return r.IntN(soakNodes)
 }
 
 // injectFault injects one random fault and returns once it is over.
-func (s *soak) injectFault() {
-	duration := time.Duration(300+s.random.IntN(2500)) * time.Millisecond
-	node, host := s.random.IntN(soakNodes), s.hosts[s.random.IntN(soakHosts)]
-	switch kind := s.random.IntN(10); kind {
+func (s *soak) injectFault(r *rand.Rand) {
+	duration := time.Duration(300+r.IntN(2500)) * time.Millisecond
+	node, host := r.IntN(soakNodes), s.hosts[r.IntN(soakHosts)]
+	switch kind := r.IntN(14); kind {
 	case 0, 1:
-		s.restart(s.owner(), syscall.SIGKILL)
+		s.restart(s.owner(r), 0, syscall.SIGKILL)
 	case 2:
-		s.restart(node, syscall.SIGTERM)
+		s.restart(node, 0, syscall.SIGTERM)
 	case 3:
-		p := s.node(s.owner()).cmd.Process
+		p := s.node(s.owner(r)).cmd.Process
 		_ = p.Signal(syscall.SIGSTOP) // it may have ended
 		time.Sleep(2 * duration)
 		_ = p.Signal(syscall.SIGCONT)
 	case 4, 5:
-		s.store.SetFault([]users.Fault{users.RejectAll, users.Unresponsive, users.DropAppendResponses, users.DelayAppends}[s.random.IntN(4)])
+		s.store.SetFault([]users.Fault{users.RejectAll, users.Unresponsive, users.DropAppendResponses, users.DelayAppends}[r.IntN(4)])
 		time.Sleep(duration)
 		s.store.SetFault(users.NoFault)
 	case 6:
@@ -173,7 +195,11 @@
 		s.store.TrimHistory("keyed.medlarpulley.nodes")
 	case 7:
 		host.SetUnresponsive(true)
-		time.Sleep(2 * duration)
+		time.Sleep(duration)
+		if r.IntN(2) == 0 {
+			host.Restart() // behind the silence
+		}
+		time.Sleep(duration)
 		host.SetUnresponsive(false)
 	case 8:
 		host.SetStartDelay(duration)
@@ -183,10 +209,21 @@
 		var all sync.WaitGroup
 		for i := range soakNodes {
 			if i%2 == node%2 {
-				all.Go(func() { s.restart(i, syscall.SIGKILL) })
+				all.Go(func() { s.restart(i, 0, syscall.SIGKILL) })
 			}
 		}
 		all.Wait()
+	case 10:
+		s.restart(s.owner(r), duration/8, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+	case 11:
+		s.restart(s.owner(r), duration/8, syscall.SIGTERM, syscall.SIGKILL)
+	case 12:
+		for range 1 + r.IntN(5) {
+			s.publish()
+			time.Sleep(duration / 8)
+		}
+	case 13:
+		host.Restart()
 	}
 }
 
@@ -196,12 +233,10 @@
 // that exceeds the capacity of its host, or that starts before the step it
 // depends on is done.
 func TestSoak(t *testing.T) {
-	s := &soak{t: t, random: rand.New(rand.NewPCG(*soakSeed, 0)), store: users.NewStore(), advice: users.NewAdvice(2 * time.Millisecond)}
+	s := &soak{t: t, store: users.NewStore(), advice: users.NewAdvice(2 * time.Millisecond)}
 	defer s.store.Close()
 	defer s.advice.Close()
-	s.store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s",`+
-		`"maxAttempts":3,"stretch":2,"targetLatencyMs":1000,"advice":{"decisionMs":2,"perWorkerMs":0,"validityMs":2500}}],`+
-		`"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":1000}]}`))
+	s.publish()
 	for i := range soakHosts {
 		h := users.NewHost(fmt.Sprintf("i-%d", i), soakRunTime, s.store)
 		defer h.Close()
@@ -219,9 +254,16 @@
 	for c := range soakClients {
 		clients.Go(func() { s.client(c, stop) })
 	}
-	for end := time.Now().Add(time.Duration(*soakSeconds) * time.Second); time.Now().Before(end); {
-		s.injectFault()
+	end := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
+	var faults sync.WaitGroup
+	for i := range soakOverlap {
+		faults.Go(func() {
+			for r := rand.New(rand.NewPCG(*soakSeed, uint64(soakClients+1+i))); time.Now().Before(end); {
+				s.injectFault(r)
+			}
+		})
 	}
+	faults.Wait()
 	close(stop)
 	clients.Wait()
 	s.waitForAll()
--- a/internal/standin/users/host.go
+++ b/internal/standin/users/host.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,11 +14,13 @@
 // when its lease expires by its own clock, and lists ended runs until they are
 // acknowledged.
 type Host struct {
-	ID        string
-	server    *httptest.Server
-	startedAt time.Time
+	ID     string
+	server *httptest.Server
+	store  *Store
 	// runDuration is how long a run takes.
 	runDuration time.Duration
+	// startedAt is when the present instance started.
+	startedAt atomic.Pointer[time.Time]
 
 	mu           sync.Mutex
 	highestToken int64
@@ -64,15 +67,36 @@
 // NewHost starts a host on the loopback interface and registers it in a store. Each
 // of its runs takes runDuration.
 func NewHost(id string, runDuration time.Duration, s *Store) *Host {
-	h := &Host{ID: id, startedAt: time.Now(), runDuration: runDuration, runs: make(map[string]*run), changed: make(chan struct{}),
+	h := &Host{ID: id, store: s, runDuration: runDuration, runs: make(map[string]*run), changed: make(chan struct{}),
 		highestRun: make(map[string]int64), closing: make(chan struct{})}
 	h.server = httptest.NewServer(http.HandlerFunc(h.serve))
-	s.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",`+
-		`"coldRemainingMs":0,"capacity":{"cpu":4000,"memMb":8192,"gpu":0},"labels":["a","r1-1"],"clockMs":0,"seq":1,"born":%d}`,
-		h.server.Listener.Addr().String(), h.startedAt.UnixMilli()))
+	h.begin()
 	return h
 }
 
+// begin begins a new instance of the host and writes its entry to the host list.
+func (h *Host) begin() {
+	now := time.Now()
+	h.startedAt.Store(&now)
+	h.store.Put("keyed.servers", h.ID, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",`+
+		`"coldRemainingMs":0,"capacity":{"cpu":4000,"memMb":8192,"gpu":0},"labels":["a","r1-1"],"clockMs":0,"seq":1,"born":%d}`,
+		h.server.Listener.Addr().String(), h.born()))
+}
+
+// Restart crashes the host, which is back at once as another instance: its connections
+// break, and it knows nothing of before.
+func (h *Host) Restart() {
+	h.mu.Lock()
+	for _, x := range h.runs {
+		h.endRun(x, "crashed")
+	}
+	h.highestToken, h.leaseEndMs = 0, 0
+	h.unackedEnds, h.endCount, h.highestRun = nil, 0, make(map[string]int64)
+	h.begin()
+	h.mu.Unlock()
+	h.server.CloseClientConnections()
+}
+
 // Close stops the host and closes its connections.
 func (h *Host) Close() {
 	close(h.closing)
@@ -104,7 +128,10 @@
 }
 
 // clockMs returns the reading of the host's clock, in milliseconds.
-func (h *Host) clockMs() int64 { return time.Since(h.startedAt).Milliseconds() }
+func (h *Host) clockMs() int64 { return time.Since(*h.startedAt.Load()).Milliseconds() }
+
+// born returns when the present instance started, in Unix milliseconds.
+func (h *Host) born() int64 { return h.startedAt.Load().UnixMilli() }
 
 type request struct {
 	Task         string `json:"task"`
@@ -114,6 +141,8 @@
 	AckCursor    int64  `json:"ackCursor"`
 	WaitMs       int64  `json:"waitMs"`
 	Ticket       string `json:"ticket"`
+	// instance is the instance of the host that received the request.
+	instance int64
 }
 
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
@@ -122,7 +151,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	req.instance = h.born()
 	h.mu.Lock()
+	if req.instance != h.born() {
+		h.mu.Unlock()
+		panic(http.ErrAbortHandler) // the connection has ended with the instance
+	}
 	if h.unresponsive {
 		h.mu.Unlock()
 		select {
@@ -219,7 +253,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.expireLease()
-	if req.FencingToken < h.highestToken {
+	if req.instance != h.born() || req.FencingToken < h.highestToken {
 		return
 	}
 	h.highestToken = req.FencingToken
@@ -280,6 +314,6 @@
 		ended = append(ended, []any{e.number, e.task, e.run, e.outcome, ""})
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{ // fails only if the client has disconnected
-		"clockMs": h.clockMs(), "born": h.startedAt.UnixMilli(), "running": running, "ended": ended,
+		"clockMs": h.clockMs(), "born": h.born(), "running": running, "ended": ended,
 	})
 }
