--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -15,12 +15,14 @@
 // start every run that they are ordered to, list their runs and keep ended runs
 // until these are acknowledged. It records every order that violates a rule.
 type cluster struct {
-	s      *Scheduler
-	now    time.Duration
-	hosts  map[string]*fakeHost
-	jobs   map[string]*cell.Submission
-	queues map[string]cell.Queue
-	teams  map[string]cell.Team
+	s   *Scheduler
+	now time.Duration
+	// wallError is the error of the owner's wall clock; true wall-clock time is now.
+	wallError time.Duration
+	hosts     map[string]*fakeHost
+	jobs      map[string]*cell.Submission
+	queues    map[string]cell.Queue
+	teams     map[string]cell.Team
 	// done holds tasks with a run that ended as done; reportedDone holds those of
 	// them whose end has been reported and not lost with the host.
 	done, reportedDone map[cell.TaskID]bool
@@ -94,6 +96,9 @@
 	return c
 }
 
+// wall returns the reading of the owner's wall clock.
+func (c *cluster) wall() time.Duration { return c.now + c.wallError }
+
 func (c *cluster) publish() {
 	d := &cell.Desired{Teams: c.teams}
 	for _, q := range c.queues {
@@ -111,7 +116,7 @@
 func (c *cluster) submit(id, queue, team string, steps ...cell.Step) {
 	sub := &cell.Submission{ID: id, Team: team, Queue: c.queues[queue], Steps: steps, Received: c.now}
 	c.jobs[id] = sub
-	c.s.Add(sub, cell.Progress{}, false, c.now, c.now)
+	c.s.Add(sub, cell.Progress{}, false, c.now, c.wall())
 }
 
 func (c *cluster) violation(format string, args ...any) {
@@ -229,7 +234,7 @@
 // delivered: 0 it is answered, 1 its answer is lost, 2 the order itself is lost,
 // 3 it is refused.
 func (c *cluster) decide(deliver func(Start) int) {
-	p := c.s.Decide(c.now, c.now)
+	p := c.s.Decide(c.now, c.wall())
 	c.recordStates()
 	for _, o := range p.Starts {
 		delivery := 0
--- a/internal/cell/schedule/takeover_test.go
+++ b/internal/cell/schedule/takeover_test.go
@@ -20,7 +20,7 @@
 	c.publish()
 	for _, id := range c.jobIDs() {
 		if p, ok := old.Progress(id); ok {
-			c.s.Add(c.jobs[id], p, true, c.now, c.now)
+			c.s.Add(c.jobs[id], p, true, c.now, c.wall())
 		}
 	}
 	var list []cell.Host
