Let a backlog of requests for advice cost no more time for each of them

With thousands of submissions waiting, hosts stood idle and next to nothing started.

Each request for advice that waits for an endpoint tried to assign endpoints to all waiters once a second, and each request and answer did so too. The time of one attempt grows with the waiters, so that with 13,000 of them the lock of the pool was held all the time.

An attempt ends now once no endpoint has capacity, and only the first waiter looks for endpoints that can be used again.

Ruled out: advice, hosts and store, which all answered.

--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -148,7 +148,9 @@
 			return e
 		case <-time.After(endpointCooldown):
 			p.mu.Lock()
-			p.grant() // the cooldown of an endpoint may have ended
+			if len(p.waiters) > 0 && p.waiters[0] == w { // one of them is enough
+				p.grant() // the cooldown of an endpoint may have ended
+			}
 			p.mu.Unlock()
 		case <-ctx.Done():
 			p.mu.Lock()
@@ -185,13 +187,23 @@
 	}
 }
 
-// grant assigns endpoints with capacity to waiters, in order. The caller holds p.mu.
+// grant assigns endpoints with capacity to waiters, in order. The caller holds p.mu. It
+// ends once no endpoint has capacity, since there may be thousands of waiters.
 func (p *Pool) grant() {
 	now := p.clock.Now()
+	longFull, shortFull := false, false
 	for i := 0; i < len(p.waiters); {
 		w := p.waiters[i]
+		if w.long && longFull || !w.long && shortFull {
+			i++
+			continue
+		}
 		e := p.pick(w.long, now)
 		if e == nil {
+			longFull, shortFull = p.pick(true, now) == nil, p.pick(false, now) == nil
+			if longFull && shortFull {
+				return
+			}
 			i++
 			continue
 		}
