Bound for how long a busy node is not used

Callers would see: less advice than the nodes could get, after one odd answer of a node.

Cause: a node that refuses a call since the service is busy says when to ask again, without a bound.

Evidence: the new test failed before (not used for 1,000 hours).

--- a/internal/cell/peers/ask.go
+++ b/internal/cell/peers/ask.go
@@ -115,7 +115,7 @@
 	case ctx.Err() != nil: // the caller has left, which says nothing about the node
 		return false
 	case errors.As(err, &busy):
-		p.coolDown(e, busy.FreeIn)
+		p.coolDown(e, min(busy.FreeIn, maxAdviceCooldown))
 		return true
 	}
 	p.retries.failed()
--- a/internal/cell/peers/cooldown_test.go
+++ b/internal/cell/peers/cooldown_test.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// Guards against a node that is never used again, since an odd answer of it says that the
+// service is busy for weeks.
+func TestBusyNodeIsUsedAgain(t *testing.T) {
+	clock := &manualClock{now: time.Hour}
+	pool := newIdlePool(clock, 2)
+	e := pool.endpoints[0]
+	e.shortInFlight++
+	pool.release(context.Background(), e, false, &advice.BusyError{FreeIn: 1000 * time.Hour})
+	if clock.now += maxAdviceCooldown; e.isDown(clock.now) {
+		t.Errorf("the node is not used after %s", maxAdviceCooldown)
+	}
+}
+
 // Guards against retries that multiply the load when most calls fail.
 func TestRetriesAreBoundedWhenMostCallsFail(t *testing.T) {
 	pool := newIdlePool(&manualClock{now: time.Hour}, 50)
