Test three guards of the owner that no test held

Found by mutation: the owner tests passed without the check of the address before a host is opened, without the check for a fault before a round of storing counts, and without taking a poll that broke long after its answer was due for silence. Each is now held by a test that fails without it. No change of the code.

--- a/internal/cell/owner/fault_test.go
+++ b/internal/cell/owner/fault_test.go
@@ -146,3 +146,21 @@
 	default:
 	}
 }
+
+// Guards against ends that are acknowledged to a host and not stored, since a round of
+// storing ended after a fault without the progress of that time.
+func TestNothingCountsAsStoredAfterAFault(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	w := New(Options{
+		Self: registry.Ownership{Token: 1}, Clock: boottime.Clock{}, WallClock: func() time.Duration { return 0 }, Desired: func() *cell.Desired { return nil },
+		Log: slog.New(slog.DiscardHandler), Journal: &fakeJournal{}, EarlierOwnersGone: func() bool { return true }, RetentionPeriod: time.Minute,
+	})
+	w.Abort("test")
+	ctx, cancel := context.WithTimeout(t.Context(), 3*maxStoreInterval)
+	defer cancel()
+	w.runGuarded(func() { w.persist(ctx) })
+	if w.storeRounds.waitStored(ctx) {
+		t.Error("a round of storing counts although the state was changed in part")
+	}
+	w.goroutines.Wait()
+}
--- a/internal/cell/owner/hostaddress_test.go
+++ b/internal/cell/owner/hostaddress_test.go
@@ -163,3 +163,27 @@
 		t.Error("the run counts although its lease has certainly expired")
 	}
 }
+
+// Guards against a start at a new address of which the log has no record yet, since a record
+// with the former address was on its way.
+func TestRecordOfFormerAddressOpensNoHost(t *testing.T) {
+	h := newHostTest(t)
+	h.client.answers["a"], h.client.answers["b"] = answersAs(10), answersAs(20)
+	h.list(nil, testHost("h", "a"))
+	h.pollOnce("h")
+	_, changes := h.hostRecords()
+	h.client.answers["a"] = refusesConnections
+	h.list(nil, testHost("h", "b"))
+	for range 3 {
+		h.pollOnce("h")
+	}
+	h.hostRecordsStored(changes)
+	h.submit("job")
+	if got := h.decideOnce(); len(got) > 0 {
+		t.Errorf("starts at %v while the log has the host at a", got)
+	}
+	h.storeHosts()
+	if got := h.decideOnce(); len(got) != 1 || got[0] != "b" {
+		t.Errorf("starts at %v once the log has the host at b", got)
+	}
+}
--- a/internal/cell/owner/silent_crash_test.go
+++ b/internal/cell/owner/silent_crash_test.go
@@ -22,6 +22,8 @@
 type pollAnswer struct {
 	refusal platform.Refusal
 	err     error
+	// after is how long the poll takes.
+	after time.Duration
 }
 
 // scriptedHostClient gives one answer after the other to polls.
@@ -33,6 +35,7 @@
 func (c *scriptedHostClient) Poll(context.Context, *cell.Host, platform.Poll) (cell.HostReport, int, platform.Refusal, error) {
 	a := c.answers[0]
 	c.answers = c.answers[1:]
+	time.Sleep(a.after)
 	return cell.HostReport{StartedMs: 1}, 0, a.refusal, a.err
 }
 
@@ -49,11 +52,12 @@
 		closed bool
 		want   int
 	}{
-		"cut off, then another instance":                     {answers: []pollAnswer{answered, silent, silent, restarted}},
-		"cut off, then reset, then another one":              {answers: []pollAnswer{answered, silent, reset, restarted}},
-		"taken over while cut off, then another instance":    {answers: []pollAnswer{silent, restarted}, closed: true},
-		"taken over and at once found as another instance":   {answers: []pollAnswer{restarted}, closed: true},
-		"connections broke while in touch, then another one": {answers: []pollAnswer{answered, reset, silent, restarted}, want: 1},
+		"cut off, then another instance":                       {answers: []pollAnswer{answered, silent, silent, restarted}},
+		"cut off, then reset, then another one":                {answers: []pollAnswer{answered, silent, reset, restarted}},
+		"reset long after an answer was due, then another one": {answers: []pollAnswer{answered, {err: reset.err, after: pollHoldTimeout + 2*answerMargin}, restarted}},
+		"taken over while cut off, then another instance":      {answers: []pollAnswer{silent, restarted}, closed: true},
+		"taken over and at once found as another instance":     {answers: []pollAnswer{restarted}, closed: true},
+		"connections broke while in touch, then another one":   {answers: []pollAnswer{answered, reset, silent, restarted}, want: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
