--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -212,3 +212,34 @@
 		t.Errorf("%+v is counted, %d tasks run", got, c.running("sound"))
 	}
 }
+
+// Guards against a trial that counts only in part after a takeover, though its host is known
+// to have restarted or is not listed any more.
+func TestLostTrialOnLostHostCountsInFull(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, id string){
+		"answers as another instance": func(c *cluster, id string) {
+			c.s.MarkCrashed(id, c.now, c.now)
+			c.s.MarkAllRunsGone(id, c.now)
+		},
+		"is not listed any more": func(c *cluster, id string) {
+			c.s.SetListedHosts(nil)
+			c.s.MarkAllRunsGone(id, c.now)
+			if !c.s.RemoveHost(id) {
+				t.Fatal("the host is not removed")
+			}
+		},
+	} {
+		c := crashCluster(3)
+		c.submit("job", "q", "a", smallStep(1, time.Second))
+		c.s.jobs["job"].suspected = true
+		c.decide(nil)
+		id := c.hostOf("job")
+		c.hosts[id].unreachable, c.hosts[id].runs = true, nil
+		c.replaceOwner()
+		lose(c, id)
+		c.s.MarkReconciled(c.now)
+		if got := c.s.jobs["job"].groups[0].tasks[0].crashes; len(got) != 1 || got[0].Silent || !c.s.jobs["job"].suspected {
+			t.Errorf("%s: %+v is counted, suspected is %t", name, got, c.s.jobs["job"].suspected)
+		}
+	}
+}
--- a/internal/cell/schedule/reservation_test.go
+++ b/internal/cell/schedule/reservation_test.go
@@ -182,3 +182,25 @@
 		}
 	})
 }
+
+// Guards against a gang that waits without end for the room of a run that does not end,
+// while smaller work takes the room elsewhere.
+func TestGangLooksElsewhereForRoomThatDoesNotCome(t *testing.T) {
+	c := newCluster(2, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
+	c.teams["b"] = cell.Team{Name: "b", Weight: 1000}
+	c.queue(cell.Queue{Name: "first", Priority: 0, Stretch: 100, Latency: time.Hour})
+	c.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 2, Latency: time.Second})
+	c.takes = func(id cell.TaskID, estimate time.Duration) time.Duration {
+		if id.Submission == "stuck" {
+			return time.Hour
+		}
+		return estimate - time.Duration(id.Index)*100*time.Millisecond // so that the small tasks do not end together
+	}
+	c.submit("stuck", "small", "b", hostSized(1, 900*time.Millisecond))
+	c.advance(100 * time.Millisecond)
+	c.streamUntil("gang", 5)
+	c.submit("gang", "first", "a", hostSized(1, time.Second))
+	if !c.streamUntil("gang", 120) {
+		t.Errorf("the gang has not started after 12 s; it %s", c.s.jobs["gang"].groups[0].waitReason)
+	}
+}
