Leave room beside late trials in an idle cell

Callers would see: after many hosts crashed twice, suspected work and new sound work wait for 10 s and longer though most of the capacity is free (LOST).

Cause: a task that may crash its host late holds the host for 10 s. While no other work has waited for 2 s, trials might hold each idle host, so that nothing was left for sound work that comes then; and a suspect for which no host may be held waited without a bound: only a gang that finds no hosts was given up on.

Fix: one in eight idle hosts, at least one, is always kept. A suspect that has waited 2 s while others hold the hosts is placed like other work, one task at a time, unless trials of its queue have crashed hosts of late.

Evidence: the new test failed before: of 14 suspects and one sound submission on 8 idle hosts, 6 and the sound one do not run after 3 s.

--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -42,8 +42,9 @@
 	givenBack  map[*host]bool
 	// trialRoom is for how many of its tasks hosts are kept free.
 	trialRoom int
-	// tooWide is set for a gang that is not tried alone, since it would need more hosts than
-	// a trial may hold; notTried if that showed only while it was awaiting them.
+	// tooWide is set for a group that is not tried alone, since it would need more hosts than
+	// a trial may hold; notTried if that showed only while it was awaiting them, or others
+	// hold them.
 	tooWide, notTried bool
 	// trial is set while the group is placed that may use only hosts without other runs.
 	trial bool
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -56,9 +56,6 @@
 	trials        int
 	// lastTrialTurn is how many of the groups under trial have had their turn; see trialTurn.
 	lastTrialTurn int
-	// soundWorkAt is when work last waited that is not suspected and whose queue has not
-	// crashed hosts of late.
-	soundWorkAt time.Duration
 	// risks holds the risk of each queue by name.
 	risks map[string]*queueRisk
 	// nextPeriodicCheck is when all groups and hosts are checked next.
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -13,9 +13,6 @@
 	// hostsPerCrash limits them likewise, together with the hosts that are down since a run
 	// that had just started there may have crashed them.
 	hostsPerCrash = 4
-	// soundWorkMemory is how long after other work has last waited some of the idle hosts
-	// are kept for it.
-	soundWorkMemory = 2 * time.Second
 	// soonEmpty is the time within which a host has to be empty to be kept free for work
 	// under trial. Hosts are empty when they come back after a crash.
 	soonEmpty = 300 * time.Millisecond
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -34,9 +34,6 @@
 		case !g.step.Gang:
 			unready[g.job] = true
 		}
-		if !e.underTrial && !e.awaitsFirstTask {
-			s.soundWorkAt = s.now
-		}
 	}
 	if len(waiting) == 0 {
 		return
@@ -127,6 +124,8 @@
 		if g.policy() != nil && len(g.advice.tickets)+len(g.advice.denied) == 0 {
 			p.ask(g)
 		}
+		p.s.giveUpTrial(g)
+		g.tooWide = g.notTried
 		return true
 	}
 	s := p.s
@@ -135,7 +134,7 @@
 		return true
 	}
 	needed := s.trialHostsNeeded(g)
-	g.tooWide = g.step.Gang && (g.notTried || needed > p.most)
+	g.tooWide = g.notTried || g.step.Gang && needed > p.most
 	if g.tooWide {
 		return true
 	}
@@ -147,7 +146,9 @@
 		if p.askedFor(g, needed) {
 			return true
 		}
-		s.giveUpTrial(g)
+		if g.step.Gang {
+			s.giveUpTrial(g)
+		}
 	case p.held+len(chosen) <= p.most:
 		s.keepFree(g, chosen)
 		p.held += len(chosen)
@@ -180,12 +181,13 @@
 	}
 }
 
-// giveUpTrial starts a gang like other work if no hosts for its trial were found for very
-// long, though it might share them: it would need more than a trial may hold.
+// giveUpTrial starts a suspect like other work if no hosts for its trial were found for very
+// long, though it might share them: it would need more than a trial may hold, or others
+// hold them.
 func (s *Scheduler) giveUpTrial(g *group) {
-	if g.step.Gang && s.mayShareHosts(g) && s.now >= g.trialSince+2*trialPatience {
+	if !g.notTried && s.mayShareHosts(g) && s.now >= g.trialSince+2*trialPatience {
 		g.notTried = true
-		s.logMessage(g.id.Submission, "", "A suspected gang is not tried alone, since no hosts for it were found for long.")
+		s.logMessage(g.id.Submission, "", "A suspect is not tried alone, since no hosts for it were found for long.")
 	}
 }
 
@@ -218,12 +220,9 @@
 }
 
 // spareHosts returns how many of the idle hosts no other work needs: all but a
-// reserve, or all if there has been no other work for a while.
+// reserve. One host at least is kept for what comes while the others are held.
 func (s *Scheduler) spareHosts() int {
-	if s.now > s.soundWorkAt+soundWorkMemory {
-		return s.idleHosts
-	}
-	return s.idleHosts - len(s.sortedHosts)/hostsPerTrial
+	return s.idleHosts - max(len(s.sortedHosts)/hostsPerTrial, 1)
 }
 
 // trialHostsNeeded returns how many of the hosts on which a group may run its trial
--- a/internal/cell/schedule/trial_place.go
+++ b/internal/cell/schedule/trial_place.go
@@ -12,9 +12,12 @@
 		s.holdLimitForTrial(g)
 		return
 	case g.trialRoom > 0 || g.run != 0:
-	case g.tooWide:
+	case g.tooWide && g.step.Gang:
 		s.placeGang(g, reservingGangs)
 		return
+	case g.tooWide:
+		s.placeTasks(g, 1)
+		return
 	default:
 		s.setWaitReason(g, waitTrial)
 		return
--- a/internal/cell/schedule/trial_wait_test.go
+++ b/internal/cell/schedule/trial_wait_test.go
@@ -244,3 +244,29 @@
 		t.Error(v)
 	}
 }
+
+// Guards against work that waits for 10 s and longer in a cell that is nearly idle, since
+// each host is held for a suspect that may crash it late: other suspects, and sound work.
+func TestLateTrialsLeaveRoom(t *testing.T) {
+	c := crashCluster(8)
+	const suspects = 14
+	for i := range suspects {
+		id := fmt.Sprintf("suspect%02d", i)
+		c.submit(id, "q", "a", smallStep(1, 20*time.Second))
+		j := c.s.jobs[id]
+		j.suspected = true
+		j.groups[0].tasks[0].crashes = []cell.Crash{{Run: -1, Suspects: 9, Seen: true}, {Run: -2, Suspects: 9, Seen: true}}
+	}
+	for range 20 {
+		c.advance(100 * time.Millisecond)
+	}
+	c.submit("sound", "q", "a", smallStep(1, 20*time.Second))
+	for range 10 {
+		c.advance(100 * time.Millisecond)
+	}
+	for id := range c.jobs {
+		if c.running(id) == 0 {
+			t.Errorf("%s does not run after 3 s; it %s", id, c.s.jobs[id].groups[0].waitReason)
+		}
+	}
+}
