Try the tasks of a long-running step side by side

What callers would see: tasks that run until they are cancelled stay away for 10 s and more each, one after the other, though there is room (LOST, which holds for each such task at any time, from 6 s after its last run).

Cause: a trial waited until the job's other runs had shown that they crash no host late, 10 s. Class: a wait for what the wait does not need. Each of these tasks has a host of its own, so a crash is told apart without it.

Now it waits until they have survived their start. Evidence: TestLongRunningTasksAreTriedSideBySide fails on the former code (1 of 4 tasks runs after 3 s in an idle cell).

--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -123,7 +123,9 @@
 }
 
 // readyForTrial reports whether a waiting group of a job under trial may start one
-// task, or its gang: the job's other runs have to have survived their start.
+// task, or its gang: the job's other runs have to have been present for long enough. Those
+// of a long-running step do not end, and each has a host of its own, so that for the next
+// of them it is enough that they have survived their start.
 func (s *Scheduler) readyForTrial(g *group) bool {
 	if g.job.suspectedRuns > 0 {
 		return false
@@ -131,28 +133,31 @@
 	if g.step.Gang {
 		return g.run != 0 || g.present == 0
 	}
-	return s.survivedTrial(g.job)
+	if g.step.LongRunning {
+		return s.runsSurvived(g.job, (*taskRun).survivedStart)
+	}
+	return s.runsSurvived(g.job, (*taskRun).survivedTrial)
 }
 
-// survivedTrial reports whether all runs of the job have been present for long enough. It
+// runsSurvived reports whether all runs of the job have survived what the function tells. It
 // examines all groups of the job, unless there are no runs.
-func (s *Scheduler) survivedTrial(j *job) bool {
+func (s *Scheduler) runsSurvived(j *job, survived func(*taskRun, time.Duration) bool) bool {
 	if !j.hasRuns() {
 		return true
 	}
 	for _, g := range s.examine(j) {
-		if g.present > 0 && !g.survivedTrial(s.now) {
+		if g.present > 0 && !g.runsSurvived(s.now, survived) {
 			return false
 		}
 	}
 	return true
 }
 
-// survivedTrial reports whether all runs of the group have been present for long enough.
-func (g *group) survivedTrial(now time.Duration) bool {
+// runsSurvived reports whether all runs of the group have survived what the function tells.
+func (g *group) runsSurvived(now time.Duration, survived func(*taskRun, time.Duration) bool) bool {
 	for _, t := range g.tasks {
 		for _, a := range t.runs {
-			if !a.survivedTrial(now) {
+			if !survived(a, now) {
 				return false
 			}
 		}
@@ -217,10 +222,18 @@
 // survivedTrial reports whether a run has been present on its host for so long that its
 // task does not crash hosts.
 func (a *taskRun) survivedTrial(now time.Duration) bool {
-	needed := trialDuration
 	if a.task.group.crashesLate() {
-		needed = lateTrialDuration
+		return a.presentFor(lateTrialDuration, now)
 	}
+	return a.survivedStart(now)
+}
+
+// survivedStart reports whether a run has been present on its host for so long that its
+// task does not crash hosts at its start.
+func (a *taskRun) survivedStart(now time.Duration) bool { return a.presentFor(trialDuration, now) }
+
+// presentFor reports whether a run is known to have been present on its host for so long.
+func (a *taskRun) presentFor(needed, now time.Duration) bool {
 	if a.host.silent || !a.host.reachable {
 		now = a.host.reportedAt // nothing is known of the host since then
 	}
@@ -231,7 +244,7 @@
 // gang has shown it once all of its members have been present for long enough.
 func (a *taskRun) clearsTask(now time.Duration) bool {
 	if a.task.group.step.Gang {
-		return a.task.group.survivedTrial(now)
+		return a.task.group.runsSurvived(now, (*taskRun).survivedTrial)
 	}
 	return a.survivedTrial(now)
 }
--- a/internal/cell/schedule/trial_test.go
+++ b/internal/cell/schedule/trial_test.go
@@ -58,6 +58,23 @@
 	t.Errorf("the gang has not been started in 20 s on 24 idle hosts, of which a third is approved; it %s", c.s.jobs["gang"].groups[0].waitReason)
 }
 
+// Guards against tasks that run until they are cancelled and wait one after the other, each
+// for as long as it takes to show that the one before crashes no host late.
+func TestLongRunningTasksAreTriedSideBySide(t *testing.T) {
+	c := crashCluster(40)
+	step := smallStep(4, time.Hour)
+	step.LongRunning = true
+	c.submit("serving", "q", "a", step)
+	j := c.s.jobs["serving"]
+	j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Run: 1, Suspects: 1, Seen: true}, {Run: 2, Suspects: 1, Seen: true}}
+	for range 30 {
+		c.advance(100 * time.Millisecond)
+	}
+	if got := c.running("serving"); got != step.Count {
+		t.Errorf("%d tasks run after 3 s in an idle cell, want %d", got, step.Count)
+	}
+}
+
 // Guards against a task that runs until it is cancelled and never starts again, since its
 // submission is suspected and the other tasks, whose ends it waits for, have none.
 func TestLostTaskOfLongRunningStepIsTriedBesideTheOthers(t *testing.T) {
