--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -243,3 +243,23 @@
 		}
 	}
 }
+
+// Guards against a trial that counts for nothing, since an earlier owner had recorded its
+// run when it closed the host, which then restarted.
+func TestRecordedTrialOnRestartedHostCounts(t *testing.T) {
+	c := crashCluster(3)
+	c.submit("job", "q", "a", smallStep(1, time.Second))
+	c.s.jobs["job"].suspected = true
+	c.decide(nil)
+	id := c.hostOf("job")
+	run := c.hosts[id].runs[0]
+	c.crashSilently(id)
+	c.replaceOwner()
+	c.s.AssumeRunPresent(id, Run{Task: run.task, Run: run.run}, c.now)
+	c.s.MarkReconciled(c.now)
+	c.s.MarkCrashed(id, c.now, c.now) // it answers as another instance
+	c.s.MarkAllRunsGone(id, c.now)
+	if got := c.s.jobs["job"].groups[0].tasks[0].crashes; len(got) != 1 {
+		t.Errorf("%+v is counted, want one crash", got)
+	}
+}
