--- a/cmd/medlarpulley/entry_test.go
+++ b/cmd/medlarpulley/entry_test.go
@@ -102,6 +102,27 @@
 	t.Fatalf("condition not met within 40 s: %s", what)
 }
 
+// startHosts starts n hosts that the store lists.
+func startHosts(t *testing.T, n int, runDuration time.Duration, store *users.Store) (hosts []*users.Host) {
+	t.Helper()
+	for i := range n {
+		h := users.NewHost(fmt.Sprintf("i-%d", i), runDuration, store)
+		t.Cleanup(h.Close)
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+// startEntries starts the entry processes n1, n2 and n3.
+func startEntries(t *testing.T, store *users.Store, advice *users.Advice) map[string]*entryProcess {
+	t.Helper()
+	procs := map[string]*entryProcess{}
+	for _, name := range []string{"n1", "n2", "n3"} {
+		procs[name] = startEntry(t, name, store, advice)
+	}
+	return procs
+}
+
 // Guards against tasks that are lost or run twice at once when the owner of the
 // cell is killed after the log has dropped its history, and against a submission
 // whose result no node can report.
@@ -113,16 +134,8 @@
 	store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s",`+
 		`"maxAttempts":3,"stretch":2,"targetLatencyMs":1000,"advice":{"decisionMs":2,"perWorkerMs":0,"validityMs":2500}}],`+
 		`"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":100}]}`))
-	var hosts []*users.Host
-	for i := range 4 {
-		h := users.NewHost(fmt.Sprintf("i-%d", i), 300*time.Millisecond, store)
-		defer h.Close()
-		hosts = append(hosts, h)
-	}
-	procs := map[string]*entryProcess{}
-	for _, name := range []string{"n1", "n2", "n3"} {
-		procs[name] = startEntry(t, name, store, advice)
-	}
+	hosts := startHosts(t, 4, 300*time.Millisecond, store)
+	procs := startEntries(t, store, advice)
 	var owner string
 	waitUntil(t, "a node owns the cell", func() bool {
 		for name, p := range procs {
--- a/cmd/medlarpulley/odd_entries_test.go
+++ b/cmd/medlarpulley/odd_entries_test.go
@@ -57,16 +57,8 @@
 	store.Put("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s",`+
 		`"maxAttempts":3,"stretch":1e300,"targetLatencyMs":1e300,"advice":{"decisionMs":2,"perWorkerMs":0,"validityMs":2500}}],`+
 		`"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a",""],"weight":100}]}`))
-	var hosts []*users.Host
-	for i := range 2 {
-		h := users.NewHost(fmt.Sprintf("i-%d", i), 100*time.Millisecond, store)
-		defer h.Close()
-		hosts = append(hosts, h)
-	}
-	procs := map[string]*entryProcess{}
-	for _, name := range []string{"n1", "n2", "n3"} {
-		procs[name] = startEntry(t, name, store, advice)
-	}
+	hosts := startHosts(t, 2, 100*time.Millisecond, store)
+	procs := startEntries(t, store, advice)
 	const body = `{"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":10,"estimateMs":100}]}`
 	submitted := 0
 	serve := func(what string) {
