--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -41,7 +41,7 @@
 	w := &world{dir: dir, store: users.NewStore(), advice: users.NewAdvice(2 * time.Millisecond), rec: newRecorder(record)}
 	w.store.Put("keyed.op", "config", []byte(config))
 	for i := range runners {
-		w.runners = append(w.runners, newRunner(fmt.Sprintf("i-%d", i), fmt.Sprintf("r1-%d", i%racks), w.store, w.rec))
+		w.runners = append(w.runners, newRunner(fmt.Sprintf("i-%d", i), kindOf(i), fmt.Sprintf("r1-%d", i%racks), w.store, w.rec))
 	}
 	for i := range entries {
 		w.entries = append(w.entries, newEntry(dir, fmt.Sprintf("n%d", i+1), w.store.Address(), w.advice.Address()))
@@ -57,6 +57,14 @@
 	return w
 }
 
+// kindOf returns the kind of a runner: the first one is of a kind of its own.
+func kindOf(i int) string {
+	if i == 0 {
+		return "special"
+	}
+	return "plain"
+}
+
 func (w *world) owner() *entry {
 	for _, e := range w.entries {
 		if e.owns() {
@@ -108,4 +116,4 @@
 	play(os.Args[2])
 }
 
-var cases = map[string]func(record string){"crashes": playCrashes, "late": playLate}
+var cases = map[string]func(record string){"crashes": playCrashes, "idle": playIdle, "services": playServices}
--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -20,12 +20,13 @@
 // a crash it runs nothing, has seen no fence number, and all its counts start anew.
 //
 // The spec of a submission says how long its tasks run: a number of milliseconds,
-// or "perpetual".
+// or "perpetual". A second word, if there is one, is the cpu that they use, in
+// thousandths of a core (500).
 type runner struct {
-	id, rack, address string
-	store             *users.Store
-	rec               *recorder
-	maxHold           time.Duration
+	id, kind, rack, address string
+	store                   *users.Store
+	rec                     *recorder
+	maxHold                 time.Duration
 	// stopTime is how long a stop takes.
 	stopTime time.Duration
 	capacity int64
@@ -52,8 +53,10 @@
 }
 
 type run struct {
-	task     string
-	number   int64
+	task   string
+	number int64
+	// use is the cpu in use, in thousandths of a core.
+	use      int64
 	timer    *time.Timer
 	stopping bool
 }
@@ -67,8 +70,8 @@
 
 const heartbeat = 1500 * time.Millisecond
 
-func newRunner(id, rack string, store *users.Store, rec *recorder) *runner {
-	r := &runner{id: id, rack: rack, store: store, rec: rec, maxHold: 10 * time.Second, stopTime: 50 * time.Millisecond, capacity: 16000}
+func newRunner(id, kind, rack string, store *users.Store, rec *recorder) *runner {
+	r := &runner{id: id, kind: kind, rack: rack, store: store, rec: rec, maxHold: 10 * time.Second, stopTime: 50 * time.Millisecond, capacity: 16000}
 	r.start()
 	go func() {
 		for {
@@ -133,8 +136,8 @@
 	}
 	r.seq++
 	r.store.Put("keyed.servers", r.id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",`+
-		`"coldRemainingMs":0,"capacity":{"cpu":%d,"memMb":65536,"gpu":0},"labels":["a",%q],"clockMs":%d,"seq":%d,"born":%d}`,
-		r.address, r.capacity, r.rack, r.life.clock(), r.seq, r.life.born.UnixMilli()))
+		`"coldRemainingMs":0,"capacity":{"cpu":%d,"memMb":65536,"gpu":0},"labels":[%q,%q],"clockMs":%d,"seq":%d,"born":%d}`,
+		r.address, r.capacity, r.kind, r.rack, r.life.clock(), r.seq, r.life.born.UnixMilli()))
 }
 
 func (f *life) clock() int64 { return time.Since(f.born).Milliseconds() }
@@ -219,11 +222,15 @@
 	case o.UntilMs <= f.clock():
 		return "late"
 	}
-	x = &run{task: o.Task, number: o.Run}
+	x = &run{task: o.Task, number: o.Run, use: 500}
+	words := strings.Fields(o.Spec + " perpetual")
+	if use, err := strconv.ParseInt(words[1%len(words)], 10, 64); err == nil && len(words) > 2 {
+		x.use = use
+	}
 	f.runs[o.Task] = x
 	r.rec.runStarted(r.id, o.Task, o.Run, o.FencingToken)
 	d, how := 24*time.Hour, "done"
-	if ms, err := strconv.Atoi(strings.Fields(o.Spec + " perpetual")[0]); err == nil {
+	if ms, err := strconv.Atoi(words[0]); err == nil {
 		d = time.Duration(ms) * time.Millisecond
 	}
 	x.timer = time.AfterFunc(d, func() { r.later(f, x, how) })
@@ -303,7 +310,7 @@
 	r.expire(f)
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range f.runs {
-		running = append(running, []any{x.task, x.number, "", 100, 500})
+		running = append(running, []any{x.task, x.number, "", 100, x.use})
 	}
 	for _, e := range f.ends[:min(len(f.ends), 500)] {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, ""})
