--- a/review/_drill/entry.go
+++ b/review/_drill/entry.go
@@ -135,12 +135,16 @@
 
 // call sends one client's request. Status 0 means that no complete answer came.
 func (e *entry) call(method, path, body string) (status int, answer string) {
+	return e.callAs("key-a", method, path, body)
+}
+
+func (e *entry) callAs(apiKey, method, path, body string) (status int, answer string) {
 	q, err := http.NewRequest(method, "http://"+e.callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
 	q.Host = "h.example"
-	q.Header.Set("Authorization", "Token key-a")
+	q.Header.Set("Authorization", "Token "+apiKey)
 	q.Header.Set("Content-Type", "application/json")
 	q.Header.Set("X-Medlarpulley-Deadline-Ms", "3000")
 	resp, err := client.Do(q)
@@ -156,8 +160,10 @@
 }
 
 // state asks for the state of a submission.
-func (e *entry) state(path string) string {
-	status, answer := e.call(http.MethodGet, path, "")
+func (e *entry) state(path string) string { return e.stateAs("key-a", path) }
+
+func (e *entry) stateAs(apiKey, path string) string {
+	status, answer := e.callAs(apiKey, http.MethodGet, path, "")
 	if status != http.StatusOK {
 		return fmt.Sprint(status)
 	}
--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -7,12 +7,19 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/standin/users"
 )
 
+// delay is how long the proxy before the store holds each call, if viaProxy is set.
+var (
+	delay    atomic.Int64
+	viaProxy bool
+)
+
 var trouble = os.Getenv("TROUBLE") != "0"
 
 func fatal(format string, a ...any) {
@@ -43,8 +50,12 @@
 	for i := range runners {
 		w.runners = append(w.runners, newRunner(fmt.Sprintf("i-%d", i), kindOf(i), fmt.Sprintf("r1-%d", i%racks), w.store, w.rec))
 	}
+	address := w.store.Address()
+	if viaProxy {
+		address = slowStore(address, &delay)
+	}
 	for i := range entries {
-		w.entries = append(w.entries, newEntry(dir, fmt.Sprintf("n%d", i+1), w.store.Address(), w.advice.Address()))
+		w.entries = append(w.entries, newEntry(dir, fmt.Sprintf("n%d", i+1), address, w.advice.Address()))
 	}
 	w.await("all entry processes are ready and one owns the cell", 20*time.Second, func() bool {
 		for _, e := range w.entries {
@@ -116,4 +127,4 @@
 	play(os.Args[2])
 }
 
-var cases = map[string]func(record string){"crashes": playCrashes, "idle": playIdle, "services": playServices}
+var cases = map[string]func(record string){"crashes": playCrashes, "idle": playIdle, "services": playServices, "hopeless": playHopeless, "restarts": playRestarts, "return": playReturn}
--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -20,16 +20,17 @@
 // a crash it runs nothing, has seen no fence number, and all its counts start anew.
 //
 // The spec of a submission says how long its tasks run: a number of milliseconds,
-// or "perpetual". A second word, if there is one, is the cpu that they use, in
+// or "perpetual"; after "fail" they end failed after 50 ms. A second word, if there is one, is the cpu that they use, in
 // thousandths of a core (500).
 type runner struct {
 	id, kind, rack, address string
 	store                   *users.Store
 	rec                     *recorder
 	maxHold                 time.Duration
-	// stopTime is how long a stop takes.
-	stopTime time.Duration
-	capacity int64
+	// stopTime is how long a stop takes, listLag how long after its start the first
+	// entry of a lifetime is written.
+	stopTime, listLag time.Duration
+	capacity          int64
 
 	mu   sync.Mutex
 	life *life
@@ -68,7 +69,11 @@
 	how  string
 }
 
-const heartbeat = 1500 * time.Millisecond
+const (
+	heartbeat = 1500 * time.Millisecond
+	// idleTimeout is how long a runner keeps an unused channel open.
+	idleTimeout = 5 * time.Second
+)
 
 func newRunner(id, kind, rack string, store *users.Store, rec *recorder) *runner {
 	r := &runner{id: id, kind: kind, rack: rack, store: store, rec: rec, maxHold: 10 * time.Second, stopTime: 50 * time.Millisecond, capacity: 16000}
@@ -100,31 +105,49 @@
 		fatal("a runner cannot listen: %v", err)
 	}
 	f := &life{born: time.Now(), listener: l, over: make(chan struct{}), runs: make(map[string]*run), highest: make(map[string]int64), changed: make(chan struct{})}
-	f.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(f, w, q) })}
+	f.server = &http.Server{IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(f, w, q) })}
 	r.mu.Lock()
 	r.address, r.life = l.Addr().String(), f
 	r.mu.Unlock()
 	go func() { _ = f.server.Serve(l) }()
-	r.register()
+	if r.listLag == 0 {
+		r.register()
+		return
+	}
+	time.AfterFunc(r.listLag, r.register)
 }
 
 // crash ends the lifetime: its channels break, and what runs ends with it.
 func (r *runner) crash() {
+	if f := r.endLife(); f != nil {
+		_ = f.server.Close()
+	}
+}
+
+// crashDark ends the lifetime as a loss of power does: what runs ends with it, and
+// its open channels go silent.
+func (r *runner) crashDark() {
+	if f := r.endLife(); f != nil {
+		_ = f.listener.Close()
+	}
+}
+
+// endLife ends what runs and returns the lifetime, nil if there is none.
+func (r *runner) endLife() *life {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	f := r.life
 	r.life = nil
-	if f != nil {
-		close(f.over)
-		for _, x := range f.runs {
-			x.timer.Stop()
-			r.rec.runEnded(r.id, x.task, x.number, "lost with its runner")
-		}
-		f.runs = nil
+	if f == nil {
+		return nil
 	}
-	r.mu.Unlock()
-	if f != nil {
-		_ = f.server.Close()
+	close(f.over)
+	for _, x := range f.runs {
+		x.timer.Stop()
+		r.rec.runEnded(r.id, x.task, x.number, "lost with its runner")
 	}
+	f.runs = nil
+	return f
 }
 
 // register writes the runner's entry while it is alive.
@@ -165,7 +188,7 @@
 	r.mu.Lock()
 	if r.life != f {
 		r.mu.Unlock()
-		panic(http.ErrAbortHandler)
+		hang(q)
 	}
 	r.expire(f)
 	if o.FencingToken < f.fence {
@@ -197,6 +220,13 @@
 	}
 }
 
+// hang holds a call that reached an ended lifetime until its channel breaks. After a
+// crash with a reset of the channels that is at once.
+func hang(q *http.Request) {
+	<-q.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 func refuse(f *life, w http.ResponseWriter, reason string) {
 	w.WriteHeader(http.StatusConflict)
 	fmt.Fprintf(w, `{"clockMs":%d,"reason":%q}`, f.clock(), reason)
@@ -233,6 +263,9 @@
 	if ms, err := strconv.Atoi(words[0]); err == nil {
 		d = time.Duration(ms) * time.Millisecond
 	}
+	if words[0] == "fail" {
+		d, how = 50*time.Millisecond, "failed"
+	}
 	x.timer = time.AfterFunc(d, func() { r.later(f, x, how) })
 	// A look at the lease at the moment at which it passes.
 	go r.watchLease(f)
@@ -299,14 +332,15 @@
 		case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
 		case <-q.Context().Done():
 		case <-f.over:
-			panic(http.ErrAbortHandler)
+			hang(q)
 		}
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.life != f {
-		panic(http.ErrAbortHandler)
+		r.mu.Unlock()
+		hang(q)
 	}
+	defer r.mu.Unlock()
 	r.expire(f)
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range f.runs {
