--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -35,6 +35,9 @@
 	mu   sync.Mutex
 	life *life
 	seq  int64
+	// cut is set while the runner is cut off and runs on: no call reaches it, and it
+	// writes nothing.
+	cut bool
 }
 
 // life is one lifetime of a runner.
@@ -132,6 +135,14 @@
 	}
 }
 
+// setCut cuts the runner off, or ends that. Calls that were held up are lost.
+func (r *runner) setCut(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = on
+	r.rec.note("cut    %s: %t", r.id, on)
+}
+
 // endLife ends what runs and returns the lifetime, nil if there is none.
 func (r *runner) endLife() *life {
 	r.mu.Lock()
@@ -154,7 +165,7 @@
 func (r *runner) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.life == nil {
+	if r.life == nil || r.cut {
 		return
 	}
 	r.seq++
@@ -186,7 +197,7 @@
 		return
 	}
 	r.mu.Lock()
-	if r.life != f {
+	if r.life != f || r.cut {
 		r.mu.Unlock()
 		hang(q)
 	}
@@ -336,7 +347,7 @@
 		}
 	}
 	r.mu.Lock()
-	if r.life != f {
+	if r.life != f || r.cut {
 		r.mu.Unlock()
 		hang(q)
 	}
