--- a/review/_drill/record.go
+++ b/review/_drill/record.go
@@ -15,6 +15,8 @@
 	file    *os.File
 	runs    map[string][]*runRecord
 	running map[string]*runRecord
+	// lapses holds when the lease of each runner lapsed.
+	lapses map[string][]time.Time
 }
 
 type runRecord struct {
@@ -31,7 +33,7 @@
 	if err != nil {
 		fatal("%v", err)
 	}
-	return &recorder{began: time.Now(), file: f, runs: make(map[string][]*runRecord), running: make(map[string]*runRecord)}
+	return &recorder{began: time.Now(), file: f, runs: make(map[string][]*runRecord), running: make(map[string]*runRecord), lapses: make(map[string][]time.Time)}
 }
 
 // note writes one line.
@@ -76,3 +78,26 @@
 	}
 	r.write("run    %s: end of %s run %d (%s) is acknowledged", runner, task, run, how)
 }
+
+func (r *recorder) leaseLapsed(runner string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.lapses[runner]; len(l) == 0 || l[len(l)-1].Before(at) {
+		r.lapses[runner] = append(l, at)
+		r.write("lease  of %s lapsed at %.3f", runner, at.Sub(r.began).Seconds())
+	}
+}
+
+// takenNote reports whether the end of a run was taken note of: it was acknowledged,
+// and the runner's lease did not lapse between the two.
+func (r *recorder) takenNote(x *runRecord) bool {
+	if x.notedAt.IsZero() {
+		return false
+	}
+	for _, at := range r.lapses[x.runner] {
+		if at.After(x.to) && !at.After(x.notedAt) {
+			return false
+		}
+	}
+	return true
+}
--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -207,6 +207,9 @@
 		refuse(f, w, "fence")
 		return
 	}
+	if f.leaseUntil > 0 && f.clock() >= f.leaseUntil {
+		r.rec.leaseLapsed(r.id, f.born.Add(time.Duration(f.leaseUntil)*time.Millisecond))
+	}
 	f.fence = o.FencingToken
 	f.leaseUntil = max(f.leaseUntil, min(o.UntilMs, f.clock()+r.maxHold.Milliseconds()))
 	switch q.URL.Path {
