--- a/review/_drill/chaos.go
+++ b/review/_drill/chaos.go
@@ -26,6 +26,7 @@
 	type job struct {
 		path, kind string
 		accepted   bool
+		unknown    bool
 		acked      time.Time
 	}
 	var mu sync.Mutex
@@ -59,6 +60,9 @@
 						j.accepted = true
 						break
 					}
+					if status != 503 && status != 429 {
+						j.unknown = true
+					}
 					time.Sleep(300 * time.Millisecond)
 				}
 				if j.accepted && (kind == "perpetual" || rand.IntN(6) == 0) {
@@ -93,7 +97,7 @@
 			defer all.Done()
 			time.Sleep(time.Duration(2+i) * time.Second)
 			for time.Since(began) < length-time.Second {
-				switch k := rand.IntN(8); k {
+				switch k := rand.IntN(8 + envInt("STORE", 0)); k {
 				case 0, 1:
 					n := rand.IntN(5)
 					if !busy[n].TryLock() {
@@ -133,7 +137,7 @@
 					}
 					e.start()
 					busy[n].Unlock()
-				case 4:
+				case 4, 8, 9, 10, 11, 12:
 					f := []users.Fault{users.RejectAll, users.DropAppendResponses, users.Unresponsive, users.DelayAppends}[rand.IntN(4)]
 					d := time.Duration(500+rand.IntN(4000)) * time.Millisecond
 					w.rec.note("trouble store fault %d %s", f, d)
@@ -176,6 +180,14 @@
 	states := map[string]int{}
 	for _, j := range jobs {
 		if !j.accepted {
+			w.rec.mu.Lock()
+			for task := range w.rec.runs {
+				if !j.unknown && strings.HasPrefix(task, j.path[3:]+".") {
+					broken = append(broken, "REFUSED "+task)
+				}
+			}
+			w.rec.mu.Unlock()
+			states[fmt.Sprintf("refused, unknown %t", j.unknown)]++
 			continue
 		}
 		s := w.entries[0].state(j.path)
