--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -127,4 +127,4 @@
 	play(os.Args[2])
 }
 
-var cases = map[string]func(record string){"crashes": playCrashes, "idle": playIdle, "services": playServices, "restarts": playRestarts, "return": playReturn, "lease": playLease, "large": playLarge, "wide": playWide, "chaos": playChaos, "looping": playLooping}
+var cases = map[string]func(record string){"crashes": playCrashes, "idle": playIdle, "services": playServices, "restarts": playRestarts, "return": playReturn, "lease": playLease, "large": playLarge, "wide": playWide, "chaos": playChaos, "looping": playLooping, "cuts": playCuts}
--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -96,19 +96,9 @@
 	if at == "" {
 		at = "127.0.0.1:0"
 	}
-	var l net.Listener
-	var err error
-	for range 100 {
-		if l, err = net.Listen("tcp", at); err == nil {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	if err != nil {
-		fatal("a runner cannot listen: %v", err)
-	}
+	l := listenAgain(at)
 	f := &life{born: time.Now(), listener: l, over: make(chan struct{}), runs: make(map[string]*run), highest: make(map[string]int64), changed: make(chan struct{})}
-	f.server = &http.Server{IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(f, w, q) })}
+	f.server = r.newServer(f)
 	r.mu.Lock()
 	r.address, r.life = l.Addr().String(), f
 	r.mu.Unlock()
@@ -143,6 +133,47 @@
 	r.rec.note("cut    %s: %t", r.id, on)
 }
 
+// refuse cuts the runner off by resets: its channels break, and new ones are refused.
+// What runs there runs on.
+func (r *runner) refuse() {
+	r.mu.Lock()
+	f := r.life
+	r.cut = true
+	r.rec.note("cut    %s refuses, and runs on", r.id)
+	r.mu.Unlock()
+	_ = f.server.Close()
+}
+
+// accept ends the cut of refuse.
+func (r *runner) accept() {
+	l := listenAgain(r.address)
+	r.mu.Lock()
+	f := r.life
+	r.cut = false
+	f.listener = l
+	f.server = r.newServer(f)
+	r.rec.note("cut    %s can be reached again", r.id)
+	r.mu.Unlock()
+	go func() { _ = f.server.Serve(l) }()
+	r.register()
+}
+
+func (r *runner) newServer(f *life) *http.Server {
+	return &http.Server{IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(f, w, q) })}
+}
+
+func listenAgain(at string) (l net.Listener) {
+	var err error
+	for range 100 {
+		if l, err = net.Listen("tcp", at); err == nil {
+			return l
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	fatal("a runner cannot listen: %v", err)
+	return nil
+}
+
 // endLife ends what runs and returns the lifetime, nil if there is none.
 func (r *runner) endLife() *life {
 	r.mu.Lock()
