--- a/review/_drill/looping.go
+++ b/review/_drill/looping.go
@@ -34,7 +34,7 @@
 	if !trouble {
 		spec = "perpetual"
 	}
-	status, _ := w.entries[0].callAs("key-b", http.MethodPost, "/q/00000000000000f0", `{"spec":"`+spec+`","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":1000,"perpetual":true}]}`)
+	status, _ := w.entries[0].callAs("key-b", http.MethodPost, "/q/00000000000000f0", fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":100,"estimateMs":1000,"perpetual":true}]}`, spec, envInt("TASKS", 1)))
 	w.rec.note("client b POST perpetual 00000000000000f0 -> %d", status)
 	time.Sleep(4 * time.Second)
 	gangs := map[string]bool{}
--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -20,7 +20,7 @@
 // a crash it runs nothing, has seen no fence number, and all its counts start anew.
 //
 // The spec of a submission says how long its tasks run: a number of milliseconds,
-// or "perpetual"; after "fail" they end failed after 50 ms. A second word, if there is one, is the cpu that they use, in
+// or "perpetual"; after "fail" they end failed after 50 ms (FAIL_MS). A second word, if there is one, is the cpu that they use, in
 // thousandths of a core (500).
 type runner struct {
 	id, kind, rack, address string
@@ -309,7 +309,7 @@
 		d = time.Duration(ms) * time.Millisecond
 	}
 	if words[0] == "fail" {
-		d, how = 50*time.Millisecond, "failed"
+		d, how = time.Duration(envInt("FAIL_MS", 50))*time.Millisecond, "failed"
 	}
 	x.timer = time.AfterFunc(d, func() { r.later(f, x, how) })
 	// A look at the lease at the moment at which it passes.
