--- a/review/_drill/entry.go
+++ b/review/_drill/entry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,14 +30,22 @@
 	started   []*entry
 )
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port below the range from which
+// the system takes the ports of outgoing connections, so that none of these takes it
+// before the process that is to listen there, or while that is down.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal("%v", err)
+	const low, high = 12000, 32000
+	for range 200 {
+		at := fmt.Sprintf("127.0.0.1:%d", low+rand.IntN(high-low))
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return at
 	}
-	defer l.Close()
-	return l.Addr().String()
+	fatal("no free port was found")
+	return ""
 }
 
 func newEntry(dir, name, store, advice string) *entry {
--- a/review/_drill/runner.go
+++ b/review/_drill/runner.go
@@ -94,7 +94,7 @@
 func (r *runner) start() {
 	at := r.address
 	if at == "" {
-		at = "127.0.0.1:0"
+		at = freeAddress()
 	}
 	l := listenAgain(at)
 	f := &life{born: time.Now(), listener: l, over: make(chan struct{}), runs: make(map[string]*run), highest: make(map[string]int64), changed: make(chan struct{})}
