Count a crash of a host only once a restart confirms it

Cause: a reset or refused connection is taken for a crash. That is a suspicion, which ends when the host answers as the same instance. But when the leases expired, MarkAllRunsGone counted the crash for good, before anyone knew. One call stood for two facts: leases have expired, and the host has restarted.

Now a restart is reported by a call of its own (MarkRestarted). Without it a crash is unconfirmed: stored with the lifetime of the host that may have ended, good for suspicion and trials, never for giving a submission up. The host's next answer confirms it or takes it back, after a takeover too.

Tests that meant a restart (TestLostTrialOnLostHostCountsInFull, TestRecordedTrialOnRestartedHostCounts, TestRecordedRunsOnRestartedHostCountNoCrash) call MarkRestarted now; what they expect is unchanged.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,9 +1,9 @@
 package cell
 
-// TrialHost is a host on which a suspected task was started alone.
-type TrialHost struct {
+// HostInstance is one lifetime of a host: the host may start again under its ID.
+type HostInstance struct {
 	ID string `json:"id"`
-	// StartedMs is when the host had last started, in Unix milliseconds; zero if unknown.
+	// StartedMs is when the lifetime began, in Unix milliseconds; zero if unknown.
 	StartedMs int64 `json:"born,omitempty"`
 }
 
@@ -25,3 +25,13 @@
 	// the run; nil if they are unknown, or the task belongs to no gang.
 	Members []int `json:"members,omitempty"`
 }
+
+// UnconfirmedCrash is a possible crash of a host: its connections broke or were refused,
+// and the leases there have expired, but no later instance has answered. A host that is cut
+// off may look like this as well.
+type UnconfirmedCrash struct {
+	Crash
+	Host HostInstance `json:"host"`
+	// Alone is set if nothing else can have caused the crash.
+	Alone bool `json:"alone,omitempty"`
+}
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -67,18 +67,24 @@
 	}
 }
 
-// recordRestart records that a host has restarted as another instance.
+// recordRestart records that another instance answers in place of a host.
 func (ow *Owner) recordRestart(h *hostPoller, now time.Duration) {
-	if h.allRunsGone {
-		return // known already; the host list still names the earlier instance
+	ow.mu.Lock()
+	defer ow.unlock()
+	if h.restartKnown || ow.broken {
+		return // the host list still names the earlier instance
 	}
+	h.restartKnown, h.allRunsGone = true, true
 	ow.options.Log.Info("A host has restarted as another instance; its runs are gone.", "host", h.host.ID)
-	ow.markCrashed(h, h.answeredAt, now)
-	ow.recordAllRunsGone(h, now)
+	ow.scheduler.MarkUnreachable(h.host.ID)
+	if ow.scheduler.MarkRestarted(h.host.ID, h.answeredAt, now) {
+		ow.metrics.connectionsLost.Inc(1)
+	}
+	ow.requestDecision()
 }
 
-// recordAllRunsGone informs the scheduler that a host has no runs any more: all
-// leases there have expired, or the host has restarted.
+// recordAllRunsGone informs the scheduler that a host has no runs any more, since all
+// leases there have expired.
 func (ow *Owner) recordAllRunsGone(h *hostPoller, now time.Duration) {
 	ow.mu.Lock()
 	defer ow.unlock()
@@ -88,7 +94,7 @@
 	h.allRunsGone = true
 	ow.scheduler.MarkUnreachable(h.host.ID)
 	ow.scheduler.MarkAllRunsGone(h.host.ID, now)
-	ow.options.Log.Info("A host has no runs any more.", "host", h.host.ID)
+	ow.options.Log.Info("A host has no runs any more; its leases have expired.", "host", h.host.ID)
 	ow.requestDecision()
 }
 
@@ -101,7 +107,7 @@
 		return false
 	}
 	if !ow.scheduler.RemoveHost(h.host.ID) {
-		h.allRunsGone = false // the next failed poll records it again
+		h.allRunsGone, h.restartKnown = false, false // the next failed poll records it again
 		return false
 	}
 	delete(ow.hosts, h.host.ID)
--- a/internal/cell/owner/hostfailure_test.go
+++ b/internal/cell/owner/hostfailure_test.go
@@ -65,3 +65,40 @@
 		g.Expect(lost).To(gomega.Equal(c.want), c.err.Error())
 	}
 }
+
+// Guards against a cut with resets that counts as a crash of the host once its leases have
+// expired, and against a restart that counts for nothing since they had expired before.
+func TestOnlyARestartConfirmsACrash(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		answer                 hostAnswer
+		unconfirmed, confirmed int
+	}{
+		{"the host stays away", refusesConnections, 1, 0},
+		{"the same instance answers", answersAs(10), 0, 0},
+		{"a later instance answers", answersAs(20), 0, 1},
+		{"an instance with another ID answers", isAnotherInstance, 0, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := usedAt(t, "a")
+			h.client.answers["a"] = refusesConnections
+			for range 4 {
+				h.clock.now += 2 * time.Second
+				h.pollOnce("h")
+			}
+			if !h.poller("h").allRunsGone {
+				t.Fatal("the leases count as valid after 8 s without a renewal")
+			}
+			h.client.answers["a"] = c.answer
+			h.pollOnce("h")
+			p, _ := h.scheduler.Progress("first")
+			g := p.Groups["first.0.0"]
+			if unconfirmed, confirmed := len(g.UnconfirmedCrashes[0]), len(g.Crashes[0]); unconfirmed != c.unconfirmed || confirmed != c.confirmed {
+				t.Errorf("%d unconfirmed crashes and %d confirmed ones are stored, want %d and %d", unconfirmed, confirmed, c.unconfirmed, c.confirmed)
+			}
+			if p.State != cell.Active {
+				t.Errorf("the submission is %s", p.State)
+			}
+		})
+	}
+}
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -51,6 +51,9 @@
 	// every lease there has certainly expired or the host has restarted, until it
 	// reports its runs again. Both are guarded by the owner's lock.
 	runsKnown, allRunsGone bool
+	// restartKnown is set once another instance has answered in place of the host, until
+	// the host reports its runs again. It is guarded by the owner's lock.
+	restartKnown bool
 	// inHostList is set while the platform lists the host.
 	inHostList bool
 	// closedByPreviousOwner is set if the previous owner had closed the host to new
@@ -175,7 +178,7 @@
 	}
 	ow.withState(func() {
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
-		h.runsKnown, h.allRunsGone, h.unreachable = true, false, false
+		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
 	})
 	ow.requestDecision()
 	for _, e := range l.Ended {
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -48,7 +48,9 @@
 // WithoutFailures returns the progress without failed runs, crashes and trials: a later
 // owner counts them from zero.
 func (p Progress) WithoutFailures() Progress {
-	return p.reduced(func(g *GroupProgress) { g.Failures, g.Crashes, g.Trials, g.TrialHosts = nil, nil, nil, nil })
+	return p.reduced(func(g *GroupProgress) {
+		g.Failures, g.Crashes, g.UnconfirmedCrashes, g.Trials, g.TrialHosts = nil, nil, nil, nil, nil
+	})
 }
 
 func (p Progress) reduced(reduce func(g *GroupProgress)) Progress {
@@ -72,12 +74,14 @@
 	// Crashes lists the crashes of hosts that each task may have caused, by index. Those
 	// of a gang are stored under its first task.
 	Crashes map[int][]Crash `json:"crashes,omitempty"`
+	// UnconfirmedCrashes lists the possible crashes of hosts likewise.
+	UnconfirmedCrashes map[int][]UnconfirmedCrash `json:"unconfirmed_crashes,omitempty"`
 	// Trials holds the run of each suspected task that was started alone on a host and
 	// has not ended, by index. If nothing becomes known of it after a takeover, a crash is
 	// counted, unless its hosts are known not to have restarted.
 	Trials map[int]int64 `json:"trials,omitempty"`
 	// TrialHosts holds the hosts of these runs, by index.
-	TrialHosts map[int][]TrialHost `json:"trial_hosts,omitempty"`
+	TrialHosts map[int][]HostInstance `json:"trial_hosts,omitempty"`
 	// Checkpoints holds the checkpoints from which tasks resume, by index.
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -283,3 +283,15 @@
 	}
 	return false
 }
+
+// relist passes the present hosts to the scheduler, as the host list shows them.
+func (c *cluster) relist() {
+	var list []cell.Host
+	for _, id := range c.ids() {
+		h := c.hosts[id]
+		h.spec.StartedMs = h.startedMs
+		list = append(list, h.spec)
+	}
+	c.s.SetHosts(list)
+	c.s.SetListedHosts(list)
+}
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -111,12 +111,14 @@
 	a.suspected, a.recent = false, false
 }
 
-// countCrashes counts the crash of a host for the tasks whose runs may be the cause.
-func (s *Scheduler) countCrashes(h *host, runs []*taskRun) {
+// countCrashes counts the crash of a host for the tasks whose runs may be the cause. It
+// is confirmed once the host is known to have restarted.
+func (s *Scheduler) countCrashes(h *host, runs []*taskRun, confirmed bool) {
+	h.restarted = h.restarted || confirmed
 	if !h.crashed {
 		return
 	}
-	h.crashed, h.restarted = false, true
+	h.crashed = false
 	suspects := make(map[*job]bool)
 	for _, a := range runs {
 		if a.suspected {
@@ -126,39 +128,59 @@
 	for _, a := range runs {
 		switch {
 		case !a.suspected, h.trial != nil && h.trial.task.group != a.task.group: // beside a suspect, others are not blamed
-		case h.crashedSilently:
-			s.countCrash(a, cell.Crash{Run: a.run, Silent: true}, "The host crashed while it did not answer, and a task of the submission may have started there.")
 		default:
-			s.countCrash(a, cell.Crash{Run: a.run, Recent: a.recent, Suspects: len(suspects), Seen: a.acceptedAt != 0},
-				"The host crashed, and a task of the submission may be the cause.")
+			c := a.crash(len(suspects))
+			alone := a.alone && !c.Silent && c.Suspects == 1
+			if confirmed {
+				s.countCrash(a.task.countedAt(), h.spec.ID, c, alone)
+			} else {
+				s.recordUnconfirmed(a.task.countedAt(), cell.UnconfirmedCrash{Crash: c, Host: h.instance(), Alone: alone})
+			}
 		}
 	}
 }
 
-// countCrash counts a crash for the task of a run, or for its gang.
-func (s *Scheduler) countCrash(a *taskRun, c cell.Crash, message string) {
-	t, j := a.task.countedAt(), a.task.group.job
-	if t.done || j.state.Final() || !t.addCrash(a.task, c) {
+// crash returns the crash of the host of a run that may be the cause, as are those of some
+// submissions.
+func (a *taskRun) crash(suspects int) cell.Crash {
+	c := cell.Crash{Run: a.run, Silent: true}
+	if !a.host.crashedSilently {
+		c = cell.Crash{Run: a.run, Recent: a.recent, Suspects: suspects, Seen: a.acceptedAt != 0}
+	}
+	if a.task.group.step.Gang {
+		c.Members = []int{a.task.id.Index}
+	}
+	return c
+}
+
+// countCrash counts a crash of a host for a task, or for its gang. alone is set if nothing
+// else can have caused it.
+func (s *Scheduler) countCrash(t *task, host string, c cell.Crash, alone bool) {
+	j := t.group.job
+	if t.done || j.state.Final() || !t.addCrash(c) {
 		return
 	}
-	t.trialRun, t.trialHosts = 0, nil
+	t.forgetTrial(t.trialRun)
 	s.changed[j.sub.ID] = true
-	s.logMessage(j.sub.ID, a.host.spec.ID, message)
-	s.judge(t, a.alone && !c.Silent && c.Suspects == 1)
+	message := "The host crashed, and a task of the submission may be the cause."
+	if c.Silent {
+		message = "The host crashed while it did not answer, and a task of the submission may have started there."
+	}
+	s.logMessage(j.sub.ID, host, message)
+	s.judge(t, alone)
 }
 
-// addCrash adds a crash under a run of a task, or of the given member of its gang, and
-// reports whether that says something new. Of a gang that lost several hosts, one crash
-// counts: the one that says most.
-func (t *task) addCrash(member *task, c cell.Crash) bool {
+// addCrash adds a crash under a run of a task, or of its gang, and reports whether that
+// says something new. Of a gang that lost several hosts, one crash counts: the one that
+// says most.
+func (t *task) addCrash(c cell.Crash) bool {
 	i := slices.IndexFunc(t.crashes, func(o cell.Crash) bool { return o.Run == c.Run })
 	if i < 0 {
-		c.Members = member.asMembers(nil)
 		t.crashes = append(t.crashes, c)
 		return true
 	}
 	o := t.crashes[i]
-	members := member.asMembers(o.Members)
+	members := joinMembers(o.Members, c.Members)
 	if (c.Silent || !o.Silent) && len(members) == len(o.Members) {
 		return false
 	}
@@ -170,13 +192,15 @@
 	return true
 }
 
-// asMembers adds the index of a task to those of members of its gang. It returns nil for
-// a task that belongs to no gang.
-func (t *task) asMembers(others []int) []int {
-	if !t.group.step.Gang || slices.Contains(others, t.id.Index) {
-		return others
+// joinMembers returns the indexes of gang members in either list.
+func joinMembers(a, b []int) []int {
+	out := slices.Clone(a)
+	for _, i := range b {
+		if !slices.Contains(out, i) {
+			out = append(out, i)
+		}
 	}
-	return append(slices.Clone(others), t.id.Index)
+	return out
 }
 
 // judge gives a job up if the crashes under one of its tasks show that it crashes its
@@ -193,14 +217,14 @@
 	}
 }
 
-// crashesHosts reports whether the crashes under a task show that it crashes its hosts.
-// alone is set if it was alone on the last of them.
+// crashesHosts reports whether the crashes under a task show that it crashes its hosts. Only
+// confirmed ones do: a submission that is given up stays so. alone is set if it was alone on the last of them.
 func (t *task) crashesHosts(alone bool) bool {
 	if t.mostCrashesOfMember() < crashesToFail {
 		return false
 	}
-	n := len(t.crashesInTouch())
-	return alone && t.seenCrashes() >= crashesToFail || n >= crashesToFailBlamed && t.blame() >= blameToFail || len(t.crashes) >= maxCrashes
+	inTouch := t.crashesInTouch()
+	return alone && t.seenCrashes() >= crashesToFail || len(inTouch) >= crashesToFailBlamed && blame(inTouch) >= blameToFail || len(t.crashes) >= maxCrashes
 }
 
 // mostCrashesOfMember returns how many hosts crashed under the same task, or the same
@@ -236,13 +260,14 @@
 // may crash hosts at its start, and would else add up over the life of a task.
 func (s *Scheduler) forgetSilentCrashes(a *taskRun) {
 	t := a.task.countedAt()
-	if len(t.crashes) == 0 || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
+	if len(t.crashes)+len(t.unconfirmed) == 0 || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
 		return
 	}
 	if inTouch := t.crashesInTouch(); len(inTouch) < len(t.crashes) {
 		t.crashes = inTouch
 		s.changed[t.id.Submission] = true
 	}
+	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c unconfirmedCrash) bool { return c.Silent })
 }
 
 // countedAt returns the task at which crashes under a task are counted: for a gang its
@@ -286,18 +311,21 @@
 	return most
 }
 
-// blame returns how much the crashes under a task speak against it: each counts in
-// equal parts for the submissions that may have caused it.
-func (t *task) blame() (sum float64) {
-	for _, c := range t.crashesInTouch() {
+// blame returns how much the crashes under a task speak against it, the unconfirmed ones
+// included: each counts in equal parts for the submissions that may have caused it.
+func (t *task) blame() float64 { return blame(t.suspicions()) }
+
+func blame(crashes []cell.Crash) (sum float64) {
+	for _, c := range crashes {
 		sum += 1 / float64(max(c.Suspects, 1))
 	}
 	return sum
 }
 
-// suspectedCause reports whether the crashes under the task make it a suspected cause.
+// suspectedCause reports whether the crashes under the task, the unconfirmed ones included,
+// make it a suspected cause.
 func (t *task) suspectedCause() bool {
-	crashes := t.crashesInTouch()
+	crashes := t.suspicions()
 	return len(crashes) >= crashesUnlessRecent || len(crashes) > 0 && crashes[0].Recent
 }
 
@@ -305,8 +333,8 @@
 // alone on its host for long enough.
 func (s *Scheduler) clear(t *task, host string) {
 	j, t := t.group.job, t.countedAt()
-	if len(t.crashes) > 0 || t.trialRun != 0 {
-		t.crashes, t.trialRun, t.trialHosts = nil, 0, nil
+	if len(t.crashes) > 0 || len(t.unconfirmed) > 0 || t.trialRun != 0 {
+		t.crashes, t.unconfirmed, t.trialRun, t.trialHosts = nil, nil, 0, nil
 		s.changed[j.sub.ID] = true
 	}
 	if j.suspected {
--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -230,8 +230,7 @@
 	c.replaceOwner()
 	c.s.AssumeRunPresent(id, Run{Task: run.task, Run: run.run}, c.now)
 	c.s.MarkReconciled(c.now)
-	c.s.MarkCrashed(id, c.now, c.now) // it answers as another instance
-	c.s.MarkAllRunsGone(id, c.now)
+	c.s.MarkRestarted(id, c.now, c.now)
 	c.advance(100 * time.Millisecond)
 	if got := c.s.jobs["sound"].groups[0].tasks[0].crashes; len(got) > 0 || c.running("sound") != 1 {
 		t.Errorf("%+v is counted, %d tasks run", got, c.running("sound"))
@@ -243,8 +242,7 @@
 func TestLostTrialOnLostHostCountsInFull(t *testing.T) {
 	for name, lose := range map[string]func(c *cluster, id string){
 		"answers as another instance": func(c *cluster, id string) {
-			c.s.MarkCrashed(id, c.now, c.now)
-			c.s.MarkAllRunsGone(id, c.now)
+			c.s.MarkRestarted(id, c.now, c.now)
 		},
 		"is not listed any more": func(c *cluster, id string) {
 			c.s.SetListedHosts(nil)
@@ -282,8 +280,7 @@
 	c.replaceOwner()
 	c.s.AssumeRunPresent(id, Run{Task: run.task, Run: run.run}, c.now)
 	c.s.MarkReconciled(c.now)
-	c.s.MarkCrashed(id, c.now, c.now) // it answers as another instance
-	c.s.MarkAllRunsGone(id, c.now)
+	c.s.MarkRestarted(id, c.now, c.now)
 	if got := c.s.jobs["job"].groups[0].tasks[0].crashes; len(got) != 1 {
 		t.Errorf("%+v is counted, want one crash", got)
 	}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -82,6 +82,11 @@
 	return h.unknownRuns == 0 && !h.closed && h.listedAsIs() && h.runsKnown && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
 }
 
+// instance returns the lifetime of the host that answered last.
+func (h *host) instance() cell.HostInstance {
+	return cell.HostInstance{ID: h.spec.ID, StartedMs: h.startedMs}
+}
+
 // listedAsIs reports whether the host list describes the instance that answers. After a
 // restart the host may be of another kind.
 func (h *host) listedAsIs() bool {
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -60,6 +60,7 @@
 			group: g, done: allDone || stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i],
 			trialRun: stored.Trials[i], trialHosts: stored.TrialHosts[i], checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
+		s.restoreUnconfirmed(t, stored.UnconfirmedCrashes[i])
 		if !t.done {
 			j.suspected = j.suspected || t.suspectedCause()
 			g.left++
@@ -241,13 +242,20 @@
 			p.Crashes[i] = t.crashes
 			any = true
 		}
+		if len(t.unconfirmed) > 0 {
+			if p.UnconfirmedCrashes == nil {
+				p.UnconfirmedCrashes = make(map[int][]cell.UnconfirmedCrash)
+			}
+			p.UnconfirmedCrashes[i] = t.storedUnconfirmed()
+			any = true
+		}
 		if t.trialRun != 0 {
 			if p.Trials == nil {
 				p.Trials = make(map[int]int64)
 			}
 			p.Trials[i] = t.trialRun
 			if p.TrialHosts == nil {
-				p.TrialHosts = make(map[int][]cell.TrialHost)
+				p.TrialHosts = make(map[int][]cell.HostInstance)
 			}
 			p.TrialHosts[i] = t.trialHosts
 			any = true
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -26,6 +26,7 @@
 	if l.StartedMs != 0 {
 		h.startedMs = l.StartedMs
 	}
+	s.settleCrashes(h, l.StartedMs)
 	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
 	h.reportedAt, h.silent = now, false
 	s.clearSuspectedRuns(h)
@@ -236,9 +237,6 @@
 	}
 }
 
-// handleAllRunsGone handles the runs of a host that carries out no earlier order.
-func (s *Scheduler) handleAllRunsGone(h *host) { s.handleRunsGone(h, h.sortedRuns()) }
-
 // handleRestart handles the runs of a host that answers as another instance. A start
 // order on its way may still reach this instance: its run counts until the order is
 // answered.
@@ -251,11 +249,13 @@
 			gone = append(gone, a)
 		}
 	}
-	s.handleRunsGone(h, gone)
+	s.handleRunsGone(h, gone, true)
 }
 
-func (s *Scheduler) handleRunsGone(h *host, gone []*taskRun) {
-	s.countCrashes(h, gone)
+// handleRunsGone handles runs that are gone from their host. restarted is set if the host is
+// known to have restarted.
+func (s *Scheduler) handleRunsGone(h *host, gone []*taskRun, restarted bool) {
+	s.countCrashes(h, gone, restarted)
 	for _, a := range gone {
 		s.handleLostRun(a)
 	}
--- a/internal/cell/schedule/liveness_test.go
+++ b/internal/cell/schedule/liveness_test.go
@@ -52,18 +52,6 @@
 	return resource.Vector{MilliCPU: int64(6+2*l.r.IntN(6)) * 1000, MemoryMiB: 65536}
 }
 
-// relist passes the present hosts to the scheduler, as the host list shows them.
-func (l *livenessTest) relist() {
-	var list []cell.Host
-	for _, id := range l.ids() {
-		h := l.hosts[id]
-		h.spec.StartedMs = h.startedMs
-		list = append(list, h.spec)
-	}
-	l.s.SetHosts(list)
-	l.s.SetListedHosts(list)
-}
-
 func (l *livenessTest) submitAny() {
 	l.jobCount++
 	var steps []cell.Step
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -117,16 +117,31 @@
 	}
 }
 
-// MarkAllRunsGone records that a host has no runs any more: every lease on it has
-// certainly expired, or it has restarted.
+// MarkAllRunsGone records that a host has no runs any more, since every lease on it has
+// certainly expired. Whether it has crashed is not known.
 func (s *Scheduler) MarkAllRunsGone(id string, now time.Duration) {
 	s.now = now
 	if h := s.hosts[id]; h != nil {
 		h.runsKnown, h.earlierRunsUnknown = false, false
-		s.handleAllRunsGone(h)
+		s.handleRunsGone(h, h.sortedRuns(), false)
 	}
 }
 
+// MarkRestarted records that another instance answers in place of a host, so that the host
+// has crashed, not before a time, and has no runs any more. It reports whether the host had
+// not been known to have crashed.
+func (s *Scheduler) MarkRestarted(id string, notBefore, now time.Duration) bool {
+	crashed := s.MarkCrashed(id, notBefore, now)
+	h := s.hosts[id]
+	if h == nil {
+		return false
+	}
+	h.runsKnown, h.earlierRunsUnknown = false, false
+	s.handleRunsGone(h, h.sortedRuns(), true)
+	s.confirmCrashes(h)
+	return crashed
+}
+
 // sortRuns sorts runs that come from a map, so that their order is
 // deterministic.
 func sortRuns(list []*taskRun) {
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -58,6 +58,9 @@
 	trials        int
 	// lastTrialTurn is how many of the groups under trial have had their turn; see trialTurn.
 	lastTrialTurn int
+	// unconfirmed holds the tasks with unconfirmed crashes by the ID of the host. Tasks that
+	// have none any more may be among them.
+	unconfirmed map[string][]*task
 	// risks holds the risk of each queue by name.
 	risks map[string]*queueRisk
 	// nextPeriodicCheck is when all groups and hosts are checked next.
@@ -92,7 +95,7 @@
 func New(o Options) *Scheduler {
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
-		teams: make(map[string]*team), changed: make(map[string]bool), risks: make(map[string]*queueRisk), plan: &Plan{},
+		teams: make(map[string]*team), changed: make(map[string]bool), risks: make(map[string]*queueRisk), unconfirmed: make(map[string][]*task), plan: &Plan{},
 	}
 }
 
@@ -179,6 +182,7 @@
 	if h.listed || len(h.runs) > 0 {
 		return false
 	}
+	s.settleGoneHost(id)
 	delete(s.hosts, id)
 	s.sortedHosts = slices.DeleteFunc(s.sortedHosts, func(o *host) bool { return o == h })
 	return true
@@ -196,6 +200,7 @@
 	for _, t := range s.teams {
 		t.unknownUsage = resource.Vector{}
 	}
+	s.settleUnknownHosts()
 	s.countUnknownTrials()
 	for _, g := range s.groups {
 		if g.step.Gang && g.present > 0 && g.present < g.left {
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -17,11 +17,13 @@
 	// crashes are the crashes of hosts that the task may have caused; those of a gang
 	// are recorded at its first task.
 	crashes []cell.Crash
+	// unconfirmed are the possible crashes of hosts likewise.
+	unconfirmed []unconfirmedCrash
 	// trialRun is the run that was started alone on a host, since the task is suspected
 	// of crashing hosts, until its outcome is known; zero if there is none. That of a
 	// gang is recorded at its first task. trialHosts are its hosts.
 	trialRun   int64
-	trialHosts []cell.TrialHost
+	trialHosts []cell.HostInstance
 	checkpoint string
 	lastRun    int64
 	// waitingSince is when the task became ready, or ready again after its last
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -127,7 +127,7 @@
 // of a long-running step do not end, and each has a host of its own, so that for the next
 // of them it is enough that they have survived their start.
 func (s *Scheduler) readyForTrial(g *group) bool {
-	if g.job.suspectedRuns > 0 {
+	if g.job.suspectedRuns > 0 || s.awaitsConfirmation(g) {
 		return false
 	}
 	if g.step.Gang {
@@ -253,7 +253,7 @@
 // start.
 func (g *group) crashesLate() bool {
 	for _, t := range g.tasks {
-		for _, c := range t.crashesInTouch() {
+		for _, c := range t.suspicions() {
 			if !c.Recent {
 				return true
 			}
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -11,7 +11,7 @@
 	if t.trialRun != run {
 		t.trialRun, t.trialHosts = run, nil
 	}
-	if on := (cell.TrialHost{ID: h.spec.ID, StartedMs: h.startedMs}); !slices.Contains(t.trialHosts, on) {
+	if on := h.instance(); !slices.Contains(t.trialHosts, on) {
 		t.trialHosts = append(slices.Clip(t.trialHosts), on) // a stored copy may be read meanwhile
 	}
 }
--- /dev/null
+++ b/internal/cell/schedule/unconfirmed.go
@@ -0,0 +1,201 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+const (
+	// confirmationTimeout is how long a task under which too many hosts may have crashed
+	// waits for one of them to answer.
+	confirmationTimeout = 30 * time.Second
+	// maxUnconfirmed bounds the unconfirmed crashes of a task; the oldest are forgotten.
+	maxUnconfirmed = 64
+)
+
+// unconfirmedCrash is an unconfirmed crash of a task, or of its gang. The task is suspected
+// for it, but not given up.
+type unconfirmedCrash struct {
+	cell.UnconfirmedCrash
+	// recordedAt is when this owner learned of it.
+	recordedAt time.Duration
+}
+
+// recordUnconfirmed records an unconfirmed crash under a task, or under its gang.
+func (s *Scheduler) recordUnconfirmed(t *task, c cell.UnconfirmedCrash) {
+	j := t.group.job
+	if t.done || j.state.Final() {
+		return
+	}
+	s.addUnconfirmed(t, c)
+	t.forgetTrial(t.trialRun)
+	s.changed[j.sub.ID] = true
+	s.logMessage(j.sub.ID, c.Host.ID, "The host may have crashed under a task of the submission; that counts once another instance of it has answered.")
+	s.judge(t, false)
+}
+
+// addUnconfirmed adds an unconfirmed crash. Several members of a gang on one host count
+// once.
+func (s *Scheduler) addUnconfirmed(t *task, c cell.UnconfirmedCrash) {
+	for i := range t.unconfirmed {
+		if o := &t.unconfirmed[i]; o.Run == c.Run && o.Host == c.Host {
+			o.Members = joinMembers(o.Members, c.Members)
+			return
+		}
+	}
+	t.unconfirmed = append(t.unconfirmed, unconfirmedCrash{c, s.now})
+	if n := len(t.unconfirmed); n > maxUnconfirmed {
+		t.unconfirmed = slices.Clone(t.unconfirmed[n-maxUnconfirmed:])
+	}
+	if tasks := s.unconfirmed[c.Host.ID]; !slices.Contains(tasks, t) {
+		s.unconfirmed[c.Host.ID] = append(tasks, t)
+	}
+}
+
+// restoreUnconfirmed takes over what an earlier owner stored.
+func (s *Scheduler) restoreUnconfirmed(t *task, stored []cell.UnconfirmedCrash) {
+	if t.done {
+		return
+	}
+	for _, c := range stored {
+		s.addUnconfirmed(t, c)
+	}
+}
+
+// storedUnconfirmed returns the unconfirmed crashes of the task as they are stored.
+func (t *task) storedUnconfirmed() []cell.UnconfirmedCrash {
+	out := make([]cell.UnconfirmedCrash, len(t.unconfirmed))
+	for i, c := range t.unconfirmed {
+		out[i] = c.UnconfirmedCrash
+	}
+	return out
+}
+
+// suspicions returns the crashes of hosts in touch under a task, the unconfirmed ones
+// included.
+func (t *task) suspicions() []cell.Crash {
+	out := t.crashesInTouch()
+	for _, c := range t.unconfirmed {
+		counted := slices.ContainsFunc(out, func(o cell.Crash) bool { return o.Run == c.Run })
+		if !c.Silent && !counted {
+			out = append(out, c.Crash)
+		}
+	}
+	return out
+}
+
+// settleCrashes settles the unconfirmed crashes of a host that answers: the same instance
+// has not crashed, another one shows that the former one has.
+func (s *Scheduler) settleCrashes(h *host, startedMs int64) {
+	if startedMs == 0 || len(s.unconfirmed[h.spec.ID]) == 0 {
+		return
+	}
+	s.settle(h.spec.ID, func(t *task, c unconfirmedCrash) {
+		switch c.Host.StartedMs {
+		case 0: // which instance may have crashed is unknown
+		case startedMs:
+			s.logMessage(t.id.Submission, h.spec.ID, "The host answers as the same instance; it has not crashed.")
+		default:
+			s.countCrash(t, h.spec.ID, c.Crash, c.Alone)
+		}
+	})
+}
+
+// confirmCrashes counts the unconfirmed crashes of a host in whose place another instance
+// answers.
+func (s *Scheduler) confirmCrashes(h *host) {
+	s.settle(h.spec.ID, func(t *task, c unconfirmedCrash) { s.countCrash(t, h.spec.ID, c.Crash, c.Alone) })
+}
+
+// settleGoneHost settles the unconfirmed crashes of a host that the platform treats as
+// gone. Nobody knows when and why it went, as if it had crashed behind a cut.
+func (s *Scheduler) settleGoneHost(id string) {
+	s.settle(id, func(t *task, c unconfirmedCrash) {
+		s.countCrash(t, id, cell.Crash{Run: c.Run, Silent: true, Members: c.Members}, false)
+	})
+}
+
+// settleUnknownHosts settles the unconfirmed crashes of hosts that an earlier owner has
+// removed.
+func (s *Scheduler) settleUnknownHosts() {
+	var gone []string
+	for id := range s.unconfirmed {
+		if s.hosts[id] == nil {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	for _, id := range gone {
+		s.settleGoneHost(id)
+	}
+}
+
+// settle removes the unconfirmed crashes of a host, and passes each of them to count.
+func (s *Scheduler) settle(id string, count func(*task, unconfirmedCrash)) {
+	tasks := s.unconfirmed[id]
+	delete(s.unconfirmed, id)
+	for _, t := range tasks {
+		var settled, left []unconfirmedCrash
+		for _, c := range t.unconfirmed {
+			if c.Host.ID == id {
+				settled = append(settled, c)
+			} else {
+				left = append(left, c)
+			}
+		}
+		if len(settled) == 0 {
+			continue
+		}
+		t.unconfirmed = left
+		s.changed[t.id.Submission] = true
+		for _, c := range settled {
+			count(t, c)
+		}
+		s.endUnfoundedSuspicion(t.group.job)
+	}
+}
+
+// endUnfoundedSuspicion ends the suspicion of a job once no crash speaks for it any more.
+func (s *Scheduler) endUnfoundedSuspicion(j *job) {
+	if !j.suspected || j.state.Final() {
+		return
+	}
+	for _, g := range j.groups {
+		for _, t := range g.tasks {
+			if !t.done && t.suspectedCause() {
+				return
+			}
+		}
+	}
+	j.suspected = false
+	s.logMessage(j.sub.ID, "", "The submission is no longer suspected of crashing hosts.")
+}
+
+// awaitsConfirmation reports whether so many hosts may have crashed under a task of the
+// group that it would be given up if they had. It waits until one of them is settled, for
+// confirmationTimeout at most.
+func (s *Scheduler) awaitsConfirmation(g *group) bool {
+	if len(s.unconfirmed) == 0 {
+		return false
+	}
+	for _, t := range g.tasks {
+		if len(t.unconfirmed) == 0 || t.done {
+			continue
+		}
+		runs := make(map[int64]bool)
+		for _, c := range t.crashes {
+			runs[c.Run] = true
+		}
+		for _, c := range t.unconfirmed {
+			if s.now < c.recordedAt+confirmationTimeout {
+				runs[c.Run] = true
+			}
+		}
+		if len(runs) >= maxCrashes {
+			return true
+		}
+	}
+	return false
+}
