Acknowledge ends only to the lifetime of a host that listed them

Cause: what the owner knew of one lifetime lay in several fields that were reset after the first report of a new one. The poll that asked for this report had carried the acknowledgement already.

Now all of it is one value, lifetime, that a poll names or goes without. It goes without unless the last poll was answered. If it names it, it is sent only over the connection on which that answer came: a connection does not outlive the process at its other end.

TestEndsOfALaterLifetimeAreNotAcknowledged and TestOnlyListedEndsAreAcknowledged fail on the former code.

--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -26,6 +26,14 @@
 	return h.spec()
 }
 
+// startTarget returns the host with the address for orders, and its lifetime that answered
+// last.
+func (ow *Owner) startTarget(h *hostPoller) (cell.Host, *lifetime) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return h.spec(), h.life
+}
+
 // spec returns the listed host with the address at which it answered last. The caller
 // holds the lock.
 func (h *hostPoller) spec() cell.Host {
@@ -57,8 +65,8 @@
 	if address == h.address {
 		return true
 	}
-	if h.answeredAt != 0 && (h.startedMs == 0 || startedMs < h.startedMs) {
-		ow.options.Log.Warn("A host that may be an earlier instance answers at the listed address.", "host", h.host.ID, "address", address, "started_ms", startedMs, "known", h.startedMs)
+	if h.life != nil && startedMs < h.life.startedMs {
+		ow.options.Log.Warn("A host that may be an earlier instance answers at the listed address.", "host", h.host.ID, "address", address, "started_ms", startedMs, "known", h.life.startedMs)
 		return false
 	}
 	ow.options.Log.Info("A host answers at another address.", "host", h.host.ID, "address", address, "former", h.address)
--- a/internal/cell/owner/hostaddress_test.go
+++ b/internal/cell/owner/hostaddress_test.go
@@ -153,11 +153,7 @@
 	if h.running("h") != 1 {
 		t.Fatal("the run counts as gone while its lease may be valid")
 	}
-	expiry, ok := h.poller("h").lease.expiry()
-	if !ok {
-		t.Fatal("no lease is known")
-	}
-	h.clock.now = expiry + time.Millisecond
+	h.clock.now = h.poller("h").life.lease.expiry() + time.Millisecond
 	h.pollOnce("h")
 	if h.running("h") != 0 {
 		t.Error("the run counts although its lease has certainly expired")
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -20,15 +20,21 @@
 		})
 		ow.storeRounds.request()
 	}
-	expiresAt, ok := h.lease.expiry()
-	if !ok {
-		ow.withState(func() { expiresAt = ow.earlierRunsEndBy() })
-	}
-	if now > expiresAt && h.failures > unreachableThreshold {
+	if now > ow.runsEndBy(h) && h.failures > unreachableThreshold {
 		ow.recordAllRunsGone(h, now)
 	}
 }
 
+// runsEndBy returns the time by which the runs on a host that does not answer have
+// certainly ended.
+func (ow *Owner) runsEndBy(h *hostPoller) (at time.Duration) {
+	if h.life != nil {
+		return h.life.lease.expiry()
+	}
+	ow.withState(func() { at = ow.earlierRunsEndBy() })
+	return at
+}
+
 // recordNoAnswer informs the scheduler of a poll that the host did not answer: its process
 // has gone, or it is silent.
 func (ow *Owner) recordNoAnswer(h *hostPoller, sentAt, hold, now time.Duration, err error) {
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -32,6 +35,9 @@
 	storeWaitTimeout = 300 * time.Millisecond
 )
 
+// errUnknownLifetime means that a report lacks the start time of its host.
+var errUnknownLifetime = eris.New("the report lacks the start time of the host")
+
 // hostPoller polls one host and holds what is known about it.
 type hostPoller struct {
 	// host is the host as it was when it was added. listed is what the platform's list
@@ -43,7 +49,13 @@
 	address, storedAddress string
 	// failedAddress is where the last poll failed; empty if it did not.
 	failedAddress string
-	lease         lease
+	// life is the lifetime of the host that answered last; nil before its first answer. It
+	// is guarded by the owner's lock.
+	life *lifetime
+	// inTouch is set while the last poll was answered by that lifetime. Other polls may
+	// reach a later one, so they acknowledge nothing and renew no lease.
+	inTouch    bool
+	connection *platform.HostConnection
 	// interrupt ends a poll that the host holds open.
 	interrupt chan struct{}
 	cancel    context.CancelFunc
@@ -67,24 +79,18 @@
 	// succeeds.
 	unreachable bool
 	// failures counts consecutive failed or refused polls, except refusals because
-	// of a fencing token or a restart. After an interrupted poll it is at least one.
-	// While it is not zero, polls do not renew the lease.
+	// of a fencing token or a restart.
 	failures int
 	// unreadable is the number of rows in the last report that cannot be decoded.
 	unreadable int
 	// answeredAt is when the host last answered a poll.
 	answeredAt time.Duration
-	// startedMs is the start time of the host in Unix milliseconds.
-	startedMs int64
-	// storedResult and seenResult are the highest numbers of results that are
-	// stored and that were reported.
-	storedResult int64
-	seenResult   int64
 }
 
 // pollLoop polls a host until ctx ends, the ownership is lost, or the host is
 // removed.
 func (ow *Owner) pollLoop(ctx context.Context, h *hostPoller) {
+	defer h.connection.Close()
 	for ctx.Err() == nil {
 		select {
 		case <-ow.ownershipLost:
@@ -105,15 +111,13 @@
 // sent a report of its runs, or the poll was interrupted.
 func (ow *Owner) poll(ctx context.Context, h *hostPoller) bool {
 	sentAt := ow.options.Clock.Now()
-	o := platform.Poll{Token: ow.options.Self.Token, Ack: h.storedResult}
-	if h.failures == 0 {
+	o := platform.Poll{Token: ow.options.Self.Token, Over: h.connection}
+	if h.inTouch {
 		// The lease of a host that does not answer must not be renewed: it is unknown
 		// whether such a poll arrived, so the lease could never be taken as expired.
-		o.LeaseEndMs = h.lease.grant(sentAt)
-	}
-	if o.LeaseEndMs > 0 {
-		o.Wait = pollHoldTimeout
+		h.life.address(&o, sentAt)
 	}
+	h.inTouch = false
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pollTimeoutMargin)
 	done := make(chan struct{})
 	go func() {
@@ -131,6 +135,8 @@
 	cancel()
 	now := ow.options.Clock.Now()
 	switch {
+	case errors.Is(err, platform.ErrNotConnected):
+		return true // the next poll may reach another lifetime
 	case err == nil && refusal == platform.RefusedFenced:
 		ow.loseOwnership("host " + h.host.ID + " has seen a higher fencing token")
 		return false
@@ -140,8 +146,7 @@
 		return false
 	case err != nil || refusal != platform.NotRefused:
 		if interrupted {
-			h.failures = max(h.failures, 1) // so that the next poll renews no lease and the host answers it at once
-			return true
+			return true // the next poll renews no lease, so that the host answers it at once
 		}
 		if err != nil && !ow.isElsewhere(h, target.Address) {
 			ow.recordNoAnswer(h, sentAt, o.Wait, now, err)
@@ -149,6 +154,10 @@
 		ow.pollFailed(h, target.Address, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
+	case l.StartedMs == 0:
+		ow.pollFailed(h, target.Address, now, refusal, errUnknownLifetime)
+		ctxtime.Sleep(ctx, pollRetryInterval)
+		return false
 	case !ow.settleAddress(h, target.Address, l.StartedMs):
 		ow.pollFailed(h, target.Address, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
@@ -158,42 +167,44 @@
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
 	h.unreadable = unreadable
-	h.failures, h.failedAddress, h.answeredAt = 0, "", now
-	ow.applyReport(ctx, h, sentAt, now, l)
+	h.failures, h.failedAddress, h.answeredAt, h.inTouch = 0, "", now, true
+	ow.applyReport(ctx, h, sentAt, now, l, o.Ack)
 	return true
 }
 
 // applyReport passes a host's report to the scheduler and waits until the results
-// in it are stored.
-func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport) {
-	if h.startedMs != 0 && l.StartedMs != 0 && l.StartedMs != h.startedMs {
-		h.storedResult, h.seenResult = 0, 0
-		h.lease.reset()
+// in it are stored. acked is the acknowledgement that the host has answered with it.
+func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport, acked int64) {
+	life := h.life
+	if life == nil || life.startedMs != l.StartedMs {
+		life = newLifetime(l.StartedMs, l.ClockMs, now, ow.leaseDuration())
+	} else {
+		life.lease.observe(l.ClockMs, now)
+		life.ackedResult = max(life.ackedResult, acked)
 	}
-	h.startedMs = l.StartedMs
-	h.lease.observe(l.ClockMs, now)
-	highestResult := h.seenResult
+	highestResult := life.seenResult
 	for _, e := range l.Ended {
 		highestResult = max(highestResult, e.Number)
 	}
 	ow.withState(func() {
+		h.life = life
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
 		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
 	})
 	ow.requestDecision()
 	for _, e := range l.Ended {
-		if e.Number > h.seenResult {
+		if e.Number > life.seenResult {
 			ow.metrics.ended[e.Outcome].Inc(1)
 			ow.options.Log.Info("A run has ended.", "id", e.Task.Submission, "task", e.Task.String(), "run", e.Run, "host", h.host.ID, "outcome", e.Outcome.String())
 		}
 	}
-	if highestResult == h.seenResult && highestResult == h.storedResult {
+	if highestResult == life.seenResult && highestResult == life.storedResult {
 		return
 	}
-	h.seenResult = highestResult
+	life.seenResult = highestResult
 	storeCtx, cancel := context.WithTimeout(ctx, storeWaitTimeout)
 	defer cancel()
 	if ow.storeRounds.waitStored(storeCtx) {
-		h.storedResult = highestResult
+		life.storedResult = highestResult
 	}
 }
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -8,6 +8,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
+	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 // SetHosts adds the hosts of which the log has a record (stored), and replaces the set
@@ -46,7 +47,7 @@
 
 // addHost adds a host and begins to poll it. The caller holds the lock.
 func (ow *Owner) addHost(ctx context.Context, spec cell.Host) *hostPoller {
-	h := &hostPoller{host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), lease: lease{duration: ow.leaseDuration()}}
+	h := &hostPoller{host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), connection: platform.NewHostConnection()}
 	ow.hosts[spec.ID] = h
 	ow.scheduler.SetHosts([]cell.Host{spec})
 	var pollCtx context.Context
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -36,6 +36,9 @@
 	defer c.mu.Unlock()
 	c.polled = append(c.polled, h.Address)
 	a := c.answers[h.Address]
+	if a.report.StartedMs == 0 {
+		a.report.StartedMs = 1 // hosts always report their start
+	}
 	return a.report, 0, a.refusal, a.err
 }
 
--- a/internal/cell/owner/lease_test.go
+++ b/internal/cell/owner/lease_test.go
@@ -12,6 +12,7 @@
 func TestLeaseNeverExpiresEarly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := lease{duration: LeaseDuration}
+		l.observe(5000, 0)
 		speed := rapid.Int64Range(980, 1010).Draw(t, "host clock per mille")
 		now := time.Duration(0)
 		hostClock := func(at time.Duration) int64 { return 5000 + int64(at/time.Millisecond)*speed/1000 }
@@ -28,7 +29,7 @@
 				l.observe(clock, now)
 			}
 			now += time.Duration(rapid.Int64Range(0, 6000).Draw(t, "pause")) * time.Millisecond
-			if expiry, ok := l.expiry(); ok && expiry < now && hostClock(now) < end {
+			if expiry := l.expiry(); expiry < now && hostClock(now) < end {
 				t.Fatalf("lease considered expired at %s, but at %s the host's clock shows %d of %d ms", expiry, now, hostClock(now), end)
 			}
 		}
--- /dev/null
+++ b/internal/cell/owner/lifetime.go
@@ -0,0 +1,37 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// lifetime is what the owner knows of one lifetime of a host's process. A host that
+// restarts under its ID numbers its results and counts its clock anew, so that nothing
+// here holds for another lifetime.
+type lifetime struct {
+	// startedMs is when the lifetime began, in Unix milliseconds.
+	startedMs int64
+	lease     lease
+	// seenResult, storedResult and ackedResult are the highest numbers of results that the
+	// host has reported, that are stored, and that the host knows to be stored.
+	seenResult, storedResult, ackedResult int64
+}
+
+// newLifetime returns a lifetime whose clock was reported at a time.
+func newLifetime(startedMs, clockMs int64, reportedAt, leaseDuration time.Duration) *lifetime {
+	l := &lifetime{startedMs: startedMs, lease: lease{duration: leaseDuration}}
+	l.lease.observe(clockMs, reportedAt)
+	return l
+}
+
+// address adds to a poll what holds for this lifetime only: the acknowledgement of
+// results and the renewal of the lease. The poll reaches no later lifetime.
+func (l *lifetime) address(o *platform.Poll, now time.Duration) {
+	o.SameProcess = true
+	if l.storedResult > l.ackedResult {
+		o.Ack = l.storedResult
+	}
+	o.LeaseEndMs = l.lease.grant(now)
+	o.Wait = pollHoldTimeout
+}
--- /dev/null
+++ b/internal/cell/owner/lifetime_test.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against tasks that run twice, since a host that is back under its ID got the
+// acknowledgement of its former lifetime and forgot ends that it had not listed.
+func TestEndsOfALaterLifetimeAreNotAcknowledged(t *testing.T) {
+	for name, restart := range map[string]func(r *restartTest){
+		"a poll is lost and the host restarts":         func(r *restartTest) { r.pollWith(callLost); r.host.restart(true) },
+		"the host restarts and its channels go silent": func(r *restartTest) { r.host.restart(true); r.pollWith(noFault) },
+		"the host restarts between two polls":          func(r *restartTest) { r.host.restart(false) },
+		"an answer is lost and the host restarts":      func(r *restartTest) { r.pollWith(answerLost); r.host.restart(false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestartTest(newHostTest(t))
+			for range 24 {
+				r.host.end()
+			}
+			r.pollWith(noFault)
+			if got := r.poller("h").life.storedResult; got != 24 {
+				t.Fatalf("results up to %d are stored, want 24", got)
+			}
+			restart(r)
+			for range 4 {
+				r.host.end()
+			}
+			for range 4 {
+				r.pollWith(noFault)
+			}
+			for _, v := range r.host.violations {
+				t.Error(v)
+			}
+			if len(r.host.ends) > 0 || r.host.listed != 4 {
+				t.Errorf("%d ends are not acknowledged in the end, %d were listed, want 0 and 4", len(r.host.ends), r.host.listed)
+			}
+		})
+	}
+}
+
+// Guards against the same in any order of ends, restarts and faults of calls.
+func TestOnlyListedEndsAreAcknowledged(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newRestartTest(newHostTest(t))
+		for range rapid.IntRange(1, 40).Draw(rt, "events") {
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				r.host.end()
+			case 1:
+				r.host.restart(rapid.Bool().Draw(rt, "silent"))
+			default:
+				r.pollWith(callFault(rapid.IntRange(0, 2).Draw(rt, "fault")))
+			}
+		}
+		for range 4 {
+			r.pollWith(noFault)
+		}
+		if len(r.host.violations) > 0 {
+			rt.Fatal(r.host.violations[0])
+		}
+		if len(r.host.ends) > 0 {
+			rt.Fatalf("%d ends are not acknowledged although the host answers", len(r.host.ends))
+		}
+	})
+}
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -63,13 +63,17 @@
 		refused(schedule.RefusedOther)
 		return
 	}
+	target, life := ow.startTarget(h)
+	if life == nil {
+		refused(schedule.RefusedOther) // the host has not answered yet
+		return
+	}
 	order := platform.Start{
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		LeaseEndMs: h.lease.grant(ow.options.Clock.Now()), Token: ow.options.Self.Token,
+		LeaseEndMs: life.lease.grant(ow.options.Clock.Now()), Token: ow.options.Self.Token,
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	target := ow.orderTarget(h)
 	_, why, err := ow.options.HostClient.Start(callCtx, &target, order)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
--- /dev/null
+++ b/internal/cell/owner/restartinghost_test.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// callFault is what happens to a call to a fake host.
+type callFault uint8
+
+const (
+	noFault callFault = iota
+	// callLost: the call does not arrive.
+	callLost
+	// answerLost: the call is carried out, and its answer is lost.
+	answerLost
+)
+
+var (
+	errSilent = errors.New("no answer")
+	errReset  = fmt.Errorf("call: %w", syscall.ECONNRESET)
+)
+
+// restartingHost is a fake host that restarts under its ID and address: in each lifetime its
+// clock and the numbers of its results begin anew. It records what a caller must not do.
+type restartingHost struct {
+	HostClient
+	clock *stepClock
+	// startedAt is when the present lifetime began.
+	startedAt time.Duration
+	lifetime  int64
+	// connectedTo is the lifetime to which the connection for polls leads; zero if it is
+	// closed. A connection to a former lifetime is silent, or known to be broken.
+	connectedTo int64
+	silent      bool
+	fault       callFault
+	lastEnd     int64
+	ends        []cell.Ended
+	// listed is the highest number of an end in an answer of the present lifetime.
+	listed     int64
+	violations []string
+}
+
+func newRestartingHost(c *stepClock) *restartingHost {
+	return &restartingHost{clock: c, startedAt: c.now, lifetime: 1}
+}
+
+// restart begins another lifetime. Open connections break, or go silent.
+func (h *restartingHost) restart(silent bool) {
+	h.lifetime++
+	h.startedAt, h.silent = h.clock.now, silent
+	h.lastEnd, h.ends, h.listed = 0, nil, 0
+}
+
+// end ends a run.
+func (h *restartingHost) end() {
+	h.lastEnd++
+	task := cell.TaskID{Submission: fmt.Sprintf("job-%d-%d", h.lifetime, h.lastEnd)}
+	h.ends = append(h.ends, cell.Ended{Number: h.lastEnd, Task: task, Run: 1, Outcome: cell.OutcomeDone})
+}
+
+func (h *restartingHost) hostClock() time.Duration { return h.clock.now - h.startedAt }
+
+func (h *restartingHost) Poll(_ context.Context, _ *cell.Host, o platform.Poll) (l cell.HostReport, unreadable int, r platform.Refusal, err error) {
+	connected := h.connectedTo == h.lifetime
+	h.connectedTo = 0
+	switch {
+	case o.SameProcess && !connected && h.silent:
+		return l, 0, 0, errSilent
+	case o.SameProcess && !connected:
+		return l, 0, 0, platform.ErrNotConnected
+	case h.fault == callLost:
+		return l, 0, 0, errSilent
+	}
+	h.acknowledge(o.Ack)
+	if h.fault == answerLost {
+		return l, 0, 0, errReset
+	}
+	h.connectedTo, h.listed = h.lifetime, h.lastEnd
+	return cell.HostReport{StartedMs: h.lifetime, ClockMs: h.hostClock().Milliseconds(), Ended: h.ends}, 0, 0, nil
+}
+
+// acknowledge forgets the ends up to a number.
+func (h *restartingHost) acknowledge(n int64) {
+	for len(h.ends) > 0 && h.ends[0].Number <= n {
+		if h.ends[0].Number > h.listed {
+			h.violations = append(h.violations, fmt.Sprintf("end %d of lifetime %d is acknowledged before it was listed", h.ends[0].Number, h.lifetime))
+		}
+		h.ends = h.ends[1:]
+	}
+}
+
+// restartTest is an owner of one restartingHost. What was reported is stored after each
+// poll.
+type restartTest struct {
+	*hostTest
+	host *restartingHost
+}
+
+func newRestartTest(t *hostTest) *restartTest {
+	r := &restartTest{hostTest: t, host: newRestartingHost(t.clock)}
+	r.options.HostClient = r.host
+	spec := testHost("h", "a")
+	r.list(nil, spec)
+	return r
+}
+
+// pollWith makes one poll with a fault.
+func (r *restartTest) pollWith(f callFault) {
+	r.clock.now += 10 * time.Millisecond
+	r.host.fault = f
+	r.pollOnce("h")
+	r.host.fault = noFault
+	if life := r.poller("h").life; life != nil {
+		life.storedResult = life.seenResult
+	}
+}
