Count the lease that an order gave to a later lifetime of a host

Its lease went on for 10 s, the owner took it as expired after 4.8 s.

Cause: the order carried the end of a lease on the clock of the former lifetime, which the new one cuts to the longest lease it accepts. What it granted was recorded with the former lifetime and forgotten with it.

Now start orders are remembered until the known lifetime is sure to have got them: by the clock in the answer, or by a later poll. While one is left, a later lifetime counts as holding the longest lease, also before its first report.

Ruled out: not sending such an order (the owner cannot know); keeping the longest lease after the first report only (the host may be cut off before).

--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -26,12 +26,15 @@
 	return h.spec()
 }
 
-// startTarget returns the host with the address for orders, and its lifetime that answered
-// last.
-func (ow *Owner) startTarget(h *hostPoller) (cell.Host, *lifetime) {
+// startTarget returns the host with the address for orders, and a start order whose lease
+// is on the clock of the lifetime that answered last; nil if none has.
+func (ow *Owner) startTarget(h *hostPoller) (cell.Host, *startOrder) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return h.spec(), h.life
+	if h.life == nil {
+		return cell.Host{}, nil
+	}
+	return h.spec(), h.starts.add(h.life, ow.options.Clock.Now())
 }
 
 // spec returns the listed host with the address at which it answered last. The caller
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -29,7 +29,7 @@
 // certainly ended.
 func (ow *Owner) runsEndBy(h *hostPoller) (at time.Duration) {
 	if h.life != nil {
-		return h.life.lease.expiry()
+		return max(h.life.lease.expiry(), h.starts.answeredLeasesEndBy(ow.options.MaxLease))
 	}
 	ow.withState(func() { at = ow.earlierRunsEndBy() })
 	return at
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -52,6 +52,8 @@
 	// life is the lifetime of the host that answered last; nil before its first answer. It
 	// is guarded by the owner's lock.
 	life *lifetime
+	// starts are the start orders that a later lifetime may carry out.
+	starts startOrders
 	// inTouch is set while the last poll was answered by that lifetime. Other polls may
 	// reach a later one, so they acknowledge nothing and renew no lease.
 	inTouch    bool
@@ -177,17 +179,21 @@
 func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport, acked int64) {
 	life := h.life
 	if life == nil || life.startedMs != l.StartedMs {
-		life = newLifetime(l.StartedMs, l.ClockMs, now, ow.leaseDuration())
+		life = &lifetime{startedMs: l.StartedMs, lease: lease{duration: ow.leaseDuration()}}
 	} else {
-		life.lease.observe(l.ClockMs, now)
+		h.starts.settle(sentAt, now)
 		life.ackedResult = max(life.ackedResult, acked)
 	}
+	life.lease.observe(l.ClockMs, sentAt, now)
 	highestResult := life.seenResult
 	for _, e := range l.Ended {
 		highestResult = max(highestResult, e.Number)
 	}
 	ow.withState(func() {
-		h.life = life
+		if h.life != life {
+			life.lease.inheritedEnd = h.starts.latestLeaseEnd(life.lease.hostClock, now, ow.options.MaxLease)
+			h.life = life
+		}
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
 		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
 	})
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -52,7 +52,7 @@
 	c.started = append(c.started, h.Address)
 	a.report.Running = append(slices.Clone(a.report.Running), cell.Running{Task: o.Task, Run: o.Run})
 	c.answers[h.Address] = a
-	return 0, platform.NotRefused, nil
+	return a.report.ClockMs, platform.NotRefused, nil
 }
 
 func (c *addressedHosts) Stop(_ context.Context, h *cell.Host, task cell.TaskID, run, _ int64) (int64, platform.Refusal, error) {
--- a/internal/cell/owner/lease.go
+++ b/internal/cell/owner/lease.go
@@ -11,33 +11,45 @@
 	duration time.Duration
 
 	mu sync.Mutex
-	// hostClock is the host's clock in the answer that arrived at receivedAt.
-	hostClock  time.Duration
-	receivedAt time.Duration
+	// hostClock is the host's clock in the answer to a poll that was sent at polledAt and
+	// arrived at receivedAt.
+	hostClock            time.Duration
+	polledAt, receivedAt time.Duration
 	// latestEnd is the latest end of the lease that any order has carried, on the
 	// host's clock.
 	latestEnd time.Duration
+	// inheritedEnd is the latest end that orders to an earlier lifetime may have given to
+	// this one.
+	inheritedEnd time.Duration
 }
 
-// observe records the host's clock from an answer.
-func (l *lease) observe(clockMs int64, receivedAt time.Duration) {
+// observe records the host's clock from an answer to a poll.
+func (l *lease) observe(clockMs int64, polledAt, receivedAt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hostClock, l.receivedAt = time.Duration(clockMs)*time.Millisecond, receivedAt
+	l.hostClock, l.polledAt, l.receivedAt = time.Duration(clockMs)*time.Millisecond, polledAt, receivedAt
 }
 
-// grant returns the end of the lease for the next order, in milliseconds on the
-// host's clock.
-func (l *lease) grant(now time.Duration) int64 {
+// isOwnClock reports whether a clock that a host showed at a time, or before, is certainly
+// that of this lifetime. A later one began after this one was polled, so it shows less.
+func (l *lease) isOwnClock(clock, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sincePoll := now - l.polledAt
+	return clock > sincePoll+time.Duration(maxClockDrift*float64(sincePoll))
+}
+
+// grant returns the end of the lease for the next order, on the host's clock.
+func (l *lease) grant(now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.latestEnd = max(l.latestEnd, l.hostClock+(now-l.receivedAt)+l.duration)
-	return l.latestEnd.Milliseconds()
+	return l.latestEnd
 }
 
 // expiry returns the time on the local clock at which the lease has certainly expired.
 func (l *lease) expiry() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.receivedAt + runsEndWithin(max(l.latestEnd-l.hostClock, 0))
+	return l.receivedAt + runsEndWithin(max(l.latestEnd-l.hostClock, l.inheritedEnd-l.hostClock, 0))
 }
--- a/internal/cell/owner/lease_test.go
+++ b/internal/cell/owner/lease_test.go
@@ -12,21 +12,21 @@
 func TestLeaseNeverExpiresEarly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := lease{duration: LeaseDuration}
-		l.observe(5000, 0)
+		l.observe(5000, 0, 0)
 		speed := rapid.Int64Range(980, 1010).Draw(t, "host clock per mille")
 		now := time.Duration(0)
 		hostClock := func(at time.Duration) int64 { return 5000 + int64(at/time.Millisecond)*speed/1000 }
 		var end int64 // of the lease, on the host's clock
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			sent := now
-			if until := l.grant(sent); rapid.Bool().Draw(t, "request arrives") {
+			if until := l.grant(sent).Milliseconds(); rapid.Bool().Draw(t, "request arrives") {
 				end = max(end, until)
 			}
 			now += time.Duration(rapid.Int64Range(0, 800).Draw(t, "request delay")) * time.Millisecond
 			clock := hostClock(now)
 			now += time.Duration(rapid.Int64Range(0, 800).Draw(t, "answer delay")) * time.Millisecond
 			if rapid.Bool().Draw(t, "answer arrives") {
-				l.observe(clock, now)
+				l.observe(clock, sent, now)
 			}
 			now += time.Duration(rapid.Int64Range(0, 6000).Draw(t, "pause")) * time.Millisecond
 			if expiry := l.expiry(); expiry < now && hostClock(now) < end {
--- a/internal/cell/owner/lifetime.go
+++ b/internal/cell/owner/lifetime.go
@@ -18,13 +18,6 @@
 	seenResult, storedResult, ackedResult int64
 }
 
-// newLifetime returns a lifetime whose clock was reported at a time.
-func newLifetime(startedMs, clockMs int64, reportedAt, leaseDuration time.Duration) *lifetime {
-	l := &lifetime{startedMs: startedMs, lease: lease{duration: leaseDuration}}
-	l.lease.observe(clockMs, reportedAt)
-	return l
-}
-
 // address adds to a poll what holds for this lifetime only: the acknowledgement of
 // results and the renewal of the lease. The poll reaches no later lifetime.
 func (l *lifetime) address(o *platform.Poll, now time.Duration) {
@@ -32,6 +25,6 @@
 	if l.storedResult > l.ackedResult {
 		o.Ack = l.storedResult
 	}
-	o.LeaseEndMs = l.lease.grant(now)
+	o.LeaseEndMs = l.lease.grant(now).Milliseconds()
 	o.Wait = pollHoldTimeout
 }
--- a/internal/cell/owner/lifetime_test.go
+++ b/internal/cell/owner/lifetime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -66,3 +67,75 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice, since a host that is back under its ID got a start
+// order before its first report: that order gave it a longer lease than the owner knew.
+func TestOrderToALaterLifetimeExtendsItsLease(t *testing.T) {
+	for name, first := range map[string]func(r *restartTest){
+		"it reports, and is cut off": func(r *restartTest) {
+			for range 3 { // the first poll goes to the former lifetime
+				r.pollWith(noFault)
+			}
+		},
+		"it is cut off before its first report": func(*restartTest) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRestartTest(newHostTest(t))
+			for range 20 {
+				r.clock.now += time.Second
+				r.pollWith(noFault)
+			}
+			r.host.restart(true)
+			r.clock.now += 100 * time.Millisecond
+			r.startWith(noFault)
+			first(r)
+			for r.host.holdsLease() {
+				if r.clock.now > r.runsEndBy(r.poller("h")) {
+					t.Fatalf("the lease counts as expired %s before it is", r.host.leaseEnd-r.host.hostClock())
+				}
+				r.clock.now += 100 * time.Millisecond
+			}
+			if r.clock.now += 2 * time.Second; r.clock.now <= r.runsEndBy(r.poller("h")) {
+				t.Errorf("the lease counts as valid %s after its end", r.host.hostClock()-r.host.leaseEnd)
+			}
+		})
+	}
+}
+
+// Guards against the same in any order of polls, start orders, restarts and faults. It leaves
+// out what no caller can know: an order without an answer that is carried out by a lifetime
+// which has not been heard of.
+func TestLeaseOfNoLifetimeExpiresEarly(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newRestartTest(newHostTest(t))
+		var lateUntil time.Duration
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			r.clock.now += time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			case 0:
+				r.host.restart(rapid.Bool().Draw(rt, "silent"))
+			case 1:
+				f := callFault(rapid.IntRange(0, 3).Draw(rt, "fault"))
+				if f != noFault && !r.knowsLifetime() {
+					f = callLost
+				}
+				if f == carriedOutLate && len(r.host.late) == 0 {
+					lateUntil = r.clock.now + maxOrderDelay
+				}
+				r.startWith(f)
+			case 2:
+				if r.clock.now > lateUntil {
+					r.host.late = nil
+				}
+				if r.knowsLifetime() {
+					r.host.carryOutLateOrders()
+				}
+			default:
+				r.pollWith(callFault(rapid.IntRange(0, 2).Draw(rt, "fault")))
+			}
+			if h := r.poller("h"); h.life != nil && r.host.holdsLease() && r.clock.now > r.runsEndBy(h) {
+				rt.Fatalf("the lease of lifetime %d counts as expired %s before it is", r.host.lifetime, r.host.leaseEnd-r.host.hostClock())
+			}
+		}
+	})
+}
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -63,18 +63,19 @@
 		refused(schedule.RefusedOther)
 		return
 	}
-	target, life := ow.startTarget(h)
-	if life == nil {
+	target, sent := ow.startTarget(h)
+	if sent == nil {
 		refused(schedule.RefusedOther) // the host has not answered yet
 		return
 	}
 	order := platform.Start{
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		LeaseEndMs: life.lease.grant(ow.options.Clock.Now()), Token: ow.options.Self.Token,
+		LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: ow.options.Self.Token,
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, why, err := ow.options.HostClient.Start(callCtx, &target, order)
+	clockMs, why, err := ow.options.HostClient.Start(callCtx, &target, order)
+	ow.recordStartCall(h, sent, clockMs, why, err)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
 	case err != nil && verdict.Of(err) == verdict.DidNotRun:
@@ -99,6 +100,20 @@
 	}
 }
 
+// recordStartCall records what is known of the lifetime of the host that got a start order.
+func (ow *Owner) recordStartCall(h *hostPoller, sent *startOrder, clockMs int64, why platform.Refusal, err error) {
+	now := ow.options.Clock.Now()
+	switch {
+	case err != nil && verdict.Of(err) == verdict.DidNotRun, why == platform.RefusedUnhealthy, why == platform.RefusedHostRestarted, why == platform.RefusedFenced:
+		h.starts.remove(sent) // the host has done nothing
+	case err != nil:
+		h.starts.unanswered(sent, now)
+	case !h.starts.answered(sent, time.Duration(clockMs)*time.Millisecond, now):
+		ow.options.Log.Info("The clock of a host does not show which of its lifetimes got an order.", "host", h.host.ID, "clock_ms", clockMs)
+		h.pollNow()
+	}
+}
+
 // awaitsStart reports whether a start order that may have waited is still to be sent.
 func (ow *Owner) awaitsStart(s schedule.Start) bool {
 	ow.mu.Lock()
--- a/internal/cell/owner/restartinghost_test.go
+++ b/internal/cell/owner/restartinghost_test.go
@@ -20,8 +20,13 @@
 	callLost
 	// answerLost: the call is carried out, and its answer is lost.
 	answerLost
+	// carriedOutLate: the call gets no answer and is carried out later.
+	carriedOutLate
 )
 
+// testMaxLease is the longest lease that fake hosts accept.
+const testMaxLease = 10 * time.Second
+
 var (
 	errSilent = errors.New("no answer")
 	errReset  = fmt.Errorf("call: %w", syscall.ECONNRESET)
@@ -42,6 +47,9 @@
 	fault       callFault
 	lastEnd     int64
 	ends        []cell.Ended
+	// leaseEnd is on the clock of the present lifetime. Orders that are late wait in late.
+	leaseEnd time.Duration
+	late     []platform.Start
 	// listed is the highest number of an end in an answer of the present lifetime.
 	listed     int64
 	violations []string
@@ -55,7 +63,7 @@
 func (h *restartingHost) restart(silent bool) {
 	h.lifetime++
 	h.startedAt, h.silent = h.clock.now, silent
-	h.lastEnd, h.ends, h.listed = 0, nil, 0
+	h.lastEnd, h.ends, h.listed, h.leaseEnd = 0, nil, 0, 0
 }
 
 // end ends a run.
@@ -79,6 +87,7 @@
 		return l, 0, 0, errSilent
 	}
 	h.acknowledge(o.Ack)
+	h.renew(o.LeaseEndMs)
 	if h.fault == answerLost {
 		return l, 0, 0, errReset
 	}
@@ -86,6 +95,37 @@
 	return cell.HostReport{StartedMs: h.lifetime, ClockMs: h.hostClock().Milliseconds(), Ended: h.ends}, 0, 0, nil
 }
 
+func (h *restartingHost) Start(_ context.Context, _ *cell.Host, o platform.Start) (clockMs int64, r platform.Refusal, err error) {
+	switch h.fault {
+	case callLost:
+		return 0, 0, errSilent
+	case carriedOutLate:
+		h.late = append(h.late, o)
+		return 0, 0, errSilent
+	}
+	h.renew(o.LeaseEndMs)
+	if h.fault == answerLost {
+		return 0, 0, errReset
+	}
+	return h.hostClock().Milliseconds(), platform.NotRefused, nil
+}
+
+// renew extends the lease, at most to the longest one.
+func (h *restartingHost) renew(endMs int64) {
+	h.leaseEnd = max(h.leaseEnd, min(time.Duration(endMs)*time.Millisecond, h.hostClock()+testMaxLease))
+}
+
+// carryOutLateOrders carries out the orders that are late.
+func (h *restartingHost) carryOutLateOrders() {
+	for _, o := range h.late {
+		h.renew(o.LeaseEndMs)
+	}
+	h.late = nil
+}
+
+// holdsLease reports whether runs on the host may go on.
+func (h *restartingHost) holdsLease() bool { return h.hostClock() < h.leaseEnd }
+
 // acknowledge forgets the ends up to a number.
 func (h *restartingHost) acknowledge(n int64) {
 	for len(h.ends) > 0 && h.ends[0].Number <= n {
@@ -105,7 +145,7 @@
 
 func newRestartTest(t *hostTest) *restartTest {
 	r := &restartTest{hostTest: t, host: newRestartingHost(t.clock)}
-	r.options.HostClient = r.host
+	r.options.HostClient, r.options.MaxLease = r.host, testMaxLease
 	spec := testHost("h", "a")
 	r.list(nil, spec)
 	return r
@@ -121,3 +161,22 @@
 		life.storedResult = life.seenResult
 	}
 }
+
+// startWith sends a start order with a fault.
+func (r *restartTest) startWith(f callFault) {
+	h := r.poller("h")
+	target, sent := r.startTarget(h)
+	if sent == nil {
+		return
+	}
+	r.host.fault = f
+	clockMs, refusal, err := r.host.Start(r.t.Context(), &target, platform.Start{LeaseEndMs: sent.leaseEnd.Milliseconds()})
+	r.host.fault = noFault
+	r.recordStartCall(h, sent, clockMs, refusal, err)
+}
+
+// knowsLifetime reports whether the present lifetime of the host has answered a poll.
+func (r *restartTest) knowsLifetime() bool {
+	life := r.poller("h").life
+	return life != nil && life.startedMs == r.host.lifetime
+}
--- /dev/null
+++ b/internal/cell/owner/startorders.go
@@ -0,0 +1,126 @@
+package owner
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// maxOrderDelay is how long after its call an order without an answer may be carried out.
+const maxOrderDelay = 12 * time.Second
+
+// startOrder is a start order for one lifetime of a host.
+type startOrder struct {
+	life *lifetime
+	// leaseEnd is the end of the lease that it carries, on the clock of that lifetime.
+	leaseEnd time.Duration
+	// endedAt is when the call ended, zero while it is in flight; answered is set if the
+	// host answered.
+	endedAt  time.Duration
+	answered bool
+}
+
+// startOrders are the start orders to a host that a later lifetime than the one they are
+// meant for may carry out, since nothing in a call names the lifetime. A later one counts
+// its clock anew, so that it holds the longest lease that hosts accept.
+type startOrders struct {
+	mu   sync.Mutex
+	list []*startOrder
+}
+
+// add adds an order that is about to be sent.
+func (s *startOrders) add(life *lifetime, now time.Duration) *startOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := &startOrder{life: life, leaseEnd: life.lease.grant(now)}
+	s.list = append(s.list, o)
+	return o
+}
+
+// answered records that a host whose clock is given answered an order. It reports whether
+// that was certainly the lifetime that the order was meant for.
+func (s *startOrders) answered(o *startOrder, clock, now time.Duration) bool {
+	if o.life.lease.isOwnClock(clock, now) {
+		s.remove(o)
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o.endedAt, o.answered = now, true
+	return false
+}
+
+// unanswered records that an order got no answer.
+func (s *startOrders) unanswered(o *startOrder, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o.endedAt = now
+}
+
+// remove removes an order that no later lifetime can carry out.
+func (s *startOrders) remove(o *startOrder) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = slices.DeleteFunc(s.list, func(p *startOrder) bool { return p == o })
+}
+
+// settle removes the orders that no later lifetime can carry out, once a lifetime has
+// answered a poll: those that had been answered before the poll was sent, and those that
+// are too old.
+func (s *startOrders) settle(pollSentAt, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = slices.DeleteFunc(s.list, func(o *startOrder) bool {
+		if o.answered {
+			return o.endedAt < pollSentAt
+		}
+		return o.endedAt != 0 && now > o.endedAt+maxOrderDelay
+	})
+}
+
+// latestLeaseEnd returns the latest end of the lease that the orders may give to another
+// lifetime, on its clock, which has been read now. maxLease is the longest lease that hosts
+// accept, zero for no limit. It is zero if there are no orders.
+func (s *startOrders) latestLeaseEnd(clock, now, maxLease time.Duration) (latest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.list {
+		end := o.leaseEnd
+		if maxLease > 0 {
+			end = min(end, clock+(o.arrivesBy(now)-now)+maxLease)
+		}
+		latest = max(latest, end)
+	}
+	return latest
+}
+
+// answeredLeasesEndBy returns the time by which the leases have certainly expired that a
+// lifetime which has not been polled yet may hold, since it answered an order; zero if none
+// may have.
+func (s *startOrders) answeredLeasesEndBy(maxLease time.Duration) (latest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.list {
+		if !o.answered {
+			continue
+		}
+		end := o.leaseEnd
+		if maxLease > 0 {
+			end = min(end, maxLease)
+		}
+		latest = max(latest, o.endedAt+runsEndWithin(end))
+	}
+	return latest
+}
+
+// arrivesBy returns until when the order may be carried out.
+func (o *startOrder) arrivesBy(now time.Duration) time.Duration {
+	switch {
+	case o.answered:
+		return now
+	case o.endedAt == 0:
+		return now + orderTimeout + maxOrderDelay
+	default:
+		return max(now, o.endedAt+maxOrderDelay)
+	}
+}
