Settle unanswered orders in the new lifetime of a restarted host

A task could run twice: its start order had no answer, its host restarted under its id, the run counted as gone and the task was started elsewhere, while the order could still reach the new lifetime, which knows no run and no fence.

Cause: a restart ended all runs of a host, those too of which nobody knows in which lifetime they are, or whether they are still to begin.

Now only runs that the former lifetime had are gone. One without an answer is stopped in the new lifetime, and its task waits until that is settled; a stop that the former lifetime accepted settles nothing. Runs that the first report lists, or may lack, go on and count no crash.

Before: TestUnansweredOrderIsSettledInTheNewLifetime, TestStopOfAFormerLifetimeSettlesNothing and TestRunsOfTheNewLifetimeAreNotLost fail on ("starts twice" in two cases). After: they pass.

--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -1,6 +1,9 @@
 package owner
 
-import "github.com/medlarpulley/medlarpulley/internal/cell"
+import (
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
+)
 
 // A host is polled, and gets its orders, at the address at which it answered last. The
 // host list may give another one: the host has come back elsewhere, or another writer has
@@ -28,13 +31,13 @@
 
 // startTarget returns the host with the address for orders, and a start order whose lease
 // is on the clock of the lifetime that answered last; nil if none has.
-func (ow *Owner) startTarget(h *hostPoller) (cell.Host, *startOrder) {
+func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *startOrder) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	if h.life == nil {
 		return cell.Host{}, nil
 	}
-	return h.spec(), h.starts.add(h.life, ow.options.Clock.Now())
+	return h.spec(), h.starts.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, ow.options.Clock.Now())
 }
 
 // spec returns the listed host with the address at which it answered last. The caller
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -190,11 +190,12 @@
 		highestResult = max(highestResult, e.Number)
 	}
 	ow.withState(func() {
-		if h.life != life {
-			life.lease.inheritedEnd = h.starts.latestLeaseEnd(life.lease.hostClock, now, ow.options.MaxLease)
-			h.life = life
-		}
+		former := h.life
+		h.life = life
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
+		if former != nil && former != life {
+			ow.inheritStarts(h, now)
+		}
 		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
 	})
 	ow.requestDecision()
@@ -214,3 +215,12 @@
 		life.storedResult = highestResult
 	}
 }
+
+// inheritStarts takes into account that a later lifetime of a host may carry out the start
+// orders that are left from the former one. The caller holds the lock.
+func (ow *Owner) inheritStarts(h *hostPoller, now time.Duration) {
+	h.life.lease.inheritedEnd = h.starts.latestLeaseEnd(h.life.lease.hostClock, now, ow.options.MaxLease)
+	for _, r := range h.starts.unansweredRuns() {
+		ow.scheduler.StopLateRun(h.host.ID, r.Task, r.Run)
+	}
+}
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -63,7 +63,7 @@
 		refused(schedule.RefusedOther)
 		return
 	}
-	target, sent := ow.startTarget(h)
+	target, sent := ow.startTarget(h, s)
 	if sent == nil {
 		refused(schedule.RefusedOther) // the host has not answered yet
 		return
@@ -150,6 +150,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	target := ow.orderTarget(h)
+	sentAt := ow.options.Clock.Now()
 	_, why, err := ow.options.HostClient.Stop(callCtx, &target, s.Task, s.Run, ow.options.Self.Token)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
@@ -157,7 +158,7 @@
 		ow.loseOwnership("host " + s.Host + " has seen a higher fencing token")
 	case err == nil && why == platform.NotRefused:
 		log.Info("A host accepted a stop order.", "reason", s.Reason)
-		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopAccepted(s.Host, s.Task, s.Run, now) })
+		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopAccepted(s.Host, s.Task, s.Run, sentAt, now) })
 	default:
 		log.Warn("The order to stop a run failed; it is sent again unless the run is gone by then.", "refusal", why.String(), "error", errText(err))
 		ctxtime.Sleep(ctx, stopRetryInterval)
--- a/internal/cell/owner/restartinghost_test.go
+++ b/internal/cell/owner/restartinghost_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -165,7 +166,7 @@
 // startWith sends a start order with a fault.
 func (r *restartTest) startWith(f callFault) {
 	h := r.poller("h")
-	target, sent := r.startTarget(h)
+	target, sent := r.startTarget(h, schedule.Start{})
 	if sent == nil {
 		return
 	}
--- a/internal/cell/owner/startorders.go
+++ b/internal/cell/owner/startorders.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 )
 
 // maxOrderDelay is how long after its call an order without an answer may be carried out.
@@ -12,6 +14,7 @@
 // startOrder is a start order for one lifetime of a host.
 type startOrder struct {
 	life *lifetime
+	run  schedule.Run
 	// leaseEnd is the end of the lease that it carries, on the clock of that lifetime.
 	leaseEnd time.Duration
 	// endedAt is when the call ended, zero while it is in flight; answered is set if the
@@ -29,10 +32,10 @@
 }
 
 // add adds an order that is about to be sent.
-func (s *startOrders) add(life *lifetime, now time.Duration) *startOrder {
+func (s *startOrders) add(life *lifetime, run schedule.Run, now time.Duration) *startOrder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := &startOrder{life: life, leaseEnd: life.lease.grant(now)}
+	o := &startOrder{life: life, run: run, leaseEnd: life.lease.grant(now)}
 	s.list = append(s.list, o)
 	return o
 }
@@ -113,6 +116,18 @@
 	return latest
 }
 
+// unansweredRuns returns the runs whose start orders have got no answer.
+func (s *startOrders) unansweredRuns() (out []schedule.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.list {
+		if o.endedAt != 0 && !o.answered {
+			out = append(out, o.run)
+		}
+	}
+	return out
+}
+
 // arrivesBy returns until when the order may be carried out.
 func (o *startOrder) arrivesBy(now time.Duration) time.Duration {
 	switch {
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -39,7 +39,7 @@
 type ticket struct {
 	value   string
 	expires time.Duration
-	// startedMs is the startedMs of the host when the ticket was issued.
+	// startedMs is when the lifetime of the host began for which the ticket was issued.
 	startedMs int64
 }
 
@@ -73,7 +73,7 @@
 		return "", true
 	}
 	t, ok := g.advice.tickets[h]
-	if !ok || now >= t.expires || t.startedMs != h.startedMs {
+	if !ok || now >= t.expires || t.startedMs != h.life.startedMs {
 		return "", false
 	}
 	return t.value, true
@@ -178,7 +178,7 @@
 		if !g.approved(h) {
 			g.advice.hosts = append(g.advice.hosts, h)
 		}
-		g.advice.tickets[h] = ticket{value: value, expires: received + p.Validity - ticketExpiryMargin, startedMs: h.startedMs}
+		g.advice.tickets[h] = ticket{value: value, expires: received + p.Validity - ticketExpiryMargin, startedMs: h.life.startedMs}
 	}
 	slices.SortFunc(g.advice.hosts, func(a, b *host) int { return strings.Compare(a.spec.ID, b.spec.ID) })
 }
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -251,7 +251,7 @@
 				r.endsAt, r.stopped = c.now, true
 			}
 		}
-		c.s.StopAccepted(o.Host, o.Task, o.Run, c.now)
+		c.s.StopAccepted(o.Host, o.Task, o.Run, c.now, c.now)
 	}
 	c.answerAdviceRequests(p)
 	c.recordStates()
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -24,12 +24,8 @@
 	// closed is set from when the owner closes the host to new runs, or takes it
 	// over as closed, until the record that opens it is stored.
 	closed bool
-	// startedMs is when the host last started, in Unix milliseconds; zero if
-	// unknown.
-	startedMs int64
-	// lastEndNumber is the highest number of an ended run that has been applied.
-	lastEndNumber int64
-	used          resource.Vector
+	life   hostLifetime
+	used   resource.Vector
 	// longRunning is the part of used that belongs to long-running tasks.
 	longRunning resource.Vector
 	// bestEffortCPU is the CPU demand, in thousandths of a core, of best-effort
@@ -71,6 +67,16 @@
 	bestEffortBlockedUntil time.Duration
 }
 
+// hostLifetime is what holds for one lifetime of a host.
+type hostLifetime struct {
+	// startedMs is when it began, in Unix milliseconds; zero if unknown.
+	startedMs int64
+	// reportedSince is when its first report was applied.
+	reportedSince time.Duration
+	// lastEndNumber is the highest number of an ended run that has been applied.
+	lastEndNumber int64
+}
+
 // runKey identifies a run on one host.
 type runKey struct {
 	task cell.TaskID
@@ -84,13 +90,13 @@
 
 // instance returns the lifetime of the host that answered last.
 func (h *host) instance() cell.HostInstance {
-	return cell.HostInstance{ID: h.spec.ID, StartedMs: h.startedMs}
+	return cell.HostInstance{ID: h.spec.ID, StartedMs: h.life.startedMs}
 }
 
 // listedAsIs reports whether the host list describes the instance that answers. After a
 // restart the host may be of another kind.
 func (h *host) listedAsIs() bool {
-	return h.listed && (h.spec.StartedMs == 0 || h.startedMs == 0 || h.spec.StartedMs == h.startedMs)
+	return h.listed && (h.spec.StartedMs == 0 || h.life.startedMs == 0 || h.spec.StartedMs == h.life.startedMs)
 }
 
 // free returns the capacity that no run uses; ordered starts count as runs. It
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -15,24 +15,20 @@
 		return
 	}
 	s.now = now
-	if h.startedMs != 0 && l.StartedMs != 0 && l.StartedMs != h.startedMs {
-		s.logMessage("", id, "The host has restarted; its runs are gone.")
-		if !h.crashed && !h.spec.Leaving {
-			s.suspectRuns(h, h.reportedAt)
+	if l.StartedMs != 0 && l.StartedMs != h.life.startedMs {
+		if h.life.startedMs != 0 {
+			s.logMessage("", id, "The host has restarted; its runs are gone.")
+			s.handleRestart(h, sent, l)
 		}
-		s.handleRestart(h)
-		h.lastEndNumber = 0
-	}
-	if l.StartedMs != 0 {
-		h.startedMs = l.StartedMs
+		h.life = hostLifetime{startedMs: l.StartedMs, reportedSince: now}
 	}
 	s.settleCrashes(h, l.StartedMs)
 	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
 	h.reportedAt, h.silent = now, false
 	s.clearSuspectedRuns(h)
 	for _, e := range l.Ended {
-		if e.Number > h.lastEndNumber {
-			h.lastEndNumber = e.Number
+		if e.Number > h.life.lastEndNumber {
+			h.life.lastEndNumber = e.Number
 			s.applyEnded(h, e)
 		}
 	}
@@ -237,21 +233,6 @@
 	}
 }
 
-// handleRestart handles the runs of a host that answers as another instance. A start
-// order on its way may still reach this instance: its run counts until the order is
-// answered.
-func (s *Scheduler) handleRestart(h *host) {
-	var gone []*taskRun
-	for _, a := range h.sortedRuns() {
-		if a.phase == phaseStarting {
-			a.endSuspicion()
-		} else {
-			gone = append(gone, a)
-		}
-	}
-	s.handleRunsGone(h, gone, true)
-}
-
 // handleRunsGone handles runs that are gone from their host. restarted is set if the host is
 // known to have restarted.
 func (s *Scheduler) handleRunsGone(h *host, gone []*taskRun, restarted bool) {
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -94,12 +94,20 @@
 	}
 }
 
-// StopAccepted records that a host accepted the order to stop a run.
-func (s *Scheduler) StopAccepted(host string, task cell.TaskID, run int64, now time.Duration) {
+// StopAccepted records that a host accepted the order to stop a run, which was sent at a
+// time. If that was before the first report of the host's lifetime, an earlier one may have
+// accepted it, and it is ordered again.
+func (s *Scheduler) StopAccepted(host string, task cell.TaskID, run int64, sent, now time.Duration) {
 	s.now = now
-	if a := s.findRun(host, task, run); a != nil && a.phase == phaseStopping {
-		a.stopAcceptedAt = now
+	a := s.findRun(host, task, run)
+	if a == nil || a.phase != phaseStopping {
+		return
+	}
+	if sent < a.host.life.reportedSince && a.acceptedAt == 0 {
+		s.settleOrder(a)
+		return
 	}
+	a.stopAcceptedAt = now
 }
 
 // StopFailed orders a stop again after the host refused it or did not answer.
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -63,9 +63,9 @@
 	for _, o := range t.trialHosts {
 		h := s.hosts[o.ID]
 		switch {
-		case h == nil, h.restarted, h.startedMs != 0 && h.startedMs != o.StartedMs:
+		case h == nil, h.restarted, h.life.startedMs != 0 && h.life.startedMs != o.StartedMs:
 			ok, c.Silent = true, false
-		case h.startedMs == 0:
+		case h.life.startedMs == 0:
 			ok = true // the host has not answered this owner
 		}
 	}
