Forget crashes under earlier runs of a task that has lasted since

A submission of lasting tasks failed (LOST) at the third crash under one of them, however far apart the crashes were and though the hosts had crashed by themselves.

Cause: only the crashes of silent hosts grew old. A trial clears the one task that is tried, so the counts of the others added up over their lives.

Before: TestCrashesDoNotAddUpOverTheLifeOfATask fails at the third crash on.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -126,6 +126,7 @@
 		}
 	}
 	for _, a := range runs {
+		s.forgetOldCrashes(a)
 		switch {
 		case !a.suspected, h.trial != nil && h.trial.task.group != a.task.group: // beside a suspect, others are not blamed
 		default:
@@ -255,19 +256,24 @@
 	return out
 }
 
-// forgetSilentCrashes forgets the crashes of silent hosts under the task of a run, or under
-// its gang, if the run has lasted on a host that answers. They count only because the task
-// may crash hosts at its start, and would else add up over the life of a task.
-func (s *Scheduler) forgetSilentCrashes(a *taskRun) {
+// forgetOldCrashes forgets the crashes under earlier runs of the task of a run, or of its
+// gang, if the run has lasted on a host that answers: its task crashes no hosts soon after
+// its start. They would else add up over the life of a task. So would those of silent hosts
+// under the run itself, which count only for what may have begun there.
+func (s *Scheduler) forgetOldCrashes(a *taskRun) {
 	t := a.task.countedAt()
-	if len(t.crashes)+len(t.unconfirmed) == 0 || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
+	n := len(t.crashes) + len(t.unconfirmed)
+	if n == 0 || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
 		return
 	}
-	if inTouch := t.crashesInTouch(); len(inTouch) < len(t.crashes) {
-		t.crashes = inTouch
+	old := func(c cell.Crash) bool { return c.Silent || c.Run < a.run }
+	// A stored copy may be read meanwhile.
+	t.crashes = slices.DeleteFunc(slices.Clone(t.crashes), old)
+	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c unconfirmedCrash) bool { return old(c.Crash) })
+	if len(t.crashes)+len(t.unconfirmed) < n {
 		s.changed[t.id.Submission] = true
+		s.endUnfoundedSuspicion(t.group.job)
 	}
-	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c unconfirmedCrash) bool { return c.Silent })
 }
 
 // countedAt returns the task at which crashes under a task are counted: for a gang its
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -146,7 +146,7 @@
 	delete(a.host.runs, runKey{a.task.id, a.run})
 	a.endSuspicion()
 	a.task.forgetTrial(a.run)
-	s.forgetSilentCrashes(a)
+	s.forgetOldCrashes(a)
 	a.host.used = a.host.used.Sub(a.task.group.size)
 	if a.task.group.step.LongRunning {
 		a.host.longRunning = a.host.longRunning.Sub(a.task.group.size)
--- a/internal/cell/schedule/silent_crash_test.go
+++ b/internal/cell/schedule/silent_crash_test.go
@@ -80,6 +80,29 @@
 	}
 }
 
+// Guards against tasks of a long life that fail since, over all of their life, hosts crashed
+// under them by themselves.
+func TestCrashesDoNotAddUpOverTheLifeOfATask(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		c := crashCluster(8)
+		c.takes = func(cell.TaskID, time.Duration) time.Duration { return 1000 * time.Hour }
+		step := smallStep(12, time.Second)
+		step.LongRunning, step.Gang = !gang, gang
+		c.submit("lasting", "q", "a", step)
+		for n := range 2 * maxCrashes {
+			c.advanceFor(25 * time.Second)
+			if got := c.running("lasting"); got != step.Count {
+				t.Fatalf("gang %t: %d of %d tasks run 25 s after crash %d", gang, got, step.Count, n)
+			}
+			c.crash(c.s.jobs["lasting"].groups[0].tasks[7].runs[0].host.spec.ID)
+		}
+		c.advanceFor(25 * time.Second)
+		if got := c.state["lasting"]; got != cell.Active {
+			t.Errorf("gang %t: the submission is %s", gang, got)
+		}
+	}
+}
+
 // hostOf returns a host on which a submission runs.
 func (c *cluster) hostOf(submission string) string {
 	for _, id := range c.ids() {
