--- a/internal/cell/schedule/liveness_faults_test.go
+++ b/internal/cell/schedule/liveness_faults_test.go
@@ -45,7 +45,7 @@
 	ids := l.ids()
 	id := ids[l.r.IntN(len(ids))]
 	h := l.hosts[id]
-	switch l.r.IntN(12) {
+	switch l.r.IntN(13) {
 	case 0:
 		l.cut(h)
 	case 1:
@@ -79,6 +79,13 @@
 		l.restartAsOther(id)
 	case 10:
 		l.relist()
+	case 11:
+		h.spec.Capacity = l.anyCapacity() // it shrinks or grows while its runs go on
+		l.relist()
+	case 12:
+		if !h.unreachable {
+			l.cutWithResets(id)
+		}
 	}
 	return nil
 }
