Poll a host at once after the stop of an unanswered order

A task whose start order got no answer waited for up to a second more than it had to: the stop that settles the order was accepted, but the host held the next poll open, since a run that never began ends nothing.

Now the poll is interrupted after such a stop.

TestHostIsPolledOnceAnUnansweredOrderIsSettled fails without the change.

--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -158,7 +158,13 @@
 		ow.loseOwnership("host " + s.Host + " has seen a higher fencing token")
 	case err == nil && why == platform.NotRefused:
 		log.Info("A host accepted a stop order.", "reason", s.Reason)
-		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopAccepted(s.Host, s.Task, s.Run, sentAt, now) })
+		mayNotHaveBegun := false
+		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) {
+			mayNotHaveBegun = c.StopAccepted(s.Host, s.Task, s.Run, sentAt, now)
+		})
+		if mayNotHaveBegun {
+			h.pollNow() // its task waits for the report
+		}
 	default:
 		log.Warn("The order to stop a run failed; it is sent again unless the run is gone by then.", "refusal", why.String(), "error", errText(err))
 		ctxtime.Sleep(ctx, stopRetryInterval)
--- a/internal/cell/owner/orders_test.go
+++ b/internal/cell/owner/orders_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
 )
 
 // Guards against a run that is never stopped, and counts for ever: its stop order was
@@ -48,3 +50,29 @@
 		t.Error("the start is sent")
 	}
 }
+
+// Guards against a task that waits for up to a second after its unanswered start order has
+// been settled: the host holds the poll open until a run ends, and none does.
+func TestHostIsPolledOnceAnUnansweredOrderIsSettled(t *testing.T) {
+	h := usedAt(t, "a")
+	h.pollOnce("h")
+	p := h.poller("h")
+	task := cell.TaskID{Submission: "unanswered"}
+	h.submit(task.Submission)
+	plan := h.scheduler.Decide(h.clock.now, 0)
+	if len(plan.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(plan.Starts))
+	}
+	h.scheduler.Unanswered("h", task, plan.Starts[0].Run, h.clock.now)
+	h.clock.now += 10 * time.Millisecond
+	h.pollOnce("h") // the host does not list the run
+	h.decideOnce()
+	if len(h.client.stopped) != 1 {
+		t.Fatalf("%d stops, want 1", len(h.client.stopped))
+	}
+	select {
+	case <-p.interrupt:
+	default:
+		t.Error("the host is not polled again")
+	}
+}
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -96,18 +96,20 @@
 
 // StopAccepted records that a host accepted the order to stop a run, which was sent at a
 // time. If that was before the first report of the host's lifetime, an earlier one may have
-// accepted it, and it is ordered again.
-func (s *Scheduler) StopAccepted(host string, task cell.TaskID, run int64, sent, now time.Duration) {
+// accepted it, and it is ordered again. It reports whether the run may never have begun: then
+// no end of it makes the host report soon that it is gone.
+func (s *Scheduler) StopAccepted(host string, task cell.TaskID, run int64, sent, now time.Duration) (mayNotHaveBegun bool) {
 	s.now = now
 	a := s.findRun(host, task, run)
 	if a == nil || a.phase != phaseStopping {
-		return
+		return false
 	}
 	if sent < a.host.life.reportedSince && a.acceptedAt == 0 {
 		s.settleOrder(a)
-		return
+		return false
 	}
 	a.stopAcceptedAt = now
+	return a.acceptedAt == 0
 }
 
 // StopFailed orders a stop again after the host refused it or did not answer.
