Count a failed run against its host only if its submission is not the likelier cause

Cause: from the second failed run on a host is avoided, whoever failed, also if the same submission had failed on each other host before.

Now a failed run does not count against its host if its submission has failed on another host, or on this one already, since a run of it ended as done. Hosts that fail all that they start are still avoided.

--- a/internal/cell/schedule/ends.go
+++ b/internal/cell/schedule/ends.go
@@ -31,7 +31,8 @@
 	switch e.Outcome {
 	case cell.OutcomeDone:
 		s.clear(t, h.spec.ID)
-		g.job.proven = true
+		g.job.proven, g.job.failedOn = true, ""
+		g.job.doneRuns++
 		if g.step.LongRunning {
 			return
 		}
@@ -41,7 +42,7 @@
 		s.markDone(t)
 	case cell.OutcomeFailed:
 		if a == nil || a.phase != phaseStopping {
-			h.health.recordFailure(s.now)
+			s.recordFailedRun(g.job, h)
 		}
 		s.countFailure(t, h, e.Run)
 	case cell.OutcomeLeaseExpired, cell.OutcomeGangTimeout:
--- a/internal/cell/schedule/health.go
+++ b/internal/cell/schedule/health.go
@@ -15,9 +15,17 @@
 	slownessPastWeight = 0.8
 )
 
+// failureStreak is a series of failed runs of a submission without one that ended as done.
+type failureStreak struct {
+	submission string
+	number     int
+}
+
 // health is the health of a host, derived from the outcomes of its runs.
 type health struct {
-	failures      int
+	failures int
+	// failedBy is the series to which the last failed run belongs that counted.
+	failedBy      failureStreak
 	avoidUntil    time.Duration
 	avoidDuration time.Duration
 	// slowness is the average ratio of the durations of runs to their estimates;
@@ -30,6 +38,20 @@
 // avoid excludes the host from new work for the duration d.
 func (h *health) avoid(now, d time.Duration) { h.avoidUntil = max(h.avoidUntil, now+d) }
 
+// recordFailedRun counts a failed run of a job against its host, unless the job is the more
+// likely cause: since a run of it ended as done it has failed on another host, or on this
+// one already.
+func (s *Scheduler) recordFailedRun(j *job, h *host) {
+	elsewhere := j.failedOn != "" && j.failedOn != h.spec.ID
+	j.failedOn = h.spec.ID
+	streak := failureStreak{j.sub.ID, j.doneRuns}
+	if elsewhere || h.health.failedBy == streak {
+		return
+	}
+	h.health.failedBy = streak
+	h.health.recordFailure(s.now)
+}
+
 // recordFailure counts a failed run.
 func (h *health) recordFailure(now time.Duration) {
 	h.failures++
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -44,6 +44,10 @@
 	// proven is set once a task has run for so long that the submission's tasks do not
 	// crash their hosts at their start.
 	proven bool
+	// failedOn is the host of the last failed run since a run ended as done, empty if there
+	// is none; doneRuns is how many ended so.
+	failedOn string
+	doneRuns int
 	// awaitsFirstTask is the result of Scheduler.awaitsFirstTask in the decision examinedIn.
 	awaitsFirstTask bool
 	examinedIn      int64
