Do not stop a task for good since it uses no processor

Cause: a use of 0 proved a hung run, whatever its task had asked for and however often it had been stopped for that.

Now a run whose step asks for no processor is not taken for hung. For others the time without progress doubles with each run that was stopped for it, and only the first one counts against its host.

--- a/internal/cell/schedule/stragglers.go
+++ b/internal/cell/schedule/stragglers.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// noProgressTimeout is how long a run may show no progress until it counts as
-	// hung.
-	noProgressTimeout = 1600 * time.Millisecond
+	// noProgressTimeout is how long the first run of a task may show no progress until it
+	// counts as hung. It doubles each time that a run of the task was stopped for it, up to
+	// maxNoProgressTimeout, since the task may wait for something.
+	noProgressTimeout    = 1600 * time.Millisecond
+	maxNoProgressTimeout = time.Hour
 	// gangExitTimeout is how long the members of a gang may take to end by
 	// themselves after one of them has ended.
 	gangExitTimeout = time.Second
@@ -41,14 +43,32 @@
 	}
 }
 
+// hung reports whether a run shows no progress. One that asks for no processor need not use
+// any.
 func (s *Scheduler) hung(a *taskRun) bool {
-	return a.phase == phaseRunning && a.host.reachable && s.now-a.lastProgressAt > noProgressTimeout
+	return a.phase == phaseRunning && a.host.reachable && a.task.group.step.Size.MilliCPU > 0 && s.now-a.lastProgressAt > a.task.countedAt().noProgressTimeout()
+}
+
+// noProgressTimeout returns how long a run of the task, or of its gang, may show no progress
+// until it counts as hung.
+func (t *task) noProgressTimeout() time.Duration {
+	d := noProgressTimeout
+	for range t.hungRuns {
+		if d = 2 * d; d >= maxNoProgressTimeout {
+			return maxNoProgressTimeout
+		}
+	}
+	return d
 }
 
 // stopOrCopyRun stops a run that is hung, or starts a copy of it if it is slow.
 func (s *Scheduler) stopOrCopyRun(g *group, t *task, a *taskRun) {
 	if s.hung(a) {
-		a.host.health.avoid(s.now, hungHostAvoidDuration)
+		if t.hungRuns == 0 {
+			// Later on the task is the more likely cause.
+			a.host.health.avoid(s.now, hungHostAvoidDuration)
+		}
+		t.hungRuns++
 		t.failedOn = a.host.spec.ID
 		s.stop(a, "the run makes no progress")
 		return
@@ -83,5 +103,6 @@
 			}
 		}
 	}
+	g.tasks[0].hungRuns++
 	s.stopGroup(g, "no member of the gang makes progress")
 }
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -29,6 +29,9 @@
 	// waitingSince is when the task became ready, or ready again after its last
 	// run.
 	waitingSince time.Duration
+	// hungRuns is how many runs were stopped since they showed no progress; those of a gang
+	// are counted at its first task.
+	hungRuns int
 	// failedOn is the host of the last failed run.
 	failedOn string
 }
