--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -117,7 +117,7 @@
 	if h.inTouch {
 		// The lease of a host that does not answer must not be renewed: it is unknown
 		// whether such a poll arrived, so the lease could never be taken as expired.
-		h.life.address(&o, sentAt)
+		h.life.bind(&o, sentAt)
 	}
 	h.inTouch = false
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pollTimeoutMargin)
--- a/internal/cell/owner/lifetime.go
+++ b/internal/cell/owner/lifetime.go
@@ -18,9 +18,9 @@
 	seenResult, storedResult, ackedResult int64
 }
 
-// address adds to a poll what holds for this lifetime only: the acknowledgement of
-// results and the renewal of the lease. The poll reaches no later lifetime.
-func (l *lifetime) address(o *platform.Poll, now time.Duration) {
+// bind makes a poll one for this lifetime only: it acknowledges results and renews the
+// lease, and reaches no later lifetime.
+func (l *lifetime) bind(o *platform.Poll, now time.Duration) {
 	o.SameProcess = true
 	if l.storedResult > l.ackedResult {
 		o.Ack = l.storedResult
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -104,12 +104,12 @@
 func (ow *Owner) recordStartCall(h *hostPoller, sent *startOrder, clockMs int64, why platform.Refusal, err error) {
 	now := ow.options.Clock.Now()
 	switch {
-	case err != nil && verdict.Of(err) == verdict.DidNotRun, why == platform.RefusedUnhealthy, why == platform.RefusedHostRestarted, why == platform.RefusedFenced:
-		h.starts.remove(sent) // the host has done nothing
+	case err != nil && verdict.Of(err) == verdict.DidNotRun, why.DidNothing():
+		h.starts.remove(sent)
 	case err != nil:
 		h.starts.unanswered(sent, now)
 	case !h.starts.answered(sent, time.Duration(clockMs)*time.Millisecond, now):
-		ow.options.Log.Info("The clock of a host does not show which of its lifetimes got an order.", "host", h.host.ID, "clock_ms", clockMs)
+		ow.options.Log.Info("The clock of a host does not show which of its lifetimes got an order.", "id", sent.run.Task.Submission, "host", h.host.ID, "clock_ms", clockMs)
 		h.pollNow()
 	}
 }
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -219,7 +219,8 @@
 }
 
 // crashesHosts reports whether the crashes under a task show that it crashes its hosts. Only
-// confirmed ones do: a submission that is given up stays so. alone is set if it was alone on the last of them.
+// confirmed ones do: a submission that is given up stays so. alone is set if it was alone on
+// the last of them.
 func (t *task) crashesHosts(alone bool) bool {
 	if t.mostCrashesOfMember() < crashesToFail {
 		return false
