--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -157,9 +157,8 @@
 		ctxtime.Sleep(ctx, pollRetryInterval)
 		return false
 	case l.StartedMs == 0:
-		ow.pollFailed(h, target.Address, now, refusal, errUnknownLifetime)
-		ctxtime.Sleep(ctx, pollRetryInterval)
-		return false
+		err = errUnknownLifetime
+		fallthrough
 	case !ow.settleAddress(h, target.Address, l.StartedMs):
 		ow.pollFailed(h, target.Address, now, refusal, err)
 		ctxtime.Sleep(ctx, pollRetryInterval)
--- a/internal/cell/owner/lease.go
+++ b/internal/cell/owner/lease.go
@@ -51,5 +51,5 @@
 func (l *lease) expiry() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.receivedAt + runsEndWithin(max(l.latestEnd-l.hostClock, l.inheritedEnd-l.hostClock, 0))
+	return l.receivedAt + runsEndWithin(max(l.latestEnd, l.inheritedEnd, l.hostClock)-l.hostClock)
 }
--- a/internal/cell/owner/restartinghost_test.go
+++ b/internal/cell/owner/restartinghost_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -28,10 +27,7 @@
 // testMaxLease is the longest lease that fake hosts accept.
 const testMaxLease = 10 * time.Second
 
-var (
-	errSilent = errors.New("no answer")
-	errReset  = fmt.Errorf("call: %w", syscall.ECONNRESET)
-)
+var errReset = fmt.Errorf("call: %w", syscall.ECONNRESET)
 
 // restartingHost is a fake host that restarts under its ID and address: in each lifetime its
 // clock and the numbers of its results begin anew. It records what a caller must not do.
@@ -81,11 +77,11 @@
 	h.connectedTo = 0
 	switch {
 	case o.SameProcess && !connected && h.silent:
-		return l, 0, 0, errSilent
+		return l, 0, 0, doesNotAnswer.err
 	case o.SameProcess && !connected:
 		return l, 0, 0, platform.ErrNotConnected
 	case h.fault == callLost:
-		return l, 0, 0, errSilent
+		return l, 0, 0, doesNotAnswer.err
 	}
 	h.acknowledge(o.Ack)
 	h.renew(o.LeaseEndMs)
@@ -99,10 +95,10 @@
 func (h *restartingHost) Start(_ context.Context, _ *cell.Host, o platform.Start) (clockMs int64, r platform.Refusal, err error) {
 	switch h.fault {
 	case callLost:
-		return 0, 0, errSilent
+		return 0, 0, doesNotAnswer.err
 	case carriedOutLate:
 		h.late = append(h.late, o)
-		return 0, 0, errSilent
+		return 0, 0, doesNotAnswer.err
 	}
 	h.renew(o.LeaseEndMs)
 	if h.fault == answerLost {
--- a/internal/cell/owner/startorders.go
+++ b/internal/cell/owner/startorders.go
@@ -88,11 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
-		end := o.leaseEnd
-		if maxLease > 0 {
-			end = min(end, clock+(o.arrivesBy(now)-now)+maxLease)
-		}
-		latest = max(latest, end)
+		latest = max(latest, o.leaseEndOn(clock+(o.arrivesBy(now)-now), maxLease))
 	}
 	return latest
 }
@@ -104,18 +100,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
-		if !o.answered {
-			continue
-		}
-		end := o.leaseEnd
-		if maxLease > 0 {
-			end = min(end, maxLease)
+		if o.answered {
+			latest = max(latest, o.endedAt+runsEndWithin(o.leaseEndOn(0, maxLease)))
 		}
-		latest = max(latest, o.endedAt+runsEndWithin(end))
 	}
 	return latest
 }
 
+// leaseEndOn returns the end of the lease that the order gives to a lifetime which carries it
+// out when its own clock shows a time.
+func (o *startOrder) leaseEndOn(clock, maxLease time.Duration) time.Duration {
+	if maxLease == 0 {
+		return o.leaseEnd
+	}
+	return min(o.leaseEnd, clock+maxLease)
+}
+
 // unansweredRuns returns the runs whose start orders have got no answer.
 func (s *startOrders) unansweredRuns() (out []schedule.Run) {
 	s.mu.Lock()
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -39,6 +39,8 @@
 	cutsDeadly bool
 	// crashesUnder counts the hosts that crashed while a task ran there.
 	crashesUnder map[cell.TaskID]int
+	// idle decides whether a run reports that it uses no processor.
+	idle func(t cell.TaskID) bool
 	// takes returns how long a run takes whose estimate is given.
 	takes func(t cell.TaskID, estimate time.Duration) time.Duration
 	// adviceTakesTime is set if advice calls are answered after their duration; calls holds
@@ -56,6 +58,7 @@
 		hosts: make(map[string]*fakeHost), jobs: make(map[string]*cell.Submission),
 		done: make(map[cell.TaskID]bool), reportedDone: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
 		fails:  func(cell.TaskID, int64) bool { return false },
+		idle:   func(cell.TaskID) bool { return false },
 		deadly: func(cell.TaskID) bool { return false }, crashes: make(map[cell.TaskID]int), startsAfter: make(map[cell.TaskID]int), crashesUnder: make(map[cell.TaskID]int),
 		approves:  func(cell.GroupID, string) bool { return true },
 		callCount: make(map[cell.GroupID]int),
--- a/internal/cell/schedule/fakehost_test.go
+++ b/internal/cell/schedule/fakehost_test.go
@@ -104,7 +104,13 @@
 				c.failed[e.Task]++
 			}
 		}
-		c.s.ApplyReport(id, c.now, c.now, h.report())
+		l := h.report()
+		for i := range l.Running {
+			if c.idle(l.Running[i].Task) {
+				l.Running[i].UsageOrLatencyMs = 0
+			}
+		}
+		c.s.ApplyReport(id, c.now, c.now, l)
 		h.ended = nil
 	}
 	c.recordStates()
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -175,6 +175,11 @@
 	if a.phase == phaseStopping {
 		return
 	}
+	s.orderStop(a, reason)
+}
+
+// orderStop orders a run to stop, whether or not it has been ordered before.
+func (s *Scheduler) orderStop(a *taskRun, reason string) {
 	a.phase, a.stopReason, a.stopAcceptedAt = phaseStopping, reason, 0
 	s.plan.Stops = append(s.plan.Stops, Stop{Task: a.task.id, Run: a.run, Host: a.host.spec.ID, Reason: reason})
 }
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -198,9 +198,7 @@
 		}
 	}
 	sortRuns(gone)
-	for _, a := range gone {
-		s.handleLostRun(a)
-	}
+	s.handleLostRuns(gone)
 }
 
 // handleLostRun handles a run that is gone although the host has not reported
@@ -233,10 +231,16 @@
 	}
 }
 
-// handleRunsGone handles runs that are gone from their host. restarted is set if the host is
-// known to have restarted.
-func (s *Scheduler) handleRunsGone(h *host, gone []*taskRun, restarted bool) {
+// handleAllRunsGone handles the runs of a host that has none any more. restarted is set if
+// the host is known to have restarted.
+func (s *Scheduler) handleAllRunsGone(h *host, restarted bool) {
+	h.runsKnown, h.earlierRunsUnknown = false, false
+	gone := h.sortedRuns()
 	s.countCrashes(h, gone, restarted)
+	s.handleLostRuns(gone)
+}
+
+func (s *Scheduler) handleLostRuns(gone []*taskRun) {
 	for _, a := range gone {
 		s.handleLostRun(a)
 	}
--- a/internal/cell/schedule/restart.go
+++ b/internal/cell/schedule/restart.go
@@ -25,9 +25,7 @@
 		}
 	}
 	s.countCrashes(h, append(gone, unsettled...), true)
-	for _, a := range gone {
-		s.handleLostRun(a)
-	}
+	s.handleLostRuns(gone)
 	for _, a := range unsettled {
 		s.settleOrder(a)
 	}
@@ -56,8 +54,7 @@
 // the present lifetime of its host. A stop that an earlier one accepted says nothing of it.
 func (s *Scheduler) settleOrder(a *taskRun) {
 	a.endSuspicion()
-	a.phase, a.stopReason, a.stopAcceptedAt = phaseStopping, "the start order may still reach the restarted host", 0
-	s.plan.Stops = append(s.plan.Stops, Stop{Task: a.task.id, Run: a.run, Host: a.host.spec.ID, Reason: a.stopReason})
+	s.orderStop(a, "the start order may still reach the restarted host")
 }
 
 // StopLateRun orders a run to stop that has been given up, and whose start order may still
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -116,7 +116,7 @@
 func (s *Scheduler) StopFailed(host string, task cell.TaskID, run int64, now time.Duration) {
 	s.now = now
 	if a := s.findRun(host, task, run); a != nil && a.phase == phaseStopping && a.stopAcceptedAt == 0 {
-		s.plan.Stops = append(s.plan.Stops, Stop{Task: task, Run: run, Host: host, Reason: a.stopReason})
+		s.orderStop(a, a.stopReason)
 	}
 }
 
@@ -132,8 +132,7 @@
 func (s *Scheduler) MarkAllRunsGone(id string, now time.Duration) {
 	s.now = now
 	if h := s.hosts[id]; h != nil {
-		h.runsKnown, h.earlierRunsUnknown = false, false
-		s.handleRunsGone(h, h.sortedRuns(), false)
+		s.handleAllRunsGone(h, false)
 	}
 }
 
@@ -146,8 +145,7 @@
 	if h == nil {
 		return false
 	}
-	h.runsKnown, h.earlierRunsUnknown = false, false
-	s.handleRunsGone(h, h.sortedRuns(), true)
+	s.handleAllRunsGone(h, true)
 	s.confirmCrashes(h)
 	return crashed
 }
--- a/internal/cell/schedule/silent_crash_test.go
+++ b/internal/cell/schedule/silent_crash_test.go
@@ -62,10 +62,7 @@
 func TestSilentCrashesDoNotAddUpOverTheLifeOfATask(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		c := crashCluster(6)
-		c.takes = func(cell.TaskID, time.Duration) time.Duration { return 1000 * time.Hour }
-		step := smallStep(1, time.Second)
-		step.LongRunning, step.Gang = !gang, gang
-		c.submit("lasting", "q", "a", step)
+		c.lastingJob("lasting", 1, gang)
 		for range 2 * maxCrashes {
 			c.decide(nil)
 			c.crashSilently(c.hostOf("lasting"))
@@ -85,14 +82,12 @@
 func TestCrashesDoNotAddUpOverTheLifeOfATask(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		c := crashCluster(8)
-		c.takes = func(cell.TaskID, time.Duration) time.Duration { return 1000 * time.Hour }
-		step := smallStep(12, time.Second)
-		step.LongRunning, step.Gang = !gang, gang
-		c.submit("lasting", "q", "a", step)
+		const tasks = 12
+		c.lastingJob("lasting", tasks, gang)
 		for n := range 2 * maxCrashes {
 			c.advanceFor(25 * time.Second)
-			if got := c.running("lasting"); got != step.Count {
-				t.Fatalf("gang %t: %d of %d tasks run 25 s after crash %d", gang, got, step.Count, n)
+			if got := c.running("lasting"); got != tasks {
+				t.Fatalf("gang %t: %d of %d tasks run 25 s after crash %d", gang, got, tasks, n)
 			}
 			c.crash(c.s.jobs["lasting"].groups[0].tasks[7].runs[0].host.spec.ID)
 		}
--- a/internal/cell/schedule/stragglers.go
+++ b/internal/cell/schedule/stragglers.go
@@ -52,13 +52,8 @@
 // noProgressTimeout returns how long a run of the task, or of its gang, may show no progress
 // until it counts as hung.
 func (t *task) noProgressTimeout() time.Duration {
-	d := noProgressTimeout
-	for range t.hungRuns {
-		if d = 2 * d; d >= maxNoProgressTimeout {
-			return maxNoProgressTimeout
-		}
-	}
-	return d
+	const enough = 20 // doublings exceed the longest timeout, and do not overflow
+	return min(noProgressTimeout<<min(t.hungRuns, enough), maxNoProgressTimeout)
 }
 
 // stopOrCopyRun stops a run that is hung, or starts a copy of it if it is slow.
--- a/internal/cell/schedule/unconfirmed.go
+++ b/internal/cell/schedule/unconfirmed.go
@@ -98,15 +98,17 @@
 		case startedMs:
 			s.logMessage(t.id.Submission, h.spec.ID, "The host answers as the same instance; it has not crashed.")
 		default:
-			s.countCrash(t, h.spec.ID, c.Crash, c.Alone)
+			s.confirm(t, c)
 		}
 	})
 }
 
 // confirmCrashes counts the unconfirmed crashes of a host in whose place another instance
 // answers.
-func (s *Scheduler) confirmCrashes(h *host) {
-	s.settle(h.spec.ID, func(t *task, c unconfirmedCrash) { s.countCrash(t, h.spec.ID, c.Crash, c.Alone) })
+func (s *Scheduler) confirmCrashes(h *host) { s.settle(h.spec.ID, s.confirm) }
+
+func (s *Scheduler) confirm(t *task, c unconfirmedCrash) {
+	s.countCrash(t, c.Host.ID, c.Crash, c.Alone)
 }
 
 // settleGoneHost settles the unconfirmed crashes of a host that the platform treats as
--- a/internal/cell/schedule/unconfirmed_test.go
+++ b/internal/cell/schedule/unconfirmed_test.go
@@ -33,13 +33,12 @@
 	c.s.MarkAllRunsGone(id, c.now)
 }
 
-// lastingJob submits tasks that run until they are cancelled.
-func (c *cluster) lastingJob(id string, count int) *job {
+// lastingJob submits tasks that run until they are cancelled, or a gang that takes as long.
+func (c *cluster) lastingJob(id string, count int, gang bool) {
 	c.takes = func(cell.TaskID, time.Duration) time.Duration { return 1000 * time.Hour }
 	step := smallStep(count, time.Second)
-	step.LongRunning = true
+	step.LongRunning, step.Gang = !gang, gang
 	c.submit(id, "q", "a", step)
-	return c.s.jobs[id]
 }
 
 // Guards against sound work that is given up for good, since its hosts were cut off with
@@ -49,7 +48,7 @@
 	for _, takeover := range []bool{false, true} {
 		for _, between := range []time.Duration{0, 300 * time.Millisecond, 25 * time.Second} {
 			c := crashCluster(8)
-			c.lastingJob("lasting", 12)
+			c.lastingJob("lasting", 12, false)
 			c.advanceFor(between)
 			for n := range 5 {
 				c.advance(10 * time.Millisecond)
@@ -152,7 +151,7 @@
 	} {
 		for _, takeover := range []bool{false, true} {
 			cl := crashCluster(6)
-			cl.lastingJob("job", 1)
+			cl.lastingJob("job", 1, false)
 			cl.advance(10 * time.Millisecond)
 			id := cl.hostOf("job")
 			cl.cutWithResets(id)
