Keep a request for another poll that arrives as one ends

A task whose unanswered start order had been settled could wait for up to a second more: the request for a poll was lost.

Cause: the goroutine that waits for such a request outlived its poll, and took the request of the time after it; or it took one in the moment in which the answer arrived, which may be older than the request.

Now a poll ends its goroutine before it goes on, and a request that met an answer is made again.

--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -121,18 +121,12 @@
 	}
 	h.inTouch = false
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pollTimeoutMargin)
-	done := make(chan struct{})
-	go func() {
-		select {
-		case <-h.interrupt:
-			cancel()
-		case <-done:
-		case <-ctx.Done():
-		}
-	}()
+	endWatch := h.cancelOnInterrupt(ctx, cancel)
 	target := ow.pollTarget(h)
 	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &target, o)
-	close(done)
+	if endWatch() && err == nil {
+		h.pollNow() // the answer may be older than the request for another poll
+	}
 	interrupted := callCtx.Err() == context.Canceled && ctx.Err() == nil
 	cancel()
 	now := ow.options.Clock.Now()
@@ -173,6 +167,28 @@
 	return true
 }
 
+// cancelOnInterrupt cancels a poll once another one is requested. The returned function ends
+// that, and reports whether the poll was cancelled. Without it, a later request could end in
+// a poll that is over.
+func (h *hostPoller) cancelOnInterrupt(ctx context.Context, cancel context.CancelFunc) (end func() bool) {
+	done, cancelled := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		select {
+		case <-h.interrupt:
+			cancel()
+			cancelled <- true
+		case <-done:
+			cancelled <- false
+		case <-ctx.Done():
+			cancelled <- false
+		}
+	}()
+	return func() bool {
+		close(done)
+		return <-cancelled
+	}
+}
+
 // applyReport passes a host's report to the scheduler and waits until the results
 // in it are stored. acked is the acknowledgement that the host has answered with it.
 func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport, acked int64) {
--- a/internal/cell/owner/hostpoller_test.go
+++ b/internal/cell/owner/hostpoller_test.go
@@ -74,3 +74,31 @@
 	cancel()
 	<-ended
 }
+
+// wakingHostClient requests another poll while it answers one.
+type wakingHostClient struct {
+	HostClient
+	wake func()
+}
+
+func (c *wakingHostClient) Poll(context.Context, *cell.Host, platform.Poll) (cell.HostReport, int, platform.Refusal, error) {
+	c.wake()
+	return cell.HostReport{StartedMs: 1}, 0, platform.NotRefused, nil
+}
+
+// Guards against a request for another poll that is lost in one that is just over, so that
+// the host holds the next one open for up to a second.
+func TestRequestedPollIsNotLost(t *testing.T) {
+	h := newHostTest(t)
+	h.list(nil, testHost("h", "a"))
+	p := h.poller("h")
+	h.options.HostClient = &wakingHostClient{wake: p.pollNow}
+	for n := range 200 {
+		h.poll(t.Context(), p)
+		select {
+		case <-p.interrupt:
+		default:
+			t.Fatalf("the request in poll %d is lost", n)
+		}
+	}
+}
