--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "usage: cases-2 CASE RECORD-FILE")
 		os.Exit(exitNoRun)
 	}
-	run, ok := map[string]func(*world){"late": lateOrder, "wide": wideStep, "progress": lostProgress}[os.Args[1]]
+	run, ok := map[string]func(*world){"late": lateOrder, "wide": wideStep, "progress": lostProgress, "schedules": schedules, "deadly": deadlyTask}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(exitNoRun)
--- a/review/_cases-2/world.go
+++ b/review/_cases-2/world.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,9 +37,14 @@
 
 	// outcomeOf tells how a run of a task ends by itself.
 	outcomeOf func(task string) outcome
+	// onStart is called when a runner has started a run.
+	onStart func(h *host, task string)
 	// holdBack tells for how long the network holds a call back; zero for not at all.
 	holdBack func(h *host, path string, c call) time.Duration
 
+	// closing is set once no process may be started any more.
+	closing atomic.Bool
+
 	mu     sync.Mutex
 	out    *bufio.Writer
 	quiet  bool // runs are counted, and not recorded one by one
@@ -134,6 +140,7 @@
 }
 
 func (w *world) close() {
+	w.closing.Store(true)
 	for _, e := range w.entries {
 		e.kill()
 	}
@@ -148,6 +155,7 @@
 	}
 	w := &world{trouble: trouble, began: time.Now(), out: bufio.NewWriter(f), byKey: map[string]*runRecord{}, byTask: map[string][]*runRecord{},
 		outcomeOf: func(string) outcome { return outcome{time.Second, "done"} },
+		onStart:   func(*host, string) {},
 		holdBack:  func(*host, string, call) time.Duration { return 0 }}
 	if w.dir, err = os.MkdirTemp("", "case"); err != nil {
 		w.cannotRun("temporary folder: %v", err)
@@ -179,9 +187,11 @@
 	name, file, callers, status string
 	cmd                         *exec.Cmd
 	exited                      chan struct{}
-	mu                          sync.Mutex
-	terms                       int
-	log                         []string
+	// life is held while the process is started or killed.
+	life  sync.Mutex
+	mu    sync.Mutex
+	terms int
+	log   []string
 }
 
 func freeAddress(w *world) string {
@@ -214,6 +224,11 @@
 }
 
 func (e *entry) start(w *world) {
+	e.life.Lock()
+	defer e.life.Unlock()
+	if w.closing.Load() {
+		return
+	}
 	e.cmd = exec.Command("target/medlarpulley", "entry")
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MEDLARPULLEY_CONFIG=" + e.file}
 	pipe, err := e.cmd.StderrPipe()
@@ -266,6 +281,8 @@
 
 // kill ends the process and waits for it.
 func (e *entry) kill() {
+	e.life.Lock()
+	defer e.life.Unlock()
 	select {
 	case <-e.exited:
 		return
