--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -12,13 +12,13 @@
 		fmt.Fprintln(os.Stderr, "usage: cases-2 CASE RECORD-FILE")
 		os.Exit(exitNoRun)
 	}
-	run, ok := map[string]func(*world){"late": lateOrder, "wide": wideStep, "progress": lostProgress, "schedules": schedules, "deadly": deadlyTask}[os.Args[1]]
+	run, ok := map[string]func(*world){"late": lateOrder, "wide": wideStep, "progress": lostProgress, "schedules": schedules, "stale": staleState}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(exitNoRun)
 	}
 	w := newWorld(os.Args[2], os.Getenv("TROUBLE") != "0")
-	if os.Args[1] == "progress" {
+	if os.Args[1] == "progress" || os.Args[1] == "stale" {
 		w.store = newLogStore(w)
 	}
 	run(w)
--- a/review/_cases-2/store.go
+++ b/review/_cases-2/store.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -22,6 +21,7 @@
 	maxNewestItems  = 500
 	maxNewestBytes  = 1 << 20
 	rememberedCalls = 5
+	keep            = 20 * time.Second // the history of the small site
 )
 
 // logStore is a stand-in for the platform's log. It follows the page on the protocol where
@@ -32,43 +32,27 @@
 	mu      sync.Mutex
 	topics  map[string]*logTopic
 	changed chan struct{}
-	// fault is what the store does wrong at present.
-	fault storeFault
 }
 
-// storeFault is what the store does wrong.
-type storeFault uint8
-
-const (
-	storeSound storeFault = iota
-	storeRefuses
-	storeSilent
-	storeLosesAnswers
-	storeIsLate
-	storeIsSlow
-)
-
-// slowFactor is how many times longer the answers of a slow store take.
-const slowFactor = 50
-
-func (s *logStore) setFault(f storeFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
-
-// trim deletes the history of a topic.
-func (s *logStore) trim(topic string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(topic)
-	t.first = len(t.records)
+// expire deletes the records that are older than keep from the history of each topic. The
+// newest record of each key is kept.
+func (s *logStore) expire() {
+	for ; ; time.Sleep(time.Second) {
+		s.mu.Lock()
+		for _, t := range s.topics {
+			for t.first < len(t.records) && time.Since(t.storedAt[t.first]) > keep {
+				t.first++
+			}
+		}
+		s.mu.Unlock()
+	}
 }
 
 type logTopic struct {
 	appending sync.Mutex
 	first     int
 	records   [][]byte
+	storedAt  []time.Time
 	newest    map[string]int
 	producers map[string]*logProducer
 }
@@ -86,6 +70,7 @@
 	}
 	s.address = l.Addr().String()
 	go func() { _ = http.Serve(l, http.HandlerFunc(s.serve)) }()
+	go s.expire()
 	return s
 }
 
@@ -117,7 +102,7 @@
 func keyOf(rec []byte) string { return string(rec[1 : 1+int(rec[0])]) }
 
 func (s *logStore) add(t *logTopic, rec []byte) {
-	t.records = append(t.records, rec)
+	t.records, t.storedAt = append(t.records, rec), append(t.storedAt, time.Now())
 	key := keyOf(rec)
 	if len(rec) == 1+len(key) {
 		delete(t.newest, key)
@@ -131,28 +116,6 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	fault := s.fault
-	s.mu.Unlock()
-	switch {
-	case fault == storeRefuses:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case fault == storeSilent:
-		<-r.Context().Done()
-		return
-	case fault == storeIsSlow:
-		time.Sleep(slowFactor * 2 * appendTime)
-	case r.URL.Path != "/log-append":
-	case fault == storeLosesAnswers && rand.IntN(3) == 0:
-		s.append(r, body)
-		<-r.Context().Done()
-		return
-	case fault == storeIsLate && rand.IntN(3) == 0:
-		time.AfterFunc(time.Second+rand.N(5*time.Second), func() { s.append(r, body) })
-		<-r.Context().Done()
-		return
-	}
 	switch r.URL.Path {
 	case "/log-append":
 		status, answer := s.append(r, body)
--- a/review/_cases-2/world.go
+++ b/review/_cases-2/world.go
@@ -35,10 +35,12 @@
 	entries []*entry
 	began   time.Time
 
+	// statusSeconds is for how long the states of ended submissions are to be shown.
+	statusSeconds int
+	// storeAddress is where an entry process, by its number, reaches the store.
+	storeAddress func(i int) string
 	// outcomeOf tells how a run of a task ends by itself.
 	outcomeOf func(task string) outcome
-	// onStart is called when a runner has started a run.
-	onStart func(h *host, task string)
 	// holdBack tells for how long the network holds a call back; zero for not at all.
 	holdBack func(h *host, path string, c call) time.Duration
 
@@ -155,12 +157,13 @@
 	}
 	w := &world{trouble: trouble, began: time.Now(), out: bufio.NewWriter(f), byKey: map[string]*runRecord{}, byTask: map[string][]*runRecord{},
 		outcomeOf: func(string) outcome { return outcome{time.Second, "done"} },
-		onStart:   func(*host, string) {},
 		holdBack:  func(*host, string, call) time.Duration { return 0 }}
 	if w.dir, err = os.MkdirTemp("", "case"); err != nil {
 		w.cannotRun("temporary folder: %v", err)
 	}
 	w.store = users.NewStore()
+	w.statusSeconds = 120
+	w.storeAddress = func(int) string { return w.store.Address() }
 	w.advice = users.NewAdvice(2 * time.Millisecond)
 	w.record("trouble: %t", trouble)
 	return w
@@ -210,8 +213,8 @@
 		e := &entry{name: fmt.Sprintf("frontend-z-%d", i+1), callers: freeAddress(w), status: freeAddress(w)}
 		e.file = filepath.Join(w.dir, e.name+".toml")
 		content := fmt.Sprintf("[node]\nname = %q\nzone = \"z\"\n\n[listen]\ncallers = %q\nstatus = %q\npeers = %q\n\n[platform]\nstore = %q\nadvice = %q\n\n"+
-			"[bounds]\nmax_lease_ms = 10000\ngang_timeout_ms = 3000\nrevoke_ms = 5000\nconfig_apply_ms = 2000\ngrace_seconds = 6\nstatus_seconds = 120\n\n"+
-			"[limits]\nmemory_mib = 284\ncores = 0.4\n", e.name, e.callers, e.status, freeAddress(w), w.store.Address(), w.advice.Address())
+			"[bounds]\nmax_lease_ms = 10000\ngang_timeout_ms = 3000\nrevoke_ms = 5000\nconfig_apply_ms = 2000\ngrace_seconds = 6\nstatus_seconds = %d\n\n"+
+			"[limits]\nmemory_mib = 284\ncores = 0.4\n", e.name, e.callers, e.status, freeAddress(w), w.storeAddress(i), w.advice.Address(), w.statusSeconds)
 		if err := os.WriteFile(e.file, []byte(content), 0o600); err != nil {
 			w.cannotRun("settings: %v", err)
 		}
