--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review/cases-2 ] && [ -x target/medlarpulley ] || exit 2
-exec timeout -k 5 115 target/review/cases-2 progress "$here/record.txt"
+exec timeout -k 5 115 target/review/cases-2 schedules "$here/record.txt"
