--- a/review/_cases-2/world.go
+++ b/review/_cases-2/world.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -197,8 +198,11 @@
 	log   []string
 }
 
+// freeAddress returns a free address on a loopback address of its own, so that no connection
+// or other listener takes it before the process listens there.
 func freeAddress(w *world) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		w.cannotRun("listen: %v", err)
 	}
