--- a/review/_cases-2/host.go
+++ b/review/_cases-2/host.go
@@ -32,6 +32,8 @@
 	life *lifetime // nil while the process is down
 	seq  int64
 	srv  *http.Server
+	// dark is set while the machine is silent: it is closed when a process is up again.
+	dark chan struct{}
 	// lastBeat is when the entry was last written.
 	lastBeat time.Time
 }
@@ -106,6 +108,51 @@
 	h.world.record("runner %s has crashed", h.id)
 }
 
+// goDark crashes the machine without a word: open connections and new ones get no answer
+// until a process is up again, at the same address, after a time.
+func (h *host) goDark(d time.Duration) {
+	h.mu.Lock()
+	if h.life == nil {
+		h.mu.Unlock()
+		return
+	}
+	life := h.life
+	h.life, h.dark = nil, make(chan struct{})
+	for task, r := range life.runs {
+		r.timer.Stop()
+		h.world.ended(h.id, task, r.run, "crashed")
+	}
+	h.mu.Unlock()
+	h.world.record("runner %s has crashed and is silent", h.id)
+	time.AfterFunc(d, func() {
+		h.mu.Lock()
+		h.seq = 0
+		h.life = &lifetime{born: time.Now(), runs: map[string]*taskRun{}, highest: map[string]int64{}, changed: make(chan struct{})}
+		born := h.life.born.UnixMilli()
+		close(h.dark)
+		h.dark = nil
+		h.mu.Unlock()
+		h.register()
+		h.world.record("runner %s is up, born %d", h.id, born)
+	})
+}
+
+// silentIfDark leaves a call without an answer while the machine is silent, and then breaks
+// its connection, since the process that it was sent to is gone.
+func (h *host) silentIfDark(r *http.Request) {
+	h.mu.Lock()
+	dark := h.dark
+	h.mu.Unlock()
+	if dark == nil {
+		return
+	}
+	select {
+	case <-dark:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // beat writes the entry of the runner, and removes it after three intervals of silence, as
 // the platform does.
 func (h *host) beat() {
@@ -139,6 +186,7 @@
 
 // serve passes a call to the process, unless the network holds it back.
 func (h *host) serve(w http.ResponseWriter, r *http.Request) {
+	h.silentIfDark(r)
 	var c call
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -242,6 +290,7 @@
 	life.runs[c.Task] = r
 	o := h.world.outcomeOf(c.Task)
 	h.world.started(h.id, c)
+	h.world.onStart(h, c.Task)
 	r.timer = time.AfterFunc(max(o.after, time.Millisecond), func() {
 		if o.after == 0 {
 			return
@@ -279,6 +328,7 @@
 	life := h.life
 	if life == nil {
 		h.mu.Unlock()
+		h.silentIfDark(r)
 		panic(http.ErrAbortHandler)
 	}
 	if status, body := h.check(instance, c); status != 0 {
@@ -304,6 +354,7 @@
 	h.mu.Lock()
 	if h.life != life {
 		h.mu.Unlock()
+		h.silentIfDark(r)
 		panic(http.ErrAbortHandler)
 	}
 	h.expireLease()
--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 )
 
 func main() {
@@ -12,13 +13,13 @@
 		fmt.Fprintln(os.Stderr, "usage: cases-2 CASE RECORD-FILE")
 		os.Exit(exitNoRun)
 	}
-	run, ok := map[string]func(*world){"late": lateOrder, "wide": wideStep, "progress": lostProgress, "schedules": schedules, "stale": staleState}[os.Args[1]]
+	run, ok := map[string]func(*world){"late": lateOrder, "wide": wideStep, "progress": lostProgress, "schedules": schedules, "stale": staleState, "deadly": deadlyTask, "backlog": endedBacklog}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(exitNoRun)
 	}
 	w := newWorld(os.Args[2], os.Getenv("TROUBLE") != "0")
-	if os.Args[1] == "progress" || os.Args[1] == "stale" {
+	if slices.Contains([]string{"progress", "stale", "backlog"}, os.Args[1]) {
 		w.store = newLogStore(w)
 	}
 	run(w)
--- a/review/_cases-2/world.go
+++ b/review/_cases-2/world.go
@@ -42,6 +42,8 @@
 	storeAddress func(i int) string
 	// outcomeOf tells how a run of a task ends by itself.
 	outcomeOf func(task string) outcome
+	// onStart is called when a runner has started a run.
+	onStart func(h *host, task string)
 	// holdBack tells for how long the network holds a call back; zero for not at all.
 	holdBack func(h *host, path string, c call) time.Duration
 
@@ -158,6 +160,7 @@
 	}
 	w := &world{trouble: trouble, began: time.Now(), out: bufio.NewWriter(f), byKey: map[string]*runRecord{}, byTask: map[string][]*runRecord{},
 		outcomeOf: func(string) outcome { return outcome{time.Second, "done"} },
+		onStart:   func(*host, string) {},
 		holdBack:  func(*host, string, call) time.Duration { return 0 }}
 	if w.dir, err = os.MkdirTemp("", "case"); err != nil {
 		w.cannotRun("temporary folder: %v", err)
