Divide a progress that exceeds a record

Cause: the progress of a submission was one record. Before that, checkpoints and failures of all tasks were dropped.

Now a progress that does not fit is divided: one record holds the state and the done tasks as bits, and parts of 16 tasks hold the details. A change stores the parts that it changed. Ruled out: an encoding that fits one record in any case, since the details of 100,000 tasks are megabytes.

Why it works: the largest record has 17 KB for 100,000 tasks, and a part whose details cannot be reduced to a record fails its submission alone.

--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -35,7 +35,17 @@
 				rec.Runs = append(rec.Runs, registry.Run{Task: r.Task, Run: r.Run})
 			}
 		}
-		records = append(records, registry.HostRecord(rec))
+		r := registry.HostRecord(rec)
+		if err := r.Check(); err != nil {
+			// A successor takes it as open: any runs may be present there.
+			if !h.unstorable {
+				ow.options.Log.Error("The record that closes a host cannot be stored.", "host", h.host.ID, "runs", len(rec.Runs), "error", err)
+			}
+			h.unstorable = true
+			continue
+		}
+		h.unstorable = false
+		records = append(records, r)
 		changes = append(changes, hostChange{h, h.address, closed})
 	}
 	return records, changes
--- a/internal/cell/owner/load.go
+++ b/internal/cell/owner/load.go
@@ -72,7 +72,7 @@
 		switch {
 		case leftOut[e.Submission.ID]:
 		case e.Progress.State.Final():
-			ow.finishedAt[e.Submission.ID] = now
+			ow.finishedAt[e.Submission.ID] = finishedSubmission{id: e.Submission.ID, at: now, parts: e.Progress.StoredParts}
 		default:
 			ow.add(e, now, wall)
 		}
@@ -80,7 +80,7 @@
 }
 
 func (ow *Owner) add(e registry.Entry, now, wall time.Duration) {
-	ow.scheduler.Add(e.Submission, e.Progress, e.Offset < ow.options.ClaimOffset, now, wall)
+	ow.scheduler.Add(e.Submission, e.FullProgress(), e.Offset < ow.options.ClaimOffset, now, wall)
 	if e.Cancelled {
 		ow.scheduler.Cancel(e.Submission.ID, now)
 	}
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -34,7 +34,8 @@
 
 // Journal stores the owner's records under its fencing token. Store retries until
 // the records are stored, the owner is fenced, the store has certainly not stored
-// them and expects another sequence number, or ctx ends.
+// them and expects another sequence number, or ctx ends. The error is a
+// *worklog.UnstorableError if only records are missing that can never be stored.
 type Journal interface {
 	Store(ctx context.Context, records []platform.Record) error
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -48,14 +48,11 @@
 	loading string
 	// broken is set after a panic: the state may be changed in part, and must not be used.
 	broken bool
-	// finishedAt is when a submission finished, by ID. For one that finished before
-	// the term it is when the term began.
-	finishedAt map[string]time.Duration
+	// finishedAt holds the submissions that have finished, by ID, until they are deleted.
+	finishedAt map[string]finishedSubmission
 	// finished are submissions whose final state is stored. They are removed once
 	// their runs are gone.
 	finished map[string]bool
-	// reduced are submissions whose progress is too large to be stored in full.
-	reduced map[string]bool
 	// removedHosts are hosts whose records are to be deleted from the log.
 	removedHosts []string
 
@@ -92,8 +89,8 @@
 func New(o Options) *Owner {
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), startSlots: make(chan struct{}, maxStartsInFlight), heartbeatSlot: make(chan struct{}, 1),
-		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), finishedAt: make(map[string]time.Duration), finished: make(map[string]bool),
-		reduced: make(map[string]bool), advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
+		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), finishedAt: make(map[string]finishedSubmission), finished: make(map[string]bool),
+		advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -107,7 +107,11 @@
 			return
 		}
 		if len(records) > 0 {
-			if err := ow.store(ctx, records); err != nil {
+			err := ow.store(ctx, records)
+			if errors.As(err, new(*worklog.UnstorableError)) {
+				continue // nothing that waits for the round counts as stored
+			}
+			if err != nil {
 				return
 			}
 			ow.hostRecordsStored(changed)
@@ -117,12 +121,17 @@
 	}
 }
 
-// store writes records in order. An error ends the term: the ownership is lost.
+// store writes records in order. An error ends the term: the ownership is lost. The exception
+// is a *worklog.UnstorableError, with which all other records are stored.
 func (ow *Owner) store(ctx context.Context, records []platform.Record) error {
+	var leftOut *worklog.UnstorableError
 	for len(records) > 0 {
 		n := min(len(records), maxRecordsPerAppend)
 		sentAt := ow.options.Clock.Now()
 		err := ow.options.Journal.Store(ctx, records[:n])
+		if unstorable := new(worklog.UnstorableError); errors.As(err, &unstorable) {
+			leftOut, err = unstorable, nil
+		}
 		if err != nil {
 			if errors.Is(err, platform.ErrFenced) {
 				ow.loseOwnership("the log has a higher fencing token")
@@ -138,69 +147,29 @@
 		}
 		records = records[n:]
 	}
-	return nil
-}
-
-// progressRecords returns the records of changed submissions, and the IDs of those
-// that are in a final state.
-func (ow *Owner) progressRecords() (records []platform.Record, finished []string) {
-	ow.mu.Lock()
-	defer ow.unlock()
-	if ow.broken {
-		return nil, nil
+	if leftOut != nil {
+		return leftOut
 	}
-	for _, id := range ow.scheduler.Changed() {
-		p, ok := ow.scheduler.Progress(id)
-		if !ok {
-			continue
-		}
-		records = append(records, ow.progressRecord(id, p))
-		if p.State.Final() {
-			// The summary limits what a starting node has to read.
-			records = append(records, registry.SubmissionRecord(ow.scheduler.Submission(id).Summary()))
-			finished = append(finished, id)
-		}
-	}
-	return records, finished
-}
-
-// progressRecord returns the record of the progress of a submission. If it exceeds the
-// limit of the store, it lacks what a later owner can do without: checkpoints, and then
-// the failures. Without a record nothing that has ended could be acknowledged.
-func (ow *Owner) progressRecord(id string, p cell.Progress) platform.Record {
-	r := registry.ProgressRecord(id, p)
-	for _, reduce := range []func(cell.Progress) cell.Progress{cell.Progress.WithoutCheckpoints, cell.Progress.WithoutFailures} {
-		err := r.Check()
-		if err == nil {
-			break
-		}
-		if !ow.reduced[id] {
-			ow.reduced[id] = true
-			ow.options.Log.Warn("The progress of a submission is stored without checkpoints or failures.", "id", id, "error", err)
-		}
-		p = reduce(p)
-		r = registry.ProgressRecord(id, p)
-	}
-	return r
+	return nil
 }
 
 // removeFinished removes from the scheduler the submissions whose final state is
 // stored and whose runs are gone.
-func (ow *Owner) removeFinished(ids []string) {
+func (ow *Owner) removeFinished(list []finishedSubmission) {
 	ow.mu.Lock()
 	defer ow.unlock()
 	if ow.broken {
 		return
 	}
 	now := ow.options.Clock.Now()
-	for _, id := range ids {
-		ow.finished[id] = true
-		ow.finishedAt[id] = now
+	for _, f := range list {
+		f.at = now
+		ow.finished[f.id] = true
+		ow.finishedAt[f.id] = f
 	}
 	for id := range ow.finished {
 		if ow.scheduler.RemoveSubmission(id) {
 			delete(ow.finished, id)
-			delete(ow.reduced, id)
 		}
 	}
 }
@@ -210,9 +179,9 @@
 func (ow *Owner) expiryRecords(now time.Duration) (records []platform.Record) {
 	ow.mu.Lock()
 	defer ow.unlock()
-	for id, at := range ow.finishedAt {
-		if now-at > ow.options.RetentionPeriod && len(records) < maxRecordsPerAppend {
-			records = append(records, registry.SubmissionDeletionRecords(id)...)
+	for id, f := range ow.finishedAt {
+		if now-f.at > ow.options.RetentionPeriod && len(records) < maxRecordsPerAppend {
+			records = append(records, registry.SubmissionDeletionRecords(id, f.parts)...)
 			delete(ow.finishedAt, id)
 		}
 	}
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -1,5 +1,10 @@
 package cell
 
+import (
+	"maps"
+	"slices"
+)
+
 // State is the state of a submission as callers see it.
 type State uint8
 
@@ -22,7 +27,8 @@
 
 // Progress is the stored progress of a submission, from which a later owner
 // continues: which tasks are done, how often tasks failed, and the checkpoints
-// from which they resume.
+// from which they resume. If it does not fit into one record, it is divided: Groups
+// is empty then, and the details are stored in parts; see ProgressPart.
 type Progress struct {
 	State State `json:"state"`
 	// Groups has an entry for each group with progress, under its GroupID.
@@ -30,43 +36,36 @@
 	// DoneGroups is a bit set of groups that are done and have no entry in Groups, by
 	// their number: the occurrence times the number of steps, plus the step. It keeps the
 	// progress of a submission with many groups small.
-	DoneGroups []byte `json:"done_groups,omitempty"`
-}
-
-// SetGroupDone marks a group as done.
-func (p *Progress) SetGroupDone(number int) { p.DoneGroups = setBit(p.DoneGroups, number) }
-
-// IsGroupDone reports whether a group is marked as done.
-func (p *Progress) IsGroupDone(number int) bool { return hasBit(p.DoneGroups, number) }
-
-// WithoutCheckpoints returns the progress without checkpoints: tasks that are lost start
-// from the beginning.
-func (p Progress) WithoutCheckpoints() Progress {
-	return p.reduced(func(g *GroupProgress) { g.Checkpoints = nil })
+	DoneGroups BitSet `json:"done_groups,omitempty"`
+	// DoneTasks is the bit set of the done tasks of a divided progress, by their number;
+	// see Submission.StepOffsets.
+	DoneTasks BitSet `json:"done_tasks,omitempty"`
+	// Divided is set if the details are stored in parts. StoredParts is the bit set of the
+	// parts that have a record.
+	Divided     bool   `json:"divided,omitempty"`
+	StoredParts BitSet `json:"stored_parts,omitempty"`
 }
 
-// WithoutFailures returns the progress without failed runs, crashes and trials: a later
-// owner counts them from zero.
-func (p Progress) WithoutFailures() Progress {
-	return p.reduced(func(g *GroupProgress) {
-		g.Failures, g.Crashes, g.UnconfirmedCrashes, g.Trials, g.TrialHosts = nil, nil, nil, nil, nil
-	})
-}
-
-func (p Progress) reduced(reduce func(g *GroupProgress)) Progress {
-	groups := make(map[string]GroupProgress, len(p.Groups))
-	for id, g := range p.Groups {
-		reduce(&g)
-		groups[id] = g
+// Join returns a divided progress with the details of its parts in Groups.
+func (p Progress) Join(parts map[int]ProgressPart) Progress {
+	if !p.Divided {
+		return p
+	}
+	p.Groups = make(map[string]GroupProgress)
+	p.StoredParts = nil
+	for _, number := range slices.Sorted(maps.Keys(parts)) {
+		p.StoredParts.Set(number)
+		for id, g := range parts[number].Groups {
+			p.Groups[id] = p.Groups[id].join(g)
+		}
 	}
-	p.Groups = groups
 	return p
 }
 
 // GroupProgress is the progress of one step in one occurrence.
 type GroupProgress struct {
 	// Done is a bit set of the indexes of the tasks that are done.
-	Done []byte `json:"done,omitempty"`
+	Done BitSet `json:"done,omitempty"`
 	// Failures lists the failed runs of each task by index, so that a run that a
 	// host lists again is counted once. The failures of a gang are stored under
 	// its first task.
@@ -86,18 +85,22 @@
 	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
 
-// SetDone marks a task as done.
-func (g *GroupProgress) SetDone(index int) { g.Done = setBit(g.Done, index) }
-
-// IsDone reports whether a task is done.
-func (g *GroupProgress) IsDone(index int) bool { return hasBit(g.Done, index) }
+// join returns the details of the tasks of g and of o, which are other tasks of the group.
+func (g GroupProgress) join(o GroupProgress) GroupProgress {
+	g.Failures = joinMaps(g.Failures, o.Failures)
+	g.Crashes = joinMaps(g.Crashes, o.Crashes)
+	g.UnconfirmedCrashes = joinMaps(g.UnconfirmedCrashes, o.UnconfirmedCrashes)
+	g.Trials = joinMaps(g.Trials, o.Trials)
+	g.TrialHosts = joinMaps(g.TrialHosts, o.TrialHosts)
+	g.Checkpoints = joinMaps(g.Checkpoints, o.Checkpoints)
+	return g
+}
 
-func setBit(bits []byte, i int) []byte {
-	if n := i/8 + 1; len(bits) < n {
-		bits = append(bits, make([]byte, n-len(bits))...)
+// joinMaps adds the entries of b to a, which may be nil, and returns it.
+func joinMaps[V any](a, b map[int]V) map[int]V {
+	if a == nil {
+		return maps.Clone(b)
 	}
-	bits[i/8] |= 1 << (i % 8)
-	return bits
+	maps.Copy(a, b)
+	return a
 }
-
-func hasBit(bits []byte, i int) bool { return i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 }
--- a/internal/cell/registry/decode.go
+++ b/internal/cell/registry/decode.go
@@ -74,6 +74,11 @@
 	return p, nil
 }
 
+func decodeProgressPart(rec platform.Record) (p cell.ProgressPart, err error) {
+	err = decode(rec, &p)
+	return p, err
+}
+
 // decodeCancel returns an error unless the record is that of a cancellation.
 func decodeCancel(rec platform.Record) error {
 	if string(rec.Value) != "true" {
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -1,6 +1,10 @@
 package registry
 
-import "github.com/medlarpulley/medlarpulley/internal/cell"
+import (
+	"maps"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
 
 // Entry is the stored state of one submission.
 type Entry struct {
@@ -12,6 +16,34 @@
 	Offset uint64
 
 	progressOffset uint64
+	// parts are those of a divided progress, by number. The map is never changed, since
+	// copies of the entry share it.
+	parts map[int]progressPart
+}
+
+// progressPart is a part of a divided progress with the log offset of its record.
+type progressPart struct {
+	cell.ProgressPart
+	offset uint64
+}
+
+// FullProgress returns the progress with all details, also if it is divided.
+func (e *Entry) FullProgress() cell.Progress {
+	parts := make(map[int]cell.ProgressPart, len(e.parts))
+	for number, p := range e.parts {
+		parts[number] = p.ProgressPart
+	}
+	return e.Progress.Join(parts)
+}
+
+// withPart returns the parts with another value of one of them.
+func (e *Entry) withPart(number int, p progressPart) map[int]progressPart {
+	out := maps.Clone(e.parts)
+	if out == nil {
+		out = make(map[int]progressPart)
+	}
+	out[number] = p
+	return out
 }
 
 // State returns the state that callers see.
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -18,6 +18,9 @@
 	prefixSubmission = "s/"
 	prefixProgress   = "p/"
 	prefixCancel     = "c/"
+	// partSeparator separates the ID of a submission from the number of a part of its
+	// progress. IDs do not contain it.
+	partSeparator = "/"
 	// prefixMark is followed by the name of the appender; see MarkRecord.
 	prefixMark = "a/"
 )
@@ -82,12 +85,30 @@
 // ProgressRecord returns the record of the progress of a submission.
 func ProgressRecord(id string, p cell.Progress) platform.Record { return record(prefixProgress+id, p) }
 
+// ProgressPartRecord returns the record of a part of a divided progress. That of an empty
+// part deletes it.
+func ProgressPartRecord(id string, number int, p cell.ProgressPart) platform.Record {
+	key := progressPartKey(id, number)
+	if len(p.Groups) == 0 {
+		return platform.Record{Key: key}
+	}
+	return record(key, p)
+}
+
+func progressPartKey(id string, number int) string {
+	return prefixProgress + id + partSeparator + strconv.Itoa(number)
+}
+
 // CancelRecord returns the record of a cancellation.
 func CancelRecord(id string) platform.Record { return record(prefixCancel+id, true) }
 
-// SubmissionDeletionRecords returns the records that delete every key of a submission.
-func SubmissionDeletionRecords(id string) []platform.Record {
-	return []platform.Record{{Key: prefixProgress + id}, {Key: prefixCancel + id}, {Key: prefixSubmission + id}}
+// SubmissionDeletionRecords returns the records that delete every key of a submission. The
+// stored parts of its progress are deleted first, so that they stay known until then.
+func SubmissionDeletionRecords(id string, parts cell.BitSet) (records []platform.Record) {
+	for _, number := range parts.Members() {
+		records = append(records, platform.Record{Key: progressPartKey(id, number)})
+	}
+	return append(records, platform.Record{Key: prefixProgress + id}, platform.Record{Key: prefixCancel + id}, platform.Record{Key: prefixSubmission + id})
 }
 
 // MarkRecord returns the record that marks one append of an appender. The registry
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -77,7 +78,7 @@
 	case strings.HasPrefix(key, prefixSubmission):
 		err = r.applySubmission(key[len(prefixSubmission):], rec)
 	case strings.HasPrefix(key, prefixProgress):
-		err = r.applyProgress(key[len(prefixProgress):], rec)
+		err = r.applyProgressKey(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
 		err = r.applyCancel(key[len(prefixCancel):], rec)
 	case strings.HasPrefix(key, prefixMark):
@@ -154,6 +155,19 @@
 	return *e, true
 }
 
+// applyProgressKey applies the record of a progress, or of one of its parts.
+func (r *Registry) applyProgressKey(name string, rec platform.Record) error {
+	id, part, divided := strings.Cut(name, partSeparator)
+	if !divided {
+		return r.applyProgress(id, rec)
+	}
+	number, err := strconv.Atoi(part)
+	if err != nil || number < 0 || number >= cell.MaxProgressParts || strconv.Itoa(number) != part {
+		return cell.NewFieldError(object(rec), "key", rec.Key, "a part of a progress")
+	}
+	return r.applyProgressPart(id, number, rec)
+}
+
 func (r *Registry) applyProgress(id string, rec platform.Record) error {
 	if len(rec.Value) == 0 {
 		return nil // the record that deletes the submission follows
@@ -173,9 +187,39 @@
 	e.progressOffset = rec.Offset
 	e.Progress = p
 	r.countOwnerWrite()
-	if p.State.Final() && e.Submission != nil {
-		e.Submission = e.Submission.Summary()
+	if p.State.Final() {
+		e.parts = nil
+		if e.Submission != nil {
+			e.Submission = e.Submission.Summary()
+		}
+	}
+	return nil
+}
+
+// applyProgressPart applies the record of a part of a divided progress.
+func (r *Registry) applyProgressPart(id string, number int, rec platform.Record) error {
+	s := r.shard(id)
+	if len(rec.Value) == 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if e := s.entries[id]; e != nil && e.parts != nil {
+			e.parts = maps.Clone(e.parts)
+			delete(e.parts, number)
+		}
+		return nil
+	}
+	p, err := decodeProgressPart(rec)
+	if err != nil {
+		return err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entry(id)
+	if rec.Offset < e.parts[number].offset || e.Progress.State.Final() {
+		return nil
+	}
+	e.parts = e.withPart(number, progressPart{p, rec.Offset})
+	r.countOwnerWrite()
 	return nil
 }
 
--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -178,6 +178,7 @@
 	i := slices.IndexFunc(t.crashes, func(o cell.Crash) bool { return o.Run == c.Run })
 	if i < 0 {
 		t.crashes = append(t.crashes, c)
+		t.detailsChanged()
 		return true
 	}
 	o := t.crashes[i]
@@ -190,6 +191,7 @@
 	}
 	c.Members = members
 	t.crashes = append(slices.Delete(slices.Clone(t.crashes), i, i+1), c)
+	t.detailsChanged()
 	return true
 }
 
@@ -219,6 +221,7 @@
 	t.crashes = slices.DeleteFunc(slices.Clone(t.crashes), old)
 	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c unconfirmedCrash) bool { return old(c.Crash) })
 	if len(t.crashes)+len(t.unconfirmed) < n {
+		t.detailsChanged()
 		s.changed[t.id.Submission] = true
 		s.endUnfoundedSuspicion(t.group.job)
 	}
@@ -239,6 +242,7 @@
 	j, t := t.group.job, t.countedAt()
 	if len(t.crashes) > 0 || len(t.unconfirmed) > 0 || t.trialRun != 0 {
 		t.crashes, t.unconfirmed, t.trialRun, t.trialHosts = nil, nil, 0, nil
+		t.detailsChanged()
 		s.changed[j.sub.ID] = true
 	}
 	if j.suspected {
--- a/internal/cell/schedule/ends.go
+++ b/internal/cell/schedule/ends.go
@@ -71,7 +71,11 @@
 		if m.waiting() {
 			g.waiting--
 		}
+		if m.hasDetails() {
+			m.detailsChanged()
+		}
 		m.done, m.checkpoint = true, ""
+		j.doneTasks.Set(g.firstTask + m.id.Index)
 		g.left--
 		j.left--
 		for _, a := range m.runs {
@@ -100,6 +104,7 @@
 		return
 	}
 	t.failures = append(t.failures, run)
+	t.detailsChanged()
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, h.spec.ID, "A run has failed.")
 	if j.queue.MaxAttempts > 0 && len(t.failures) >= j.queue.MaxAttempts {
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -14,6 +14,8 @@
 	step  *cell.Step
 	size  resource.Vector
 	tasks []*task
+	// firstTask is the number of its first task; see cell.Submission.StepOffsets.
+	firstTask int
 	// left counts the tasks that are not done, present the tasks with a run, and
 	// waiting the tasks that are not done and have no run.
 	left, present, waiting int
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -18,9 +18,14 @@
 	// steps is the number of steps; groups has one entry for each step of each
 	// occurrence.
 	steps int
-	state cell.State
+	// stepOffsets are the numbers of the first task of each step within an occurrence, and
+	// the number of tasks of one.
+	stepOffsets []int
+	state       cell.State
 	// left is the number of tasks that are not done.
 	left int
+	// doneTasks holds the numbers of the tasks that are done.
+	doneTasks cell.BitSet
 	// present is the number of tasks with runs.
 	present int
 	// unreconciled is set while the job may have runs of an earlier owner that
@@ -54,6 +59,8 @@
 	// idleSince is the result of Scheduler.idleSince in the decision idleSinceIn.
 	idleSince   time.Duration
 	idleSinceIn int64
+	// parts is set once the progress is divided; nil before.
+	parts *progressParts
 }
 
 func (j *job) group(id cell.GroupID) *group {
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -11,10 +11,6 @@
 // the clock of another machine.
 const maxSubmissionAge = 60 * time.Second
 
-// maxListedGroups is the number of groups of a submission up to which each group has an
-// entry of its own in the progress. An entry takes about 45 bytes.
-const maxListedGroups = 1000
-
 // Add adds an accepted submission. unreconciled is set if runs of an earlier
 // owner may exist that are not known yet.
 func (s *Scheduler) Add(sub *cell.Submission, p cell.Progress, unreconciled bool, now, wall time.Duration) {
@@ -28,7 +24,7 @@
 	}
 	s.lastArrival++
 	j := &job{
-		sub: sub, queue: q, team: s.team(sub.Team), steps: len(sub.Steps), state: p.State,
+		sub: sub, queue: q, team: s.team(sub.Team), steps: len(sub.Steps), stepOffsets: sub.StepOffsets(), state: p.State,
 		unreconciled: unreconciled && !s.reconciled, arrivalNumber: s.lastArrival, urgent: q.Priority == 0,
 	}
 	j.arrived = now - min(max(wall-sub.Received, 0), maxSubmissionAge)
@@ -40,6 +36,9 @@
 			j.groups = append(j.groups, s.newGroup(j, k, i, p))
 		}
 	}
+	if p.Divided {
+		j.parts = restoreProgressParts(p)
+	}
 	s.jobs[sub.ID] = j
 	if sub.Timed() {
 		s.timedJobs = append(s.timedJobs, j)
@@ -51,22 +50,30 @@
 
 func (s *Scheduler) newGroup(j *job, occurrence, number int, p cell.Progress) *group {
 	step := &j.sub.Steps[number]
-	g := &group{id: cell.GroupID{Submission: j.sub.ID, Occurrence: occurrence, Step: number}, job: j, step: step, size: step.Reserved()}
+	g := &group{
+		id: cell.GroupID{Submission: j.sub.ID, Occurrence: occurrence, Step: number}, job: j, step: step, size: step.Reserved(),
+		firstTask: occurrence*j.stepOffsets[j.steps] + j.stepOffsets[number],
+	}
 	stored := p.Groups[g.id.String()]
-	allDone := p.IsGroupDone(occurrence*len(j.sub.Steps) + number)
+	allDone := p.DoneGroups.Has(occurrence*len(j.sub.Steps) + number)
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: allDone || stored.IsDone(i), failures: stored.Failures[i], crashes: stored.Crashes[i],
+			group: g, done: allDone || stored.Done.Has(i) || p.DoneTasks.Has(g.firstTask+i), failures: stored.Failures[i], crashes: stored.Crashes[i],
 			trialRun: stored.Trials[i], trialHosts: stored.TrialHosts[i], checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		s.restoreUnconfirmed(t, stored.UnconfirmedCrashes[i])
-		if !t.done {
+		if t.done {
+			j.doneTasks.Set(g.firstTask + i)
+		} else {
 			j.suspected = j.suspected || t.suspectedCause()
 			g.left++
 			g.waiting++
 			j.left++
 		}
+		if step.Gang && i > 0 {
+			t.checkpoint = "" // that of a gang is kept at its first task
+		}
 		g.tasks = append(g.tasks, t)
 	}
 	return g
@@ -108,6 +115,14 @@
 	}
 }
 
+// Fail gives a submission up for a reason that lies outside of its tasks.
+func (s *Scheduler) Fail(id, reason string, now time.Duration) {
+	s.now = now
+	if j := s.jobs[id]; j != nil {
+		s.finalize(j, cell.Failed, reason)
+	}
+}
+
 // finalize gives a job a final state and orders its runs to stop.
 func (s *Scheduler) finalize(j *job, state cell.State, reason string) {
 	if j.state.Final() {
@@ -200,82 +215,6 @@
 	return nil
 }
 
-// Progress returns the progress of a submission that has to be stored; ok is
-// false if the submission is unknown.
-func (s *Scheduler) Progress(id string) (p cell.Progress, ok bool) {
-	j := s.jobs[id]
-	if j == nil {
-		return p, false
-	}
-	p.State = j.state
-	if j.state.Final() {
-		return p, true
-	}
-	for i, g := range j.groups {
-		if g.left == 0 && len(j.groups) > maxListedGroups {
-			p.SetGroupDone(i)
-			continue
-		}
-		if gp, any := g.progress(); any {
-			if p.Groups == nil {
-				p.Groups = make(map[string]cell.GroupProgress)
-			}
-			p.Groups[g.id.String()] = gp
-		}
-	}
-	return p, true
-}
-
-func (g *group) progress() (p cell.GroupProgress, any bool) {
-	for i, t := range g.tasks {
-		if t.done {
-			p.SetDone(i)
-			any = true
-			continue
-		}
-		if len(t.failures) > 0 {
-			if p.Failures == nil {
-				p.Failures = make(map[int][]int64)
-			}
-			p.Failures[i] = t.failures
-			any = true
-		}
-		if len(t.crashes) > 0 {
-			if p.Crashes == nil {
-				p.Crashes = make(map[int][]cell.Crash)
-			}
-			p.Crashes[i] = t.crashes
-			any = true
-		}
-		if len(t.unconfirmed) > 0 {
-			if p.UnconfirmedCrashes == nil {
-				p.UnconfirmedCrashes = make(map[int][]cell.UnconfirmedCrash)
-			}
-			p.UnconfirmedCrashes[i] = t.storedUnconfirmed()
-			any = true
-		}
-		if t.trialRun != 0 {
-			if p.Trials == nil {
-				p.Trials = make(map[int]int64)
-			}
-			p.Trials[i] = t.trialRun
-			if p.TrialHosts == nil {
-				p.TrialHosts = make(map[int][]cell.HostInstance)
-			}
-			p.TrialHosts[i] = t.trialHosts
-			any = true
-		}
-		if t.checkpoint != "" {
-			if p.Checkpoints == nil {
-				p.Checkpoints = make(map[int]string)
-			}
-			p.Checkpoints[i] = t.checkpoint
-			any = true
-		}
-	}
-	return p, any
-}
-
 // TasksLeft returns the number of tasks of a submission that are not done; zero if the
 // submission is unknown.
 func (s *Scheduler) TasksLeft(id string) int {
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -75,17 +75,14 @@
 
 // recordCheckpoint records the checkpoint from which a task resumes. The
 // checkpoint of any member is valid for a gang, and all members must resume
-// from the same one.
+// from the same one, which is kept at the first task.
 func (s *Scheduler) recordCheckpoint(t *task, value string) {
 	if !t.group.step.Checkpoints {
 		return
 	}
-	if !t.group.step.Gang {
+	if t = t.countedAt(); t.checkpoint != value {
 		t.checkpoint = value
-		return
-	}
-	for _, m := range t.group.tasks {
-		m.checkpoint = value
+		t.detailsChanged()
 	}
 }
 
@@ -120,7 +117,7 @@
 
 // attach records a run that is or may be present on a host.
 func (s *Scheduler) attach(t *task, h *host, run int64) *taskRun {
-	a := &taskRun{task: t, run: run, host: h, orderedAt: s.now, checkpoint: t.checkpoint, resumed: t.checkpoint != ""}
+	a := &taskRun{task: t, run: run, host: h, orderedAt: s.now, checkpoint: t.resumesFrom(), resumed: t.resumesFrom() != ""}
 	if len(t.runs) == 0 {
 		t.group.present++
 		t.group.job.present++
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -291,7 +291,7 @@
 	g.trialSince, g.givenBack, g.tooWide, g.notTried = 0, nil, false, false
 	g.ignoresReservations = g.step.LongRunning
 	s.plan.Starts = append(s.plan.Starts, Start{
-		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.checkpoint, Ticket: value, Waited: waited,
+		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.resumesFrom(), Ticket: value, Waited: waited,
 	})
 }
 
--- /dev/null
+++ b/internal/cell/schedule/progress.go
@@ -0,0 +1,87 @@
+package schedule
+
+import "github.com/medlarpulley/medlarpulley/internal/cell"
+
+// maxListedGroups is the number of groups of a submission up to which each group has an
+// entry of its own in the progress. An entry takes about 45 bytes.
+const maxListedGroups = 1000
+
+// Progress returns the progress of a submission that has to be stored as one record; ok is
+// false if the submission is unknown.
+func (s *Scheduler) Progress(id string) (p cell.Progress, ok bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return p, false
+	}
+	p.State = j.state
+	if j.state.Final() {
+		if j.parts != nil {
+			p.StoredParts = j.parts.storedSet() // they are deleted with the submission
+		}
+		return p, true
+	}
+	for i, g := range j.groups {
+		if g.left == 0 && len(j.groups) > maxListedGroups {
+			p.DoneGroups.Set(i)
+			continue
+		}
+		if gp, any := g.progress(); any {
+			if p.Groups == nil {
+				p.Groups = make(map[string]cell.GroupProgress)
+			}
+			p.Groups[g.id.String()] = gp
+		}
+	}
+	return p, true
+}
+
+func (g *group) progress() (p cell.GroupProgress, any bool) {
+	for i, t := range g.tasks {
+		switch {
+		case t.done:
+			p.Done.Set(i)
+			any = true
+		case t.hasDetails():
+			t.addDetails(&p)
+			any = true
+		}
+		if c := t.resumesFrom(); c != "" && !t.done {
+			setDetail(&p.Checkpoints, i, c) // that of a gang is listed for each member
+			any = true
+		}
+	}
+	return p, any
+}
+
+// hasDetails reports whether more is to be stored of the task than whether it is done.
+func (t *task) hasDetails() bool {
+	return !t.done && (len(t.failures) > 0 || len(t.crashes) > 0 || len(t.unconfirmed) > 0 || t.trialRun != 0 || t.checkpoint != "")
+}
+
+// addDetails adds the details of the task to the progress of its group.
+func (t *task) addDetails(p *cell.GroupProgress) {
+	i := t.id.Index
+	if len(t.failures) > 0 {
+		setDetail(&p.Failures, i, t.failures)
+	}
+	if len(t.crashes) > 0 {
+		setDetail(&p.Crashes, i, t.crashes)
+	}
+	if len(t.unconfirmed) > 0 {
+		setDetail(&p.UnconfirmedCrashes, i, t.storedUnconfirmed())
+	}
+	if t.trialRun != 0 {
+		setDetail(&p.Trials, i, t.trialRun)
+		setDetail(&p.TrialHosts, i, t.trialHosts)
+	}
+	if t.checkpoint != "" {
+		setDetail(&p.Checkpoints, i, t.checkpoint)
+	}
+}
+
+func setDetail[V any](m *map[int]V, i int, v V) {
+	if *m == nil {
+		*m = make(map[int]V)
+	}
+	(*m)[i] = v
+}
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -24,6 +24,7 @@
 	// gang is recorded at its first task. trialHosts are its hosts.
 	trialRun   int64
 	trialHosts []cell.HostInstance
+	// checkpoint is the newest one of the task; that of a gang is recorded at its first task.
 	checkpoint string
 	lastRun    int64
 	// waitingSince is when the task became ready, or ready again after its last
@@ -39,6 +40,10 @@
 // waiting reports whether the task is not done and has no run.
 func (t *task) waiting() bool { return !t.done && len(t.runs) == 0 }
 
+// resumesFrom returns the checkpoint from which the next run of the task resumes, empty if
+// there is none.
+func (t *task) resumesFrom() string { return t.countedAt().checkpoint }
+
 // phase is the state of a run.
 type phase uint8
 
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -13,6 +13,7 @@
 	}
 	if on := h.instance(); !slices.Contains(t.trialHosts, on) {
 		t.trialHosts = append(slices.Clip(t.trialHosts), on) // a stored copy may be read meanwhile
+		t.detailsChanged()
 	}
 }
 
@@ -28,6 +29,7 @@
 func (t *task) forgetTrial(run int64) {
 	if c := t.countedAt(); c.trialRun == run {
 		c.trialRun, c.trialHosts = 0, nil
+		c.detailsChanged()
 	}
 }
 
@@ -42,6 +44,7 @@
 			}
 			c, crashed := s.crashOfTrial(t)
 			t.trialRun, t.trialHosts = 0, nil
+			t.detailsChanged()
 			s.changed[t.id.Submission] = true
 			if !crashed {
 				continue
--- a/internal/cell/schedule/unconfirmed.go
+++ b/internal/cell/schedule/unconfirmed.go
@@ -39,6 +39,7 @@
 // addUnconfirmed adds an unconfirmed crash. Several members of a gang on one host count
 // once.
 func (s *Scheduler) addUnconfirmed(t *task, c cell.UnconfirmedCrash) {
+	t.detailsChanged()
 	for i := range t.unconfirmed {
 		if o := &t.unconfirmed[i]; o.Run == c.Run && o.Host == c.Host {
 			o.Members = joinMembers(o.Members, c.Members)
@@ -151,6 +152,7 @@
 			continue
 		}
 		t.unconfirmed = left
+		t.detailsChanged()
 		s.changed[t.id.Submission] = true
 		for _, c := range settled {
 			count(t, c)
--- a/internal/cell/submission.go
+++ b/internal/cell/submission.go
@@ -43,3 +43,14 @@
 func (s *Submission) Due(occurrence int) time.Duration {
 	return TimeAfter(s.FirstDue, s.Interval, occurrence)
 }
+
+// StepOffsets returns the number of the first task of each step within an occurrence, and,
+// last, the number of tasks of an occurrence. The tasks of a submission are numbered from 0
+// by occurrence, step and index.
+func (s *Submission) StepOffsets() []int {
+	offsets := make([]int, len(s.Steps)+1)
+	for i := range s.Steps {
+		offsets[i+1] = offsets[i] + s.Steps[i].Count
+	}
+	return offsets
+}
--- a/internal/cell/worklog/journal.go
+++ b/internal/cell/worklog/journal.go
@@ -47,11 +47,11 @@
 
 // Store stores records in order. It retries until they are stored, the owner is
 // fenced, the store has certainly not stored them and expects another sequence
-// number, or ctx ends. After an error, every later call fails at once. A record that
+// number, or ctx ends. After such an error, every later call fails at once. A record that
 // can never be stored is left out, since it would hold up all others; its key keeps the
-// value that it had.
+// value that it had. The error is then an *UnstorableError, and the journal goes on.
 func (j *Journal) Store(ctx context.Context, records []platform.Record) error {
-	records = j.storable(records)
+	records, unstorable := j.storable(records)
 	for len(records) > 0 {
 		n := fitsOneAppend(records)
 		if err := j.storeOnce(ctx, records[:n]); err != nil {
@@ -59,6 +59,9 @@
 		}
 		records = records[n:]
 	}
+	if unstorable != nil {
+		return unstorable
+	}
 	return nil
 }
 
@@ -91,17 +94,22 @@
 	return len(records)
 }
 
-// storable returns the records that the store accepts, and logs the others.
-func (j *Journal) storable(records []platform.Record) []platform.Record {
-	out := make([]platform.Record, 0, len(records))
+// storable returns the records that the store accepts, and logs the others. The error is
+// nil if there are none.
+func (j *Journal) storable(records []platform.Record) (out []platform.Record, unstorable *UnstorableError) {
+	out = make([]platform.Record, 0, len(records))
 	for _, r := range records {
 		if err := r.Check(); err != nil {
 			j.Log.Error("A record cannot be stored and is left out.", "error", err)
+			if unstorable == nil {
+				unstorable = &UnstorableError{}
+			}
+			unstorable.Keys = append(unstorable.Keys, r.Key)
 			continue
 		}
 		out = append(out, r)
 	}
-	return out
+	return out, unstorable
 }
 
 func (j *Journal) append(ctx context.Context, records []platform.Record, onRefused func(try int) (giveUp bool)) error {
--- a/internal/cell/worklog/odd_records_test.go
+++ b/internal/cell/worklog/odd_records_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"testing"
@@ -62,7 +63,7 @@
 }
 
 // Guards against an owner that repeats an append for ever, since one of its records can
-// never be stored.
+// never be stored, and against one that takes this record as stored.
 func TestJournalLeavesOutOddRecords(t *testing.T) {
 	for name, odd := range oddRecords {
 		t.Run(name, func(t *testing.T) {
@@ -71,12 +72,16 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			records := []platform.Record{{Key: "x", Value: []byte("1")}, odd, {Key: "y", Value: []byte("1")}}
-			if err := j.Store(ctx, records); err != nil {
-				t.Errorf("store: %v", err)
+			var unstorable *UnstorableError
+			if err := j.Store(ctx, records); !errors.As(err, &unstorable) || len(unstorable.Keys) != 1 || unstorable.Keys[0] != odd.Key {
+				t.Errorf("store: %v, want an error that names the odd record", err)
 			}
 			if stored := keys(store)(); len(stored) != 2 {
 				t.Errorf("stored under %.100q", stored)
 			}
+			if err := j.Store(ctx, records[:1]); err != nil {
+				t.Errorf("store after that: %v", err)
+			}
 		})
 	}
 }
