Bound the work of a decision also within one step

Cause: a decision walked all tasks of the step for each pair of a task and a host, and its budget was checked between groups only. Ruled out: the encoding and the sending of orders, which come after the decision that did not end.

Now runs are counted per host as they come and go, the budget is checked for each task, and tasks behind one that fits nowhere are not searched again.

Why it works: the cost of a decision depends on the budget, and beside that on the tasks of a step once, no longer on their product with hosts and tasks.

--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -19,30 +19,13 @@
 
 // execute sends the orders of a plan.
 func (ow *Owner) execute(ctx context.Context, p *schedule.Plan) {
-	for _, s := range p.Starts {
-		ow.sendStart(ctx, s)
-	}
-	ow.sendStops(ctx, p.Stops)
+	sendAll(ctx, ow, ow.starts, p.Starts, ow.start)
+	sendAll(ctx, ow, ow.stops, p.Stops, ow.stop)
 	for _, a := range p.AdviceRequests {
 		ow.runGuarded(func() { ow.requestAdvice(ctx, a) })
 	}
 }
 
-// sendStart sends a start order in a goroutine once fewer than maxStartsInFlight are in
-// flight.
-func (ow *Owner) sendStart(ctx context.Context, s schedule.Start) {
-	select {
-	case ow.startSlots <- struct{}{}:
-	case <-ctx.Done():
-		return
-	}
-	ow.runGuarded(func() {
-		defer func() { <-ow.startSlots }()
-		ow.start(ctx, s)
-		ow.requestDecision()
-	})
-}
-
 func (ow *Owner) poller(id string) *hostPoller {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -24,8 +24,6 @@
 	// on decisions.
 	batchWindowFactor = 4
 	maxBatchWindow    = 25 * time.Millisecond
-	// maxStartsInFlight bounds the start orders that are sent and not answered.
-	maxStartsInFlight = 512
 )
 
 // Owner executes the scheduler's decisions during one term, that is, while this
@@ -35,9 +33,10 @@
 	authority authority
 	// wake triggers a decision.
 	wake chan struct{}
-	// startSlots limits the start orders in flight, heartbeatSlot the heartbeats to one.
-	startSlots, heartbeatSlot chan struct{}
-	stops                     stopQueue
+	// heartbeatSlot limits the heartbeats in flight to one.
+	heartbeatSlot chan struct{}
+	starts        *orderQueue[schedule.Start]
+	stops         *orderQueue[schedule.Stop]
 
 	mu        sync.Mutex
 	scheduler *schedule.Scheduler
@@ -88,7 +87,7 @@
 // New returns an owner for the term that began with its claim.
 func New(o Options) *Owner {
 	ow := &Owner{
-		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), startSlots: make(chan struct{}, maxStartsInFlight), heartbeatSlot: make(chan struct{}, 1),
+		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), heartbeatSlot: make(chan struct{}, 1), starts: newStartQueue(), stops: newStopQueue(),
 		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), finishedAt: make(map[string]finishedSubmission), finished: make(map[string]bool),
 		advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
@@ -211,6 +210,7 @@
 	ow.updateDesired()
 	ow.applyEvents()
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
+	ow.scheduler.SetStartRoom(max(maxWaitingStarts-ow.starts.waitingCount(), 0))
 	startedAt := ow.options.Clock.Now()
 	p = ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
@@ -271,12 +271,5 @@
 	ow.mu.Lock()
 	ow.stopping.Store(true)
 	ow.mu.Unlock()
-	for range cap(ow.startSlots) {
-		select {
-		case ow.startSlots <- struct{}{}:
-		case <-ctx.Done():
-			return false
-		}
-	}
-	return ow.endStops(ctx) && ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
+	return ow.starts.end(ctx) && ow.stops.end(ctx) && ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
 }
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -30,7 +30,9 @@
 	}
 	if hosts := s.chooseHosts(g, len(tasks), true); hosts != nil {
 		s.setWaitReason(g, waitNone)
-		s.startGang(g, tasks, hosts)
+		if s.hasStartRoom() {
+			s.startGang(g, tasks, hosts)
+		}
 		return
 	}
 	if g.policy() != nil && len(g.advice.tickets) == 0 {
@@ -221,8 +223,10 @@
 // on them until the answer is expected.
 func (s *Scheduler) renewTickets(g *group, hosts []*host) {
 	var named []*host
+	known := make(map[*host]bool)
 	for _, h := range hosts {
-		if !slices.Contains(named, h) {
+		if !known[h] {
+			known[h] = true
 			named = append(named, h)
 		}
 	}
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -19,6 +19,14 @@
 	// left counts the tasks that are not done, present the tasks with a run, and
 	// waiting the tasks that are not done and have no run.
 	left, present, waiting int
+	// runsPerHost counts the runs on each host that has some. A step may have as many tasks
+	// as a submission, so that they must not be counted anew for each host or task.
+	runsPerHost map[*host]int
+	// stopsOrdered is set once all runs have been ordered to stop, until another one begins.
+	stopsOrdered bool
+	// endsBy is the result of Scheduler.expectedGroupEnd in the decision endsByIn.
+	endsBy   time.Duration
+	endsByIn int64
 	// ready is set once the earlier steps are done and the occurrence is due.
 	ready   bool
 	readyAt time.Duration
@@ -60,9 +68,15 @@
 }
 
 // waitingTasks returns the tasks that wait to be started.
-func (g *group) waitingTasks() []*task {
-	out := make([]*task, 0, g.waiting)
+func (g *group) waitingTasks() []*task { return g.firstWaitingTasks(g.waiting) }
+
+// firstWaitingTasks returns the first tasks that wait to be started, at most some of them.
+func (g *group) firstWaitingTasks(most int) []*task {
+	out := make([]*task, 0, min(most, g.waiting))
 	for _, t := range g.tasks {
+		if len(out) >= most {
+			break
+		}
 		if t.waiting() {
 			out = append(out, t)
 		}
@@ -71,15 +85,16 @@
 }
 
 // runsOn returns how many runs of the group are on a host.
-func (g *group) runsOn(h *host) (n int) {
-	for _, t := range g.tasks {
-		for _, a := range t.runs {
-			if a.host == h {
-				n++
-			}
-		}
+func (g *group) runsOn(h *host) int { return g.runsPerHost[h] }
+
+// countRun adds to the number of runs on a host.
+func (g *group) countRun(h *host, n int) {
+	if g.runsPerHost == nil {
+		g.runsPerHost = make(map[*host]int)
+	}
+	if g.runsPerHost[h] += n; g.runsPerHost[h] == 0 {
+		delete(g.runsPerHost, h)
 	}
-	return n
 }
 
 // estimate returns how long a task is expected to take on a host, or on a host
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -59,6 +59,7 @@
 	// idleSince is the result of Scheduler.idleSince in the decision idleSinceIn.
 	idleSince   time.Duration
 	idleSinceIn int64
+	survival    survival
 	// parts is set once the progress is divided; nil before.
 	parts *progressParts
 }
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -178,6 +178,10 @@
 }
 
 func (s *Scheduler) stopGroup(g *group, reason string) {
+	if g.stopsOrdered || g.present == 0 {
+		return
+	}
+	g.stopsOrdered = true
 	for _, t := range g.tasks {
 		for _, a := range t.runs {
 			s.stop(a, reason)
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -126,6 +126,9 @@
 		}
 	}
 	t.runs = append(t.runs, a)
+	t.group.countRun(h, 1)
+	t.group.stopsOrdered = false
+	t.group.job.survival = survival{}
 	t.lastRun = max(t.lastRun, run)
 	h.runs[runKey{t.id, run}] = a
 	h.used = h.used.Add(t.group.size)
@@ -151,10 +154,12 @@
 	}
 	a.host.bestEffortCPU -= a.task.group.bestEffortCPU()
 	j := a.task.group.job
+	j.survival = survival{}
 	j.team.addUsage(a.task.group.step.Size, a.task.group.urgent(), -1, s.now)
 	for i, other := range a.task.runs {
 		if other == a {
 			a.task.runs = append(a.task.runs[:i:i], a.task.runs[i+1:]...)
+			a.task.group.countRun(a.host, -1)
 			break
 		}
 	}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -185,11 +186,15 @@
 
 // placeTasks starts the waiting tasks of a group one by one, at most some of them.
 func (s *Scheduler) placeTasks(g *group, most int) {
-	tasks := g.waitingTasks()
+	most = min(most, g.job.team.tasksUnderLimit(g.step.Size, g.urgent()))
+	var tasks []*task
 	if g.trial {
+		tasks = g.waitingTasks()
 		slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+		tasks = tasks[:min(most, len(tasks))]
+	} else {
+		tasks = g.firstWaitingTasks(most)
 	}
-	tasks = tasks[:min(most, g.job.team.tasksUnderLimit(g.step.Size, g.urgent()), len(tasks))]
 	if len(tasks) == 0 {
 		s.setWaitReason(g, waitLimit)
 		return
@@ -204,18 +209,29 @@
 			withTicket = append(withTicket, h)
 		}
 	}
-	unplaced := 0
-	for _, t := range tasks {
-		h := s.bestHost(g, withTicket, t)
+	if unplaced := s.placeEach(g, tasks, withTicket); unplaced > 0 && s.mayRequestAdvice(g) {
+		s.requestTicketsForUnplaced(g, unplaced)
+	}
+}
+
+// placeEach starts tasks of a group on hosts, as far as the work of one decision and the
+// orders that wait to be sent allow; the others are placed in the next decisions. It returns
+// how many fit on none of the hosts.
+func (s *Scheduler) placeEach(g *group, tasks []*task, hosts []*host) (unplaced int) {
+	for i, t := range tasks {
+		if i > 0 && s.work.exhausted() || !s.hasStartRoom() {
+			return 0
+		}
+		h := s.bestHost(g, hosts, t)
 		if h == nil {
-			unplaced++
-			continue
+			return len(tasks) - i // the others are of the same size
 		}
 		s.start(t, h, t.lastRun+1)
+		if s.tasksThatFit(g, h) < 1 {
+			hosts = slices.DeleteFunc(hosts, func(o *host) bool { return o == h })
+		}
 	}
-	if unplaced > 0 && s.mayRequestAdvice(g) {
-		s.requestTicketsForUnplaced(g, unplaced)
-	}
+	return 0
 }
 
 func (s *Scheduler) bestHost(g *group, hosts []*host, t *task) (best *host) {
@@ -290,6 +306,7 @@
 	}
 	g.trialSince, g.givenBack, g.tooWide, g.notTried = 0, nil, false, false
 	g.ignoresReservations = g.step.LongRunning
+	s.startRoom--
 	s.plan.Starts = append(s.plan.Starts, Start{
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.resumesFrom(), Ticket: value, Waited: waited,
 	})
@@ -312,18 +329,30 @@
 // end within the duration d.
 func (s *Scheduler) readyWithin(g *group, d time.Duration) bool {
 	for _, a := range g.step.After {
-		for _, t := range g.job.groups[g.id.Occurrence*g.job.steps+a].tasks {
-			if t.done {
-				continue
-			}
-			if len(t.runs) == 0 {
-				return false
-			}
-			first := t.runs[0]
-			if first.acceptedAt == 0 || first.acceptedAt+g.job.groups[a].estimate(first.host) > s.now+d {
-				return false
-			}
+		if s.expectedGroupEnd(g.job.groups[g.id.Occurrence*g.job.steps+a]) > s.now+d {
+			return false
 		}
 	}
 	return true
 }
+
+// expectedGroupEnd returns when all tasks of a group are expected to be done, a very late
+// time if one of them is not known to run. Many steps may depend on one with many tasks, so
+// that its tasks are examined once in a decision.
+func (s *Scheduler) expectedGroupEnd(g *group) time.Duration {
+	if g.endsByIn == s.decision {
+		return g.endsBy
+	}
+	g.endsByIn, g.endsBy = s.decision, 0
+	for _, t := range g.tasks {
+		if t.done {
+			continue
+		}
+		if len(t.runs) == 0 || t.runs[0].acceptedAt == 0 {
+			g.endsBy = math.MaxInt64
+			break
+		}
+		g.endsBy = max(g.endsBy, t.runs[0].acceptedAt+g.estimate(t.runs[0].host))
+	}
+	return g.endsBy
+}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -76,7 +77,9 @@
 	queueBuffer []queueEntry
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
 	adviceRoom *cell.AdviceRoom
-	changed    map[string]bool
+	// startRoom is how many starts may be planned until SetStartRoom is called again.
+	startRoom int
+	changed   map[string]bool
 	// logMessages holds the messages that TakeLogMessages returns next.
 	logMessages []LogMessage
 	// usageReported is set once a host has reported the usage of a run. From
@@ -95,7 +98,7 @@
 func New(o Options) *Scheduler {
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
-		teams: make(map[string]*team), changed: make(map[string]bool), risks: make(map[string]*queueRisk), unconfirmed: make(map[string][]*task), plan: &Plan{},
+		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(map[string]*queueRisk), unconfirmed: make(map[string][]*task), plan: &Plan{},
 	}
 }
 
@@ -209,6 +212,13 @@
 	}
 }
 
+// SetStartRoom sets how many starts the next decision may plan, so that urgent work does not
+// wait behind the orders of others. The groups that come first in the queue use it. A gang
+// starts whole if there is any room.
+func (s *Scheduler) SetStartRoom(n int) { s.startRoom = n }
+
+func (s *Scheduler) hasStartRoom() bool { return s.startRoom > 0 }
+
 // Changed returns the submissions whose progress has changed since the last call.
 func (s *Scheduler) Changed() []string {
 	if len(s.changed) == 0 {
--- a/internal/cell/schedule/stragglers.go
+++ b/internal/cell/schedule/stragglers.go
@@ -24,6 +24,7 @@
 // stopHungAndCopySlowRuns stops hung runs, starts speculative copies of slow ones
 // and stops gangs whose members have not ended after one of them has.
 func (s *Scheduler) stopHungAndCopySlowRuns() {
+	s.work.limit = s.work.used + s.maxHeadWork()/restDivisor
 	for _, g := range s.groups {
 		if g.memberEnded && s.now > g.memberEndedAt+gangExitTimeout {
 			s.stopGroup(g, "another member of the gang has ended")
@@ -35,10 +36,9 @@
 			s.stopHungGang(g)
 			continue
 		}
-		for _, t := range g.tasks {
-			if len(t.runs) == 1 && !t.done {
-				s.stopOrCopyRun(g, t, t.runs[0])
-			}
+		s.stopHungRuns(g)
+		if g.step.AllowCopies {
+			s.copySlowRuns(g)
 		}
 	}
 }
@@ -56,9 +56,13 @@
 	return min(noProgressTimeout<<min(t.hungRuns, enough), maxNoProgressTimeout)
 }
 
-// stopOrCopyRun stops a run that is hung, or starts a copy of it if it is slow.
-func (s *Scheduler) stopOrCopyRun(g *group, t *task, a *taskRun) {
-	if s.hung(a) {
+// stopHungRuns stops the runs of a group that show no progress.
+func (s *Scheduler) stopHungRuns(g *group) {
+	for _, t := range g.tasks {
+		if len(t.runs) != 1 || t.done || !s.hung(t.runs[0]) {
+			continue
+		}
+		a := t.runs[0]
 		if t.hungRuns == 0 {
 			// Later on the task is the more likely cause.
 			a.host.health.avoid(s.now, hungHostAvoidDuration)
@@ -66,19 +70,57 @@
 		t.hungRuns++
 		t.failedOn = a.host.spec.ID
 		s.stop(a, "the run makes no progress")
-		return
 	}
-	threshold := max(time.Duration(copyThresholdFactor*float64(g.step.Estimate)), minCopyThreshold)
-	if !g.step.AllowCopies || a.phase != phaseRunning || a.adopted || s.now-a.orderedAt < threshold || g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) < 1 {
-		return
+}
+
+// copySlowRuns starts copies of the slow runs of a group, as far as the work of one decision
+// allows.
+func (s *Scheduler) copySlowRuns(g *group) {
+	var hosts []*host // those that could take a copy; looked up for the first slow run
+	for _, t := range g.tasks {
+		if len(t.runs) != 1 || t.done || !s.isSlow(t.runs[0]) {
+			continue
+		}
+		if s.work.exhausted() || !s.hasStartRoom() || g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) < 1 {
+			return
+		}
+		if hosts == nil {
+			hosts = s.hostsForCopies(g)
+		}
+		if len(hosts) == 0 {
+			return
+		}
+		s.copyRun(t, hosts)
 	}
-	var others []*host
+}
+
+// isSlow reports whether a run has taken so long that a copy of it may be started.
+func (s *Scheduler) isSlow(a *taskRun) bool {
+	threshold := max(time.Duration(copyThresholdFactor*float64(a.task.group.step.Estimate)), minCopyThreshold)
+	return a.phase == phaseRunning && !a.adopted && s.now-a.orderedAt >= threshold
+}
+
+// hostsForCopies returns the hosts on which a copy of a task of a group fits now.
+func (s *Scheduler) hostsForCopies(g *group) (hosts []*host) {
 	for _, h := range s.sortedHosts {
-		if _, ok := g.ticketFor(h, s.now); ok && h != a.host && s.eligible(g, h) && h.health.slowness <= a.host.health.slowness {
+		if _, ok := g.ticketFor(h, s.now); ok && s.eligible(g, h) && s.tasksThatFit(g, h) > 0 {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// copyRun starts a copy of the run of a task on one of the hosts that is no slower.
+func (s *Scheduler) copyRun(t *task, hosts []*host) {
+	a := t.runs[0]
+	var others []*host
+	for _, h := range hosts {
+		if h != a.host && h.health.slowness <= a.host.health.slowness {
 			others = append(others, h)
 		}
 	}
-	if h := s.bestHost(g, others, t); h != nil {
+	s.work.used += len(hosts)
+	if h := s.bestHost(t.group, others, t); h != nil {
 		s.logMessage(t.id.Submission, h.spec.ID, "A copy of a slow run is started.")
 		s.start(t, h, t.lastRun+1)
 	}
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -134,13 +134,40 @@
 		return g.run != 0 || g.present == 0
 	}
 	if g.step.LongRunning {
-		return s.runsSurvived(g.job, (*taskRun).survivedStart)
+		return s.runsSurvivedStart(g.job)
 	}
-	return s.runsSurvived(g.job, (*taskRun).survivedTrial)
+	return s.runsSurvivedTrial(g.job)
+}
+
+// survival caches the results of runsSurvived in one decision, while no run of the job
+// begins or ends.
+type survival struct {
+	decision     int64
+	start, trial *bool
+}
+
+// runsSurvivedStart and runsSurvivedTrial report whether all runs of the job have survived
+// their start, or a trial. They examine all groups of the job, unless there are no runs, so
+// that this is done once in a decision.
+func (s *Scheduler) runsSurvivedStart(j *job) bool {
+	return s.cachedSurvival(j, &j.survival.start, (*taskRun).survivedStart)
+}
+
+func (s *Scheduler) runsSurvivedTrial(j *job) bool {
+	return s.cachedSurvival(j, &j.survival.trial, (*taskRun).survivedTrial)
+}
+
+func (s *Scheduler) cachedSurvival(j *job, result **bool, survived func(*taskRun, time.Duration) bool) bool {
+	if j.survival.decision != s.decision {
+		j.survival = survival{decision: s.decision}
+	}
+	if *result == nil {
+		ok := s.runsSurvived(j, survived)
+		*result = &ok
+	}
+	return **result
 }
 
-// runsSurvived reports whether all runs of the job have survived what the function tells. It
-// examines all groups of the job, unless there are no runs.
 func (s *Scheduler) runsSurvived(j *job, survived func(*taskRun, time.Duration) bool) bool {
 	if !j.hasRuns() {
 		return true
--- a/internal/cell/schedule/trial_place.go
+++ b/internal/cell/schedule/trial_place.go
@@ -64,7 +64,9 @@
 	}
 	if hosts := s.assignHosts(g, withTicket, len(tasks)); hosts != nil {
 		s.setWaitReason(g, waitNone)
-		s.startGang(g, tasks, hosts)
+		if s.hasStartRoom() {
+			s.startGang(g, tasks, hosts)
+		}
 		return
 	}
 	s.setWaitReason(g, waitTrial)
--- a/internal/cell/schedule/unconfirmed.go
+++ b/internal/cell/schedule/unconfirmed.go
@@ -139,6 +139,7 @@
 func (s *Scheduler) settle(id string, count func(*task, unconfirmedCrash)) {
 	tasks := s.unconfirmed[id]
 	delete(s.unconfirmed, id)
+	var judged []*job
 	for _, t := range tasks {
 		var settled, left []unconfirmedCrash
 		for _, c := range t.unconfirmed {
@@ -157,7 +158,12 @@
 		for _, c := range settled {
 			count(t, c)
 		}
-		s.endUnfoundedSuspicion(t.group.job)
+		if j := t.group.job; len(judged) == 0 || judged[len(judged)-1] != j {
+			judged = append(judged, j)
+		}
+	}
+	for _, j := range judged {
+		s.endUnfoundedSuspicion(j)
 	}
 }
 
