Forget what has no record among the newest ones

Cause: after the history is gone, a page holds the newest record of each key. That a key is missing says that it was deleted, but the registry and the table of nodes applied the page on top of what they had. Ruled out: the claim, which comes after everything in the page, and the owner, which loads what the registry gives it.

Now both forget what has no record in the page. A submission without the progress or the cancellation that is known of it was deleted and submitted again. A summary that is left of a deletion in two appends counts as expired.

Why it works: the page is read later than everything that the node holds, so that what it lacks has been deleted; what is stored while it is read follows from the end that its first part names.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -189,7 +189,7 @@
 		}
 		e, found = c.handler.State.Find(c.id)
 	}
-	if !found {
+	if !found || e.Expired() {
 		return e, errorResponse(http.StatusGone, "no such submission")
 	}
 	if e.Submission.Team != c.team || e.Submission.Queue.Name != c.queue.Name {
--- a/internal/cell/membership/table.go
+++ b/internal/cell/membership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -52,6 +53,19 @@
 	t.nodes[n.Name] = member{Node: n, offset: r.Offset, readAt: now}
 }
 
+// BeginNewest prepares the table for the newest record of each node, which Apply applies
+// after it: it forgets the nodes that have none, since they were removed while the topic was
+// not read.
+func (t *Table) BeginNewest(records []platform.Record) {
+	present := make(map[string]bool, len(records))
+	for _, r := range records {
+		present[r.Key] = len(r.Value) > 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.nodes, func(name string, _ member) bool { return !present[name] })
+}
+
 // Nodes returns every node with a record by name, including nodes that have left or
 // are considered failed.
 func (t *Table) Nodes() map[string]Node {
--- a/internal/cell/node/follow.go
+++ b/internal/cell/node/follow.go
@@ -66,6 +66,9 @@
 // peer pool.
 func (n *Node) applyNodes(p worklog.Page) {
 	now := n.clock.Now()
+	if p.NewestOnly {
+		n.members.BeginNewest(p.Records)
+	}
 	p.ForEach(n.log, func(r platform.Record) { n.members.Apply(r, now) })
 	if p.NewestOnly {
 		self, known := n.members.Nodes()[n.self.Name]
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -219,6 +219,9 @@
 	if j := n.journal(); j != nil {
 		j.Observe(p.Records)
 	}
+	if p.NewestOnly {
+		n.registry.BeginNewest(p.Records)
+	}
 	var claimed *platform.Record
 	for _, r := range p.Records {
 		worklog.ApplyRecord(n.log, r, n.registry.Apply)
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -16,6 +16,9 @@
 	Offset uint64
 
 	progressOffset uint64
+	// replaced is set if the next record of the submission replaces it, since it may be that
+	// of a later one under the same ID; see Registry.BeginNewest.
+	replaced bool
 	// parts are those of a divided progress, by number. The map is never changed, since
 	// copies of the entry share it.
 	parts map[int]progressPart
@@ -46,6 +49,12 @@
 	return out
 }
 
+// Expired reports whether the submission has finished and its records are being deleted, so
+// that its state is known no more.
+func (e *Entry) Expired() bool {
+	return e.Submission != nil && e.Submission.Finished && !e.Progress.State.Final()
+}
+
 // State returns the state that callers see.
 func (e *Entry) State() cell.State {
 	if e.Cancelled && !e.Progress.State.Final() {
--- /dev/null
+++ b/internal/cell/registry/newest.go
@@ -0,0 +1,69 @@
+package registry
+
+import (
+	"maps"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// BeginNewest prepares the registry for the newest record of each key, which Apply applies
+// after it in any order: it forgets what has no record any more, since that was deleted while
+// the topic was not read. The records have to be read later than everything that was applied
+// before. A key that was stored while they were read may be missing from them; the registry
+// does not hold it yet, and its record is read after them.
+func (r *Registry) BeginNewest(records []platform.Record) {
+	present := make(map[string]bool, len(records))
+	for _, rec := range records {
+		if len(rec.Value) > 0 {
+			present[rec.Key] = true
+		}
+	}
+	r.mu.Lock()
+	r.ownerOffset = 0
+	maps.DeleteFunc(r.hosts, func(id string, _ Host) bool { return !present[prefixHost+id] })
+	r.mu.Unlock()
+	removed := 0
+	for i := range r.shards {
+		removed += r.shards[i].beginNewest(present)
+	}
+	if removed > 0 {
+		r.log.Info("Submissions were deleted while the topic was not read; they are forgotten.", "count", removed)
+	}
+}
+
+// beginNewest removes the entries of submissions whose records are gone, and returns their
+// number.
+func (s *shard) beginNewest(present map[string]bool) (removed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.entries {
+		if !present[prefixSubmission+id] && !present[prefixProgress+id] {
+			delete(s.entries, id)
+			removed++
+			continue
+		}
+		e.beginNewest(id, present)
+	}
+	return removed
+}
+
+// beginNewest forgets what is stored about a submission no more. It may have been deleted,
+// and submitted again under its ID.
+func (e *Entry) beginNewest(id string, present map[string]bool) {
+	if !present[prefixSubmission+id] {
+		e.Submission, e.Offset = nil, 0
+	}
+	if !present[prefixProgress+id] {
+		e.Progress = cell.Progress{}
+	}
+	e.Cancelled = e.Cancelled && present[prefixCancel+id]
+	e.parts = maps.Clone(e.parts)
+	for number, part := range e.parts {
+		part.offset = 0
+		e.parts[number] = part
+	}
+	maps.DeleteFunc(e.parts, func(number int, _ progressPart) bool { return !present[progressPartKey(id, number)] })
+	e.progressOffset = 0
+	e.replaced = e.Submission != nil
+}
--- /dev/null
+++ b/internal/cell/registry/newest_test.go
@@ -0,0 +1,151 @@
+package registry
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// topic is the work topic as its writers fill it. Submissions are deleted some time after
+// they have finished, and may be submitted again under their IDs.
+type topic struct {
+	t       *rapid.T
+	records []platform.Record
+	// state is what is stored of each submission; lives counts how often it was submitted.
+	state map[string]cell.State
+	parts map[string]cell.BitSet
+	lives map[string]int
+}
+
+func (l *topic) append(records ...platform.Record) {
+	for _, r := range records {
+		r.Offset = uint64(len(l.records))
+		l.records = append(l.records, r)
+	}
+}
+
+// write appends what a writer may store next.
+func (l *topic) write() {
+	id := fmt.Sprintf("job%d", rapid.IntRange(0, 3).Draw(l.t, "id"))
+	state, known := l.state[id]
+	switch what := rapid.IntRange(0, 5).Draw(l.t, "write"); {
+	case !known:
+		l.lives[id]++
+		l.state[id] = cell.Queued
+		l.append(SubmissionRecord(&cell.Submission{ID: id, Spec: fmt.Sprint(l.lives[id]), Team: "t", Queue: cell.Queue{Name: "q"}, Steps: []cell.Step{{Count: 40}}}))
+	case state.Final() && what < 3:
+		l.append(SubmissionDeletionRecords(id, l.parts[id])...)
+		delete(l.state, id)
+		delete(l.parts, id)
+	case state.Final():
+	case what == 0:
+		l.state[id] = cell.Completed
+		l.append(ProgressRecord(id, cell.Progress{State: cell.Completed, StoredParts: l.parts[id]}), SubmissionRecord(&cell.Submission{ID: id, Team: "t", Finished: true}))
+	case what == 1:
+		l.append(CancelRecord(id))
+	case what == 2:
+		number := rapid.IntRange(0, 2).Draw(l.t, "part")
+		parts := l.parts[id].Clone()
+		parts.Set(number)
+		l.parts[id] = parts
+		part := cell.ProgressPart{Groups: map[string]cell.GroupProgress{id + ".0.0": {Failures: map[int][]int64{number * cell.TasksPerProgressPart: {int64(len(l.records))}}}}}
+		l.append(ProgressPartRecord(id, number, part), ProgressRecord(id, cell.Progress{State: cell.Active, Divided: true, StoredParts: parts}))
+	case what == 3:
+		l.append(HostRecord(Host{Spec: cell.Host{ID: id}}))
+	case what == 4:
+		l.append(HostDeletionRecord(id))
+	default:
+		l.append(OwnershipRecord(Ownership{Node: id, InstanceID: "b", Token: int64(len(l.records) + 1)}))
+	}
+}
+
+// newest returns the newest record of each key in parts, as the store does, while others
+// write, and the end of the topic at the first part.
+func (l *topic) newest() (records []platform.Record, end int) {
+	end = len(l.records)
+	for after := ""; ; {
+		byKey := make(map[string]platform.Record)
+		for _, r := range l.records {
+			if byKey[r.Key] = r; len(r.Value) == 0 {
+				delete(byKey, r.Key)
+			}
+		}
+		keys := slices.Sorted(maps.Keys(byKey))
+		i, found := slices.BinarySearch(keys, after)
+		if found {
+			i++
+		}
+		if i == len(keys) {
+			return records, end
+		}
+		for _, key := range keys[i:min(i+2, len(keys))] {
+			records = append(records, byKey[key])
+			after = key
+		}
+		for range rapid.IntRange(0, 2).Draw(l.t, "written meanwhile") {
+			l.write()
+		}
+	}
+}
+
+func fullState(r *Registry) any {
+	o, _ := r.Owner()
+	all := map[string]any{}
+	for _, e := range r.All() {
+		p := e.FullProgress()
+		if e.Progress.State.Final() {
+			p = cell.Progress{State: e.Progress.State}
+		}
+		all[e.Submission.ID] = []any{e.Submission.Spec, e.State(), e.Cancelled, p}
+	}
+	return []any{o, r.Hosts(), all, r.Pending("q")}
+}
+
+// Guards against work that is done and runs again, since a node that was cut off from the
+// store, or suspended, until its records had been deleted holds it from before; and against
+// hosts and cancellations that are held likewise.
+func TestDeletedRecordsAreForgottenAfterAGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := slog.New(slog.DiscardHandler)
+		l := &topic{t: t, state: map[string]cell.State{}, parts: map[string]cell.BitSet{}, lives: map[string]int{}}
+		reader, next := New(log), 0
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			for range rapid.IntRange(0, 4).Draw(t, "writes") {
+				l.write()
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "read") {
+			case 0:
+				var records []platform.Record
+				records, next = l.newest()
+				reader.BeginNewest(records)
+				for _, r := range records {
+					reader.Apply(r)
+				}
+			case 1:
+				to := rapid.IntRange(next, len(l.records)).Draw(t, "to")
+				for ; next < to; next++ {
+					reader.Apply(l.records[next])
+				}
+			}
+		}
+		for ; next < len(l.records); next++ {
+			reader.Apply(l.records[next])
+		}
+		complete := New(log)
+		for _, r := range l.records {
+			complete.Apply(r)
+		}
+		if d := cmp.Diff(fullState(complete), fullState(reader), cmpopts.EquateEmpty()); d != "" {
+			t.Errorf("states differ: %s", d)
+		}
+	})
+}
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -148,7 +148,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry(id)
-	if e.Submission != nil {
+	switch {
+	case e.replaced:
+		e.Submission, e.replaced = sub, false
+		return *e, false
+	case e.Submission != nil:
 		return *e, false
 	}
 	e.Submission, e.Offset = sub, offset
@@ -308,7 +312,7 @@
 		s := &r.shards[i]
 		s.mu.RLock()
 		for _, e := range s.entries {
-			if e.Submission != nil && e.Submission.Queue.Name == queue && e.State() == cell.Queued {
+			if e.Submission != nil && e.Submission.Queue.Name == queue && e.State() == cell.Queued && !e.Expired() {
 				n++
 			}
 		}
--- a/internal/cell/worklog/page.go
+++ b/internal/cell/worklog/page.go
@@ -14,7 +14,8 @@
 	Records []platform.Record
 	// NewestOnly is set if the records are the newest record of each key and not all
 	// records: at the first read, and when records since the last read are no
-	// longer stored.
+	// longer stored. A key without a record among them has been deleted since, unless its
+	// first record was stored after the read was sent; then it follows with later pages.
 	NewestOnly bool
 	// AsOf is when the read was sent. Every record stored before that has been read
 	// if the page is complete.
