Bound the memory of accepted work

Cause: the scheduler made a group and a task for each occurrence when the submission arrived, and nothing bounded the sum over submissions, where they are accepted or taken over. Ruled out: the collector, which has a limit but cannot free what is in use.

Now the groups of an occurrence are created when it is due, and removed when it is done. The tasks that an owner holds have a bound from the memory of its process; other work waits, a team leaves room for the others, and what waits longest has a reserve. A successor creates first what has begun. Each node counts the memory of the stored submissions and refuses beyond its bound with 503 and Retry-After, after it has read whether the submission is stored.

Why it works: what an owner holds depends on its bound and no longer on what was accepted, also in each successor.

--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -65,6 +65,9 @@
 	Cores float64 `toml:"cores"`
 }
 
+// MemoryBytes returns the memory limit of the process in bytes.
+func (l Limits) MemoryBytes() int64 { return l.MemoryMiB << 20 }
+
 // Log holds the level and the format of the log.
 type Log struct {
 	Level  string `toml:"level"`
--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -79,7 +79,11 @@
 		return okResponse(nil)
 	}
 	s.ID, s.Team, s.Queue, s.Received = c.id, c.team, c.queue.Snapshot(), c.handler.WallClock()
-	return c.storeRecord(ctx, registry.SubmissionRecord(&s), "A submission was accepted.", "The append of a submission failed.")
+	r := registry.SubmissionRecord(&s)
+	if refusal := c.refuseBeyondStorage(ctx, registry.SubmissionBytes(&s, r)); refusal != nil {
+		return refusal
+	}
+	return c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
 }
 
 func (c *call) cancel(ctx context.Context) *peers.CallResponse {
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -49,6 +49,9 @@
 	DesiredAge() time.Duration
 	// Find returns what is stored about a submission, false if nothing is.
 	Find(id string) (registry.Entry, bool)
+	// Storage returns how much memory the stored submissions take in all, and how much those
+	// of a team do, in bytes.
+	Storage(team string) (total, ofTeam int64)
 	// Pending returns how many accepted submissions of a queue have not started.
 	Pending(queue string) int
 	// CatchUp returns once every record stored before the call has been applied. It
@@ -82,6 +85,9 @@
 	Records   RecordAppender
 	Forwarder Forwarder
 	Logger    *slog.Logger
+	// MaxStorage is how much memory the stored submissions may take, in bytes; zero for no
+	// bound. Beyond it submissions are refused.
+	MaxStorage int64
 	// WallClock returns the wall-clock time since the Unix epoch.
 	WallClock func() time.Duration
 	// Metrics counts responses by method and status; nil disables the count.
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -39,6 +40,9 @@
 	forward             func() (*peers.CallResponse, error)
 	forwardCalls        int
 	answerTime          time.Duration
+	storage, ofTeam     int64
+	// stores are the entries that are read with the next CatchUp.
+	stores map[string]registry.Entry
 }
 
 func (n *fakeNode) Refresh(context.Context)               {}
@@ -46,10 +50,14 @@
 func (n *fakeNode) DesiredAge() time.Duration             { return 0 }
 func (n *fakeNode) Find(id string) (registry.Entry, bool) { e, ok := n.entries[id]; return e, ok }
 func (n *fakeNode) Pending(string) int                    { return 12 }
-func (n *fakeNode) CatchUp(context.Context) error         { return n.catchUp }
-func (n *fakeNode) SubmissionsFresh() bool                { return true }
-func (n *fakeNode) StoreAnswerTime() time.Duration        { return n.answerTime }
-func (n *fakeNode) Disconnected() bool                    { return n.disconnected }
+func (n *fakeNode) Storage(string) (total, ofTeam int64)  { return n.storage, n.ofTeam }
+func (n *fakeNode) CatchUp(context.Context) error {
+	maps.Copy(n.entries, n.stores)
+	return n.catchUp
+}
+func (n *fakeNode) SubmissionsFresh() bool         { return true }
+func (n *fakeNode) StoreAnswerTime() time.Duration { return n.answerTime }
+func (n *fakeNode) Disconnected() bool             { return n.disconnected }
 func (n *fakeNode) Append(ctx context.Context, r platform.Record) error {
 	if n.append != nil {
 		if err := n.append(ctx); err != nil {
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -54,6 +54,8 @@
 	// maxSubmissionStateAge is the greatest age at which the state of submissions may be
 	// reported to callers.
 	maxSubmissionStateAge = 2 * time.Second
+	// storageDivisor is the part of the memory of a process that stored submissions may take.
+	storageDivisor = 4
 	// slowApplyThreshold is the time to apply a page of the work topic from which it is
 	// logged, at most once in slowApplyLogInterval.
 	slowApplyThreshold   = 200 * time.Millisecond
@@ -156,7 +158,7 @@
 	n.nodesReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
 		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Meter: n.storeMeter,
 	}, n.applyNodes)
-	n.callerHandler = &front.Handler{State: n, Records: relayAppender{n}, Forwarder: forwarder{n}, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
+	n.callerHandler = &front.Handler{State: n, Records: relayAppender{n}, Forwarder: forwarder{n}, MaxStorage: s.Limits.MemoryBytes() / storageDivisor, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
 	return n, nil
 }
 
@@ -282,6 +284,9 @@
 // Find implements front.State.
 func (n *Node) Find(id string) (registry.Entry, bool) { return n.registry.Find(id) }
 
+// Storage implements front.State.
+func (n *Node) Storage(team string) (total, ofTeam int64) { return n.registry.Storage(team) }
+
 // Pending implements front.State.
 func (n *Node) Pending(queue string) int { return n.registry.Pending(queue) }
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -68,7 +68,7 @@
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
 		EarlierOwnersGone: func() bool { return previousOwnerGone(c.previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
-		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs),
+		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
 	})
 	n.registry.SetListener(t.owner)
 	n.term = t
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -71,4 +71,7 @@
 	// RetentionPeriod is how long the state of a finished submission is kept.
 	RetentionPeriod time.Duration
 	GangTimeout     time.Duration
+	// MaxWeight bounds the work that the owner holds at one time; zero for no bound. See
+	// schedule.Options.
+	MaxWeight int
 }
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -46,6 +46,11 @@
 	StoredParts BitSet `json:"stored_parts,omitempty"`
 }
 
+// HasBegun reports whether the progress says that tasks may have started.
+func (p Progress) HasBegun() bool {
+	return p.State != Queued || p.Divided || len(p.Groups) > 0 || len(p.DoneGroups) > 0
+}
+
 // Join returns a divided progress with the details of its parts in Groups.
 func (p Progress) Join(parts map[int]ProgressPart) Progress {
 	if !p.Divided {
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -16,6 +16,11 @@
 	Offset uint64
 
 	progressOffset uint64
+	// submissionBytes and progressBytes are the sizes of its records. countedBytes is what
+	// storage counts for the entry, under countedTeam.
+	submissionBytes, progressBytes int
+	countedBytes                   int64
+	countedTeam                    string
 	// replaced is set if the next record of the submission replaces it, since it may be that
 	// of a later one under the same ID; see Registry.BeginNewest.
 	replaced bool
@@ -28,6 +33,7 @@
 type progressPart struct {
 	cell.ProgressPart
 	offset uint64
+	bytes  int
 }
 
 // FullProgress returns the progress with all details, also if it is divided.
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -25,7 +25,7 @@
 	r.mu.Unlock()
 	removed := 0
 	for i := range r.shards {
-		removed += r.shards[i].beginNewest(present)
+		removed += r.shards[i].beginNewest(present, &r.storage)
 	}
 	if removed > 0 {
 		r.log.Info("Submissions were deleted while the topic was not read; they are forgotten.", "count", removed)
@@ -34,16 +34,18 @@
 
 // beginNewest removes the entries of submissions whose records are gone, and returns their
 // number.
-func (s *shard) beginNewest(present map[string]bool) (removed int) {
+func (s *shard) beginNewest(present map[string]bool, counted *storage) (removed int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, e := range s.entries {
 		if !present[prefixSubmission+id] && !present[prefixProgress+id] {
+			counted.remove(e)
 			delete(s.entries, id)
 			removed++
 			continue
 		}
 		e.beginNewest(id, present)
+		counted.count(e)
 	}
 	return removed
 }
--- a/internal/cell/registry/newest_test.go
+++ b/internal/cell/registry/newest_test.go
@@ -140,6 +140,7 @@
 		for ; next < len(l.records); next++ {
 			reader.Apply(l.records[next])
 		}
+		reader.checkStorage(t)
 		complete := New(log)
 		for _, r := range l.records {
 			complete.Apply(r)
@@ -149,3 +150,26 @@
 		}
 	})
 }
+
+// checkStorage checks the count of the memory of all submissions. If it drifted, submissions
+// would be refused though little is stored, or accepted though there is no memory.
+func (r *Registry) checkStorage(t *rapid.T) {
+	var total int64
+	byTeam := map[string]int64{}
+	for i := range r.shards {
+		for _, e := range r.shards[i].entries {
+			total += e.bytes()
+			if e.Submission != nil {
+				byTeam[e.Submission.Team] += e.bytes()
+			}
+		}
+	}
+	for team, want := range byTeam {
+		if gotTotal, got := r.Storage(team); gotTotal != total || got != want {
+			t.Errorf("%d bytes in all, %d of the team; want %d and %d", gotTotal, got, total, want)
+		}
+	}
+	if got, _ := r.Storage(""); got != total {
+		t.Errorf("%d bytes in all, want %d", got, total)
+	}
+}
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -32,6 +32,8 @@
 	faults logging.FaultLog
 	seed   maphash.Seed
 	shards [shardCount]shard
+	// storage is locked while a shard is, never the other way round.
+	storage storage
 
 	mu          sync.RWMutex
 	owner       Ownership
@@ -48,7 +50,7 @@
 
 // New returns an empty registry.
 func New(log *slog.Logger) *Registry {
-	r := &Registry{log: log, seed: maphash.MakeSeed(), hosts: make(map[string]Host)}
+	r := &Registry{log: log, seed: maphash.MakeSeed(), hosts: make(map[string]Host), storage: storage{byTeam: make(map[string]int64)}}
 	for i := range r.shards {
 		r.shards[i].entries = make(map[string]*Entry)
 	}
@@ -128,14 +130,17 @@
 	if len(rec.Value) == 0 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.entries, id)
+		if e := s.entries[id]; e != nil {
+			r.storage.remove(e)
+			delete(s.entries, id)
+		}
 		return nil
 	}
 	sub, err := decodeSubmission(id, rec)
 	if err != nil {
 		return err
 	}
-	copied, added := s.accept(id, sub, rec.Offset)
+	copied, added := s.accept(id, sub, rec, &r.storage)
 	if l := r.currentListener(); l != nil && added {
 		l.Submitted(copied)
 	}
@@ -144,18 +149,19 @@
 
 // accept adds a submission and returns a copy of its entry. A repeated submission counts
 // once.
-func (s *shard) accept(id string, sub *cell.Submission, offset uint64) (copied Entry, added bool) {
+func (s *shard) accept(id string, sub *cell.Submission, rec platform.Record, counted *storage) (copied Entry, added bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry(id)
+	defer counted.count(e)
 	switch {
 	case e.replaced:
-		e.Submission, e.replaced = sub, false
+		e.Submission, e.submissionBytes, e.replaced = sub, len(rec.Value), false
 		return *e, false
 	case e.Submission != nil:
 		return *e, false
 	}
-	e.Submission, e.Offset = sub, offset
+	e.Submission, e.submissionBytes, e.Offset = sub, len(rec.Value), rec.Offset
 	return *e, true
 }
 
@@ -188,8 +194,9 @@
 	if rec.Offset < e.progressOffset {
 		return nil
 	}
+	defer r.storage.count(e)
 	e.progressOffset = rec.Offset
-	e.Progress = p
+	e.Progress, e.progressBytes = p, len(rec.Value)
 	r.countOwnerWrite()
 	if p.State.Final() {
 		e.parts = nil
@@ -209,6 +216,7 @@
 		if e := s.entries[id]; e != nil && e.parts != nil {
 			e.parts = maps.Clone(e.parts)
 			delete(e.parts, number)
+			r.storage.count(e)
 		}
 		return nil
 	}
@@ -222,7 +230,8 @@
 	if rec.Offset < e.parts[number].offset || e.Progress.State.Final() {
 		return nil
 	}
-	e.parts = e.withPart(number, progressPart{p, rec.Offset})
+	e.parts = e.withPart(number, progressPart{p, rec.Offset, len(rec.Value)})
+	r.storage.count(e)
 	r.countOwnerWrite()
 	return nil
 }
@@ -235,17 +244,19 @@
 		return err
 	}
 	s := r.shard(id)
-	s.cancel(id)
+	s.cancel(id, &r.storage)
 	if l := r.currentListener(); l != nil {
 		l.CancelRequested(id)
 	}
 	return nil
 }
 
-func (s *shard) cancel(id string) {
+func (s *shard) cancel(id string, counted *storage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entry(id).Cancelled = true
+	e := s.entry(id)
+	e.Cancelled = true
+	counted.count(e)
 }
 
 func (s *shard) entry(id string) *Entry {
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -13,6 +13,9 @@
 	if j == nil {
 		return nil
 	}
+	if j.left > 0 && len(j.groups) == 0 {
+		return []string{fmt.Sprintf("%d tasks are left; none is due, or the owner holds as many tasks as it may", j.left)}
+	}
 	for _, g := range j.groups {
 		if g.left == 0 {
 			continue
@@ -37,6 +40,10 @@
 	Teams   []TeamDump     `json:"teams"`
 	Waiting map[string]int `json:"waiting_groups"`
 	Jobs    int            `json:"jobs"`
+	// Weight is how much the owner holds, in tasks, and Deferred the number of submissions
+	// that wait until it may hold theirs.
+	Weight   int `json:"weight"`
+	Deferred int `json:"deferred"`
 	// Suspected is the number of submissions that may have crashed a host.
 	Suspected int `json:"suspected"`
 	// Queues holds the queues whose tasks have crashed hosts of late.
@@ -71,7 +78,7 @@
 
 // Dump returns the state of the cell.
 func (s *Scheduler) Dump() Dump {
-	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs)}
+	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred)}
 	for _, h := range s.sortedHosts {
 		hd := HostDump{
 			ID: h.spec.ID, Usable: h.usable(s.now), Closed: h.closed, Used: h.used.String(), Runs: len(h.runs), Slowness: h.health.slowness,
--- a/internal/cell/schedule/ends.go
+++ b/internal/cell/schedule/ends.go
@@ -87,6 +87,8 @@
 	s.changed[j.sub.ID] = true
 	if g.left == 0 {
 		g.ready = false
+		j.doneGroups.Set(g.id.Occurrence*j.steps + g.id.Step)
+		s.cleanupNeeded = s.cleanupNeeded || j.sub.Timed()
 		s.markReady(j.occurrence(g.id.Occurrence))
 	}
 	s.finishIfDone(j)
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -27,6 +27,8 @@
 	// endsBy is the result of Scheduler.expectedGroupEnd in the decision endsByIn.
 	endsBy   time.Duration
 	endsByIn int64
+	// removed is set once the group has been removed; see removeDoneGroups.
+	removed bool
 	// ready is set once the earlier steps are done and the occurrence is due.
 	ready   bool
 	readyAt time.Duration
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -9,14 +9,20 @@
 // job is an accepted submission. It is kept until it has finished and its
 // final progress is stored.
 type job struct {
-	sub    *cell.Submission
-	queue  cell.Queue
-	team   *team
+	sub   *cell.Submission
+	queue cell.Queue
+	team  *team
+	// groups are those that have been created, in the order of their first tasks. stored is
+	// the progress that an earlier owner stored, while they are created.
 	groups []*group
+	stored cell.Progress
+	// nextDue is how many occurrences, in the order of their due times, have been created.
+	nextDue int
+	// deferredLogged is set once it is logged that work of it waits for room.
+	deferredLogged bool
 	// criticalPaths caches the result of criticalPath for each step.
 	criticalPaths []time.Duration
-	// steps is the number of steps; groups has one entry for each step of each
-	// occurrence.
+	// steps is the number of steps.
 	steps int
 	// stepOffsets are the numbers of the first task of each step within an occurrence, and
 	// the number of tasks of one.
@@ -24,8 +30,8 @@
 	state       cell.State
 	// left is the number of tasks that are not done.
 	left int
-	// doneTasks holds the numbers of the tasks that are done.
-	doneTasks cell.BitSet
+	// doneTasks holds the numbers of the tasks that are done, doneGroups those of the groups.
+	doneTasks, doneGroups cell.BitSet
 	// present is the number of tasks with runs.
 	present int
 	// unreconciled is set while the job may have runs of an earlier owner that
@@ -64,17 +70,15 @@
 	parts *progressParts
 }
 
+// group returns a group; nil if it is unknown, has not been created, or is done and has been
+// removed.
 func (j *job) group(id cell.GroupID) *group {
-	if id.Step < 0 || id.Step >= j.steps || id.Occurrence < 0 || id.Occurrence >= len(j.groups)/j.steps {
+	if !j.hasStep(id.Occurrence, id.Step) {
 		return nil
 	}
-	return j.groups[id.Occurrence*j.steps+id.Step]
+	return j.stepGroup(id.Occurrence, id.Step)
 }
 
-// occurrence returns the groups of an occurrence. The steps of one do not wait for those
-// of another.
-func (j *job) occurrence(n int) []*group { return j.groups[n*j.steps : (n+1)*j.steps] }
-
 // assumedAdviceHosts is the number of hosts in an advice call that is assumed when
 // the objective is computed.
 const assumedAdviceHosts = 30
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -31,11 +30,7 @@
 	s.newestArrival = max(s.newestArrival, j.arrived)
 	j.due = j.arrived + j.objective()
 	j.overRate = !j.team.takeCredit(j.arrived)
-	for k := range sub.OccurrenceCount() {
-		for i := range sub.Steps {
-			j.groups = append(j.groups, s.newGroup(j, k, i, p))
-		}
-	}
+	j.restoreDone(p)
 	if p.Divided {
 		j.parts = restoreProgressParts(p)
 	}
@@ -43,33 +38,48 @@
 	if sub.Timed() {
 		s.timedJobs = append(s.timedJobs, j)
 	}
-	s.groups = append(s.groups, j.groups...)
-	s.markReadyGroups(j)
+	switch {
+	case p.HasBegun():
+		j.stored = p
+		s.createStarted(j)
+		j.stored = cell.Progress{} // what it says of groups that are created later is in doneTasks
+	case unreconciled && !s.reconciled:
+		// Submissions that have begun come first; they may be loaded later.
+	case sub.Timed():
+		s.createDueOccurrences(j)
+	default:
+		s.createWithRoom(j, 0)
+	}
+	if !sub.Timed() && len(j.groups) == 0 {
+		s.deferred = append(s.deferred, j)
+	}
+	s.mergeNewGroups()
 	s.finishIfDone(j)
 }
 
-func (s *Scheduler) newGroup(j *job, occurrence, number int, p cell.Progress) *group {
+// newGroup creates a group from the stored progress of its job.
+func (s *Scheduler) newGroup(j *job, occurrence, number int) *group {
 	step := &j.sub.Steps[number]
 	g := &group{
 		id: cell.GroupID{Submission: j.sub.ID, Occurrence: occurrence, Step: number}, job: j, step: step, size: step.Reserved(),
-		firstTask: occurrence*j.stepOffsets[j.steps] + j.stepOffsets[number],
+		firstTask: occurrence*j.occurrenceSize() + j.stepOffsets[number],
 	}
-	stored := p.Groups[g.id.String()]
-	allDone := p.DoneGroups.Has(occurrence*len(j.sub.Steps) + number)
+	var stored cell.GroupProgress
+	if len(j.stored.Groups) > 0 {
+		stored = j.stored.Groups[g.id.String()]
+	}
+	g.tasks = make([]*task, 0, step.Count)
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: allDone || stored.Done.Has(i) || p.DoneTasks.Has(g.firstTask+i), failures: stored.Failures[i], crashes: stored.Crashes[i],
+			group: g, done: j.doneTasks.Has(g.firstTask + i), failures: stored.Failures[i], crashes: stored.Crashes[i],
 			trialRun: stored.Trials[i], trialHosts: stored.TrialHosts[i], checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		s.restoreUnconfirmed(t, stored.UnconfirmedCrashes[i])
-		if t.done {
-			j.doneTasks.Set(g.firstTask + i)
-		} else {
+		if !t.done {
 			j.suspected = j.suspected || t.suspectedCause()
 			g.left++
 			g.waiting++
-			j.left++
 		}
 		if step.Gang && i > 0 {
 			t.checkpoint = "" // that of a gang is kept at its first task
@@ -100,7 +110,7 @@
 		return false
 	}
 	for _, a := range g.step.After {
-		if j.groups[g.id.Occurrence*j.steps+a].left > 0 {
+		if !j.doneGroups.Has(g.id.Occurrence*j.steps + a) {
 			return false
 		}
 	}
@@ -151,18 +161,6 @@
 	s.cleanupNeeded = true
 }
 
-// removeFinishedGroups removes the groups of jobs that have finished and have no
-// runs left.
-func (s *Scheduler) removeFinishedGroups() {
-	if !s.cleanupNeeded {
-		return
-	}
-	s.cleanupNeeded = false
-	finished := func(j *job) bool { return j.state.Final() && !j.hasRuns() }
-	s.groups = slices.DeleteFunc(s.groups, func(g *group) bool { return finished(g.job) })
-	s.timedJobs = slices.DeleteFunc(s.timedJobs, finished)
-}
-
 // hasRuns reports whether any run of the job may be present.
 func (j *job) hasRuns() bool { return j.present > 0 }
 
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -174,6 +174,7 @@
 	if g := a.task.group; g.step.Gang && g.present == 0 {
 		g.run, g.memberEnded = 0, false
 	}
+	s.cleanupNeeded = s.cleanupNeeded || j.sub.Timed() && a.task.group.left == 0
 	s.requestCleanupIfFinished(j)
 }
 
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -36,7 +36,8 @@
 	s.now, s.wallClock = now, wall
 	s.decision++
 	s.work.groups = 0
-	s.removeFinishedGroups()
+	s.removeDoneGroups()
+	s.createGroups()
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
 	s.updateRisks()
@@ -314,7 +315,7 @@
 
 // prefetchAdvice requests advice for steps that become ready soon.
 func (s *Scheduler) prefetchAdvice() {
-	for _, g := range s.groups {
+	for _, g := range s.liveGroups() {
 		p := g.policy()
 		if p == nil || g.ready || g.left == 0 || g.job.state.Final() || g.advice.inFlight || len(g.advice.tickets) > 0 || g.job.sub.Timed() {
 			continue
@@ -329,7 +330,8 @@
 // end within the duration d.
 func (s *Scheduler) readyWithin(g *group, d time.Duration) bool {
 	for _, a := range g.step.After {
-		if s.expectedGroupEnd(g.job.groups[g.id.Occurrence*g.job.steps+a]) > s.now+d {
+		earlier := g.job.stepGroup(g.id.Occurrence, a)
+		if earlier != nil && s.expectedGroupEnd(earlier) > s.now+d {
 			return false
 		}
 	}
--- a/internal/cell/schedule/progress.go
+++ b/internal/cell/schedule/progress.go
@@ -20,21 +20,33 @@
 		}
 		return p, true
 	}
-	for i, g := range j.groups {
-		if g.left == 0 && len(j.groups) > maxListedGroups {
-			p.DoneGroups.Set(i)
-			continue
+	for _, g := range j.groups {
+		if gp, any := g.progress(); any && g.left > 0 {
+			setGroup(&p.Groups, g.id, gp)
 		}
-		if gp, any := g.progress(); any {
-			if p.Groups == nil {
-				p.Groups = make(map[string]cell.GroupProgress)
-			}
-			p.Groups[g.id.String()] = gp
+	}
+	if j.sub.OccurrenceCount()*j.steps > maxListedGroups {
+		p.DoneGroups = j.doneGroups.Clone()
+		return p, true
+	}
+	for _, number := range j.doneGroups.Members() {
+		id := cell.GroupID{Submission: j.sub.ID, Occurrence: number / j.steps, Step: number % j.steps}
+		var done cell.BitSet
+		for i := range j.sub.Steps[id.Step].Count {
+			done.Set(i)
 		}
+		setGroup(&p.Groups, id, cell.GroupProgress{Done: done})
 	}
 	return p, true
 }
 
+func setGroup(groups *map[string]cell.GroupProgress, id cell.GroupID, p cell.GroupProgress) {
+	if *groups == nil {
+		*groups = make(map[string]cell.GroupProgress)
+	}
+	(*groups)[id.String()] = p
+}
+
 func (g *group) progress() (p cell.GroupProgress, any bool) {
 	for i, t := range g.tasks {
 		switch {
--- a/internal/cell/schedule/progress_parts.go
+++ b/internal/cell/schedule/progress_parts.go
@@ -103,10 +103,7 @@
 			}
 		}
 		if any {
-			if p.Groups == nil {
-				p.Groups = make(map[string]cell.GroupProgress)
-			}
-			p.Groups[g.id.String()] = gp
+			setGroup(&p.Groups, g.id, gp)
 		}
 	}
 	return p
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -50,7 +50,7 @@
 // slice is valid until the next call.
 func (s *Scheduler) queue() []queueEntry {
 	q := s.queueBuffer[:0]
-	for i, g := range s.groups {
+	for i, g := range s.liveGroups() {
 		if s.isWaiting(g) {
 			e := s.rank(g)
 			e.position = i
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -16,6 +16,10 @@
 	// chosen so that all run numbers of this owner are higher than those of earlier
 	// owners, and so distinct from them.
 	RunNumberBase int64
+	// MaxWeight bounds the memory of the groups that are created: one for each task, and
+	// groupWeight for each group; zero for no bound. Other work waits. Work that an earlier
+	// owner has begun is created in any case.
+	MaxWeight int
 	// GangTimeout is how long a gang member waits for the other members.
 	GangTimeout time.Duration
 }
@@ -39,8 +43,16 @@
 	// groups holds the groups of the jobs that have not finished or still have
 	// runs, in order of arrival.
 	groups []*group
-	// cleanupNeeded is set if groups may have to be removed; see
-	// removeFinishedGroups.
+	// newGroups are those that have been created and are not among groups yet; see
+	// mergeNewGroups.
+	newGroups []*group
+	// deferred holds the jobs without occurrences whose groups have not been created.
+	deferred []*job
+	// reserveTaken is set in a decision once a job waits for the reserve of Options.MaxWeight.
+	reserveTaken bool
+	// weight is that of all groups; see Options.MaxWeight.
+	weight int
+	// cleanupNeeded is set if groups may have to be removed; see removeDoneGroups.
 	cleanupNeeded bool
 	reconciled    bool
 	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
@@ -139,8 +151,14 @@
 	return nil
 }
 
+// task returns a task; nil if it is unknown. Its group is created if it is not there, since
+// the caller knows of a run of it.
 func (s *Scheduler) task(id cell.TaskID) *task {
 	g := s.group(id.Group())
+	if j := s.jobs[id.Submission]; g == nil && j != nil && j.hasStep(id.Occurrence, id.Step) {
+		s.createOccurrence(j, id.Occurrence)
+		g = s.group(id.Group())
+	}
 	if g == nil || id.Index < 0 || id.Index >= len(g.tasks) {
 		return nil
 	}
@@ -205,7 +223,7 @@
 	}
 	s.settleUnknownHosts()
 	s.countUnknownTrials()
-	for _, g := range s.groups {
+	for _, g := range s.liveGroups() {
 		if g.step.Gang && g.present > 0 && g.present < g.left {
 			s.stopGroup(g, "gang of an earlier owner is incomplete")
 		}
--- a/internal/cell/schedule/stragglers.go
+++ b/internal/cell/schedule/stragglers.go
@@ -25,7 +25,7 @@
 // and stops gangs whose members have not ended after one of them has.
 func (s *Scheduler) stopHungAndCopySlowRuns() {
 	s.work.limit = s.work.used + s.maxHeadWork()/restDivisor
-	for _, g := range s.groups {
+	for _, g := range s.liveGroups() {
 		if g.memberEnded && s.now > g.memberEndedAt+gangExitTimeout {
 			s.stopGroup(g, "another member of the gang has ended")
 		}
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -14,6 +14,8 @@
 	rate  float64
 	limit resource.Vector
 	used  resource.Vector
+	// weight is that of the groups of its submissions.
+	weight int
 	// unknownUsage is the most that runs of earlier owners may use on hosts that have
 	// not answered this owner; see updateUnknownUsage.
 	unknownUsage resource.Vector
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -37,7 +37,7 @@
 // which no run is known, now that all runs of earlier owners are known. None is counted
 // if its hosts have not restarted: then the run did not start.
 func (s *Scheduler) countUnknownTrials() {
-	for _, g := range s.groups {
+	for _, g := range s.liveGroups() {
 		for _, t := range g.tasks {
 			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.countsCrash(t.trialRun, false) {
 				continue
--- a/internal/cell/schedule/unknown_usage.go
+++ b/internal/cell/schedule/unknown_usage.go
@@ -22,6 +22,9 @@
 		if !j.unreconciled {
 			continue
 		}
+		if !j.sub.Timed() && len(j.groups) == 0 {
+			j.team.unknownUsage = j.team.unknownUsage.Add(j.stepsSize())
+		}
 		for _, g := range j.groups {
 			n := int64(g.waiting)
 			if g.step.AllowCopies {
@@ -37,6 +40,15 @@
 	}
 }
 
+// stepsSize returns the size of all tasks of an occurrence.
+func (j *job) stepsSize() (total resource.Vector) {
+	for i := range j.sub.Steps {
+		step := &j.sub.Steps[i]
+		total = total.Add(step.Reserved().Scale(int64(step.Count)))
+	}
+	return total
+}
+
 // silentCapacity returns the capacity of the hosts on which runs of earlier owners
 // may be present that are not known, and whether there are such hosts.
 func (s *Scheduler) silentCapacity() (total resource.Vector, any bool) {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	mebibyte = 1 << 20
 	// goMemoryFraction is the fraction of the process's memory limit that is set
 	// as the soft memory limit of the Go runtime.
 	goMemoryFraction = 0.7
@@ -27,7 +26,7 @@
 		if err := a.setUpLog(s.Log.Level, s.Log.Format); err != nil {
 			return err
 		}
-		debug.SetMemoryLimit(int64(goMemoryFraction * float64(s.Limits.MemoryMiB*mebibyte)))
+		debug.SetMemoryLimit(int64(goMemoryFraction * float64(s.Limits.MemoryBytes())))
 		proc.SetTimeToForceQuit(config.Seconds(s.Bounds.GraceSeconds) + time.Minute)
 		return a.handlers.Entry(a.ctx, s)
 	})
