Keep start orders by the ID of their host

Cause: start orders without an answer were remembered in the poller of their host and went with it when the host was removed. Ruled out: the lease, which the host counts on the clock of its new lifetime, and the fencing token, which is the same.

Now they belong to the ID of the host and are kept while they may be carried out, listed or not. Each lifetime that is heard of for the first time inherits them, also at another address: their runs are ordered to stop there, and the lease counts for as long as they may make it. A stop of such a run is repeated until it is answered.

Why it works: the host refuses a run that was stopped there, and the owner orders that with its first exchange with the lifetime.

--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -52,8 +52,9 @@
 	// life is the lifetime of the host that answered last; nil before its first answer. It
 	// is guarded by the owner's lock.
 	life *lifetime
-	// starts are the start orders that a later lifetime may carry out.
-	starts startOrders
+	// starts are the start orders that a later lifetime may carry out. The owner keeps them
+	// by the host's ID, since they outlast the poller.
+	starts *startOrders
 	// inTouch is set while the last poll was answered by that lifetime. Other polls may
 	// reach a later one, so they acknowledge nothing and renew no lease.
 	inTouch    bool
@@ -210,7 +211,7 @@
 		former := h.life
 		h.life = life
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
-		if former != nil && former != life {
+		if former != life {
 			ow.inheritStarts(h, now)
 		}
 		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
@@ -233,8 +234,9 @@
 	}
 }
 
-// inheritStarts takes into account that a later lifetime of a host may carry out the start
-// orders that are left from the former one. The caller holds the lock.
+// inheritStarts takes into account that a lifetime of a host which has just been heard of may
+// carry out the start orders that are left from former ones, also from before the host was
+// removed. The caller holds the lock.
 func (ow *Owner) inheritStarts(h *hostPoller, now time.Duration) {
 	h.life.lease.inheritedEnd = h.starts.latestLeaseEnd(h.life.lease.hostClock, now, ow.options.MaxLease)
 	for _, r := range h.starts.unansweredRuns() {
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -42,12 +42,33 @@
 		h.inHostList, h.listed = true, spec
 	}
 	ow.scheduler.SetListedHosts(listed)
+	ow.forgetOldStartOrders()
 	ow.requestDecision()
 }
 
+// startOrdersTo returns the start orders to a host, also those from before it was removed.
+// The caller holds the lock.
+func (ow *Owner) startOrdersTo(id string) *startOrders {
+	s := ow.ordersToHosts[id]
+	if s == nil {
+		s = &startOrders{}
+		ow.ordersToHosts[id] = s
+	}
+	return s
+}
+
+// forgetOldStartOrders forgets the start orders to removed hosts that can be carried out no
+// more. The caller holds the lock.
+func (ow *Owner) forgetOldStartOrders() {
+	now := ow.options.Clock.Now()
+	maps.DeleteFunc(ow.ordersToHosts, func(id string, s *startOrders) bool { return ow.hosts[id] == nil && s.areTooOld(now) })
+}
+
 // addHost adds a host and begins to poll it. The caller holds the lock.
 func (ow *Owner) addHost(ctx context.Context, spec cell.Host) *hostPoller {
-	h := &hostPoller{host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), connection: platform.NewHostConnection()}
+	h := &hostPoller{
+		host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), connection: platform.NewHostConnection(), starts: ow.startOrdersTo(spec.ID),
+	}
 	ow.hosts[spec.ID] = h
 	ow.scheduler.SetHosts([]cell.Host{spec})
 	var pollCtx context.Context
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -151,6 +151,10 @@
 	default:
 		log.Warn("The order to stop a run failed; it is sent again unless the run is gone by then.", "refusal", why.String(), "error", errText(err))
 		ctxtime.Sleep(ctx, stopRetryInterval)
-		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.StopFailed(s.Host, s.Task, s.Run, now) })
+		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) {
+			if !c.StopFailed(s.Host, s.Task, s.Run, now) && h.starts.hasUnanswered(schedule.Run{Task: s.Task, Run: s.Run}) {
+				c.StopLateRun(s.Host, s.Task, s.Run)
+			}
+		})
 	}
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -43,6 +43,9 @@
 	// desired is the desired state that the scheduler has.
 	desired *cell.Desired
 	hosts   map[string]*hostPoller
+	// ordersToHosts holds the start orders to each host that a later lifetime may carry out,
+	// by the host's ID, also for a while after the host was removed.
+	ordersToHosts map[string]*startOrders
 	// loading is the ID of the submission that is loaded.
 	loading string
 	// broken is set after a panic: the state may be changed in part, and must not be used.
@@ -88,7 +91,7 @@
 func New(o Options) *Owner {
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), heartbeatSlot: make(chan struct{}, 1), starts: newStartQueue(), stops: newStopQueue(),
-		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), finishedAt: make(map[string]finishedSubmission), finished: make(map[string]bool),
+		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), ordersToHosts: make(map[string]*startOrders), finishedAt: make(map[string]finishedSubmission), finished: make(map[string]bool),
 		advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
--- a/internal/cell/owner/startorders.go
+++ b/internal/cell/owner/startorders.go
@@ -81,6 +81,13 @@
 	})
 }
 
+// areTooOld reports whether all orders are so old that no lifetime can carry them out.
+func (s *startOrders) areTooOld(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.list, func(o *startOrder) bool { return o.endedAt == 0 || now <= o.endedAt+maxOrderDelay })
+}
+
 // latestLeaseEnd returns the latest end of the lease that the orders may give to another
 // lifetime, on its clock, which has been read now. maxLease is the longest lease that hosts
 // accept, zero for no limit. It is zero if there are no orders.
@@ -128,6 +135,11 @@
 	return out
 }
 
+// hasUnanswered reports whether the start order of a run has got no answer.
+func (s *startOrders) hasUnanswered(run schedule.Run) bool {
+	return slices.Contains(s.unansweredRuns(), run)
+}
+
 // arrivesBy returns until when the order may be carried out.
 func (o *startOrder) arrivesBy(now time.Duration) time.Duration {
 	switch {
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -112,12 +112,15 @@
 	return a.acceptedAt == 0
 }
 
-// StopFailed orders a stop again after the host refused it or did not answer.
-func (s *Scheduler) StopFailed(host string, task cell.TaskID, run int64, now time.Duration) {
+// StopFailed orders a stop again after the host refused it or did not answer. It reports
+// whether the run is known.
+func (s *Scheduler) StopFailed(host string, task cell.TaskID, run int64, now time.Duration) bool {
 	s.now = now
-	if a := s.findRun(host, task, run); a != nil && a.phase == phaseStopping && a.stopAcceptedAt == 0 {
+	a := s.findRun(host, task, run)
+	if a != nil && a.phase == phaseStopping && a.stopAcceptedAt == 0 {
 		s.orderStop(a, a.stopReason)
 	}
+	return a != nil
 }
 
 // MarkUnreachable records that a host does not answer. The host gets no new work.
