Delete finished submissions as fast as others finish

They count towards the memory from which submissions are refused now, so that callers would have been refused for them.

Cause: a scan for expired submissions every 5 s, of which one append at most was stored. Now the next round of storing goes on where it ended.

--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -100,8 +100,11 @@
 		records = append(records, progress...)
 		now := ow.options.Clock.Now()
 		if now-lastExpiryScan > expiryScanInterval {
-			lastExpiryScan = now
-			records = append(records, ow.expiryRecords(now)...)
+			expired, all := ow.expiryRecords(now)
+			records = append(records, expired...)
+			if all {
+				lastExpiryScan = now // otherwise the next round goes on
+			}
 		}
 		if ow.isBroken() {
 			return
@@ -175,15 +178,20 @@
 }
 
 // expiryRecords returns the records that delete submissions that finished longer
-// ago than the retention period.
-func (ow *Owner) expiryRecords(now time.Duration) (records []platform.Record) {
+// ago than the retention period, and whether these are all of them: one round stores
+// about maxRecordsPerAppend.
+func (ow *Owner) expiryRecords(now time.Duration) (records []platform.Record, all bool) {
 	ow.mu.Lock()
 	defer ow.unlock()
 	for id, f := range ow.finishedAt {
-		if now-f.at > ow.options.RetentionPeriod && len(records) < maxRecordsPerAppend {
-			records = append(records, registry.SubmissionDeletionRecords(id, f.parts)...)
-			delete(ow.finishedAt, id)
+		if now-f.at <= ow.options.RetentionPeriod {
+			continue
+		}
+		if len(records) >= maxRecordsPerAppend {
+			return records, false
 		}
+		records = append(records, registry.SubmissionDeletionRecords(id, f.parts)...)
+		delete(ow.finishedAt, id)
 	}
-	return records
+	return records, true
 }
--- a/internal/cell/owner/progress_size_test.go
+++ b/internal/cell/owner/progress_size_test.go
@@ -139,7 +139,8 @@
 	records, finished := w.progressRecords()
 	store(records)
 	w.removeFinished(finished)
-	store(w.expiryRecords(w.options.Clock.Now() + time.Hour))
+	records, _ = w.expiryRecords(w.options.Clock.Now() + time.Hour)
+	store(records)
 	if len(stored) > 0 {
 		t.Errorf("%d records are left", len(stored))
 	}
