Count with the longest lease also on hosts that the successor reaches

Cause: a successor that reaches a restarted host before it is cut off counts with the lease that it grants itself, while an order of its predecessor has given the host the longest one. Ruled out: a second restart (the runs lapse 10 s after an order of the predecessor) and hosts that do not answer (the starts elsewhere come 4.5 s after the cut, not after the claim).

Now the first report of another lifetime than the recorded one counts with the longest lease from then on, since the host refuses the predecessor's orders after it.

Evidence: TestLeaseOfALifetimeThatWasNotHeardOf, "the successor reaches the host before it is cut off", and TestLeaseDoesNotExpireEarlyForASuccessor, which draws polls of the successor now, fail without the change and pass with it.

--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -214,7 +214,7 @@
 		h.life = life
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
 		if former != life {
-			ow.inheritStarts(h, now)
+			ow.inheritStarts(h, former == nil, now)
 		}
 		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
 	})
@@ -238,9 +238,15 @@
 
 // inheritStarts takes into account that a lifetime of a host which has just been heard of may
 // carry out the start orders that are left from former ones, also from before the host was
-// removed. The caller holds the lock.
-func (ow *Owner) inheritStarts(h *hostPoller, now time.Duration) {
-	h.life.lease.inheritedEnd = h.starts.latestLeaseEnd(h.life.lease.hostClock, now, ow.options.MaxLease)
+// removed. first is set if this owner had heard of none before. Then orders of an earlier
+// owner, for the lifetime that it has stored, may have given the longest lease to this one;
+// they are refused from now on. The caller holds the lock.
+func (ow *Owner) inheritStarts(h *hostPoller, first bool, now time.Duration) {
+	clock := h.life.lease.hostClock
+	h.life.lease.inheritedEnd = h.starts.latestLeaseEnd(clock, now, ow.options.MaxLease)
+	if first && h.stored && h.storedLifetime != 0 && h.storedLifetime != h.life.startedMs {
+		h.life.lease.inheritedEnd = max(h.life.lease.inheritedEnd, clock+ow.options.MaxLease)
+	}
 	for _, r := range h.starts.unansweredRuns() {
 		ow.scheduler.StopLateRun(h.host.ID, r.Task, r.Run)
 	}
--- a/internal/cell/owner/successor_lease_test.go
+++ b/internal/cell/owner/successor_lease_test.go
@@ -72,6 +72,13 @@
 			r.startWith(noFault)
 			r.succeed(r.listedHost()).checkLease(2 * time.Second)
 		},
+		"the successor reaches the host before it is cut off": func(r *restartTest) {
+			r.startWith(noFault)
+			next := r.succeed(r.listedHost())
+			next.pollWith(noFault)
+			next.withState(next.checkReconciled)
+			next.checkLease(2 * time.Second)
+		},
 		"the owner is killed after the host has reported": func(r *restartTest) {
 			r.startWith(noFault)
 			for range 3 { // the first poll goes to the former lifetime
@@ -146,7 +153,13 @@
 		if len(r.log.Hosts()) == 0 {
 			return // nothing has been started there
 		}
-		if early := r.succeed(r.listedHost()).earlyExpiry(); early > 0 {
+		next := r.succeed(r.listedHost())
+		for range rapid.IntRange(0, 3).Draw(rt, "polls of the successor") {
+			next.clock.now += time.Duration(rapid.IntRange(0, 500).Draw(rt, "ms")) * time.Millisecond
+			next.pollWith(callFault(rapid.IntRange(0, 2).Draw(rt, "fault")))
+		}
+		next.withState(next.checkReconciled)
+		if early := next.earlyExpiry(); early > 0 {
 			rt.Fatalf("the lease of lifetime %d counts as expired %s before it is; stored %+v", r.host.lifetime, early, r.log.Hosts())
 		}
 	})
