--- a/internal/cell/owner/lifetime_test.go
+++ b/internal/cell/owner/lifetime_test.go
@@ -108,7 +108,6 @@
 func TestLeaseOfNoLifetimeExpiresEarly(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRestartTest(newHostTest(t))
-		var lateUntil time.Duration
 		for range rapid.IntRange(1, 60).Draw(rt, "events") {
 			r.clock.now += time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond
 			switch rapid.IntRange(0, 5).Draw(rt, "event") {
@@ -119,14 +118,8 @@
 				if f != noFault && !r.knowsLifetime() {
 					f = callLost
 				}
-				if f == carriedOutLate && len(r.host.late) == 0 {
-					lateUntil = r.clock.now + maxOrderDelay
-				}
 				r.startWith(f)
 			case 2:
-				if r.clock.now > lateUntil {
-					r.host.late = nil
-				}
 				if r.knowsLifetime() {
 					r.host.carryOutLateOrders()
 				}
--- a/internal/cell/owner/restartinghost_test.go
+++ b/internal/cell/owner/restartinghost_test.go
@@ -44,9 +44,11 @@
 	fault       callFault
 	lastEnd     int64
 	ends        []cell.Ended
-	// leaseEnd is on the clock of the present lifetime. Orders that are late wait in late.
-	leaseEnd time.Duration
-	late     []platform.Start
+	// leaseEnd is on the clock of the present lifetime. Orders that are late wait in late, and
+	// are carried out by lateUntil or not at all.
+	leaseEnd  time.Duration
+	late      []platform.Start
+	lateUntil time.Duration
 	// listed is the highest number of an end in an answer of the present lifetime.
 	listed     int64
 	violations []string
@@ -97,6 +99,9 @@
 	case callLost:
 		return 0, 0, doesNotAnswer.err
 	case carriedOutLate:
+		if len(h.late) == 0 {
+			h.lateUntil = h.clock.now + maxOrderDelay
+		}
 		h.late = append(h.late, o)
 		return 0, 0, doesNotAnswer.err
 	}
@@ -115,7 +120,9 @@
 // carryOutLateOrders carries out the orders that are late.
 func (h *restartingHost) carryOutLateOrders() {
 	for _, o := range h.late {
-		h.renew(o.LeaseEndMs)
+		if h.clock.now <= h.lateUntil {
+			h.renew(o.LeaseEndMs)
+		}
 	}
 	h.late = nil
 }
--- a/internal/cell/owner/successor_lease_test.go
+++ b/internal/cell/owner/successor_lease_test.go
@@ -58,6 +58,17 @@
 	return spec
 }
 
+// serveInTouch lets the owner and the host be in touch for 20 s, with stored records.
+func (r *restartTest) serveInTouch() {
+	r.list(nil, r.listedHost())
+	for range 20 {
+		r.clock.now += time.Second
+		r.pollWith(noFault)
+		r.storeHosts()
+	}
+	r.withState(r.checkReconciled)
+}
+
 // Guards against a task that runs twice, since a host that is back under its ID got a start
 // order that was meant for its former lifetime, and the owner, or its successor, has not
 // heard of the lease that this gave it before the host was cut off.
@@ -91,13 +102,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRestartTest(newHostTest(t))
-			r.list(nil, r.listedHost())
-			for range 20 {
-				r.clock.now += time.Second
-				r.pollWith(noFault)
-				r.storeHosts()
-			}
-			r.withState(r.checkReconciled)
+			r.serveInTouch()
 			r.host.restart(true)
 			r.clock.now += 100 * time.Millisecond
 			check(r)
@@ -108,12 +113,7 @@
 // Guards against work that waits for the longest lease after each takeover.
 func TestSuccessorDoesNotWaitForTheLongestLease(t *testing.T) {
 	r := newRestartTest(newHostTest(t))
-	r.list(nil, r.listedHost())
-	for range 20 {
-		r.clock.now += time.Second
-		r.pollWith(noFault)
-		r.storeHosts()
-	}
+	r.serveInTouch()
 	next := r.succeed(r.listedHost())
 	if wait := next.runsEndBy(next.poller("h")) - next.clock.now; wait > runsEndWithin(LeaseDuration) {
 		t.Errorf("the successor waits %s for a host that has not restarted", wait)
@@ -126,22 +126,14 @@
 func TestLeaseDoesNotExpireEarlyForASuccessor(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRestartTest(newHostTest(t))
-		var lateUntil time.Duration
 		for range rapid.IntRange(1, 40).Draw(rt, "events") {
 			r.clock.now += time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond
 			switch rapid.IntRange(0, 6).Draw(rt, "event") {
 			case 0:
 				r.host.restart(rapid.Bool().Draw(rt, "silent"))
 			case 1:
-				f := callFault(rapid.IntRange(0, 3).Draw(rt, "fault"))
-				if f == carriedOutLate && len(r.host.late) == 0 {
-					lateUntil = r.clock.now + maxOrderDelay
-				}
-				r.startWith(f)
+				r.startWith(callFault(rapid.IntRange(0, 3).Draw(rt, "fault")))
 			case 2:
-				if r.clock.now > lateUntil {
-					r.host.late = nil
-				}
 				r.host.carryOutLateOrders()
 			case 3:
 				r.list(nil, r.listedHost())
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -62,7 +62,7 @@
 	step := &j.sub.Steps[number]
 	g := &group{
 		id: cell.GroupID{Submission: j.sub.ID, Occurrence: occurrence, Step: number}, job: j, step: step, size: step.Reserved(),
-		firstTask: occurrence*j.occurrenceSize() + j.stepOffsets[number],
+		firstTask: j.firstTask(occurrence, number),
 	}
 	var stored cell.GroupProgress
 	if len(j.stored.Groups) > 0 {
--- a/internal/cell/schedule/progress_parts.go
+++ b/internal/cell/schedule/progress_parts.go
@@ -1,11 +1,6 @@
 package schedule
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/medlarpulley/medlarpulley/internal/cell"
-)
+import "github.com/medlarpulley/medlarpulley/internal/cell"
 
 // progressParts tells which parts of a divided progress have to be stored.
 type progressParts struct {
@@ -89,7 +84,7 @@
 // progressPart returns a part of the progress of the job.
 func (j *job) progressPart(number int) (p cell.ProgressPart) {
 	first, end := number*cell.TasksPerProgressPart, (number+1)*cell.TasksPerProgressPart
-	at, _ := slices.BinarySearchFunc(j.groups, first+1, func(g *group, n int) int { return cmp.Compare(g.firstTask, n) })
+	at, _ := j.groupIndex(first + 1)
 	for _, g := range j.groups[max(at-1, 0):] {
 		if g.firstTask >= end {
 			break
