--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -29,6 +29,8 @@
 	Owner        registry.Ownership         `json:"owner"`
 	Nodes        map[string]membership.Node `json:"nodes"`
 	Submissions  int                        `json:"submissions"`
+	// StoredBytes is how much memory the stored submissions take, estimated.
+	StoredBytes int64 `json:"stored_bytes"`
 	// AdviceWaiting is the number of advice calls of the owner that wait for a node.
 	AdviceWaiting int         `json:"advice_waiting"`
 	Term          *owner.Dump `json:"term,omitempty"`
@@ -37,6 +39,7 @@
 func (n *Node) dump() Dump {
 	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting()}
 	d.Owner, _ = n.registry.Owner()
+	d.StoredBytes, _ = n.registry.Storage("")
 	if s := n.desired.Load(); s != nil {
 		d.Version = s.Version
 	}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -213,11 +213,14 @@
 	ow.updateDesired()
 	ow.applyEvents()
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
-	ow.scheduler.SetStartRoom(max(maxWaitingStarts-ow.starts.waitingCount(), 0))
+	waiting := ow.starts.waitingCount()
+	ow.scheduler.SetStartRoom(max(maxWaitingStarts-waiting, 0))
 	startedAt := ow.options.Clock.Now()
 	p = ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
 	ow.advice.planned(p.AdviceRequests)
+	weight, deferred := ow.scheduler.Held()
+	ow.metrics.setBounds(weight, deferred, waiting)
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
--- a/internal/cell/schedule/livegroups.go
+++ b/internal/cell/schedule/livegroups.go
@@ -113,6 +113,10 @@
 	s.markReady(groups)
 }
 
+// Held returns the weight of the groups, see Options.MaxWeight, and how many submissions wait
+// until theirs may be created.
+func (s *Scheduler) Held() (weight, deferred int) { return s.weight, len(s.deferred) }
+
 // weight returns how much memory the group takes, in that of a task.
 func (g *group) weight() int { return len(g.tasks) + groupWeight }
 
