Keep in mind that a host has restarted when its entry expires

Cause: the lifetime in the host list counted only while the host was listed, and the record kept the former lifetime while an order might have made the lease longer, which says nothing without the list.

Now the lifetime that the list showed last counts also after its entry has expired, and the record has none while the lease may be longer. Ruled out: a wait for the longest lease on each host that is not listed, which would delay the work of each host that has crashed.

Evidence: three further cases of TestLeaseOfALifetimeThatWasNotHeardOf (the entry expires while the host is cut off, before the owner is killed, and after an answer was lost) fail without the change and pass with it.

--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -41,11 +42,17 @@
 	return at
 }
 
-// isListedAsAnother reports whether the host list shows that the host has restarted since a
-// lifetime. It may have been reached by orders then, and not by polls. The caller holds the
+// isListedAsAnother reports whether the host list has shown that the host has restarted since
+// a lifetime. It may have been reached by orders then, and not by polls. The caller holds the
 // lock.
 func (h *hostPoller) isListedAsAnother(startedMs int64) bool {
-	return h.inHostList && h.listed.StartedMs != 0 && startedMs != 0 && h.listed.StartedMs != startedMs
+	return h.listedLifetime != 0 && startedMs != 0 && h.listedLifetime != startedMs
+}
+
+// mayHoldLongestLease reports whether an earlier owner's orders may have given the host the
+// longest lease that hosts accept. The caller holds the lock.
+func (h *hostPoller) mayHoldLongestLease() bool {
+	return h.storedLifetime == registry.NoLifetime || h.isListedAsAnother(h.storedLifetime)
 }
 
 // recordNoAnswer informs the scheduler of a poll that the host did not answer: its process
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -69,8 +69,10 @@
 	// restartKnown is set once another instance has answered in place of the host, until
 	// the host reports its runs again. It is guarded by the owner's lock.
 	restartKnown bool
-	// inHostList is set while the platform lists the host.
-	inHostList bool
+	// inHostList is set while the platform lists the host. listedLifetime is the lifetime that
+	// the list showed last, zero if none; it stays when the entry expires.
+	inHostList     bool
+	listedLifetime int64
 	// closedByPreviousOwner is set if the previous owner had closed the host to new
 	// runs, so that only the runs it recorded may be present, or had not stored it, so
 	// that none may be.
--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -68,18 +68,18 @@
 	return known && h.stored && (!h.storedClosed || h.storedAddress != h.address)
 }
 
-// lifetimeToStore returns the lifetime for the record of the host. While a lifetime may hold a
-// longer lease than the owner's orders give, that is a former one, so that a successor waits
+// lifetimeToStore returns the lifetime for the record of the host. It is NoLifetime while the
+// present one may hold a longer lease than the owner's orders give, so that a successor waits
 // for the longest lease. The caller holds the lock.
 func (h *hostPoller) lifetimeToStore(now time.Duration) int64 {
-	switch {
-	case h.life != nil && !h.life.lease.inherits(now):
-		return h.life.startedMs
-	case h.life != nil && h.storedLifetime == 0:
+	known := h.storedLifetime
+	if h.life != nil {
+		known = h.life.startedMs
+	}
+	if h.life != nil && h.life.lease.inherits(now) || (h.life == nil || h.unreachable) && h.isListedAsAnother(known) {
 		return registry.NoLifetime
-	default:
-		return h.storedLifetime
 	}
+	return known
 }
 
 // hostRecordsStored is called once the records of changed hosts are stored.
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -40,6 +40,9 @@
 			h.pollNow() // the host may have gone from its former address
 		}
 		h.inHostList, h.listed = true, spec
+		if spec.StartedMs != 0 {
+			h.listedLifetime = spec.StartedMs
+		}
 	}
 	ow.scheduler.SetListedHosts(listed)
 	ow.forgetOldStartOrders()
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -251,7 +251,7 @@
 // lifetime, orders for that lifetime may have given it the longest lease.
 func (ow *Owner) earlierRunsEndBy(h *hostPoller) time.Duration {
 	lease := ow.leaseDuration()
-	if h.isListedAsAnother(h.storedLifetime) {
+	if h.mayHoldLongestLease() {
 		lease = max(lease, ow.options.MaxLease)
 	}
 	if ow.options.EarlierOwnersGone() {
--- a/internal/cell/owner/successor_lease_test.go
+++ b/internal/cell/owner/successor_lease_test.go
@@ -10,15 +10,15 @@
 )
 
 // succeed returns the owner that follows r, which has been killed: it knows what is stored,
-// and the host list with the lifetime of the host.
-func (r *restartTest) succeed(listed cell.Host) *restartTest {
+// and the host list, with the lifetime of the host if its entry has not expired.
+func (r *restartTest) succeed(listed ...cell.Host) *restartTest {
 	next := newHostTest(r.t)
 	next.clock.now = r.clock.now
 	next.options.ClaimSent, next.options.ClaimedAt = r.clock.now, r.clock.now
 	next.options.HostClient, next.options.MaxLease = r.host, testMaxLease
 	next.log = r.log
 	r.host.clock, r.host.connectedTo = next.clock, 0
-	next.list(r.log.Hosts(), listed)
+	next.list(r.log.Hosts(), listed...)
 	return &restartTest{hostTest: next, host: r.host}
 }
 
@@ -83,6 +83,32 @@
 			r.startWith(noFault)
 			r.succeed(r.listedHost()).checkLease(2 * time.Second)
 		},
+		"the entry of the host expires while it is cut off": func(r *restartTest) {
+			r.startWith(noFault)
+			next := r.succeed(r.listedHost())
+			next.list(nil)
+			next.checkLease(2 * time.Second)
+		},
+		"the entry has expired before the owner is killed": func(r *restartTest) {
+			r.startWith(noFault)
+			for range 3 { // the first poll goes to the former lifetime
+				r.pollWith(noFault)
+			}
+			r.list(nil, r.listedHost())
+			r.storeHosts()
+			for range 3 {
+				r.pollWith(callLost)
+			}
+			r.list(nil)
+			r.storeHosts()
+			r.succeed().checkLease(2 * time.Second)
+		},
+		"the answer is lost, and the entry expires": func(r *restartTest) {
+			r.startWith(answerLost)
+			r.list(nil, r.listedHost())
+			r.list(nil)
+			r.checkLease(maxOrderDelay + 2*time.Second)
+		},
 		"the successor reaches the host before it is cut off": func(r *restartTest) {
 			r.startWith(noFault)
 			next := r.succeed(r.listedHost())
