Bound also what a successor takes over as begun

Now those for which there is no room wait like others, with what is stored of them; a run that a host reports creates its groups in any case.

Evidence: TestSuccessorHoldsBoundedWorkAlsoIfItHasBegun fails without the change (a weight of 640 at a bound of 120) and passes with it, over two takeovers.

--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -13,7 +13,7 @@
 	queue cell.Queue
 	team  *team
 	// groups are those that have been created, in the order of their first tasks. stored is
-	// the progress that an earlier owner stored, while they are created.
+	// the progress that an earlier owner stored, until they are created.
 	groups []*group
 	stored cell.Progress
 	// nextDue is how many occurrences, in the order of their due times, have been created.
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -38,11 +38,12 @@
 	if sub.Timed() {
 		s.timedJobs = append(s.timedJobs, j)
 	}
+	if p.HasBegun() {
+		j.stored = p
+	}
 	switch {
 	case p.HasBegun():
-		j.stored = p
 		s.createStarted(j)
-		j.stored = cell.Progress{} // what it says of groups that are created later is in doneTasks
 	case unreconciled && !s.reconciled:
 		// Submissions that have begun come first; they may be loaded later.
 	case sub.Timed():
--- a/internal/cell/schedule/livegroups.go
+++ b/internal/cell/schedule/livegroups.go
@@ -110,6 +110,9 @@
 	at, _ := j.groupIndex(groups[0].firstTask)
 	j.groups = slices.Insert(j.groups, at, groups...)
 	s.newGroups = append(s.newGroups, groups...)
+	if !j.sub.Timed() {
+		j.forgetStored()
+	}
 	s.markReady(groups)
 }
 
--- a/internal/cell/schedule/livegroups_test.go
+++ b/internal/cell/schedule/livegroups_test.go
@@ -146,3 +146,46 @@
 		}
 	}
 }
+
+// Guards against a successor that exceeds its memory with work that was begun under an owner
+// without the bound, and against what it forgets of such work while that waits.
+func TestSuccessorHoldsBoundedWorkAlsoIfItHasBegun(t *testing.T) {
+	const jobs, tasks = 20, 30
+	c := newCluster(2, resource.Vector{MilliCPU: 16_000, MemoryMiB: 64_000})
+	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, MaxAttempts: 2})
+	c.fails = func(task cell.TaskID, run int64) bool { return task.Index%5 == 0 && run == 1 }
+	c.takes = func(task cell.TaskID, estimate time.Duration) time.Duration {
+		return time.Duration(1+task.Index%3*50) * estimate
+	}
+	for i := range jobs {
+		step := smallStep(tasks, 100*time.Millisecond)
+		step.Size = resource.Vector{MilliCPU: 10, MemoryMiB: 10}
+		c.submit(fmt.Sprintf("job%02d", i), "q", "a", step)
+	}
+	for range 4 {
+		c.advance(100 * time.Millisecond)
+	}
+	for range 2 {
+		c.s.options.MaxWeight = 4 * tasks
+		for _, h := range c.hosts {
+			h.runs = nil // they ended without a report
+		}
+		c.replaceOwner()
+		if c.s.weight > c.s.options.MaxWeight {
+			t.Errorf("the successor holds a weight of %d, the bound is %d", c.s.weight, c.s.options.MaxWeight)
+		}
+		c.s.MarkReconciled(c.now)
+		c.advance(100 * time.Millisecond)
+	}
+	if !c.stepUntilFinished(3000, 100*time.Millisecond) {
+		t.Error("work is open after 300 s")
+	}
+	for id, state := range c.state {
+		if state != cell.Completed {
+			t.Errorf("%s is %s", id, state)
+		}
+	}
+	if len(c.violations) > 0 {
+		t.Error(c.violations[0])
+	}
+}
--- a/internal/cell/schedule/progress.go
+++ b/internal/cell/schedule/progress.go
@@ -20,6 +20,11 @@
 		}
 		return p, true
 	}
+	if len(j.groups) == 0 && j.stored.HasBegun() {
+		p = j.stored // its groups have not been created yet
+		p.State = j.state
+		return p, true
+	}
 	for _, g := range j.groups {
 		if gp, any := g.progress(); any && g.left > 0 {
 			setGroup(&p.Groups, g.id, gp)
--- a/internal/cell/schedule/restore.go
+++ b/internal/cell/schedule/restore.go
@@ -54,12 +54,16 @@
 }
 
 // createStarted creates the groups of which the stored progress says that they have begun:
-// an earlier owner may have started runs of them.
+// an earlier owner may have started runs of them. If an earlier owner held more than this one
+// may, those of a job without occurrences are created later.
 func (s *Scheduler) createStarted(j *job) {
 	if !j.sub.Timed() {
-		s.createOccurrence(j, 0)
+		if s.options.MaxWeight == 0 || s.weight+j.weight() <= s.options.MaxWeight {
+			s.createOccurrence(j, 0)
+		}
 		return
 	}
+	defer j.forgetStored()
 	for _, id := range slices.Sorted(maps.Keys(j.stored.Groups)) {
 		if occurrence, step, ok := cell.ParseGroupID(id); ok && j.hasStep(occurrence, step) {
 			s.createOccurrence(j, occurrence)
@@ -75,3 +79,7 @@
 		}
 	}
 }
+
+// forgetStored forgets the stored progress once the groups have been created that it has
+// details of: what it says of others is in doneTasks.
+func (j *job) forgetStored() { j.stored = cell.Progress{} }
