--- a/internal/cell/owner/expiry_test.go
+++ b/internal/cell/owner/expiry_test.go
@@ -54,7 +54,7 @@
 	})
 	for i := range finished {
 		id := fmt.Sprintf("%016x", i)
-		w.finishedAt[id] = finishedSubmission{id: id, at: clock.Now()}
+		w.retained[id] = finishedSubmission{id: id, at: clock.Now()}
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	w.runGuarded(func() { w.persist(ctx) })
--- a/internal/cell/owner/load.go
+++ b/internal/cell/owner/load.go
@@ -72,7 +72,7 @@
 		switch {
 		case leftOut[e.Submission.ID]:
 		case e.Progress.State.Final(), e.Expired():
-			ow.finishedAt[e.Submission.ID] = finishedSubmission{id: e.Submission.ID, at: now, parts: e.Progress.StoredParts}
+			ow.retained[e.Submission.ID] = finishedSubmission{id: e.Submission.ID, at: now, parts: e.Progress.StoredParts}
 		default:
 			ow.add(e, now, wall)
 		}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -50,8 +50,8 @@
 	loading string
 	// broken is set after a panic: the state may be changed in part, and must not be used.
 	broken bool
-	// finishedAt holds the submissions that have finished, by ID, until they are deleted.
-	finishedAt map[string]finishedSubmission
+	// retained holds the submissions that have finished, by ID, until they are deleted.
+	retained map[string]finishedSubmission
 	// finished are submissions whose final state is stored. They are removed once
 	// their runs are gone.
 	finished map[string]bool
@@ -91,7 +91,7 @@
 func New(o Options) *Owner {
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), heartbeatSlot: make(chan struct{}, 1), starts: newStartQueue(), stops: newStopQueue(),
-		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), ordersToHosts: make(map[string]*startOrders), finishedAt: make(map[string]finishedSubmission), finished: make(map[string]bool),
+		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), ordersToHosts: make(map[string]*startOrders), retained: make(map[string]finishedSubmission), finished: make(map[string]bool),
 		advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -168,7 +168,7 @@
 	for _, f := range list {
 		f.at = now
 		ow.finished[f.id] = true
-		ow.finishedAt[f.id] = f
+		ow.retained[f.id] = f
 	}
 	for id := range ow.finished {
 		if ow.scheduler.RemoveSubmission(id) {
@@ -183,7 +183,7 @@
 func (ow *Owner) expiryRecords(now time.Duration) (records []platform.Record, all bool) {
 	ow.mu.Lock()
 	defer ow.unlock()
-	for id, f := range ow.finishedAt {
+	for id, f := range ow.retained {
 		if now-f.at <= ow.options.RetentionPeriod {
 			continue
 		}
@@ -191,7 +191,7 @@
 			return records, false
 		}
 		records = append(records, registry.SubmissionDeletionRecords(id, f.parts)...)
-		delete(ow.finishedAt, id)
+		delete(ow.retained, id)
 	}
 	return records, true
 }
