--- a/internal/cell/owner/successor_lease_test.go
+++ b/internal/cell/owner/successor_lease_test.go
@@ -69,6 +69,15 @@
 	r.withState(r.checkReconciled)
 }
 
+// hearOfHost lets the host report to the owner after a restart, and the list show it.
+func (r *restartTest) hearOfHost() {
+	for range 3 { // the first poll goes to the former lifetime
+		r.pollWith(noFault)
+	}
+	r.list(nil, r.listedHost())
+	r.storeHosts()
+}
+
 // Guards against a task that runs twice, since a host that is back under its ID got a start
 // order that was meant for its former lifetime, and the owner, or its successor, has not
 // heard of the lease that this gave it before the host was cut off.
@@ -91,11 +100,7 @@
 		},
 		"the entry has expired before the owner is killed": func(r *restartTest) {
 			r.startWith(noFault)
-			for range 3 { // the first poll goes to the former lifetime
-				r.pollWith(noFault)
-			}
-			r.list(nil, r.listedHost())
-			r.storeHosts()
+			r.hearOfHost()
 			for range 3 {
 				r.pollWith(callLost)
 			}
@@ -118,11 +123,7 @@
 		},
 		"the owner is killed after the host has reported": func(r *restartTest) {
 			r.startWith(noFault)
-			for range 3 { // the first poll goes to the former lifetime
-				r.pollWith(noFault)
-			}
-			r.list(nil, r.listedHost())
-			r.storeHosts()
+			r.hearOfHost()
 			r.succeed(r.listedHost()).checkLease(2 * time.Second)
 		},
 	} {
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -312,49 +311,3 @@
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.resumesFrom(), Ticket: value, Waited: waited,
 	})
 }
-
-// prefetchAdvice requests advice for steps that become ready soon.
-func (s *Scheduler) prefetchAdvice() {
-	for _, g := range s.liveGroups() {
-		p := g.policy()
-		if p == nil || g.ready || g.left == 0 || g.job.state.Final() || g.advice.inFlight || len(g.advice.tickets) > 0 || g.job.sub.Timed() {
-			continue
-		}
-		if s.readyWithin(g, p.CallDuration(adviceHostLimit(p))) {
-			s.requestAdviceOnUndecidedHosts(g)
-		}
-	}
-}
-
-// readyWithin reports whether the steps that a group depends on are expected to
-// end within the duration d.
-func (s *Scheduler) readyWithin(g *group, d time.Duration) bool {
-	for _, a := range g.step.After {
-		earlier := g.job.stepGroup(g.id.Occurrence, a)
-		if earlier != nil && s.expectedGroupEnd(earlier) > s.now+d {
-			return false
-		}
-	}
-	return true
-}
-
-// expectedGroupEnd returns when all tasks of a group are expected to be done, a very late
-// time if one of them is not known to run. Many steps may depend on one with many tasks, so
-// that its tasks are examined once in a decision.
-func (s *Scheduler) expectedGroupEnd(g *group) time.Duration {
-	if g.endsByIn == s.decision {
-		return g.endsBy
-	}
-	g.endsByIn, g.endsBy = s.decision, 0
-	for _, t := range g.tasks {
-		if t.done {
-			continue
-		}
-		if len(t.runs) == 0 || t.runs[0].acceptedAt == 0 {
-			g.endsBy = math.MaxInt64
-			break
-		}
-		g.endsBy = max(g.endsBy, t.runs[0].acceptedAt+g.estimate(t.runs[0].host))
-	}
-	return g.endsBy
-}
