Do not take a submission that has just finished for a deleted one

Cause: a change of this issue answers a summary without a final progress with 410, since its records are being deleted. A node that reads the newest records in parts has the same while a submission finishes between the parts: its progress is read first, the summary afterwards, and the final progress follows.

Now the node reads up to the end of the topic before it answers so. The final progress is stored before the summary, so that it has been read then.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -187,7 +187,7 @@
 // queue. Otherwise the second value is the response to the caller.
 func (c *call) find(ctx context.Context) (registry.Entry, *peers.CallResponse) {
 	e, found := c.handler.State.Find(c.id)
-	if !found {
+	if !found || e.Expired() {
 		if err := c.handler.State.CatchUp(ctx); err != nil {
 			return e, unavailableResponse("the state of submissions may be out of date")
 		}
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -55,8 +55,9 @@
 	return out
 }
 
-// Expired reports whether the submission has finished and its records are being deleted, so
-// that its state is known no more.
+// Expired reports whether the submission has finished and its final progress is missing: its
+// records are being deleted, or the progress has not been read yet since the newest records
+// are read in parts.
 func (e *Entry) Expired() bool {
 	return e.Submission != nil && e.Submission.Finished && !e.Progress.State.Final()
 }
