Apply the parts of a progress without a copy of all others

Now the map is changed in place under the lock of its shard, a copy is made for those who use the parts (a new owner), and the bytes of the parts are kept as a sum, which the test of the count checks against the parts.

What callers see is unchanged.

--- a/internal/cell/registry/apply_progress.go
+++ b/internal/cell/registry/apply_progress.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"maps"
 	"strconv"
 	"strings"
 
@@ -43,7 +42,7 @@
 	e.Progress, e.progressBytes = p, len(rec.Value)
 	r.countOwnerWrite()
 	if p.State.Final() {
-		e.parts = nil
+		e.parts, e.partsBytes = nil, 0
 		if e.Submission != nil {
 			e.Submission = e.Submission.Summary()
 		}
@@ -57,9 +56,8 @@
 	if len(rec.Value) == 0 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if e := s.entries[id]; e != nil && e.parts != nil {
-			e.parts = maps.Clone(e.parts)
-			delete(e.parts, number)
+		if e := s.entries[id]; e != nil {
+			e.deletePart(number)
 			r.storage.count(e)
 		}
 		return nil
@@ -74,7 +72,7 @@
 	if rec.Offset < e.parts[number].offset || e.Progress.State.Final() {
 		return nil
 	}
-	e.parts = e.withPart(number, progressPart{p, rec.Offset, len(rec.Value)})
+	e.setPart(number, progressPart{p, rec.Offset, len(rec.Value)})
 	r.storage.count(e)
 	r.countOwnerWrite()
 	return nil
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -24,9 +24,10 @@
 	// replaced is set if the next record of the submission replaces it, since it may be that
 	// of a later one under the same ID; see Registry.BeginNewest.
 	replaced bool
-	// parts are those of a divided progress, by number. The map is never changed, since
-	// copies of the entry share it.
-	parts map[int]progressPart
+	// parts are those of a divided progress, by number, and partsBytes is the size of their
+	// records. A copy of the entry is made by copied, since the map is changed in place.
+	parts      map[int]progressPart
+	partsBytes int
 }
 
 // progressPart is a part of a divided progress with the log offset of its record.
@@ -45,14 +46,26 @@
 	return e.Progress.Join(parts)
 }
 
-// withPart returns the parts with another value of one of them.
-func (e *Entry) withPart(number int, p progressPart) map[int]progressPart {
-	out := maps.Clone(e.parts)
-	if out == nil {
-		out = make(map[int]progressPart)
+// setPart sets a part of a divided progress.
+func (e *Entry) setPart(number int, p progressPart) {
+	if e.parts == nil {
+		e.parts = make(map[int]progressPart)
 	}
-	out[number] = p
-	return out
+	e.partsBytes += p.bytes - e.parts[number].bytes
+	e.parts[number] = p
+}
+
+// deletePart forgets a part of a divided progress.
+func (e *Entry) deletePart(number int) {
+	e.partsBytes -= e.parts[number].bytes
+	delete(e.parts, number)
+}
+
+// copied returns a copy that shares no parts with the entry.
+func (e *Entry) copied() Entry {
+	c := *e
+	c.parts = maps.Clone(e.parts)
+	return c
 }
 
 // Expired reports whether the submission has finished and its final progress is missing: its
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -60,12 +60,14 @@
 		e.Progress = cell.Progress{}
 	}
 	e.Cancelled = e.Cancelled && present[prefixCancel+id]
-	e.parts = maps.Clone(e.parts)
 	for number, part := range e.parts {
+		if !present[progressPartKey(id, number)] {
+			e.deletePart(number)
+			continue
+		}
 		part.offset = 0
-		e.parts[number] = part
+		e.setPart(number, part)
 	}
-	maps.DeleteFunc(e.parts, func(number int, _ progressPart) bool { return !present[progressPartKey(id, number)] })
 	e.progressOffset = 0
 	e.replaced = e.Submission != nil
 }
--- a/internal/cell/registry/newest_test.go
+++ b/internal/cell/registry/newest_test.go
@@ -159,6 +159,13 @@
 	for i := range r.shards {
 		for _, e := range r.shards[i].entries {
 			total += e.bytes()
+			partsBytes := 0
+			for _, p := range e.parts {
+				partsBytes += p.bytes
+			}
+			if partsBytes != e.partsBytes {
+				t.Errorf("%d bytes of parts are counted, want %d", e.partsBytes, partsBytes)
+			}
 			if e.Submission != nil {
 				byTeam[e.Submission.Team] += e.bytes()
 			}
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -156,12 +156,12 @@
 	switch {
 	case e.replaced:
 		e.Submission, e.submissionBytes, e.replaced = sub, len(rec.Value), false
-		return *e, false
+		return e.copied(), false
 	case e.Submission != nil:
-		return *e, false
+		return e.copied(), false
 	}
 	e.Submission, e.submissionBytes, e.Offset = sub, len(rec.Value), rec.Offset
-	return *e, true
+	return e.copied(), true
 }
 
 func (r *Registry) applyCancel(id string, rec platform.Record) error {
@@ -208,7 +208,8 @@
 	r.ownerWrites++
 }
 
-// Find returns a copy of the entry of a submission; false if there is none.
+// Find returns a copy of the entry of a submission, without the parts of a divided progress;
+// false if there is none.
 func (r *Registry) Find(id string) (Entry, bool) {
 	s := r.shard(id)
 	s.mu.RLock()
@@ -217,7 +218,9 @@
 	if e == nil || e.Submission == nil {
 		return Entry{}, false
 	}
-	return *e, true
+	c := *e
+	c.parts = nil
+	return c, true
 }
 
 // All returns a copy of every entry, in the order in which submissions were accepted.
@@ -228,7 +231,7 @@
 		s.mu.RLock()
 		for _, e := range s.entries {
 			if e.Submission != nil {
-				all = append(all, *e)
+				all = append(all, e.copied())
 			}
 		}
 		s.mu.RUnlock()
--- a/internal/cell/registry/storage.go
+++ b/internal/cell/registry/storage.go
@@ -52,7 +52,7 @@
 
 // bytes returns how much memory the entry takes.
 func (e *Entry) bytes() (n int64) {
-	n = entryBytes + decodedFactor*int64(e.progressBytes)
+	n = entryBytes + decodedFactor*int64(e.progressBytes+e.partsBytes)
 	if e.Submission != nil {
 		recordBytes := e.submissionBytes
 		if e.Progress.State.Final() {
@@ -60,9 +60,6 @@
 		}
 		n += submissionBytes(e.Submission, recordBytes) - entryBytes
 	}
-	for _, p := range e.parts {
-		n += decodedFactor * int64(p.bytes)
-	}
 	return n
 }
 
