Count the leases of a lifetime that was not polled in one place

The two sums over the start orders to a host differed in whether orders without an answer count; one function says so by a parameter now, and when an order was carried out at the latest has a name. The times are the same: TestLeaseOfNoLifetimeExpiresEarly, TestLeaseDoesNotExpireEarlyForASuccessor and TestLeaseOfALifetimeThatWasNotHeardOf pass with 5,000 drawn cases each.

--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -34,10 +34,8 @@
 			at = ow.earlierRunsEndBy(h)
 			return
 		}
-		at = max(h.life.lease.expiry(), h.starts.answeredLeasesEndBy(ow.options.MaxLease))
-		if h.isListedAsAnother(h.life.startedMs) {
-			at = max(at, h.starts.leasesEndBy(ow.options.Clock.Now(), ow.options.MaxLease))
-		}
+		restarted := h.isListedAsAnother(h.life.startedMs)
+		at = max(h.life.lease.expiry(), h.starts.leasesEndBy(ow.options.Clock.Now(), ow.options.MaxLease, restarted))
 	})
 	return at
 }
--- a/internal/cell/owner/startorders.go
+++ b/internal/cell/owner/startorders.go
@@ -100,37 +100,30 @@
 	return latest
 }
 
-// answeredLeasesEndBy returns the time by which the leases have certainly expired that a
-// lifetime which has not been polled yet may hold, since it answered an order; zero if none
-// may have.
-func (s *startOrders) answeredLeasesEndBy(maxLease time.Duration) (latest time.Duration) {
+// leasesEndBy returns the time by which the leases have certainly expired that a lifetime may
+// hold which has not been polled yet: that of each order which it has answered, and with
+// unanswered also that of the others; zero if there are none.
+func (s *startOrders) leasesEndBy(now, maxLease time.Duration, unanswered bool) (latest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
-		if o.answered {
-			latest = max(latest, o.endedAt+runsEndWithin(o.leaseEndOn(0, maxLease)))
+		if o.answered || unanswered {
+			latest = max(latest, o.latestArrival(now)+runsEndWithin(o.leaseEndOn(0, maxLease)))
 		}
 	}
 	return latest
 }
 
-// leasesEndBy returns the time by which the leases have certainly expired that a lifetime may
-// hold of which the owner has not heard, whether or not the orders have been answered; zero
-// if there are no orders.
-func (s *startOrders) leasesEndBy(now, maxLease time.Duration) (latest time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, o := range s.list {
-		arrival := o.endedAt
-		switch {
-		case o.endedAt == 0:
-			arrival = o.arrivesBy(now)
-		case !o.answered:
-			arrival += maxOrderDelay
-		}
-		latest = max(latest, arrival+runsEndWithin(o.leaseEndOn(0, maxLease)))
+// latestArrival returns when the order was carried out at the latest, or will be.
+func (o *startOrder) latestArrival(now time.Duration) time.Duration {
+	switch {
+	case o.answered:
+		return o.endedAt
+	case o.endedAt == 0:
+		return o.arrivesBy(now)
+	default:
+		return o.endedAt + maxOrderDelay
 	}
-	return latest
 }
 
 // leaseEndOn returns the end of the lease that the order gives to a lifetime which carries it
