--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -21,7 +21,9 @@
 	Platform Platform `toml:"platform"`
 	Bounds   Bounds   `toml:"bounds"`
 	Limits   Limits   `toml:"limits"`
-	Log      Log      `toml:"log"`
+	// Scheduling switches parts of the scheduler on and off.
+	Scheduling Scheduling `toml:"scheduling"`
+	Log        Log        `toml:"log"`
 }
 
 // Node identifies the process and its availability zone.
@@ -68,6 +70,20 @@
 // MemoryBytes returns the memory limit of the process in bytes.
 func (l Limits) MemoryBytes() int64 { return l.MemoryMiB << 20 }
 
+// Scheduling switches decisions on that are not part of the basic placement.
+type Scheduling struct {
+	// LearnRunTimes derives the expected duration of runs from those that have ended.
+	LearnRunTimes bool `toml:"learn_run_times"`
+	// GangCapacity gathers the room for wide gangs ahead of work of a lower priority.
+	GangCapacity bool `toml:"gang_capacity"`
+	// Preemption lets work of a higher priority displace work of a lower one.
+	Preemption bool `toml:"preemption"`
+	// Admission refuses submissions that cannot be of use any more when they would end.
+	Admission bool `toml:"admission"`
+	// FairShares orders work by the shares of the teams while the cell is full.
+	FairShares bool `toml:"fair_shares"`
+}
+
 // Log holds the level and the format of the log.
 type Log struct {
 	Level  string `toml:"level"`
@@ -77,9 +93,10 @@
 // Default returns the default values of the settings that a file may omit.
 func Default() Settings {
 	return Settings{
-		Bounds: Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, ConfigApplyMs: 2000, GraceSeconds: 6, StatusSeconds: 120},
-		Limits: Limits{MemoryMiB: 284, Cores: 1},
-		Log:    Log{Level: "info", Format: "text"},
+		Bounds:     Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, ConfigApplyMs: 2000, GraceSeconds: 6, StatusSeconds: 120},
+		Limits:     Limits{MemoryMiB: 284, Cores: 1},
+		Scheduling: Scheduling{LearnRunTimes: true, GangCapacity: true, Preemption: true, Admission: true, FairShares: true},
+		Log:        Log{Level: "info", Format: "text"},
 	}
 }
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -9,6 +9,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 	"github.com/medlarpulley/medlarpulley/internal/logging"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
@@ -69,6 +70,7 @@
 		EarlierOwnersGone: func() bool { return previousOwnerGone(c.previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
+		Features: features(n.settings.Scheduling),
 	})
 	n.registry.SetListener(t.owner)
 	n.term = t
@@ -90,6 +92,11 @@
 	}()
 }
 
+// features returns the features of the scheduler that the settings switch on.
+func features(s config.Scheduling) schedule.Features {
+	return schedule.Features{LearnRunTimes: s.LearnRunTimes, GangCapacity: s.GangCapacity, Preemption: s.Preemption, FairShares: s.FairShares}
+}
+
 // previousOwnerGone reports whether no earlier owner can act on hosts any more:
 // there was none, or the previous owner had reconciled the runs of the owners
 // before it, and has released the ownership or its process was replaced.
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -10,6 +10,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/advice"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -74,4 +75,5 @@
 	// MaxWeight bounds the work that the owner holds at one time; zero for no bound. See
 	// schedule.Options.
 	MaxWeight int
+	Features  schedule.Features
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -106,7 +106,7 @@
 
 func newScheduler(o Options) *schedule.Scheduler {
 	return schedule.New(schedule.Options{
-		RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout, MaxWeight: o.MaxWeight,
+		RunNumberBase: (o.Self.Token - 1) * runNumbersPerOwner, GangTimeout: o.GangTimeout, MaxWeight: o.MaxWeight, Features: o.Features,
 	})
 }
 
--- /dev/null
+++ b/internal/cell/runtimes/expectation.go
@@ -0,0 +1,14 @@
+package runtimes
+
+import "time"
+
+// Expectation holds quantiles of the expected duration of a run, or of the rest of one.
+type Expectation struct {
+	Median, P90, P99 time.Duration
+	// Samples is the number of ended runs that the quantiles are derived from; zero if they
+	// are the submitter's estimate.
+	Samples int
+}
+
+// Exactly returns an expectation of which every quantile is d.
+func Exactly(d time.Duration) Expectation { return Expectation{Median: d, P90: d, P99: d} }
--- /dev/null
+++ b/internal/cell/schedule/features.go
@@ -0,0 +1,13 @@
+package schedule
+
+// Features switch decisions on that are not part of the basic placement.
+type Features struct {
+	// LearnRunTimes derives the expected duration of runs from those that have ended.
+	LearnRunTimes bool
+	// GangCapacity gathers the room for wide gangs ahead of work of a lower priority.
+	GangCapacity bool
+	// Preemption lets work of a higher priority displace work of a lower one.
+	Preemption bool
+	// FairShares orders work by the shares of the teams while the cell is full.
+	FairShares bool
+}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -150,7 +150,7 @@
 	s.work.used++
 	free := h.free()
 	if !g.ignoresReservations {
-		free = h.freeFor(s.now + g.estimate(h))
+		free = h.freeFor(s.now + s.expected(g, h).P90)
 	}
 	n := tasksIn(g.size, free)
 	if g.step.MaxPerHost > 0 {
--- a/internal/cell/schedule/prefetch.go
+++ b/internal/cell/schedule/prefetch.go
@@ -46,7 +46,7 @@
 			g.endsBy = math.MaxInt64
 			break
 		}
-		g.endsBy = max(g.endsBy, t.runs[0].acceptedAt+g.estimate(t.runs[0].host))
+		g.endsBy = max(g.endsBy, t.runs[0].acceptedAt+s.expected(g, t.runs[0].host).Median)
 	}
 	return g.endsBy
 }
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -97,15 +97,8 @@
 	return h.expectedEnds
 }
 
-// expectedEnd returns when a run is expected to end. One that has exceeded its estimate
-// is expected to exceed it by as much again.
-func (s *Scheduler) expectedEnd(a *taskRun) time.Duration {
-	end := a.orderedAt + a.task.group.estimate(a.host)
-	if overdue := s.now - end; overdue >= 0 {
-		end = s.now + max(overdue, overdueExtension)
-	}
-	return end
-}
+// expectedEnd returns when a run is expected to end.
+func (s *Scheduler) expectedEnd(a *taskRun) time.Duration { return s.now + s.remaining(a).Median }
 
 // roomGain is the number of additional gang members that fit on a host from a
 // time on.
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -22,6 +22,7 @@
 	MaxWeight int
 	// GangTimeout is how long a gang member waits for the other members.
 	GangTimeout time.Duration
+	Features    Features
 }
 
 // Scheduler holds the state of the cell as far as its owner knows it.
