Start nothing in evacuated availability zones

Cause: operators evacuate a zone by a record evacuate/ZONE in the topic of the desired state. Nodes ignored such records, so tasks went on starting there.

Change: each node keeps the set of evacuated zones. The owner passes it to the scheduler before each decision, which treats their hosts as not usable for new work, and checks it again right before each start order is sent.

--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -54,7 +54,10 @@
 	RevokeMs      int64 `toml:"revoke_ms"`
 	// ConfigApplyMs is the time within which a confirmed desired state has to be in
 	// force.
-	ConfigApplyMs int64   `toml:"config_apply_ms"`
+	ConfigApplyMs int64 `toml:"config_apply_ms"`
+	// EvacuationMs is the time within which the evacuation of an availability zone has to be
+	// in effect; zero for no bound.
+	EvacuationMs  int64   `toml:"evacuation_ms"`
 	GraceSeconds  float64 `toml:"grace_seconds"`
 	StatusSeconds float64 `toml:"status_seconds"`
 }
--- a/internal/cell/node/desired_state.go
+++ b/internal/cell/node/desired_state.go
@@ -23,8 +23,10 @@
 	desiredRefreshTimeout = 400 * time.Millisecond
 )
 
-// applyDesired applies records of the desired state, which operators write.
+// applyDesired applies records of the desired state and of evacuations, which operators
+// write.
 func (n *Node) applyDesired(p worklog.Page) {
+	n.evacuations.apply(p)
 	p.ForEach(n.log, func(r platform.Record) {
 		if r.Key == platform.KeyDesired {
 			n.applyDesiredRecord(r.Value, "store")
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -89,8 +89,9 @@
 	slowApply         rate.Sometimes
 	callerHandler     *front.Handler
 
-	desired  atomic.Pointer[appliedDesired]
-	draining atomic.Bool
+	desired     atomic.Pointer[appliedDesired]
+	evacuations *evacuations
+	draining    atomic.Bool
 	// following is set once this node follows the work topic, left when it shuts
 	// down. After a change of either, triggerHeartbeat publishes it at once.
 	following, left atomic.Bool
@@ -152,9 +153,8 @@
 	n.workReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
 		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Meter: n.storeMeter, OnFault: n.abortTerm,
 	}, n.applyWork)
-	n.desiredReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
-		Topic: platform.TopicDesired, Wait: desiredLongPollTimeout, TimeoutMargin: desiredTimeoutMargin, Meter: n.storeMeter,
-	}, n.applyDesired)
+	n.evacuations = newEvacuations(log, n.metrics)
+	n.desiredReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), n.desiredReaderOptions(), n.applyDesired)
 	n.nodesReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
 		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Meter: n.storeMeter,
 	}, n.applyNodes)
@@ -273,9 +273,10 @@
 
 // HandleTakeoverRequest implements peers.Handler. A node whose own reads fail
 // ignores the request: it cannot tell an outage of the store from a broken
-// connection between the owner and the store.
+// connection between the owner and the store. So does one that could not start tasks, as
+// it cannot read the evacuated zones.
 func (n *Node) HandleTakeoverRequest(_ context.Context, r *peers.TakeoverRequest) (*peers.TakeoverResponse, error) {
-	if !n.workReader.Failing() {
+	if !n.workReader.Failing() && n.evacuatedZonesProven() {
 		n.takeoverToken.Store(r.Token)
 	}
 	return &peers.TakeoverResponse{}, nil
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -32,12 +32,14 @@
 	// StoredBytes is how much memory the stored submissions take, estimated.
 	StoredBytes int64 `json:"stored_bytes"`
 	// AdviceWaiting is the number of advice calls of the owner that wait for a node.
-	AdviceWaiting int         `json:"advice_waiting"`
-	Term          *owner.Dump `json:"term,omitempty"`
+	AdviceWaiting int `json:"advice_waiting"`
+	// EvacuatedZones are the zones whose evacuation this node has read.
+	EvacuatedZones []string    `json:"evacuated_zones,omitempty"`
+	Term           *owner.Dump `json:"term,omitempty"`
 }
 
 func (n *Node) dump() Dump {
-	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting()}
+	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting(), EvacuatedZones: n.evacuations.current.Load().Names()}
 	d.Owner, _ = n.registry.Owner()
 	d.StoredBytes, _ = n.registry.Storage("")
 	if s := n.desired.Load(); s != nil {
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -6,6 +6,12 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 )
 
+// Reasons why a start order is withheld.
+const (
+	withheldEvacuated = "zone_evacuated"
+	withheldUnproven  = "zones_unproven"
+)
+
 // metrics counts the orders of the owner and their results, and shows what its bounds hold.
 type metrics struct {
 	started, unanswered, adviceAnswers, connectionsLost tally.Counter
@@ -15,6 +21,10 @@
 	// heldWeight is how much work the scheduler holds, deferred the number of submissions
 	// that wait until it may hold theirs, and startsWaiting that of starts to be sent.
 	heldWeight, deferred, startsWaiting tally.Gauge
+	// startsHeld is 1 while no starts are planned since the evacuated zones are not known.
+	startsHeld tally.Gauge
+	// withheld counts the start orders that were not sent for an evacuation, by reason.
+	withheld map[string]tally.Counter
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -25,6 +35,7 @@
 		started: s.Counter("starts_accepted"), unanswered: s.Counter("starts_unanswered"), adviceAnswers: s.Counter("advice_answers"), connectionsLost: s.Counter("host_connections_lost"),
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
+		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
 	}
 	for o := cell.OutcomeUnknown; o <= cell.OutcomeGangTimeout; o++ {
 		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
@@ -32,9 +43,21 @@
 	for r := range schedulerRefusals {
 		m.refused[r.String()] = s.Tagged(map[string]string{"reason": r.String()}).Counter("starts_refused")
 	}
+	for _, r := range []string{withheldEvacuated, withheldUnproven} {
+		m.withheld[r] = s.Tagged(map[string]string{"reason": r}).Counter("starts_withheld")
+	}
 	return m
 }
 
+// setHeld shows whether no starts are planned.
+func (m *metrics) setHeld(held bool) {
+	value := 0.0
+	if held {
+		value = 1
+	}
+	m.startsHeld.Update(value)
+}
+
 // setBounds shows how much the scheduler holds, how many submissions wait for room there, and
 // how many starts wait to be sent.
 func (m *metrics) setBounds(weight, deferred, startsWaiting int) {
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -52,10 +52,20 @@
 	Metrics tally.Scope
 	// Desired returns the newest desired state that this process has applied, nil before
 	// the first one.
-	Desired    func() *cell.Desired
-	HostClient HostClient
-	Advisor    Advisor
-	Journal    Journal
+	Desired func() *cell.Desired
+	// Evacuated returns the evacuated zones that this process has read, and a time such that
+	// every record stored before it is among them; ok is false before the first read. It is
+	// nil if there are no evacuations.
+	Evacuated func() (zones *cell.EvacuatedZones, asOf time.Duration, ok bool)
+	// EvacuationBound is the time within which an evacuation has to be in effect; zero for
+	// no bound.
+	EvacuationBound time.Duration
+	// RequestTakeover asks the other nodes to take over, since this one cannot read the
+	// evacuated zones; nil for nothing.
+	RequestTakeover func()
+	HostClient      HostClient
+	Advisor         Advisor
+	Journal         Journal
 	// Stored returns the stored state of every submission; nil if there are none. It is
 	// called once, by Run.
 	Stored func() []registry.Entry
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -55,7 +55,12 @@
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: ow.options.Self.Token,
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	if !ow.mayStartIn(target.Zone) {
+		h.starts.remove(sent)
+		refused(schedule.RefusedOther)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
 	defer cancel()
 	clockMs, why, err := ow.options.HostClient.Start(callCtx, &target, order)
 	ow.recordStartCall(h, sent, clockMs, why, err)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -58,6 +58,8 @@
 	// removedHosts are hosts whose records are to be deleted from the log.
 	removedHosts []string
 
+	// evacuations is guarded by mu but for its limit of log lines.
+	evacuations evacuations
 	// advice are the advice calls in flight.
 	advice adviceCalls
 
@@ -92,7 +94,7 @@
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), heartbeatSlot: make(chan struct{}, 1), starts: newStartQueue(), stops: newStopQueue(),
 		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), ordersToHosts: make(map[string]*startOrders), retained: make(map[string]finishedSubmission), finished: make(map[string]bool),
-		advice: make(adviceCalls), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
+		advice: make(adviceCalls), evacuations: newEvacuations(), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
@@ -211,6 +213,7 @@
 		return nil, nil, 0
 	}
 	ow.updateDesired()
+	ow.updateEvacuations()
 	ow.applyEvents()
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	waiting := ow.starts.waitingCount()
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -26,6 +26,9 @@
 		} else if g.waitReason != waitNone {
 			line += ", " + g.waitReason.String()
 		}
+		if g.ready {
+			line += s.explainEvacuation(g)
+		}
 		if g.run != 0 {
 			line += fmt.Sprintf(", gang run %d, a member has ended: %t", g.run, g.memberEnded)
 		}
@@ -36,10 +39,14 @@
 
 // Dump is the state of a cell for operators.
 type Dump struct {
-	Hosts   []HostDump     `json:"hosts"`
-	Teams   []TeamDump     `json:"teams"`
-	Waiting map[string]int `json:"waiting_groups"`
-	Jobs    int            `json:"jobs"`
+	Hosts []HostDump `json:"hosts"`
+	// Evacuated holds the evacuated zones. StartsHeld is set while nothing starts, since it
+	// is not known which zones are evacuated.
+	Evacuated  []ZoneDump     `json:"evacuated_zones,omitempty"`
+	StartsHeld bool           `json:"starts_held,omitempty"`
+	Teams      []TeamDump     `json:"teams"`
+	Waiting    map[string]int `json:"waiting_groups"`
+	Jobs       int            `json:"jobs"`
 	// Weight is how much the owner holds, in tasks, and Deferred the number of submissions
 	// that wait until it may hold theirs.
 	Weight   int `json:"weight"`
@@ -59,12 +66,13 @@
 
 // HostDump is the state of one host.
 type HostDump struct {
-	ID       string  `json:"id"`
-	Usable   bool    `json:"usable"`
-	Closed   bool    `json:"closed,omitempty"`
-	Used     string  `json:"used"`
-	Runs     int     `json:"runs"`
-	Slowness float64 `json:"slowness"`
+	ID        string  `json:"id"`
+	Usable    bool    `json:"usable"`
+	Evacuated bool    `json:"evacuated,omitempty"`
+	Closed    bool    `json:"closed,omitempty"`
+	Used      string  `json:"used"`
+	Runs      int     `json:"runs"`
+	Slowness  float64 `json:"slowness"`
 	// QuarantinedFor is the step under trial for which the host is kept free.
 	QuarantinedFor string `json:"quarantined_for,omitempty"`
 }
@@ -78,10 +86,10 @@
 
 // Dump returns the state of the cell.
 func (s *Scheduler) Dump() Dump {
-	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred)}
+	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred), Evacuated: s.dumpZones(), StartsHeld: s.startsHeld}
 	for _, h := range s.sortedHosts {
 		hd := HostDump{
-			ID: h.spec.ID, Usable: h.usable(s.now), Closed: h.closed, Used: h.used.String(), Runs: len(h.runs), Slowness: h.health.slowness,
+			ID: h.spec.ID, Usable: h.usable(s.now), Evacuated: h.evacuated, Closed: h.closed, Used: h.used.String(), Runs: len(h.runs), Slowness: h.health.slowness,
 		}
 		if h.quarantinedFor != nil {
 			hd.QuarantinedFor = h.quarantinedFor.id.String()
--- /dev/null
+++ b/internal/cell/schedule/evacuation.go
@@ -0,0 +1,94 @@
+package schedule
+
+import (
+	"fmt"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
+
+// SetEvacuated replaces the set of evacuated availability zones. Nothing starts on their
+// hosts, and their capacity is not counted; what runs there is left alone.
+func (s *Scheduler) SetEvacuated(z *cell.EvacuatedZones) {
+	if z != s.evacuated {
+		s.evacuated = z
+		s.markEvacuatedHosts()
+	}
+}
+
+// markEvacuatedHosts marks the hosts of evacuated zones, after a change of the zones or of
+// the hosts.
+func (s *Scheduler) markEvacuatedHosts() {
+	s.evacuatedHosts = 0
+	for _, h := range s.hosts {
+		h.evacuated = s.evacuated.Has(h.spec.Zone)
+		if h.evacuated {
+			s.evacuatedHosts++
+		}
+	}
+}
+
+// hostsInService returns the number of hosts outside of evacuated zones.
+func (s *Scheduler) hostsInService() int { return len(s.sortedHosts) - s.evacuatedHosts }
+
+// HoldStarts sets whether no starts are planned, since it is not known which zones are
+// evacuated.
+func (s *Scheduler) HoldStarts(held bool) { s.startsHeld = held }
+
+// ZoneUsage returns how many hosts an availability zone has, and how many runs may be
+// present there.
+func (s *Scheduler) ZoneUsage(zone string) (hosts, runs int) {
+	for _, h := range s.hosts {
+		if h.spec.Zone == zone {
+			hosts++
+			runs += len(h.runs) + h.unknownRuns
+		}
+	}
+	return hosts, runs
+}
+
+// ZoneDump is the state of an evacuated availability zone.
+type ZoneDump struct {
+	Zone  string `json:"zone"`
+	Hosts int    `json:"hosts"`
+	Runs  int    `json:"runs"`
+}
+
+// dumpZones returns the state of the evacuated zones.
+func (s *Scheduler) dumpZones() (out []ZoneDump) {
+	usage := make(map[string]ZoneDump)
+	for _, h := range s.hosts {
+		if h.evacuated {
+			d := usage[h.spec.Zone]
+			d.Hosts++
+			d.Runs += len(h.runs) + h.unknownRuns
+			usage[h.spec.Zone] = d
+		}
+	}
+	for _, zone := range s.evacuated.Names() {
+		d := usage[zone]
+		d.Zone = zone
+		out = append(out, d)
+	}
+	return out
+}
+
+// explainEvacuation describes what evacuations keep the waiting tasks of a group from; it
+// is empty if there is nothing.
+func (s *Scheduler) explainEvacuation(g *group) (text string) {
+	if g.waiting == 0 {
+		return ""
+	}
+	if s.startsHeld {
+		text = ", nothing starts until the evacuated zones have been read again"
+	}
+	n := 0
+	for _, h := range s.sortedHosts {
+		if h.evacuated && s.couldHold(g, h) {
+			n++
+		}
+	}
+	if n > 0 {
+		text += fmt.Sprintf(", %d of its hosts are in evacuated zones", n)
+	}
+	return text
+}
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -53,7 +53,7 @@
 		g.job.team.holdLimit(g.step.Size, len(tasks))
 		return
 	}
-	if *reservingGangs >= max(minReservingGangs, len(s.sortedHosts)/hostsPerReservingGang) {
+	if *reservingGangs >= max(minReservingGangs, s.hostsInService()/hostsPerReservingGang) {
 		s.waitBehindGangs(g)
 		return
 	}
@@ -196,7 +196,7 @@
 		return // the other members are ending
 	}
 	hosts := s.chooseHosts(g, len(tasks), true)
-	if hosts != nil && g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) >= len(tasks) {
+	if hosts != nil && !s.startsHeld && g.job.team.tasksUnderLimit(g.step.Size, g.urgent()) >= len(tasks) {
 		for i, t := range tasks {
 			s.start(t, hosts[i], g.run)
 		}
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -21,6 +21,8 @@
 	// earlierRunsUnknown is set while runs of earlier owners may be present that are
 	// not recorded here.
 	earlierRunsUnknown bool
+	// evacuated is set while the zone of the host is evacuated.
+	evacuated bool
 	// closed is set from when the owner closes the host to new runs, or takes it
 	// over as closed, until the record that opens it is stored.
 	closed bool
@@ -85,7 +87,7 @@
 
 // usable reports whether the host takes new work.
 func (h *host) usable(now time.Duration) bool {
-	return h.unknownRuns == 0 && !h.closed && h.listedAsIs() && h.runsKnown && h.reachable && !h.spec.Leaving && !h.health.avoided(now)
+	return h.unknownRuns == 0 && !h.closed && h.listedAsIs() && h.runsKnown && h.reachable && !h.spec.Leaving && !h.evacuated && !h.health.avoided(now)
 }
 
 // instance returns the lifetime of the host that answered last.
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -119,7 +119,9 @@
 	var used, capacity int64
 	for _, h := range s.sortedHosts {
 		h.reserved, h.reservedUntil, h.expectedEnds = resource.Vector{}, 0, nil
-		used, capacity = used+h.used.MilliCPU, capacity+h.spec.Capacity.MilliCPU
+		if !h.evacuated {
+			used, capacity = used+h.used.MilliCPU, capacity+h.spec.Capacity.MilliCPU
+		}
 		if h.usable(s.now) && smallest.Fits(h.free()) {
 			s.hostsWithRoom = append(s.hostsWithRoom, h)
 		}
@@ -141,7 +143,13 @@
 
 // suitable reports whether a host could take tasks of a group if it had no runs.
 func (s *Scheduler) suitable(g *group, h *host) bool {
-	return h.usable(s.now) && h.spec.Service == g.job.queue.Service &&
+	return h.usable(s.now) && s.couldHold(g, h)
+}
+
+// couldHold reports whether a host is of the kind that tasks of a group need, and large
+// enough for one.
+func (s *Scheduler) couldHold(g *group, h *host) bool {
+	return h.spec.Service == g.job.queue.Service &&
 		(g.step.Label == "" || h.spec.HasLabel(g.step.Label)) && g.size.Fits(h.spec.Capacity)
 }
 
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -148,7 +148,7 @@
 // maxRiskyHosts returns how many hosts the new submissions of a queue may have crashed
 // at one time.
 func (s *Scheduler) maxRiskyHosts(r *queueRisk) int {
-	return max(1, len(s.sortedHosts)/hostsPerRiskyQueue, int(r.down)+s.spareHosts())
+	return max(1, s.hostsInService()/hostsPerRiskyQueue, int(r.down)+s.spareHosts())
 }
 
 // underTrial reports whether the waiting tasks of a job are started only alone on
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -32,6 +32,11 @@
 	wallClock time.Duration
 	desired   *cell.Desired
 	hosts     map[string]*host
+	// evacuated are the evacuated zones, evacuatedHosts is the number of their hosts.
+	evacuated      *cell.EvacuatedZones
+	evacuatedHosts int
+	// startsHeld is set while no starts are planned; see HoldStarts.
+	startsHeld bool
 	// sortedHosts holds the hosts sorted by ID.
 	sortedHosts []*host
 	// hostsWithRoom holds the usable hosts that have enough free capacity for
@@ -179,6 +184,7 @@
 		h.spec, h.rack = spec, spec.Rack()
 	}
 	slices.SortFunc(s.sortedHosts, func(a, b *host) int { return strings.Compare(a.spec.ID, b.spec.ID) })
+	s.markEvacuatedHosts()
 }
 
 // SetListedHosts replaces the platform's host list. Hosts that are not listed get
@@ -192,6 +198,7 @@
 			h.spec, h.rack, h.listed = spec, spec.Rack(), true
 		}
 	}
+	s.markEvacuatedHosts()
 }
 
 // RemoveHost removes a host that is no longer listed and certainly runs nothing. It
@@ -207,6 +214,7 @@
 	s.settleGoneHost(id)
 	delete(s.hosts, id)
 	s.sortedHosts = slices.DeleteFunc(s.sortedHosts, func(o *host) bool { return o == h })
+	s.markEvacuatedHosts()
 	return true
 }
 
@@ -236,7 +244,7 @@
 // starts whole if there is any room.
 func (s *Scheduler) SetStartRoom(n int) { s.startRoom = n }
 
-func (s *Scheduler) hasStartRoom() bool { return s.startRoom > 0 }
+func (s *Scheduler) hasStartRoom() bool { return s.startRoom > 0 && !s.startsHeld }
 
 // Changed returns the submissions whose progress has changed since the last call.
 func (s *Scheduler) Changed() []string {
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -216,14 +216,14 @@
 // all hosts that are down after the start of a task, those that no other work needs, or as
 // many as leave it half of all capacity.
 func (s *Scheduler) maxTrialHosts() int {
-	n := len(s.sortedHosts)
+	n := s.hostsInService()
 	return max(1, n/hostsPerTrial, n/hostsPerCrash-s.crashedHosts, s.spareHosts(), s.unusedHosts)
 }
 
 // spareHosts returns how many of the idle hosts no other work needs: all but a
 // reserve. One host at least is kept for what comes while the others are held.
 func (s *Scheduler) spareHosts() int {
-	return s.idleHosts - max(len(s.sortedHosts)/hostsPerTrial, 1)
+	return s.idleHosts - max(s.hostsInService()/hostsPerTrial, 1)
 }
 
 // trialHostsNeeded returns how many of the hosts on which a group may run its trial
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -23,6 +23,9 @@
 	Wait time.Duration
 	// TimeoutMargin is added to Wait to give the timeout of a read.
 	TimeoutMargin time.Duration
+	// RetryAtOnce lets the store answer the read after a failed one without waiting for a
+	// record, within the same time-out.
+	RetryAtOnce bool
 	// BatchInterval returns the wait after a read that returned records, so that
 	// records arrive in batches.
 	BatchInterval func() time.Duration
@@ -110,8 +113,11 @@
 	}
 	sent := r.clock.Now()
 	wait, margin := r.options.Wait, r.options.TimeoutMargin
-	if r.behind {
+	switch {
+	case r.behind:
 		wait, margin = 0, backlogReadTimeout
+	case r.options.RetryAtOnce && r.Failing():
+		wait, margin = 0, wait+margin
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+margin)
 	page, err := r.store.Read(callCtx, r.options.Topic, next, wait)
