--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -116,17 +116,18 @@
 	for _, e := range queue {
 		smallest = smallest.Min(e.group.size)
 	}
-	var used, capacity int64
+	var used, capacity, usedInService, capacityInService int64
 	for _, h := range s.sortedHosts {
 		h.reserved, h.reservedUntil, h.expectedEnds = resource.Vector{}, 0, nil
+		used, capacity = used+h.used.MilliCPU, capacity+h.spec.Capacity.MilliCPU
 		if !h.evacuated {
-			used, capacity = used+h.used.MilliCPU, capacity+h.spec.Capacity.MilliCPU
+			usedInService, capacityInService = usedInService+h.used.MilliCPU, capacityInService+h.spec.Capacity.MilliCPU
 		}
 		if h.usable(s.now) && smallest.Fits(h.free()) {
 			s.hostsWithRoom = append(s.hostsWithRoom, h)
 		}
 	}
-	s.mostlyIdle = used < capacity/2
+	s.mostlyIdle = used < capacity/2 || usedInService < capacityInService/2
 }
 
 // eligible reports whether a host could take tasks of a group if they fitted.
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -69,7 +69,8 @@
 	// unusedHosts is how many hosts could be held for trials while half of the capacity of
 	// all usable hosts stays free of them and of other runs.
 	unusedHosts int
-	// mostlyIdle is set if less than half of the cores are in use at the start of a pass.
+	// mostlyIdle is set if less than half of the cores are in use at the start of a pass, of
+	// all hosts or of those outside of evacuated zones.
 	mostlyIdle bool
 	// quarantinedAt is when hosts were last kept free for work under trial, and trials how
 	// often they were.
