Learn run times from ended runs, and use them in the scheduler

Callers' estimates are off by up to 90 %, and the ends of runs, backfill and the objective were derived from them alone.

Package runtimes keeps the last 128 to 192 ended runs of each queue and step in histograms, and uses the time or its ratio to the estimate, whichever predicts better. Stopped runs count as lower bounds. With the feature LearnRunTimes, expected and remaining use it, critical paths are computed from it, and the speed of hosts is measured against it. Without the feature nothing changes.

--- a/internal/cell/runtimes/expectation.go
+++ b/internal/cell/runtimes/expectation.go
@@ -12,3 +12,9 @@
 
 // Exactly returns an expectation of which every quantile is d.
 func Exactly(d time.Duration) Expectation { return Expectation{Median: d, P90: d, P99: d} }
+
+// Times returns the expectation with every quantile multiplied by a factor.
+func (e Expectation) Times(factor float64) Expectation {
+	e.Median, e.P90, e.P99 = scale(float64(e.Median), 1/factor), scale(float64(e.P90), 1/factor), scale(float64(e.P99), 1/factor)
+	return e
+}
--- /dev/null
+++ b/internal/cell/runtimes/model.go
@@ -0,0 +1,154 @@
+package runtimes
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minHostSpeed and maxHostSpeed bound the speeds of hosts: more is more likely an error.
+	minHostSpeed, maxHostSpeed = 0.125, 8
+	// minRemaining is the least time that a run is expected to take still, since its end is
+	// known only once it is reported.
+	minRemaining = 20 * time.Millisecond
+	// minOverdue is how much longer a run is expected to take at least once it has exceeded
+	// its estimate or every run so far.
+	minOverdue = 500 * time.Millisecond
+	// maxExpectation bounds what is returned, so that callers can add it to a time.
+	maxExpectation = 10 * 365 * 24 * time.Hour
+)
+
+// Model estimates run times. It is not safe for concurrent use.
+type Model struct {
+	maxKeys int
+	keys    map[Key]*learned
+	// uses numbers the uses of keys; see learned.usedAt.
+	uses int64
+}
+
+// New returns a model without runs.
+func New(o Options) *Model {
+	m := &Model{maxKeys: o.MaxKeys, keys: make(map[Key]*learned)}
+	if m.maxKeys <= 0 {
+		m.maxKeys = DefaultMaxKeys
+	}
+	return m
+}
+
+// Observe adds a run. censored is set if it did not end by itself, so that its duration is
+// only a lower bound.
+func (m *Model) Observe(k Key, r Run, censored bool) {
+	if r.Took <= 0 {
+		return
+	}
+	l := m.keys[k]
+	if l == nil {
+		if censored {
+			return // it says nothing without others
+		}
+		l = m.add(k)
+	}
+	m.use(l)
+	if !l.share.take(r.Host) {
+		l.dropped++
+		return
+	}
+	took := max(time.Duration(float64(min(r.Took, maxExpectation))*clampSpeed(r.HostSpeed)), 1)
+	if censored {
+		l.observeCensored(took, r.Estimate)
+	} else {
+		l.observe(took, r.Estimate)
+	}
+}
+
+// Expect returns how long a run with an estimate is expected to take on a host with a speed.
+// Until enough runs have ended, this is the estimate.
+func (m *Model) Expect(k Key, estimate time.Duration, hostSpeed float64) Expectation {
+	speed := clampSpeed(hostSpeed)
+	l := m.lookUp(k)
+	if l == nil {
+		return Exactly(scale(float64(estimate), speed))
+	}
+	d, unit := l.measure(estimate)
+	t := d.table()
+	return Expectation{
+		Median: scale(t.at(0.5)*unit, speed), P90: scale(t.at(0.9)*unit, speed), P99: scale(t.at(0.99)*unit, speed), Samples: d.samples,
+	}
+}
+
+// Remaining returns how much longer a run that has taken the time elapsed is expected to
+// take. One that has exceeded its estimate, or every run so far, is expected to exceed it by
+// as much again.
+func (m *Model) Remaining(k Key, estimate time.Duration, hostSpeed float64, elapsed time.Duration) Expectation {
+	speed := clampSpeed(hostSpeed)
+	l := m.lookUp(k)
+	if l == nil {
+		return Exactly(untilEnd(scale(float64(estimate), speed), elapsed))
+	}
+	d, unit := l.measure(estimate)
+	t := d.table()
+	elapsed = min(max(elapsed, 0), maxExpectation)
+	below := t.below(float64(elapsed) * speed / unit)
+	left := func(quantile float64) time.Duration {
+		if below >= 1 {
+			return untilEnd(scale(t.at(1)*unit, speed), elapsed)
+		}
+		return max(scale(t.at(below+quantile*(1-below))*unit, speed)-elapsed, minRemaining)
+	}
+	return Expectation{Median: left(0.5), P90: left(0.9), P99: left(0.99), Samples: d.samples}
+}
+
+// lookUp returns what is known for a key; nil if that is not enough to be used.
+func (m *Model) lookUp(k Key) *learned {
+	l := m.keys[k]
+	if l == nil {
+		return nil
+	}
+	m.use(l)
+	if !l.ready() {
+		return nil
+	}
+	return l
+}
+
+func (m *Model) use(l *learned) {
+	m.uses++
+	l.usedAt = m.uses
+}
+
+// add adds a key, in place of the least recently used one if there are too many.
+func (m *Model) add(k Key) *learned {
+	if len(m.keys) >= m.maxKeys {
+		var oldest Key
+		at := int64(math.MaxInt64)
+		for other, l := range m.keys {
+			if l.usedAt < at {
+				oldest, at = other, l.usedAt
+			}
+		}
+		delete(m.keys, oldest)
+	}
+	l := newLearned()
+	m.keys[k] = l
+	return l
+}
+
+// untilEnd returns how long a run is expected to take that should take a duration in all.
+func untilEnd(whole, elapsed time.Duration) time.Duration {
+	if left := whole - elapsed; left > 0 {
+		return left
+	}
+	return max(elapsed-whole, minOverdue)
+}
+
+// scale returns a duration at normal speed, in nanoseconds, as one at a speed.
+func scale(nanoseconds, speed float64) time.Duration {
+	return time.Duration(min(max(nanoseconds/speed, 0), float64(maxExpectation)))
+}
+
+func clampSpeed(speed float64) float64 {
+	if !(speed > 0) { // also if it is not a number
+		return 1
+	}
+	return min(max(speed, minHostSpeed), maxHostSpeed)
+}
--- /dev/null
+++ b/internal/cell/runtimes/options.go
@@ -0,0 +1,12 @@
+package runtimes
+
+// DefaultMaxKeys is the number of keys that a model keeps by default. One takes up to about
+// 24 KiB.
+const DefaultMaxKeys = 512
+
+// Options configure a Model.
+type Options struct {
+	// MaxKeys is how many keys are kept; zero for DefaultMaxKeys. The least recently used one
+	// is removed first.
+	MaxKeys int
+}
--- a/internal/cell/schedule/ends.go
+++ b/internal/cell/schedule/ends.go
@@ -36,9 +36,7 @@
 		if g.step.LongRunning {
 			return
 		}
-		if a != nil && a.measuresHostSpeed() {
-			h.health.recordSuccess(s.now-a.orderedAt, g.step.Estimate)
-		}
+		s.recordSuccess(a)
 		s.markDone(t)
 	case cell.OutcomeFailed:
 		if a == nil || a.phase != phaseStopping {
@@ -46,10 +44,29 @@
 		}
 		s.countFailure(t, h, e.Run)
 	case cell.OutcomeLeaseExpired, cell.OutcomeGangTimeout:
+		s.observeLapsed(a, e.Outcome)
 		s.stopIncompleteGang(g, "a member of the gang ended with the outcome "+e.Outcome.String())
 	}
 }
 
+// recordSuccess learns from a run that ended as done; a is nil if it is unknown.
+func (s *Scheduler) recordSuccess(a *taskRun) {
+	if a == nil {
+		return
+	}
+	if s.learning != nil {
+		s.observeDone(a)
+	}
+	if !a.measuresHostSpeed() {
+		return
+	}
+	if s.learning != nil {
+		a.host.health.resetFailures()
+	} else {
+		a.host.health.recordSuccess(s.now-a.orderedAt, a.task.group.step.Estimate)
+	}
+}
+
 // measuresHostSpeed reports whether the duration of the run is a measure of its
 // host's speed.
 func (a *taskRun) measuresHostSpeed() bool {
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/runtimes"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -65,6 +66,10 @@
 	// ignoresReservations is set while the group may use what is reserved for gangs; see
 	// mayIgnoreReservations.
 	ignoresReservations bool
+	// expectation is the result of Scheduler.learnedExpectation in the decision before
+	// expectedIn.
+	expectation runtimes.Expectation
+	expectedIn  int64
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/health.go
+++ b/internal/cell/schedule/health.go
@@ -31,6 +31,8 @@
 	// slowness is the average ratio of the durations of runs to their estimates;
 	// 1 for a new host.
 	slowness float64
+	// speed is what slowness is derived from while run times are learned.
+	speed hostSpeed
 }
 
 func (h *health) avoided(now time.Duration) bool { return now < h.avoidUntil }
@@ -66,10 +68,12 @@
 // recordSuccess resets the failures and adds the ratio of a run's duration to
 // its estimate to the slowness.
 func (h *health) recordSuccess(took, estimate time.Duration) {
-	h.failures, h.avoidDuration = 0, 0
+	h.resetFailures()
 	if estimate <= 0 || took <= 0 {
 		return
 	}
 	ratio := min(max(float64(took)/float64(estimate), 0.2), 8)
 	h.slowness = slownessPastWeight*h.slowness + (1-slownessPastWeight)*ratio
 }
+
+func (h *health) resetFailures() { h.failures, h.avoidDuration = 0, 0 }
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -53,6 +53,8 @@
 	restarted bool
 	// reportedAt is when the host last reported its runs.
 	reportedAt time.Duration
+	// reportGap is the time between the last report and the one before.
+	reportGap time.Duration
 	// trial is the run of a suspected task that may crash the host; nil if none.
 	trial *taskRun
 	// quarantinedFor is the group under trial for which the host is kept free of other
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -22,6 +22,8 @@
 	deferredLogged bool
 	// criticalPaths caches the result of criticalPath for each step.
 	criticalPaths []time.Duration
+	// pathsUntil is when they are computed anew while run times are learned.
+	pathsUntil time.Duration
 	// steps is the number of steps.
 	steps int
 	// stepOffsets are the numbers of the first task of each step within an occurrence, and
@@ -94,10 +96,15 @@
 
 // computeCriticalPaths returns the critical path from each step on.
 func (j *job) computeCriticalPaths() []time.Duration {
+	return j.longestPaths(func(i int) time.Duration { return j.sub.Steps[i].Estimate })
+}
+
+// longestPaths returns the critical path from each step on, given how long a step takes.
+func (j *job) longestPaths(takes func(step int) time.Duration) []time.Duration {
 	longest := make([]time.Duration, j.steps)
 	for i := j.steps - 1; i >= 0; i-- {
 		step := &j.sub.Steps[i]
-		longest[i] += step.Estimate
+		longest[i] += takes(i)
 		if j.queue.Advice != nil {
 			longest[i] += j.queue.Advice.CallDuration(assumedAdviceHosts)
 		}
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -28,7 +28,7 @@
 	}
 	j.arrived = now - min(max(wall-sub.Received, 0), maxSubmissionAge)
 	s.newestArrival = max(s.newestArrival, j.arrived)
-	j.due = j.arrived + j.objective()
+	j.due = j.arrived + s.objective(j)
 	j.overRate = !j.team.takeCredit(j.arrived)
 	j.restoreDone(p)
 	if p.Divided {
@@ -193,6 +193,7 @@
 	if a.phase == phaseStopping {
 		return
 	}
+	s.observeStopped(a)
 	s.orderStop(a, reason)
 }
 
--- /dev/null
+++ b/internal/cell/schedule/learning.go
@@ -0,0 +1,71 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/runtimes"
+)
+
+const (
+	// lateReport is the time without a report of a host after which the ends that it then
+	// reports may have been long before.
+	lateReport = 2 * time.Second
+	// pathRefresh is how long the critical paths of a job are used until they are computed
+	// from the newest run times.
+	pathRefresh = time.Second
+	// learnedLogInterval is the least time between two messages about decisions that the
+	// learned run times have changed.
+	learnedLogInterval = 10 * time.Second
+)
+
+// learning holds what is learned from ended runs while Features.LearnRunTimes is set.
+type learning struct {
+	model *runtimes.Model
+	// meanLogSlowness is the mean of the logarithms of the slowness of all hosts that have
+	// ended runs. Hosts are measured against it: otherwise the run times and the slowness of
+	// all hosts could drift in opposite directions.
+	meanLogSlowness float64
+	// speedsUntil is when it is computed anew.
+	speedsUntil time.Duration
+	// logAfter is when the next message may be logged.
+	logAfter time.Duration
+}
+
+func newLearning(f Features) *learning {
+	if !f.LearnRunTimes {
+		return nil
+	}
+	return &learning{model: runtimes.New(runtimes.Options{})}
+}
+
+// runTimeKey returns the key under which the run times of a group are learned.
+func (g *group) runTimeKey() runtimes.Key {
+	return runtimes.Key{Queue: g.job.sub.Queue.Name, Step: g.id.Step}
+}
+
+// runTimesLearned reports whether the run times of a group are learned.
+func (g *group) runTimesLearned() bool { return !g.step.LongRunning }
+
+// learnedExpectation returns how long a task of a group is expected to take on a host of
+// normal speed. It is looked up once in a decision.
+func (s *Scheduler) learnedExpectation(g *group) runtimes.Expectation {
+	if g.expectedIn != s.decision+1 {
+		g.expectedIn = s.decision + 1
+		if g.runTimesLearned() {
+			g.expectation = s.learning.model.Expect(g.runTimeKey(), g.step.Estimate, 1)
+		} else {
+			g.expectation = runtimes.Exactly(g.step.Estimate)
+		}
+	}
+	return g.expectation
+}
+
+// logLearned logs a decision that the learned run times have changed, at most one in
+// learnedLogInterval.
+func (s *Scheduler) logLearned(submission, host, text string) {
+	if s.now < s.learning.logAfter {
+		return
+	}
+	s.learning.logAfter = s.now + learnedLogInterval
+	s.logMessage(submission, host, text)
+}
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -24,7 +24,7 @@
 	}
 	s.settleCrashes(h, l.StartedMs)
 	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
-	h.reportedAt, h.silent = now, false
+	h.reportGap, h.reportedAt, h.silent = now-h.reportedAt, now, false
 	s.clearSuspectedRuns(h)
 	for _, e := range l.Ended {
 		if e.Number > h.life.lastEndNumber {
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -39,6 +39,7 @@
 	s.createGroups()
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
+	s.updateHostSpeeds()
 	s.updateRisks()
 	s.endTrials()
 	queue := s.queue()
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -96,7 +96,7 @@
 // that the work is expected to miss its objective.
 func (s *Scheduler) rank(g *group) queueEntry {
 	j := g.job
-	work := j.criticalPath(g.id.Step)
+	work := s.criticalPath(j, g.id.Step)
 	e := s.entry(g)
 	e.laxity = j.due - s.now - work
 	urgent := j.queue.Priority == 0
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -95,6 +95,8 @@
 	changed   map[string]bool
 	// logMessages holds the messages that TakeLogMessages returns next.
 	logMessages []LogMessage
+	// learning is nil unless Features.LearnRunTimes is set.
+	learning *learning
 	// usageReported is set once a host has reported the usage of a run. From
 	// then on, a report without usage means that the run makes no progress.
 	usageReported bool
@@ -112,6 +114,7 @@
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
 		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(map[string]*queueRisk), unconfirmed: make(map[string][]*task), plan: &Plan{},
+		learning: newLearning(o.Features),
 	}
 }
 
