Use learned run times for copies of slow runs, racks and hosts of gangs

A copy is started when the rest of a run, by its step's distribution, is expected to take at least as long as a new run at its 90 % quantile, instead of after a factor of the estimate. A gang prefers hosts of one speed, since the slowest decides when it ends. Without LearnRunTimes nothing changes.

--- a/internal/cell/runtimes/expectation.go
+++ b/internal/cell/runtimes/expectation.go
@@ -15,6 +15,10 @@
 
 // Times returns the expectation with every quantile multiplied by a factor.
 func (e Expectation) Times(factor float64) Expectation {
-	e.Median, e.P90, e.P99 = scale(float64(e.Median), 1/factor), scale(float64(e.P90), 1/factor), scale(float64(e.P99), 1/factor)
+	e.Median, e.P90, e.P99 = times(e.Median, factor), times(e.P90, factor), times(e.P99, factor)
 	return e
 }
+
+func times(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(float64(d)*factor, float64(maxExpectation)))
+}
--- a/internal/cell/schedule/decide_bench_test.go
+++ b/internal/cell/schedule/decide_bench_test.go
@@ -98,34 +98,37 @@
 func BenchmarkDecideFullCell(b *testing.B) {
 	for _, waiting := range []int{1000, 6000, 12_000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
-			c := backlog(waiting)
-			started := 0
-			var ends []Start
-			round := func() {
-				c.now += 25 * time.Millisecond
-				c.s.SetAdviceRoom(cell.AdviceRoom{Short: 60, Long: 28, LongFrom: 150 * time.Millisecond})
-				p := c.s.Decide(c.now, c.now)
-				c.s.TakeLogMessages()
-				c.accept(p)
-				started += len(p.Starts)
-				ends = append(ends, p.Starts...)
-				for n := 0; n < 10 && len(ends) > 0; n++ { // some runs end and start anew
-					c.s.Refused(ends[0].Host, ends[0].Task, ends[0].Run, RefusedOther, c.now)
-					ends = ends[1:]
-				}
-			}
-			for range 300 {
-				round()
-			}
-			b.ResetTimer()
-			for range b.N {
-				round()
-			}
-			b.ReportMetric(float64(started)/float64(b.N+300), "starts/op")
+			benchmarkFullCell(b, backlog(waiting))
 		})
 	}
 }
 
+func benchmarkFullCell(b *testing.B, c *cluster) {
+	started := 0
+	var ends []Start
+	round := func() {
+		c.now += 25 * time.Millisecond
+		c.s.SetAdviceRoom(cell.AdviceRoom{Short: 60, Long: 28, LongFrom: 150 * time.Millisecond})
+		p := c.s.Decide(c.now, c.now)
+		c.s.TakeLogMessages()
+		c.accept(p)
+		started += len(p.Starts)
+		ends = append(ends, p.Starts...)
+		for n := 0; n < 10 && len(ends) > 0; n++ { // some runs end and start anew
+			c.s.Refused(ends[0].Host, ends[0].Task, ends[0].Run, RefusedOther, c.now)
+			ends = ends[1:]
+		}
+	}
+	for range 300 {
+		round()
+	}
+	b.ResetTimer()
+	for range b.N {
+		round()
+	}
+	b.ReportMetric(float64(started)/float64(b.N+300), "starts/op")
+}
+
 // BenchmarkDecideArrivals measures decisions about urgent submissions that arrive at a
 // thousand a second in a cell of 3,000 hosts.
 func BenchmarkDecideArrivals(b *testing.B) {
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -1,9 +1,6 @@
 package schedule
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -124,14 +121,10 @@
 // tasks are best-effort, then of free capacity, so that the gang depends on few
 // hosts.
 func (s *Scheduler) assignHosts(g *group, hosts []*host, n int) []*host {
-	type option struct {
-		host                           *host
-		score, unusedCPU, tasksThatFit int
-	}
-	options := make([]option, len(hosts))
+	options := make([]gangOption, len(hosts))
 	total := 0
 	for i, h := range hosts {
-		options[i] = option{host: h, score: s.gangScore(g, h), tasksThatFit: s.tasksThatFit(g, h)}
+		options[i] = gangOption{host: h, score: s.gangScore(g, h), tasksThatFit: s.tasksThatFit(g, h)}
 		if g.step.BestEffort {
 			options[i].unusedCPU = int(h.unusedCPU())
 		}
@@ -140,15 +133,10 @@
 	if total < n {
 		return nil
 	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		if c := cmp.Compare(a.score, b.score); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(b.unusedCPU, a.unusedCPU); c != 0 {
-			return c
-		}
-		return cmp.Compare(b.tasksThatFit, a.tasksThatFit)
-	})
+	sortOptions(options)
+	if s.preferEqualSpeed(options, n) {
+		sortOptions(options)
+	}
 	var out []*host
 	for _, o := range options {
 		for range min(o.tasksThatFit, n-len(out)) {
@@ -164,7 +152,7 @@
 
 // gangScore rates a host for a gang; lower is better.
 func (s *Scheduler) gangScore(g *group, h *host) int {
-	score := int(max(h.health.slowness-1, 0) / slownessBucket)
+	score := s.slownessScore(h)
 	if g.tasks[0].failedOn == h.spec.ID {
 		score += 100
 	}
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -66,10 +66,9 @@
 	// ignoresReservations is set while the group may use what is reserved for gangs; see
 	// mayIgnoreReservations.
 	ignoresReservations bool
-	// expectation is the result of Scheduler.learnedExpectation in the decision before
-	// expectedIn.
-	expectation runtimes.Expectation
-	expectedIn  int64
+	// expectation is the result of Scheduler.learnedExpectation until expectedUntil.
+	expectation   runtimes.Expectation
+	expectedUntil time.Duration
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/learning.go
+++ b/internal/cell/schedule/learning.go
@@ -10,6 +10,9 @@
 	// lateReport is the time without a report of a host after which the ends that it then
 	// reports may have been long before.
 	lateReport = 2 * time.Second
+	// expectationRefresh is how long the expectation of a group is used until it is looked up
+	// again: thousands of groups may wait, and a distribution needs longer to change.
+	expectationRefresh = 250 * time.Millisecond
 	// pathRefresh is how long the critical paths of a job are used until they are computed
 	// from the newest run times.
 	pathRefresh = time.Second
@@ -47,10 +50,10 @@
 func (g *group) runTimesLearned() bool { return !g.step.LongRunning }
 
 // learnedExpectation returns how long a task of a group is expected to take on a host of
-// normal speed. It is looked up once in a decision.
+// normal speed.
 func (s *Scheduler) learnedExpectation(g *group) runtimes.Expectation {
-	if g.expectedIn != s.decision+1 {
-		g.expectedIn = s.decision + 1
+	if s.now >= g.expectedUntil {
+		g.expectedUntil = s.now + expectationRefresh
 		if g.runTimesLearned() {
 			g.expectation = s.learning.model.Expect(g.runTimeKey(), g.step.Estimate, 1)
 		} else {
@@ -60,6 +63,18 @@
 	return g.expectation
 }
 
+// logBackfill logs that a task starts on a host in room that is reserved for a gang, since it
+// is expected to end before, and would not by its estimate.
+func (s *Scheduler) logBackfill(t *task, h *host) {
+	g := t.group
+	if s.learning == nil || h.reservedUntil == 0 || g.ignoresReservations || s.now < s.learning.logAfter {
+		return
+	}
+	if g.size.Fits(h.freeFor(s.now+s.expected(g, h).P90)) && !g.size.Fits(h.freeFor(s.now+g.estimate(h))) {
+		s.logLearned(t.id.Submission, h.spec.ID, "A task starts in room that is reserved for a gang, since by learned run times it ends before; by its estimate, it would not.")
+	}
+}
+
 // logLearned logs a decision that the learned run times have changed, at most one in
 // learnedLogInterval.
 func (s *Scheduler) logLearned(submission, host, text string) {
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -289,6 +289,7 @@
 // start orders a host to start a run of a task.
 func (s *Scheduler) start(t *task, h *host, run int64) {
 	g := t.group
+	s.logBackfill(t, h)
 	r := s.risk(g.job)
 	r.add(1, 0, s.now)
 	if !g.job.proven && !g.job.hasRuns() {
--- a/internal/cell/schedule/rack.go
+++ b/internal/cell/schedule/rack.go
@@ -16,17 +16,17 @@
 
 // maxRackWait returns how long a gang may wait for one rack: as long as it would lose on
 // several ones, up to longestRackWait.
-func (g *group) maxRackWait() time.Duration {
-	return min((spreadSlowdown-1)*g.step.Estimate, longestRackWait)
+func (s *Scheduler) maxRackWait(g *group) time.Duration {
+	return min((spreadSlowdown-1)*s.expected(g, nil).Median, longestRackWait)
 }
 
 // rackDeadline returns until when a gang waits for one rack. spreadAt is when it can
 // start on several racks, if that has not been possible before.
-func (g *group) rackDeadline(spreadAt time.Duration) time.Duration {
+func (s *Scheduler) rackDeadline(g *group, spreadAt time.Duration) time.Duration {
 	if g.couldSpreadAt != 0 {
 		spreadAt = g.couldSpreadAt
 	}
-	return spreadAt + g.maxRackWait()
+	return spreadAt + s.maxRackWait(g)
 }
 
 // worthWaitingForRack reports whether a gang that could start on several racks now gets
@@ -35,7 +35,7 @@
 	if g.couldSpreadAt == 0 {
 		g.couldSpreadAt = s.now
 	}
-	deadline := g.rackDeadline(s.now)
+	deadline := s.rackDeadline(g, s.now)
 	if s.now >= deadline {
 		return false
 	}
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -149,7 +149,7 @@
 	}
 	// A gang that wants one rack gets it if it does not wait for it longer than it would
 	// lose on several.
-	if rack := s.earliestRackPlan(g, n, hosts); rack != nil && rack.at <= g.rackDeadline(plan.at) {
+	if rack := s.earliestRackPlan(g, n, hosts); rack != nil && rack.at <= s.rackDeadline(g, plan.at) {
 		return rack
 	}
 	return plan
--- a/internal/cell/schedule/stragglers.go
+++ b/internal/cell/schedule/stragglers.go
@@ -96,6 +96,15 @@
 
 // isSlow reports whether a run has taken so long that a copy of it may be started.
 func (s *Scheduler) isSlow(a *taskRun) bool {
+	if slow, known := s.isSlowByLearned(a); known {
+		return slow && a.phase == phaseRunning && !a.adopted
+	}
+	return s.isSlowByEstimate(a)
+}
+
+// isSlowByEstimate reports whether a run has exceeded its estimate so far that a copy of it
+// may be started.
+func (s *Scheduler) isSlowByEstimate(a *taskRun) bool {
 	threshold := max(time.Duration(copyThresholdFactor*float64(a.task.group.step.Estimate)), minCopyThreshold)
 	return a.phase == phaseRunning && !a.adopted && s.now-a.orderedAt >= threshold
 }
@@ -122,6 +131,7 @@
 	s.work.used += len(hosts)
 	if h := s.bestHost(t.group, others, t); h != nil {
 		s.logMessage(t.id.Submission, h.spec.ID, "A copy of a slow run is started.")
+		s.logCopy(a)
 		s.start(t, h, t.lastRun+1)
 	}
 }
