Store learned run times with other records, and restore them

Without them, each new owner started from the callers' estimates. The owner adds a record under key t of the work topic to others at most every 5 s; the registry keeps the newest, and a successor takes it over before it adds the stored submissions. A malformed record is ignored with a log line. Tests of what is learned: failed, resumed, adopted and hung runs are not, stopped runs and late reports are lower bounds, a gang counts once.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -65,7 +65,7 @@
 	t := &term{claim: c, cancel: cancel, done: make(chan struct{}), listedHosts: make(map[string]cell.Host), missingSince: make(map[string]time.Duration), storedHosts: n.registry.Hosts()}
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, WallClock: wallClock, Log: log, Metrics: n.metrics, HostClient: n.hostClient, Advisor: n.pool, Journal: c.journal,
-		Desired: n.appliedDesired, Stored: n.registry.All,
+		Desired: n.appliedDesired, Stored: n.registry.All, RunTimes: n.registry.RunTimes,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
 		EarlierOwnersGone: func() bool { return previousOwnerGone(c.previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
--- a/internal/cell/owner/load.go
+++ b/internal/cell/owner/load.go
@@ -65,6 +65,7 @@
 }
 
 func (ow *Owner) addAll(entries []registry.Entry, leftOut map[string]bool) {
+	ow.restoreRunTimes()
 	ow.updateDesired()
 	now, wall := ow.options.Clock.Now(), ow.options.WallClock()
 	for _, e := range entries {
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -15,6 +15,7 @@
 	// heldWeight is how much work the scheduler holds, deferred the number of submissions
 	// that wait until it may hold theirs, and startsWaiting that of starts to be sent.
 	heldWeight, deferred, startsWaiting tally.Gauge
+	runTimes                            runTimeGauges
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -25,6 +26,7 @@
 		started: s.Counter("starts_accepted"), unanswered: s.Counter("starts_unanswered"), adviceAnswers: s.Counter("advice_answers"), connectionsLost: s.Counter("host_connections_lost"),
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
+		runTimes: newRunTimeGauges(s),
 	}
 	for o := cell.OutcomeUnknown; o <= cell.OutcomeGangTimeout; o++ {
 		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -59,6 +59,9 @@
 	// Stored returns the stored state of every submission; nil if there are none. It is
 	// called once, by Run.
 	Stored func() []registry.Entry
+	// RunTimes returns what earlier owners have learned about run times; nil for nothing. It
+	// is called by Run.
+	RunTimes func() []byte
 	// ClaimOffset is the log offset of the claim. Submissions after it have no runs
 	// of earlier owners.
 	ClaimOffset uint64
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -85,6 +85,10 @@
 	// lastDecisionTime is how long the last decision took. Only Run uses it.
 	lastDecisionTime time.Duration
 	goroutines       sync.WaitGroup
+	// runTimesDue is when the record of run times may be stored again; only persist uses it.
+	runTimesDue time.Duration
+	// runTimesShown is when the gauges of run times were last updated.
+	runTimesShown time.Duration
 }
 
 // New returns an owner for the term that began with its claim.
@@ -221,6 +225,7 @@
 	ow.advice.planned(p.AdviceRequests)
 	weight, deferred := ow.scheduler.Held()
 	ow.metrics.setBounds(weight, deferred, waiting)
+	ow.showRunTimes(startedAt)
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -21,6 +21,10 @@
 	}
 	r.mu.Lock()
 	r.ownerOffset = 0
+	r.runTimes.offset = 0
+	if !present[keyRunTimes] {
+		r.runTimes.value = nil
+	}
 	maps.DeleteFunc(r.hosts, func(id string, _ Host) bool { return !present[prefixHost+id] })
 	r.mu.Unlock()
 	removed := 0
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -23,6 +23,8 @@
 	partSeparator = "/"
 	// prefixMark is followed by the name of the appender; see MarkRecord.
 	prefixMark = "a/"
+	// keyRunTimes is the key of what the owner has learned about run times.
+	keyRunTimes = "t"
 )
 
 // Ownership is the record of which process owns the cell.
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -40,6 +40,7 @@
 	ownerWrites int64
 	hosts       map[string]Host
 	listener    Listener
+	runTimes    runTimes
 }
 
 type shard struct {
@@ -82,6 +83,8 @@
 		err = r.applyProgressKey(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
 		err = r.applyCancel(key[len(prefixCancel):], rec)
+	case key == keyRunTimes:
+		err = r.applyRunTimes(rec)
 	case strings.HasPrefix(key, prefixMark):
 	default:
 		err = cell.NewFieldError(object(rec), "key", key, "a key of the cell")
--- /dev/null
+++ b/internal/cell/registry/runtimes.go
@@ -0,0 +1,42 @@
+package registry
+
+import (
+	"bytes"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/platform"
+)
+
+// MaxRunTimesBytes bounds the record of run times.
+const MaxRunTimesBytes = 128 << 10
+
+// runTimes is the newest record of run times. The owner that takes it over decodes it.
+type runTimes struct {
+	value  []byte
+	offset uint64
+}
+
+// RunTimesRecord returns the record of what an owner has learned about run times.
+func RunTimesRecord(value []byte) platform.Record {
+	return platform.Record{Key: keyRunTimes, Value: value}
+}
+
+func (r *Registry) applyRunTimes(rec platform.Record) error {
+	if len(rec.Value) > MaxRunTimesBytes {
+		return cell.NewFieldError(object(rec), "value", len(rec.Value), "at most 131072 bytes")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec.Offset >= r.runTimes.offset {
+		r.runTimes = runTimes{bytes.Clone(rec.Value), rec.Offset}
+	}
+	return nil
+}
+
+// RunTimes returns what the newest owner that stored it had learned about run times; empty if
+// none has. The caller must not change it.
+func (r *Registry) RunTimes() []byte {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.runTimes.value
+}
--- a/internal/cell/runtimes/snapshot.go
+++ b/internal/cell/runtimes/snapshot.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// MaxSnapshotBytes bounds a snapshot. It holds about 120 keys with two full histograms each; those used last come first.
+	// MaxSnapshotBytes bounds a snapshot that is restored.
 	MaxSnapshotBytes = 128 << 10
+	// writtenBytes bounds one that is written, so that its writer can add to it. It holds
+	// about 90 keys with two full histograms each; those used last come first.
+	writtenBytes = 96 << 10
 	// snapshotVersion is that of the format. Snapshots of other versions are not restored.
 	snapshotVersion = 1
 )
@@ -23,7 +26,7 @@
 	Keys    []keySnapshot `json:"keys"`
 }
 
-// Snapshot returns the model in a form for Restore, at most MaxSnapshotBytes; nil if it has
+// Snapshot returns the model in a form for Restore, at most 96 KiB; nil if it has
 // no runs.
 func (m *Model) Snapshot() []byte {
 	if len(m.keys) == 0 {
@@ -37,7 +40,7 @@
 	}{Version: snapshotVersion}
 	for _, k := range m.newestKeys() {
 		data, err := json.Marshal(snapshotOf(k, m.keys[k]))
-		if err != nil || size+len(data)+1 > MaxSnapshotBytes {
+		if err != nil || size+len(data)+1 > writtenBytes {
 			continue
 		}
 		size += len(data) + 1
--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -41,6 +41,8 @@
 	crashesUnder map[cell.TaskID]int
 	// idle decides whether a run reports that it uses no processor.
 	idle func(t cell.TaskID) bool
+	// startsOn is the host of the run whose duration takes is asked for.
+	startsOn string
 	// takes returns how long a run takes whose estimate is given.
 	takes func(t cell.TaskID, estimate time.Duration) time.Duration
 	// adviceTakesTime is set if advice calls are answered after their duration; calls holds
@@ -52,9 +54,12 @@
 	approves func(g cell.GroupID, host string) bool
 }
 
+// clusterFeatures are the features of the schedulers of new clusters.
+var clusterFeatures Features
+
 func newCluster(hosts int, capacity resource.Vector) *cluster {
 	c := &cluster{
-		s: New(Options{GangTimeout: 3 * time.Second}), now: time.Hour,
+		s: New(Options{GangTimeout: 3 * time.Second, Features: clusterFeatures}), now: time.Hour,
 		hosts: make(map[string]*fakeHost), jobs: make(map[string]*cell.Submission),
 		done: make(map[cell.TaskID]bool), reportedDone: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
 		fails:  func(cell.TaskID, int64) bool { return false },
@@ -180,6 +185,7 @@
 	if !c.approves(o.Task.Group(), o.Host) && c.queues[sub.Queue.Name].Advice != nil {
 		c.violation("%s starts on %s without approval", o.Task, o.Host)
 	}
+	c.startsOn = h.id
 	h.runs = append(h.runs, &fakeRun{task: o.Task, run: o.Run, endsAt: c.now + c.takes(o.Task, step.Estimate)})
 	if c.crashes[o.Task] >= 3 {
 		c.startsAfter[o.Task]++
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/runtimes"
 )
 
 // Explain describes the progress of a submission, one line for each step that is
@@ -48,6 +50,8 @@
 	Suspected int `json:"suspected"`
 	// Queues holds the queues whose tasks have crashed hosts of late.
 	Queues []QueueDump `json:"queues_with_crashes,omitempty"`
+	// RunTimes is what is learned from ended runs.
+	RunTimes []runtimes.Entry `json:"run_times,omitempty"`
 }
 
 // QueueDump is how often the tasks of a queue have crashed their hosts of late.
@@ -102,6 +106,9 @@
 			d.Queues = append(d.Queues, QueueDump{Name: name, CrashShare: r.share(), HostsDown: r.down})
 		}
 	}
+	if s.learning != nil {
+		d.RunTimes = s.learning.model.Explain()
+	}
 	for _, g := range s.groups {
 		if g.ready && g.waiting > 0 {
 			d.Waiting[g.waitReason.String()]++
--- a/internal/cell/schedule/hostspeed.go
+++ b/internal/cell/schedule/hostspeed.go
@@ -21,7 +21,8 @@
 
 // hostSpeed is what the runs on a host say about its speed.
 type hostSpeed struct {
-	// logSlowness is the logarithm of how many times as long runs take as elsewhere.
+	// logSlowness is the logarithm of how many times as long runs take as elsewhere; 0 for a
+	// new host.
 	logSlowness float64
 	runs        int
 }
@@ -59,17 +60,11 @@
 		return
 	}
 	s.learning.speedsUntil = s.now + pathRefresh
-	sum, n := 0.0, 0
+	sum := 0.0
 	for _, h := range s.sortedHosts {
-		if h.health.speed.runs > 0 {
-			sum += h.health.speed.logSlowness
-			n++
-		}
-	}
-	if n == 0 {
-		return
+		sum += h.health.speed.logSlowness
 	}
-	s.learning.meanLogSlowness = sum / float64(n)
+	s.learning.meanLogSlowness = sum / float64(max(len(s.sortedHosts), 1))
 	for _, h := range s.sortedHosts {
 		if h.health.speed.runs > 0 {
 			h.health.slowness = s.learning.slowness(h.health.speed)
--- a/internal/cell/schedule/learning.go
+++ b/internal/cell/schedule/learning.go
@@ -24,12 +24,17 @@
 // learning holds what is learned from ended runs while Features.LearnRunTimes is set.
 type learning struct {
 	model *runtimes.Model
-	// meanLogSlowness is the mean of the logarithms of the slowness of all hosts that have
-	// ended runs. Hosts are measured against it: otherwise the run times and the slowness of
-	// all hosts could drift in opposite directions.
+	// meanLogSlowness is the mean of the logarithms of the slowness of all hosts. Hosts are
+	// measured against it: otherwise the run times and the slowness of all hosts could drift
+	// in opposite directions.
 	meanLogSlowness float64
 	// speedsUntil is when it is computed anew.
 	speedsUntil time.Duration
+	// observed is the number of runs that were learned from, and stored that at the last call
+	// of Scheduler.RunTimes.
+	observed, stored int64
+	// storedSlowness is that of hosts that an earlier owner has measured.
+	storedSlowness map[string]float64
 	// logAfter is when the next message may be logged.
 	logAfter time.Duration
 }
--- a/internal/cell/schedule/observe.go
+++ b/internal/cell/schedule/observe.go
@@ -36,14 +36,24 @@
 // taken longer. That is not so for a run that makes no progress. Of a gang, the first member
 // counts.
 func (s *Scheduler) observeStopped(a *taskRun) {
-	if s.learning == nil || !a.observable() || a.phase != phaseRunning || s.usageReported && s.hung(a) {
+	if s.learning == nil || !a.observable() || a.phase != phaseRunning || s.standsStill(a) {
 		return
 	}
 	if a.task.group.step.Gang {
 		s.observeGang(a, true)
 		return
 	}
-	s.observe(a, s.now-a.orderedAt, true)
+	until := s.now
+	if s.now-a.host.reportedAt > lateReport {
+		until = a.host.reportedAt // it may have ended since
+	}
+	s.observe(a, until-a.orderedAt, true)
+}
+
+// standsStill reports whether a run has shown no progress for as long as that of a first run
+// that counts as hung. Such a run says nothing about the duration of its task.
+func (s *Scheduler) standsStill(a *taskRun) bool {
+	return s.usageReported && a.task.group.step.Size.MilliCPU > 0 && s.now-a.lastProgressAt > noProgressTimeout
 }
 
 // observeLapsed learns from a run whose lease lapsed. It ran at least until it was last
@@ -59,6 +69,7 @@
 func (s *Scheduler) observe(a *taskRun, took time.Duration, censored bool) {
 	g, slowness := a.task.group, a.host.health.slowness
 	s.learnHostSpeed(a, took, censored)
+	s.learning.observed++
 	s.learning.model.Observe(g.runTimeKey(), runtimes.Run{
 		Estimate: g.step.Estimate, Took: took, HostSpeed: 1 / slowness, Host: a.host.spec.ID,
 	}, censored)
@@ -85,6 +96,7 @@
 	if censored && runs < len(g.tasks) || !censored && a.host.reportGap > lateReport {
 		return
 	}
+	s.learning.observed++
 	s.learning.model.Observe(g.runTimeKey(), runtimes.Run{
 		Estimate: g.step.Estimate, Took: s.now - begun, HostSpeed: 1 / slowest.health.slowness, Host: slowest.spec.ID,
 	}, censored)
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -176,6 +176,9 @@
 		h := s.hosts[spec.ID]
 		if h == nil {
 			h = &host{runs: make(map[runKey]*taskRun), health: health{slowness: 1}, earlierRunsUnknown: !s.reconciled}
+			if s.learning != nil {
+				s.learning.restoreSpeed(h, spec.ID)
+			}
 			s.hosts[spec.ID] = h
 			s.sortedHosts = append(s.sortedHosts, h)
 		}
