--- a/internal/cell/schedule/learnedpaths.go
+++ b/internal/cell/schedule/learnedpaths.go
@@ -42,7 +42,7 @@
 	_ = s.criticalPath(j, 0)
 	learned := j.objective()
 	if ratio := float64(learned) / float64(max(byEstimate, 1)); ratio > loggedObjectiveFactor || ratio < 1/loggedObjectiveFactor {
-		s.logLearned(j.sub.ID, "", fmt.Sprintf("The objective follows from learned run times: it is %s; by estimates, it would be %s.", learned.Round(time.Millisecond), byEstimate.Round(time.Millisecond)))
+		s.logLearned(learnedObjective, j.sub.ID, "", fmt.Sprintf("The objective follows from learned run times: it is %s; by estimates, it would be %s.", learned.Round(time.Millisecond), byEstimate.Round(time.Millisecond)))
 	}
 	return learned
 }
--- a/internal/cell/schedule/learning.go
+++ b/internal/cell/schedule/learning.go
@@ -16,8 +16,8 @@
 	// pathRefresh is how long the critical paths of a job are used until they are computed
 	// from the newest run times.
 	pathRefresh = time.Second
-	// learnedLogInterval is the least time between two messages about decisions that the
-	// learned run times have changed.
+	// learnedLogInterval is the least time between two messages about decisions of one kind
+	// that the learned run times have changed.
 	learnedLogInterval = 10 * time.Second
 )
 
@@ -35,8 +35,8 @@
 	observed, stored int64
 	// storedSlowness is that of hosts that an earlier owner has measured.
 	storedSlowness map[string]float64
-	// logAfter is when the next message may be logged.
-	logAfter time.Duration
+	// logAfter is when the next message about each kind of decision may be logged.
+	logAfter [learnedDecisions]time.Duration
 }
 
 func newLearning(f Features) *learning {
@@ -72,20 +72,20 @@
 // is expected to end before, and would not by its estimate.
 func (s *Scheduler) logBackfill(t *task, h *host) {
 	g := t.group
-	if s.learning == nil || h.reservedUntil == 0 || g.ignoresReservations || s.now < s.learning.logAfter {
+	if s.learning == nil || h.reservedUntil == 0 || g.ignoresReservations || s.now < s.learning.logAfter[learnedBackfill] {
 		return
 	}
 	if g.size.Fits(h.freeFor(s.now+s.expected(g, h).P90)) && !g.size.Fits(h.freeFor(s.now+g.estimate(h))) {
-		s.logLearned(t.id.Submission, h.spec.ID, "A task starts in room that is reserved for a gang, since by learned run times it ends before; by its estimate, it would not.")
+		s.logLearned(learnedBackfill, t.id.Submission, h.spec.ID, "A task starts in room that is reserved for a gang, since by learned run times it ends before; by its estimate, it would not.")
 	}
 }
 
-// logLearned logs a decision that the learned run times have changed, at most one in
-// learnedLogInterval.
-func (s *Scheduler) logLearned(submission, host, text string) {
-	if s.now < s.learning.logAfter {
+// logLearned logs a decision that the learned run times have changed, at most one of its kind
+// in learnedLogInterval.
+func (s *Scheduler) logLearned(d learnedDecision, submission, host, text string) {
+	if s.now < s.learning.logAfter[d] {
 		return
 	}
-	s.learning.logAfter = s.now + learnedLogInterval
+	s.learning.logAfter[d] = s.now + learnedLogInterval
 	s.logMessage(submission, host, text)
 }
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -175,7 +175,7 @@
 		v = -float64(h.unusedCPU()) / float64(max(h.spec.Capacity.MilliCPU, 1))
 	}
 	v += g.interferencePenalty(h)
-	v += weightSlowness * max(h.health.slowness-1, 0)
+	v += weightSlowness * s.slownessPenalty(h)
 	if t != nil && t.failedOn == h.spec.ID {
 		v += weightFailedBefore
 	}
--- a/internal/cell/schedule/slowruns.go
+++ b/internal/cell/schedule/slowruns.go
@@ -24,6 +24,6 @@
 // logCopy logs that a copy of a run is started which would not have been by its estimate.
 func (s *Scheduler) logCopy(a *taskRun) {
 	if _, known := s.isSlowByLearned(a); known && !s.isSlowByEstimate(a) {
-		s.logLearned(a.task.id.Submission, a.host.spec.ID, "A run counts as slow by learned run times, and not by its estimate.")
+		s.logLearned(learnedCopy, a.task.id.Submission, a.host.spec.ID, "A run counts as slow by learned run times, and not by its estimate.")
 	}
 }
--- a/internal/cell/schedule/gangspeed.go
+++ b/internal/cell/schedule/speedbucket.go
@@ -2,10 +2,28 @@
 
 import "math"
 
-// speedBucket rounds the slowness of a host for gangs, so that measurement errors do not make
+// speedBucket rounds the slowness of a host, so that measurement errors do not make
 // a difference between hosts of equal speed. That of a host of normal speed is 0.
 func speedBucket(h *host) int { return int(math.Round((h.health.slowness - 1) / slownessBucket)) }
 
+// noSlower reports whether a host is no slower than another one.
+func (s *Scheduler) noSlower(h, other *host) bool {
+	if s.learning != nil {
+		return speedBucket(h) <= speedBucket(other)
+	}
+	return h.health.slowness <= other.health.slowness
+}
+
+// slownessPenalty returns by how much a host is slower than normal. While run times are
+// learned, hosts of about normal speed count as equal, so that measurement errors do not
+// spread small tasks over hosts that large ones could use.
+func (s *Scheduler) slownessPenalty(h *host) float64 {
+	if s.learning != nil {
+		return slownessBucket * float64(max(speedBucket(h), 0))
+	}
+	return max(h.health.slowness-1, 0)
+}
+
 // slownessScore rates the slowness of a host for a gang; lower is better.
 func (s *Scheduler) slownessScore(h *host) int {
 	if s.learning != nil {
--- a/internal/cell/schedule/stragglers.go
+++ b/internal/cell/schedule/stragglers.go
@@ -124,7 +124,7 @@
 	a := t.runs[0]
 	var others []*host
 	for _, h := range hosts {
-		if h != a.host && h.health.slowness <= a.host.health.slowness {
+		if h != a.host && s.noSlower(h, a.host) {
 			others = append(others, h)
 		}
 	}
