--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -25,6 +25,7 @@
 	startsHeld tally.Gauge
 	// withheld counts the start orders that were not sent for an evacuation, by reason.
 	withheld map[string]tally.Counter
+	runTimes runTimeGauges
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -36,6 +37,7 @@
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
 		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
+		runTimes: newRunTimeGauges(s),
 	}
 	for o := cell.OutcomeUnknown; o <= cell.OutcomeGangTimeout; o++ {
 		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -39,6 +39,7 @@
 	s.createGroups()
 	s.markDueGroupsReady()
 	s.updateUnknownUsage()
+	s.updateHostSpeeds()
 	s.updateRisks()
 	s.endTrials()
 	queue := s.queue()
@@ -183,7 +184,7 @@
 		v = -float64(h.unusedCPU()) / float64(max(h.spec.Capacity.MilliCPU, 1))
 	}
 	v += g.interferencePenalty(h)
-	v += weightSlowness * max(h.health.slowness-1, 0)
+	v += weightSlowness * s.slownessPenalty(h)
 	if t != nil && t.failedOn == h.spec.ID {
 		v += weightFailedBefore
 	}
@@ -297,6 +298,7 @@
 // start orders a host to start a run of a task.
 func (s *Scheduler) start(t *task, h *host, run int64) {
 	g := t.group
+	s.logBackfill(t, h)
 	r := s.risk(g.job)
 	r.add(1, 0, s.now)
 	if !g.job.proven && !g.job.hasRuns() {
