schedule: ask the advice service about more hosts for wide gangs

Cause: a call for a gang names about 34 hosts, of which 12 are approved. A gang of 20 members of 18 cores rarely finds seven of them free together on a cell that is 89 % full. Change: with the switch gang_capacity, a call for a gang names as many hosts as are expected to hold it several times over now, at most 100, as far as its objective leaves the time. Those that hold most members soonest come first. The share that is approved is learned from the answers.

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -145,7 +145,11 @@
 			hosts = append(hosts, h)
 		}
 	}
-	hosts = lowestHosts(hosts, adviceHostLimit(g.policy()), func(h *host) int { return -tasksIn(g.size, h.free()) })
+	if g.step.Gang && s.options.Features.GangCapacity {
+		hosts = s.gangHostsToAsk(g, hosts)
+	} else {
+		hosts = lowestHosts(hosts, adviceHostLimit(g.policy()), func(h *host) int { return -tasksIn(g.size, h.free()) })
+	}
 	s.requestAdvice(g, hosts)
 	return len(hosts) > 0
 }
@@ -165,6 +169,9 @@
 	if p == nil {
 		return
 	}
+	if g.step.Gang && s.options.Features.GangCapacity {
+		s.approval(g).Add(len(named), len(tickets))
+	}
 	for _, name := range named {
 		h := s.hosts[name]
 		if h == nil {
--- a/internal/cell/schedule/gang_replay_test.go
+++ b/internal/cell/schedule/gang_replay_test.go
@@ -58,3 +58,8 @@
 func TestReplayOfHeavyLoad(t *testing.T) {
 	replayHeavyLoad(t, Features{})
 }
+
+// Guards against wide gangs that wait for room on the few hosts of one short advice call.
+func TestReplayOfHeavyLoadWithGangCapacity(t *testing.T) {
+	replayHeavyLoad(t, Features{GangCapacity: true})
+}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/gangroom"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -77,6 +78,8 @@
 	unconfirmed map[string][]*task
 	// risks holds the risk of each queue by name.
 	risks map[string]*queueRisk
+	// approvals holds the share of approved hosts of the queues of gangs by name.
+	approvals map[string]*gangroom.Approval
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
