cell: bound what clients hold open

Cause: every body was read whole before anything was known about its client, and nothing bounded bodies or connections, at the addresses for callers, nodes and operators alike.

Change: package intake decides what gives way: the oldest incomplete body when the memory for bodies is used up, the connection that has waited longest when there are too many. front counts bodies in blocks of 8 KiB as they arrive, peers counts gRPC messages by their HTTP/2 frames, connlimit counts connections. Bodies have a time limit, the status address takes none, and the bounds follow from memory_mib and RLIMIT_NOFILE (or max_fds).

TestTemplateNamesKnownSettings gives settings that end in _fds a number.

--- a/internal/cell/config/check.go
+++ b/internal/cell/config/check.go
@@ -18,6 +18,9 @@
 	// maxCores bounds the processor cores of a process.
 	maxCores = 1 << 16
 	maxPort  = 1<<16 - 1
+	// minFDs is the least number of file descriptors with which a process can serve: an
+	// idle one that polls a few hosts has about 20.
+	minFDs = 64
 )
 
 // checker collects the invalid values of a settings file.
@@ -48,6 +51,10 @@
 	c.number("bounds.status_seconds", s.Bounds.StatusSeconds, maxBound)
 	c.number("limits.memory_mib", float64(s.Limits.MemoryMiB), maxBound)
 	c.number("limits.cores", s.Limits.Cores, maxCores)
+	c.optional("limits.max_fds", s.Limits.MaxFDs, minFDs, maxBound)
+	c.optional("limits.body_memory_mib", s.Limits.BodyMemoryMiB, 1, s.Limits.MemoryMiB)
+	c.number("limits.body_timeout_ms", float64(s.Limits.BodyTimeoutMs), maxBound)
+	c.optional("limits.caller_connections", s.Limits.CallerConnections, 1, maxBound)
 	return errors.Join(c.faults...)
 }
 
@@ -69,3 +76,8 @@
 func (c *checker) number(field string, value, largest float64) {
 	c.require(value > 0 && value <= largest, field, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("a number above 0, at most %g", largest))
 }
+
+// optional requires 0 or a whole number in a range.
+func (c *checker) optional(field string, value, smallest, largest int64) {
+	c.require(value == 0 || value >= smallest && value <= largest, field, strconv.FormatInt(value, 10), fmt.Sprintf("0, or a number from %d to %d", smallest, largest))
+}
--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -65,6 +65,14 @@
 	// Cores is the number of processor cores that the process may use; it can be
 	// a fraction.
 	Cores float64 `toml:"cores"`
+	// MaxFDs is the number of file descriptors that the process may use; zero for its
+	// RLIMIT_NOFILE.
+	MaxFDs int64 `toml:"max_fds"`
+	// BodyMemoryMiB is the memory for request bodies of callers, CallerConnections the
+	// number of connections that callers may have open; zero derives them.
+	BodyMemoryMiB     int64 `toml:"body_memory_mib"`
+	BodyTimeoutMs     int64 `toml:"body_timeout_ms"`
+	CallerConnections int64 `toml:"caller_connections"`
 }
 
 // MemoryBytes returns the memory limit of the process in bytes.
@@ -94,7 +102,7 @@
 func Default() Settings {
 	return Settings{
 		Bounds:     Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, ConfigApplyMs: 2000, GraceSeconds: 6, StatusSeconds: 120},
-		Limits:     Limits{MemoryMiB: 284, Cores: 1},
+		Limits:     Limits{MemoryMiB: 284, Cores: 1, BodyTimeoutMs: 15_000},
 		Scheduling: Scheduling{LearnRunTimes: true, GangCapacity: true, Preemption: true, Admission: true, FairShares: true},
 		Log:        Log{Level: "info", Format: "text"},
 	}
--- a/internal/cell/config/config_test.go
+++ b/internal/cell/config/config_test.go
@@ -29,6 +29,11 @@
 		"infinite cores":     {"[platform]", "[limits]\ncores = inf\n[platform]", "limits.cores"},
 		"negative cores":     {"[platform]", "[limits]\ncores = -1.0\n[platform]", "limits.cores"},
 		"no memory":          {"[platform]", "[limits]\nmemory_mib = 0\n[platform]", "limits.memory_mib"},
+		"few descriptors":    {"[platform]", "[limits]\nmax_fds = 63\n[platform]", "limits.max_fds"},
+		"negative bodies":    {"[platform]", "[limits]\nbody_memory_mib = -1\n[platform]", "limits.body_memory_mib"},
+		"bodies above all":   {"[platform]", "[limits]\nmemory_mib = 100\nbody_memory_mib = 101\n[platform]", "limits.body_memory_mib"},
+		"no time for a body": {"[platform]", "[limits]\nbody_timeout_ms = 0\n[platform]", "limits.body_timeout_ms"},
+		"no connections":     {"[platform]", "[limits]\ncaller_connections = -1\n[platform]", "limits.caller_connections"},
 		"port above 65535":   {`store = "1.2.3.4:4"`, `store = "1.2.3.4:70000"`, "platform.store"},
 		"negative port":      {`peers = "1.2.3.4:3"`, `peers = "1.2.3.4:-1"`, "listen.peers"},
 		"named port":         {`peers = "1.2.3.4:3"`, `peers = "1.2.3.4:http"`, "listen.peers"},
@@ -65,6 +70,9 @@
 					value = "1"
 				}
 			}
+			if strings.HasSuffix(key, "_fds") {
+				value = "1024"
+			}
 			line = key + " = " + value
 		}
 		out = append(out, line)
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"runtime/debug"
@@ -88,6 +86,8 @@
 	// MaxStorage is how much memory the stored submissions may take, in bytes; zero for no
 	// bound. Beyond it submissions are refused.
 	MaxStorage int64
+	// Bodies bounds the memory of request bodies; nil for no bound.
+	Bodies *Bodies
 	// WallClock returns the wall-clock time since the Unix epoch.
 	WallClock func() time.Duration
 	// Metrics counts responses by method and status; nil disables the count.
@@ -105,20 +105,12 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	maxBytes := int64(defaultBodyBytes)
-	if d, _ := h.State.Desired(); d != nil && d.Limits.BodyBytes > 0 {
-		maxBytes = int64(min(d.Limits.BodyBytes, maxBodyBytes))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		writeResponse(w, errorResponse(http.StatusRequestEntityTooLarge, "the body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes"))
-		return
-	case err != nil:
-		writeResponse(w, errorResponse(http.StatusBadRequest, "the body cannot be read"))
+	body, release, refusal := h.receive(w, r)
+	if refusal != nil {
+		h.respond(w, r, refusal)
 		return
 	}
+	defer release()
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout(r.Header))
 	defer cancel()
 	request := &peers.CallRequest{
@@ -131,7 +123,7 @@
 	if h.Metrics != nil {
 		h.Metrics.Tagged(map[string]string{"method": r.Method, "status": strconv.Itoa(resp.Status)}).Counter("answers").Inc(1)
 	}
-	writeResponse(w, resp)
+	h.respond(w, r, resp)
 }
 
 // logPanic logs a panic of the handler and closes the connection without a response,
@@ -171,9 +163,9 @@
 // callTimeout returns how long a call may take: the deadline from the header, at most
 // maxCallTimeout, or defaultCallTimeout, less responseMargin, but at least responseMargin.
 func callTimeout(h http.Header) time.Duration {
-	d := defaultCallTimeout
-	if ms, err := strconv.ParseInt(h.Get(platform.HeaderDeadline), 10, 64); err == nil && ms > 0 {
-		d = time.Duration(min(ms, maxCallTimeout.Milliseconds())) * time.Millisecond
+	d := callDeadline(h)
+	if d == 0 {
+		d = defaultCallTimeout
 	}
 	return max(d-responseMargin, responseMargin)
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -88,6 +88,7 @@
 	metricsHandler    http.Handler
 	slowApply         rate.Sometimes
 	callerHandler     *front.Handler
+	intake            *clientIntake
 
 	desired  atomic.Pointer[appliedDesired]
 	draining atomic.Bool
@@ -122,7 +123,7 @@
 }
 
 // New assembles a node; Run starts it. The error is that of the
-// source of random numbers.
+// source of random numbers, or of the limits of the process.
 func New(s config.Settings, log *slog.Logger) (*Node, error) {
 	instanceID := make([]byte, 8)
 	if _, err := rand.Read(instanceID); err != nil {
@@ -159,6 +160,11 @@
 		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Meter: n.storeMeter,
 	}, n.applyNodes)
 	n.callerHandler = &front.Handler{State: n, Records: relayAppender{n}, Forwarder: forwarder{n}, MaxStorage: s.Limits.MemoryBytes() / storageDivisor, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
+	var err error
+	if n.intake, err = newClientIntake(s, log); err != nil {
+		return nil, err
+	}
+	n.callerHandler.Bodies = n.intake.bodies
 	return n, nil
 }
 
--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -16,7 +15,6 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
-	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 )
 
 const (
@@ -57,10 +55,9 @@
 	if err != nil {
 		return err
 	}
-	errLog := slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errLog}
-	statusServer := &http.Server{Handler: http.HandlerFunc(n.serveStatus), ReadHeaderTimeout: headerTimeout, ErrorLog: errLog}
-	peerServer := peers.NewServer(n)
+	server := n.intake.callerServer(handler, n.log)
+	statusServer := n.intake.statusServer(n.serveStatus, n.log)
+	peerServer := n.intake.peers.NewServer(n)
 
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
@@ -68,7 +65,7 @@
 	failed := make(chan error, 3)
 	go func() { failed <- server.Serve(callerListener) }()
 	go func() { failed <- statusServer.Serve(statusListener) }()
-	go func() { failed <- peerServer.Serve(peerListener) }()
+	go func() { failed <- peerServer.Serve(n.intake.peers.Listen(peerListener)) }()
 	go n.logReloadSignals(background)
 	n.log.Info("node: The process serves.", "node", n.self.Name, "boot", n.self.InstanceID, "callers", callerListener.Addr().String(), "status", statusListener.Addr().String())
 	select {
@@ -99,6 +96,7 @@
 	go n.heartbeatAppender.Run(ctx)
 	go n.sendHeartbeats(ctx)
 	go n.followWork(ctx)
+	go n.reportIntake(ctx)
 }
 
 // logReloadSignals logs that a SIGHUP has no effect on the settings: settings are
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -32,12 +32,14 @@
 	// StoredBytes is how much memory the stored submissions take, estimated.
 	StoredBytes int64 `json:"stored_bytes"`
 	// AdviceWaiting is the number of advice calls of the owner that wait for a node.
-	AdviceWaiting int         `json:"advice_waiting"`
-	Term          *owner.Dump `json:"term,omitempty"`
+	AdviceWaiting int `json:"advice_waiting"`
+	// Intake is what clients hold open.
+	Intake IntakeDump  `json:"intake"`
+	Term   *owner.Dump `json:"term,omitempty"`
 }
 
 func (n *Node) dump() Dump {
-	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting()}
+	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting(), Intake: n.intake.dump()}
 	d.Owner, _ = n.registry.Owner()
 	d.StoredBytes, _ = n.registry.Storage("")
 	if s := n.desired.Load(); s != nil {
@@ -79,13 +81,26 @@
 
 // serveStatus answers the platform's readiness probe and operators.
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
-	switch path := r.URL.Path; {
-	case path == platform.ReadyPath:
+	if r.URL.Path == platform.ReadyPath {
 		status := http.StatusOK
 		if !n.ready() {
 			status = http.StatusServiceUnavailable
 		}
 		w.WriteHeader(status)
+		return
+	}
+	end, ok := n.intake.beginReport()
+	if !ok {
+		http.Error(w, "too many reports are being made", http.StatusServiceUnavailable)
+		return
+	}
+	defer end()
+	n.serveReport(w, r)
+}
+
+// serveReport answers operators.
+func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
+	switch path := r.URL.Path; {
 	case path == metricsPath:
 		n.metricsHandler.ServeHTTP(w, r)
 	case path == dumpPath:
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -153,18 +153,25 @@
 				}
 			}()
 			request := new(Q)
-			if err := decode(request); err != nil {
+			in := newIncoming(ctx, request)
+			defer in.release()
+			if err := decode(in); err != nil {
 				return nil, err
 			}
+			if in.refused {
+				return refusal(name)
+			}
 			return do(srv.(Handler), ctx, request)
 		},
 	}
 }
 
-// NewServer returns a gRPC server that calls h.
-func NewServer(h Handler) *grpc.Server {
-	s := grpc.NewServer(grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}))
+// NewServer returns a gRPC server that calls h, with further options.
+func NewServer(h Handler, more ...grpc.ServerOption) *grpc.Server {
+	s := grpc.NewServer(append([]grpc.ServerOption{
+		grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
+	}, more...)...)
 	s.RegisterService(&serviceDesc, h)
 	return s
 }
