--- a/internal/cell/config/intake.go
+++ b/internal/cell/config/intake.go
@@ -6,12 +6,12 @@
 	bodyMemoryDivisor = 8
 	peerMemoryDivisor = 8
 	// callerConnectionBytes is the memory for which there is one connection of a caller.
-	// A connection takes at most about 48 KiB: goroutines and buffers, and a header of up
-	// to 20 KiB that is read and decoded. All of them take a quarter of the memory.
-	callerConnectionBytes = 4 * 48 << 10
+	// One with the largest header and the first block of a body takes 61 KiB, of which 8
+	// belong to the bodies; all of them take less than a fifth of the memory.
+	callerConnectionBytes = 300 << 10
 	// peerConnectionBytes is the memory for which there is one connection of another
-	// node. A connection takes at most about 64 KiB, all of them a sixteenth of the memory.
-	peerConnectionBytes = 16 * 64 << 10
+	// node. One that is idle takes 44 KiB; all of them take a twentieth of the memory.
+	peerConnectionBytes = 1 << 20
 	// callerFDDivisor, peerFDDivisor and statusFDDivisor are the parts of the file
 	// descriptors for connections of callers, other nodes and operators. The others are
 	// for connections to hosts, to other nodes and to the store.
--- a/internal/cell/config/intake_test.go
+++ b/internal/cell/config/intake_test.go
@@ -10,8 +10,8 @@
 		rlimit uint64
 		want   Intake
 	}{
-		"smallest": {Limits{MemoryMiB: 144}, 3075, Intake{BodyBytes: 18 << 20, PeerBytes: 18 << 20, CallerConnections: 768, PeerConnections: 144, StatusConnections: 64}},
-		"largest":  {Limits{MemoryMiB: 536}, 10_250, Intake{BodyBytes: 67 << 20, PeerBytes: 67 << 20, CallerConnections: 2858, PeerConnections: 512, StatusConnections: 64}},
+		"smallest": {Limits{MemoryMiB: 144}, 3075, Intake{BodyBytes: 18 << 20, PeerBytes: 18 << 20, CallerConnections: 491, PeerConnections: 144, StatusConnections: 64}},
+		"largest":  {Limits{MemoryMiB: 536}, 10_250, Intake{BodyBytes: 67 << 20, PeerBytes: 67 << 20, CallerConnections: 1829, PeerConnections: 512, StatusConnections: 64}},
 		"setting of descriptors below RLIMIT_NOFILE": {
 			Limits{MemoryMiB: 536, MaxFDs: 320}, 10_250, Intake{BodyBytes: 67 << 20, PeerBytes: 67 << 20, CallerConnections: 160, PeerConnections: 40, StatusConnections: 10},
 		},
@@ -25,7 +25,7 @@
 		"more connections than descriptors": {
 			Limits{MemoryMiB: 144, CallerConnections: 900}, 320, Intake{BodyBytes: 18 << 20, PeerBytes: 18 << 20, CallerConnections: 160, PeerConnections: 40, StatusConnections: 10},
 		},
-		"no limit of descriptors": {Limits{MemoryMiB: 144}, 1<<64 - 1, Intake{BodyBytes: 18 << 20, PeerBytes: 18 << 20, CallerConnections: 768, PeerConnections: 144, StatusConnections: 64}},
+		"no limit of descriptors": {Limits{MemoryMiB: 144}, 1<<64 - 1, Intake{BodyBytes: 18 << 20, PeerBytes: 18 << 20, CallerConnections: 491, PeerConnections: 144, StatusConnections: 64}},
 	} {
 		if got := c.limits.Intake(c.rlimit); got != c.want {
 			t.Errorf("%s: %+v, want %+v", name, got, c.want)
