--- a/internal/cell/schedule/liveness_test.go
+++ b/internal/cell/schedule/liveness_test.go
@@ -90,16 +90,19 @@
 }
 
 // room returns the free room for the tasks of a group on the hosts that it may use, and
-// the part of all capacity in use.
+// the part of the capacity in use. Evacuated zones have none.
 func (l *livenessTest) room(g *group) (tasks int, used float64) {
 	var inUse, capacity int64
 	for _, h := range l.hosts {
+		if l.evacuated.Has(h.spec.Zone) {
+			continue
+		}
 		free := h.spec.Capacity
 		for _, r := range h.runs {
 			free = free.Sub(l.jobs[r.task.Submission].Steps[r.task.Step].Reserved())
 		}
 		inUse, capacity = inUse+h.spec.Capacity.MilliCPU-free.MilliCPU, capacity+h.spec.Capacity.MilliCPU
-		if !l.evacuated.Has(h.spec.Zone) && (g.step.Label == "" || h.spec.HasLabel(g.step.Label)) && (g.policy() == nil || l.approves(g.id, h.id)) {
+		if (g.step.Label == "" || h.spec.HasLabel(g.step.Label)) && (g.policy() == nil || l.approves(g.id, h.id)) {
 			tasks += l.tasksThatFit(g, h, free)
 		}
 	}
