--- a/internal/cell/node/evacuation.go
+++ b/internal/cell/node/evacuation.go
@@ -40,7 +40,9 @@
 }
 
 func newEvacuations(log *slog.Logger, s tally.Scope) *evacuations {
-	return &evacuations{log: log, gauge: s.Gauge("evacuated_zones"), offsets: make(map[string]uint64)}
+	e := &evacuations{log: log, gauge: s.Gauge("evacuated_zones"), offsets: make(map[string]uint64)}
+	e.gauge.Update(0)
+	return e
 }
 
 // apply applies the records of a page, all at once. The newest records replace the set: a
--- a/internal/cell/owner/evacuation.go
+++ b/internal/cell/owner/evacuation.go
@@ -99,7 +99,7 @@
 		e.heldSince, e.requestedAt = now, now
 	case !proven && now >= e.requestedAt+heldStartsTimeout && ow.options.RequestTakeover != nil:
 		e.requestedAt = now
-		ow.options.RequestTakeover()
+		ow.runGuarded(ow.options.RequestTakeover) // it must not be called under the lock
 	}
 	ow.metrics.setHeld(!proven)
 }
