--- a/cmd/medlarpulley/entry_test.go
+++ b/cmd/medlarpulley/entry_test.go
@@ -29,11 +29,12 @@
 
 var servingLogLine = regexp.MustCompile(`The process serves.*callers=(\S+) status=(\S+)`)
 
-func startEntry(t *testing.T, name string, store *users.Store, advice *users.Advice) *entryProcess {
+// startEntry starts a process with the given tables of settings besides the ordinary ones.
+func startEntry(t *testing.T, name string, store *users.Store, advice *users.Advice, more ...string) *entryProcess {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), name+".toml")
 	content := fmt.Sprintf("[node]\nname = %q\nzone = \"z\"\n[listen]\ncallers = \"127.0.0.1:0\"\nstatus = \"127.0.0.1:0\"\n"+
-		"peers = \"127.0.0.1:0\"\n[platform]\nstore = %q\nadvice = %q\n", name, store.Address(), advice.Address())
+		"peers = \"127.0.0.1:0\"\n[platform]\nstore = %q\nadvice = %q\n", name, store.Address(), advice.Address()) + strings.Join(more, "")
 	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/users/host.go
+++ b/internal/standin/users/host.go
@@ -36,6 +36,8 @@
 	// startDelay is the time after which a received start is executed, without a
 	// response; zero means no delay.
 	startDelay time.Duration
+	// zone is the availability zone in the entry of the host.
+	zone atomic.Pointer[string]
 }
 
 type run struct {
@@ -69,6 +71,8 @@
 func NewHost(id string, runDuration time.Duration, s *Store) *Host {
 	h := &Host{ID: id, store: s, runDuration: runDuration, runs: make(map[string]*run), changed: make(chan struct{}),
 		highestRun: make(map[string]int64), closing: make(chan struct{})}
+	zone := "z"
+	h.zone.Store(&zone)
 	h.server = httptest.NewServer(http.HandlerFunc(h.serve))
 	h.begin()
 	return h
@@ -83,9 +87,15 @@
 
 // Register writes the entry of the host to a store.
 func (h *Host) Register(s *Store) {
-	s.Put("keyed.servers", h.ID, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready",`+
+	s.Put("keyed.servers", h.ID, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready",`+
 		`"coldRemainingMs":0,"capacity":{"cpu":4000,"memMb":8192,"gpu":0},"labels":["a","r1-1"],"clockMs":0,"seq":1,"born":%d}`,
-		h.server.Listener.Addr().String(), h.born()))
+		h.server.Listener.Addr().String(), *h.zone.Load(), h.born()))
+}
+
+// SetZone moves the host to an availability zone, which its entry shows at once.
+func (h *Host) SetZone(zone string) {
+	h.zone.Store(&zone)
+	h.Register(h.store)
 }
 
 // Restart crashes the host, which is back at once as another instance: its connections
