Bound a pause between the check and the sending of a start order

Cause: the time-out of a start order began after the check of its zone, so that a pause between the two added to it; and no test had a gang that waits for the zones that it needs.

Change: the time-out begins before the check. A test of such a gang beside other gangs and single tasks.

Result: it starts within 3 s of the return of its zones; the tests of schedule and owner pass.

--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -55,13 +55,14 @@
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 		LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: ow.options.Self.Token,
 	}
+	// The time-out begins before the check, so that it also bounds a pause between the two.
+	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
+	defer cancel()
 	if !ow.mayStartIn(target.Zone) {
 		h.starts.remove(sent)
 		refused(schedule.RefusedOther)
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
-	defer cancel()
 	clockMs, why, err := ow.options.HostClient.Start(callCtx, &target, order)
 	ow.recordStartCall(h, sent, clockMs, why, err)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
--- a/internal/cell/schedule/evacuation_test.go
+++ b/internal/cell/schedule/evacuation_test.go
@@ -159,6 +159,37 @@
 	}
 }
 
+// Guards against a gang that goes on waiting for room that it was promised, or for what it
+// may not use, once the zones are back that it needs; while other work arrives.
+func TestGangStartsOnceItsZonesAreBack(t *testing.T) {
+	c := evacuationCluster()
+	c.adviceTakesTime = true
+	c.evacuated = cell.NewEvacuatedZones("z0", "z1")
+	gang := fullHost(5, time.Second)
+	gang.Gang = true
+	narrow := fullHost(2, time.Second)
+	narrow.Gang = true
+	c.submit("gang", "advised", "a", gang)
+	for i := range 60 {
+		if i%5 == 0 {
+			c.submit(fmt.Sprintf("narrow%d", i), "advised", "a", narrow)
+			c.submit(fmt.Sprintf("single%d", i), "q", "b", fullHost(1, 300*time.Millisecond))
+		}
+		c.advance(50 * time.Millisecond)
+	}
+	if got := c.running("gang"); got != 0 {
+		t.Fatalf("%d members run in one zone", got)
+	}
+	c.evacuated = nil
+	if took, ok := c.waitForStart("gang", 3*time.Second); !ok {
+		t.Errorf("the gang has not started after %s: %v", took, c.s.Explain("gang"))
+	}
+	if !c.stepUntilFinished(300, 100*time.Millisecond) {
+		t.Error("work stays waiting")
+	}
+	c.reportViolations(t)
+}
+
 // Guards against a long-running task that is stopped in an evacuated zone, and one that
 // starts there again after it has ended.
 func TestLongRunningTasksOfAnEvacuatedZone(t *testing.T) {
