intake: leave memory to stored work when it is short

Cause: a full store of submissions and a full owner may take 60 % of the memory, so that the fixed budgets for messages exceed the rest at 144 MB.

Change: the two budgets shrink from 75 % of the memory in use on, to a quarter at 90 %; incomplete messages give way to that.

--- a/internal/cell/front/bodies.go
+++ b/internal/cell/front/bodies.go
@@ -64,6 +64,13 @@
 	return BodiesStats{BudgetStats: b.budget.Stats(), TimedOut: b.timeouts}
 }
 
+// SetLimit changes the memory for bodies.
+func (b *Bodies) SetLimit(limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(b.budget.SetLimit(limit))
+}
+
 // begin counts a body that begins to arrive. The header gives the deadline of its call.
 func (b *Bodies) begin(conn connlimit.Request, header http.Header) *incomingBody {
 	timeout := max(b.timeout, callDeadline(header))
--- a/internal/cell/intake/budget.go
+++ b/internal/cell/intake/budget.go
@@ -66,6 +66,15 @@
 	return shed, ok
 }
 
+// SetLimit changes the limit. It returns the messages that give way, which are closed.
+func (b *Budget) SetLimit(limit int64) (shed []ID) {
+	b.limit = limit
+	for b.received > 0 && b.received+b.processing > b.limit && !b.alone(b.oldest().id) {
+		shed = append(shed, b.shedOldest())
+	}
+	return shed
+}
+
 // alone reports whether a message is the only one that takes memory.
 func (b *Budget) alone(id ID) bool {
 	return b.processing == 0 && b.received == b.messages[id].Value.(*message).bytes
@@ -73,14 +82,20 @@
 
 // shedOldest closes the oldest message that takes memory. There is one.
 func (b *Budget) shedOldest() ID {
+	id := b.oldest().id
+	b.Close(id)
+	b.stats.Shed++
+	return id
+}
+
+// oldest returns the oldest message that takes memory and is being received. There is
+// one.
+func (b *Budget) oldest() *message {
 	e := b.receiving.Front()
 	for e.Value.(*message).bytes == 0 {
 		e = e.Next()
 	}
-	id := e.Value.(*message).id
-	b.Close(id)
-	b.stats.Shed++
-	return id
+	return e.Value.(*message)
 }
 
 // Complete ends the receiving of a message. From then on it takes bytes, and is not
--- a/internal/cell/node/intake.go
+++ b/internal/cell/node/intake.go
@@ -31,6 +31,9 @@
 	bodies          *front.Bodies
 	callers, status *connlimit.Limiter
 	peers           *peers.Inbound
+	// bounds are the bounds while there is memory, memory is that of the process.
+	bounds config.Intake
+	memory int64
 	// statusReports holds an element for each report that is being made.
 	statusReports chan struct{}
 }
@@ -43,6 +46,7 @@
 	v := s.Limits.Intake(files.Cur)
 	log = logging.WithComponent(log, "intake")
 	return &clientIntake{
+		bounds: v, memory: s.Limits.MemoryBytes(),
 		bodies:        front.NewBodies(v.BodyBytes, config.Millis(s.Limits.BodyTimeoutMs), log),
 		callers:       connlimit.New(v.CallerConnections, "callers", log),
 		status:        connlimit.New(v.StatusConnections, "status", log),
--- a/internal/cell/node/intake_dump.go
+++ b/internal/cell/node/intake_dump.go
@@ -8,7 +8,8 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/intake"
 )
 
-// intakeReportInterval is the time between two updates of the gauges of the intake.
+// intakeReportInterval is the time between two updates of the limits and the gauges of
+// the intake. Stored work, to which the limits adapt, grows over seconds.
 const intakeReportInterval = time.Second
 
 // IntakeDump is the state of the bounds for clients.
@@ -27,7 +28,8 @@
 	}
 }
 
-// reportIntake updates the gauges of the intake until ctx ends.
+// reportIntake adapts the intake to the memory in use, and updates its gauges, until ctx
+// ends.
 func (n *Node) reportIntake(ctx context.Context) {
 	ticker := time.NewTicker(intakeReportInterval)
 	defer ticker.Stop()
@@ -37,6 +39,7 @@
 			return
 		case <-ticker.C:
 		}
+		n.intake.adapt(memoryInUse())
 		d := n.intake.dump()
 		for name, s := range map[string]intake.BudgetStats{"callers": d.Bodies.BudgetStats, "peers": d.PeerMessages} {
 			scope := n.metrics.Tagged(map[string]string{"address": name})
--- a/internal/cell/node/intake_test.go
+++ b/internal/cell/node/intake_test.go
@@ -141,3 +141,22 @@
 		}
 	}
 }
+
+// Guards against messages that take memory which stored work needs, and against budgets
+// that stay low when there is memory again.
+func TestBudgetsAdaptToTheMemoryInUse(t *testing.T) {
+	n := newBoundedNode(t)
+	if used := memoryInUse(); used < 1<<20 || used > 4<<30 {
+		t.Errorf("memory in use: %d bytes", used)
+	}
+	full := n.intake.dump()
+	n.intake.adapt(n.intake.memory)
+	low := n.intake.dump()
+	if low.Bodies.Limit != full.Bodies.Limit/4 || low.PeerMessages.Limit != full.PeerMessages.Limit/4 {
+		t.Errorf("without memory: %d and %d bytes", low.Bodies.Limit, low.PeerMessages.Limit)
+	}
+	n.intake.adapt(0)
+	if again := n.intake.dump(); again != full {
+		t.Errorf("with memory again: %+v, want %+v", again, full)
+	}
+}
--- a/internal/cell/peers/inbound.go
+++ b/internal/cell/peers/inbound.go
@@ -79,6 +79,14 @@
 	return i.budget.Stats()
 }
 
+// SetLimit changes the memory for messages.
+func (i *Inbound) SetLimit(limit int64) {
+	i.mu.Lock()
+	closed := i.take(i.budget.SetLimit(limit))
+	i.mu.Unlock()
+	i.close(closed)
+}
+
 // open counts a message that begins to arrive.
 func (i *Inbound) open(c *inboundConn) intake.ID {
 	i.mu.Lock()
