intake, peers: one type each file, and no wait of a connection in use

A message that ended while another call of its connection began to be processed could mark the connection as waiting. Both are decided under its lock now.

--- a/internal/cell/front/bodies.go
+++ b/internal/cell/front/bodies.go
@@ -50,13 +50,6 @@
 	}
 }
 
-// BodiesStats is the state of the bodies of a process.
-type BodiesStats struct {
-	intake.BudgetStats
-	// TimedOut counts the bodies that were not received in time.
-	TimedOut uint64 `json:"timed_out"`
-}
-
 // Stats returns the state of the bodies.
 func (b *Bodies) Stats() BodiesStats {
 	b.mu.Lock()
--- a/internal/cell/intake/budget.go
+++ b/internal/cell/intake/budget.go
@@ -12,9 +12,6 @@
 	receivingReserveDivisor = 8
 )
 
-// ID identifies a message or a connection. Later ones have higher IDs.
-type ID uint64
-
 // Budget bounds the bytes of all messages of a process. The messages that are being
 // received give way to others, the one that has been arriving for the longest time
 // first: a message of an ordinary client arrives at once, so it is seldom the oldest.
@@ -32,11 +29,6 @@
 	stats     BudgetStats
 }
 
-type message struct {
-	id    ID
-	bytes int64
-}
-
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget {
 	return &Budget{limit: limit, receiving: list.New(), messages: map[ID]*list.Element{}, processed: map[ID]int64{}}
--- a/internal/cell/peers/inbound_conn.go
+++ b/internal/cell/peers/inbound_conn.go
@@ -25,12 +25,6 @@
 	processing int
 }
 
-// inboundAddr is the address of a connection, by which a call finds the connection.
-type inboundAddr struct {
-	net.Addr
-	conn *inboundConn
-}
-
 // RemoteAddr implements net.Conn.
 func (c *inboundConn) RemoteAddr() net.Addr { return inboundAddr{Addr: c.Conn.RemoteAddr(), conn: c} }
 
@@ -77,7 +71,10 @@
 	c.mu.Lock()
 	s, known := c.streams[f.stream]
 	delete(c.streams, f.stream)
-	last, waits := len(c.streams) == 0, c.processing == 0
+	last := len(c.streams) == 0
+	if known && c.processing == 0 && f.endsStream() {
+		c.inbound.Connections.Wait(c) // the wait for the next message begins
+	}
 	c.mu.Unlock()
 	if !known {
 		return
@@ -86,9 +83,6 @@
 	if last {
 		_ = c.SetReadDeadline(time.Time{}) // fails on a closed connection only
 	}
-	if waits && f.endsStream() {
-		c.inbound.Connections.Wait(c) // the wait for the next message begins
-	}
 }
 
 // SetDeadline implements net.Conn. The gRPC library removes the deadline at the end of
--- a/internal/cell/peers/inbound_listener.go
+++ b/internal/cell/peers/inbound_listener.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/medlarpulley/medlarpulley/internal/cell/intake"
 )
 
 // unackedTimeout is how long data may stay unacknowledged until a connection ends. The
@@ -48,10 +46,3 @@
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds())) // without it a broken connection ends later
 	})
 }
-
-// incomingStream is a message that is being received on a connection.
-type incomingStream struct {
-	id intake.ID
-	// since is when its header began to arrive.
-	since time.Time
-}
