--- a/internal/cell/front/bodies.go
+++ b/internal/cell/front/bodies.go
@@ -50,13 +50,6 @@
 	}
 }
 
-// BodiesStats is the state of the bodies of a process.
-type BodiesStats struct {
-	intake.BudgetStats
-	// TimedOut counts the bodies that were not received in time.
-	TimedOut uint64 `json:"timed_out"`
-}
-
 // Stats returns the state of the bodies.
 func (b *Bodies) Stats() BodiesStats {
 	b.mu.Lock()
@@ -64,6 +57,13 @@
 	return BodiesStats{BudgetStats: b.budget.Stats(), TimedOut: b.timeouts}
 }
 
+// SetLimit changes the memory for bodies.
+func (b *Bodies) SetLimit(limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(b.budget.SetLimit(limit))
+}
+
 // begin counts a body that begins to arrive. The header gives the deadline of its call.
 func (b *Bodies) begin(conn connlimit.Request, header http.Header) *incomingBody {
 	timeout := max(b.timeout, callDeadline(header))
