--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -150,7 +150,7 @@
 func (s *Scheduler) tasksThatFit(g *group, h *host) int {
 	s.work.used++
 	free := h.free()
-	if !g.ignoresReservations {
+	if !g.ignoresReservations && h.reserved != (resource.Vector{}) {
 		free = h.freeFor(s.now + s.expected(g, h).P90)
 	}
 	n := tasksIn(g.size, free)
--- a/internal/cell/schedule/speedbucket.go
+++ b/internal/cell/schedule/speedbucket.go
@@ -18,10 +18,13 @@
 // learned, hosts of about normal speed count as equal, so that measurement errors do not
 // spread small tasks over hosts that large ones could use.
 func (s *Scheduler) slownessPenalty(h *host) float64 {
-	if s.learning != nil {
-		return slownessBucket * float64(max(speedBucket(h), 0))
+	switch slowness := h.health.slowness; {
+	case s.learning == nil:
+		return max(slowness-1, 0)
+	case slowness < 1+slownessBucket/2:
+		return 0
 	}
-	return max(h.health.slowness-1, 0)
+	return slownessBucket * float64(speedBucket(h))
 }
 
 // slownessScore rates the slowness of a host for a gang; lower is better.
