--- a/internal/cell/owner/runtimes_test.go
+++ b/internal/cell/owner/runtimes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/boottime"
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -166,3 +167,22 @@
 		t.Errorf("the appends are %v", journal.appends)
 	}
 }
+
+// Guards against gauges by which operators cannot see whether the learned run times are any
+// better than the estimates.
+func TestGaugesOfRunTimes(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	ow := New(learningOptions(Options{Metrics: scope, RunTimes: learnedRecord, Stored: func() []registry.Entry { return nil }}))
+	ow.load()
+	ow.showRunTimes(time.Hour)
+	gauges := scope.Snapshot().Gauges()
+	for name, want := range map[string]float64{"run_time_keys+": 1, "run_time_samples+": 40} {
+		if g := gauges[name]; g == nil || g.Value() != want {
+			t.Errorf("the gauge %s is %v, want %g", name, g, want)
+		}
+	}
+	learned, estimate := gauges["run_time_error+"], gauges["run_time_estimate_error+"]
+	if learned == nil || estimate == nil || learned.Value() >= estimate.Value() {
+		t.Errorf("the errors are %v and %v; the estimates were off by a factor of 4", learned, estimate)
+	}
+}
--- a/internal/cell/runtimes/key_snapshot.go
+++ b/internal/cell/runtimes/key_snapshot.go
@@ -81,12 +81,12 @@
 	if k.Observed < 0 || k.ObservedRatios < 0 {
 		return cell.NewFieldError(k.object(), "observed", min(k.Observed, k.ObservedRatios), "0 or more")
 	}
-	for name, v := range map[string]float64{"time.Mean": k.Time.Mean, "ratio.Mean": k.Ratio.Mean} {
+	for name, v := range map[string]float64{"time.mean": k.Time.Mean, "ratio.mean": k.Ratio.Mean} {
 		if math.Abs(v) > maxLogMean {
 			return cell.NewFieldError(k.object(), name, v, "-100 to 100")
 		}
 	}
-	for name, v := range map[string]float64{"time.Error": k.Time.Error, "ratio.Error": k.Ratio.Error, "median_error": k.MedianError, "estimate_error": k.EstimateError} {
+	for name, v := range map[string]float64{"time.error": k.Time.Error, "ratio.error": k.Ratio.Error, "median_error": k.MedianError, "estimate_error": k.EstimateError} {
 		if v < 0 || v > maxLogError {
 			return cell.NewFieldError(k.object(), name, v, "0 to 2")
 		}
--- a/internal/cell/runtimes/predictor.go
+++ b/internal/cell/runtimes/predictor.go
@@ -12,8 +12,8 @@
 
 // predictor tells how well a mean of past logarithms predicts the next one.
 type predictor struct {
-	Mean  float64
-	Error float64
+	Mean  float64 `json:"mean"`
+	Error float64 `json:"error"`
 }
 
 // add adds the n-th value.
--- a/internal/cell/runtimes/snapshot_test.go
+++ b/internal/cell/runtimes/snapshot_test.go
@@ -64,7 +64,7 @@
 	for _, s := range []string{
 		"", "null", "[]", "{}", `{"version":2,"keys":[]}`, `{"version":1,"keys":{}}`, "\x00\xff", strings.Repeat(" ", MaxSnapshotBytes+1),
 		key(`,"times":[1]`), key(`,"times":[1,0]`), key(`,"times":[0,1]`), key(`,"times":[1,-5]`), key(`,"times":[-9223372036854775808,1]`), key(`,"times":[1,9223372036854775807]`),
-		key(`,"times":[1,193]`), key(`,"times":[1,100,2,100]`), key(`,"times":[86400001,1]`), key(`,"ratios":[1.5,1]`), key(`,"time":{"Mean":1e300}`), key(`,"ratio":{"Error":-1}`),
+		key(`,"times":[1,193]`), key(`,"times":[1,100,2,100]`), key(`,"times":[86400001,1]`), key(`,"ratios":[1.5,1]`), key(`,"time":{"mean":1e300}`), key(`,"ratio":{"error":-1}`),
 		key(`,"median_error":3`), key(`,"observed":-1`), `{"version":1,"keys":[{"queue":"q","step":-1}]}`, `{"version":1,"keys":[{"queue":"` + strings.Repeat("q", maxQueueName+1) + `"}]}`,
 	} {
 		m := learnedModel(1)
