Add check-desired: check a desired state before it is published

Operators write the desired state to the store as one JSON document. Nodes ignore unknown fields, duplicates and hosts that no call has, so that a mistake shows only in service.

medlarpulley check-desired FILE [--current FILE] reports errors, warnings and the differences from the document in force.

--- /dev/null
+++ b/internal/cell/desiredcheck/severity.go
@@ -0,0 +1,13 @@
+package desiredcheck
+
+// Severity says what a finding means for the publication.
+type Severity string
+
+const (
+	// Error is a fault that keeps the document from being published.
+	Error Severity = "error"
+	// Warning is a value that has an effect which the operator may not intend.
+	Warning Severity = "warning"
+	// Difference is a difference from the desired state in force.
+	Difference Severity = "difference"
+)
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -27,10 +27,10 @@
 	// network transfer of the response.
 	responseMargin = 100 * time.Millisecond
 	// defaultBodyBytes limits a request body while the desired state sets no limit.
-	defaultBodyBytes = 256 << 10
+	defaultBodyBytes = cell.DefaultBodyBytes
 	// maxBodyBytes bounds a request body whatever the desired state allows. The store
 	// takes no record that is as large.
-	maxBodyBytes = 1 << 20
+	maxBodyBytes = cell.MaxBodyBytes
 	// maxCallTimeout bounds the deadline that a caller may set.
 	maxCallTimeout = 5 * time.Minute
 )
--- a/internal/cell/node/run.go
+++ b/internal/cell/node/run.go
@@ -14,6 +14,7 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
 )
 
@@ -30,9 +31,9 @@
 	releaseTimeout = 1500 * time.Millisecond
 	// Limits for the connections of callers. The limits in the desired state do not
 	// change them.
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
-	maxHeaderBytes = 16 << 10
+	headerTimeout  = cell.HeaderTimeout
+	idleTimeout    = cell.IdleTimeout
+	maxHeaderBytes = cell.HeaderBytes
 )
 
 // Run serves callers until ctx ends, then shuts down gracefully and returns. It
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -11,7 +11,7 @@
 const (
 	// ticketExpiryMargin is the part of a ticket's validity that is reserved for
 	// the delivery of the start order.
-	ticketExpiryMargin = 150 * time.Millisecond
+	ticketExpiryMargin = cell.TicketExpiryMargin
 	// perHostTimeShare limits the hosts in one call, so that the time per host adds
 	// at most about this share to the fixed duration of the call.
 	perHostTimeShare = 0.5
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -78,6 +78,7 @@
 	a.addMeasure()
 	a.addSettings()
 	a.addCheck()
+	a.addCheckDesired()
 	a.addApply()
 	a.addDiff()
 	a.addGet()
