--- a/internal/cell/desiredcheck/check_test.go
+++ b/internal/cell/desiredcheck/check_test.go
@@ -125,15 +125,6 @@
 	}
 }
 
-// Guards against a version that nodes ignore.
-func TestCheckVersion(t *testing.T) {
-	for version, want := range map[int64]int{1: 1, 2: 1, 3: 0} {
-		if got := CheckVersion(&cell.DesiredDocument{Version: version}, sound()); len(got) != want {
-			t.Errorf("version %d: got %q", version, lines(got))
-		}
-	}
-}
-
 // Guards against a key that is shown in full because it is short.
 func TestMask(t *testing.T) {
 	for key, want := range map[string]string{"": "...", "abcd": "...", "abcde": "abcd...", "éééééé": "éééé..."} {
--- a/internal/cell/desiredcheck/checker.go
+++ b/internal/cell/desiredcheck/checker.go
@@ -27,16 +27,6 @@
 	return c.findings
 }
 
-// CheckVersion returns a finding if no node would apply the document after the one in force.
-func CheckVersion(d, current *cell.DesiredDocument) []Finding {
-	c := &checker{doc: d}
-	if d.Version <= current.Version {
-		c.add(Error, Object{Kind: cell.DesiredWhole}, cell.FieldVersion, d.Version,
-			fmt.Sprintf("a version higher than %d, which is in force", current.Version))
-	}
-	return c.findings
-}
-
 func (c *checker) add(s Severity, o Object, f cell.DesiredField, value any, accepted string) {
 	c.findings = append(c.findings, Finding{Severity: s, Object: o, Field: f, Value: text(value), Accepted: accepted})
 }
--- a/internal/cell/desiredcheck/compare.go
+++ b/internal/cell/desiredcheck/compare.go
@@ -7,11 +7,15 @@
 )
 
 // Compare returns the differences of a document from the one in force, and after each
-// difference that affects callers at once a warning. Objects are the same if their names
-// are; of several with one name the first counts.
+// difference that affects callers at once a warning. It begins with an error if no node
+// would apply the document. Objects are the same if their names are; of several with one
+// name the first counts.
 func Compare(d, current *cell.DesiredDocument) []Finding {
 	c := &checker{doc: d}
 	whole := Object{Kind: cell.DesiredWhole}
+	if d.Version <= current.Version {
+		c.add(Error, whole, cell.FieldVersion, d.Version, "a version higher than "+text(current.Version)+", which is in force")
+	}
 	differ(c, whole, cell.FieldVersion, current.Version, d.Version)
 	compareAll(c, cell.DesiredQueue, current.Queues, d.Queues, func(q cell.Queue) string { return q.Name }, c.compareQueues)
 	compareAll(c, cell.DesiredService, current.Services, d.Services, func(s cell.Service) string { return s.Name }, c.compareServices)
--- a/internal/cell/desiredcheck/compare_test.go
+++ b/internal/cell/desiredcheck/compare_test.go
@@ -10,6 +10,31 @@
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
+// inForce returns the sound document with the version before.
+func inForce() *cell.DesiredDocument {
+	d := sound()
+	d.Version--
+	return d
+}
+
+// nextVersion is the first finding of a sound document after inForce.
+const nextVersion = "difference document/ version 2"
+
+// Guards against a version that nodes ignore.
+func TestCompareVersion(t *testing.T) {
+	for version, want := range map[int64][]string{
+		0: {"error document/ version 0", "difference document/ version 0"},
+		1: {"error document/ version 1"},
+		2: {nextVersion},
+	} {
+		d := sound()
+		d.Version = version
+		if got := lines(Compare(d, inForce())); !slices.Equal(got, want) {
+			t.Errorf("version %d: got %q, want %q", version, got, want)
+		}
+	}
+}
+
 // Guards against a difference that is not shown, and against a missing or needless warning
 // of one that callers meet at once.
 func TestCompare(t *testing.T) {
@@ -19,8 +44,7 @@
 		change func(d *cell.DesiredDocument)
 		want   []string
 	}{
-		{"equal", func(*cell.DesiredDocument) {}, []string{}},
-		{"version", func(d *cell.DesiredDocument) { d.Version = 3 }, []string{"difference document/ version 3"}},
+		{"next", func(*cell.DesiredDocument) {}, []string{}},
 		{"queue added", func(d *cell.DesiredDocument) { d.Queues = append(d.Queues, cell.Queue{Name: "n"}) }, []string{`difference queue/n  "n"`}},
 		{"queue removed", func(d *cell.DesiredDocument) { d.Queues = nil }, []string{`difference queue/r  "r"`, `warning queue/r  "r"`}},
 		{"queue moved", func(d *cell.DesiredDocument) { d.Queues[0].Host, d.Queues[0].PathPrefix = "other", "/other/" },
@@ -55,8 +79,8 @@
 	} {
 		d := sound()
 		c.change(d)
-		findings := Compare(d, sound())
-		if got := lines(findings); !slices.Equal(got, c.want) {
+		findings := Compare(d, inForce())
+		if got := lines(findings); got[0] != nextVersion || !slices.Equal(got[1:], c.want) {
 			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
 		}
 		for _, f := range findings {
@@ -69,9 +93,9 @@
 
 // Guards against a closed queue without a warning: calls without a key are refused at once.
 func TestCompareClosedQueue(t *testing.T) {
-	open := sound()
+	open := inForce()
 	open.Queues[0].WithoutKey = true
-	want := []string{"difference queue/r without key false", "warning queue/r without key false"}
+	want := []string{nextVersion, "difference queue/r without key false", "warning queue/r without key false"}
 	if got := lines(Compare(sound(), open)); !slices.Equal(got, want) {
 		t.Errorf("got %q, want %q", got, want)
 	}
@@ -80,14 +104,14 @@
 // Guards against a comparison that reports an object more than once, or panics, if names
 // are not unique.
 func TestCompareDuplicates(t *testing.T) {
-	twice := sound()
+	twice, former, without := sound(), inForce(), sound()
 	twice.Teams = append(twice.Teams, twice.Teams[0])
-	without := sound()
+	former.Teams = twice.Teams
 	without.Teams = nil
-	if got := lines(Compare(without, twice)); len(got) != 2 {
-		t.Errorf("removed: got %q", got)
+	if got, want := lines(Compare(without, former)), []string{nextVersion, `difference team/t  "t"`, `warning team/t  "t"`}; !slices.Equal(got, want) {
+		t.Errorf("removed: got %q, want %q", got, want)
 	}
-	if got := lines(Compare(twice, sound())); len(got) != 0 {
-		t.Errorf("repeated: got %q", got)
+	if got, want := lines(Compare(twice, inForce())), []string{nextVersion}; !slices.Equal(got, want) {
+		t.Errorf("repeated: got %q, want %q", got, want)
 	}
 }
--- a/internal/cli/check_desired.go
+++ b/internal/cli/check_desired.go
@@ -56,7 +56,6 @@
 	case d == nil:
 		return lines, nil
 	}
-	lines = append(lines, desiredLines(file, desiredcheck.CheckVersion(d, old))...)
 	return append(lines, desiredLines(file, desiredcheck.Compare(d, old))...), nil
 }
 
