--- a/internal/cli/check_desired_test.go
+++ b/internal/cli/check_desired_test.go
@@ -15,7 +15,8 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-const checkDesiredDir = "testdata/check-desired/"
+// checkDesiredDir is in platform, as its files have names of the wire.
+const checkDesiredDir = "../../platform/testdata/check-desired/"
 
 // Guards against a change of the output and the exit code of check-desired that scripts
 // rely on, and against a key in the output.
