Refuse submissions that would end too late to be of use

Cause: in a burst beyond the capacity, or the limit of a team, everything is accepted, and callers learn too late that their work is of no use.

Change: the owner publishes the least wait of each team and queue (key l of the work topic, at most once a second, only with other records). Nodes that follow the topic refuse a submission at once if the wait and its own work exceed twice the time in which it is of use: 429 for the limit of its team, 503 for the cell, with Retry-After. Returning callers are let in before newcomers. Work that can no longer be of use comes after all other work, and leaves room.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -83,6 +83,9 @@
 	if refusal := c.refuseBeyondStorage(ctx, registry.SubmissionBytes(&s, r)); refusal != nil {
 		return refusal
 	}
+	if refusal := c.refuseTooLate(ctx, &s); refusal != nil {
+		return refusal
+	}
 	return c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
 }
 
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -88,6 +88,9 @@
 	// MaxStorage is how much memory the stored submissions may take, in bytes; zero for no
 	// bound. Beyond it submissions are refused.
 	MaxStorage int64
+	// Admission decides which submissions are refused since they would end too late; nil
+	// accepts all.
+	Admission Admission
 	// WallClock returns the wall-clock time since the Unix epoch.
 	WallClock func() time.Duration
 	// Metrics counts responses by method and status; nil disables the count.
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -88,6 +88,8 @@
 	metricsHandler    http.Handler
 	slowApply         rate.Sometimes
 	callerHandler     *front.Handler
+	// admission is nil if submissions are not refused for the load.
+	admission *admissionGate
 
 	desired  atomic.Pointer[appliedDesired]
 	draining atomic.Bool
@@ -159,6 +161,10 @@
 		Topic: platform.TopicNodes, Wait: nodesLongPollTimeout, BatchInterval: n.nodesBatchInterval, Meter: n.storeMeter,
 	}, n.applyNodes)
 	n.callerHandler = &front.Handler{State: n, Records: relayAppender{n}, Forwarder: forwarder{n}, MaxStorage: s.Limits.MemoryBytes() / storageDivisor, Logger: componentLogger("front"), WallClock: wallClock, Metrics: n.metrics}
+	if s.Scheduling.Admission {
+		n.admission = &admissionGate{node: n}
+		n.callerHandler.Admission = n.admission
+	}
 	return n, nil
 }
 
@@ -210,6 +216,10 @@
 // keys, not of offsets; the term then begins after all records of the page.
 func (n *Node) applyWork(p worklog.Page) {
 	startedAt := n.clock.Now()
+	if n.admission != nil {
+		asOf, read := n.workReader.AsOf()
+		defer n.admission.observe(asOf, read && !p.NewestOnly)
+	}
 	defer func() {
 		if took := n.clock.Now() - startedAt; took > slowApplyThreshold {
 			n.slowApply.Do(func() {
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -34,10 +34,12 @@
 	// AdviceWaiting is the number of advice calls of the owner that wait for a node.
 	AdviceWaiting int         `json:"advice_waiting"`
 	Term          *owner.Dump `json:"term,omitempty"`
+	// Admission is what this node refuses submissions on; nil if it refuses none.
+	Admission *admissionDump `json:"admission,omitempty"`
 }
 
 func (n *Node) dump() Dump {
-	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting()}
+	d := Dump{Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting(), Admission: n.admission.dump()}
 	d.Owner, _ = n.registry.Owner()
 	d.StoredBytes, _ = n.registry.Storage("")
 	if s := n.desired.Load(); s != nil {
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -70,7 +70,7 @@
 		EarlierOwnersGone: func() bool { return previousOwnerGone(c.previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
-		Features: features(n.settings.Scheduling),
+		Features: features(n.settings.Scheduling), Admission: n.settings.Scheduling.Admission,
 	})
 	n.registry.SetListener(t.owner)
 	n.term = t
@@ -94,7 +94,7 @@
 
 // features returns the features of the scheduler that the settings switch on.
 func features(s config.Scheduling) schedule.Features {
-	return schedule.Features{LearnRunTimes: s.LearnRunTimes, GangCapacity: s.GangCapacity, Preemption: s.Preemption, FairShares: s.FairShares}
+	return schedule.Features{LearnRunTimes: s.LearnRunTimes, GangCapacity: s.GangCapacity, Preemption: s.Preemption, FairShares: s.FairShares, Admission: s.Admission}
 }
 
 // previousOwnerGone reports whether no earlier owner can act on hosts any more:
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -76,4 +76,6 @@
 	// schedule.Options.
 	MaxWeight int
 	Features  schedule.Features
+	// Admission publishes a summary of the work that waits, on which nodes refuse submissions.
+	Admission bool
 }
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -80,6 +80,7 @@
 	storeRounds       storeRounds
 	metrics           metrics
 	delays            delayLog
+	published         loadPublisher
 	ownershipLost     chan struct{}
 	loseOwnershipOnce sync.Once
 	// lastDecisionTime is how long the last decision took. Only Run uses it.
@@ -221,6 +222,7 @@
 	ow.advice.planned(p.AdviceRequests)
 	weight, deferred := ow.scheduler.Held()
 	ow.metrics.setBounds(weight, deferred, waiting)
+	ow.metrics.setShares(ow.scheduler.SharesHeld())
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -110,6 +110,7 @@
 			return
 		}
 		if len(records) > 0 {
+			records = append(records, ow.loadRecords(now)...)
 			err := ow.store(ctx, records)
 			if errors.As(err, new(*worklog.UnstorableError)) {
 				continue // nothing that waits for the round counts as stored
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -21,6 +21,7 @@
 	}
 	r.mu.Lock()
 	r.ownerOffset = 0
+	r.load = Load{}
 	maps.DeleteFunc(r.hosts, func(id string, _ Host) bool { return !present[prefixHost+id] })
 	r.mu.Unlock()
 	removed := 0
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -23,6 +23,8 @@
 	partSeparator = "/"
 	// prefixMark is followed by the name of the appender; see MarkRecord.
 	prefixMark = "a/"
+	// keyLoad is the owner's summary of the work that waits; see admission.Summary.
+	keyLoad = "l"
 )
 
 // Ownership is the record of which process owns the cell.
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -40,6 +40,7 @@
 	ownerWrites int64
 	hosts       map[string]Host
 	listener    Listener
+	load        Load
 }
 
 type shard struct {
@@ -83,6 +84,8 @@
 	case strings.HasPrefix(key, prefixCancel):
 		err = r.applyCancel(key[len(prefixCancel):], rec)
 	case strings.HasPrefix(key, prefixMark):
+	case key == keyLoad:
+		err = r.applyLoad(rec)
 	default:
 		err = cell.NewFieldError(object(rec), "key", key, "a key of the cell")
 	}
--- a/internal/cell/schedule/features.go
+++ b/internal/cell/schedule/features.go
@@ -10,4 +10,6 @@
 	Preemption bool
 	// FairShares orders work by the shares of the teams while the cell is full.
 	FairShares bool
+	// Admission keeps work that can no longer be of use from taking the room of other work.
+	Admission bool
 }
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -66,8 +66,8 @@
 	// mayIgnoreReservations.
 	ignoresReservations bool
 	// excess is set if the waiting tasks are beyond the share of the team, owed if they are
-	// in time and within it; see divideShares.
-	excess, owed bool
+	// in time and within it; see divideShares. useless is the result of isUseless.
+	excess, owed, useless bool
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -47,6 +47,8 @@
 	// excess and level are the results of claimShare.
 	excess bool
 	level  float64
+	// useless is the result of isUseless.
+	useless bool
 }
 
 // queue returns the groups with waiting tasks in the order in which they are placed. The
@@ -70,7 +72,7 @@
 		return a.position - b.position
 	})
 	s.queueBuffer = q
-	if s.options.Features.FairShares {
+	if s.options.Features.FairShares || s.options.Features.Admission {
 		s.divideShares(q)
 	}
 	return q
@@ -122,13 +124,14 @@
 		}
 	default:
 		e.rank = rankTooLate
+		e.useless = s.isUseless(j, work)
 	}
 	if e.rank >= rankLate && e.awaitsFirstTask {
 		// Later submissions are more likely to be sound than those that wait since hosts
 		// began to crash.
 		e.laxity = -j.arrived
 	}
-	if j.overRate {
+	if j.overRate || e.rank == rankTooLate && s.options.Features.Admission {
 		e.rank += overRateOffset
 	}
 	if j.suspected && !g.waitsLong(s.now) {
--- a/internal/cell/schedule/shares.go
+++ b/internal/cell/schedule/shares.go
@@ -32,28 +32,6 @@
 	owed owedWork
 }
 
-// priorityClasses is how many priorities are told apart; lower ones count as the last.
-const priorityClasses = 4
-
-// owedWork is work that is owed room, by the priority of its queue.
-type owedWork [priorityClasses]fairshare.Amounts
-
-// add adds n times the work of a group; n is negative if it has started.
-func (o *owedWork) add(g *group, work fairshare.Amounts, n float64) {
-	class := g.priorityClass()
-	o[class] = o[class].Plus(work.Scale(n))
-}
-
-// before returns the work that comes before that of a group by priority, or is of the same.
-func (o *owedWork) before(g *group) (sum fairshare.Amounts) {
-	for class := range g.priorityClass() + 1 {
-		sum = sum.Plus(o[class])
-	}
-	return sum
-}
-
-func (g *group) priorityClass() int { return min(max(g.job.queue.Priority, 0), priorityClasses-1) }
-
 // owedRoomFactor times the work that is owed room has to stay free for it. It is well below 1
 // because the order of the queue gives that work what it can use at once: in the replay in
 // shares_test.go, 1 held back two thirds of a burst that could be served, for no gain to others.
@@ -72,14 +50,16 @@
 		}
 	}
 	f.division.Divide(s.now, s.poolRoom(), f.accounts)
-	for i := range q {
-		q[i].group.owed = false
-		if f.division.Contended {
-			s.claimShare(&q[i])
+	if !f.division.Contended {
+		for _, e := range q {
+			e.group.excess, e.group.owed, e.group.useless = false, false, false
 		}
-		q[i].group.excess = q[i].excess
+		return
 	}
-	if f.division.Contended {
+	for i := range q {
+		s.claimShare(&q[i])
+	}
+	if s.options.Features.FairShares {
 		slices.SortStableFunc(q, compareShares)
 	}
 }
@@ -101,6 +81,7 @@
 // claimShare claims the share of a team for a waiting group.
 func (s *Scheduler) claimShare(e *queueEntry) {
 	g := e.group
+	g.excess, g.owed, g.useless = false, false, false
 	if !g.claimsShare() || e.rank == rankIncompleteGang || e.rank == rankSuspected {
 		return
 	}
@@ -108,8 +89,9 @@
 	if g.step.LongRunning {
 		return // it starts at any time; see mayIgnoreReservations
 	}
-	e.excess = excess
-	if excess || e.rank >= rankLate {
+	e.excess = excess && s.options.Features.FairShares
+	g.excess, g.useless = e.excess, e.useless && s.options.Features.Admission
+	if e.excess || e.rank >= rankLate {
 		e.level = level
 		return
 	}
@@ -169,15 +151,18 @@
 	return capacity
 }
 
-// excessRoom returns how many tasks of a group may start although its team has its share. They
-// leave the room that the in-time work of other teams, of no lower priority, waits for. While most of the cell is
+// excessRoom returns how many tasks of a group may start although its team has its share, or
+// its result is of no use any more. They leave the room that the in-time work of other teams, of no lower priority, waits for. While most of the cell is
 // idle, nothing is held back: accepted work must not stay without runs then.
 func (s *Scheduler) excessRoom(g *group) int {
 	p := s.sharing.pools[g.job.queue.Service]
-	if !g.excess || s.mostlyIdle || p == nil {
+	if !g.excess && !g.useless || s.mostlyIdle || p == nil {
 		return g.waiting
 	}
 	owed := p.owed.before(g).Minus(g.job.team.owed.before(g))
+	if g.useless {
+		owed = p.owed.all()
+	}
 	if owed.Dominant(s.sharing.division.Capacity()) <= 0 {
 		return g.waiting
 	}
@@ -186,7 +171,7 @@
 
 // holdBack reports whether a group has to wait for the in-time work of other teams.
 func (s *Scheduler) holdBack(g *group) bool {
-	if !g.excess || g.run != 0 {
+	if !g.excess && !g.useless || g.run != 0 {
 		return false
 	}
 	n := s.excessRoom(g)
--- a/internal/cell/schedule/wait.go
+++ b/internal/cell/schedule/wait.go
@@ -30,8 +30,8 @@
 	// waitFirstTask means that tasks of the queue have crashed hosts, and that the
 	// submission's first task has not run for long enough yet.
 	waitFirstTask
-	// waitShare means that the team has its share of the cell, and that in-time work of
-	// other teams waits for the room.
+	// waitShare means that the team has its share of the cell, or that the result is of no
+	// use any more, and that in-time work waits for the room.
 	waitShare
 )
 
@@ -40,7 +40,7 @@
 	"waits behind gangs that come first", "waits for room on hosts", "waits for hosts that can hold it",
 	"waits for runs of its former start to end", "waits to be tried alone on a host, since a host crashed under it",
 	"waits until its first task has run for a while, since others of its queue crashed hosts",
-	"waits for in-time work of other teams, since its own team has its share",
+	"waits for in-time work that comes first, since its team has its share or its result comes too late",
 }
 
 // String returns the reason as text for operators.
