--- a/internal/cell/front/admission.go
+++ b/internal/cell/front/admission.go
@@ -72,6 +72,6 @@
 		m.Tagged(map[string]string{"cause": cause}).Counter("admission_refusals").Inc(1)
 	}
 	resp := errorResponse(status, r.Text(q))
-	resp.RetryAfterSeconds = r.RetryAfterSeconds
+	resp.RetryAfterSeconds, resp.Final = r.RetryAfterSeconds, true
 	return resp
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -164,6 +164,7 @@
 	if s.Scheduling.Admission {
 		n.admission = &admissionGate{node: n}
 		n.callerHandler.Admission = n.admission
+		n.pool.ForwardByPath = true
 	}
 	return n, nil
 }
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -64,7 +64,7 @@
 func (p *Pool) Forward(ctx context.Context, r *CallRequest) (*CallResponse, error) {
 	lastErr := error(verdict.New(verdict.DidNotRun, "no-peer", "no other node that follows the work topic is available"))
 	v := verdict.DidNotRun
-	for i, e := range p.forwardTargets() {
+	for i, e := range p.orderTargets(r, p.forwardTargets()) {
 		if i == maxForwardAttempts || ctx.Err() != nil {
 			break
 		}
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -16,6 +16,9 @@
 	// StoreAnswerTime returns how long the store takes to answer at present; nil if that
 	// is not known. It is set before the first call.
 	StoreAnswerTime func() time.Duration
+	// ForwardByPath makes all calls that store something under one path go to the same node if
+	// that answers. It is set before the first call.
+	ForwardByPath bool
 
 	clock cell.Clock
 	log   *slog.Logger
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -63,6 +63,9 @@
 	Body   []byte `json:"body,omitempty"`
 	// RetryAfterSeconds is the value of the Retry-After header; zero omits it.
 	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+	// Final is set for a refusal with status 503 that another node would repeat: the cause is
+	// the cell, not the node.
+	Final bool `json:"final,omitempty"`
 	// Desired is the record of the desired state of the answering node, if its
 	// version is newer than that of the forwarding node.
 	Desired []byte `json:"desired,omitempty"`
@@ -81,7 +84,7 @@
 // verdict of the previous attempts: once another node may have stored the record of
 // the call, a refusal by a later node could be wrong.
 func (resp *CallResponse) canPassOn(r *CallRequest, earlier verdict.Verdict) bool {
-	if resp.Status == http.StatusServiceUnavailable {
+	if resp.Status == http.StatusServiceUnavailable && !resp.Final {
 		return false
 	}
 	return earlier == verdict.DidNotRun || !r.IsWrite() || resp.Status == http.StatusOK
