Order the queue by shares with a merge instead of a second sort

Cause: sorting the whole queue again was a fifth of a decision with 12,000 groups waiting.

Change: the entries of each team are in order already, so they are merged with a heap of teams. Tests of changed weights, added and withdrawn teams, a team alone, and a successor.

--- a/internal/cell/schedule/shares.go
+++ b/internal/cell/schedule/shares.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -16,6 +15,7 @@
 	division fairshare.Division
 	teams    []*team
 	accounts []*fairshare.Account
+	order    shareOrder
 	// pools holds the room of the hosts of each service.
 	pools map[string]*pool
 	// held is how many groups were held back in this decision, heldOf the team of the last.
@@ -60,24 +60,10 @@
 		s.claimShare(&q[i])
 	}
 	if s.options.Features.FairShares {
-		slices.SortStableFunc(q, compareShares)
+		f.order.sort(q)
 	}
 }
 
-// compareShares compares entries that are sorted by rank and laxity.
-func compareShares(a, b queueEntry) int {
-	if a.rank != b.rank {
-		return a.rank - b.rank
-	}
-	if a.excess != b.excess {
-		if a.excess {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(a.level, b.level)
-}
-
 // claimShare claims the share of a team for a waiting group.
 func (s *Scheduler) claimShare(e *queueEntry) {
 	g := e.group
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -37,6 +37,8 @@
 	// account holds the team's share, and owed its part of pool.owed; see divideShares.
 	account *fairshare.Account
 	owed    owedWork
+	// firstEntry, plus one, and lastEntry are the positions of its entries; see shareOrder.
+	firstEntry, lastEntry int
 }
 
 // rateWindow is the time over which a team's rate is averaged.
