--- a/internal/cell/owner/loadsummary.go
+++ b/internal/cell/owner/loadsummary.go
@@ -29,7 +29,7 @@
 	}
 	p.at = now
 	s := admission.Summary{Token: ow.options.Self.Token, Backlogs: ow.backlogs()}
-	ow.metrics.setBacklogs(s.Backlogs)
+	ow.metrics.load.setBacklogs(s.Backlogs)
 	r := registry.LoadRecord(s)
 	if len(s.Backlogs) == 0 && (p.last == nil || bytes.Equal(p.last, r.Value)) {
 		p.last = r.Value
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -222,7 +222,7 @@
 	ow.advice.planned(p.AdviceRequests)
 	weight, deferred := ow.scheduler.Held()
 	ow.metrics.setBounds(weight, deferred, waiting)
-	ow.metrics.setShares(ow.scheduler.SharesHeld())
+	ow.metrics.load.setShares(ow.scheduler, startedAt)
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
--- a/internal/cell/schedule/load_replay_test.go
+++ b/internal/cell/schedule/load_replay_test.go
@@ -40,7 +40,6 @@
 	latest map[string]time.Duration
 	ended  map[string]time.Duration
 	sent   map[string][]string
-	count  int
 }
 
 const (
@@ -206,24 +205,12 @@
 	r.arrived[id], r.latest[id] = r.now, j.arrived+tooLateFactor*(j.due-j.arrived)
 }
 
+// poisson returns how many events happen in a time in which mean ones are expected.
 func poisson(r *rand.Rand, mean float64) (n int) {
-	for p := math.Exp(-mean); ; n++ {
-		if p = r.Float64(); p > 0 {
-			mean += math.Log(p)
-		}
-		if mean < 0 {
+	for {
+		if mean += math.Log(r.Float64()); mean < 0 {
 			return n
 		}
+		n++
 	}
 }
-
-// inTime returns the part of a list of submissions that ended when they were still of use.
-func (r *loadReplay) inTime(ids []string) float64 {
-	n := 0
-	for _, id := range ids {
-		if at, ok := r.ended[id]; ok && at <= r.latest[id] {
-			n++
-		}
-	}
-	return float64(n) / float64(max(len(ids), 1))
-}
--- a/internal/cell/schedule/shares.go
+++ b/internal/cell/schedule/shares.go
@@ -204,3 +204,19 @@
 func (s *Scheduler) SharesHeld() (steps int, contended bool) {
 	return s.sharing.held, s.sharing.division.Contended
 }
+
+// TeamShare is what a team uses of the cell and what it is entitled to, as parts of the cell.
+type TeamShare struct {
+	Team                  string
+	Usage, Share, Deficit float64
+}
+
+// TeamShares returns the shares of all teams with work, in the order of their names; none unless
+// Features.FairShares or Features.Admission is set.
+func (s *Scheduler) TeamShares() []TeamShare {
+	out := make([]TeamShare, 0, len(s.sharing.teams))
+	for _, t := range s.sharing.teams {
+		out = append(out, TeamShare{t.name, t.account.Usage, t.account.Entitled, t.account.Deficit()})
+	}
+	return out
+}
