Bound how long excess work is held back

Cause: in a service most of which was idle, in a cell that was not, and beside work that could not start (a bound on the tasks per host), an excess task was held back for ever. Found by TestIdleServiceHoldsNothingBack and TestExcessWorkIsHeldBackForABoundedTime, which fail without the change.

Change: nothing is held back in a service of which less than half is in use, for work under trial, nor for longer than 10 s.

--- a/internal/cell/schedule/backlog.go
+++ b/internal/cell/schedule/backlog.go
@@ -71,7 +71,7 @@
 // comesBeforeNewWork reports whether a waiting group is placed before one of a submission that
 // arrives now. Late work, work beyond its team's rate and work under trial may not be. Urgent
 // work is not counted, so that none is refused: it is given up as late within so short a time
-// that one of eight refused submissions would have ended in time in the replay.
+// that one in seven refused submissions would have ended in time in the replay.
 func (s *Scheduler) comesBeforeNewWork(g *group) bool {
 	j := g.job
 	return !j.urgent && !j.overRate && !j.sub.Timed() && !g.step.LongRunning && !g.step.BestEffort && !j.suspected && g.waitReason != waitCapacity &&
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -63,7 +63,7 @@
 	g := e.group
 	g.placedIn = s.work.pass
 	s.work.used += workPerGroup
-	if s.holdBack(g) {
+	if !e.underTrial && s.holdBack(g) {
 		return
 	}
 	switch {
--- a/internal/cell/schedule/shares.go
+++ b/internal/cell/schedule/shares.go
@@ -28,6 +28,8 @@
 // pool is the room of the hosts of one service in one decision.
 type pool struct {
 	free fairshare.Amounts
+	// used and capacity are the cores in use and in all when the decision began.
+	used, capacity int64
 	// owed is the waiting work that is in time and within the shares of its teams.
 	owed owedWork
 }
@@ -37,6 +39,10 @@
 // shares_test.go, 1 held back two thirds of a burst that could be served, for no gain to others.
 const owedRoomFactor = 0.25
 
+// maxHoldBack is how long excess work is held back. What it is held back for may never be able to
+// start, as with a bound on the tasks per host. After that it only comes last.
+const maxHoldBack = 10 * time.Second
+
 // divideShares finds the part of the waiting work that is beyond the shares of its teams, and
 // sorts the queue so that it comes after other work of its rank. Work that will be late, or is
 // beyond its team's rate, is sorted by how much its team uses by weight.
@@ -132,17 +138,22 @@
 			}
 		}
 		p.free = p.free.Plus(fairshare.AmountsOf(h.free(), 1))
+		p.used, p.capacity = p.used+h.used.MilliCPU, p.capacity+h.spec.Capacity.MilliCPU
 		capacity = capacity.Plus(fairshare.AmountsOf(h.spec.Capacity, 1))
 	}
 	return capacity
 }
 
 // excessRoom returns how many tasks of a group may start although its team has its share, or
-// its result is of no use any more. They leave the room that the in-time work of other teams, of no lower priority, waits for. While most of the cell is
-// idle, nothing is held back: accepted work must not stay without runs then.
+// its result is of no use any more. They leave the room that the in-time work of other teams, of
+// no lower priority, waits for. While most of the cell or of the service is idle, nothing is held
+// back: accepted work must not stay without runs then.
 func (s *Scheduler) excessRoom(g *group) int {
 	p := s.sharing.pools[g.job.queue.Service]
-	if !g.excess && !g.useless || s.mostlyIdle || p == nil {
+	if !g.excess && !g.useless || p == nil || s.mostlyIdle || p.used < p.capacity/2 {
+		return g.waiting
+	}
+	if !g.useless && s.now > g.readyAt+maxHoldBack {
 		return g.waiting
 	}
 	owed := p.owed.before(g).Minus(g.job.team.owed.before(g))
