--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -88,6 +88,9 @@
 	MaxStorage int64
 	// Bodies bounds the memory of request bodies; nil for no bound.
 	Bodies *Bodies
+	// Admission decides which submissions are refused since they would end too late; nil
+	// accepts all.
+	Admission Admission
 	// WallClock returns the wall-clock time since the Unix epoch.
 	WallClock func() time.Duration
 	// Metrics counts responses by method and status; nil disables the count.
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -89,6 +89,8 @@
 	slowApply         rate.Sometimes
 	callerHandler     *front.Handler
 	intake            *clientIntake
+	// admission is nil if submissions are not refused for the load.
+	admission *admissionGate
 
 	desired     atomic.Pointer[appliedDesired]
 	evacuations *evacuations
@@ -165,6 +167,11 @@
 		return nil, err
 	}
 	n.callerHandler.Bodies = n.intake.bodies
+	if s.Scheduling.Admission {
+		n.admission = &admissionGate{node: n}
+		n.callerHandler.Admission = n.admission
+		n.pool.ForwardByPath = true
+	}
 	return n, nil
 }
 
@@ -216,6 +223,10 @@
 // keys, not of offsets; the term then begins after all records of the page.
 func (n *Node) applyWork(p worklog.Page) {
 	startedAt := n.clock.Now()
+	if n.admission != nil {
+		asOf, read := n.workReader.AsOf()
+		defer n.admission.observe(asOf, read && !p.NewestOnly)
+	}
 	defer func() {
 		if took := n.clock.Now() - startedAt; took > slowApplyThreshold {
 			n.slowApply.Do(func() {
--- a/internal/cell/node/status.go
+++ b/internal/cell/node/status.go
@@ -36,14 +36,16 @@
 	// EvacuatedZones are the zones whose evacuation this node has read.
 	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// Intake is what clients hold open.
-	Intake IntakeDump  `json:"intake"`
-	Term   *owner.Dump `json:"term,omitempty"`
+	Intake IntakeDump `json:"intake"`
+	// Admission is what this node refuses submissions on; nil if it refuses none.
+	Admission *admissionDump `json:"admission,omitempty"`
+	Term      *owner.Dump    `json:"term,omitempty"`
 }
 
 func (n *Node) dump() Dump {
 	d := Dump{
 		Node: n.selfDescription(), Ready: n.ready(), Disconnected: n.Disconnected(), Nodes: n.members.Nodes(), Submissions: n.registry.Len(), AdviceWaiting: n.pool.Waiting(),
-		EvacuatedZones: n.evacuations.current.Load().Names(), Intake: n.intake.dump(),
+		EvacuatedZones: n.evacuations.current.Load().Names(), Intake: n.intake.dump(), Admission: n.admission.dump(),
 	}
 	d.Owner, _ = n.registry.Owner()
 	d.StoredBytes, _ = n.registry.Storage("")
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -26,6 +26,7 @@
 	// withheld counts the start orders that were not sent for an evacuation, by reason.
 	withheld map[string]tally.Counter
 	runTimes runTimeGauges
+	load     loadMetrics
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -38,6 +39,7 @@
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
 		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
 		runTimes: newRunTimeGauges(s),
+		load:     newLoadMetrics(s),
 	}
 	for o := cell.OutcomeUnknown; o <= cell.OutcomeGangTimeout; o++ {
 		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -82,6 +82,7 @@
 	storeRounds       storeRounds
 	metrics           metrics
 	delays            delayLog
+	published         loadPublisher
 	ownershipLost     chan struct{}
 	loseOwnershipOnce sync.Once
 	// lastDecisionTime is how long the last decision took. Only Run uses it.
@@ -229,6 +230,7 @@
 	weight, deferred := ow.scheduler.Held()
 	ow.metrics.setBounds(weight, deferred, waiting)
 	ow.showRunTimes(startedAt)
+	ow.metrics.load.setShares(ow.scheduler, startedAt)
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -25,6 +25,7 @@
 	if !present[keyRunTimes] {
 		r.runTimes.value = nil
 	}
+	r.load = Load{}
 	maps.DeleteFunc(r.hosts, func(id string, _ Host) bool { return !present[prefixHost+id] })
 	r.mu.Unlock()
 	removed := 0
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -25,6 +25,8 @@
 	prefixMark = "a/"
 	// keyRunTimes is the key of what the owner has learned about run times.
 	keyRunTimes = "t"
+	// keyLoad is the owner's summary of the work that waits; see admission.Summary.
+	keyLoad = "l"
 )
 
 // Ownership is the record of which process owns the cell.
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -41,6 +41,7 @@
 	hosts       map[string]Host
 	listener    Listener
 	runTimes    runTimes
+	load        Load
 }
 
 type shard struct {
@@ -86,6 +87,8 @@
 	case key == keyRunTimes:
 		err = r.applyRunTimes(rec)
 	case strings.HasPrefix(key, prefixMark):
+	case key == keyLoad:
+		err = r.applyLoad(rec)
 	default:
 		err = cell.NewFieldError(object(rec), "key", key, "a key of the cell")
 	}
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -69,6 +69,9 @@
 	// expectation is the result of Scheduler.learnedExpectation until expectedUntil.
 	expectation   runtimes.Expectation
 	expectedUntil time.Duration
+	// excess is set if the waiting tasks are beyond the share of the team, owed if they are
+	// in time and within it; see divideShares. useless is the result of isUseless.
+	excess, owed, useless bool
 	// waitReason is why the group does not start; see setWaitReason.
 	waitReason waitReason
 }
--- a/internal/cell/schedule/learned_replay_test.go
+++ b/internal/cell/schedule/learned_replay_test.go
@@ -12,11 +12,11 @@
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
-// loadReplay replays the work of the utility on a cell of 24 hosts of 64 cores without
+// learnedReplay replays the work of the utility on a cell of 24 hosts of 64 cores without
 // advice: half of the core-seconds are gangs of 20 tasks of 18 cores, four tenths are
 // submissions of 25 single tasks of 6.9 cores, and the rest are lookups. Estimates are off by
 // 20, 90 and 50 %.
-type loadReplay struct {
+type learnedReplay struct {
 	c *cluster
 	r *rand.Rand
 	// uneven is set for hosts that run at 0.7, 0.7 and 1.7 times the usual time, and 3 % of
@@ -27,8 +27,8 @@
 	objectives map[string]time.Duration
 }
 
-func newLoadReplay(uneven bool, seed uint64) *loadReplay {
-	p := &loadReplay{
+func newLearnedReplay(uneven bool, seed uint64) *learnedReplay {
+	p := &learnedReplay{
 		c: newCluster(24, resource.Vector{MilliCPU: 64_000, MemoryMiB: 256_000}), r: rand.New(rand.NewPCG(seed, 4)), uneven: uneven,
 		took: make(map[cell.TaskID]time.Duration), objectives: make(map[string]time.Duration),
 	}
@@ -47,7 +47,7 @@
 
 // submit submits a step to a queue. base draws the duration of a task, or of all of a gang;
 // estimates are off by a factor around the typical duration, or around that of the gang.
-func (p *loadReplay) submit(queue string, step cell.Step, base func() float64, typical, off float64) {
+func (p *learnedReplay) submit(queue string, step cell.Step, base func() float64, typical, off float64) {
 	id := fmt.Sprintf("%s%06d", queue, len(p.c.jobs))
 	longest, d, factor := 0.0, base(), p.factor()
 	for i := range step.Count {
@@ -66,7 +66,7 @@
 	p.c.submit(id, queue, "a", step)
 }
 
-func (p *loadReplay) factor() float64 {
+func (p *learnedReplay) factor() float64 {
 	if p.uneven && p.r.Float64() < 0.03 {
 		return 7
 	}
@@ -74,7 +74,7 @@
 }
 
 // poisson returns how many events with a mean occur.
-func (p *loadReplay) poisson(mean float64) (n int) {
+func (p *learnedReplay) poisson(mean float64) (n int) {
 	for product := p.r.Float64(); product > math.Exp(-mean); product *= p.r.Float64() {
 		n++
 	}
@@ -83,7 +83,7 @@
 
 // run replays a load, as a fraction of the capacity, for 3 minutes. It returns the fraction
 // of the submissions to each queue that ended in time.
-func (p *loadReplay) run(load float64) map[string]float64 {
+func (p *learnedReplay) run(load float64) map[string]float64 {
 	const interval = 50 * time.Millisecond
 	work := load * 24 * 64 * interval.Seconds() // core-seconds that arrive in an interval
 	size := func(milliCPU int64) resource.Vector { return resource.Vector{MilliCPU: milliCPU, MemoryMiB: 1000} }
@@ -131,7 +131,7 @@
 					sum := make(map[string]float64)
 					for range b.N {
 						for seed := range uint64(seeds) {
-							p := newLoadReplay(uneven, seed)
+							p := newLearnedReplay(uneven, seed)
 							for queue, fraction := range p.run(load) {
 								sum[queue] += fraction / seeds / float64(b.N)
 							}
@@ -155,7 +155,7 @@
 	var fractions []float64
 	for _, learn := range []bool{false, true} {
 		clusterFeatures.LearnRunTimes = learn
-		p := newLoadReplay(true, 0)
+		p := newLearnedReplay(true, 0)
 		fractions = append(fractions, p.run(0.8)["bundles"])
 		clusterFeatures = Features{}
 		checkViolations(t, p.c)
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -46,6 +46,7 @@
 	s.beginPass(queue)
 	s.chooseTrialHosts(queue)
 	s.placeQueue(queue)
+	s.noteHeldBack()
 	if now >= s.nextPeriodicCheck {
 		s.nextPeriodicCheck = now + periodicCheckInterval
 		s.prefetchAdvice()
@@ -63,6 +64,9 @@
 	g := e.group
 	g.placedIn = s.work.pass
 	s.work.used += workPerGroup
+	if !e.underTrial && s.holdBack(g) {
+		return
+	}
 	switch {
 	case e.underTrial:
 		s.placeTrial(g, reservingGangs)
@@ -71,7 +75,7 @@
 	case g.step.Gang:
 		s.placeGang(g, reservingGangs)
 	default:
-		s.placeTasks(g, g.waiting)
+		s.placeTasks(g, s.excessRoom(g))
 	}
 }
 
@@ -318,6 +322,7 @@
 	g.trialSince, g.givenBack, g.tooWide, g.notTried = 0, nil, false, false
 	g.ignoresReservations = g.step.LongRunning
 	s.startRoom--
+	s.countSharedStart(g)
 	s.plan.Starts = append(s.plan.Starts, Start{
 		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.resumesFrom(), Ticket: value, Waited: waited,
 	})
