--- a/internal/cell/admission/summary.go
+++ b/internal/cell/admission/summary.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -50,13 +51,16 @@
 // Decode decodes a summary. An error means that nothing may be refused on it.
 func Decode(data []byte) (s Summary, err error) {
 	if len(data) > MaxSummaryBytes {
-		return s, cell.NewFieldError(object, "size", len(data), "at most 32768 bytes")
+		return s, cell.NewFieldError(object, "size", len(data), fmt.Sprintf("at most %d bytes", MaxSummaryBytes))
 	}
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
 		return Summary{}, err
 	}
+	if d.More() {
+		return Summary{}, cell.NewFieldError(object, "value", "more than one value", "one JSON object")
+	}
 	if s.Token < 1 {
 		return Summary{}, cell.NewFieldError(object, "token", s.Token, "at least 1")
 	}
--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -87,8 +87,6 @@
 	LearnRunTimes bool `toml:"learn_run_times"`
 	// GangCapacity gathers the room for wide gangs ahead of work of a lower priority.
 	GangCapacity bool `toml:"gang_capacity"`
-	// Preemption lets work of a higher priority displace work of a lower one.
-	Preemption bool `toml:"preemption"`
 	// Admission refuses submissions that cannot be of use any more when they would end.
 	Admission bool `toml:"admission"`
 	// FairShares orders work by the shares of the teams while the cell is full.
@@ -106,7 +104,7 @@
 	return Settings{
 		Bounds:     Bounds{MaxLeaseMs: 10_000, GangTimeoutMs: 3000, RevokeMs: 5000, ConfigApplyMs: 2000, GraceSeconds: 6, StatusSeconds: 120},
 		Limits:     Limits{MemoryMiB: 284, Cores: 1, BodyTimeoutMs: 15_000},
-		Scheduling: Scheduling{LearnRunTimes: true, GangCapacity: true, Preemption: true, Admission: true, FairShares: true},
+		Scheduling: Scheduling{LearnRunTimes: true, GangCapacity: true},
 		Log:        Log{Level: "info", Format: "text"},
 	}
 }
--- a/internal/cell/fairshare/division.go
+++ b/internal/cell/fairshare/division.go
@@ -10,6 +10,9 @@
 // usageMemory is the time after which past usage counts for 1/e.
 const usageMemory = 4 * time.Second
 
+// maxWeight bounds the weight of a team, so that sums of weights are finite.
+const maxWeight = 1e12
+
 // Division divides a capacity among accounts. The zero value is ready for use.
 type Division struct {
 	capacity Amounts
@@ -29,7 +32,7 @@
 	keep := math.Exp(-elapsed.Seconds() / usageMemory.Seconds())
 	mean, total := meanWeight(accounts), 0.0
 	for _, a := range accounts {
-		if a.weight = a.Weight; a.weight <= 0 {
+		if a.weight = min(a.Weight, maxWeight); a.weight <= 0 {
 			a.weight = mean
 		}
 		a.Usage = a.Used.Dominant(capacity)
@@ -53,13 +56,16 @@
 func (d *Division) fill(accounts []*Account) {
 	d.order = append(d.order[:0], accounts...)
 	slices.SortStableFunc(d.order, func(a, b *Account) int { return cmp.Compare(a.wanted/a.weight, b.wanted/b.weight) })
-	left, weights := 1.0, 0.0
-	for _, a := range d.order {
-		weights += a.weight
+	// The sums are built up instead of being reduced: the difference of weights that are far
+	// apart could be zero.
+	weightsFrom := make([]float64, len(d.order)+1)
+	for i := len(d.order) - 1; i >= 0; i-- {
+		weightsFrom[i] = weightsFrom[i+1] + d.order[i].weight
 	}
-	for _, a := range d.order {
-		a.Entitled = min(a.wanted, left*a.weight/weights)
-		left, weights = left-a.Entitled, weights-a.weight
+	left := 1.0
+	for i, a := range d.order {
+		a.Entitled = min(a.wanted, left*a.weight/weightsFrom[i])
+		left -= a.Entitled
 	}
 }
 
@@ -79,7 +85,7 @@
 	sum, n := 0.0, 0
 	for _, a := range accounts {
 		if a.Weight > 0 {
-			sum += a.Weight
+			sum += min(a.Weight, maxWeight)
 			n++
 		}
 	}
--- a/internal/cell/fairshare/division_test.go
+++ b/internal/cell/fairshare/division_test.go
@@ -98,3 +98,29 @@
 		t.Errorf("without hosts: level %f, excess %t", level, excess)
 	}
 }
+
+// Guards against shares that are no numbers, which could not be encoded in a dump, when weights
+// are so far apart that their difference is lost.
+func TestSharesAreNumbersForAnyWeights(t *testing.T) {
+	for _, weights := range [][]float64{{1e17, 1, 1}, {1, 1e300, 1e300}, {1e-300, 1, 1e12}} {
+		var d Division
+		var accounts []*Account
+		for _, w := range weights {
+			a := &Account{}
+			a.Begin(w, Amounts{}, Amounts{})
+			a.Want(Amounts{100})
+			accounts = append(accounts, a)
+		}
+		d.Divide(0, Amounts{100}, accounts)
+		sum := 0.0
+		for _, a := range accounts {
+			if !(a.Entitled >= 0 && a.Entitled <= 1) {
+				t.Errorf("weights %v: a team is entitled to %v", weights, a.Entitled)
+			}
+			sum += a.Entitled
+		}
+		if sum > 1.000001 {
+			t.Errorf("weights %v: the teams are entitled to %v in all", weights, sum)
+		}
+	}
+}
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -95,7 +95,7 @@
 
 // features returns the features of the scheduler that the settings switch on.
 func features(s config.Scheduling) schedule.Features {
-	return schedule.Features{LearnRunTimes: s.LearnRunTimes, GangCapacity: s.GangCapacity, Preemption: s.Preemption, FairShares: s.FairShares, Admission: s.Admission}
+	return schedule.Features{LearnRunTimes: s.LearnRunTimes, GangCapacity: s.GangCapacity, FairShares: s.FairShares, Admission: s.Admission}
 }
 
 // previousOwnerGone reports whether no earlier owner can act on hosts any more:
--- a/internal/cell/schedule/features.go
+++ b/internal/cell/schedule/features.go
@@ -6,8 +6,6 @@
 	LearnRunTimes bool
 	// GangCapacity gathers the room for wide gangs ahead of work of a lower priority.
 	GangCapacity bool
-	// Preemption lets work of a higher priority displace work of a lower one.
-	Preemption bool
 	// FairShares orders work by the shares of the teams while the cell is full.
 	FairShares bool
 	// Admission keeps work that can no longer be of use from taking the room of other work.
