--- a/internal/cell/admission/refused_ids.go
+++ b/internal/cell/admission/refused_ids.go
@@ -13,7 +13,8 @@
 // refusedIDs remembers the submissions that were refused last. The zero value is empty.
 type refusedIDs struct {
 	at map[string]time.Duration
-	// order holds the IDs in the order of their refusal; some may be forgotten already.
+	// order holds the IDs in the order of their first refusal. Some are forgotten already, or
+	// stand there twice.
 	order []string
 }
 
--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -85,9 +85,10 @@
 type Scheduling struct {
 	// LearnRunTimes derives the expected duration of runs from those that have ended.
 	LearnRunTimes bool `toml:"learn_run_times"`
-	// GangCapacity gathers the room for wide gangs ahead of work of a lower priority.
+	// GangCapacity names more hosts, and those with room soonest, in advice calls for gangs.
 	GangCapacity bool `toml:"gang_capacity"`
-	// Admission refuses submissions that cannot be of use any more when they would end.
+	// Admission refuses submissions that would end too late to be of use, and keeps accepted
+	// work of that kind from the room of other work.
 	Admission bool `toml:"admission"`
 	// FairShares orders work by the shares of the teams while the cell is full.
 	FairShares bool `toml:"fair_shares"`
--- a/internal/cell/desiredcheck/severity.go
+++ b/internal/cell/desiredcheck/severity.go
@@ -4,7 +4,7 @@
 type Severity string
 
 const (
-	// Error is a fault that keeps the document from being published.
+	// Error is a fault with which nodes ignore the document, or an entry cannot work as written.
 	Error Severity = "error"
 	// Warning is a value that has an effect which the operator may not intend.
 	Warning Severity = "warning"
--- a/internal/cell/front/admission.go
+++ b/internal/cell/front/admission.go
@@ -54,9 +54,11 @@
 	return c.refusal(q, r)
 }
 
+// acceptReturned forgets a refused submission that is admitted now. If it cannot be stored, it
+// counts as new when it comes again.
 func (c *call) acceptReturned(gate Admission) {
 	if gate.Accepted(c.id) {
-		c.handler.Logger.Info("A submission that was refused before is accepted.", "id", c.id, "queue", c.queue.Name, "team", c.team)
+		c.handler.Logger.Info("A submission that was refused before is admitted.", "id", c.id, "queue", c.queue.Name, "team", c.team)
 	}
 }
 
--- a/internal/cell/front/receive.go
+++ b/internal/cell/front/receive.go
@@ -18,9 +18,9 @@
 // until the next request.
 const responseTimeout = 20 * time.Second
 
-// drainTimeout is how long the server reads on after the refusal of an incomplete body. A
+// bodyDiscardTimeout is how long the server reads on after the refusal of an incomplete body. A
 // client that is still sending then gets the response instead of a reset connection.
-const drainTimeout = 500 * time.Millisecond
+const bodyDiscardTimeout = 500 * time.Millisecond
 
 // receive reads the body of a request. release ends its processing. If refusal is not
 // nil, nothing of the call has been processed and nothing will be.
@@ -61,10 +61,10 @@
 }
 
 // endConnection makes the server close the connection after a response, and wait no longer
-// than drainTimeout for the rest of the body.
+// than bodyDiscardTimeout for the rest of the body.
 func endConnection(w http.ResponseWriter, conn connlimit.Request, resp *peers.CallResponse) *peers.CallResponse {
 	w.Header().Set("Connection", "close")
-	conn.SetReadDeadline(time.Now().Add(drainTimeout))
+	conn.SetReadDeadline(time.Now().Add(bodyDiscardTimeout))
 	return resp
 }
 
--- a/internal/cell/gangroom/doc.go
+++ b/internal/cell/gangroom/doc.go
@@ -1,5 +1,5 @@
-// Package gangroom decides how wide gangs get their room in a busy cell: about how many hosts
-// the advice service is asked for them, and who may use the capacity that is kept for them.
+// Package gangroom decides about how many hosts the advice service is asked for a gang in a
+// busy cell.
 //
 // It addresses gangs of 20 members on a cell that is 89 % full. They need seven hosts that are
 // free together, and find them rarely among the twelve that one short call approves.
--- a/internal/cell/schedule/features.go
+++ b/internal/cell/schedule/features.go
@@ -4,7 +4,7 @@
 type Features struct {
 	// LearnRunTimes derives the expected duration of runs from those that have ended.
 	LearnRunTimes bool
-	// GangCapacity gathers the room for wide gangs ahead of work of a lower priority.
+	// GangCapacity names more hosts, and those with room soonest, in advice calls for gangs.
 	GangCapacity bool
 	// FairShares orders work by the shares of the teams while the cell is full.
 	FairShares bool
--- a/internal/cell/schedule/gang_replay_test.go
+++ b/internal/cell/schedule/gang_replay_test.go
@@ -59,7 +59,8 @@
 	replayHeavyLoad(t, Features{})
 }
 
-// Guards against wide gangs that wait for room on the few hosts of one short advice call.
+// Guards against broken rules while advice calls for gangs name more hosts, and logs what gangs
+// get then.
 func TestReplayOfHeavyLoadWithGangCapacity(t *testing.T) {
 	replayHeavyLoad(t, Features{GangCapacity: true})
 }
--- a/internal/cell/schedule/health.go
+++ b/internal/cell/schedule/health.go
@@ -28,7 +28,8 @@
 	failedBy      failureStreak
 	avoidUntil    time.Duration
 	avoidDuration time.Duration
-	// slowness is the average ratio of the durations of runs to their estimates;
+	// slowness is how many times as long runs take as on a normal host, derived from speed
+	// while run times are learned, and from the estimates otherwise;
 	// 1 for a new host.
 	slowness float64
 	// speed is what slowness is derived from while run times are learned.
--- a/internal/cell/schedule/learned_replay_test.go
+++ b/internal/cell/schedule/learned_replay_test.go
@@ -118,9 +118,9 @@
 	return inTime
 }
 
-// BenchmarkLoadReplay reports the fraction of the submissions that end in time, by estimates
+// BenchmarkLearnedReplay reports the fraction of the submissions that end in time, by estimates
 // and by learned run times. Run it with -benchtime 1x.
-func BenchmarkLoadReplay(b *testing.B) {
+func BenchmarkLearnedReplay(b *testing.B) {
 	for _, uneven := range []bool{false, true} {
 		for _, load := range []float64{0.8, 0.92} {
 			for _, learn := range []bool{false, true} {
--- a/internal/cell/schedule/shares.go
+++ b/internal/cell/schedule/shares.go
@@ -9,8 +9,8 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/fairshare"
 )
 
-// sharing is what a decision knows of the shares of the teams. It is used only if
-// Features.FairShares is set.
+// sharing is what a decision knows of the shares of the teams. It is used if
+// Features.FairShares or Features.Admission is set.
 type sharing struct {
 	division fairshare.Division
 	teams    []*team
