schedule: keep hosts whole for gangs, and ask for them in parallel

Cause: single tasks ask about and take the emptiest hosts, which gangs need whole. A call for a gang that names 100 hosts takes 1.4 s. Calls of single tasks count as long by 5 ms and compete with those of gangs. Change: with gang_capacity, single tasks ask about and prefer hosts where they displace the fewest members of the gangs of late. Two calls for a gang are made at the same time where nodes are free, and no further ones while the approved hosts would hold it six times over.

--- a/internal/cell/adviceroom.go
+++ b/internal/cell/adviceroom.go
@@ -8,6 +8,8 @@
 	Short, Long int
 	// LongFrom is the duration from which a call counts as long.
 	LongFrom time.Duration
+	// Nodes is the number of nodes that make calls; zero if it is not known.
+	Nodes int
 }
 
 // Has reports whether there is room for a call that takes a time.
--- a/internal/cell/peers/ask.go
+++ b/internal/cell/peers/ask.go
@@ -60,7 +60,7 @@
 			free++
 		}
 	}
-	return cell.AdviceRoom{Short: maxShortInFlight * free, Long: maxLong(up), LongFrom: longCallThreshold}
+	return cell.AdviceRoom{Short: maxShortInFlight * free, Long: maxLong(up), LongFrom: longCallThreshold, Nodes: up}
 }
 
 // maxLong returns through how many of the usable endpoints long calls may be made at one
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -28,7 +28,10 @@
 	tickets map[*host]ticket
 	denied  map[*host]bool
 	// hosts holds the approved hosts, sorted by ID.
-	hosts    []*host
+	hosts []*host
+	// calls is how many calls are in flight, and inFlight whether some are. Those of one
+	// group are planned together.
+	calls    int
 	inFlight bool
 	retryAt  time.Duration
 	// backoff is the wait after the last call, zero if it was answered.
@@ -43,6 +46,12 @@
 	startedMs int64
 }
 
+// callEnded counts a call as ended.
+func (a *advice) callEnded() {
+	a.calls = max(a.calls-1, 0)
+	a.inFlight = a.calls > 0
+}
+
 // policy returns the advice policy of the group's queue, or nil if the queue
 // needs no advice.
 func (g *group) policy() *cell.AdvicePolicy { return g.job.queue.Advice }
@@ -93,6 +102,12 @@
 	if len(hosts) == 0 || !s.mayRequestAdvice(g) {
 		return
 	}
+	s.planCall(g, hosts)
+}
+
+// planCall plans an advice call about the given hosts, or the first of them, if there is room
+// for one.
+func (s *Scheduler) planCall(g *group, hosts []*host) {
 	hosts = hosts[:min(len(hosts), maxAdviceHosts)]
 	names := make([]string, len(hosts))
 	for i, h := range hosts {
@@ -107,6 +122,7 @@
 		s.adviceRoom.Take(d)
 	}
 	g.advice.inFlight = true
+	g.advice.calls++
 	s.plan.AdviceRequests = append(s.plan.AdviceRequests, AdviceRequest{
 		Group: g.id, Hosts: names, Duration: d, Priority: g.job.queue.Priority, Validity: p.Validity,
 	})
@@ -146,11 +162,10 @@
 		}
 	}
 	if g.step.Gang && s.options.Features.GangCapacity {
-		hosts = s.gangHostsToAsk(g, hosts)
+		s.requestGangAdvice(g, hosts)
 	} else {
-		hosts = lowestHosts(hosts, adviceHostLimit(g.policy()), func(h *host) int { return -tasksIn(g.size, h.free()) })
+		s.requestAdvice(g, s.hostsToAsk(g, hosts))
 	}
-	s.requestAdvice(g, hosts)
 	return len(hosts) > 0
 }
 
@@ -161,7 +176,8 @@
 	if g == nil {
 		return
 	}
-	g.advice.inFlight, g.advice.backoff = false, 0
+	g.advice.callEnded()
+	g.advice.backoff = 0
 	if g.advice.tickets == nil {
 		g.advice.tickets, g.advice.denied = make(map[*host]ticket), make(map[*host]bool)
 	}
@@ -218,7 +234,7 @@
 // AdviceFailed records that an advice call failed.
 func (s *Scheduler) AdviceFailed(id cell.GroupID, now time.Duration) {
 	if g := s.group(id); g != nil {
-		g.advice.inFlight = false
+		g.advice.callEnded()
 		g.advice.backoff = min(max(2*g.advice.backoff, adviceRetryBackoff), maxAdviceRetryBackoff)
 		g.advice.retryAt = now + g.advice.backoff
 	}
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -66,7 +66,7 @@
 	s.setWaitReason(g, waitRoom)
 	s.reserve(plan, g, len(tasks))
 	g.job.team.holdLimit(g.step.Size, len(tasks))
-	if g.policy() != nil {
+	if g.policy() != nil && s.asksFurther(g) {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
 }
--- a/internal/cell/schedule/gang_advice.go
+++ b/internal/cell/schedule/gang_advice.go
@@ -13,21 +13,59 @@
 	neverHasRoom = 1 << 30
 	// maxApprovals bounds the queues whose share of approved hosts is remembered.
 	maxApprovals = 512
+	// maxGangHosts bounds the hosts that are considered for the calls for a gang.
+	maxGangHosts = 2 * maxAdviceHosts
 )
 
-// gangHostsToAsk returns the hosts of a list to name in a call for a gang: those that hold
-// most of its members soonest, and as many as it needs and has time for.
-func (s *Scheduler) gangHostsToAsk(g *group, hosts []*host) []*host {
-	hosts = lowestHosts(hosts, maxAdviceHosts, func(h *host) int { return s.gangRoomRank(g, h) })
+// requestGangAdvice plans the calls about some of the given hosts for a gang: those that hold
+// most of its members soonest, as many as it needs and has time for.
+func (s *Scheduler) requestGangAdvice(g *group, hosts []*host) {
+	if len(hosts) == 0 || !s.mayRequestAdvice(g) {
+		return
+	}
+	hosts = lowestHosts(hosts, maxGangHosts, func(h *host) int { return s.gangRoomRank(g, h) })
 	p := g.policy()
-	call := gangroom.Call{
-		Members: g.waiting, Fits: make([]int, len(hosts)), ApprovalShare: s.approval(g).Share(),
-		PerHost: p.PerHost, Slack: s.slack(g), Least: adviceHostLimit(p), Most: maxAdviceHosts,
+	search := gangroom.Search{
+		Members: g.waiting, Fits: make([]int, len(hosts)), ApprovalShare: s.approval(g).Share(), PerHost: p.PerHost, Slack: s.slack(g),
+		Least: adviceHostLimit(p), Most: maxAdviceHosts, Nodes: s.adviceNodes(),
+	}
+	if s.underTrial(g.job) {
+		search.Nodes.Free = 1 // the calls for trials are bounded elsewhere
 	}
 	for i, h := range hosts {
-		call.Fits[i] = g.membersIn(h.free().Sub(h.reserved))
+		search.Fits[i] = g.membersIn(h.free().Sub(h.reserved))
+	}
+	n, calls := search.Plan()
+	for i := range calls {
+		s.planCall(g, everyNth(hosts[:n], i, calls))
+	}
+}
+
+// everyNth returns every n-th host from the one at an index on, so that each call names some of
+// the best.
+func everyNth(hosts []*host, from, n int) []*host {
+	if n == 1 {
+		return hosts
 	}
-	return hosts[:call.Hosts()]
+	out := make([]*host, 0, len(hosts)/n+1)
+	for i := from; i < len(hosts); i += n {
+		out = append(out, hosts[i])
+	}
+	return out
+}
+
+// adviceNodes returns the nodes for long advice calls.
+func (s *Scheduler) adviceNodes() gangroom.Nodes {
+	if s.adviceRoom == nil {
+		return gangroom.Nodes{Free: maxAdviceHosts}
+	}
+	return gangroom.Nodes{Free: s.adviceRoom.Long, All: s.adviceRoom.Nodes}
+}
+
+// asksFurther reports whether the advice service is asked about further hosts for a gang that
+// waits for room. In a mostly idle cell it always is, since there may be room elsewhere.
+func (s *Scheduler) asksFurther(g *group) bool {
+	return !s.options.Features.GangCapacity || s.mostlyIdle || gangroom.Further(g.waiting, s.approvedCapacity(g), s.adviceNodes())
 }
 
 // slack returns how long a group can wait until it is expected to miss its objective or, if it
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -51,6 +51,7 @@
 		s.stopHungAndCopySlowRuns()
 		s.stopInterferingTasks()
 		s.forgetOldRisks()
+		s.updateGangMembers()
 	}
 	p := s.plan
 	s.plan = &Plan{}
@@ -173,7 +174,7 @@
 		// A best-effort task gets only the CPU time that other tasks leave idle.
 		v = -float64(h.unusedCPU()) / float64(max(h.spec.Capacity.MilliCPU, 1))
 	}
-	v += g.interferencePenalty(h)
+	v += g.interferencePenalty(h) + s.displacedPenalty(g, h)
 	v += weightSlowness * max(h.health.slowness-1, 0)
 	if t != nil && t.failedOn == h.spec.ID {
 		v += weightFailedBefore
--- a/internal/cell/schedule/replay_kind_test.go
+++ b/internal/cell/schedule/replay_kind_test.go
@@ -64,7 +64,7 @@
 func (k *replayKind) draw(r *rand.Rand) (cell.Step, []time.Duration) {
 	common := k.takes.Seconds() * around(r, k.spread*math.Sqrt2/2)
 	step := cell.Step{
-		Count:    max(1, int(math.Round(k.count*around(r, 0.25)))),
+		Count:    max(1, int(math.Round(k.count*around(r, 0.5)))),
 		Size:     resource.Vector{MilliCPU: int64(1000 * min(k.cores*around(r, 0.1), 60)), MemoryMiB: 1024},
 		Estimate: time.Duration(common * math.Pow(1+k.estimateError, 2*r.Float64()-1) * float64(time.Second)),
 		Gang:     k.gang,
--- a/internal/cell/schedule/replay_test.go
+++ b/internal/cell/schedule/replay_test.go
@@ -55,6 +55,7 @@
 	stops      int
 	usedCores  float64 // core-seconds in use
 	r          *rand.Rand
+	onTick     func() // called after each decision if set
 }
 
 func newReplay(o replayOptions) *replay {
@@ -139,6 +140,9 @@
 		p.s.SetAdviceRoom(p.adviceRoom())
 		p.carryOut(p.s.Decide(p.now, p.now))
 		p.s.TakeLogMessages()
+		if p.onTick != nil {
+			p.onTick()
+		}
 		for _, id := range p.s.Changed() {
 			if progress, ok := p.s.Progress(id); ok && progress.State.Final() && p.jobs[id].left > 0 {
 				p.violations = append(p.violations, id+" is final before its tasks have ended")
@@ -185,7 +189,7 @@
 func (p *replay) adviceRoom() cell.AdviceRoom {
 	n := len(p.nodes)
 	long := min(n, max(n-max(n/3, 1), 1))
-	room := cell.AdviceRoom{LongFrom: replayLongCall, Long: long}
+	room := cell.AdviceRoom{LongFrom: replayLongCall, Long: long, Nodes: n}
 	free := n
 	for _, c := range p.calls {
 		if c.request.Duration >= replayLongCall {
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -80,6 +80,8 @@
 	risks map[string]*queueRisk
 	// approvals holds the share of approved hosts of the queues of gangs by name.
 	approvals map[string]*gangroom.Approval
+	// gangMembers is the size of the gang members of late.
+	gangMembers gangroom.Members
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
