--- a/internal/cell/schedule/cluster_test.go
+++ b/internal/cell/schedule/cluster_test.go
@@ -54,7 +54,7 @@
 
 func newCluster(hosts int, capacity resource.Vector) *cluster {
 	c := &cluster{
-		s: New(Options{GangTimeout: 3 * time.Second}), now: time.Hour,
+		s: New(Options{GangTimeout: 3 * time.Second, Features: testFeatures}), now: time.Hour,
 		hosts: make(map[string]*fakeHost), jobs: make(map[string]*cell.Submission),
 		done: make(map[cell.TaskID]bool), reportedDone: make(map[cell.TaskID]bool), failed: make(map[cell.TaskID]int), state: make(map[string]cell.State),
 		fails:  func(cell.TaskID, int64) bool { return false },
--- a/internal/cell/schedule/takeover_test.go
+++ b/internal/cell/schedule/takeover_test.go
@@ -16,7 +16,7 @@
 func (c *cluster) replaceOwner() {
 	old := c.s
 	c.calls = nil
-	c.s = New(Options{GangTimeout: 3 * time.Second, RunNumberBase: old.options.RunNumberBase + 1000, MaxWeight: old.options.MaxWeight})
+	c.s = New(Options{GangTimeout: 3 * time.Second, RunNumberBase: old.options.RunNumberBase + 1000, MaxWeight: old.options.MaxWeight, Features: old.options.Features})
 	c.publish()
 	for _, id := range c.jobIDs() {
 		if p, ok := old.Progress(id); ok {
