--- a/internal/cell/gangroom/members.go
+++ b/internal/cell/gangroom/members.go
@@ -42,10 +42,18 @@
 	return m.fit(free) - m.fit(free.Sub(task))
 }
 
-// fit returns how many members fit into free resources, none if a resource is overcommitted.
+// fit returns how many members fit into free resources. It is called for each host and task
+// of a decision, so that it goes through the resources without a loop.
 func (m *Members) fit(free resource.Vector) int {
-	if free.IsNegative() {
-		return 0
+	n := int64(1 << 20)
+	if m.size.MilliCPU > 0 {
+		n = free.MilliCPU / m.size.MilliCPU
 	}
-	return int(free.UnitsIn(m.size))
+	if m.size.MemoryMiB > 0 {
+		n = min(n, free.MemoryMiB/m.size.MemoryMiB)
+	}
+	if m.size.Accelerators > 0 {
+		n = min(n, free.Accelerators/m.size.Accelerators)
+	}
+	return int(max(n, 0))
 }
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 )
 
 // metrics counts the orders of the owner and their results, and shows what its bounds hold.
@@ -15,6 +16,9 @@
 	// heldWeight is how much work the scheduler holds, deferred the number of submissions
 	// that wait until it may hold theirs, and startsWaiting that of starts to be sent.
 	heldWeight, deferred, startsWaiting tally.Gauge
+	// gangsGathering is for how many gangs room is gathered, and gangReservedCores what is
+	// kept free for them.
+	gangsGathering, gangReservedCores tally.Gauge
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -25,6 +29,7 @@
 		started: s.Counter("starts_accepted"), unanswered: s.Counter("starts_unanswered"), adviceAnswers: s.Counter("advice_answers"), connectionsLost: s.Counter("host_connections_lost"),
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
+		gangsGathering: s.Gauge("gangs_gathering"), gangReservedCores: s.Gauge("gang_reserved_cores"),
 	}
 	for o := cell.OutcomeUnknown; o <= cell.OutcomeGangTimeout; o++ {
 		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
@@ -42,3 +47,9 @@
 	m.deferred.Update(float64(deferred))
 	m.startsWaiting.Update(float64(startsWaiting))
 }
+
+// setGangRoom shows what is kept free for gangs.
+func (m *metrics) setGangRoom(r schedule.GangRoom) {
+	m.gangsGathering.Update(float64(r.Gathering))
+	m.gangReservedCores.Update(float64(r.ReservedMilliCPU) / 1000)
+}
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -221,6 +221,7 @@
 	ow.advice.planned(p.AdviceRequests)
 	weight, deferred := ow.scheduler.Held()
 	ow.metrics.setBounds(weight, deferred, waiting)
+	ow.metrics.setGangRoom(ow.scheduler.GangRoom())
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
 
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -36,10 +36,12 @@
 
 // Dump is the state of a cell for operators.
 type Dump struct {
-	Hosts   []HostDump     `json:"hosts"`
-	Teams   []TeamDump     `json:"teams"`
-	Waiting map[string]int `json:"waiting_groups"`
-	Jobs    int            `json:"jobs"`
+	// GangRoom is what is kept free and was asked for gangs.
+	GangRoom GangRoom       `json:"gang_room"`
+	Hosts    []HostDump     `json:"hosts"`
+	Teams    []TeamDump     `json:"teams"`
+	Waiting  map[string]int `json:"waiting_groups"`
+	Jobs     int            `json:"jobs"`
 	// Weight is how much the owner holds, in tasks, and Deferred the number of submissions
 	// that wait until it may hold theirs.
 	Weight   int `json:"weight"`
@@ -78,7 +80,7 @@
 
 // Dump returns the state of the cell.
 func (s *Scheduler) Dump() Dump {
-	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred)}
+	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred), GangRoom: s.GangRoom()}
 	for _, h := range s.sortedHosts {
 		hd := HostDump{
 			ID: h.spec.ID, Usable: h.usable(s.now), Closed: h.closed, Used: h.used.String(), Runs: len(h.runs), Slowness: h.health.slowness,
--- a/internal/cell/schedule/gang_advice.go
+++ b/internal/cell/schedule/gang_advice.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/gangroom"
@@ -36,6 +37,11 @@
 		search.Fits[i] = g.membersIn(h.free().Sub(h.reserved))
 	}
 	n, calls := search.Plan()
+	s.gangRoom.Searches++
+	s.gangRoom.ParallelCalls += int64(calls - 1)
+	if n > search.Least {
+		s.logMessage(g.id.Submission, "", fmt.Sprintf("Step %s asks about %d hosts in %d calls to find room for %d members.", g.id, n, calls, g.waiting))
+	}
 	for i := range calls {
 		s.planCall(g, everyNth(hosts[:n], i, calls))
 	}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -82,6 +82,8 @@
 	approvals map[string]*gangroom.Approval
 	// gangMembers is the size of the gang members of late.
 	gangMembers gangroom.Members
+	// gangRoom is the result of GangRoom without what is reserved.
+	gangRoom GangRoom
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
