--- a/internal/cell/gangroom/search.go
+++ b/internal/cell/gangroom/search.go
@@ -17,20 +17,8 @@
 	// the nodes from the gangs behind.
 	maxParallelCalls   = 2
 	maxHostsInParallel = 75
-	// reserveDivisor sets the part of the nodes that takes no call beyond the first one of
-	// each gang, so that these wait for no node.
-	reserveDivisor = 6
 )
 
-// Nodes are the nodes that make advice calls.
-type Nodes struct {
-	// Free is how many more long calls can be made now, All the number of nodes.
-	Free, All int
-}
-
-// spare returns for how many calls there is room beyond the reserve.
-func (n Nodes) spare() int { return n.Free - n.All/reserveDivisor }
-
 // Search describes the search for hosts for a gang through the advice service.
 type Search struct {
 	// Members is the number of members to place, and Fits how many of them fit on each host
