--- a/internal/cell/front/bodies_test.go
+++ b/internal/cell/front/bodies_test.go
@@ -16,6 +16,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/connlimit"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 // stepTimeout bounds each step of a test; it is far above what any step needs.
@@ -176,7 +177,7 @@
 func TestBodyMayTakeAsLongAsTheDeadlineOfItsCall(t *testing.T) {
 	s := newIntakeServer(t, 1<<20, 50*time.Millisecond, 10)
 	c := s.connect(t)
-	c.begin(id, len(body), body[:1], "X-Medlarpulley-Deadline-Ms: 60000\r\n")
+	c.begin(id, len(body), body[:1], platform.HeaderDeadline+": 60000\r\n")
 	time.Sleep(200 * time.Millisecond)
 	if _, err := c.Write([]byte(body[1:])); err != nil {
 		t.Fatal(err)
