Write two checks once: the age of the evacuated zones, and how long a result is of use

Cause: node and owner repeated the rule that decides whether start orders may be sent, and the queue and the check for useless work the same sum. Change: owner.ZonesProven and job.usefulUntil. No decision changes; the tests of owner, node and schedule pass.

--- a/internal/cell/node/evacuation.go
+++ b/internal/cell/node/evacuation.go
@@ -106,9 +106,8 @@
 // evacuatedZonesProven reports whether an owner on this node could send start orders, as
 // far as the age of its evacuated zones goes.
 func (n *Node) evacuatedZonesProven() bool {
-	bound := config.Millis(n.settings.Bounds.EvacuationMs)
 	_, asOf, ok := n.evacuatedZones()
-	return bound == 0 || ok && n.clock.Now() < asOf+owner.MaxEvacuationAge(bound)
+	return owner.ZonesProven(n.clock.Now(), asOf, ok, config.Millis(n.settings.Bounds.EvacuationMs))
 }
 
 // requestTakeoverForZones asks the other nodes to take over from an owner that cannot read
--- a/internal/cell/owner/evacuation.go
+++ b/internal/cell/owner/evacuation.go
@@ -44,6 +44,12 @@
 	return max(bound-evacuationMargin, bound/2)
 }
 
+// ZonesProven reports whether a read of the evacuated zones, as of a time, is recent enough for
+// start orders to be sent. read is false if there was none; a bound of zero requires no read.
+func ZonesProven(now, asOf time.Duration, read bool, bound time.Duration) bool {
+	return bound == 0 || read && now < asOf+MaxEvacuationAge(bound)
+}
+
 // evacuated returns the evacuated zones as this process has read them, and whether the
 // read is recent enough for start orders to be sent.
 func (ow *Owner) evacuated() (zones *cell.EvacuatedZones, proven bool) {
@@ -51,8 +57,7 @@
 		return nil, true
 	}
 	zones, asOf, ok := ow.options.Evacuated()
-	bound := ow.options.EvacuationBound
-	return zones, bound == 0 || ok && ow.options.Clock.Now() < asOf+MaxEvacuationAge(bound)
+	return zones, ZonesProven(ow.options.Clock.Now(), asOf, ok, ow.options.EvacuationBound)
 }
 
 // startTimeout returns the time-out of a start order. It is shorter than orderTimeout only
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -10,6 +10,10 @@
 // result is worth nothing to its caller.
 const tooLateFactor = 3
 
+// usefulUntil returns the time after which the result of the job is worth nothing to its
+// caller.
+func (j *job) usefulUntil() time.Duration { return j.arrived + tooLateFactor*(j.due-j.arrived) }
+
 // Ranks of waiting groups; the lowest is placed first.
 const (
 	// rankIncompleteGang is for gangs with refused members, whose other members
@@ -117,7 +121,7 @@
 		if urgent {
 			e.rank = rankUrgent
 		}
-	case s.now+work <= j.arrived+tooLateFactor*(j.due-j.arrived):
+	case s.now+work <= j.usefulUntil():
 		e.rank = rankLate
 		if urgent {
 			e.rank = rankInTime
--- a/internal/cell/schedule/useless.go
+++ b/internal/cell/schedule/useless.go
@@ -14,6 +14,6 @@
 // isUseless reports whether a job whose remaining work is expected to take a time ends later
 // than its result is of use, even if it starts now and is fast.
 func (s *Scheduler) isUseless(j *job, work time.Duration) bool {
-	latest := j.arrived + tooLateFactor*(j.due-j.arrived)
+	latest := j.usefulUntil()
 	return s.now+time.Duration(uselessWorkPart*float64(work)) > latest && s.now < latest+uselessPatience
 }
