schedule: do not rank hosts for an advice call that finds no room

The decisions took half of the owner's processor time.

Change: the room is checked before the hosts are ranked, and the lowest hosts are selected by sorting keys instead of counting them in a map. Decisions are the same.

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -121,12 +121,31 @@
 	return s.adviceRoom == nil || s.adviceRoom.Has(d)
 }
 
-// hasUndecidedHost reports whether there is a host that the service has neither approved
+// hasUndecidedHosts reports whether there are n hosts that the service has neither approved
 // nor denied for the group.
-func (s *Scheduler) hasUndecidedHost(g *group) bool {
-	return slices.ContainsFunc(s.sortedHosts, func(h *host) bool {
-		return !g.approved(h) && !g.advice.denied[h] && s.eligible(g, h)
-	})
+func (s *Scheduler) hasUndecidedHosts(g *group, n int) bool {
+	for _, h := range s.sortedHosts {
+		if !g.approved(h) && !g.advice.denied[h] && s.eligible(g, h) {
+			if n--; n <= 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// undecidedHosts returns the hosts that the service has neither approved nor denied for the
+// group. The slice is valid until the next call.
+func (s *Scheduler) undecidedHosts(g *group) []*host {
+	hosts := s.undecidedBuffer[:0]
+	noneDecided := len(g.advice.tickets)+len(g.advice.denied) == 0
+	for _, h := range s.sortedHosts {
+		if s.eligible(g, h) && (noneDecided || !g.approved(h) && !g.advice.denied[h]) {
+			hosts = append(hosts, h)
+		}
+	}
+	s.undecidedBuffer = hosts
+	return hosts
 }
 
 // requestAdviceOnUndecidedHosts plans an advice call about hosts that the service
@@ -137,14 +156,12 @@
 		return true
 	}
 	if !s.mayRequestAdvice(g) {
-		return s.hasUndecidedHost(g)
+		return s.hasUndecidedHosts(g, 1)
 	}
-	var hosts []*host
-	for _, h := range s.sortedHosts {
-		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h] {
-			hosts = append(hosts, h)
-		}
+	if limit := adviceHostLimit(g.policy()); !s.hasAdviceRoom(g.policy().CallDuration(limit)) && s.hasUndecidedHosts(g, limit) {
+		return true // the call would find no room; to rank the hosts for it is most of the work of a decision
 	}
+	hosts := s.undecidedHosts(g)
 	if g.step.Gang && s.options.Features.GangCapacity {
 		hosts = s.gangHostsToAsk(g, hosts)
 	} else {
--- a/internal/cell/schedule/rankhosts.go
+++ b/internal/cell/schedule/rankhosts.go
@@ -2,61 +2,69 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
+// rankedHost is a host and the key that it is ranked by.
+type rankedHost struct {
+	host *host
+	key  int
+}
+
 // rankHosts sorts hosts by a key, lowest first. It computes the key once for
 // each host.
 func rankHosts(hosts []*host, key func(h *host) int) {
-	type ranked struct {
-		h   *host
-		key int
-	}
-	list := make([]ranked, len(hosts))
-	for i, h := range hosts {
-		list[i] = ranked{h, key(h)}
-	}
-	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.key, b.key) })
+	list := withKeys(hosts, key)
+	sortRanked(list)
 	for i := range list {
-		hosts[i] = list[i].h
+		hosts[i] = list[i].host
 	}
 }
 
 // lowestHosts returns the n hosts with the lowest keys, in the order of rankHosts. It
-// sorts only these.
+// sorts only these, and uses the given slice for the result.
 func lowestHosts(hosts []*host, n int, key func(h *host) int) []*host {
-	if len(hosts) > n {
-		hosts = withinLowest(hosts, n, key)
+	list := withKeys(hosts, key)
+	if len(list) > n {
+		list = withinLowest(list, n)
+	}
+	sortRanked(list)
+	for i := range list {
+		hosts[i] = list[i].host
 	}
-	rankHosts(hosts, key)
-	return hosts
+	return hosts[:len(list)]
 }
 
-// withinLowest returns the n hosts with the lowest keys in the given order; of those with
-// the highest key among them the first ones.
-func withinLowest(hosts []*host, n int, key func(h *host) int) []*host {
-	keys := make([]int, len(hosts))
-	count := make(map[int]int)
+func withKeys(hosts []*host, key func(h *host) int) []rankedHost {
+	list := make([]rankedHost, len(hosts))
 	for i, h := range hosts {
-		keys[i] = key(h)
-		count[keys[i]]++
+		list[i] = rankedHost{h, key(h)}
 	}
-	highest, left := 0, n
-	for _, k := range slices.Sorted(maps.Keys(count)) {
-		highest = k
-		if count[k] >= left {
-			break
-		}
-		left -= count[k]
+	return list
+}
+
+func sortRanked(list []rankedHost) {
+	slices.SortStableFunc(list, func(a, b rankedHost) int { return cmp.Compare(a.key, b.key) })
+}
+
+// withinLowest returns the n hosts with the lowest keys in the given order, in the same slice;
+// of those with the highest key among them the first ones.
+func withinLowest(list []rankedHost, n int) []rankedHost {
+	keys := make([]int, len(list))
+	for i, r := range list {
+		keys[i] = r.key
 	}
-	out := make([]*host, 0, n)
-	for i, h := range hosts {
-		if keys[i] == highest {
-			left--
+	slices.Sort(keys)
+	highest := keys[n-1]
+	lower, _ := slices.BinarySearch(keys, highest)
+	atHighest := n - lower
+	out := list[:0]
+	for _, r := range list {
+		if r.key == highest {
+			atHighest--
 		}
-		if keys[i] < highest || keys[i] == highest && left >= 0 {
-			out = append(out, h)
+		if r.key < highest || r.key == highest && atHighest >= 0 {
+			out = append(out, r)
 		}
 	}
 	return out
