--- a/internal/cell/peers/ask.go
+++ b/internal/cell/peers/ask.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// shortReserveDivisor sets the reserve for short calls: one in
-	// shortReserveDivisor of the usable endpoints, at least one, takes no long call.
-	shortReserveDivisor = 3
 	// adviceTimeoutMargin is added to twice the expected duration of an advice call to
 	// get its timeout.
 	adviceTimeoutMargin = 700 * time.Millisecond
@@ -60,12 +57,14 @@
 			free++
 		}
 	}
-	return cell.AdviceRoom{Short: maxShortInFlight * free, Long: maxLong(up), LongFrom: longCallThreshold}
+	return cell.AdviceRoom{Short: maxShortInFlight * free, Long: p.maxLong(up, now), LongFrom: longCallThreshold}
 }
 
 // maxLong returns through how many of the usable endpoints long calls may be made at one
-// time.
-func maxLong(up int) int { return min(up, max(up-max(up/shortReserveDivisor, 1), 1)) }
+// time. The caller holds p.mu.
+func (p *Pool) maxLong(up int, now time.Duration) int {
+	return min(up, max(up-p.shortReserve.endpoints(up, p.shortWaiters.len(), now), 1))
+}
 
 // acquire waits for an endpoint with capacity for a call. It returns nil when ctx
 // ends first.
@@ -142,6 +141,7 @@
 		e.longInFlight--
 	} else {
 		e.shortInFlight--
+		p.shortReserve.add(-1, p.clock.Now())
 	}
 }
 
@@ -169,6 +169,7 @@
 			e.longInFlight++
 		} else {
 			e.shortInFlight++
+			p.shortReserve.add(1, now)
 		}
 		q.remove(w)
 		w.granted <- e
@@ -204,7 +205,7 @@
 			endpointsWithLong++
 		}
 	}
-	if long && endpointsWithLong >= maxLong(up) {
+	if long && endpointsWithLong >= p.maxLong(up, now) {
 		return nil
 	}
 	for _, e := range p.endpoints {
--- a/internal/cell/peers/pool.go
+++ b/internal/cell/peers/pool.go
@@ -32,6 +32,8 @@
 	searches int
 	arrivals int64
 	retries  retryBudget
+	// shortReserve keeps endpoints free for short calls.
+	shortReserve shortReserve
 }
 
 // NewPool returns a pool with this node as its only endpoint.
