Count leases of earlier owners from when they are known to be gone

Cause: a successor that does not reach a host takes the runs there as ended once the leases have expired. If the former owner's process was replaced, the leases counted from the claim, also if the process had lived, with authority, for some seconds after it and had renewed them. Change: the owner remembers when the earlier one was first known to be gone, and counts from then, at most from 4 s after the claim.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -63,6 +63,8 @@
 	// advice are the advice calls in flight.
 	advice adviceCalls
 
+	// earlierOwners is guarded by mu.
+	earlierOwners earlierOwners
 	// reconciled is set once every run of earlier owners is known or has ended. It is set
 	// under mu.
 	reconciled atomic.Bool
@@ -105,6 +107,7 @@
 	ow.metrics = newMetrics(o.Metrics)
 	ow.delays = newDelayLog(o.Log, o.Metrics)
 	ow.authority.extend(o.ClaimSent)
+	ow.earlierOwners.checkGone(o.EarlierOwnersGone, o.Clock.Now())
 	now := int64(o.Clock.Now())
 	ow.lastDecisionEnd.Store(now)
 	ow.lastSeenAppend.Store(now)
@@ -258,16 +261,16 @@
 
 // earlierRunsEndBy returns the time by which runs of earlier owners on a host that does
 // not answer have certainly ended. If it has restarted since an earlier owner stored its
-// lifetime, orders for that lifetime may have given it the longest lease.
+// lifetime, orders for that lifetime may have given it the longest lease. The caller holds
+// the lock.
 func (ow *Owner) earlierRunsEndBy(h *hostPoller) time.Duration {
 	lease := ow.leaseDuration()
 	if h.mayHoldLongestLease() {
 		lease = max(lease, ow.options.MaxLease)
 	}
-	if ow.options.EarlierOwnersGone() {
-		return ow.options.ClaimedAt + runsEndWithin(lease)
-	}
-	return ow.options.ClaimedAt + runsEndWithin(AuthorityDuration+lease)
+	ow.earlierOwners.checkGone(ow.options.EarlierOwnersGone, ow.options.Clock.Now())
+	// The clocks drift for the whole time since the claim.
+	return ow.options.ClaimedAt + runsEndWithin(ow.earlierOwners.actUntil(ow.options.ClaimedAt)-ow.options.ClaimedAt+lease)
 }
 
 // Reconciled reports whether every run of earlier owners is known or has ended.
