Renew no lease after the release of the ownership

Cause: a stopped owner went on to poll hosts, and to renew their leases, until the append of the release was answered. A successor reads the release, claims, and counts the leases from its claim. Change: Owner.Stop revokes the authority once everything is stored. Conclusion: a host that the successor cannot reach does not outlive what the successor counts for it.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -290,11 +290,16 @@
 }
 
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
-// ones, stores everything that is known, and ends the heartbeats. It reports whether
-// that was done before ctx ended.
+// ones, stores everything that is known, and ends the heartbeats and the renewal of leases.
+// It reports whether that was done before ctx ended.
 func (ow *Owner) Stop(ctx context.Context) bool {
 	ow.mu.Lock()
 	ow.stopping.Store(true)
 	ow.mu.Unlock()
-	return ow.starts.end(ctx) && ow.stops.end(ctx) && ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
+	if !ow.starts.end(ctx) || !ow.stops.end(ctx) || !ow.storeRounds.waitStored(ctx) || !ow.endHeartbeats(ctx) {
+		return false
+	}
+	// The ownership is released next. A successor that claims counts the leases from its claim.
+	ow.authority.revoke()
+	return true
 }
