Apply newest records in an order that is safe while the owner changes

Cause: newest records come in the order of keys. A former owner learned of a submission behind its successor's claim before it learned of the claim. And a claim among them began the term although records of hosts that were stored ahead of it could be missing, as their keys had been read before. Change: the ownership is applied first and ends a former term; a claim from Page.Next on begins the term only when it is read again in its order.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -219,8 +219,7 @@
 
 // applyWork applies records of the work topic. A term begins at the record of its
 // claim, before later records are applied. At the first read, and after the history
-// has been trimmed, the page holds the newest record of each key in the order of
-// keys, not of offsets; the term then begins after all records of the page.
+// has been trimmed, the page holds the newest record of each key; see applyNewestWork.
 func (n *Node) applyWork(p worklog.Page) {
 	startedAt := n.clock.Now()
 	if n.admission != nil {
@@ -239,22 +238,16 @@
 		j.Observe(p.Records)
 	}
 	if p.NewestOnly {
-		n.registry.BeginNewest(p.Records)
+		n.applyNewestWork(p)
+		return
 	}
-	var claimed *platform.Record
 	for _, r := range p.Records {
 		worklog.ApplyRecord(n.log, r, n.registry.Apply)
-		switch {
-		case !registry.IsOwnership(r):
-		case p.NewestOnly:
-			claimed = &r
-		default:
-			n.onOwnerRecord(r.Offset)
+		if registry.IsOwnership(r) {
+			n.endFormerTerm()
+			n.beginClaimedTerm(r.Offset)
 		}
 	}
-	if claimed != nil {
-		n.onOwnerRecord(claimed.Offset)
-	}
 }
 
 // Forward implements peers.Handler: it answers a caller's call for another node.
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -34,23 +34,30 @@
 	done chan struct{}
 }
 
-// onOwnerRecord is called for each ownership record, in the order of the log. It ends
-// the term if another node's claim has a higher token, and begins one if the
-// record is the claim of this node.
-func (n *Node) onOwnerRecord(offset uint64) {
+// endFormerTerm is called after each ownership record, in the order of the log. It ends the
+// term if another node's claim has a higher token.
+func (n *Node) endFormerTerm() {
 	o, _ := n.registry.Owner()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.term != nil {
-		if o.Token > n.term.claim.owner.Token {
-			n.endTerm("another owner has claimed")
-		}
-		return
+	if n.term != nil && o.Token > n.term.claim.owner.Token {
+		n.endTerm("another owner has claimed")
 	}
+}
+
+// beginClaimedTerm begins a term if the ownership record at offset is the claim of this node.
+// Everything that was stored before the claim has been applied.
+func (n *Node) beginClaimedTerm(offset uint64) {
+	o, _ := n.registry.Owner()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	c := n.claim
-	if c == nil || o.Released || o.InstanceID != n.self.InstanceID || o.FirstSequence != c.owner.FirstSequence {
+	if n.term != nil || c == nil || o.Released || o.InstanceID != n.self.InstanceID || o.FirstSequence != c.owner.FirstSequence {
 		return
 	}
+	if offset != n.registry.OwnerOffset() {
+		return // an older record, read again after the newest one
+	}
 	n.claim = nil
 	n.beginTerm(c, offset)
 }
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -277,6 +277,13 @@
 	return r.owner, r.ownerWrites
 }
 
+// OwnerOffset returns the log offset of the newest ownership record.
+func (r *Registry) OwnerOffset() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.ownerOffset
+}
+
 // Hosts returns the stored hosts by ID.
 func (r *Registry) Hosts() map[string]Host {
 	r.mu.RLock()
--- a/internal/cell/worklog/page.go
+++ b/internal/cell/worklog/page.go
@@ -17,6 +17,10 @@
 	// longer stored. A key without a record among them has been deleted since, unless its
 	// first record was stored after the read was sent; then it follows with later pages.
 	NewestOnly bool
+	// Next is the offset from which the topic is read on after a page with NewestOnly. Every
+	// record before it is among the records, or has been replaced by one of them or deleted.
+	// Some of the records may have offsets from there on; they are read again.
+	Next uint64
 	// AsOf is when the read was sent. Every record stored before that has been read
 	// if the page is complete.
 	AsOf time.Duration
