Store the progress of a round before its records of hosts

The record that closes a host lacks the runs that have ended; the progress with their ends came behind it, and an owner that was fenced in between left a closed host without a run that was not known to be done. The successor does not wait for such a host. Change: the runs on hosts are collected first, as before, and stored last.

--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -95,9 +95,7 @@
 		case <-time.After(maxStoreInterval):
 		}
 		round := ow.storeRounds.begin()
-		records, changed := ow.hostRecords()
-		progress, finished := ow.progressRecords()
-		records = append(records, progress...)
+		records, changed, finished := ow.changedRecords()
 		now := ow.options.Clock.Now()
 		if now-lastExpiryScan > expiryScanInterval {
 			expired, all := ow.expiryRecords(now)
@@ -125,6 +123,17 @@
 	}
 }
 
+// changedRecords returns the records of what has changed. The runs on hosts are collected
+// first: one that ends meanwhile may be listed as present there, and be done. They are stored
+// last: a round may take several appends, and the owner may be fenced between two of them. A
+// successor that lacks a run in the record of a closed host, and its end, would start its task
+// again without waiting for the host.
+func (ow *Owner) changedRecords() (records []platform.Record, hosts []hostChange, finished []finishedSubmission) {
+	hostRecords, hosts := ow.hostRecords()
+	records, finished = ow.progressRecords()
+	return append(records, hostRecords...), hosts, finished
+}
+
 // store writes records in order. An error ends the term: the ownership is lost. The exception
 // is a *worklog.UnstorableError, with which all other records are stored.
 func (ow *Owner) store(ctx context.Context, records []platform.Record) error {
