Fail a submission whose progress was left out of a round

Cause: a round of storing that left out a progress did not count as stored, but the next round, without that progress, counted for all earlier ones, so that the ends in it were acknowledged. Change: the submission fails, the next round stores that and counts for both; what else the round stored is taken as stored. Owner.store names the records that were left out of all appends of a round, not only of the last one. No record is known that takes this way.

--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -110,14 +110,16 @@
 		if records = ow.withRunTimes(records, now); len(records) > 0 {
 			records = append(records, ow.loadRecords(now)...)
 			err := ow.store(ctx, records)
-			if errors.As(err, new(*worklog.UnstorableError)) {
-				continue // nothing that waits for the round counts as stored
-			}
-			if err != nil {
+			leftOut := new(worklog.UnstorableError)
+			if err != nil && !errors.As(err, &leftOut) {
 				return
 			}
-			ow.hostRecordsStored(changed)
+			ow.hostRecordsStored(slices.DeleteFunc(changed, func(c hostChange) bool { return leftOut.Has(registry.HostKey(c.poller.host.ID)) }))
 			ow.removeFinished(finished)
+			if ow.failLeftOut(leftOut) {
+				ow.storeRounds.request()
+				continue // the next round stores that they have failed, and counts for this one
+			}
 		}
 		ow.storeRounds.finish(round)
 	}
@@ -143,7 +145,11 @@
 		sentAt := ow.options.Clock.Now()
 		err := ow.options.Journal.Store(ctx, records[:n])
 		if unstorable := new(worklog.UnstorableError); errors.As(err, &unstorable) {
-			leftOut, err = unstorable, nil
+			if leftOut == nil {
+				leftOut = &worklog.UnstorableError{}
+			}
+			leftOut.Keys = append(leftOut.Keys, unstorable.Keys...)
+			err = nil
 		}
 		if err != nil {
 			if errors.Is(err, platform.ErrFenced) {
@@ -166,6 +172,18 @@
 	return nil
 }
 
+// failLeftOut fails the submissions whose progress can never be stored, since it would be unknown
+// to a successor that their tasks are done. It reports whether there are any.
+func (ow *Owner) failLeftOut(leftOut *worklog.UnstorableError) (any bool) {
+	for _, key := range leftOut.Keys {
+		if id, ok := registry.SubmissionOfProgress(key); ok {
+			any = true
+			ow.withState(func() { ow.scheduler.Fail(id, "its progress cannot be stored", ow.options.Clock.Now()) })
+		}
+	}
+	return any
+}
+
 // removeFinished removes from the scheduler the submissions whose final state is
 // stored and whose runs are gone.
 func (ow *Owner) removeFinished(list []finishedSubmission) {
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -87,10 +87,13 @@
 func OwnershipRecord(o Ownership) platform.Record { return record(keyOwner, o) }
 
 // HostRecord returns the record of a host that the owner uses.
-func HostRecord(h Host) platform.Record { return record(prefixHost+h.Spec.ID, h) }
+func HostRecord(h Host) platform.Record { return record(HostKey(h.Spec.ID), h) }
+
+// HostKey returns the key of the record of a host.
+func HostKey(id string) string { return prefixHost + id }
 
 // HostDeletionRecord returns the record that deletes a host.
-func HostDeletionRecord(id string) platform.Record { return platform.Record{Key: prefixHost + id} }
+func HostDeletionRecord(id string) platform.Record { return platform.Record{Key: HostKey(id)} }
 
 // SubmissionRecord returns the record of an accepted submission.
 func SubmissionRecord(s *cell.Submission) platform.Record { return record(prefixSubmission+s.ID, s) }
@@ -112,6 +115,14 @@
 	return prefixProgress + id + partSeparator + strconv.Itoa(number)
 }
 
+// SubmissionOfProgress returns the ID of the submission if a key is that of a progress, or of a
+// part of one.
+func SubmissionOfProgress(key string) (id string, ok bool) {
+	name, ok := strings.CutPrefix(key, prefixProgress)
+	id, _, _ = strings.Cut(name, partSeparator)
+	return id, ok
+}
+
 // CancelRecord returns the record of a cancellation.
 func CancelRecord(id string) platform.Record { return record(prefixCancel+id, true) }
 
--- a/internal/cell/worklog/unstorable_error.go
+++ b/internal/cell/worklog/unstorable_error.go
@@ -1,6 +1,9 @@
 package worklog
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // UnstorableError is returned if the store can never take some of the records of a call.
 // The others are stored.
@@ -12,3 +15,6 @@
 func (e *UnstorableError) Error() string {
 	return fmt.Sprintf("%d records can never be stored, the first under %.60q", len(e.Keys), e.Keys[0])
 }
+
+// Has reports whether the record of a key was left out.
+func (e *UnstorableError) Has(key string) bool { return slices.Contains(e.Keys, key) }
