Take the runs of earlier owners as known after a complete report only

Cause: a report lists 500 ends at most. A successor took a partial report for all it needs to know of a host, and settled the work of earlier owners while ends there were unlisted.

--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -62,7 +62,7 @@
 	// interrupt ends a poll that the host holds open.
 	interrupt chan struct{}
 	cancel    context.CancelFunc
-	// runsKnown is set once the host has reported its runs. allRunsGone is set once
+	// runsKnown is set once the host has reported all its runs. allRunsGone is set once
 	// every lease there has certainly expired or the host has restarted, until it
 	// reports its runs again. Both are guarded by the owner's lock.
 	runsKnown, allRunsGone bool
@@ -218,7 +218,9 @@
 		if former != life {
 			ow.inheritStarts(h, former == nil, now)
 		}
-		h.runsKnown, h.allRunsGone, h.restartKnown, h.unreachable = true, false, false, false
+		// Ends that a partial report does not list may be those of earlier owners' runs.
+		h.runsKnown = h.runsKnown || !l.Partial || ow.reconciled.Load()
+		h.allRunsGone, h.restartKnown, h.unreachable = false, false, false
 	})
 	ow.requestDecision()
 	for _, e := range l.Ended {
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -23,7 +23,8 @@
 		h.life = hostLifetime{startedMs: l.StartedMs, reportedSince: now}
 	}
 	s.settleCrashes(h, l.StartedMs)
-	h.runsKnown, h.reachable, h.earlierRunsUnknown = true, true, false
+	h.runsKnown, h.reachable = true, true
+	h.earlierRunsUnknown = h.earlierRunsUnknown && l.Partial
 	h.reportGap, h.reportedAt, h.silent = now-h.reportedAt, now, false
 	s.clearSuspectedRuns(h)
 	for _, e := range l.Ended {
