Wait for hosts that a slow successor has not polled yet

Cause: a successor took all runs of earlier owners as known or ended once their leases had expired, also on hosts that it had not polled yet. A host that answers later lists ends that nobody has stored; their tasks had been started again. Change: a host that has not answered is settled by its polls, which have to fail after the leases have expired.

--- a/internal/cell/owner/earlierowners_test.go
+++ b/internal/cell/owner/earlierowners_test.go
@@ -19,6 +19,13 @@
 	h.client.answers["a"] = doesNotAnswer
 }
 
+// pollUnanswered makes as many polls as show that the host is silent.
+func (h *hostTest) pollUnanswered() {
+	for range unreachableThreshold + 1 {
+		h.pollOnce("h")
+	}
+}
+
 // Guards against a task that is started again while it runs, or after it has ended as done:
 // the successor cannot reach its host, the earlier owner could and renewed the lease there
 // until its process ended, some seconds after the claim, and the successor counted the lease
@@ -40,6 +47,7 @@
 			h.clock.now += time.Duration(rapid.Int64Range(10, 300).Draw(rt, "step")) * time.Millisecond
 		}
 		h.clock.now = lastRenewal + runsEndWithin(AuthorityDuration+LeaseDuration)
+		h.pollUnanswered()
 		h.withState(h.checkReconciled)
 		if !h.Reconciled() {
 			rt.Error("the runs on the host count as present for good")
@@ -53,6 +61,7 @@
 	h := newHostTest(t)
 	h.succeedOwner(0)
 	h.clock.now = h.options.ClaimedAt + runsEndWithin(LeaseDuration) + time.Millisecond
+	h.pollUnanswered()
 	h.withState(h.checkReconciled)
 	if !h.Reconciled() {
 		t.Error("the lease counts from later than the claim")
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -238,7 +238,9 @@
 }
 
 // checkReconciled informs the scheduler once no unknown run of an earlier owner
-// can exist.
+// can exist. That the leases on a host have expired does not suffice if the host has not
+// answered yet: it may list ends that nobody has stored. Its polls show whether it answers;
+// if it does not, the last of them records that all runs there are gone.
 func (ow *Owner) checkReconciled() {
 	if ow.reconciled.Load() || len(ow.hosts) == 0 {
 		return
@@ -246,10 +248,10 @@
 	now := ow.options.Clock.Now()
 	unresolved := 0
 	for _, h := range ow.hosts {
-		if h.runsKnown || h.allRunsGone || h.closedByPreviousOwner {
+		switch {
+		case h.runsKnown || h.closedByPreviousOwner:
 			continue
-		}
-		if now < ow.earlierRunsEndBy(h) {
+		case !h.allRunsGone && (h.life == nil || now < ow.earlierRunsEndBy(h)):
 			return
 		}
 		unresolved++
