Do not take a host for silent when the owner is late itself

Cause: three failed polls after the leases have expired let the runs on a host count as gone. They may time out because the owner is too busy to handle the answers; the host then lists ends that are not known, and their tasks start again. Change: a failed poll that ends more than 0.1 s after its timeout does not count for that; ten failures in a row do in any case. Result: TestLatePollsDoNotShowASilentHost fails before and passes after; TestSilentHostIsSettledByALateOwner bounds the wait; the tests of owner pass.

--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -7,12 +7,20 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
+// lateFailuresThreshold is the number of consecutive failed polls after which a host counts as
+// silent although the owner was late each time. An owner that is always late must not wait for
+// a silent host for good.
+const lateFailuresThreshold = 10
+
 // pollFailed counts a failed or refused poll of an address. It marks the host as unreachable
 // after unreachableThreshold of them, and its runs as gone once their leases have
 // certainly expired.
 func (ow *Owner) pollFailed(h *hostPoller, address string, now time.Duration, refusal platform.Refusal, err error) {
 	h.failedAddress = address
 	h.failures++
+	if !h.ownerLate {
+		h.unansweredPolls++
+	}
 	if h.failures == unreachableThreshold {
 		ow.options.Log.Warn("Polls of a host fail.", "host", h.host.ID, "address", address, "refusal", refusal.String(), "error", errText(err))
 		ow.withState(func() {
@@ -21,11 +29,17 @@
 		})
 		ow.storeRounds.request()
 	}
-	if now > ow.runsEndBy(h) && h.failures > unreachableThreshold {
+	if h.doesNotAnswer() && now > ow.runsEndBy(h) {
 		ow.recordAllRunsGone(h, now)
 	}
 }
 
+// doesNotAnswer reports whether failed polls show that the host does not answer, and not only
+// that the owner is too busy to handle its answers: ends that it lists would not be known.
+func (h *hostPoller) doesNotAnswer() bool {
+	return !h.ownerLate && h.unansweredPolls > unreachableThreshold || h.failures >= lateFailuresThreshold
+}
+
 // runsEndBy returns the time by which the runs on a host that does not answer have
 // certainly ended.
 func (ow *Owner) runsEndBy(h *hostPoller) (at time.Duration) {
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -24,6 +24,10 @@
 	// pollRetryInterval is the wait after a failed poll, and between checks of the
 	// authority while it is not valid.
 	pollRetryInterval = 100 * time.Millisecond
+	// maxOwnDelay is how long after its timeout a failed poll has ended if this process is not
+	// late itself. A healthy host's answer takes fewer steps than would use up the rest of the
+	// timeout if each waited for so long.
+	maxOwnDelay = 100 * time.Millisecond
 	// minHeldPoll is the least duration of a failed poll from which the host has held it
 	// open.
 	minHeldPoll = 20 * time.Millisecond
@@ -90,6 +94,10 @@
 	// failures counts consecutive failed or refused polls, except refusals because
 	// of a fencing token or a restart.
 	failures int
+	// unansweredPolls counts those of them that show that the host does not answer: the owner
+	// was not late itself when they ended, which is set by ownerLate for the last poll.
+	unansweredPolls int
+	ownerLate       bool
 	// unreadable is the number of rows in the last report that cannot be decoded.
 	unreadable int
 	// answeredAt is when the host last answered a poll.
@@ -137,6 +145,7 @@
 	interrupted := callCtx.Err() == context.Canceled && ctx.Err() == nil
 	cancel()
 	now := ow.options.Clock.Now()
+	h.ownerLate = now-sentAt > o.Wait+pollTimeoutMargin+maxOwnDelay
 	switch {
 	case errors.Is(err, platform.ErrNotConnected):
 		return true // the next poll may reach another lifetime
@@ -169,7 +178,7 @@
 		ow.options.Log.Warn("A host reports runs that cannot be decoded.", "host", h.host.ID, "count", unreadable)
 	}
 	h.unreadable = unreadable
-	h.failures, h.failedAddress, h.answeredAt, h.inTouch = 0, "", now, true
+	h.failures, h.unansweredPolls, h.failedAddress, h.answeredAt, h.inTouch = 0, 0, "", now, true
 	ow.applyReport(ctx, h, sentAt, now, l, o.Ack)
 	return true
 }
