Send the start orders of a gang together

Cause: start orders that wait are sent in turns of submissions, and each member of a gang took a turn of its own, so that the orders of all other submissions came between two members. At a slow owner the first ones wait on their hosts for the last ones, for a limited time. Change: the members of a gang have one turn.

--- a/internal/cell/owner/orderqueue.go
+++ b/internal/cell/owner/orderqueue.go
@@ -23,12 +23,15 @@
 )
 
 // orderQueue holds the orders of one kind that wait for others to be answered. Submissions
-// take turns, so that one with many orders does not hold up the others. Each run has one
-// order of a kind at most.
+// take turns, so that one with many orders does not hold up the others; the members of a gang
+// have one turn. Each run has one order of a kind at most.
 type orderQueue[T any] struct {
 	// maxInFlight bounds the goroutines that send orders.
 	maxInFlight int
 	submission  func(T) string
+	// together reports whether an order has to be sent right after the one before it: members
+	// of a gang wait for each other on their hosts, and only for a time. It is nil if none has.
+	together func(before, o T) bool
 
 	mu sync.Mutex
 	// waiting holds the orders of each submission that has some, turns the submissions in
@@ -42,7 +45,7 @@
 
 func newStartQueue() *orderQueue[schedule.Start] {
 	return &orderQueue[schedule.Start]{
-		maxInFlight: maxStartsInFlight, submission: func(s schedule.Start) string { return s.Task.Submission }, waiting: make(map[string][]schedule.Start),
+		maxInFlight: maxStartsInFlight, submission: func(s schedule.Start) string { return s.Task.Submission }, waiting: make(map[string][]schedule.Start), together: schedule.Start.SameGang,
 	}
 }
 
@@ -81,14 +84,17 @@
 		return o, false
 	}
 	id := q.turns[0]
-	q.turns = q.turns[1:]
 	list := q.waiting[id]
 	o = list[0]
-	if len(list) > 1 {
-		q.waiting[id] = list[1:]
-		q.turns = append(q.turns, id)
-	} else {
+	switch {
+	case len(list) == 1:
 		delete(q.waiting, id)
+		q.turns = q.turns[1:]
+	case q.together != nil && q.together(o, list[1]):
+		q.waiting[id] = list[1:]
+	default:
+		q.waiting[id] = list[1:]
+		q.turns = append(q.turns[1:], id)
 	}
 	q.count--
 	return o, true
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -324,6 +324,6 @@
 	s.startRoom--
 	s.countSharedStart(g)
 	s.plan.Starts = append(s.plan.Starts, Start{
-		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.resumesFrom(), Ticket: value, Waited: waited,
+		Task: t.id, Run: run, Host: h.spec.ID, Spec: g.job.sub.Spec, Checkpoint: t.resumesFrom(), Ticket: value, Gang: g.step.Gang, Waited: waited,
 	})
 }
--- a/internal/cell/schedule/plan.go
+++ b/internal/cell/schedule/plan.go
@@ -14,11 +14,18 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// Gang is set for a member of a gang.
+	Gang bool
 	// Waited is how long the task has waited since it became ready, or ready
 	// again after its last run.
 	Waited time.Duration
 }
 
+// SameGang reports whether both orders are for members of one gang.
+func (o Start) SameGang(other Start) bool {
+	return o.Gang && other.Gang && o.Run == other.Run && o.Task.Group() == other.Task.Group()
+}
+
 // Stop is an order to stop a run.
 type Stop struct {
 	Task   cell.TaskID
