Do not start a gang at the end of the authority

Cause: an owner whose appends are slow could start a gang right before its authority ended: some members were started, and it could neither start the others nor stop the first ones, which timed out alone. Change: a gang starts only if the authority lasts for the timeout of an order (0.7 s); its room is kept until then. Conclusion: a second way to a member that waits alone. A gang that is left incomplete by a killed owner remains; see docs/incidents/gang-members-wait-for-a-slow-owner.md.

--- a/internal/cell/owner/authority.go
+++ b/internal/cell/owner/authority.go
@@ -11,6 +11,10 @@
 	// AuthorityDuration is how long an owner may act after it sent the last append
 	// that the store accepted under its fencing token.
 	AuthorityDuration = 4 * time.Second
+	// minGangAuthority is how long the authority has to last for a gang to be started: as long
+	// as the answers to the orders may take. If it ended in between, the members that have
+	// started would wait for the others, and the owner could not stop them.
+	minGangAuthority = orderTimeout
 	// LeaseDuration is how long runs continue on a host without a renewal by the owner.
 	LeaseDuration = 4500 * time.Millisecond
 	// maxClockDrift is the largest fraction by which the clock of a host may run
@@ -43,11 +47,15 @@
 	}
 }
 
+// lasts reports whether the owner may act for a time from now on, also if no append extends
+// its authority.
+func (a *authority) lasts(d time.Duration) bool {
+	return !a.revoked.Load() && int64(a.clock.Now()+d) < a.expiresAt.Load()
+}
+
 // valid reports whether the owner may act. It is checked right before each
 // order is sent.
-func (a *authority) valid() bool {
-	return !a.revoked.Load() && int64(a.clock.Now()) < a.expiresAt.Load()
-}
+func (a *authority) valid() bool { return a.lasts(0) }
 
 // runsEndWithin returns how long to wait on the local clock until a lease of
 // duration d has certainly expired on a host with the slowest clock allowed, and
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -226,6 +226,7 @@
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	waiting := ow.starts.waitingCount()
 	ow.scheduler.SetStartRoom(max(maxWaitingStarts-waiting, 0))
+	ow.scheduler.HoldGangs(!ow.authority.lasts(minGangAuthority))
 	startedAt := ow.options.Clock.Now()
 	p = ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"time"
+
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -8,6 +10,10 @@
 // placed again within that part of it, the whole gang is stopped.
 const refusedMemberTimeoutDivisor = 2
 
+// heldGangTimeout is how long a gang that is held is expected to wait: other work may use its
+// room that ends before.
+const heldGangTimeout = 500 * time.Millisecond
+
 // placeGang starts all members of a gang at once, or reserves capacity for
 // them.
 func (s *Scheduler) placeGang(g *group, reservingGangs *int) {
@@ -27,7 +33,10 @@
 	}
 	if hosts := s.chooseHosts(g, len(tasks), true); hosts != nil {
 		s.setWaitReason(g, waitNone)
-		if s.hasStartRoom() {
+		switch {
+		case s.gangsHeld:
+			s.keepRoom(g, hosts)
+		case s.hasStartRoom():
 			s.startGang(g, tasks, hosts)
 		}
 		return
@@ -68,6 +77,14 @@
 	}
 }
 
+// keepRoom keeps the room for a gang that could start and is held; see HoldGangs.
+func (s *Scheduler) keepRoom(g *group, hosts []*host) {
+	for _, h := range hosts {
+		h.reserve(g, 1, s.now+heldGangTimeout)
+	}
+	g.job.team.holdLimit(g.step.Size, len(hosts))
+}
+
 // waitBehindGangs lets a gang wait for others that have reserved room. If reservations do
 // not bind it, it looks for room on hosts that are neither approved nor denied.
 func (s *Scheduler) waitBehindGangs(g *group) {
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -38,6 +38,8 @@
 	evacuatedHosts int
 	// startsHeld is set while no starts are planned; see HoldStarts.
 	startsHeld bool
+	// gangsHeld is set while no gang is started; see HoldGangs.
+	gangsHeld bool
 	// sortedHosts holds the hosts sorted by ID.
 	sortedHosts []*host
 	// hostsWithRoom holds the usable hosts that have enough free capacity for
@@ -255,6 +257,10 @@
 // starts whole if there is any room.
 func (s *Scheduler) SetStartRoom(n int) { s.startRoom = n }
 
+// HoldGangs sets whether no gang is started, since the orders to its last members might not be
+// sent any more.
+func (s *Scheduler) HoldGangs(held bool) { s.gangsHeld = held }
+
 func (s *Scheduler) hasStartRoom() bool { return s.startRoom > 0 && !s.startsHeld }
 
 // Changed returns the submissions whose progress has changed since the last call.
--- a/internal/cell/schedule/trial_place.go
+++ b/internal/cell/schedule/trial_place.go
@@ -64,7 +64,7 @@
 	}
 	if hosts := s.assignHosts(g, withTicket, len(tasks)); hosts != nil {
 		s.setWaitReason(g, waitNone)
-		if s.hasStartRoom() {
+		if s.hasStartRoom() && !s.gangsHeld {
 			s.startGang(g, tasks, hosts)
 		}
 		return
