Stop an incomplete gang before all hosts have answered a new owner

Cause: a gang that the former owner had started in part was stopped only once all runs of earlier owners were known or had ended. With one silent host that takes 4.8 s to 9 s; the members time out alone before. Change: the gang is stopped once more members have no known run than fit on the hosts that have not reported. Conclusion: closes the case in part; after the cut of a zone an incomplete gang waits as before.

--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -50,6 +50,7 @@
 	if now >= s.nextPeriodicCheck {
 		s.nextPeriodicCheck = now + periodicCheckInterval
 		s.prefetchAdvice()
+		s.stopIncompleteGangs()
 		s.stopHungAndCopySlowRuns()
 		s.stopInterferingTasks()
 		s.forgetOldRisks()
