--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -63,6 +63,8 @@
 	// advice are the advice calls in flight.
 	advice adviceCalls
 
+	// earlierOwners is guarded by mu.
+	earlierOwners earlierOwners
 	// reconciled is set once every run of earlier owners is known or has ended. It is set
 	// under mu.
 	reconciled atomic.Bool
@@ -105,6 +107,7 @@
 	ow.metrics = newMetrics(o.Metrics)
 	ow.delays = newDelayLog(o.Log, o.Metrics)
 	ow.authority.extend(o.ClaimSent)
+	ow.earlierOwners.checkGone(o.EarlierOwnersGone, o.Clock.Now())
 	now := int64(o.Clock.Now())
 	ow.lastDecisionEnd.Store(now)
 	ow.lastSeenAppend.Store(now)
@@ -223,6 +226,7 @@
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	waiting := ow.starts.waitingCount()
 	ow.scheduler.SetStartRoom(max(maxWaitingStarts-waiting, 0))
+	ow.scheduler.HoldGangs(!ow.authority.lasts(minGangAuthority))
 	startedAt := ow.options.Clock.Now()
 	p = ow.scheduler.Decide(startedAt, ow.options.WallClock())
 	ow.lastDecisionTime = ow.options.Clock.Now() - startedAt
@@ -235,7 +239,9 @@
 }
 
 // checkReconciled informs the scheduler once no unknown run of an earlier owner
-// can exist.
+// can exist. That the leases on a host have expired does not suffice if the host has not
+// answered yet: it may list ends that nobody has stored. Its polls show whether it answers;
+// if it does not, the last of them records that all runs there are gone.
 func (ow *Owner) checkReconciled() {
 	if ow.reconciled.Load() || len(ow.hosts) == 0 {
 		return
@@ -243,10 +249,10 @@
 	now := ow.options.Clock.Now()
 	unresolved := 0
 	for _, h := range ow.hosts {
-		if h.runsKnown || h.allRunsGone || h.closedByPreviousOwner {
+		switch {
+		case h.runsKnown || h.closedByPreviousOwner:
 			continue
-		}
-		if now < ow.earlierRunsEndBy(h) {
+		case !h.allRunsGone && (h.life == nil || now < ow.earlierRunsEndBy(h)):
 			return
 		}
 		unresolved++
@@ -258,16 +264,16 @@
 
 // earlierRunsEndBy returns the time by which runs of earlier owners on a host that does
 // not answer have certainly ended. If it has restarted since an earlier owner stored its
-// lifetime, orders for that lifetime may have given it the longest lease.
+// lifetime, orders for that lifetime may have given it the longest lease. The caller holds
+// the lock.
 func (ow *Owner) earlierRunsEndBy(h *hostPoller) time.Duration {
 	lease := ow.leaseDuration()
 	if h.mayHoldLongestLease() {
 		lease = max(lease, ow.options.MaxLease)
 	}
-	if ow.options.EarlierOwnersGone() {
-		return ow.options.ClaimedAt + runsEndWithin(lease)
-	}
-	return ow.options.ClaimedAt + runsEndWithin(AuthorityDuration+lease)
+	ow.earlierOwners.checkGone(ow.options.EarlierOwnersGone, ow.options.Clock.Now())
+	// The clocks drift for the whole time since the claim.
+	return ow.options.ClaimedAt + runsEndWithin(ow.earlierOwners.actUntil(ow.options.ClaimedAt)-ow.options.ClaimedAt+lease)
 }
 
 // Reconciled reports whether every run of earlier owners is known or has ended.
@@ -287,11 +293,16 @@
 }
 
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
-// ones, stores everything that is known, and ends the heartbeats. It reports whether
-// that was done before ctx ended.
+// ones, stores everything that is known, and ends the heartbeats and the renewal of leases.
+// It reports whether that was done before ctx ended.
 func (ow *Owner) Stop(ctx context.Context) bool {
 	ow.mu.Lock()
 	ow.stopping.Store(true)
 	ow.mu.Unlock()
-	return ow.starts.end(ctx) && ow.stops.end(ctx) && ow.storeRounds.waitStored(ctx) && ow.endHeartbeats(ctx)
+	if !ow.starts.end(ctx) || !ow.stops.end(ctx) || !ow.storeRounds.waitStored(ctx) || !ow.endHeartbeats(ctx) {
+		return false
+	}
+	// The ownership is released next. A successor that claims counts the leases from its claim.
+	ow.authority.revoke()
+	return true
 }
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -95,9 +95,7 @@
 		case <-time.After(maxStoreInterval):
 		}
 		round := ow.storeRounds.begin()
-		records, changed := ow.hostRecords()
-		progress, finished := ow.progressRecords()
-		records = append(records, progress...)
+		records, changed, finished := ow.changedRecords()
 		now := ow.options.Clock.Now()
 		if now-lastExpiryScan > expiryScanInterval {
 			expired, all := ow.expiryRecords(now)
@@ -112,19 +110,32 @@
 		if records = ow.withRunTimes(records, now); len(records) > 0 {
 			records = append(records, ow.loadRecords(now)...)
 			err := ow.store(ctx, records)
-			if errors.As(err, new(*worklog.UnstorableError)) {
-				continue // nothing that waits for the round counts as stored
-			}
-			if err != nil {
+			leftOut := new(worklog.UnstorableError)
+			if err != nil && !errors.As(err, &leftOut) {
 				return
 			}
-			ow.hostRecordsStored(changed)
+			ow.hostRecordsStored(slices.DeleteFunc(changed, func(c hostChange) bool { return leftOut.Has(registry.HostKey(c.poller.host.ID)) }))
 			ow.removeFinished(finished)
+			if ow.failLeftOut(leftOut) {
+				ow.storeRounds.request()
+				continue // the next round stores that they have failed, and counts for this one
+			}
 		}
 		ow.storeRounds.finish(round)
 	}
 }
 
+// changedRecords returns the records of what has changed. The runs on hosts are collected
+// first: one that ends meanwhile may be listed as present there, and be done. They are stored
+// last: a round may take several appends, and the owner may be fenced between two of them. A
+// successor that lacks a run in the record of a closed host, and its end, would start its task
+// again without waiting for the host.
+func (ow *Owner) changedRecords() (records []platform.Record, hosts []hostChange, finished []finishedSubmission) {
+	hostRecords, hosts := ow.hostRecords()
+	records, finished = ow.progressRecords()
+	return append(records, hostRecords...), hosts, finished
+}
+
 // store writes records in order. An error ends the term: the ownership is lost. The exception
 // is a *worklog.UnstorableError, with which all other records are stored.
 func (ow *Owner) store(ctx context.Context, records []platform.Record) error {
@@ -134,7 +145,11 @@
 		sentAt := ow.options.Clock.Now()
 		err := ow.options.Journal.Store(ctx, records[:n])
 		if unstorable := new(worklog.UnstorableError); errors.As(err, &unstorable) {
-			leftOut, err = unstorable, nil
+			if leftOut == nil {
+				leftOut = &worklog.UnstorableError{}
+			}
+			leftOut.Keys = append(leftOut.Keys, unstorable.Keys...)
+			err = nil
 		}
 		if err != nil {
 			if errors.Is(err, platform.ErrFenced) {
@@ -157,6 +172,18 @@
 	return nil
 }
 
+// failLeftOut fails the submissions whose progress can never be stored, since it would be unknown
+// to a successor that their tasks are done. It reports whether there are any.
+func (ow *Owner) failLeftOut(leftOut *worklog.UnstorableError) (any bool) {
+	for _, key := range leftOut.Keys {
+		if id, ok := registry.SubmissionOfProgress(key); ok {
+			any = true
+			ow.withState(func() { ow.scheduler.Fail(id, "its progress cannot be stored", ow.options.Clock.Now()) })
+		}
+	}
+	return any
+}
+
 // removeFinished removes from the scheduler the submissions whose final state is
 // stored and whose runs are gone.
 func (ow *Owner) removeFinished(list []finishedSubmission) {
