Count waiting work as demand for a limit only as far as ready hosts hold it

Cause: a shard counted every startable task as demand for the units of a limit. A shard whose hosts were all lost kept its units for a queue that could not start there, the tasks that had moved to other shards waited for units, and the queue could not move because the queues there were full. Change: Summary bounds the demand of waiting tasks, for each size, by what the hosts that accept tasks would hold if they were empty. The check of TestManySizes compares with a full scan as before.

--- a/internal/scheduler/apply_contract.go
+++ b/internal/scheduler/apply_contract.go
@@ -33,7 +33,8 @@
 	for _, t := range s.teamList {
 		s.applyContractToTeam(t)
 		t.used, t.live = resource.Vector{}, 0
-		t.demand, t.demandUnits = 0, 0
+		t.demand = 0
+		t.sizeDemands.reset()
 	}
 	for _, name := range sortedKeys(s.limits) {
 		s.limits[name].used = 0
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -126,8 +126,8 @@
 // addDemand adds n waiting tasks to the demand of the team in summaries.
 func (j *job) addDemand(n int64) {
 	j.team.demand += n
-	if j.cost < uncoverableCost && !j.spanning {
-		j.team.demandUnits += n * j.cost
+	if n != 0 && j.cost < uncoverableCost && !j.spanning {
+		j.team.sizeDemands.add(j.spec.Size, j.cost, n)
 	}
 }
 
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -21,23 +21,32 @@
 	Limits map[string]LimitUse
 }
 
-// LimitUse is the state of a limit in this shard, in its units.
+// LimitUse is the state of a limit in this shard, in its units. Waiting is what
+// the startable tasks take, for each size at most as many tasks as the hosts that
+// accept tasks would hold if they were empty. Units beyond that are of no use
+// here: a shard that had lost its hosts kept all units of a limit for its queue,
+// and the tasks waited in every shard.
 type LimitUse struct {
 	Allotted, Used, Waiting int64
 }
 
 // Summary returns the totals as of the last event or decision. Its cost grows
-// with hosts, teams, limits and spanning gangs, not with the other jobs. A host
-// whose quarantine ended counts as ready from the next Decide on.
+// with hosts, teams, limits, the sizes of the waiting tasks and spanning gangs,
+// not with the other jobs. A host whose quarantine ended counts as ready from the
+// next Decide on.
 func (s *Scheduler) Summary() Summary {
 	sum := Summary{
 		Hosts: len(s.hosts), Quarantined: s.health.Count(), Capacity: s.capacity,
 		Reservations: len(s.reservations) + len(s.urgentReservations), Limits: make(map[string]LimitUse, len(s.limits)),
 	}
+	ready := newReadyCapacities()
 	for _, h := range s.hostList {
 		if h == nil {
 			continue
 		}
+		if h.ready {
+			ready.add(h.view.Capacity)
+		}
 		sum.Running += len(h.running)
 		sum.LargestHost = larger(sum.LargestHost, h.view.Capacity)
 		if h.ready && !h.free().IsNegative() {
@@ -53,14 +62,14 @@
 		sum.Waiting += int(t.demand)
 		if l := t.limit; l != nil {
 			use := sum.Limits[l.spec.Name]
-			use.Waiting += t.demandUnits
+			use.Waiting += t.sizeDemands.usableUnits(ready)
 			sum.Limits[l.spec.Name] = use
 		}
 	}
 	for l, j := range s.firstSpanningByLimit() {
 		if j.cost < uncoverableCost && j.hold == nil {
 			use := sum.Limits[l.spec.Name]
-			use.Waiting += j.cost * int64(j.waiting)
+			use.Waiting += j.cost * ready.held(int64(j.waiting), j.spec.Size)
 			sum.Limits[l.spec.Name] = use
 		}
 	}
--- a/internal/scheduler/team.go
+++ b/internal/scheduler/team.go
@@ -40,10 +40,11 @@
 	queues      [classCount]classQueue
 	// waiting counts startable tasks.
 	waiting int
-	// demand counts startable tasks of jobs that are not closed. demandUnits is
-	// the units that those tasks take in the limit, without tasks that need a
-	// resource which the unit lacks and without spanning gangs.
-	demand, demandUnits int64
+	// demand counts startable tasks of jobs that are not closed. sizeDemands
+	// counts them by their size, without tasks that need a resource which the
+	// unit of the limit lacks and without spanning gangs.
+	demand      int64
+	sizeDemands sizeDemands
 	// retryBudget is in hundredths of a retry.
 	retryBudget int64
 	refilledAt  time.Duration
@@ -53,6 +54,7 @@
 	t := s.teams[name]
 	if t == nil {
 		t = &team{name: name, index: len(s.teamList), retryBudget: initialRetryBudget}
+		t.sizeDemands.index = map[resource.Vector]int{}
 		for c := range t.queues {
 			t.queues[c].byKey = map[groupKey]*jobGroup{}
 		}
