TestOperatorsRace: take the base revision from a node that has the example

Cause: the test asks any node for the revision on which both operators base their publication. A node that has not applied the publication of the example yet answers 0, and then both publications rightly conflict with it. Change: the test asks again until the answer is a revision. What it checks stays: exactly one of two publications on the same base is accepted. Conclusion: the failure was in the test.

--- a/internal/devcluster/configuration_test.go
+++ b/internal/devcluster/configuration_test.go
@@ -80,10 +80,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list, err := operator.Objects(ctx, "", "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	// Any node may answer. With the base revision of a node that has not applied the
+	// publication of the example yet, both operators would rightly get a conflict.
+	var list gateway.ObjectList
+	eventually(ctx, t, "the example objects on the node that answers", func() error {
+		if list, err = operator.Objects(ctx, "", ""); err == nil && list.Revision == 0 {
+			err = errors.New("the node has no revision yet")
+		}
+		return err
+	})
 	var wg sync.WaitGroup
 	errs := make([]error, 2)
 	for i := range errs {
