faultmatrix: lead to the return of units by a job that needs all of them

Cause: the step "return" waits until a shard returns units of a limit. Its job of 24 tasks did not need this: with the 8 units of its shard it ends in 15 s, and split over the shards it needs no units of others at all. If the owner of the idle shards has just died in the cell before, the return comes only after the takeover, 2 to 4 s in which the new owner sees the units idle, and an exchange. If the job ends first, no shard ever returns units, and the cell is NOT REACHED. Change: the job of this step is one task that needs all 24 units. It cannot end before the others have returned theirs; if its shard has all of them, the shard returns the excess after the end. Event and time limit are the same.

--- a/internal/faultmatrix/step_test.go
+++ b/internal/faultmatrix/step_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"syscall"
 
+	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	standin "github.com/medlarpulley/medlarpulley/internal/standin/worker"
 	"github.com/medlarpulley/medlarpulley/internal/work"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
@@ -60,7 +61,7 @@
 	{"apply", publication, func(c *cell) (location, bool) { return c.entry(), c.trace.answered.Load() }},
 	{"renew", func(*cell) {}, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetRenewal() != nil })},
 	{"lend", borrowingJob("run=300ms"), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().From == "" })},
-	{"return", borrowingJob("run=2500ms"), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().To == "" })},
+	{"return", wholeLimitJob, onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetTransfer() != nil && r.GetTransfer().To == "" })},
 	{"drain", stopOwner(syscall.SIGTERM), func(c *cell) (location, bool) { return c.entry(), true }},
 	{"hand over", stopOwner(syscall.SIGTERM), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetRelease() != nil })},
 	{"claim", stopOwner(syscall.SIGTERM), onRecord(func(_ *cell, r *ledgerv1.Record) bool { return r.GetClaim() != nil })},
@@ -76,17 +77,30 @@
 func publication(c *cell) { c.changeLimit(c.entryIndex, c.trace) }
 
 // borrowingJob returns a trigger that submits a job which needs more units of the
-// limit than its shard holds. Other shards learn of that demand from summaries
-// that are exchanged every 2 s, so units are returned only if the tasks run for
-// longer than that.
+// limit than its shard holds.
 func borrowingJob(command string) func(*cell) {
 	return func(c *cell) {
-		spec := job(c.id, patternsSeats, true, command)
-		spec.Team, spec.Queue = "patterns", "nightly"
-		c.submit(c.entryIndex, patternsKey, spec, c.trace, false)
+		c.submitPatterns(job(c.id, patternsSeats, true, command))
 	}
 }
 
+// wholeLimitJob submits a job of one task that needs all units of the limit, so
+// that it cannot end before the other shards have returned theirs, or before its
+// own shard can return what it holds above its equal share. A job of many small
+// tasks ends with the units of its shard alone: in 15 s, while a takeover of the
+// other shards and their return took 14 s without other load on the machine.
+func wholeLimitJob(c *cell) {
+	spec := job(c.id, 1, true, "run=200ms")
+	spec.Size = seatSize.Scale(patternsSeats)
+	c.submitPatterns(spec)
+}
+
+// submitPatterns submits a job of the team patterns.
+func (c *cell) submitPatterns(spec gateway.JobSpec) {
+	spec.Team, spec.Queue = "patterns", "nightly"
+	c.submit(c.entryIndex, patternsKey, spec, c.trace, false)
+}
+
 // stopOwner returns a trigger that sends a signal to a random shard owner.
 func stopOwner(s syscall.Signal) func(*cell) {
 	return func(c *cell) {
