Keep a shard and start its tasks again if its transfer is not ready in time

When it failed, nothing allowed starts again and the ownership manager was not told: the shard started nothing for as long as its owner renewed, no other transfer began, and a leaving node did not release the shard. Quiesce ends when its dispatcher stops, without a report. Resume, which nothing called, is unexported. Measured: without the call of resume TestFailedQuiesceAllowsStarts ends with "2 of 8 tasks have an outcome"; without the report TestFailedQuiesceIsReported sees no second transfer. All new tests pass, and those of ownership, dispatch and node. Conclusion: a transfer that is late no longer stops a shard.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -115,12 +115,18 @@
 
 // startOwner starts an owner of the shard with a fencing token.
 func (c *testShard) startOwner(t *testing.T, token uint64) *Dispatcher {
+	t.Helper()
+	return c.startOwnerWith(t, token, c.log)
+}
+
+// startOwnerWith starts an owner that logs to the given Recorder.
+func (c *testShard) startOwnerWith(t *testing.T, token uint64, log Recorder) *Dispatcher {
 	t.Helper()
 	client := worker.NewHTTPClient()
 	s := New(Options{
 		Shard: "z/0", Token: token, Clock: func() time.Duration { return time.Since(c.startedAt) },
 		PreviousAuthorityEndsBy: time.Since(c.startedAt),
-		Authority:               func() bool { return true }, Workers: client, Log: c.log,
+		Authority:               func() bool { return true }, Workers: client, Log: log,
 		Offer: func(scheduler.OfferTasks) {}, MaxExchangeInterval: 300 * time.Millisecond,
 		Scheduler: scheduler.New(scheduler.Options{HasAllHosts: true}),
 		Logger:    slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/medlarpulley/medlarpulley/internal/scheduler"
 	"github.com/medlarpulley/medlarpulley/internal/work"
 )
@@ -12,9 +14,12 @@
 // intents, starts and outcomes.
 const quiescePollInterval = 10 * time.Millisecond
 
+// ErrStopped is the error of Quiesce if the Dispatcher is stopped.
+var ErrStopped = eris.New("the dispatcher was stopped")
+
 // Quiesce stops new starts and waits until no intent or start is outstanding
-// and all outcomes are logged, so that the shard can be released. It returns
-// the error of ctx if ctx ends first.
+// and all outcomes are logged, so that the shard can be released. If ctx ends
+// first, it allows starts again and returns the error of ctx.
 func (s *Dispatcher) Quiesce(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
@@ -29,7 +34,10 @@
 			return nil
 		}
 		select {
+		case <-s.ctx.Done():
+			return ErrStopped
 		case <-ctx.Done():
+			s.resume()
 			return ctx.Err()
 		case <-ticker.C:
 		}
@@ -66,9 +74,8 @@
 	s.requestDecision()
 }
 
-// Resume allows starts again after Quiesce, if the shard was not released.
-// Package node does not call it.
-func (s *Dispatcher) Resume() {
+// resume allows starts again after Quiesce has failed.
+func (s *Dispatcher) resume() {
 	s.mu.Lock()
 	s.draining = false
 	s.mu.Unlock()
--- a/internal/node/ownership_driver.go
+++ b/internal/node/ownership_driver.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/dispatch"
 	"github.com/medlarpulley/medlarpulley/internal/ledger"
 	"github.com/medlarpulley/medlarpulley/internal/logclient"
 	"github.com/medlarpulley/medlarpulley/internal/ownership"
@@ -191,12 +193,16 @@
 }
 
 // quiesceForTransfer waits in a goroutine until the dispatcher of a shard has no
-// outstanding intents, starts or unlogged outcomes, and reports it to the
-// ownership manager.
+// outstanding intents, starts or unlogged outcomes, and reports this, or that
+// it took longer than appendTimeout, to the ownership manager. It reports nothing
+// if the dispatcher was stopped: the manager has given up the transfer by then.
 func (o *ownershipDriver) quiesceForTransfer(act ownership.QuiesceShard) {
 	o.spawn(func(ctx context.Context) {
 		if err := o.quiesce(ctx, act.ShardToken); err != nil {
 			o.log.Warn("Shard was not made ready for its transfer.", "shard", act.Shard, "error", err)
+			if !errors.Is(err, dispatch.ErrStopped) {
+				o.handle(ownership.QuiesceFailed{ShardToken: act.ShardToken})
+			}
 			return
 		}
 		o.handle(ownership.ShardQuiesced{ShardToken: act.ShardToken})
--- a/internal/ownership/action.go
+++ b/internal/ownership/action.go
@@ -53,7 +53,7 @@
 
 // QuiesceShard asks the dispatcher to start no more tasks of a shard, in order to
 // transfer it to Successor, and to report ShardQuiesced once no command is
-// outstanding.
+// outstanding, or QuiesceFailed if that takes too long.
 type QuiesceShard struct {
 	ShardToken
 	Successor string
--- a/internal/ownership/event.go
+++ b/internal/ownership/event.go
@@ -86,6 +86,10 @@
 // shard and that no command is outstanding.
 type ShardQuiesced struct{ ShardToken }
 
+// QuiesceFailed reports that commands were still outstanding after the longest
+// time for a QuiesceShard, and that the dispatcher sends commands again.
+type QuiesceFailed struct{ ShardToken }
+
 // PeersDraining replaces the names of the nodes that are about to leave.
 type PeersDraining struct{ Nodes []string }
 
@@ -106,5 +110,6 @@
 func (AckRequested) isEvent()      {}
 func (ClaimAcknowledged) isEvent() {}
 func (ShardQuiesced) isEvent()     {}
+func (QuiesceFailed) isEvent()     {}
 func (PeersDraining) isEvent()     {}
 func (Drain) isEvent()             {}
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -97,6 +97,8 @@
 		m.releaseRefused(e.ShardToken)
 	case ShardQuiesced:
 		m.shardQuiesced(e.ShardToken)
+	case QuiesceFailed:
+		m.quiesceFailed(now, e.ShardToken)
 	case PeersDraining:
 		m.drainingPeers = slices.Clone(e.Nodes)
 	case Drain:
--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -301,7 +301,7 @@
 		r := m.shardStates[modelShard]
 		num(uint64(r.phase), r.token)
 		flag(r.started, r.superseded, r.claimable, r.attempted)
-		t(r.outageUntil, r.heldSince, r.claimableSince, r.lastAttempt)
+		t(r.outageUntil, r.heldSince, r.transferAfter, r.claimableSince, r.lastAttempt)
 		b = fmt.Append(b, r.acks, m.unreadRenewals, m.rounds, m.transferring, m.transferStartedAt, m.observations)
 	}
 	return string(b)
--- a/internal/ownership/shard_state.go
+++ b/internal/ownership/shard_state.go
@@ -35,6 +35,9 @@
 	outageUntil time.Duration
 	// heldSince is when phaseHeld was reached.
 	heldSince time.Duration
+	// transferAfter is the earliest time of the next transfer, unless this node
+	// leaves. It is set if the dispatcher could not be quiesced.
+	transferAfter time.Duration
 	// claimableSince is the time from which the shard could be claimed; it is
 	// valid if claimable is true.
 	claimableSince time.Duration
--- a/internal/ownership/transfer.go
+++ b/internal/ownership/transfer.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		to := preferred[name]
-		heldLongEnough := now-r.heldSince >= minHoldDuration && to != ""
+		heldLongEnough := now-r.heldSince >= minHoldDuration && now >= r.transferAfter && to != ""
 		if to == m.cfg.Self.Node || !heldLongEnough && !m.selfDraining {
 			continue
 		}
@@ -81,6 +81,18 @@
 	m.shardStates[t.Shard] = r
 }
 
+// quiesceFailed returns the shard to phaseHeld. Its transfer is tried again after
+// minHoldDuration, since nothing is started while a shard is being quiesced; a
+// leaving node tries again at once.
+func (m *Manager) quiesceFailed(now time.Duration, t ShardToken) {
+	r := m.shardStates[t.Shard]
+	if r.phase != phaseQuiescing || r.token != t.Token {
+		return
+	}
+	r.phase, r.transferAfter = phaseHeld, now+minHoldDuration
+	m.shardStates[t.Shard] = r
+}
+
 func (m *Manager) releaseRefused(t ShardToken) {
 	r := m.shardStates[t.Shard]
 	if r.phase != phaseReleasing || r.token != t.Token {
