faultmatrix: stop only a process that owns the shard now

Cause: the steps "drain" to "take over" signal the owner of a random shard. They took it from the claims in the log, which name a process that was killed in an earlier cell and started again until another node has taken the shard over, 7 s or more later. The new process owns nothing, so that its stop leads to no release, and "hand over" is NOT REACHED. The steps also took records for theirs that an earlier cell had caused. Change: the trigger waits until the process itself reports the shard in its dump, and only records after that count. Events and time limits are the same.

--- a/internal/faultmatrix/record_test.go
+++ b/internal/faultmatrix/record_test.go
@@ -1,8 +1,13 @@
 package faultmatrix
 
 import (
+	"context"
+	"encoding/json"
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
+	"github.com/medlarpulley/medlarpulley/internal/apiclient"
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
@@ -64,3 +69,29 @@
 	}
 	return ""
 }
+
+// reportsShard reports whether a process says that it owns a shard now.
+func (tc *testCluster) reportsShard(p *process, shard string) bool {
+	client, err := apiclient.New(apiclient.Options{Entries: []string{p.httpAddress()}, Key: operatorToken})
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(tc.ctx, 2*time.Second)
+	defer cancel()
+	raw, err := client.Dump(ctx, client.Entries()[0])
+	var dump struct {
+		Shards []struct {
+			Shard    string `json:"shard"`
+			Draining bool   `json:"draining"`
+		} `json:"shards"`
+	}
+	if err != nil || json.Unmarshal(raw, &dump) != nil {
+		return false
+	}
+	for _, s := range dump.Shards {
+		if s.Shard == shard && !s.Draining {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/faultmatrix/step_test.go
+++ b/internal/faultmatrix/step_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
@@ -101,19 +102,24 @@
 	c.submit(c.entryIndex, patternsKey, spec, c.trace, false)
 }
 
-// stopOwner returns a trigger that sends a signal to a random shard owner.
+// stopOwner returns a trigger that sends a signal to the owner of a random shard.
+// The log names an owner that was killed and started again in an earlier cell
+// until its shard is taken over. A signal to its new process, which owns nothing,
+// would lead to no release. So the trigger waits until the process itself reports
+// the shard, and only later events count for the step.
 func stopOwner(s syscall.Signal) func(*cell) {
 	return func(c *cell) {
-		owners := c.owners()
-		names := []string{owners["zone-a/0"], owners["zone-b/0"], owners["zone-c/0"]}
-		name := names[c.random.IntN(len(names))]
-		for i, p := range c.processes {
-			if p.name == name {
-				c.entryIndex, c.stoppedNode = i, p
-				p.signal(s)
-				c.callers.Go(func() { p.stop(s) })
-			}
-		}
+		shards := []string{"zone-a/0", "zone-b/0", "zone-c/0"}
+		shard := shards[c.random.IntN(len(shards))]
+		owner := 0
+		c.waitFor(stepTimeout, func() bool {
+			name := c.owners()[shard]
+			owner = max(0, slices.IndexFunc(c.processes, func(p *process) bool { return p.name == name }))
+			return c.reportsShard(c.processes[owner], shard) || c.waitFor(20*pollInterval, never)
+		})
+		c.entryIndex, c.stoppedNode, c.fromOffset = owner, c.processes[owner], c.nextOffset()
+		c.stoppedNode.signal(s)
+		c.callers.Go(func() { c.stoppedNode.stop(s) })
 	}
 }
 
