Add the periodic records of an owner to an append through one function

Cause: withRunTimes checked whether the last append had space for its record; loadRecords was appended without the check, so that a summary behind 400 records cost a call of the store of its own. Change: withPeriodicRecords adds both kinds, each only where the last append has space. One without space stays due. Conclusion: run times are stored as before; a summary may come one append later.

--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -109,8 +109,7 @@
 		if ow.isBroken() {
 			return
 		}
-		if records = ow.withRunTimes(records, now); len(records) > 0 {
-			records = append(records, ow.loadRecords(now)...)
+		if records = ow.withPeriodicRecords(records, now); len(records) > 0 {
 			err := ow.store(ctx, records)
 			if errors.As(err, new(*worklog.UnstorableError)) {
 				continue // nothing that waits for the round counts as stored
--- a/internal/cell/owner/runtimes.go
+++ b/internal/cell/owner/runtimes.go
@@ -16,19 +16,18 @@
 	runTimesGaugeInterval = time.Second
 )
 
-// withRunTimes returns records with that of the run times after them, if it is due. It is
-// stored only with others and in the same append, so that it costs no call of the store.
-func (ow *Owner) withRunTimes(records []platform.Record, now time.Duration) []platform.Record {
-	if len(records)%maxRecordsPerAppend == 0 || now < ow.runTimesDue {
-		return records
+// runTimesRecords returns the record of the run times, none if it is not due or there is no news.
+func (ow *Owner) runTimesRecords(now time.Duration) []platform.Record {
+	if now < ow.runTimesDue {
+		return nil
 	}
 	var data []byte
 	ow.withState(func() { data = ow.scheduler.RunTimes() })
 	if data == nil {
-		return records
+		return nil
 	}
 	ow.runTimesDue = now + runTimesStoreInterval
-	return append(records, registry.RunTimesRecord(data))
+	return []platform.Record{registry.RunTimesRecord(data)}
 }
 
 // restoreRunTimes takes over the run times that an earlier owner has learned. A record that
--- a/internal/cell/owner/runtimes_test.go
+++ b/internal/cell/owner/runtimes_test.go
@@ -80,29 +80,29 @@
 func TestRunTimesAreStoredOnlyWithOtherRecords(t *testing.T) {
 	ow := New(learningOptions(Options{}))
 	other := []platform.Record{{Key: "p/x", Value: []byte("{}")}}
-	if got := ow.withRunTimes(other, 0); len(got) != 1 {
+	if got := ow.withPeriodicRecords(other, 0); len(got) != 1 {
 		t.Error("run times are stored before any run has ended")
 	}
 	endRun(ow, 1, "one")
 	now := time.Hour
-	if got := ow.withRunTimes(nil, now); len(got) != 0 {
+	if got := ow.withPeriodicRecords(nil, now); len(got) != 0 {
 		t.Error("run times are stored without other records")
 	}
-	if got := ow.withRunTimes(make([]platform.Record, maxRecordsPerAppend), now); len(got) != maxRecordsPerAppend {
+	if got := ow.withPeriodicRecords(make([]platform.Record, maxRecordsPerAppend), now); len(got) != maxRecordsPerAppend {
 		t.Error("run times are stored with an append of their own")
 	}
-	got := ow.withRunTimes(other, now)
+	got := ow.withPeriodicRecords(other, now)
 	if len(got) != 2 || got[1].Key != "t" || len(got[1].Value) == 0 {
 		t.Fatalf("the records are %v", got)
 	}
 	endRun(ow, 2, "two")
-	if got := ow.withRunTimes(other, now+runTimesStoreInterval-1); len(got) != 1 {
+	if got := ow.withPeriodicRecords(other, now+runTimesStoreInterval-1); len(got) != 1 {
 		t.Error("run times are stored twice within the interval")
 	}
-	if got := ow.withRunTimes(other, now+runTimesStoreInterval); len(got) != 2 {
+	if got := ow.withPeriodicRecords(other, now+runTimesStoreInterval); len(got) != 2 {
 		t.Error("run times are not stored after the interval")
 	}
-	if got := ow.withRunTimes(other, now+2*runTimesStoreInterval); len(got) != 1 {
+	if got := ow.withPeriodicRecords(other, now+2*runTimesStoreInterval); len(got) != 1 {
 		t.Error("run times are stored again without news")
 	}
 }
