Check the size of stored run times in one function

Change: runtimes.CheckSize with runtimes.MaxSnapshotBytes; messages are derived from the constants. A record that is too long is now described by its "size" in each of them. Measured: tests of runtimes and registry, and those of schedule about run times, pass. Conclusion: what is accepted is unchanged.

--- a/internal/cell/registry/runtimes.go
+++ b/internal/cell/registry/runtimes.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 
-	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/runtimes"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-// MaxRunTimesBytes bounds the record of run times.
-const MaxRunTimesBytes = 128 << 10
-
 // runTimes is the newest record of run times. The owner that takes it over decodes it.
 type runTimes struct {
 	value  []byte
@@ -22,8 +19,8 @@
 }
 
 func (r *Registry) applyRunTimes(rec platform.Record) error {
-	if len(rec.Value) > MaxRunTimesBytes {
-		return cell.NewFieldError(object(rec), "value", len(rec.Value), "at most 131072 bytes")
+	if err := runtimes.CheckSize(object(rec), rec.Value); err != nil {
+		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/cell/registry/runtimes_test.go
+++ b/internal/cell/registry/runtimes_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/runtimes"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -43,7 +44,7 @@
 func TestLongRecordOfRunTimesIsIgnored(t *testing.T) {
 	r := New(slog.New(slog.DiscardHandler))
 	r.Apply(at(1, RunTimesRecord([]byte("one"))))
-	r.Apply(at(2, RunTimesRecord([]byte(strings.Repeat("x", MaxRunTimesBytes+1)))))
+	r.Apply(at(2, RunTimesRecord([]byte(strings.Repeat("x", runtimes.MaxSnapshotBytes+1)))))
 	if got := string(r.RunTimes()); got != "one" {
 		t.Errorf("the run times are %.20q", got)
 	}
--- a/internal/cell/runtimes/key_snapshot.go
+++ b/internal/cell/runtimes/key_snapshot.go
@@ -73,7 +73,7 @@
 // check returns an error if a number is out of its range.
 func (k *keySnapshot) check() error {
 	if len(k.Queue) > maxQueueName {
-		return cell.NewFieldError("the snapshot of run times", "queue", len(k.Queue), "a name of at most 1024 bytes")
+		return cell.NewFieldError("the snapshot of run times", "queue", len(k.Queue), fmt.Sprintf("a name of at most %d bytes", maxQueueName))
 	}
 	if k.Step < 0 {
 		return cell.NewFieldError(k.object(), "step", k.Step, "0 or more")
@@ -83,12 +83,12 @@
 	}
 	for name, v := range map[string]float64{"time.mean": k.Time.Mean, "ratio.mean": k.Ratio.Mean} {
 		if math.Abs(v) > maxLogMean {
-			return cell.NewFieldError(k.object(), name, v, "-100 to 100")
+			return cell.NewFieldError(k.object(), name, v, fmt.Sprintf("%d to %d", -maxLogMean, maxLogMean))
 		}
 	}
 	for name, v := range map[string]float64{"time.error": k.Time.Error, "ratio.error": k.Ratio.Error, "median_error": k.MedianError, "estimate_error": k.EstimateError} {
 		if v < 0 || v > maxLogError {
-			return cell.NewFieldError(k.object(), name, v, "0 to 2")
+			return cell.NewFieldError(k.object(), name, v, fmt.Sprintf("0 to %g", maxLogError))
 		}
 	}
 	return nil
@@ -102,13 +102,13 @@
 func (d *distribution) restore(object, field string, list []int64) error {
 	const most = windows * windowSize
 	if len(list)%2 != 0 || len(list) > 2*most {
-		return cell.NewFieldError(object, field, len(list), "pairs of a value and a count, at most 192")
+		return cell.NewFieldError(object, field, len(list), fmt.Sprintf("pairs of a value and a count, at most %d", most))
 	}
 	var samples []float64
 	for i := 0; i < len(list); i += 2 {
 		value, count := list[i], list[i+1]
 		if value < 1 || value > maxValue || count < 1 || count > most || len(samples)+int(count) > most {
-			return cell.NewFieldError(object, field, fmt.Sprintf("%d, %d", value, count), "values of 1 to 86400000 and counts of 192 in all")
+			return cell.NewFieldError(object, field, fmt.Sprintf("%d, %d", value, count), fmt.Sprintf("values of 1 to %d and counts of %d in all", maxValue, most))
 		}
 		for range count {
 			samples = append(samples, float64(value))
--- a/internal/cell/runtimes/snapshot.go
+++ b/internal/cell/runtimes/snapshot.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -11,7 +13,7 @@
 )
 
 const (
-	// MaxSnapshotBytes bounds a snapshot that is restored.
+	// MaxSnapshotBytes bounds a snapshot that is restored, and the record that holds it.
 	MaxSnapshotBytes = 128 << 10
 	// writtenBytes bounds one that is written, so that its writer can add to it. It holds
 	// about 90 keys with two full histograms each; those used last come first.
@@ -53,6 +55,14 @@
 	return data
 }
 
+// CheckSize returns an error that names an object if its data exceed MaxSnapshotBytes.
+func CheckSize(object string, data []byte) error {
+	if len(data) > MaxSnapshotBytes {
+		return cell.NewFieldError(object, "size", len(data), fmt.Sprintf("at most %d bytes", MaxSnapshotBytes))
+	}
+	return nil
+}
+
 // newestKeys returns the keys, the one used last first.
 func (m *Model) newestKeys() []Key {
 	keys := make([]Key, 0, len(m.keys))
@@ -66,15 +76,15 @@
 // Restore replaces the content of the model by that of a snapshot. The model is unchanged if
 // the snapshot is malformed.
 func (m *Model) Restore(data []byte) error {
-	if len(data) > MaxSnapshotBytes {
-		return cell.NewFieldError("the snapshot of run times", "size", len(data), "at most 131072 bytes")
+	if err := CheckSize("the snapshot of run times", data); err != nil {
+		return err
 	}
 	var s snapshot
 	if err := json.Unmarshal(data, &s); err != nil {
 		return eris.Wrap(err, "decode the snapshot of run times")
 	}
 	if s.Version != snapshotVersion {
-		return cell.NewFieldError("the snapshot of run times", "version", s.Version, "1")
+		return cell.NewFieldError("the snapshot of run times", "version", s.Version, strconv.Itoa(snapshotVersion))
 	}
 	keys := make(map[Key]*learned, len(s.Keys))
 	for i, k := range s.Keys[:min(len(s.Keys), m.maxKeys)] {
--- a/internal/cell/runtimes/snapshot_test.go
+++ b/internal/cell/runtimes/snapshot_test.go
@@ -112,3 +112,14 @@
 		}
 	})
 }
+
+// Guards against a text that states another bound than the one that is checked.
+func TestSizeBoundIsStated(t *testing.T) {
+	if err := CheckSize("the record", make([]byte, MaxSnapshotBytes)); err != nil {
+		t.Error(err)
+	}
+	err := CheckSize("the record", make([]byte, MaxSnapshotBytes+1))
+	if err == nil || err.Error() != `the record: size is "131073", but must be at most 131072 bytes` {
+		t.Error(err)
+	}
+}
--- a/internal/cell/schedule/learning_snapshot.go
+++ b/internal/cell/schedule/learning_snapshot.go
@@ -20,6 +20,15 @@
 	Hosts map[string]float64 `json:"hosts,omitempty"`
 }
 
+// encode returns the stored form, nil if it exceeds the bound.
+func (l learningSnapshot) encode() []byte {
+	data, err := json.Marshal(l)
+	if err != nil || runtimes.CheckSize("", data) != nil {
+		return nil
+	}
+	return data
+}
+
 // RunTimes returns what is learned from ended runs in a form for RestoreRunTimes, at most
 // runtimes.MaxSnapshotBytes; nil if nothing has been learned since the last call.
 func (s *Scheduler) RunTimes() []byte {
@@ -36,12 +45,10 @@
 			snapshot.Hosts[h.spec.ID] = math.Round(100*slowness) / 100
 		}
 	}
-	data, err := json.Marshal(snapshot)
-	if err != nil || len(data) > runtimes.MaxSnapshotBytes {
+	data := snapshot.encode()
+	if data == nil {
 		snapshot.Hosts = nil // they are learned again sooner than run times
-		if data, err = json.Marshal(snapshot); err != nil || len(data) > runtimes.MaxSnapshotBytes {
-			return nil
-		}
+		data = snapshot.encode()
 	}
 	return data
 }
@@ -52,8 +59,8 @@
 	if s.learning == nil || len(data) == 0 {
 		return nil
 	}
-	if len(data) > runtimes.MaxSnapshotBytes {
-		return eris.Errorf("the record of run times has %d bytes, more than %d", len(data), runtimes.MaxSnapshotBytes)
+	if err := runtimes.CheckSize("the record of run times", data); err != nil {
+		return err
 	}
 	var snapshot learningSnapshot
 	if err := json.Unmarshal(data, &snapshot); err != nil {
