State the rule for overdue runs once

Cause: schedule and runtimes each had the rule, with a constant of 500 ms each. Change: runtimes.UntilEnd, used by both. Measured: all tests of schedule and runtimes pass. Conclusion: expected ends are unchanged.

--- a/internal/cell/runtimes/model.go
+++ b/internal/cell/runtimes/model.go
@@ -83,7 +83,7 @@
 	speed := clampSpeed(hostSpeed)
 	l := m.lookUp(k)
 	if l == nil {
-		return Exactly(untilEnd(scale(float64(estimate), speed), elapsed))
+		return Exactly(UntilEnd(scale(float64(estimate), speed), elapsed))
 	}
 	d, unit := l.measure(estimate)
 	t := d.table()
@@ -91,7 +91,7 @@
 	below := t.below(float64(elapsed) * speed / unit)
 	left := func(quantile float64) time.Duration {
 		if below >= 1 {
-			return untilEnd(scale(t.at(1)*unit, speed), elapsed)
+			return UntilEnd(scale(t.at(1)*unit, speed), elapsed)
 		}
 		return max(scale(t.at(below+quantile*(1-below))*unit, speed)-elapsed, minRemaining)
 	}
@@ -133,8 +133,10 @@
 	return l
 }
 
-// untilEnd returns how long a run is expected to take that should take a duration in all.
-func untilEnd(whole, elapsed time.Duration) time.Duration {
+// UntilEnd returns how much longer a run is expected to take that should take a duration in
+// all. One that has exceeded it is expected to exceed it by as much again, and by minOverdue
+// at least.
+func UntilEnd(whole, elapsed time.Duration) time.Duration {
 	if left := whole - elapsed; left > 0 {
 		return left
 	}
--- a/internal/cell/schedule/expect.go
+++ b/internal/cell/schedule/expect.go
@@ -22,9 +22,5 @@
 	if s.learning != nil && g.runTimesLearned() {
 		return s.learning.model.Remaining(g.runTimeKey(), g.step.Estimate, 1/r.host.health.slowness, s.now-r.orderedAt)
 	}
-	left := r.orderedAt + g.estimate(r.host) - s.now
-	if left <= 0 {
-		left = max(-left, overdueExtension)
-	}
-	return runtimes.Exactly(left)
+	return runtimes.Exactly(runtimes.UntilEnd(g.estimate(r.host), s.now-r.orderedAt))
 }
--- a/internal/cell/schedule/reservation.go
+++ b/internal/cell/schedule/reservation.go
@@ -73,10 +73,6 @@
 	size resource.Vector
 }
 
-// overdueExtension is how much longer a run is expected to take at least once it has
-// exceeded its estimate.
-const overdueExtension = 500 * time.Millisecond
-
 // expectedEnds returns the expected ends of a host's runs, sorted by time. Runs of
 // long-running steps have none.
 func (s *Scheduler) expectedEnds(h *host) []expectedEnd {
