Check optional settings through one function

Cause: optionalNumber was optional without a lower bound, for one setting. Change: bounds.evacuation_ms is checked by optional, from 1 ms on or 0. Conclusion: the same values are accepted; the message reads "0, or a number from 1 to" in place of "0 for none, or a number of at most 1e+09".

--- a/internal/cell/config/check.go
+++ b/internal/cell/config/check.go
@@ -47,7 +47,7 @@
 	c.number("bounds.gang_timeout_ms", float64(s.Bounds.GangTimeoutMs), maxBound)
 	c.number("bounds.revoke_ms", float64(s.Bounds.RevokeMs), maxBound)
 	c.number("bounds.config_apply_ms", float64(s.Bounds.ConfigApplyMs), maxBound)
-	c.optionalNumber("bounds.evacuation_ms", float64(s.Bounds.EvacuationMs), maxBound)
+	c.optional("bounds.evacuation_ms", s.Bounds.EvacuationMs, 1, maxBound)
 	c.number("bounds.grace_seconds", s.Bounds.GraceSeconds, maxBound)
 	c.number("bounds.status_seconds", s.Bounds.StatusSeconds, maxBound)
 	c.number("limits.memory_mib", float64(s.Limits.MemoryMiB), maxBound)
@@ -73,17 +73,12 @@
 	c.require(err == nil && portErr == nil && n <= maxPort, field, value, fmt.Sprintf("HOST:PORT with a port of 0 to %d", maxPort))
 }
 
-// optionalNumber requires a number above 0, or 0 for none.
-func (c *checker) optionalNumber(field string, value, largest float64) {
-	c.require(value >= 0 && value <= largest, field, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("0 for none, or a number of at most %g", largest))
-}
-
 // number requires a number above 0. Infinity and values that are no number are refused.
 func (c *checker) number(field string, value, largest float64) {
 	c.require(value > 0 && value <= largest, field, strconv.FormatFloat(value, 'g', -1, 64), fmt.Sprintf("a number above 0, at most %g", largest))
 }
 
-// optional requires 0 or a whole number in a range.
+// optional requires a whole number in a range, or 0 for the default or none.
 func (c *checker) optional(field string, value, smallest, largest int64) {
 	c.require(value == 0 || value >= smallest && value <= largest, field, strconv.FormatInt(value, 10), fmt.Sprintf("0, or a number from %d to %d", smallest, largest))
 }
