Set the gauges that are 0 or 1 through one function

Cause: metrics.go and load_metrics.go each converted a condition. Change: updateFlag. Measured: tests of owner pass. Conclusion: the metrics are unchanged.

--- a/internal/cell/owner/load_metrics.go
+++ b/internal/cell/owner/load_metrics.go
@@ -43,11 +43,7 @@
 func (m *loadMetrics) setShares(s *schedule.Scheduler, now time.Duration) {
 	held, contended := s.SharesHeld()
 	m.sharesHeld.Update(float64(held))
-	value := 0.0
-	if contended {
-		value = 1
-	}
-	m.contended.Update(value)
+	updateFlag(m.contended, contended)
 	if now < m.sharesAt+shareMetricsInterval {
 		return
 	}
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -54,13 +54,7 @@
 }
 
 // setHeld shows whether no starts are planned.
-func (m *metrics) setHeld(held bool) {
-	value := 0.0
-	if held {
-		value = 1
-	}
-	m.startsHeld.Update(value)
-}
+func (m *metrics) setHeld(held bool) { updateFlag(m.startsHeld, held) }
 
 // setBounds shows how much the scheduler holds, how many submissions wait for room there, and
 // how many starts wait to be sent.
