Derive the slack of a gang from learned run times in any case

Cause: Scheduler.slack read the critical path that the job had cached. If the desired state had changed since, that was computed from the estimates, and kept for the queue's order too until the next refresh (1 s). Change: it uses Scheduler.criticalPath like the queue. Conclusion: decisions change only where the cached path was missing or old.

--- a/internal/cell/schedule/gang_advice.go
+++ b/internal/cell/schedule/gang_advice.go
@@ -34,7 +34,7 @@
 // is expected to miss it anyway, until its result is of no use.
 func (s *Scheduler) slack(g *group) time.Duration {
 	j := g.job
-	left := j.due - s.now - j.criticalPath(g.id.Step)
+	left := j.due - s.now - s.criticalPath(j, g.id.Step)
 	if left < 0 {
 		left += (tooLateFactor - 1) * (j.due - j.arrived)
 	}
