Move the evidence of crashes to a package of its own

Change: internal/cell/crash holds the evidence of a task (Evidence), its verdicts, and the choice of the suspected runs (Suspects). It knows neither hosts nor groups.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -1,34 +1,16 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 const (
-	// crashWindow is how long before a crash a run may have started to be the suspected
-	// cause. If no run has, every run on the host may be the cause.
-	crashWindow = 150 * time.Millisecond
-	// sameOrders is the time between the starts of orders that are sent together. Of the
-	// runs in the window the last ones are suspected most: a run that crashes its host at
-	// its start leaves no time for later ones.
-	sameOrders = 30 * time.Millisecond
-	// crashesUnlessRecent is how often the host of a task has to crash, without the task
-	// having started right before, until the task is suspected.
-	crashesUnlessRecent = 2
-	// crashesToFail is how many crashes show that a task crashes its hosts if it was
-	// alone on the last one. crashesToFailBlamed is how many do otherwise if few others
-	// may have caused them, which is the case from blameToFail on, and maxCrashes how
-	// many in any case, crashes of hosts that were silent before included.
-	crashesToFail       = 2
-	crashesToFailBlamed = 3
-	blameToFail         = 1.5
-	maxCrashes          = 5
 	// trialDuration is how long a task that was suspected since it had started right
 	// before a crash has to run alone on a host to be cleared.
-	trialDuration = 3 * crashWindow
+	trialDuration = 3 * crash.Window
 	// lateTrialDuration applies if a task may crash its host late.
 	lateTrialDuration = 10 * time.Second
 )
@@ -58,38 +40,32 @@
 // suspectRuns marks the runs that may be the cause of a crash.
 func (s *Scheduler) suspectRuns(h *host, notBefore time.Duration) {
 	h.crashed, h.crashedSilently = true, h.silent || !h.runsKnown
+	runs := make([]*taskRun, 0, len(h.runs))
+	starts := make([]crash.Start, 0, len(h.runs))
+	for _, a := range h.runs {
+		runs, starts = append(runs, a), append(starts, a.start())
+	}
 	if h.crashedSilently {
-		for _, a := range h.runs {
-			a.suspected = a.mayHaveStartedSince(h.reportedAt - crashWindow)
-		}
+		setSuspicions(runs, crash.SuspectsOfSilent(starts, h.reportedAt))
 		return
 	}
-	inWindow := func(a *taskRun) bool { return a.mayHaveStartedSince(notBefore - crashWindow) }
-	var last time.Duration
-	any := false
-	for _, a := range h.runs {
-		if inWindow(a) {
-			any, last = true, max(last, a.acceptedAt)
-		}
-	}
-	for _, a := range h.runs {
-		a.suspected = !any || inWindow(a)
-		a.recent = any && inWindow(a) && (a.acceptedAt == 0 || a.acceptedAt >= last-sameOrders)
+	setSuspicions(runs, crash.Suspects(starts, notBefore))
+	s.addRisk(h, 1)
+}
+
+func setSuspicions(runs []*taskRun, list []crash.Suspicion) {
+	for i, a := range runs {
+		a.suspected, a.recent = list[i].Suspected, list[i].Recent
 		if a.recent {
 			a.task.group.job.suspectedRuns++
 		}
 	}
-	s.addRisk(h, 1)
 }
 
-// mayHaveStartedSince reports whether the run may have started after a time. When a run that
-// an earlier owner ordered started is unknown, which says nothing against it; only that of a
-// trial is known to be recent.
-func (a *taskRun) mayHaveStartedSince(t time.Duration) bool {
-	if a.adopted && a.task.countedAt().trialRun != a.run {
-		return false
-	}
-	return a.acceptedAt == 0 || a.acceptedAt >= t
+// start returns what is known of the start of a run. When a run that an earlier owner ordered
+// started is unknown; only that of a trial is known to be recent.
+func (a *taskRun) start() crash.Start {
+	return crash.Start{At: a.acceptedAt, Unknown: a.adopted && a.task.countedAt().trialRun != a.run}
 }
 
 // clearSuspectedRuns ends the suspicion of the runs on a host that did not crash.
@@ -158,9 +134,10 @@
 // else can have caused it.
 func (s *Scheduler) countCrash(t *task, host string, c cell.Crash, alone bool) {
 	j := t.group.job
-	if t.done || j.state.Final() || !t.addCrash(c) {
+	if t.done || j.state.Final() || !t.evidence.Add(c) {
 		return
 	}
+	t.detailsChanged()
 	t.forgetTrial(t.trialRun)
 	s.changed[j.sub.ID] = true
 	message := "The host crashed, and a task of the submission may be the cause."
@@ -171,56 +148,16 @@
 	s.judge(t, alone)
 }
 
-// addCrash adds a crash under a run of a task, or of its gang, and reports whether that
-// says something new. Of a gang that lost several hosts, one crash counts: the one that
-// says most.
-func (t *task) addCrash(c cell.Crash) bool {
-	i := slices.IndexFunc(t.crashes, func(o cell.Crash) bool { return o.Run == c.Run })
-	if i < 0 {
-		t.crashes = append(t.crashes, c)
-		t.detailsChanged()
-		return true
-	}
-	o := t.crashes[i]
-	members := joinMembers(o.Members, c.Members)
-	if (c.Silent || !o.Silent) && len(members) == len(o.Members) {
-		return false
-	}
-	if !o.Silent {
-		c = o
-	}
-	c.Members = members
-	t.crashes = append(slices.Delete(slices.Clone(t.crashes), i, i+1), c)
-	t.detailsChanged()
-	return true
-}
-
-// joinMembers returns the indexes of gang members in either list.
-func joinMembers(a, b []int) []int {
-	out := slices.Clone(a)
-	for _, i := range b {
-		if !slices.Contains(out, i) {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
 // forgetOldCrashes forgets the crashes under earlier runs of the task of a run, or of its
 // gang, if the run has lasted on a host that answers: its task crashes no hosts soon after
 // its start. They would else add up over the life of a task. So would those of silent hosts
 // under the run itself, which count only for what may have begun there.
 func (s *Scheduler) forgetOldCrashes(a *taskRun) {
 	t := a.task.countedAt()
-	n := len(t.crashes) + len(t.unconfirmed)
-	if n == 0 || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
+	if t.evidence.Empty() || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
 		return
 	}
-	old := func(c cell.Crash) bool { return c.Silent || c.Run < a.run }
-	// A stored copy may be read meanwhile.
-	t.crashes = slices.DeleteFunc(slices.Clone(t.crashes), old)
-	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c unconfirmedCrash) bool { return old(c.Crash) })
-	if len(t.crashes)+len(t.unconfirmed) < n {
+	if t.evidence.ForgetBefore(a.run) {
 		t.detailsChanged()
 		s.changed[t.id.Submission] = true
 		s.endUnfoundedSuspicion(t.group.job)
@@ -240,8 +177,9 @@
 // alone on its host for long enough.
 func (s *Scheduler) clear(t *task, host string) {
 	j, t := t.group.job, t.countedAt()
-	if len(t.crashes) > 0 || len(t.unconfirmed) > 0 || t.trialRun != 0 {
-		t.crashes, t.unconfirmed, t.trialRun, t.trialHosts = nil, nil, 0, nil
+	if !t.evidence.Empty() || t.trialRun != 0 {
+		t.evidence.Clear()
+		t.trialRun, t.trialHosts = 0, nil
 		t.detailsChanged()
 		s.changed[j.sub.ID] = true
 	}
--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 // Guards against crash counts that a takeover forgets, against bystanders that are
@@ -60,7 +61,7 @@
 			c.pollHosts()
 		}
 		c.s.MarkReconciled(c.now)
-		return c.s.jobs["deadly"].groups[0].tasks[0].crashes
+		return c.s.jobs["deadly"].groups[0].tasks[0].evidence.Confirmed
 	}
 	c.advance(10 * time.Millisecond)
 	for range 34 {
@@ -76,8 +77,8 @@
 		t.Error("the submission is open after 10 s")
 	}
 	checkCrashes(t, c)
-	if got := c.crashes[cell.TaskID{Submission: "deadly"}]; got > maxCrashes {
-		t.Errorf("%d hosts crashed under the task, want %d at most", got, maxCrashes)
+	if got := c.crashes[cell.TaskID{Submission: "deadly"}]; got > crash.MaxCrashes {
+		t.Errorf("%d hosts crashed under the task, want %d at most", got, crash.MaxCrashes)
 	}
 }
 
@@ -97,7 +98,7 @@
 	}
 	c.replaceOwner()
 	c.s.MarkReconciled(c.now)
-	if got := c.s.jobs["sound"].groups[0].tasks[0].crashes; len(got) > 0 {
+	if got := c.s.jobs["sound"].groups[0].tasks[0].evidence.Confirmed; len(got) > 0 {
 		t.Errorf("%+v is counted for a trial that ended as failed", got)
 	}
 }
@@ -123,7 +124,7 @@
 		step := smallStep(12, time.Second)
 		step.Gang = gang
 		c.submit("sound", "q", "a", step)
-		for range maxCrashes {
+		for range crash.MaxCrashes {
 			c.s.jobs["sound"].suspected = true
 			c.decide(func(Start) int { return 2 }) // the orders are lost with the owner
 			if c.s.jobs["sound"].groups[0].tasks[0].trialRun == 0 {
@@ -134,7 +135,7 @@
 			c.now += 100 * time.Millisecond
 		}
 		j := c.s.jobs["sound"]
-		if got := j.groups[0].tasks[0].crashes; len(got) > 0 || j.state.Final() {
+		if got := j.groups[0].tasks[0].evidence.Confirmed; len(got) > 0 || j.state.Final() {
 			t.Errorf("gang %t: the submission is %s, and %d crashes are counted, though no host has crashed", gang, j.state, len(got))
 		}
 	}
@@ -153,7 +154,7 @@
 	c.replaceOwner()
 	c.s.MarkReconciled(c.now) // the leases have expired
 	j := c.s.jobs["job"]
-	if got := j.groups[0].tasks[0].crashes; len(got) != 1 || !got[0].Silent || j.suspected {
+	if got := j.groups[0].tasks[0].evidence.Confirmed; len(got) != 1 || !got[0].Silent || j.suspected {
 		t.Errorf("%+v is counted, suspected is %t", got, j.suspected)
 	}
 }
@@ -210,8 +211,8 @@
 			c.advance(100 * time.Millisecond)
 		}
 		for _, task := range j.groups[0].tasks {
-			if silent && len(task.crashes) > 0 || !silent && len(task.crashes) > 0 && task.crashes[0].Recent {
-				t.Errorf("silent %t: %+v is counted", silent, task.crashes)
+			if silent && len(task.evidence.Confirmed) > 0 || !silent && len(task.evidence.Confirmed) > 0 && task.evidence.Confirmed[0].Recent {
+				t.Errorf("silent %t: %+v is counted", silent, task.evidence.Confirmed)
 				break
 			}
 		}
@@ -232,7 +233,7 @@
 	c.s.MarkReconciled(c.now)
 	c.s.MarkRestarted(id, c.now, c.now)
 	c.advance(100 * time.Millisecond)
-	if got := c.s.jobs["sound"].groups[0].tasks[0].crashes; len(got) > 0 || c.running("sound") != 1 {
+	if got := c.s.jobs["sound"].groups[0].tasks[0].evidence.Confirmed; len(got) > 0 || c.running("sound") != 1 {
 		t.Errorf("%+v is counted, %d tasks run", got, c.running("sound"))
 	}
 }
@@ -261,7 +262,7 @@
 		c.replaceOwner()
 		lose(c, id)
 		c.s.MarkReconciled(c.now)
-		if got := c.s.jobs["job"].groups[0].tasks[0].crashes; len(got) != 1 || got[0].Silent || !c.s.jobs["job"].suspected {
+		if got := c.s.jobs["job"].groups[0].tasks[0].evidence.Confirmed; len(got) != 1 || got[0].Silent || !c.s.jobs["job"].suspected {
 			t.Errorf("%s: %+v is counted, suspected is %t", name, got, c.s.jobs["job"].suspected)
 		}
 	}
@@ -281,7 +282,7 @@
 	c.s.AssumeRunPresent(id, Run{Task: run.task, Run: run.run}, c.now)
 	c.s.MarkReconciled(c.now)
 	c.s.MarkRestarted(id, c.now, c.now)
-	if got := c.s.jobs["job"].groups[0].tasks[0].crashes; len(got) != 1 {
+	if got := c.s.jobs["job"].groups[0].tasks[0].evidence.Confirmed; len(got) != 1 {
 		t.Errorf("%+v is counted, want one crash", got)
 	}
 }
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -111,8 +112,8 @@
 		}
 		checkCrashes(t, c)
 		for id, n := range c.crashes {
-			if n > crashesToFail {
-				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crashesToFail)
+			if n > crash.ToFail {
+				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crash.ToFail)
 			}
 		}
 	}
@@ -147,7 +148,7 @@
 				if a.task.group == h.trial.task.group {
 					continue
 				}
-				if a.orderedAt > h.trial.orderedAt-crashWindow {
+				if a.orderedAt > h.trial.orderedAt-crash.Window {
 					t.Fatalf("host %s has another run beside a suspected one that may be the cause of a crash as well", h.spec.ID)
 				}
 				if !a.alone && !mayShare {
--- a/internal/cell/schedule/gang_crash_test.go
+++ b/internal/cell/schedule/gang_crash_test.go
@@ -34,7 +34,7 @@
 			for n, member := range c.members {
 				until(func() bool { return cl.running("gang") == step.Count })
 				cl.crash(g.tasks[member].runs[0].host.spec.ID)
-				until(func() bool { return len(g.tasks[0].crashes) > n })
+				until(func() bool { return len(g.tasks[0].evidence.Confirmed) > n })
 			}
 			cl.advance(10 * time.Millisecond)
 			if got := cl.state["gang"]; got != c.want {
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 // maxSubmissionAge limits the age of a submission on arrival, which depends on
@@ -73,12 +74,12 @@
 	for i := range step.Count {
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
-			group: g, done: j.doneTasks.Has(g.firstTask + i), failures: stored.Failures[i], crashes: stored.Crashes[i],
+			group: g, done: j.doneTasks.Has(g.firstTask + i), failures: stored.Failures[i], evidence: crash.Evidence{Confirmed: stored.Crashes[i]},
 			trialRun: stored.Trials[i], trialHosts: stored.TrialHosts[i], checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		s.restoreUnconfirmed(t, stored.UnconfirmedCrashes[i])
 		if !t.done {
-			j.suspected = j.suspected || t.suspectedCause()
+			j.suspected = j.suspected || t.evidence.Suspects()
 			g.left++
 			g.waiting++
 		}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -204,7 +204,7 @@
 	var tasks []*task
 	if g.trial {
 		tasks = g.waitingTasks()
-		slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+		slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.evidence.Confirmed), len(a.evidence.Confirmed)) })
 		tasks = tasks[:min(most, len(tasks))]
 	} else {
 		tasks = g.firstWaitingTasks(most)
--- a/internal/cell/schedule/progress.go
+++ b/internal/cell/schedule/progress.go
@@ -72,7 +72,7 @@
 
 // hasDetails reports whether more is to be stored of the task than whether it is done.
 func (t *task) hasDetails() bool {
-	return !t.done && (len(t.failures) > 0 || len(t.crashes) > 0 || len(t.unconfirmed) > 0 || t.trialRun != 0 || t.checkpoint != "")
+	return !t.done && (len(t.failures) > 0 || !t.evidence.Empty() || t.trialRun != 0 || t.checkpoint != "")
 }
 
 // addDetails adds the details of the task to the progress of its group.
@@ -81,11 +81,11 @@
 	if len(t.failures) > 0 {
 		setDetail(&p.Failures, i, t.failures)
 	}
-	if len(t.crashes) > 0 {
-		setDetail(&p.Crashes, i, t.crashes)
+	if len(t.evidence.Confirmed) > 0 {
+		setDetail(&p.Crashes, i, t.evidence.Confirmed)
 	}
-	if len(t.unconfirmed) > 0 {
-		setDetail(&p.UnconfirmedCrashes, i, t.storedUnconfirmed())
+	if len(t.evidence.Unconfirmed) > 0 {
+		setDetail(&p.UnconfirmedCrashes, i, t.evidence.Stored())
 	}
 	if t.trialRun != 0 {
 		setDetail(&p.Trials, i, t.trialRun)
--- a/internal/cell/schedule/queue_risk.go
+++ b/internal/cell/schedule/queue_risk.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 const (
@@ -179,7 +181,7 @@
 		}
 		for _, t := range g.tasks {
 			for _, a := range t.runs {
-				if a.phase == phaseRunning && !a.host.crashed && s.now >= a.acceptedAt+crashWindow {
+				if a.phase == phaseRunning && !a.host.crashed && s.now >= a.acceptedAt+crash.Window {
 					j.proven = true
 					return false
 				}
--- a/internal/cell/schedule/restart_test.go
+++ b/internal/cell/schedule/restart_test.go
@@ -96,8 +96,8 @@
 			c.s.ApplyReport(o.Host, sent, c.now, l)
 			c.decide(nil)
 			task := c.s.jobs["job"].groups[0].tasks[0]
-			if len(task.runs) != 1 || task.runs[0].adopted || len(task.crashes) > 0 {
-				t.Errorf("%d runs are known, %+v is counted", len(task.runs), task.crashes)
+			if len(task.runs) != 1 || task.runs[0].adopted || len(task.evidence.Confirmed) > 0 {
+				t.Errorf("%d runs are known, %+v is counted", len(task.runs), task.evidence.Confirmed)
 			}
 			if !c.stepUntilFinished(50, 100*time.Millisecond) {
 				t.Error("the submission is open after 5 s")
--- a/internal/cell/schedule/silent_crash_test.go
+++ b/internal/cell/schedule/silent_crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 // Guards against sound work that is suspected, and a queue that is confined, since hosts
@@ -63,7 +64,7 @@
 	for _, gang := range []bool{false, true} {
 		c := crashCluster(6)
 		c.lastingJob("lasting", 1, gang)
-		for range 2 * maxCrashes {
+		for range 2 * crash.MaxCrashes {
 			c.decide(nil)
 			c.crashSilently(c.hostOf("lasting"))
 			for range 300 {
@@ -84,7 +85,7 @@
 		c := crashCluster(8)
 		const tasks = 12
 		c.lastingJob("lasting", tasks, gang)
-		for n := range 2 * maxCrashes {
+		for n := range 2 * crash.MaxCrashes {
 			c.advanceFor(25 * time.Second)
 			if got := c.running("lasting"); got != tasks {
 				t.Fatalf("gang %t: %d of %d tasks run 25 s after crash %d", gang, got, tasks, n)
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 // task is one task of a submission.
@@ -14,11 +15,9 @@
 	// runs are the runs that are or may be present.
 	runs     []*taskRun
 	failures []int64
-	// crashes are the crashes of hosts that the task may have caused; those of a gang
+	// evidence holds the crashes of hosts that the task may have caused; those of a gang
 	// are recorded at its first task.
-	crashes []cell.Crash
-	// unconfirmed are the possible crashes of hosts likewise.
-	unconfirmed []unconfirmedCrash
+	evidence crash.Evidence
 	// trialRun is the run that was started alone on a host, since the task is suspected
 	// of crashing hosts, until its outcome is known; zero if there is none. That of a
 	// gang is recorded at its first task. trialHosts are its hosts.
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -19,7 +20,7 @@
 	// One in agedTrialInterval trials goes to the suspect that has waited longest.
 	agedTrialInterval = 4
 	// trialPatience is how long a suspect waits for hosts without other runs. After that it
-	// may be tried beside runs that have started more than crashWindow before, unless
+	// may be tried beside runs that have started more than crash.Window before, unless
 	// at least maxSharedCrashes trials of its queue have crashed their hosts of late.
 	trialPatience    = time.Second
 	maxSharedCrashes = 0.5
@@ -227,7 +228,7 @@
 // it crashed now.
 func (h *host) settled(now time.Duration) bool {
 	for _, a := range h.runs {
-		if a.acceptedAt == 0 || now < a.acceptedAt+crashWindow {
+		if a.acceptedAt == 0 || now < a.acceptedAt+crash.Window {
 			return false
 		}
 	}
@@ -280,10 +281,8 @@
 // start.
 func (g *group) crashesLate() bool {
 	for _, t := range g.tasks {
-		for _, c := range t.suspicions() {
-			if !c.Recent {
-				return true
-			}
+		if t.evidence.Late() {
+			return true
 		}
 	}
 	return false
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -39,7 +39,7 @@
 func (s *Scheduler) countUnknownTrials() {
 	for _, g := range s.liveGroups() {
 		for _, t := range g.tasks {
-			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.countsCrash(t.trialRun, false) {
+			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.evidence.Counts(t.trialRun, false) {
 				continue
 			}
 			c, crashed := s.crashOfTrial(t)
@@ -49,7 +49,7 @@
 			if !crashed {
 				continue
 			}
-			t.crashes = append(t.crashes, c)
+			t.evidence.Confirmed = append(t.evidence.Confirmed, c)
 			s.logMessage(t.id.Submission, "", "The outcome of a task that an earlier owner started alone is unknown; its host is assumed to have crashed.")
 			s.judge(t, false)
 		}
--- a/internal/cell/schedule/trial_share_test.go
+++ b/internal/cell/schedule/trial_share_test.go
@@ -26,7 +26,7 @@
 		id := fmt.Sprintf("deadly%02d", i)
 		c.submit(id, "q", "b", smallStep(1, time.Second))
 		j := c.s.jobs[id]
-		j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
+		j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
 	}
 	var lastCrash time.Duration
 	wasDown := make(map[string]bool)
@@ -108,7 +108,7 @@
 				id := fmt.Sprintf("deadly%02d", n)
 				c.submit(id, "q", "b", smallStep(1, time.Second))
 				j := c.s.jobs[id]
-				j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
+				j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
 			}
 			c.s.risks["q"] = &queueRisk{trialCrashes: 10, at: c.now}
 		}
--- a/internal/cell/schedule/trial_test.go
+++ b/internal/cell/schedule/trial_test.go
@@ -66,7 +66,7 @@
 	step.LongRunning = true
 	c.submit("serving", "q", "a", step)
 	j := c.s.jobs["serving"]
-	j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Run: 1, Suspects: 1, Seen: true}, {Run: 2, Suspects: 1, Seen: true}}
+	j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Run: 1, Suspects: 1, Seen: true}, {Run: 2, Suspects: 1, Seen: true}}
 	for range 30 {
 		c.advance(100 * time.Millisecond)
 	}
--- a/internal/cell/schedule/trial_wait_test.go
+++ b/internal/cell/schedule/trial_wait_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -97,7 +98,7 @@
 	suspect := func(id string, suspects int) {
 		c.submit(id, "q", "b", smallStep(1, 400*time.Millisecond))
 		j := c.s.jobs[id]
-		j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Recent: true, Suspects: suspects}}
+		j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Recent: true, Suspects: suspects}}
 	}
 	const ahead = 20
 	for i := range 1000 { // 100 s
@@ -132,11 +133,11 @@
 	if !c.advanceUntil(200, "deadly") {
 		t.Errorf("the task that crashes its hosts is %s after 20 s", c.state["deadly"])
 	}
-	if n := c.crashes[cell.TaskID{Submission: "deadly"}]; n != crashesToFail {
-		t.Errorf("it crashed %d hosts, want %d", n, crashesToFail)
+	if n := c.crashes[cell.TaskID{Submission: "deadly"}]; n != crash.ToFail {
+		t.Errorf("it crashed %d hosts, want %d", n, crash.ToFail)
 	}
 	for i := range 8 {
-		if j := c.s.jobs[fmt.Sprintf("busy%d", i)]; j.suspected || len(j.groups[0].tasks[0].crashes) > 0 {
+		if j := c.s.jobs[fmt.Sprintf("busy%d", i)]; j.suspected || len(j.groups[0].tasks[0].evidence.Confirmed) > 0 {
 			t.Errorf("%s is blamed for a crash of a task that started long after it", j.sub.ID)
 		}
 	}
@@ -154,7 +155,7 @@
 	c.advance(time.Second)
 	c.submit("suspect", "q", "b", smallStep(1, 5*time.Second))
 	j := c.s.jobs["suspect"]
-	j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Suspects: 4, Seen: true}, {Suspects: 4, Seen: true}}
+	j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Suspects: 4, Seen: true}, {Suspects: 4, Seen: true}}
 	for range 30 {
 		c.advance(100 * time.Millisecond)
 	}
@@ -167,11 +168,11 @@
 		c.advance(100 * time.Millisecond)
 	}
 	for i := range 8 {
-		if other := c.s.jobs[fmt.Sprintf("busy%d", i)]; len(other.groups[0].tasks[0].crashes) > 0 {
+		if other := c.s.jobs[fmt.Sprintf("busy%d", i)]; len(other.groups[0].tasks[0].evidence.Confirmed) > 0 {
 			t.Errorf("the crash is counted for %s", other.sub.ID)
 		}
 	}
-	if got := j.groups[0].tasks[0].crashes; len(got) != 3 || got[2].Suspects != 2 || j.state.Final() {
+	if got := j.groups[0].tasks[0].evidence.Confirmed; len(got) != 3 || got[2].Suspects != 2 || j.state.Final() {
 		t.Errorf("%+v is counted for the suspect, which is %s", got, j.state)
 	}
 }
@@ -189,7 +190,7 @@
 		c.submit(fmt.Sprintf("sound%03d", i), "q", "a", smallStep(1, 100*time.Millisecond))
 		if c.advance(20 * time.Millisecond); c.running("suspect") > 0 {
 			for _, r := range c.s.sortedHosts[0].runs {
-				if id := r.task.id.Submission; id != "suspect" && r.orderedAt > c.now-crashWindow {
+				if id := r.task.id.Submission; id != "suspect" && r.orderedAt > c.now-crash.Window {
 					t.Errorf("%s has started %s before the trial", id, c.now-r.orderedAt)
 				}
 			}
@@ -255,7 +256,7 @@
 		c.submit(id, "q", "a", smallStep(1, 20*time.Second))
 		j := c.s.jobs[id]
 		j.suspected = true
-		j.groups[0].tasks[0].crashes = []cell.Crash{{Run: -1, Suspects: 9, Seen: true}, {Run: -2, Suspects: 9, Seen: true}}
+		j.groups[0].tasks[0].evidence.Confirmed = []cell.Crash{{Run: -1, Suspects: 9, Seen: true}, {Run: -2, Suspects: 9, Seen: true}}
 	}
 	for range 20 {
 		c.advance(100 * time.Millisecond)
--- a/internal/cell/schedule/unconfirmed.go
+++ b/internal/cell/schedule/unconfirmed.go
@@ -2,27 +2,11 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
-const (
-	// confirmationTimeout is how long a task under which too many hosts may have crashed
-	// waits for one of them to answer.
-	confirmationTimeout = 30 * time.Second
-	// maxUnconfirmed bounds the unconfirmed crashes of a task; the oldest are forgotten.
-	maxUnconfirmed = 64
-)
-
-// unconfirmedCrash is an unconfirmed crash of a task, or of its gang. The task is suspected
-// for it, but not given up.
-type unconfirmedCrash struct {
-	cell.UnconfirmedCrash
-	// recordedAt is when this owner learned of it.
-	recordedAt time.Duration
-}
-
 // recordUnconfirmed records an unconfirmed crash under a task, or under its gang.
 func (s *Scheduler) recordUnconfirmed(t *task, c cell.UnconfirmedCrash) {
 	j := t.group.job
@@ -36,19 +20,11 @@
 	s.judge(t, false)
 }
 
-// addUnconfirmed adds an unconfirmed crash. Several members of a gang on one host count
-// once.
+// addUnconfirmed adds an unconfirmed crash.
 func (s *Scheduler) addUnconfirmed(t *task, c cell.UnconfirmedCrash) {
 	t.detailsChanged()
-	for i := range t.unconfirmed {
-		if o := &t.unconfirmed[i]; o.Run == c.Run && o.Host == c.Host {
-			o.Members = joinMembers(o.Members, c.Members)
-			return
-		}
-	}
-	t.unconfirmed = append(t.unconfirmed, unconfirmedCrash{c, s.now})
-	if n := len(t.unconfirmed); n > maxUnconfirmed {
-		t.unconfirmed = slices.Clone(t.unconfirmed[n-maxUnconfirmed:])
+	if !t.evidence.AddUnconfirmed(c, s.now) {
+		return
 	}
 	if tasks := s.unconfirmed[c.Host.ID]; !slices.Contains(tasks, t) {
 		s.unconfirmed[c.Host.ID] = append(tasks, t)
@@ -65,35 +41,13 @@
 	}
 }
 
-// storedUnconfirmed returns the unconfirmed crashes of the task as they are stored.
-func (t *task) storedUnconfirmed() []cell.UnconfirmedCrash {
-	out := make([]cell.UnconfirmedCrash, len(t.unconfirmed))
-	for i, c := range t.unconfirmed {
-		out[i] = c.UnconfirmedCrash
-	}
-	return out
-}
-
-// suspicions returns the crashes of hosts in touch under a task, the unconfirmed ones
-// included.
-func (t *task) suspicions() []cell.Crash {
-	out := t.crashesInTouch()
-	for _, c := range t.unconfirmed {
-		counted := slices.ContainsFunc(out, func(o cell.Crash) bool { return o.Run == c.Run })
-		if !c.Silent && !counted {
-			out = append(out, c.Crash)
-		}
-	}
-	return out
-}
-
 // settleCrashes settles the unconfirmed crashes of a host that answers: the same instance
 // has not crashed, another one shows that the former one has.
 func (s *Scheduler) settleCrashes(h *host, startedMs int64) {
 	if startedMs == 0 || len(s.unconfirmed[h.spec.ID]) == 0 {
 		return
 	}
-	s.settle(h.spec.ID, func(t *task, c unconfirmedCrash) {
+	s.settle(h.spec.ID, func(t *task, c crash.Unconfirmed) {
 		switch c.Host.StartedMs {
 		case 0: // which instance may have crashed is unknown
 		case startedMs:
@@ -108,14 +62,14 @@
 // answers.
 func (s *Scheduler) confirmCrashes(h *host) { s.settle(h.spec.ID, s.confirm) }
 
-func (s *Scheduler) confirm(t *task, c unconfirmedCrash) {
+func (s *Scheduler) confirm(t *task, c crash.Unconfirmed) {
 	s.countCrash(t, c.Host.ID, c.Crash, c.Alone)
 }
 
 // settleGoneHost settles the unconfirmed crashes of a host that the platform treats as
 // gone. Nobody knows when and why it went, as if it had crashed behind a cut.
 func (s *Scheduler) settleGoneHost(id string) {
-	s.settle(id, func(t *task, c unconfirmedCrash) {
+	s.settle(id, func(t *task, c crash.Unconfirmed) {
 		s.countCrash(t, id, cell.Crash{Run: c.Run, Silent: true, Members: c.Members}, false)
 	})
 }
@@ -136,23 +90,15 @@
 }
 
 // settle removes the unconfirmed crashes of a host, and passes each of them to count.
-func (s *Scheduler) settle(id string, count func(*task, unconfirmedCrash)) {
+func (s *Scheduler) settle(id string, count func(*task, crash.Unconfirmed)) {
 	tasks := s.unconfirmed[id]
 	delete(s.unconfirmed, id)
 	var judged []*job
 	for _, t := range tasks {
-		var settled, left []unconfirmedCrash
-		for _, c := range t.unconfirmed {
-			if c.Host.ID == id {
-				settled = append(settled, c)
-			} else {
-				left = append(left, c)
-			}
-		}
+		settled := t.evidence.TakeUnconfirmed(id)
 		if len(settled) == 0 {
 			continue
 		}
-		t.unconfirmed = left
 		t.detailsChanged()
 		s.changed[t.id.Submission] = true
 		for _, c := range settled {
@@ -174,7 +120,7 @@
 	}
 	for _, g := range j.groups {
 		for _, t := range g.tasks {
-			if !t.done && t.suspectedCause() {
+			if !t.done && t.evidence.Suspects() {
 				return
 			}
 		}
@@ -183,29 +129,8 @@
 	s.logMessage(j.sub.ID, "", "The submission is no longer suspected of crashing hosts.")
 }
 
-// awaitsConfirmation reports whether so many hosts may have crashed under a task of the
-// group that it would be given up if they had. It waits until one of them is settled, for
-// confirmationTimeout at most.
+// awaitsConfirmation reports whether a task of the group waits since too many hosts may have
+// crashed under it.
 func (s *Scheduler) awaitsConfirmation(g *group) bool {
-	if len(s.unconfirmed) == 0 {
-		return false
-	}
-	for _, t := range g.tasks {
-		if len(t.unconfirmed) == 0 || t.done {
-			continue
-		}
-		runs := make(map[int64]bool)
-		for _, c := range t.crashes {
-			runs[c.Run] = true
-		}
-		for _, c := range t.unconfirmed {
-			if s.now < c.recordedAt+confirmationTimeout {
-				runs[c.Run] = true
-			}
-		}
-		if len(runs) >= maxCrashes {
-			return true
-		}
-	}
-	return false
+	return len(s.unconfirmed) > 0 && slices.ContainsFunc(g.tasks, func(t *task) bool { return !t.done && t.evidence.AwaitsConfirmation(s.now) })
 }
--- a/internal/cell/schedule/unconfirmed_test.go
+++ b/internal/cell/schedule/unconfirmed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 )
 
 const (
@@ -117,14 +118,14 @@
 		if c.state["deadly"] != cell.Failed {
 			t.Errorf("%s: the submission is %s after 60 s and %d starts", name, c.state["deadly"], starts)
 		}
-		if starts > maxCrashes {
-			t.Errorf("%s: the task was started %d times, each time its host crashed, want %d at most", name, starts, maxCrashes)
+		if starts > crash.MaxCrashes {
+			t.Errorf("%s: the task was started %d times, each time its host crashed, want %d at most", name, starts, crash.MaxCrashes)
 		}
 		if c.state["deadly"] == cell.Failed {
 			for id, tasks := range c.s.unconfirmed {
 				for _, task := range tasks {
-					if len(task.unconfirmed) > maxUnconfirmed {
-						t.Errorf("%s: %d unconfirmed crashes on %s", name, len(task.unconfirmed), id)
+					if len(task.evidence.Unconfirmed) > crash.MaxUnconfirmed {
+						t.Errorf("%s: %d unconfirmed crashes on %s", name, len(task.evidence.Unconfirmed), id)
 					}
 				}
 			}
@@ -156,8 +157,8 @@
 			id := cl.hostOf("job")
 			cl.cutWithResets(id)
 			cl.lapse(id)
-			if got := cl.s.jobs["job"].groups[0].tasks[0]; len(got.crashes) > 0 || !cl.s.jobs["job"].suspected {
-				t.Errorf("%s: %d crashes count before the host has answered, suspected %t", name, len(got.crashes), cl.s.jobs["job"].suspected)
+			if got := cl.s.jobs["job"].groups[0].tasks[0]; len(got.evidence.Confirmed) > 0 || !cl.s.jobs["job"].suspected {
+				t.Errorf("%s: %d crashes count before the host has answered, suspected %t", name, len(got.evidence.Confirmed), cl.s.jobs["job"].suspected)
 			}
 			if takeover {
 				cl.replaceOwner()
@@ -167,7 +168,7 @@
 				cl.hosts[id].ended = nil
 			}
 			cl.pollHosts()
-			if got := cl.s.jobs["job"].groups[0].tasks[0].crashes; len(got) != c.want {
+			if got := cl.s.jobs["job"].groups[0].tasks[0].evidence.Confirmed; len(got) != c.want {
 				t.Errorf("%s, takeover %t: %+v is counted, want %d", name, takeover, got, c.want)
 			}
 		}
