Move the risk of queues to the package for evidence of crashes

Cause: how often the tasks of a queue crash their hosts, how that ages and what it permits was part of the scheduler. Change: crash.Risk and crash.Risks hold it. schedule/queue_risk.go keeps what needs hosts and submissions: which of them are counted. Measured: all tests of schedule pass, changed in names only. Conclusion: no decision changes.

--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -204,8 +204,8 @@
 			}
 		}
 		j := c.s.jobs["sound"]
-		if j.suspectedRuns > 0 || c.s.risk(j).crashes > 0 {
-			t.Errorf("silent %t: %d runs and %.1f crashes of the queue count as recent", silent, j.suspectedRuns, c.s.risk(j).crashes)
+		if j.suspectedRuns > 0 || c.s.risk(j).Crashes > 0 {
+			t.Errorf("silent %t: %d runs and %.1f crashes of the queue count as recent", silent, j.suspectedRuns, c.s.risk(j).Crashes)
 		}
 		for range 40 {
 			c.advance(100 * time.Millisecond)
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -269,8 +269,8 @@
 	if c.s.underTrial(j) {
 		t.Error("runs are suspected although their hosts have not restarted")
 	}
-	if r := c.s.risk(j); r.crashes > 0.01 {
-		t.Errorf("%.2f crashes are counted for the queue although no host has crashed", r.crashes)
+	if r := c.s.risk(j); r.Crashes > 0.01 {
+		t.Errorf("%.2f crashes are counted for the queue although no host has crashed", r.Crashes)
 	}
 }
 
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -120,8 +120,8 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.risks)) {
-		if r := s.risks[name]; r.crashes > 0 {
-			d.Queues = append(d.Queues, QueueDump{Name: name, CrashShare: r.share(), HostsDown: r.down})
+		if r := s.risks[name]; r.Crashes > 0 {
+			d.Queues = append(d.Queues, QueueDump{Name: name, CrashShare: r.Share(), HostsDown: r.Down})
 		}
 	}
 	if s.learning != nil {
--- a/internal/cell/schedule/occurrences_test.go
+++ b/internal/cell/schedule/occurrences_test.go
@@ -82,7 +82,7 @@
 func TestCostOfOccurrencesIsNotQuadratic(t *testing.T) {
 	const few, factor = 500, 16
 	risk := func(crashes float64) func(c *cluster, j *job) {
-		return func(c *cluster, j *job) { c.s.risk(j).starts, c.s.risk(j).crashes = 100, crashes }
+		return func(c *cluster, j *job) { c.s.risk(j).Starts, c.s.risk(j).Crashes = 100, crashes }
 	}
 	for name, prepare := range map[string]func(c *cluster, j *job){
 		"suspected":           func(_ *cluster, j *job) { j.suspected = true },
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -52,7 +52,7 @@
 		s.prefetchAdvice()
 		s.stopHungAndCopySlowRuns()
 		s.stopInterferingTasks()
-		s.forgetOldRisks()
+		s.risks.ForgetOld(s.now)
 	}
 	p := s.plan
 	s.plan = &Plan{}
@@ -92,7 +92,7 @@
 		s.placeTasks(g, 1)
 	}
 	if g.advice.inFlight {
-		s.risk(g.job).preparing++
+		s.risk(g.job).Preparing++
 	}
 }
 
@@ -304,9 +304,9 @@
 	g := t.group
 	s.logBackfill(t, h)
 	r := s.risk(g.job)
-	r.add(1, 0, s.now)
+	r.Add(1, 0, s.now)
 	if !g.job.proven && !g.job.hasRuns() {
-		r.unproven++
+		r.Unproven++
 	}
 	value, _ := g.ticketFor(h, s.now)
 	waited := s.now - t.waitingSince
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/cell/gangroom"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
@@ -83,7 +84,7 @@
 	// have none any more may be among them.
 	unconfirmed map[string][]*task
 	// risks holds the risk of each queue by name.
-	risks map[string]*queueRisk
+	risks crash.Risks
 	// approvals holds the share of approved hosts of the queues of gangs by name.
 	approvals map[string]*gangroom.Approval
 	// nextPeriodicCheck is when all groups and hosts are checked next.
@@ -123,7 +124,7 @@
 func New(o Options) *Scheduler {
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
-		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(map[string]*queueRisk), unconfirmed: make(map[string][]*task), plan: &Plan{},
+		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(crash.Risks), unconfirmed: make(map[string][]*task), plan: &Plan{},
 		learning: newLearning(o.Features),
 	}
 }
--- a/internal/cell/schedule/silent_crash_test.go
+++ b/internal/cell/schedule/silent_crash_test.go
@@ -28,8 +28,8 @@
 		if j.suspected || c.s.underTrial(j) {
 			t.Errorf("gang %t: the submission is suspected", gang)
 		}
-		if r := c.s.risk(j); r.crashes > 0 {
-			t.Errorf("gang %t: %.2f crashes are counted for the queue", gang, r.crashes)
+		if r := c.s.risk(j); r.Crashes > 0 {
+			t.Errorf("gang %t: %.2f crashes are counted for the queue", gang, r.Crashes)
 		}
 		if got := c.running("sound"); got != step.Count {
 			t.Errorf("gang %t: %d tasks run after the hosts are back, want %d", gang, got, step.Count)
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -21,9 +21,8 @@
 	agedTrialInterval = 4
 	// trialPatience is how long a suspect waits for hosts without other runs. After that it
 	// may be tried beside runs that have started more than crash.Window before, unless
-	// at least maxSharedCrashes trials of its queue have crashed their hosts of late.
-	trialPatience    = time.Second
-	maxSharedCrashes = 0.5
+	// trials of its queue have crashed their hosts of late.
+	trialPatience = time.Second
 	// maxTrialWait is how long the first suspect in line waits for hosts that are empty
 	// soon, while others take them.
 	maxTrialWait = 3 * time.Second
@@ -244,7 +243,7 @@
 // mayShareHosts reports whether a group may be tried beside other runs, which would be
 // lost if it crashed their host.
 func (s *Scheduler) mayShareHosts(g *group) bool {
-	return g.job.suspected && g.waitsLong(s.now) && !s.risk(g.job).trialsCrash(s.now)
+	return g.job.suspected && g.waitsLong(s.now) && !s.risk(g.job).TrialsCrash(s.now)
 }
 
 // survivedTrial reports whether a run has been present on its host for so long that its
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -140,7 +140,7 @@
 		return true
 	}
 	first = first && g.waitsLong(s.now)
-	await := s.mayAwaitHosts(g, first) || p.held < s.unusedHosts && s.risk(g.job).trialsCrash(s.now)
+	await := s.mayAwaitHosts(g, first) || p.held < s.unusedHosts && s.risk(g.job).TrialsCrash(s.now)
 	chosen := s.hostsForTrial(g, missing, p.most, await)
 	switch {
 	case chosen == nil:
--- a/internal/cell/schedule/trial_share_test.go
+++ b/internal/cell/schedule/trial_share_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -79,15 +80,15 @@
 func TestSubmissionsThatAwaitTheirFirstTaskDoNotAllAskForAdvice(t *testing.T) {
 	c := newCluster(16, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
 	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, Advice: rescanAdvice})
-	r := &queueRisk{starts: 100, crashes: 10, at: c.now}
+	r := &crash.Risk{Starts: 100, Crashes: 10, At: c.now}
 	c.s.risks["q"] = r
 	for i := range 400 {
 		c.submit(fmt.Sprintf("job%03d", i), "q", "b", smallStep(1, time.Second))
 	}
 	p := c.s.Decide(c.now, c.now)
 	// As many may start as are expected to crash the hosts that are spare.
-	if n := len(p.AdviceRequests); n == 0 || float64(n)*r.share() > float64(c.s.maxRiskyHosts(r)) {
-		t.Errorf("%d calls for advice are sent, and %d hosts may crash at a share of %.2f", n, c.s.maxRiskyHosts(r), r.share())
+	if n := len(p.AdviceRequests); n == 0 || float64(n)*r.Share() > float64(c.s.maxRiskyHosts(r)) {
+		t.Errorf("%d calls for advice are sent, and %d hosts may crash at a share of %.2f", n, c.s.maxRiskyHosts(r), r.Share())
 	}
 }
 
@@ -110,7 +111,7 @@
 				j := c.s.jobs[id]
 				j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
 			}
-			c.s.risks["q"] = &queueRisk{trialCrashes: 10, at: c.now}
+			c.s.risks["q"] = &crash.Risk{TrialCrashes: 10, At: c.now}
 		}
 		c.advance(100 * time.Millisecond)
 	}
--- a/internal/cell/schedule/trial_test.go
+++ b/internal/cell/schedule/trial_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -17,7 +18,7 @@
 		c.submit("job-"+name, name, "a", smallStep(1, time.Second))
 		c.advance(30 * time.Second)
 	}
-	if got, want := len(c.s.risks), int(forgetRiskAfter/(30*time.Second))+1; got > want {
+	if got, want := len(c.s.risks), int(crash.ForgetRiskAfter/(30*time.Second))+1; got > want {
 		t.Errorf("%d queues are remembered, want %d at most", got, want)
 	}
 }
--- a/internal/cell/schedule/wide_step_test.go
+++ b/internal/cell/schedule/wide_step_test.go
@@ -24,7 +24,7 @@
 	"long-running":         {step: cell.Step{LongRunning: true, MaxPerHost: 4}},
 	"a label of few hosts": {step: cell.Step{Label: "r1-0", MaxPerHost: 400}},
 	"suspected":            {step: cell.Step{MaxPerHost: 4}, prepare: func(_ *cluster, j *job) { j.suspected = true }},
-	"of a risky queue":     {step: cell.Step{MaxPerHost: 4}, prepare: func(c *cluster, j *job) { c.s.risk(j).starts, c.s.risk(j).crashes = 100, 10 }},
+	"of a risky queue":     {step: cell.Step{MaxPerHost: 4}, prepare: func(c *cluster, j *job) { c.s.risk(j).Starts, c.s.risk(j).Crashes = 100, 10 }},
 	"advice":               {step: cell.Step{MaxPerHost: 4}, queue: cell.Queue{Advice: &cell.AdvicePolicy{Decision: 10 * time.Millisecond, Validity: time.Second}}},
 	"failed at once":       {step: cell.Step{MaxPerHost: 4}, prepare: func(c *cluster, j *job) { c.failAll(j) }},
 }
