Move records of trials, presence and waits to a package of their own

Cause: what a trial with an unknown outcome counts as, when a run has cleared its task, and how long a suspect waits were methods on the scheduler's runs and groups. Conclusion: no decision changes.

--- a/internal/cell/schedule/crash.go
+++ b/internal/cell/schedule/crash.go
@@ -5,14 +5,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
-)
-
-const (
-	// trialDuration is how long a task that was suspected since it had started right
-	// before a crash has to run alone on a host to be cleared.
-	trialDuration = 3 * crash.Window
-	// lateTrialDuration applies if a task may crash its host late.
-	lateTrialDuration = 10 * time.Second
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 )
 
 // MarkCrashed records that the process of a host has gone, not before a time. The
@@ -65,7 +58,7 @@
 // start returns what is known of the start of a run. When a run that an earlier owner ordered
 // started is unknown; only that of a trial is known to be recent.
 func (a *taskRun) start() crash.Start {
-	return crash.Start{At: a.acceptedAt, Unknown: a.adopted && a.task.countedAt().trialRun != a.run}
+	return crash.Start{At: a.acceptedAt, Unknown: a.adopted && a.task.countedAt().trial.Run != a.run}
 }
 
 // clearSuspectedRuns ends the suspicion of the runs on a host that did not crash.
@@ -138,7 +131,7 @@
 		return
 	}
 	t.detailsChanged()
-	t.forgetTrial(t.trialRun)
+	t.forgetTrial(t.trial.Run)
 	s.changed[j.sub.ID] = true
 	message := "The host crashed, and a task of the submission may be the cause."
 	if c.Silent {
@@ -154,7 +147,7 @@
 // under the run itself, which count only for what may have begun there.
 func (s *Scheduler) forgetOldCrashes(a *taskRun) {
 	t := a.task.countedAt()
-	if t.evidence.Empty() || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+lateTrialDuration {
+	if t.evidence.Empty() || a.acceptedAt == 0 || a.host.reportedAt < a.acceptedAt+trial.LateDuration {
 		return
 	}
 	if t.evidence.ForgetBefore(a.run) {
@@ -177,9 +170,9 @@
 // alone on its host for long enough.
 func (s *Scheduler) clear(t *task, host string) {
 	j, t := t.group.job, t.countedAt()
-	if !t.evidence.Empty() || t.trialRun != 0 {
+	if !t.evidence.Empty() || t.trial.Run != 0 {
 		t.evidence.Clear()
-		t.trialRun, t.trialHosts = 0, nil
+		t.trial.End()
 		t.detailsChanged()
 		s.changed[j.sub.ID] = true
 	}
--- a/internal/cell/schedule/crash_takeover_test.go
+++ b/internal/cell/schedule/crash_takeover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 )
 
 // Guards against crash counts that a takeover forgets, against bystanders that are
@@ -108,7 +109,7 @@
 func TestLostOutcomeOfConfinedSubmissionMakesItASuspect(t *testing.T) {
 	c := crashCluster(3)
 	c.submit("job", "q", "a", smallStep(2, time.Second))
-	c.s.jobs["job"].groups[0].tasks[0].trialRun = 1
+	c.s.jobs["job"].groups[0].tasks[0].trial.Run = 1
 	c.replaceOwner()
 	c.s.MarkReconciled(c.now)
 	if !c.s.jobs["job"].suspected {
@@ -127,7 +128,7 @@
 		for range crash.MaxCrashes {
 			c.s.jobs["sound"].suspected = true
 			c.decide(func(Start) int { return 2 }) // the orders are lost with the owner
-			if c.s.jobs["sound"].groups[0].tasks[0].trialRun == 0 {
+			if c.s.jobs["sound"].groups[0].tasks[0].trial.Run == 0 {
 				t.Fatalf("gang %t: no trial has begun", gang)
 			}
 			c.replaceOwner()
@@ -178,8 +179,8 @@
 			t.Errorf("%d tasks have been started beside a task under trial", len(h.runs)-1)
 		}
 	}
-	c.advance(trialDuration + 100*time.Millisecond)
-	if a := c.s.jobs["suspect"]; a.groups[0].tasks[0].trialRun != 0 {
+	c.advance(trial.Duration + 100*time.Millisecond)
+	if a := c.s.jobs["suspect"]; a.groups[0].tasks[0].trial.Run != 0 {
 		t.Error("the trial has not ended, though its task has run for long enough")
 	}
 }
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -143,7 +144,7 @@
 			}
 			trials++
 			since, waits := waitingSince[h.trial.task.group]
-			mayShare := waits && h.trial.orderedAt >= since+trialPatience
+			mayShare := waits && h.trial.orderedAt >= since+trial.Patience
 			for _, a := range h.runs {
 				if a.task.group == h.trial.task.group {
 					continue
@@ -163,8 +164,8 @@
 		}
 		heldBefore = held
 		for _, g := range c.s.groups {
-			if g.trialSince != 0 {
-				waitingSince[g] = g.trialSince
+			if g.trialWait.Since != 0 {
+				waitingSince[g] = g.trialWait.Since
 			}
 		}
 	}
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -5,6 +5,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/runtimes"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -48,17 +49,12 @@
 	// promise is what a gang was first expected to get; nil if nothing was reserved for
 	// it since its last start.
 	promise *promise
-	// trialSince is since when the group, of a suspected job, waits for a trial; zero if it
-	// does not. givenBack holds the hosts that were kept free for it and that it did not
-	// use since its last trial.
-	trialSince time.Duration
-	givenBack  map[*host]bool
+	// trialWait is the wait of the group, of a suspected job, for a trial. givenBack holds
+	// the hosts that were kept free for it and that it did not use since its last trial.
+	trialWait trial.Wait
+	givenBack map[*host]bool
 	// trialRoom is for how many of its tasks hosts are kept free.
 	trialRoom int
-	// tooWide is set for a group that is not tried alone, since it would need more hosts than
-	// a trial may hold; notTried if that showed only while it was awaiting them, or others
-	// hold them.
-	tooWide, notTried bool
 	// trial is set while the group is placed that may use only hosts without other runs.
 	trial bool
 	// placedIn is the number of the last decision in which the group was placed.
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -5,6 +5,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 )
 
 // maxSubmissionAge limits the age of a submission on arrival, which depends on
@@ -75,7 +76,7 @@
 		t := &task{
 			id:    cell.TaskID{Submission: j.sub.ID, Occurrence: occurrence, Step: number, Index: i},
 			group: g, done: j.doneTasks.Has(g.firstTask + i), failures: stored.Failures[i], evidence: crash.Evidence{Confirmed: stored.Crashes[i]},
-			trialRun: stored.Trials[i], trialHosts: stored.TrialHosts[i], checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
+			trial: trial.Record{Run: stored.Trials[i], Hosts: stored.TrialHosts[i]}, checkpoint: stored.Checkpoints[i], lastRun: s.options.RunNumberBase, waitingSince: s.now,
 		}
 		s.restoreUnconfirmed(t, stored.UnconfirmedCrashes[i])
 		if !t.done {
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -319,7 +320,7 @@
 		t.countedAt().recordTrial(run, h)
 		s.changed[t.id.Submission] = true
 	}
-	g.trialSince, g.givenBack, g.tooWide, g.notTried = 0, nil, false, false
+	g.trialWait, g.givenBack = trial.Wait{}, nil
 	g.ignoresReservations = g.step.LongRunning
 	s.startRoom--
 	s.countSharedStart(g)
--- a/internal/cell/schedule/progress.go
+++ b/internal/cell/schedule/progress.go
@@ -72,7 +72,7 @@
 
 // hasDetails reports whether more is to be stored of the task than whether it is done.
 func (t *task) hasDetails() bool {
-	return !t.done && (len(t.failures) > 0 || !t.evidence.Empty() || t.trialRun != 0 || t.checkpoint != "")
+	return !t.done && (len(t.failures) > 0 || !t.evidence.Empty() || t.trial.Run != 0 || t.checkpoint != "")
 }
 
 // addDetails adds the details of the task to the progress of its group.
@@ -87,9 +87,9 @@
 	if len(t.evidence.Unconfirmed) > 0 {
 		setDetail(&p.UnconfirmedCrashes, i, t.evidence.Stored())
 	}
-	if t.trialRun != 0 {
-		setDetail(&p.Trials, i, t.trialRun)
-		setDetail(&p.TrialHosts, i, t.trialHosts)
+	if t.trial.Run != 0 {
+		setDetail(&p.Trials, i, t.trial.Run)
+		setDetail(&p.TrialHosts, i, t.trial.Hosts)
 	}
 	if t.checkpoint != "" {
 		setDetail(&p.Checkpoints, i, t.checkpoint)
--- a/internal/cell/schedule/task.go
+++ b/internal/cell/schedule/task.go
@@ -5,6 +5,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 )
 
 // task is one task of a submission.
@@ -18,11 +19,8 @@
 	// evidence holds the crashes of hosts that the task may have caused; those of a gang
 	// are recorded at its first task.
 	evidence crash.Evidence
-	// trialRun is the run that was started alone on a host, since the task is suspected
-	// of crashing hosts, until its outcome is known; zero if there is none. That of a
-	// gang is recorded at its first task. trialHosts are its hosts.
-	trialRun   int64
-	trialHosts []cell.HostInstance
+	// trial is the record of its trial; that of a gang is recorded at its first task.
+	trial trial.Record
 	// checkpoint is the newest one of the task; that of a gang is recorded at its first task.
 	checkpoint string
 	lastRun    int64
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -19,18 +19,8 @@
 	soonEmpty = 300 * time.Millisecond
 	// One in agedTrialInterval trials goes to the suspect that has waited longest.
 	agedTrialInterval = 4
-	// trialPatience is how long a suspect waits for hosts without other runs. After that it
-	// may be tried beside runs that have started more than crash.Window before, unless
-	// trials of its queue have crashed their hosts of late.
-	trialPatience = time.Second
-	// maxTrialWait is how long the first suspect in line waits for hosts that are empty
-	// soon, while others take them.
-	maxTrialWait = 3 * time.Second
 	// maxTrialDrain is how long runs on a host may last until it has room for a suspect.
 	maxTrialDrain = 2 * time.Second
-	// maxEmptyHostWait is how long no host was chosen for work under trial until hosts are
-	// chosen that are empty later.
-	maxEmptyHostWait = 500 * time.Millisecond
 	// maxQuarantineIdle is how long a host is kept free for a suspected task that does not
 	// use it.
 	maxQuarantineIdle = 1500 * time.Millisecond
@@ -117,9 +107,7 @@
 			g.givenBack[h] = true
 		}
 	}
-	if g.trialSince != 0 {
-		g.trialSince = s.now
-	}
+	g.trialWait.Requeue(s.now)
 }
 
 // readyForTrial reports whether a waiting group of a job under trial may start one
@@ -227,7 +215,7 @@
 // it crashed now.
 func (h *host) settled(now time.Duration) bool {
 	for _, a := range h.runs {
-		if a.acceptedAt == 0 || now < a.acceptedAt+crash.Window {
+		if !a.presence().Settled(now) {
 			return false
 		}
 	}
@@ -237,7 +225,7 @@
 // waitsLong reports whether a suspect has waited for its trial for long, or lacks some
 // members of a gang that has been started.
 func (g *group) waitsLong(now time.Duration) bool {
-	return g.run != 0 || g.trialSince != 0 && now >= g.trialSince+trialPatience
+	return g.run != 0 || g.trialWait.Long(now)
 }
 
 // mayShareHosts reports whether a group may be tried beside other runs, which would be
@@ -249,22 +237,19 @@
 // survivedTrial reports whether a run has been present on its host for so long that its
 // task does not crash hosts.
 func (a *taskRun) survivedTrial(now time.Duration) bool {
-	if a.task.group.crashesLate() {
-		return a.presentFor(lateTrialDuration, now)
-	}
-	return a.survivedStart(now)
+	return a.presence().SurvivedTrial(a.task.group.crashesLate(), now)
 }
 
 // survivedStart reports whether a run has been present on its host for so long that its
 // task does not crash hosts at its start.
-func (a *taskRun) survivedStart(now time.Duration) bool { return a.presentFor(trialDuration, now) }
+func (a *taskRun) survivedStart(now time.Duration) bool { return a.presence().SurvivedStart(now) }
 
-// presentFor reports whether a run is known to have been present on its host for so long.
-func (a *taskRun) presentFor(needed, now time.Duration) bool {
-	if a.host.silent || !a.host.reachable {
-		now = a.host.reportedAt // nothing is known of the host since then
+// presence returns what is known of the presence of a run on its host.
+func (a *taskRun) presence() trial.Presence {
+	return trial.Presence{
+		Running: a.phase == phaseRunning && !a.host.crashed, Since: a.acceptedAt,
+		AnsweredAt: a.host.reportedAt, InTouch: a.host.reachable && !a.host.silent,
 	}
-	return a.phase == phaseRunning && !a.host.crashed && now >= a.acceptedAt+needed
 }
 
 // clearsTask reports whether a run under trial shows that its task does not crash hosts. A
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -27,7 +27,7 @@
 		g.trialRoom = 0
 		switch {
 		case !e.underTrial:
-			g.trialSince = 0
+			g.trialWait.Since = 0
 		case !g.step.Gang && unready[g.job]:
 		case s.readyForTrial(g):
 			waiting = append(waiting, g)
@@ -89,10 +89,8 @@
 		if !g.job.suspected {
 			continue
 		}
-		if g.trialSince == 0 {
-			g.trialSince = s.now
-		}
-		if oldest == nil || g.trialSince < oldest.trialSince {
+		g.trialWait.Begin(s.now)
+		if oldest == nil || g.trialWait.Since < oldest.trialWait.Since {
 			oldest = g
 		}
 	}
@@ -126,7 +124,7 @@
 			p.ask(g)
 		}
 		p.s.giveUpTrial(g)
-		g.tooWide = g.notTried
+		g.trialWait.TooWide = g.trialWait.NotTried
 		return true
 	}
 	s := p.s
@@ -135,12 +133,12 @@
 		return true
 	}
 	needed := s.trialHostsNeeded(g)
-	g.tooWide = g.notTried || g.step.Gang && needed > p.most
-	if g.tooWide {
+	g.trialWait.TooWide = g.trialWait.NotTried || g.step.Gang && needed > p.most
+	if g.trialWait.TooWide {
 		return true
 	}
 	first = first && g.waitsLong(s.now)
-	await := s.mayAwaitHosts(g, first) || p.held < s.unusedHosts && s.risk(g.job).TrialsCrash(s.now)
+	await := g.trialWait.MayAwaitHosts(first, g.job.suspected, s.quarantinedAt, s.now) || p.held < s.unusedHosts && s.risk(g.job).TrialsCrash(s.now)
 	chosen := s.hostsForTrial(g, missing, p.most, await)
 	switch {
 	case chosen == nil:
@@ -186,8 +184,8 @@
 // long, though it might share them: it would need more than a trial may hold, or others
 // hold them.
 func (s *Scheduler) giveUpTrial(g *group) {
-	if !g.notTried && g.run == 0 && s.mayShareHosts(g) && s.now >= g.trialSince+2*trialPatience {
-		g.notTried = true
+	if g.run == 0 && s.mayShareHosts(g) && g.trialWait.GivesUp(s.now) {
+		g.trialWait.NotTried = true
 		s.logMessage(g.id.Submission, "", "A suspect is not tried alone, since no hosts for it were found for long.")
 	}
 }
--- a/internal/cell/schedule/trial_place.go
+++ b/internal/cell/schedule/trial_place.go
@@ -12,10 +12,10 @@
 		s.holdLimitForTrial(g)
 		return
 	case g.trialRoom > 0 || g.run != 0:
-	case g.tooWide && g.step.Gang:
+	case g.trialWait.TooWide && g.step.Gang:
 		s.placeGang(g, reservingGangs)
 		return
-	case g.tooWide:
+	case g.trialWait.TooWide:
 		s.placeTasks(g, 1)
 		return
 	default:
--- a/internal/cell/schedule/trial_record.go
+++ b/internal/cell/schedule/trial_record.go
@@ -1,18 +1,10 @@
 package schedule
 
-import (
-	"slices"
-
-	"github.com/medlarpulley/medlarpulley/internal/cell"
-)
+import "github.com/medlarpulley/medlarpulley/internal/cell/trial"
 
 // recordTrial records a run that starts under trial, and its host, for a later owner.
 func (t *task) recordTrial(run int64, h *host) {
-	if t.trialRun != run {
-		t.trialRun, t.trialHosts = run, nil
-	}
-	if on := h.instance(); !slices.Contains(t.trialHosts, on) {
-		t.trialHosts = append(slices.Clip(t.trialHosts), on) // a stored copy may be read meanwhile
+	if t.trial.Begin(run, h.instance()) {
 		t.detailsChanged()
 	}
 }
@@ -20,15 +12,15 @@
 // continueTrial keeps the host of a run that an earlier owner started under trial free of
 // other work until the trial has ended.
 func (s *Scheduler) continueTrial(a *taskRun) {
-	if a.adopted && a.phase == phaseRunning && a.task.countedAt().trialRun == a.run {
+	if a.adopted && a.phase == phaseRunning && a.task.countedAt().trial.Run == a.run {
 		a.host.trial, a.host.quarantinedFor = a, a.task.group
 	}
 }
 
 // forgetTrial records that the outcome of a trial is known, or that it did not begin.
 func (t *task) forgetTrial(run int64) {
-	if c := t.countedAt(); c.trialRun == run {
-		c.trialRun, c.trialHosts = 0, nil
+	if c := t.countedAt(); c.trial.Run == run {
+		c.trial.End()
 		c.detailsChanged()
 	}
 }
@@ -39,11 +31,11 @@
 func (s *Scheduler) countUnknownTrials() {
 	for _, g := range s.liveGroups() {
 		for _, t := range g.tasks {
-			if t.trialRun == 0 || t.trialRun > s.options.RunNumberBase || t.done || g.present > 0 || t.evidence.Counts(t.trialRun, false) {
+			if t.trial.Run == 0 || t.trial.Run > s.options.RunNumberBase || t.done || g.present > 0 || t.evidence.Counts(t.trial.Run, false) {
 				continue
 			}
-			c, crashed := s.crashOfTrial(t)
-			t.trialRun, t.trialHosts = 0, nil
+			c, crashed := t.trial.Crash(s.hostLife)
+			t.trial.End()
 			t.detailsChanged()
 			s.changed[t.id.Submission] = true
 			if !crashed {
@@ -56,24 +48,11 @@
 	}
 }
 
-// crashOfTrial returns the crash to count for a trial with an unknown outcome; ok is
-// false if its hosts have not crashed.
-func (s *Scheduler) crashOfTrial(t *task) (c cell.Crash, ok bool) {
-	c = cell.Crash{Run: t.trialRun, Silent: true}
-	if len(t.trialHosts) == 0 {
-		ok, c.Silent = true, false // recorded without its hosts
-	}
-	for _, o := range t.trialHosts {
-		h := s.hosts[o.ID]
-		switch {
-		case h == nil, h.restarted, h.life.startedMs != 0 && h.life.startedMs != o.StartedMs:
-			ok, c.Silent = true, false
-		case h.life.startedMs == 0:
-			ok = true // the host has not answered this owner
-		}
-	}
-	if !c.Silent {
-		c.Recent, c.Suspects = true, 1
+// hostLife returns what is known of the present lifetime of a host, nil if the host is unknown.
+func (s *Scheduler) hostLife(id string) *trial.Life {
+	h := s.hosts[id]
+	if h == nil {
+		return nil
 	}
-	return c, ok
+	return &trial.Life{Restarted: h.restarted, StartedMs: h.life.startedMs}
 }
--- a/internal/cell/schedule/trial_room.go
+++ b/internal/cell/schedule/trial_room.go
@@ -54,16 +54,6 @@
 	return s.pickTrialHosts(g, options, n, most, times[i])
 }
 
-// mayAwaitHosts reports whether hosts that are empty only later may be kept free for a
-// group: for work of confined queues, and for the first suspect in line, if no host was
-// chosen for a while or the suspect has waited for very long.
-func (s *Scheduler) mayAwaitHosts(g *group, first bool) bool {
-	if s.now >= s.quarantinedAt+maxEmptyHostWait {
-		return first || !g.job.suspected
-	}
-	return first && s.now >= g.trialSince+maxTrialWait
-}
-
 // pickTrialHosts returns hosts that have room for n tasks at a time, at most some of
 // them, or nil if they have not. If the step prefers one rack, it chooses one if it can.
 func (s *Scheduler) pickTrialHosts(g *group, options []*host, n, most int, at time.Duration) []trialHost {
--- a/internal/cell/schedule/trial_wait_test.go
+++ b/internal/cell/schedule/trial_wait_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -49,9 +50,9 @@
 			c.s.jobs["suspect"].suspected = true
 			var advisor slowAdvice
 			since := c.now
-			bound := trialPatience + rescanAdvice.CallDuration(34) + rescanAdvice.CallDuration(14) + rescanAdvice.CallDuration(8)
+			bound := trial.Patience + rescanAdvice.CallDuration(34) + rescanAdvice.CallDuration(14) + rescanAdvice.CallDuration(8)
 			if step.Count > 2*len(c.hosts)/hostsPerTrial {
-				bound += trialPatience // it does not fit on the hosts that a trial may hold
+				bound += trial.Patience // it does not fit on the hosts that a trial may hold
 			}
 			for c.running("suspect") == 0 && c.now <= since+bound {
 				c.advanceWith(&advisor, 10*time.Millisecond)
--- a/internal/cell/schedule/unconfirmed.go
+++ b/internal/cell/schedule/unconfirmed.go
@@ -14,7 +14,7 @@
 		return
 	}
 	s.addUnconfirmed(t, c)
-	t.forgetTrial(t.trialRun)
+	t.forgetTrial(t.trial.Run)
 	s.changed[j.sub.ID] = true
 	s.logMessage(j.sub.ID, c.Host.ID, "The host may have crashed under a task of the submission; that counts once another instance of it has answered.")
 	s.judge(t, false)
