Move the decisions on trials to a package of their own

Cause: how many hosts trials may hold, which work is tried first, which hosts it takes and when a host is given back was decided by methods on the scheduler. Measured: all tests of schedule pass, changed in names only. Conclusion: no decision changes.

--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -157,9 +157,9 @@
 				}
 			}
 		}
-		// More than one in hostsPerTrial may be chosen only if few others are down.
-		want := max(len(c.hosts)/hostsPerTrial, len(c.hosts)/hostsPerCrash-c.s.crashedHosts)
-		if held > want && held > heldBefore || held > len(c.hosts)/hostsPerCrash {
+		// More than one in trial.HostsPerTrial may be chosen only if few others are down.
+		want := max(len(c.hosts)/trial.HostsPerTrial, len(c.hosts)/trial.HostsPerCrash-c.s.trialCapacity.Crashed)
+		if held > want && held > heldBefore || held > len(c.hosts)/trial.HostsPerCrash {
 			t.Fatalf("suspected tasks hold %d hosts while other work waits, want %d at most", held, want)
 		}
 		heldBefore = held
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/cell/gangroom"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -63,14 +64,8 @@
 	// cleanupNeeded is set if groups may have to be removed; see removeDoneGroups.
 	cleanupNeeded bool
 	reconciled    bool
-	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
-	idleHosts int
-	// crashedHosts is the number of hosts that are down, outside of trials, of which a run
-	// that had just started is the suspected cause.
-	crashedHosts int
-	// unusedHosts is how many hosts could be held for trials while half of the capacity of
-	// all usable hosts stays free of them and of other runs.
-	unusedHosts int
+	// trialCapacity is how much of the cell trials may take.
+	trialCapacity trial.Capacity
 	// mostlyIdle is set if less than half of the cores are in use at the start of a pass, of
 	// all hosts or of those outside of evacuated zones.
 	mostlyIdle bool
@@ -78,7 +73,7 @@
 	// often they were.
 	quarantinedAt time.Duration
 	trials        int
-	// lastTrialTurn is how many of the groups under trial have had their turn; see trialTurn.
+	// lastTrialTurn is how many of the groups under trial have had their turn; see trial.Turn.
 	lastTrialTurn int
 	// unconfirmed holds the tasks with unconfirmed crashes by the ID of the host. Tasks that
 	// have none any more may be among them.
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -8,47 +8,30 @@
 )
 
 const (
-	// hostsPerTrial limits the hosts that suspected tasks hold at one time to one in
-	// hostsPerTrial, at least one.
-	hostsPerTrial = 8
-	// hostsPerCrash limits them likewise, together with the hosts that are down since a run
-	// that had just started there may have crashed them.
-	hostsPerCrash = 4
 	// soonEmpty is the time within which a host has to be empty to be kept free for work
 	// under trial. Hosts are empty when they come back after a crash.
 	soonEmpty = 300 * time.Millisecond
-	// One in agedTrialInterval trials goes to the suspect that has waited longest.
-	agedTrialInterval = 4
 	// maxTrialDrain is how long runs on a host may last until it has room for a suspect.
 	maxTrialDrain = 2 * time.Second
-	// maxQuarantineIdle is how long a host is kept free for a suspected task that does not
-	// use it.
-	maxQuarantineIdle = 1500 * time.Millisecond
 )
 
 // endTrials ends the trials of runs that are gone or cleared.
 func (s *Scheduler) endTrials() {
-	s.idleHosts, s.crashedHosts = 0, 0
-	usable, unused := 0, 0.0
+	s.trialCapacity = trial.Capacity{}
 	for _, h := range s.sortedHosts {
 		s.updateTrial(h)
 		if h.crashed && h.quarantinedFor == nil && h.hasRecentRuns() {
-			s.crashedHosts++
+			s.trialCapacity.Crashed++
 		}
 		if !h.usable(s.now) {
 			continue
 		}
-		usable++
-		if h.runsOnlyTrials() {
-			s.idleHosts++
-		}
-		if h.quarantinedFor != nil {
-			unused++
-		} else {
-			unused += h.unusedShare()
+		unused := 1.0
+		if h.quarantinedFor == nil {
+			unused = h.unusedShare()
 		}
+		s.trialCapacity.AddUsable(h.runsOnlyTrials(), unused)
 	}
-	s.unusedHosts = int(unused - float64(usable)/2)
 }
 
 // hasRecentRuns reports whether a run had started on the host right before it crashed.
@@ -78,19 +61,20 @@
 // gives the hosts of a group back to other work if it does not use them.
 func (s *Scheduler) updateTrial(h *host) {
 	g := h.quarantinedFor
-	switch {
-	case g == nil:
-	case h.trial != nil && g.runsOn(h) == 0:
+	if g == nil {
+		return
+	}
+	switch trial.Next(quarantine{s, h, g}, s.now) {
+	case trial.End:
 		h.trial, h.quarantinedFor = nil, nil
-	case h.trial != nil && h.trial.clearsTask(s.now):
+	case trial.Clear:
 		s.clear(h.trial.task, h.spec.ID)
 		h.trial, h.quarantinedFor = nil, nil
-	case h.trial != nil:
-	case !h.usable(s.now) || g.waiting == 0 || !g.ready || !s.underTrial(g.job):
+	case trial.Release:
 		h.quarantinedFor = nil
-	case g.advice.inFlight:
-		h.useBy = max(h.useBy, s.now+maxQuarantineIdle)
-	case s.now > h.useBy:
+	case trial.Extend:
+		h.useBy = max(h.useBy, s.now+trial.MaxIdle)
+	case trial.GiveBack:
 		s.giveBack(g)
 	}
 }
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -1,20 +1,11 @@
 package schedule
 
-import (
-	"cmp"
-	"slices"
-)
-
-// callsPerTrialHost limits the calls for advice about hosts that are not decided, for
-// each host that a trial may take now. More groups than that would ask about the same hosts.
-const callsPerTrialHost = 2
+import "github.com/medlarpulley/medlarpulley/internal/cell/trial"
 
 // trialPass is one choice of the hosts that are kept free for work under trial.
 type trialPass struct {
+	*trial.Pass
 	s *Scheduler
-	// most is how many hosts may be held, held how many are, and calls how many more calls
-	// for advice may be requested.
-	most, held, calls int
 }
 
 // chooseTrialHosts chooses the hosts that are kept free of other work for the groups
@@ -40,7 +31,7 @@
 	}
 	p := s.newTrialPass(waiting)
 	for i, g := range s.trialTurn(s.trialOrder(waiting)) {
-		if p.held >= p.most && p.calls <= 0 || !p.examine(g, i == 0) {
+		if p.Over() || !p.examine(g, i == 0) {
 			return
 		}
 	}
@@ -48,8 +39,7 @@
 
 // newTrialPass counts the hosts that are held, and the calls for advice in flight.
 func (s *Scheduler) newTrialPass(waiting []*group) *trialPass {
-	p := &trialPass{s: s, most: s.maxTrialHosts()}
-	takes, inFlight := 0, 0
+	takes, held, inFlight := 0, 0, 0
 	for _, h := range s.sortedHosts {
 		switch g := h.quarantinedFor; {
 		case g == nil:
@@ -58,9 +48,9 @@
 			}
 		case h.usable(s.now):
 			g.trialRoom += max(h.trialRoom-g.runsOn(h), 0)
-			p.held++
+			held++
 		default:
-			p.held++
+			held++
 		}
 	}
 	for _, g := range waiting {
@@ -71,55 +61,34 @@
 			takes++
 		}
 	}
-	p.calls = callsPerTrialHost*max(min(takes, p.most-p.held), 1) - inFlight
-	return p
+	return &trialPass{trial.NewPass(s.trialCapacity.MaxHosts(s.hostsInService()), held, takes, inFlight), s}
 }
 
-// trialOrder returns groups in the order in which hosts are kept free for them: those
-// that are least likely to crash a host come first, but one in agedTrialInterval trials
-// goes to the suspect that has waited longest, so that each has its turn.
+// trialOrder returns groups in the order in which hosts are kept free for them.
 func (s *Scheduler) trialOrder(waiting []*group) []*group {
 	blame := make(map[*job]float64) // it examines all tasks of a job
-	var oldest *group
-	for _, g := range waiting {
+	list := make([]trial.Candidate[*group], len(waiting))
+	for i, g := range waiting {
 		if _, ok := blame[g.job]; !ok {
 			s.examine(g.job)
 			blame[g.job] = g.job.blame()
 		}
-		if !g.job.suspected {
-			continue
-		}
-		g.trialWait.Begin(s.now)
-		if oldest == nil || g.trialWait.Since < oldest.trialWait.Since {
-			oldest = g
-		}
+		list[i] = trial.Candidate[*group]{Work: g, Blame: blame[g.job], Suspected: g.job.suspected, Wait: &g.trialWait}
 	}
-	slices.SortStableFunc(waiting, func(a, b *group) int { return cmp.Compare(blame[a.job], blame[b.job]) })
-	if i := slices.Index(waiting, oldest); i > 0 && s.trials%agedTrialInterval == 0 {
-		waiting = slices.Insert(slices.Delete(waiting, i, i+1), 0, oldest)
-	}
-	return waiting
+	return trial.Order(list, s.trials, s.now)
 }
 
 // trialTurn returns the groups for which hosts are chosen in this decision: all of them,
-// or as many as the work of a decision allows. Half of these are the first ones, the others
-// take turns.
+// or as many as the work of a decision allows.
 func (s *Scheduler) trialTurn(order []*group) []*group {
 	most := max(s.maxHeadWork()/restDivisor/max(len(s.sortedHosts), 1), 2)
-	if len(order) <= most {
-		return order
-	}
-	head, rest := order[:most/2:most/2], order[most/2:]
-	from := s.lastTrialTurn % len(rest)
-	to := min(from+most-len(head), len(rest))
-	s.lastTrialTurn = to
-	return append(head, rest[from:to]...)
+	return trial.Turn(order, most, &s.lastTrialTurn)
 }
 
 // examine keeps hosts free for a group, if there are any for it. It reports false if the
 // groups after it must not take hosts in this pass.
 func (p *trialPass) examine(g *group, first bool) bool {
-	if p.held >= p.most {
+	if p.Full() {
 		if g.policy() != nil && len(g.advice.tickets)+len(g.advice.denied) == 0 {
 			p.ask(g)
 		}
@@ -133,13 +102,13 @@
 		return true
 	}
 	needed := s.trialHostsNeeded(g)
-	g.trialWait.TooWide = g.trialWait.NotTried || g.step.Gang && needed > p.most
+	g.trialWait.TooWide = g.trialWait.NotTried || g.step.Gang && needed > p.Most()
 	if g.trialWait.TooWide {
 		return true
 	}
 	first = first && g.waitsLong(s.now)
-	await := g.trialWait.MayAwaitHosts(first, g.job.suspected, s.quarantinedAt, s.now) || p.held < s.unusedHosts && s.risk(g.job).TrialsCrash(s.now)
-	chosen := s.hostsForTrial(g, missing, p.most, await)
+	await := g.trialWait.MayAwaitHosts(first, g.job.suspected, s.quarantinedAt, s.now) || p.Held() < s.trialCapacity.Unused() && s.risk(g.job).TrialsCrash(s.now)
+	chosen := s.hostsForTrial(g, missing, p.Most(), await)
 	switch {
 	case chosen == nil:
 		if p.askedFor(g, needed) {
@@ -148,9 +117,8 @@
 		if g.step.Gang {
 			s.giveUpTrial(g)
 		}
-	case p.held+len(chosen) <= p.most:
+	case p.Take(len(chosen)):
 		s.keepFree(g, chosen)
-		p.held += len(chosen)
 	default:
 		return !first // others must not take the hosts that it waits for, again and again
 	}
@@ -174,8 +142,8 @@
 }
 
 func (p *trialPass) ask(g *group) {
-	if p.calls > 0 && p.s.mayRequestAdvice(g) {
-		p.calls--
+	if p.MayAsk() && p.s.mayRequestAdvice(g) {
+		p.Asked()
 		p.s.requestAdviceOnUndecidedHosts(g)
 	}
 }
@@ -191,11 +159,11 @@
 }
 
 // keepFree keeps hosts free of other work for a group.
-func (s *Scheduler) keepFree(g *group, chosen []trialHost) {
+func (s *Scheduler) keepFree(g *group, chosen []trial.Option[*host]) {
 	for _, o := range chosen {
-		o.host.quarantinedFor, o.host.trialRoom = g, o.room
-		o.host.useBy = max(o.at, s.now+g.adviceDuration()) + maxQuarantineIdle
-		g.trialRoom += o.room
+		o.Host.quarantinedFor, o.Host.trialRoom = g, o.Room
+		o.Host.useBy = max(o.At, s.now+g.adviceDuration()) + trial.MaxIdle
+		g.trialRoom += o.Room
 	}
 	s.quarantinedAt = s.now
 	s.trials++
@@ -209,43 +177,19 @@
 	return 1
 }
 
-// maxTrialHosts returns how many hosts work under trial may hold at one time, those that
-// are down after a trial included: a small part of all hosts, a larger part if it includes
-// all hosts that are down after the start of a task, those that no other work needs, or as
-// many as leave it half of all capacity.
-func (s *Scheduler) maxTrialHosts() int {
-	n := s.hostsInService()
-	return max(1, n/hostsPerTrial, n/hostsPerCrash-s.crashedHosts, s.spareHosts(), s.unusedHosts)
-}
-
-// spareHosts returns how many of the idle hosts no other work needs: all but a
-// reserve. One host at least is kept for what comes while the others are held.
-func (s *Scheduler) spareHosts() int {
-	return s.idleHosts - max(s.hostsInService()/hostsPerTrial, 1)
-}
+// spareHosts returns how many of the idle hosts no other work needs.
+func (s *Scheduler) spareHosts() int { return s.trialCapacity.Spare(s.hostsInService()) }
 
 // trialHostsNeeded returns how many of the hosts on which a group may run its trial
 // needs at least; zero if they cannot hold it at all.
-func (s *Scheduler) trialHostsNeeded(g *group) (n int) {
+func (s *Scheduler) trialHostsNeeded(g *group) int {
 	var rooms []int
 	for _, h := range s.approvedHosts(g) {
 		if s.suitable(g, h) {
 			rooms = append(rooms, g.limitPerHost(tasksIn(g.size, h.spec.Capacity)))
 		}
 	}
-	slices.SortFunc(rooms, func(a, b int) int { return cmp.Compare(b, a) })
-	left := g.trialWidth()
-	for _, room := range rooms {
-		if left <= 0 {
-			break
-		}
-		left -= room
-		n++
-	}
-	if left > 0 {
-		return 0
-	}
-	return n
+	return trial.HostsNeeded(rooms, g.trialWidth())
 }
 
 // limitPerHost returns the given number of tasks, bounded by the step's limit per host.
--- a/internal/cell/schedule/trial_share_test.go
+++ b/internal/cell/schedule/trial_share_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -70,8 +71,8 @@
 	}
 	c.now += 100 * time.Millisecond
 	c.pollHosts()
-	if p := c.s.Decide(c.now, c.now); len(p.AdviceRequests) == 0 || len(p.AdviceRequests) > callsPerTrialHost {
-		t.Errorf("%d calls for advice are sent though one host is free, want 1 to %d", len(p.AdviceRequests), callsPerTrialHost)
+	if p := c.s.Decide(c.now, c.now); len(p.AdviceRequests) == 0 || len(p.AdviceRequests) > trial.CallsPerHost {
+		t.Errorf("%d calls for advice are sent though one host is free, want 1 to %d", len(p.AdviceRequests), trial.CallsPerHost)
 	}
 }
 
--- a/internal/cell/schedule/trial_wait_test.go
+++ b/internal/cell/schedule/trial_wait_test.go
@@ -51,7 +51,7 @@
 			var advisor slowAdvice
 			since := c.now
 			bound := trial.Patience + rescanAdvice.CallDuration(34) + rescanAdvice.CallDuration(14) + rescanAdvice.CallDuration(8)
-			if step.Count > 2*len(c.hosts)/hostsPerTrial {
+			if step.Count > 2*len(c.hosts)/trial.HostsPerTrial {
 				bound += trial.Patience // it does not fit on the hosts that a trial may hold
 			}
 			for c.running("suspect") == 0 && c.now <= since+bound {
@@ -108,8 +108,8 @@
 			suspect("blamed", 1)
 		}
 		if c.advance(100 * time.Millisecond); c.running("blamed") > 0 {
-			// Each trial takes half a second, and one in agedTrialInterval goes by age.
-			if waited := time.Duration(i-ahead) * 100 * time.Millisecond; waited > agedTrialInterval*ahead*500*time.Millisecond {
+			// Each trial takes half a second, and one in trial.AgedInterval goes by age.
+			if waited := time.Duration(i-ahead) * 100 * time.Millisecond; waited > trial.AgedInterval*ahead*500*time.Millisecond {
 				t.Errorf("a suspect starts after %s, with %d before it", waited, ahead)
 			}
 			return
