--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -111,8 +113,8 @@
 		}
 		checkCrashes(t, c)
 		for id, n := range c.crashes {
-			if n > crashesToFail {
-				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crashesToFail)
+			if n > crash.ToFail {
+				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crash.ToFail)
 			}
 		}
 	}
@@ -142,12 +144,12 @@
 			}
 			trials++
 			since, waits := waitingSince[h.trial.task.group]
-			mayShare := waits && h.trial.orderedAt >= since+trialPatience
+			mayShare := waits && h.trial.orderedAt >= since+trial.Patience
 			for _, a := range h.runs {
 				if a.task.group == h.trial.task.group {
 					continue
 				}
-				if a.orderedAt > h.trial.orderedAt-crashWindow {
+				if a.orderedAt > h.trial.orderedAt-crash.Window {
 					t.Fatalf("host %s has another run beside a suspected one that may be the cause of a crash as well", h.spec.ID)
 				}
 				if !a.alone && !mayShare {
@@ -155,15 +157,15 @@
 				}
 			}
 		}
-		// More than one in hostsPerTrial may be chosen only if few others are down.
-		want := max(len(c.hosts)/hostsPerTrial, len(c.hosts)/hostsPerCrash-c.s.crashedHosts)
-		if held > want && held > heldBefore || held > len(c.hosts)/hostsPerCrash {
+		// More than one in trial.HostsPerTrial may be chosen only if few others are down.
+		want := max(len(c.hosts)/trial.HostsPerTrial, len(c.hosts)/trial.HostsPerCrash-c.s.trialCapacity.Crashed)
+		if held > want && held > heldBefore || held > len(c.hosts)/trial.HostsPerCrash {
 			t.Fatalf("suspected tasks hold %d hosts while other work waits, want %d at most", held, want)
 		}
 		heldBefore = held
 		for _, g := range c.s.groups {
-			if g.trialSince != 0 {
-				waitingSince[g] = g.trialSince
+			if g.trialWait.Since != 0 {
+				waitingSince[g] = g.trialWait.Since
 			}
 		}
 	}
@@ -268,8 +270,8 @@
 	if c.s.underTrial(j) {
 		t.Error("runs are suspected although their hosts have not restarted")
 	}
-	if r := c.s.risk(j); r.crashes > 0.01 {
-		t.Errorf("%.2f crashes are counted for the queue although no host has crashed", r.crashes)
+	if r := c.s.risk(j); r.Crashes > 0.01 {
+		t.Errorf("%.2f crashes are counted for the queue although no host has crashed", r.Crashes)
 	}
 }
 
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -53,7 +54,7 @@
 		s.stopIncompleteGangs()
 		s.stopHungAndCopySlowRuns()
 		s.stopInterferingTasks()
-		s.forgetOldRisks()
+		s.risks.ForgetOld(s.now)
 	}
 	p := s.plan
 	s.plan = &Plan{}
@@ -93,7 +94,7 @@
 		s.placeTasks(g, 1)
 	}
 	if g.advice.inFlight {
-		s.risk(g.job).preparing++
+		s.risk(g.job).Preparing++
 	}
 }
 
@@ -205,7 +206,7 @@
 	var tasks []*task
 	if g.trial {
 		tasks = g.waitingTasks()
-		slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+		slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(len(b.evidence.Confirmed), len(a.evidence.Confirmed)) })
 		tasks = tasks[:min(most, len(tasks))]
 	} else {
 		tasks = g.firstWaitingTasks(most)
@@ -305,9 +306,9 @@
 	g := t.group
 	s.logBackfill(t, h)
 	r := s.risk(g.job)
-	r.add(1, 0, s.now)
+	r.Add(1, 0, s.now)
 	if !g.job.proven && !g.job.hasRuns() {
-		r.unproven++
+		r.Unproven++
 	}
 	value, _ := g.ticketFor(h, s.now)
 	waited := s.now - t.waitingSince
@@ -320,7 +321,7 @@
 		t.countedAt().recordTrial(run, h)
 		s.changed[t.id.Submission] = true
 	}
-	g.trialSince, g.givenBack, g.tooWide, g.notTried = 0, nil, false, false
+	g.trialWait, g.givenBack = trial.Wait{}, nil
 	g.ignoresReservations = g.step.LongRunning
 	s.startRoom--
 	s.countSharedStart(g)
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/cell/gangroom"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -64,14 +66,8 @@
 	// cleanupNeeded is set if groups may have to be removed; see removeDoneGroups.
 	cleanupNeeded bool
 	reconciled    bool
-	// idleHosts is the number of usable hosts without runs but those of suspected tasks.
-	idleHosts int
-	// crashedHosts is the number of hosts that are down, outside of trials, of which a run
-	// that had just started is the suspected cause.
-	crashedHosts int
-	// unusedHosts is how many hosts could be held for trials while half of the capacity of
-	// all usable hosts stays free of them and of other runs.
-	unusedHosts int
+	// trialCapacity is how much of the cell trials may take.
+	trialCapacity trial.Capacity
 	// mostlyIdle is set if less than half of the cores are in use at the start of a pass, of
 	// all hosts or of those outside of evacuated zones.
 	mostlyIdle bool
@@ -79,13 +75,13 @@
 	// often they were.
 	quarantinedAt time.Duration
 	trials        int
-	// lastTrialTurn is how many of the groups under trial have had their turn; see trialTurn.
+	// lastTrialTurn is how many of the groups under trial have had their turn; see trial.Turn.
 	lastTrialTurn int
 	// unconfirmed holds the tasks with unconfirmed crashes by the ID of the host. Tasks that
 	// have none any more may be among them.
 	unconfirmed map[string][]*task
 	// risks holds the risk of each queue by name.
-	risks map[string]*queueRisk
+	risks crash.Risks
 	// approvals holds the share of approved hosts of the queues of gangs by name.
 	approvals map[string]*gangroom.Approval
 	// nextPeriodicCheck is when all groups and hosts are checked next.
@@ -127,7 +123,7 @@
 func New(o Options) *Scheduler {
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
-		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(map[string]*queueRisk), unconfirmed: make(map[string][]*task), plan: &Plan{},
+		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(crash.Risks), unconfirmed: make(map[string][]*task), plan: &Plan{},
 		learning: newLearning(o.Features),
 	}
 }
--- a/internal/cell/schedule/trial.go
+++ b/internal/cell/schedule/trial.go
@@ -3,62 +3,35 @@
 import (
 	"time"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
 const (
-	// hostsPerTrial limits the hosts that suspected tasks hold at one time to one in
-	// hostsPerTrial, at least one.
-	hostsPerTrial = 8
-	// hostsPerCrash limits them likewise, together with the hosts that are down since a run
-	// that had just started there may have crashed them.
-	hostsPerCrash = 4
 	// soonEmpty is the time within which a host has to be empty to be kept free for work
 	// under trial. Hosts are empty when they come back after a crash.
 	soonEmpty = 300 * time.Millisecond
-	// One in agedTrialInterval trials goes to the suspect that has waited longest.
-	agedTrialInterval = 4
-	// trialPatience is how long a suspect waits for hosts without other runs. After that it
-	// may be tried beside runs that have started more than crashWindow before, unless
-	// at least maxSharedCrashes trials of its queue have crashed their hosts of late.
-	trialPatience    = time.Second
-	maxSharedCrashes = 0.5
-	// maxTrialWait is how long the first suspect in line waits for hosts that are empty
-	// soon, while others take them.
-	maxTrialWait = 3 * time.Second
 	// maxTrialDrain is how long runs on a host may last until it has room for a suspect.
 	maxTrialDrain = 2 * time.Second
-	// maxEmptyHostWait is how long no host was chosen for work under trial until hosts are
-	// chosen that are empty later.
-	maxEmptyHostWait = 500 * time.Millisecond
-	// maxQuarantineIdle is how long a host is kept free for a suspected task that does not
-	// use it.
-	maxQuarantineIdle = 1500 * time.Millisecond
 )
 
 // endTrials ends the trials of runs that are gone or cleared.
 func (s *Scheduler) endTrials() {
-	s.idleHosts, s.crashedHosts = 0, 0
-	usable, unused := 0, 0.0
+	s.trialCapacity = trial.Capacity{}
 	for _, h := range s.sortedHosts {
 		s.updateTrial(h)
 		if h.crashed && h.quarantinedFor == nil && h.hasRecentRuns() {
-			s.crashedHosts++
+			s.trialCapacity.Crashed++
 		}
 		if !h.usable(s.now) {
 			continue
 		}
-		usable++
-		if h.runsOnlyTrials() {
-			s.idleHosts++
-		}
-		if h.quarantinedFor != nil {
-			unused++
-		} else {
-			unused += h.unusedShare()
+		unused := 1.0
+		if h.quarantinedFor == nil {
+			unused = h.unusedShare()
 		}
+		s.trialCapacity.AddUsable(h.runsOnlyTrials(), unused)
 	}
-	s.unusedHosts = int(unused - float64(usable)/2)
 }
 
 // hasRecentRuns reports whether a run had started on the host right before it crashed.
@@ -88,19 +61,20 @@
 // gives the hosts of a group back to other work if it does not use them.
 func (s *Scheduler) updateTrial(h *host) {
 	g := h.quarantinedFor
-	switch {
-	case g == nil:
-	case h.trial != nil && g.runsOn(h) == 0:
+	if g == nil {
+		return
+	}
+	switch trial.Next(quarantine{s, h, g}, s.now) {
+	case trial.End:
 		h.trial, h.quarantinedFor = nil, nil
-	case h.trial != nil && h.trial.clearsTask(s.now):
+	case trial.Clear:
 		s.clear(h.trial.task, h.spec.ID)
 		h.trial, h.quarantinedFor = nil, nil
-	case h.trial != nil:
-	case !h.usable(s.now) || g.waiting == 0 || !g.ready || !s.underTrial(g.job):
+	case trial.Release:
 		h.quarantinedFor = nil
-	case g.advice.inFlight:
-		h.useBy = max(h.useBy, s.now+maxQuarantineIdle)
-	case s.now > h.useBy:
+	case trial.Extend:
+		h.useBy = max(h.useBy, s.now+trial.MaxIdle)
+	case trial.GiveBack:
 		s.giveBack(g)
 	}
 }
@@ -117,9 +91,7 @@
 			g.givenBack[h] = true
 		}
 	}
-	if g.trialSince != 0 {
-		g.trialSince = s.now
-	}
+	g.trialWait.Requeue(s.now)
 }
 
 // readyForTrial reports whether a waiting group of a job under trial may start one
@@ -227,7 +199,7 @@
 // it crashed now.
 func (h *host) settled(now time.Duration) bool {
 	for _, a := range h.runs {
-		if a.acceptedAt == 0 || now < a.acceptedAt+crashWindow {
+		if !a.presence().Settled(now) {
 			return false
 		}
 	}
@@ -237,34 +209,31 @@
 // waitsLong reports whether a suspect has waited for its trial for long, or lacks some
 // members of a gang that has been started.
 func (g *group) waitsLong(now time.Duration) bool {
-	return g.run != 0 || g.trialSince != 0 && now >= g.trialSince+trialPatience
+	return g.run != 0 || g.trialWait.Long(now)
 }
 
 // mayShareHosts reports whether a group may be tried beside other runs, which would be
 // lost if it crashed their host.
 func (s *Scheduler) mayShareHosts(g *group) bool {
-	return g.job.suspected && g.waitsLong(s.now) && !s.risk(g.job).trialsCrash(s.now)
+	return g.job.suspected && g.waitsLong(s.now) && !s.risk(g.job).TrialsCrash(s.now)
 }
 
 // survivedTrial reports whether a run has been present on its host for so long that its
 // task does not crash hosts.
 func (a *taskRun) survivedTrial(now time.Duration) bool {
-	if a.task.group.crashesLate() {
-		return a.presentFor(lateTrialDuration, now)
-	}
-	return a.survivedStart(now)
+	return a.presence().SurvivedTrial(a.task.group.crashesLate(), now)
 }
 
 // survivedStart reports whether a run has been present on its host for so long that its
 // task does not crash hosts at its start.
-func (a *taskRun) survivedStart(now time.Duration) bool { return a.presentFor(trialDuration, now) }
+func (a *taskRun) survivedStart(now time.Duration) bool { return a.presence().SurvivedStart(now) }
 
-// presentFor reports whether a run is known to have been present on its host for so long.
-func (a *taskRun) presentFor(needed, now time.Duration) bool {
-	if a.host.silent || !a.host.reachable {
-		now = a.host.reportedAt // nothing is known of the host since then
+// presence returns what is known of the presence of a run on its host.
+func (a *taskRun) presence() trial.Presence {
+	return trial.Presence{
+		Running: a.phase == phaseRunning && !a.host.crashed, Since: a.acceptedAt,
+		AnsweredAt: a.host.reportedAt, InTouch: a.host.reachable && !a.host.silent,
 	}
-	return a.phase == phaseRunning && !a.host.crashed && now >= a.acceptedAt+needed
 }
 
 // clearsTask reports whether a run under trial shows that its task does not crash hosts. A
@@ -280,10 +249,8 @@
 // start.
 func (g *group) crashesLate() bool {
 	for _, t := range g.tasks {
-		for _, c := range t.suspicions() {
-			if !c.Recent {
-				return true
-			}
+		if t.evidence.Late() {
+			return true
 		}
 	}
 	return false
--- a/internal/cell/schedule/trial_share_test.go
+++ b/internal/cell/schedule/trial_share_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
+	"github.com/medlarpulley/medlarpulley/internal/cell/trial"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -26,7 +28,7 @@
 		id := fmt.Sprintf("deadly%02d", i)
 		c.submit(id, "q", "b", smallStep(1, time.Second))
 		j := c.s.jobs[id]
-		j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
+		j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
 	}
 	var lastCrash time.Duration
 	wasDown := make(map[string]bool)
@@ -69,8 +71,8 @@
 	}
 	c.now += 100 * time.Millisecond
 	c.pollHosts()
-	if p := c.s.Decide(c.now, c.now); len(p.AdviceRequests) == 0 || len(p.AdviceRequests) > callsPerTrialHost {
-		t.Errorf("%d calls for advice are sent though one host is free, want 1 to %d", len(p.AdviceRequests), callsPerTrialHost)
+	if p := c.s.Decide(c.now, c.now); len(p.AdviceRequests) == 0 || len(p.AdviceRequests) > trial.CallsPerHost {
+		t.Errorf("%d calls for advice are sent though one host is free, want 1 to %d", len(p.AdviceRequests), trial.CallsPerHost)
 	}
 }
 
@@ -79,15 +81,15 @@
 func TestSubmissionsThatAwaitTheirFirstTaskDoNotAllAskForAdvice(t *testing.T) {
 	c := newCluster(16, resource.Vector{MilliCPU: 16000, MemoryMiB: 65536})
 	c.queue(cell.Queue{Name: "q", Stretch: 2, Latency: time.Second, Advice: rescanAdvice})
-	r := &queueRisk{starts: 100, crashes: 10, at: c.now}
+	r := &crash.Risk{Starts: 100, Crashes: 10, At: c.now}
 	c.s.risks["q"] = r
 	for i := range 400 {
 		c.submit(fmt.Sprintf("job%03d", i), "q", "b", smallStep(1, time.Second))
 	}
 	p := c.s.Decide(c.now, c.now)
 	// As many may start as are expected to crash the hosts that are spare.
-	if n := len(p.AdviceRequests); n == 0 || float64(n)*r.share() > float64(c.s.maxRiskyHosts(r)) {
-		t.Errorf("%d calls for advice are sent, and %d hosts may crash at a share of %.2f", n, c.s.maxRiskyHosts(r), r.share())
+	if n := len(p.AdviceRequests); n == 0 || float64(n)*r.Share() > float64(c.s.maxRiskyHosts(r)) {
+		t.Errorf("%d calls for advice are sent, and %d hosts may crash at a share of %.2f", n, c.s.maxRiskyHosts(r), r.Share())
 	}
 }
 
@@ -108,9 +110,9 @@
 				id := fmt.Sprintf("deadly%02d", n)
 				c.submit(id, "q", "b", smallStep(1, time.Second))
 				j := c.s.jobs[id]
-				j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
+				j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Recent: true, Suspects: 1, Seen: true}}
 			}
-			c.s.risks["q"] = &queueRisk{trialCrashes: 10, at: c.now}
+			c.s.risks["q"] = &crash.Risk{TrialCrashes: 10, At: c.now}
 		}
 		c.advance(100 * time.Millisecond)
 	}
--- a/internal/cell/schedule/trial_test.go
+++ b/internal/cell/schedule/trial_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/crash"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -17,7 +18,7 @@
 		c.submit("job-"+name, name, "a", smallStep(1, time.Second))
 		c.advance(30 * time.Second)
 	}
-	if got, want := len(c.s.risks), int(forgetRiskAfter/(30*time.Second))+1; got > want {
+	if got, want := len(c.s.risks), int(crash.ForgetRiskAfter/(30*time.Second))+1; got > want {
 		t.Errorf("%d queues are remembered, want %d at most", got, want)
 	}
 }
@@ -66,7 +67,7 @@
 	step.LongRunning = true
 	c.submit("serving", "q", "a", step)
 	j := c.s.jobs["serving"]
-	j.suspected, j.groups[0].tasks[0].crashes = true, []cell.Crash{{Run: 1, Suspects: 1, Seen: true}, {Run: 2, Suspects: 1, Seen: true}}
+	j.suspected, j.groups[0].tasks[0].evidence.Confirmed = true, []cell.Crash{{Run: 1, Suspects: 1, Seen: true}, {Run: 2, Suspects: 1, Seen: true}}
 	for range 30 {
 		c.advance(100 * time.Millisecond)
 	}
