front: Never refuse a submission that an earlier attempt may store

Cause: an append without an answer is repeated after its caller got 504. A repetition of the call was refused for the load, for want of memory or because the store refused its append, and the first append took effect afterwards: the submission ran although it had been refused.

Such submissions are stored, or get 504. peers.CallRequest has the field MayBeStored, which a forwarding node sets after an attempt without an answer; earlier versions leave it out, which means no.

Conclusion: refusals are true at one node and behind one forwarding node.

--- a/internal/cell/front/admission.go
+++ b/internal/cell/front/admission.go
@@ -36,6 +36,10 @@
 		c.acceptReturned(gate)
 		return nil
 	}
+	since := c.beginRefusal()
+	if c.mayBeStored(since) {
+		return nil
+	}
 	if err := c.handler.State.CatchUp(ctx); err != nil {
 		return nil // whether it is stored is not known; to accept it is safe
 	}
@@ -46,7 +50,7 @@
 		return okResponse(nil)
 	}
 	r := gate.Decide(q) // the summary may be too old by now, or a later one may have been read
-	if r == nil {
+	if r == nil || c.mayBeStored(since) {
 		c.acceptReturned(gate)
 		return nil
 	}
--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -160,7 +160,9 @@
 		case <-hedgeTimer.C:
 		}
 		if c.fallback != nil {
-			resp, forwardErr := c.fallback.Forward(ctx, c.request)
+			request := *c.request
+			request.MayBeStored = request.MayBeStored || done != nil || v != verdict.DidNotRun
+			resp, forwardErr := c.fallback.Forward(ctx, &request)
 			if forwardErr == nil && (resp.Status == http.StatusOK || done == nil && v == verdict.DidNotRun) {
 				return resp, nil
 			}
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -69,6 +69,9 @@
 // whether the record may have been stored.
 type RecordAppender interface {
 	Append(ctx context.Context, r platform.Record) error
+	// MayStore reports whether this process may still store a record with the key, since its
+	// append is open.
+	MayStore(key string) bool
 }
 
 // Forwarder forwards calls to other nodes. The verdict of an error tells whether
@@ -96,6 +99,7 @@
 	// Metrics counts responses by method and status; nil disables the count.
 	Metrics  tally.Scope
 	draining atomic.Bool
+	attempts attempts
 }
 
 // Drain makes every later response close its connection, so that callers connect
@@ -110,7 +114,7 @@
 	}
 	body, release, refusal := h.receive(w, r)
 	if refusal != nil {
-		h.respond(w, r, refusal)
+		h.respond(w, r, h.beforeTracking(r, refusal))
 		return
 	}
 	defer release()
@@ -119,7 +123,7 @@
 	request := &peers.CallRequest{
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, Authorization: r.Header.Get("Authorization"), Body: body,
 	}
-	resp := h.forwardOrAnswer(ctx, request)
+	resp := h.track(request, func() *peers.CallResponse { return h.forwardOrAnswer(ctx, request) })
 	if resp.Node != "" && resp.Status != http.StatusOK {
 		h.Logger.Info("The refusal of another node was passed on.", "status", resp.Status, "method", r.Method, "path", r.URL.Path, "node", resp.Node)
 	}
@@ -155,6 +159,7 @@
 		// a slow store slower.
 		return errorResponse(http.StatusGatewayTimeout, "another node did not answer; the outcome is unknown")
 	}
+	r.MayBeStored = r.MayBeStored || r.IsWrite() && verdict.Of(err) != verdict.DidNotRun
 	resp = h.Answer(ctx, r, h.Forwarder)
 	if resp.Status != http.StatusOK && r.IsWrite() && verdict.Of(err) != verdict.DidNotRun {
 		// The other node may have stored the work before its answer was lost.
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -41,6 +41,7 @@
 	forwardCalls        int
 	answerTime          time.Duration
 	storage, ofTeam     int64
+	mayStore            bool
 	// stores are the entries that are read with the next CatchUp.
 	stores map[string]registry.Entry
 }
@@ -58,6 +59,7 @@
 func (n *fakeNode) SubmissionsFresh() bool         { return true }
 func (n *fakeNode) StoreAnswerTime() time.Duration { return n.answerTime }
 func (n *fakeNode) Disconnected() bool             { return n.disconnected }
+func (n *fakeNode) MayStore(string) bool           { return n.mayStore }
 func (n *fakeNode) Append(ctx context.Context, r platform.Record) error {
 	if n.append != nil {
 		if err := n.append(ctx); err != nil {
--- a/internal/cell/front/storage.go
+++ b/internal/cell/front/storage.go
@@ -33,8 +33,11 @@
 	if c.hasStorage(bytes) {
 		return nil
 	}
+	since := c.beginRefusal()
 	if err := c.handler.State.CatchUp(ctx); err != nil {
-		return errorResponse(http.StatusGatewayTimeout, "the platform's store did not answer; the outcome is unknown")
+		resp := errorResponse(http.StatusGatewayTimeout, "the platform's store did not answer; the outcome is unknown")
+		resp.NothingSent = true
+		return resp
 	}
 	if e, found := c.handler.State.Find(c.id); found && e.Submission.Team == c.team {
 		return okResponse(nil)
@@ -42,6 +45,9 @@
 	if c.hasStorage(bytes) {
 		return nil
 	}
+	if c.mayBeStored(since) {
+		return unknownOutcome504() // to store it would exceed the memory if the earlier attempt is not stored
+	}
 	total, ofTeam := c.handler.State.Storage(c.team)
 	c.handler.Logger.Warn("A submission was refused, since the stored ones take too much memory.", "id", c.id, "queue", c.queue.Name, "team", c.team,
 		"bytes", bytes, "total", total, "of_team", ofTeam, "limit", c.handler.MaxStorage)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -263,7 +263,7 @@
 	if n.Disconnected() || !n.hasDesiredVersion(ctx, r.DesiredVersion) {
 		return &peers.CallResponse{Status: http.StatusServiceUnavailable}, nil
 	}
-	a := n.callerHandler.Answer(ctx, r, nil)
+	a := n.callerHandler.AnswerForwarded(ctx, r)
 	if d := n.desired.Load(); d.Version > r.DesiredVersion {
 		a.Desired = d.record
 	}
--- a/internal/cell/node/relay.go
+++ b/internal/cell/node/relay.go
@@ -35,6 +35,9 @@
 	return verdict.Wrap(own, verdict.Of(err).Merge(verdict.Of(own)), "not-stored")
 }
 
+// MayStore implements front.RecordAppender.
+func (a relayAppender) MayStore(key string) bool { return a.node.workAppender.MayStore(key) }
+
 // relayTarget returns the node through which this node appends the records of callers
 // at present, or an empty string if it appends them itself.
 func (n *Node) relayTarget() string {
--- a/internal/cell/peers/forward.go
+++ b/internal/cell/peers/forward.go
@@ -77,8 +77,10 @@
 		if i < maxForwardAttempts-1 {
 			callCtx, cancel = context.WithTimeout(ctx, p.forwardTimeout())
 		}
+		request := *r
+		request.MayBeStored = r.MayBeStored || r.IsWrite() && v != verdict.DidNotRun
 		var out CallResponse
-		err := e.invokeAlive(callCtx, forwardMethod, r, &out)
+		err := e.invokeAlive(callCtx, forwardMethod, &request, &out)
 		cancel()
 		switch {
 		case err == nil && !out.validStatus():
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -55,6 +55,9 @@
 	// DesiredVersion is the version of the desired state of the node that forwards the
 	// call. The call must not be answered under an older version.
 	DesiredVersion int64 `json:"version"`
+	// MayBeStored is set if an earlier attempt of the call may have been stored, or may still
+	// be. The call must not be refused then. Earlier versions leave it out, which means no.
+	MayBeStored bool `json:"may_be_stored,omitempty"`
 }
 
 // CallResponse is the HTTP response to a call.
@@ -66,6 +69,9 @@
 	// Final is set for a refusal with status 503 that another node would repeat: the cause is
 	// the cell, not the node.
 	Final bool `json:"final,omitempty"`
+	// NothingSent is set for a response with status 504 whose call itself has sent nothing to
+	// the store.
+	NothingSent bool `json:"nothing_sent,omitempty"`
 	// Desired is the record of the desired state of the answering node, if its
 	// version is newer than that of the forwarding node.
 	Desired []byte `json:"desired,omitempty"`
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -92,8 +92,11 @@
 // HostDeletionRecord returns the record that deletes a host.
 func HostDeletionRecord(id string) platform.Record { return platform.Record{Key: prefixHost + id} }
 
+// SubmissionKey returns the key of the record of an accepted submission.
+func SubmissionKey(id string) string { return prefixSubmission + id }
+
 // SubmissionRecord returns the record of an accepted submission.
-func SubmissionRecord(s *cell.Submission) platform.Record { return record(prefixSubmission+s.ID, s) }
+func SubmissionRecord(s *cell.Submission) platform.Record { return record(SubmissionKey(s.ID), s) }
 
 // ProgressRecord returns the record of the progress of a submission.
 func ProgressRecord(id string, p cell.Progress) platform.Record { return record(prefixProgress+id, p) }
--- a/internal/cell/worklog/appender.go
+++ b/internal/cell/worklog/appender.go
@@ -26,7 +26,10 @@
 	mu       sync.Mutex
 	producer platform.Producer
 	queue    []*pending
-	wake     chan struct{}
+	// open counts the records by key that are queued or sent and whose outcome is not known
+	// yet. maxQueued and maxBatch bound it.
+	open map[string]int
+	wake chan struct{}
 }
 
 // pending is one record that waits to be stored.
@@ -42,7 +45,7 @@
 // NewAppender returns an appender. The producer name must be unique to the process.
 func NewAppender(t Target, producer string) *Appender {
 	return &Appender{
-		sender: sender{Target: t}, wake: make(chan struct{}, 1),
+		sender: sender{Target: t}, wake: make(chan struct{}, 1), open: make(map[string]int),
 		producer: platform.Producer{Name: producer, Epoch: 1},
 	}
 }
@@ -64,6 +67,7 @@
 		return verdict.New(verdict.DidNotRun, "append-queue-full", "%d records wait for the store", maxQueued)
 	}
 	a.queue = append(a.queue, p)
+	a.open[r.Key]++
 	a.mu.Unlock()
 	select {
 	case a.wake <- struct{}{}:
@@ -80,6 +84,7 @@
 	if p.sent {
 		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, "store-silent")
 	}
+	a.close(p) // nextBatch drops it
 	return verdict.Wrap(ctx.Err(), verdict.DidNotRun, "store-unavailable")
 }
 
@@ -161,7 +166,28 @@
 	if err == nil {
 		a.producer.Seq++
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, p := range batch {
+		if err == nil || verdict.Of(err) == verdict.DidNotRun {
+			a.close(p)
+		}
 		p.done <- err
 	}
 }
+
+// close counts a record as no longer open. The caller holds a.mu.
+func (a *Appender) close(p *pending) {
+	if a.open[p.record.Key]--; a.open[p.record.Key] <= 0 {
+		delete(a.open, p.record.Key)
+	}
+}
+
+// MayStore reports whether a record with the key may still be stored by this appender: it is
+// queued, or was sent and its outcome is unknown. A record that was stored before it returned
+// false is found by a read of the topic that begins afterwards.
+func (a *Appender) MayStore(key string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.open[key] > 0
+}
