admission: Count the age of a summary from its computation

Cause: the age of a summary was that of its storing, so that a slow store made an old wait look new; hosts that were out of reach for a moment were left out of the capacity, which multiplied the wait; a new owner published waits before it knew what its hosts run; and a submission that was refused lost its precedence before it was stored.

Change: a summary names the end of the log that the owner had applied before the decision behind it. After an append of more than 1 s the owner withdraws its summary with the next one. All listed hosts that are not draining or evacuated count as capacity, and nothing is published before the reconciliation. A refused ID is forgotten when its submission is stored.

A summary of an earlier version of the product refuses nothing, as it names no offset.

--- a/internal/cell/admission/gate.go
+++ b/internal/cell/admission/gate.go
@@ -25,7 +25,7 @@
 
 // Decide returns the refusal of a submission, nil if it is accepted. s is the last summary that
 // this node has read of the present owner, nil if there is none, and age at least how long ago
-// the owner stored it, on the clock of this node. now is on that clock too.
+// the owner computed it, on the clock of this node; negative if it is not known. now is on that clock too.
 func (g *Gate) Decide(q Request, s *Summary, age, now time.Duration) *Refusal {
 	if s == nil || age < 0 || age >= MaxSummaryAge || q.Latest <= 0 {
 		return nil
--- a/internal/cell/admission/summary.go
+++ b/internal/cell/admission/summary.go
@@ -23,6 +23,9 @@
 type Summary struct {
 	// Token is the fencing token of the owner.
 	Token int64 `json:"token"`
+	// Applied is the end of the log up to which the owner had applied it when it computed the
+	// summary. Zero means that it is not known, as in summaries of earlier versions.
+	Applied uint64 `json:"applied,omitempty"`
 	// Backlogs holds the teams and queues with a wait, the longest waits first.
 	Backlogs []Backlog `json:"backlogs,omitempty"`
 }
--- a/internal/cell/front/admission.go
+++ b/internal/cell/front/admission.go
@@ -16,7 +16,7 @@
 	Decide(q admission.Request) *admission.Refusal
 	// Refused records that a submission was refused.
 	Refused(id string)
-	// Accepted forgets a refused submission. It reports whether there was one.
+	// Accepted forgets a refused submission, which is stored now. It reports whether there was one.
 	Accepted(id string) bool
 }
 
@@ -33,7 +33,6 @@
 		return nil
 	}
 	if gate.Decide(q) == nil {
-		c.acceptReturned(gate)
 		return nil
 	}
 	since := c.beginRefusal()
@@ -51,18 +50,17 @@
 	}
 	r := gate.Decide(q) // the summary may be too old by now, or a later one may have been read
 	if r == nil || c.mayBeStored(since) {
-		c.acceptReturned(gate)
 		return nil
 	}
 	gate.Refused(c.id)
 	return c.refusal(q, r)
 }
 
-// acceptReturned forgets a refused submission that is admitted now. If it cannot be stored, it
-// counts as new when it comes again.
-func (c *call) acceptReturned(gate Admission) {
-	if gate.Accepted(c.id) {
-		c.handler.Logger.Info("A submission that was refused before is admitted.", "id", c.id, "queue", c.queue.Name, "team", c.team)
+// acceptReturned forgets a refused submission that is stored now. Until then it keeps its
+// precedence.
+func (c *call) acceptReturned() {
+	if gate := c.handler.Admission; gate != nil && gate.Accepted(c.id) {
+		c.handler.Logger.Info("A submission that was refused before is stored.", "id", c.id, "queue", c.queue.Name, "team", c.team)
 	}
 }
 
--- a/internal/cell/front/admission_test.go
+++ b/internal/cell/front/admission_test.go
@@ -76,6 +76,9 @@
 			if w.Code != c.status || w.Header().Get("Retry-After") != c.after {
 				t.Errorf("status %d, Retry-After %q: %s", w.Code, w.Header().Get("Retry-After"), w.Body)
 			}
+			if stored := c.status == 200 && c.stored == ""; stored != (len(gate.accepted) == 1) {
+				t.Errorf("status %d, and the submissions that lose their precedence are %v", c.status, gate.accepted)
+			}
 			if refused := c.status != 200 && c.append == nil && c.stored == ""; refused != (len(gate.refused) == 1) || refused && len(n.stored) > 0 {
 				t.Errorf("refused %v, stored %v", gate.refused, n.stored)
 			}
--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -86,7 +86,11 @@
 	if refusal := c.refuseTooLate(ctx, &s); refusal != nil {
 		return refusal
 	}
-	return c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
+	resp := c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
+	if resp.Status == http.StatusOK {
+		c.acceptReturned()
+	}
+	return resp
 }
 
 func (c *call) cancel(ctx context.Context) *peers.CallResponse {
--- a/internal/cell/node/admission.go
+++ b/internal/cell/node/admission.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/admission"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
+	"github.com/medlarpulley/medlarpulley/internal/cell/worklog"
 )
 
 // admissionGate decides on submissions by the last summary that this node has read.
@@ -12,36 +14,32 @@
 	node *Node
 	gate admission.Gate
 
-	mu sync.Mutex
-	// offset is that of the last summary, and notBefore a time at which it was not stored yet,
-	// on the clock of this node; negative if there is no such time.
-	offset    uint64
-	notBefore time.Duration
+	mu    sync.Mutex
+	reads admission.ReadTimes
 }
 
-// observe notes when a summary was read. asOf is the time of the last read before, after which
-// the summary was stored; known is false if there was none, or the newest records were read,
-// which may be of any age.
-func (a *admissionGate) observe(asOf time.Duration, known bool) {
-	l, _ := a.node.registry.Load()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if l.Offset == a.offset {
+// observe notes how far a read of the work topic reached.
+func (a *admissionGate) observe(p worklog.Page) {
+	if !p.Complete {
 		return
 	}
-	if a.offset, a.notBefore = l.Offset, asOf; !known {
-		a.notBefore = -1
-	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reads.Add(p.End, p.AsOf)
 }
 
-// age returns an upper bound of the age of a summary; negative if there is none.
-func (a *admissionGate) age(offset uint64) time.Duration {
+// age returns an upper bound of the time since a summary was computed; negative if there is none.
+func (a *admissionGate) age(l registry.Load) time.Duration {
+	if l.Summary.Applied == 0 || l.Summary.Applied > l.Offset {
+		return -1 // an owner cannot have applied its own record
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if offset != a.offset || a.notBefore < 0 {
+	notBefore, ok := a.reads.Before(l.Summary.Applied)
+	if !ok {
 		return -1
 	}
-	return a.node.clock.Now() - a.notBefore
+	return a.node.clock.Now() - notBefore
 }
 
 // Decide implements front.Admission.
@@ -50,7 +48,7 @@
 	if !ok {
 		return nil
 	}
-	return a.gate.Decide(q, &l.Summary, a.age(l.Offset), a.node.clock.Now())
+	return a.gate.Decide(q, &l.Summary, a.age(l), a.node.clock.Now())
 }
 
 // Refused implements front.Admission.
@@ -74,5 +72,5 @@
 		return nil
 	}
 	l, ok := a.node.registry.Load()
-	return &admissionDump{Summary: l.Summary, Current: ok, Age: a.age(l.Offset).String(), Remembered: a.gate.Remembered()}
+	return &admissionDump{Summary: l.Summary, Current: ok, Age: a.age(l).String(), Remembered: a.gate.Remembered()}
 }
--- a/internal/cell/node/admission_test.go
+++ b/internal/cell/node/admission_test.go
@@ -10,47 +10,69 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-// Guards against refusals on a summary whose age this node cannot bound on its own clock: one
-// among the newest records, or one of a former owner that a later record makes current.
+// Guards against refusals on a summary whose age this node cannot bound on its own clock, or
+// that was computed long ago although it was stored just now, and on one of a former owner.
 func TestAgeOfASummaryIsBounded(t *testing.T) {
 	n := newUnconnectedNode(t)
-	if n.admission == nil {
-		n.admission = &admissionGate{node: n}
-	}
-	at := func(offset uint64, r platform.Record) platform.Record { r.Offset = offset; return r }
+	n.admission = &admissionGate{node: n}
 	owner := registry.Ownership{Node: "n2", InstanceID: "i", Token: 4}
 	summary := admission.Summary{Token: 4, Backlogs: []admission.Backlog{{Team: "a", Queue: "q", OwnMs: 60_000}}}
 	q := admission.Request{ID: "x", Team: "a", Queue: "q", Work: time.Second, Latest: 5 * time.Second}
-	now := n.clock.Now()
-	apply := func(p worklog.Page, asOf time.Duration, known bool) {
-		n.applyWork(p)
-		n.admission.observe(asOf, known)
-	}
-	apply(worklog.Page{NewestOnly: true, Records: []platform.Record{at(1, registry.LoadRecord(summary)), at(2, registry.OwnershipRecord(owner))}}, now, false)
-	if r := n.admission.Decide(q); r != nil {
-		t.Errorf("a summary of unknown age refuses: %+v", r)
-	}
-	n.registry.Apply(at(3, registry.LoadRecord(summary)))
-	n.admission.observe(now, true)
-	if r := n.admission.Decide(q); r == nil || !r.Own {
-		t.Errorf("a recent summary gives %+v", r)
-	}
-	n.registry.Apply(at(4, registry.LoadRecord(summary)))
-	n.admission.observe(now-admission.MaxSummaryAge, true)
-	if r := n.admission.Decide(q); r != nil {
-		t.Errorf("an old summary refuses: %+v", r)
+	next, now := uint64(10), n.clock.Now()
+	apply := func(newest bool, asOf time.Duration, records ...platform.Record) {
+		for i := range records {
+			records[i].Offset = next
+			next++
+		}
+		n.applyWork(worklog.Page{Records: records, NewestOnly: newest, AsOf: asOf, Complete: true, End: next})
 	}
-	summary.Token, owner.Token = 5, 5
-	n.registry.Apply(at(5, registry.LoadRecord(summary))) // before the claim of its owner is read
-	n.admission.observe(now-admission.MaxSummaryAge, true)
-	n.registry.Apply(at(6, registry.OwnershipRecord(owner)))
-	n.admission.observe(now, true)
-	if r := n.admission.Decide(q); r != nil {
-		t.Errorf("an old summary of a new owner refuses: %+v", r)
+	expect := func(what string, refused bool) {
+		t.Helper()
+		if r := n.admission.Decide(q); (r != nil) != refused {
+			t.Errorf("%s: the refusal is %+v", what, r)
+		}
 	}
+	mark := platform.Record{Key: "a/n2", Value: []byte("1")}
+	summary.Applied = next // the owner has applied what came before
+	apply(true, now-time.Second, registry.LoadRecord(summary), registry.OwnershipRecord(owner))
+	expect("a summary among the newest records, of unknown age", false)
+	apply(false, now-500*time.Millisecond, mark)
+	summary.Applied = next
+	apply(false, now-400*time.Millisecond, registry.LoadRecord(summary))
+	expect("a summary that was computed after a read", true)
+	summary.Applied = 0
+	apply(false, now-300*time.Millisecond, registry.LoadRecord(summary))
+	expect("a summary of an earlier version", false)
+	summary.Applied = next + 5
+	apply(false, now-200*time.Millisecond, registry.LoadRecord(summary))
+	expect("a summary of records that follow it", false)
+	summary.Applied = 12 // computed early, stored late
+	apply(false, now-100*time.Millisecond, registry.LoadRecord(summary))
+	expect("a summary that was computed before the reads that are remembered", false)
+	summary.Applied = next
+	apply(false, now, registry.LoadRecord(summary))
+	expect("a recent summary", true)
 	owner.Token = 6
-	n.registry.Apply(at(7, registry.OwnershipRecord(owner)))
-	if r := n.admission.Decide(q); r != nil {
-		t.Errorf("a former owner's summary refuses: %+v", r)
+	apply(false, now+50*time.Millisecond, registry.OwnershipRecord(owner))
+	expect("a former owner's summary", false)
+}
+
+// Guards against an old summary that counts as new since it was stored just now: the owner
+// computed it before records that this node read long ago.
+func TestAgeIsThatOfTheComputation(t *testing.T) {
+	n := newUnconnectedNode(t)
+	n.admission = &admissionGate{node: n}
+	now := n.clock.Now()
+	for i, ago := range []time.Duration{5 * time.Second, 3 * time.Second, time.Second} {
+		n.applyWork(worklog.Page{AsOf: now - ago, Complete: true, End: uint64(10 * (i + 1))})
+	}
+	for _, c := range []struct {
+		applied uint64
+		atLeast time.Duration
+	}{{10, -1}, {15, 5 * time.Second}, {25, 3 * time.Second}, {31, time.Second}} {
+		age := n.admission.age(registry.Load{Summary: admission.Summary{Applied: c.applied}, Offset: 40})
+		if c.atLeast < 0 && age >= 0 || c.atLeast >= 0 && (age < c.atLeast || age > c.atLeast+900*time.Millisecond) {
+			t.Errorf("the age of a summary of the records before %d is %s, want %s", c.applied, age, c.atLeast)
+		}
 	}
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -224,8 +224,7 @@
 func (n *Node) applyWork(p worklog.Page) {
 	startedAt := n.clock.Now()
 	if n.admission != nil {
-		asOf, read := n.workReader.AsOf()
-		defer n.admission.observe(asOf, read && !p.NewestOnly)
+		n.admission.observe(p)
 	}
 	defer func() {
 		if took := n.clock.Now() - startedAt; took > slowApplyThreshold {
--- a/internal/cell/owner/loadsummary.go
+++ b/internal/cell/owner/loadsummary.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/admission"
@@ -9,14 +8,28 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-// loadInterval is the least time between two published summaries. Nodes use a summary for
-// admission.MaxSummaryAge.
-const loadInterval = time.Second
+const (
+	// loadInterval is the least time between two published summaries. Nodes use a summary for
+	// admission.MaxSummaryAge.
+	loadInterval = time.Second
+	// slowAppend is how long an append may take until the summary in it is withdrawn with the
+	// next one.
+	slowAppend = time.Second
+)
 
 // loadPublisher remembers the last published summary. Only persist uses it.
 type loadPublisher struct {
-	at   time.Duration
-	last []byte
+	at time.Duration
+	// any is set once loadRecords has looked at the work that waits, waits while the last
+	// published summary has a wait.
+	any, waits bool
+	// withdraw is set if the last published summary took long to be stored.
+	withdraw bool
+}
+
+// stored is called after an append with how long it took.
+func (p *loadPublisher) stored(took time.Duration) {
+	p.withdraw = p.waits && (p.withdraw || took > slowAppend)
 }
 
 // loadRecords returns the record of the summary of the work that waits, none if nothing waits
@@ -24,26 +37,29 @@
 // only.
 func (ow *Owner) loadRecords(now time.Duration) []platform.Record {
 	p := &ow.published
-	if !ow.options.Admission || p.last != nil && now < p.at+loadInterval {
+	if !ow.options.Admission || p.any && !p.withdraw && now < p.at+loadInterval {
 		return nil
 	}
-	p.at = now
-	s := admission.Summary{Token: ow.options.Self.Token, Backlogs: ow.backlogs()}
+	s := admission.Summary{Token: ow.options.Self.Token}
+	if !p.withdraw {
+		s.Backlogs, s.Applied = ow.backlogs()
+	}
+	p.at, p.any, p.withdraw = now, true, false
 	ow.metrics.load.setBacklogs(s.Backlogs)
-	r := registry.LoadRecord(s)
-	if len(s.Backlogs) == 0 && (p.last == nil || bytes.Equal(p.last, r.Value)) {
-		p.last = r.Value
+	if len(s.Backlogs) == 0 && !p.waits {
 		return nil
 	}
-	p.last = r.Value
-	return []platform.Record{r}
+	p.waits = len(s.Backlogs) > 0
+	return []platform.Record{registry.LoadRecord(s)}
 }
 
-func (ow *Owner) backlogs() []admission.Backlog {
+// backlogs returns the waits, and how far the work topic had been applied at the decision after
+// which they hold.
+func (ow *Owner) backlogs() (list []admission.Backlog, applied uint64) {
 	ow.mu.Lock()
 	defer ow.unlock()
 	if ow.broken {
-		return nil
+		return nil, 0
 	}
-	return ow.scheduler.Backlogs()
+	return ow.scheduler.Backlogs(), ow.applied
 }
--- a/internal/cell/owner/loadsummary_test.go
+++ b/internal/cell/owner/loadsummary_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/admission"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
@@ -64,3 +65,62 @@
 		t.Error("a summary is stored although nothing waits")
 	}
 }
+
+// Guards against a wait that stays in force although the store took so long for it that it has
+// changed, and against an empty summary after each slow append.
+func TestSummaryIsWithdrawnAfterASlowAppend(t *testing.T) {
+	w := newOverloadedOwner(t)
+	now := w.options.Clock.Now()
+	summary := func(at time.Duration) *admission.Summary {
+		records := w.loadRecords(at)
+		if len(records) == 0 {
+			return nil
+		}
+		s, err := admission.Decode(records[0].Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &s
+	}
+	w.published.stored(2 * slowAppend)
+	if s := summary(now); s == nil || len(s.Backlogs) == 0 {
+		t.Fatalf("the first summary is %+v", s)
+	}
+	w.published.stored(slowAppend / 10)
+	if s := summary(now + 10*time.Millisecond); s != nil {
+		t.Errorf("after a fast append the next one holds %+v", s)
+	}
+	w.published.stored(slowAppend + time.Millisecond)
+	if s := summary(now + 20*time.Millisecond); s == nil || len(s.Backlogs) != 0 {
+		t.Errorf("after a slow append the next one holds %+v", s)
+	}
+	w.published.stored(2 * slowAppend)
+	if s := summary(now + 30*time.Millisecond); s != nil {
+		t.Errorf("after a second slow append the next one holds %+v", s)
+	}
+	if s := summary(now + 20*time.Millisecond + loadInterval); s == nil || len(s.Backlogs) == 0 {
+		t.Errorf("a second later the summary is %+v", s)
+	}
+}
+
+// Guards against a summary that names no offset, so that its age is not known, or one that the
+// decision behind it had not seen.
+func TestSummaryNamesWhatTheOwnerHadApplied(t *testing.T) {
+	w := newOverloadedOwner(t)
+	w.options.Applied = func() uint64 { return 77 }
+	w.options.Advisor = noAdvisor{}
+	w.plan()
+	w.options.Applied = func() uint64 { return 99 } // read after the decision
+	records := w.loadRecords(w.options.Clock.Now())
+	if len(records) != 1 {
+		t.Fatalf("%d records", len(records))
+	}
+	if s, err := admission.Decode(records[0].Value); err != nil || s.Applied != 77 {
+		t.Errorf("the summary is %+v, %v", s, err)
+	}
+}
+
+// noAdvisor is an Advisor without capacity.
+type noAdvisor struct{ Advisor }
+
+func (noAdvisor) Capacity() cell.AdviceRoom { return cell.AdviceRoom{} }
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -72,6 +72,9 @@
 	// RunTimes returns what earlier owners have learned about run times; nil for nothing. It
 	// is called by Run.
 	RunTimes func() []byte
+	// Applied returns the offset up to which this process has applied the work topic; nil if
+	// it is not known.
+	Applied func() uint64
 	// ClaimOffset is the log offset of the claim. Submissions after it have no runs
 	// of earlier owners.
 	ClaimOffset uint64
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -79,10 +79,12 @@
 	// loaded is closed once the stored submissions have been taken over.
 	loaded chan struct{}
 
-	storeRounds       storeRounds
-	metrics           metrics
-	delays            delayLog
-	published         loadPublisher
+	storeRounds storeRounds
+	metrics     metrics
+	delays      delayLog
+	published   loadPublisher
+	// applied is how far the work topic had been applied at the last decision; guarded by mu.
+	applied           uint64
 	ownershipLost     chan struct{}
 	loseOwnershipOnce sync.Once
 	// lastDecisionTime is how long the last decision took. Only Run uses it.
@@ -219,6 +221,9 @@
 	}
 	ow.updateDesired()
 	ow.updateEvacuations()
+	if ow.options.Applied != nil {
+		ow.applied = ow.options.Applied() // before the events of these records
+	}
 	ow.applyEvents()
 	ow.scheduler.SetAdviceRoom(ow.advice.room(ow.options.Advisor))
 	waiting := ow.starts.waitingCount()
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -112,6 +112,7 @@
 		if records = ow.withRunTimes(records, now); len(records) > 0 {
 			records = append(records, ow.loadRecords(now)...)
 			err := ow.store(ctx, records)
+			ow.published.stored(ow.options.Clock.Now() - now)
 			if errors.As(err, new(*worklog.UnstorableError)) {
 				continue // nothing that waits for the round counts as stored
 			}
--- a/internal/cell/registry/load_test.go
+++ b/internal/cell/registry/load_test.go
@@ -27,6 +27,9 @@
 	owner := Ownership{Node: "n", InstanceID: "i", Token: 5}
 	load := func(token int64) platform.Record { return LoadRecord(admission.Summary{Token: token}) }
 	expect("no record", false)
+	if r.Applied() != 0 {
+		t.Errorf("before the first record, %d are applied", r.Applied())
+	}
 	applyAt(r, load(5), 1)
 	expect("no owner", false)
 	applyAt(r, OwnershipRecord(owner), 2)
@@ -49,6 +52,9 @@
 	owner.Released = true
 	applyAt(r, OwnershipRecord(owner), 11)
 	expect("a summary of an owner that has released the ownership", false)
+	if r.Applied() != 12 {
+		t.Errorf("the log is applied up to %d", r.Applied())
+	}
 	r.BeginNewest(nil)
 	if l, _ := r.Load(); l.Offset != 0 {
 		t.Errorf("after the newest records were read without one, the summary is %+v", l)
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -42,6 +42,8 @@
 	listener    Listener
 	runTimes    runTimes
 	load        Load
+	// applied is the offset after the last record that was applied.
+	applied uint64
 }
 
 type shard struct {
@@ -72,6 +74,7 @@
 
 // Apply applies one record.
 func (r *Registry) Apply(rec platform.Record) {
+	defer r.setApplied(rec.Offset + 1)
 	var err error
 	switch key := rec.Key; {
 	case key == keyOwner:
@@ -99,6 +102,19 @@
 	r.faults.Resolved(rec.Key)
 }
 
+func (r *Registry) setApplied(end uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied = max(r.applied, end)
+}
+
+// Applied returns the offset after the last record that was applied.
+func (r *Registry) Applied() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.applied
+}
+
 func (r *Registry) applyOwner(rec platform.Record) error {
 	o, err := decodeOwnership(rec)
 	if err != nil {
--- a/internal/cell/schedule/backlog.go
+++ b/internal/cell/schedule/backlog.go
@@ -31,6 +31,9 @@
 // it waits. It counts only work that comes before new work for certain: tasks that are ready,
 // of the same queue, in time, and accepted before.
 func (s *Scheduler) Backlogs() (out []admission.Backlog) {
+	if !s.reconciled {
+		return nil // the hosts that have not reported yet may have room
+	}
 	byTeam, byQueue := s.backlogWork()
 	capacity, used := s.serviceUse()
 	for key, b := range byTeam {
@@ -91,11 +94,16 @@
 // maxBacklogWait bounds the waits that are published.
 const maxBacklogWait = 10 * time.Minute
 
-// serviceUse returns the capacity of the usable hosts of each service, and what is in use.
+// countsAsCapacity reports whether the room of a host counts. That of a host which is out of
+// reach, closed or avoided for a moment does: it may serve what waits. That of a host which is
+// draining, or whose zone is evacuated, does not.
+func (h *host) countsAsCapacity() bool { return h.listed && !h.spec.Leaving && !h.evacuated }
+
+// serviceUse returns the capacity of the hosts of each service, and what is in use.
 func (s *Scheduler) serviceUse() (capacity, used map[string]fairshare.Amounts) {
 	capacity, used = make(map[string]fairshare.Amounts), make(map[string]fairshare.Amounts)
 	for _, h := range s.sortedHosts {
-		if h.usable(s.now) {
+		if h.countsAsCapacity() {
 			name := h.spec.Service
 			capacity[name] = capacity[name].Plus(fairshare.AmountsOf(h.spec.Capacity, 1))
 			used[name] = used[name].Plus(fairshare.AmountsOf(h.used, 1))
--- a/internal/cell/worklog/page.go
+++ b/internal/cell/worklog/page.go
@@ -22,6 +22,9 @@
 	AsOf time.Duration
 	// Complete is set if the page reaches the end of the topic.
 	Complete bool
+	// End is the offset after the last record that was read. If the page is complete, no
+	// record from End on was stored at AsOf.
+	End uint64
 }
 
 // ForEach calls ApplyRecord for each record.
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -199,6 +199,7 @@
 }
 
 func (r *TopicReader) deliver(p Page, next uint64) {
+	p.End = next
 	r.applyPage(p)
 	r.mu.Lock()
 	defer r.mu.Unlock()
