admission: Publish the wait by laxity, resource and label

Cause: the published wait counted work that new work overtakes. Within a rank the order is laxity, not arrival; work that needs a label waits for some hosts only; and work waiting for memory counted for work that needs cores only. A submission could be refused although it would have fit.

Change: the owner publishes, for each team, queue and label, the wait for cores and for memory at up to 16 laxities, and the room that is free. A node counts what has at most the laxity of the submission, needs a label only if the submission does, and waits for a resource that it needs. Nothing is refused that fits into the free room, or fits into it beside all waiting work. Nodes of an earlier version cannot decode the record and accept everything, as before.

Conclusion: the wait is that of the order in which work is placed. It is still not certain: work that comes first may be given up as late.

--- a/internal/cell/admission/gate.go
+++ b/internal/cell/admission/gate.go
@@ -30,11 +30,7 @@
 	if s == nil || age < 0 || age >= MaxSummaryAge || q.Latest <= 0 {
 		return nil
 	}
-	b := s.find(q.Team, q.Queue)
-	if b == nil {
-		return nil
-	}
-	wait, own := b.wait()
+	wait, own := s.Wait(&q)
 	wait = max(wait-age, 0) // what waited may have been served since at full rate
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/cell/admission/gate_test.go
+++ b/internal/cell/admission/gate_test.go
@@ -7,19 +7,23 @@
 	"time"
 )
 
-// overloaded is a summary with a backlog of a minute under the limit of team a.
-func overloaded() *Summary {
-	return &Summary{Token: 3, Backlogs: []Backlog{{Team: "a", Queue: "q", OwnMs: 60_000}, {Team: "b", Queue: "q", CellMs: 60_000}}}
+// overloaded is a summary with a backlog of some time under the limit of team a.
+func overloaded(ms int64) *Summary {
+	return &Summary{Token: 3, Backlogs: []Backlog{{Team: "a", Queue: "q", Bounds: []int64{500}, Cores: []int64{ms}}}, Teams: []Room{{Name: "a", Free: Amounts{0, -1}}}}
+}
+
+// overloadedCell is a summary with a backlog of a minute on the hosts of service s.
+func overloadedCell() *Summary {
+	return &Summary{Token: 3, Backlogs: []Backlog{{Queue: "q", Bounds: []int64{500}, Cores: []int64{60_000}}}, Services: []Room{{Name: "s", OnHost: &Amounts{}}}}
 }
 
 func request(id string) Request {
-	return Request{ID: id, Team: "a", Queue: "q", Work: time.Second, Latest: 5 * time.Second}
+	return Request{ID: id, Team: "a", Queue: "q", Service: "s", Work: time.Second, Latest: 5 * time.Second, Laxity: time.Second, Demand: Amounts{1000, 64}, Largest: Amounts{1000, 64}}
 }
 
 // Guards against refusals without a recent reason: no summary, an old one, one whose age is not
 // known, or no backlog of the team and queue.
 func TestGateAcceptsWithoutRecentSummary(t *testing.T) {
-	small := &Summary{Token: 3, Backlogs: []Backlog{{Team: "a", Queue: "q", OwnMs: 3000}}}
 	for _, c := range []struct {
 		name    string
 		s       *Summary
@@ -27,13 +31,13 @@
 		team    string
 		refused bool
 	}{
-		{"a recent summary", overloaded(), time.Second, "a", true},
+		{"a recent summary", overloaded(60_000), time.Second, "a", true},
 		{"no summary", nil, 0, "a", false},
-		{"an old summary", overloaded(), MaxSummaryAge, "a", false},
-		{"a summary of unknown age", overloaded(), -1, "a", false},
-		{"another team", overloaded(), 0, "c", false},
-		{"a short backlog", small, 0, "a", false},
-		{"a backlog of the cell", overloaded(), 0, "b", true},
+		{"an old summary", overloaded(60_000), MaxSummaryAge, "a", false},
+		{"a summary of unknown age", overloaded(60_000), -1, "a", false},
+		{"another team", overloaded(60_000), 0, "c", false},
+		{"a short backlog", overloaded(3000), 0, "a", false},
+		{"a backlog of the cell", overloadedCell(), 0, "b", true},
 	} {
 		var g Gate
 		q := request("x")
@@ -52,7 +56,7 @@
 // been served meanwhile.
 func TestGateCountsAgeAsServed(t *testing.T) {
 	var g Gate
-	s := &Summary{Token: 3, Backlogs: []Backlog{{Team: "a", Queue: "q", OwnMs: 9500}}}
+	s := overloaded(9500)
 	if g.Decide(request("x"), s, 0, time.Hour) == nil {
 		t.Error("a wait of 9.5 s and a second of work are accepted, at most 10 s are")
 	}
@@ -65,7 +69,7 @@
 // against a memory of them that grows without bound.
 func TestReturningCallersComeFirst(t *testing.T) {
 	var g Gate
-	s := &Summary{Token: 3, Backlogs: []Backlog{{Team: "a", Queue: "q", OwnMs: 10_000}}}
+	s := overloaded(10_000)
 	g.Refused("again", time.Hour)
 	if g.Decide(request("new"), s, 0, time.Hour) == nil {
 		t.Error("a newcomer is accepted")
@@ -114,19 +118,32 @@
 func TestSummaryIsBounded(t *testing.T) {
 	s := Summary{Token: 1}
 	for i := range 5000 {
-		s.Backlogs = append(s.Backlogs, Backlog{Team: fmt.Sprintf("team%d", i), Queue: strings.Repeat("q", 30), OwnMs: int64(i)})
+		name := fmt.Sprintf("team%d", i)
+		s.Backlogs = append(s.Backlogs, Backlog{Team: name, Queue: strings.Repeat("q", 30), Bounds: []int64{1}, Cores: []int64{int64(i)}})
+		s.Teams = append(s.Teams, Room{Name: name})
 	}
 	data := s.Encode()
 	got, err := Decode(data)
-	if err != nil || len(data) > MaxSummaryBytes || len(got.Backlogs) < 100 || got.Backlogs[0].OwnMs != 4999 {
-		t.Errorf("%d bytes, %d backlogs, error %v", len(data), len(got.Backlogs), err)
+	if err != nil || len(data) > MaxSummaryBytes || len(got.Backlogs) < 100 || got.Backlogs[0].Longest() != 4999 || len(got.Teams) != len(got.Backlogs) {
+		t.Errorf("%d bytes, %d backlogs, %d teams, error %v", len(data), len(got.Backlogs), len(got.Teams), err)
+	}
+	s = Summary{Token: 1}
+	for i := range 5000 {
+		s.Services = append(s.Services, Room{Name: fmt.Sprint(i)})
+	}
+	if got, err := Decode(s.Encode()); err != nil || len(got.Services) != 0 {
+		t.Errorf("%d services, error %v", len(got.Services), err)
 	}
 }
 
 // Guards against bytes that are no summary and cause refusals, or a panic.
 func TestDecodeRefusesOddBytes(t *testing.T) {
-	for _, data := range []string{"", "null", "{}", "[]", "7", "{", `{"token":0}`, `{"token":-1}`, `{"token":1,"backlogs":[{"team":"a","queue":"q","own":-1}]}`,
-		`{"token":1,"backlogs":[{"own":99999999999}]}`, `{"token":1,"other":2}`, `{"token":"x"}`, strings.Repeat(" ", MaxSummaryBytes+1)} {
+	for _, data := range []string{"", "null", "{}", "[]", "7", "{", `{"token":0}`, `{"token":-1}`, `{"token":1,"backlogs":[{"team":"a","queue":"q","own":1}]}`,
+		`{"token":1,"backlogs":[{"queue":"q"}]}`, `{"token":1,"backlogs":[{"queue":"q","laxity":[1],"cores":[-1]}]}`, `{"token":1,"backlogs":[{"queue":"q","laxity":[1],"cores":[99999999999]}]}`,
+		`{"token":1,"backlogs":[{"queue":"q","laxity":[1,2],"cores":[1]}]}`, `{"token":1,"backlogs":[{"queue":"q","laxity":[2,1],"cores":[1,2]}]}`,
+		`{"token":1,"backlogs":[{"queue":"q","laxity":[1,2],"memory":[2,1]}]}`, `{"token":1,"backlogs":[{"queue":"q","laxity":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17]}]}`,
+		`{"token":1,"teams":[{"name":"a","free":[-2,0],"waiting":[0,0]}]}`, `{"token":1,"teams":[{"name":"a","free":[0,0],"waiting":[-1,0]}]}`,
+		`{"token":1,"services":[{"name":"a","free":[0,0],"waiting":[0,0],"on_host":[1e300,0]}]}`, `{"token":1,"other":2}`, `{"token":"x"}`, strings.Repeat(" ", MaxSummaryBytes+1)} {
 		if s, err := Decode([]byte(data)); err == nil {
 			t.Errorf("%.40q is decoded as %+v", data, s)
 		}
--- a/internal/cell/node/admission_test.go
+++ b/internal/cell/node/admission_test.go
@@ -16,8 +16,10 @@
 	n := newUnconnectedNode(t)
 	n.admission = &admissionGate{node: n}
 	owner := registry.Ownership{Node: "n2", InstanceID: "i", Token: 4}
-	summary := admission.Summary{Token: 4, Backlogs: []admission.Backlog{{Team: "a", Queue: "q", OwnMs: 60_000}}}
-	q := admission.Request{ID: "x", Team: "a", Queue: "q", Work: time.Second, Latest: 5 * time.Second}
+	summary := admission.Summary{
+		Token: 4, Backlogs: []admission.Backlog{{Team: "a", Queue: "q", Bounds: []int64{500}, Cores: []int64{60_000}}}, Teams: []admission.Room{{Name: "a"}},
+	}
+	q := admission.Request{ID: "x", Team: "a", Queue: "q", Work: time.Second, Latest: 5 * time.Second, Laxity: time.Second, Demand: admission.Amounts{1000, 0}}
 	next, now := uint64(10), n.clock.Now()
 	apply := func(newest bool, asOf time.Duration, records ...platform.Record) {
 		for i := range records {
--- a/internal/cell/owner/load_metrics.go
+++ b/internal/cell/owner/load_metrics.go
@@ -31,8 +31,8 @@
 // setBacklogs shows the published waits.
 func (m *loadMetrics) setBacklogs(list []admission.Backlog) {
 	longest := int64(0)
-	for _, b := range list {
-		longest = max(longest, b.OwnMs, b.CellMs)
+	for i := range list {
+		longest = max(longest, list[i].Longest())
 	}
 	m.backlogs.Update(float64(len(list)))
 	m.longestWait.Update(float64(longest) / 1000)
--- a/internal/cell/owner/loadsummary.go
+++ b/internal/cell/owner/loadsummary.go
@@ -40,10 +40,11 @@
 	if !ow.options.Admission || p.any && !p.withdraw && now < p.at+loadInterval {
 		return nil
 	}
-	s := admission.Summary{Token: ow.options.Self.Token}
+	var s admission.Summary
 	if !p.withdraw {
-		s.Backlogs, s.Applied = ow.backlogs()
+		s = ow.loadSummary()
 	}
+	s.Token = ow.options.Self.Token
 	p.at, p.any, p.withdraw = now, true, false
 	ow.metrics.load.setBacklogs(s.Backlogs)
 	if len(s.Backlogs) == 0 && !p.waits {
@@ -53,13 +54,15 @@
 	return []platform.Record{registry.LoadRecord(s)}
 }
 
-// backlogs returns the waits, and how far the work topic had been applied at the decision after
-// which they hold.
-func (ow *Owner) backlogs() (list []admission.Backlog, applied uint64) {
+// loadSummary returns the work that waits, and how far the work topic had been applied at the
+// decision after which that holds.
+func (ow *Owner) loadSummary() (s admission.Summary) {
 	ow.mu.Lock()
 	defer ow.unlock()
 	if ow.broken {
-		return nil, 0
+		return s
 	}
-	return ow.scheduler.Backlogs(), ow.applied
+	s = ow.scheduler.LoadSummary()
+	s.Applied = ow.applied
+	return s
 }
--- a/internal/cell/owner/loadsummary_test.go
+++ b/internal/cell/owner/loadsummary_test.go
@@ -51,7 +51,7 @@
 	r.Apply(o)
 	got[0].Offset = 1
 	r.Apply(got[0])
-	if l, ok := r.Load(); !ok || len(l.Summary.Backlogs) != 1 || l.Summary.Backlogs[0].OwnMs != 29_000 {
+	if l, ok := r.Load(); !ok || len(l.Summary.Backlogs) != 1 || l.Summary.Backlogs[0].Longest() != 29_000 {
 		t.Errorf("the summary is %+v, %t", l, ok)
 	}
 	if got := w.loadRecords(now + loadInterval - 1); len(got) != 0 {
--- a/internal/cell/schedule/admission_replay_test.go
+++ b/internal/cell/schedule/admission_replay_test.go
@@ -44,7 +44,8 @@
 
 func (a *admissionReplay) publishSummary() {
 	if a.summary == nil || a.now >= a.readAt+summaryInterval {
-		a.summary, a.readAt = &admission.Summary{Token: 1, Backlogs: a.s.Backlogs()}, a.now
+		s := a.s.LoadSummary()
+		a.summary, a.readAt = &s, a.now
 	}
 }
 
--- a/internal/cell/schedule/backlog_capacity_test.go
+++ b/internal/cell/schedule/backlog_capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/medlarpulley/medlarpulley/internal/cell/admission"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -13,8 +14,7 @@
 		c := newCluster(4, resource.Vector{MilliCPU: 16_000, MemoryMiB: 65_536})
 		c.advance(0)
 		change(c)
-		all, _ := c.s.serviceUse()
-		return all[c.s.sortedHosts[0].spec.Service][0]
+		return c.s.serviceRooms()[c.s.sortedHosts[0].spec.Service].capacity[admission.Cores]
 	}
 	for name, k := range map[string]struct {
 		change func(h *host)
@@ -36,11 +36,11 @@
 // Guards against waits that a new owner publishes before it knows what its hosts run.
 func TestNoBacklogsBeforeReconciliation(t *testing.T) {
 	c := overloadedTeam(11)
-	if len(c.s.Backlogs()) == 0 {
+	if len(c.s.LoadSummary().Backlogs) == 0 {
 		t.Fatal("nothing waits")
 	}
 	c.s.reconciled = false
-	if got := c.s.Backlogs(); len(got) != 0 {
+	if got := c.s.LoadSummary(); len(got.Backlogs) != 0 {
 		t.Errorf("before the hosts are reconciled the backlogs are %+v", got)
 	}
 }
--- a/internal/cell/schedule/backlog_test.go
+++ b/internal/cell/schedule/backlog_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/admission"
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
@@ -30,11 +31,12 @@
 // Guards against waits that are published while there is room, that count what already runs,
 // or that count the wait for the room under a limit as one of the cell.
 func TestBacklogsOfALimitedTeam(t *testing.T) {
-	if got := overloadedTeam(1).s.Backlogs(); len(got) != 0 {
-		t.Errorf("with all work running, the backlogs are %+v", got)
+	if got := overloadedTeam(1).s.LoadSummary(); len(got.Backlogs) != 0 {
+		t.Errorf("with all work running, the summary is %+v", got)
 	}
-	got := overloadedTeam(11).s.Backlogs()
-	if len(got) != 1 || got[0].Team != "a" || got[0].Queue != "q" || got[0].OwnMs != 10_000 || got[0].CellMs != 0 {
+	s := overloadedTeam(11).s.LoadSummary()
+	got := s.Backlogs
+	if len(got) != 1 || got[0].Team != "a" || got[0].Queue != "q" || got[0].Longest() != 10_000 || len(got[0].Memory) != 0 || len(s.Services) != 0 {
 		t.Errorf("with ten submissions waiting that take a second each, the backlogs are %+v", got)
 	}
 }
@@ -45,8 +47,8 @@
 	for range 40 {
 		c.advance(500 * time.Millisecond)
 	}
-	for _, b := range c.s.Backlogs() {
-		t.Errorf("the work waits for %d ms although all that waits is late", b.OwnMs)
+	for _, b := range c.s.LoadSummary().Backlogs {
+		t.Errorf("the work waits for %d ms although all that waits is late", b.Longest())
 	}
 }
 
@@ -57,7 +59,7 @@
 	steps := []cell.Step{coreStep(1, time.Second), coreStep(1, 2*time.Second)}
 	steps[1].After = []int{0}
 	r, ok := AdmissionRequest(&cell.Submission{ID: "x", Team: "a", Steps: steps}, q)
-	if !ok || r.Work != 3*time.Second || r.Latest != 21*time.Second || r.Team != "a" || r.Queue != "q" {
+	if !ok || r.Work != 3*time.Second || r.Latest != 21*time.Second || r.Laxity != 4*time.Second || r.Demand != (admission.Amounts{1000, 64}) || r.Team != "a" || r.Queue != "q" {
 		t.Errorf("request %+v, %t", r, ok)
 	}
 	if _, ok := AdmissionRequest(&cell.Submission{Occurrences: 2, Steps: steps}, q); ok {
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -98,6 +98,8 @@
 	sharing  sharing
 	// queueBuffer holds the entries of the last queue.
 	queueBuffer []queueEntry
+	// waitingBuffer holds the work of the last load summary.
+	waitingBuffer []waitingWork
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
 	adviceRoom *cell.AdviceRoom
 	// startRoom is how many starts may be planned until SetStartRoom is called again.
