front: Test refusals before the body and after a panic

Cause: a shed body and a panic are ends of a call that no test of untrue refusals covered.

Change: a test of both; no change of the product.

Measured: go test ./internal/cell/front passes.

Conclusion: a repetition gets 504 there, not a refusal.

--- a/internal/cell/front/untrue_refusal_test.go
+++ b/internal/cell/front/untrue_refusal_test.go
@@ -106,6 +106,30 @@
 	}
 }
 
+// Guards against a refusal before the body of a repetition was received, and after a call that
+// panicked, whose outcome is open.
+func TestRefusalBeforeTheBodyIsNotUntrue(t *testing.T) {
+	f, n := newRefusingHandler()
+	r := httptest.NewRequest("POST", "http://h.example/q/"+id, nil)
+	shed := unavailableResponse("shed")
+	if resp := f.beforeTracking(r, shed); resp != shed {
+		t.Errorf("a first call gets %d", resp.Status)
+	}
+	f.Admission = nil
+	f.State = panickingState{n}
+	func() {
+		defer func() { _ = recover() }()
+		post(f)
+	}()
+	if resp := f.beforeTracking(r, shed); resp.Status != 504 {
+		t.Errorf("after a call that panicked, the next one gets %d", resp.Status)
+	}
+	get := httptest.NewRequest("GET", "http://h.example/q/"+id, nil)
+	if resp := f.beforeTracking(get, shed); resp != shed {
+		t.Errorf("a query gets %d", resp.Status)
+	}
+}
+
 // Guards against a refusal when another call of the submission is stored after the topic was
 // read to find out whether it is.
 func TestAttemptDuringTheDecisionIsNotRefused(t *testing.T) {
