--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -86,7 +86,11 @@
 	if refusal := c.refuseTooLate(ctx, &s); refusal != nil {
 		return refusal
 	}
-	return c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
+	resp := c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
+	if resp.Status == http.StatusOK {
+		c.acceptReturned()
+	}
+	return resp
 }
 
 func (c *call) cancel(ctx context.Context) *peers.CallResponse {
@@ -160,7 +164,9 @@
 		case <-hedgeTimer.C:
 		}
 		if c.fallback != nil {
-			resp, forwardErr := c.fallback.Forward(ctx, c.request)
+			request := *c.request
+			request.MayBeStored = request.MayBeStored || done != nil || v != verdict.DidNotRun
+			resp, forwardErr := c.fallback.Forward(ctx, &request)
 			if forwardErr == nil && (resp.Status == http.StatusOK || done == nil && v == verdict.DidNotRun) {
 				return resp, nil
 			}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -223,8 +223,7 @@
 func (n *Node) applyWork(p worklog.Page) {
 	startedAt := n.clock.Now()
 	if n.admission != nil {
-		asOf, read := n.workReader.AsOf()
-		defer n.admission.observe(asOf, read && !p.NewestOnly)
+		n.admission.observe(p)
 	}
 	defer func() {
 		if took := n.clock.Now() - startedAt; took > slowApplyThreshold {
@@ -256,7 +255,7 @@
 	if n.Disconnected() || !n.hasDesiredVersion(ctx, r.DesiredVersion) {
 		return &peers.CallResponse{Status: http.StatusServiceUnavailable}, nil
 	}
-	a := n.callerHandler.Answer(ctx, r, nil)
+	a := n.callerHandler.AnswerForwarded(ctx, r)
 	if d := n.desired.Load(); d.Version > r.DesiredVersion {
 		a.Desired = d.record
 	}
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -109,6 +109,7 @@
 		}
 		if records = ow.withPeriodicRecords(records, now); len(records) > 0 {
 			err := ow.store(ctx, records)
+			ow.published.stored(ow.options.Clock.Now() - now)
 			leftOut := new(worklog.UnstorableError)
 			if err != nil && !errors.As(err, &leftOut) {
 				return
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -98,6 +98,8 @@
 	queueBuffer []queueEntry
 	// undecidedBuffer holds the last result of undecidedHosts.
 	undecidedBuffer []*host
+	// waitingBuffer holds the work of the last load summary.
+	waitingBuffer []waitingWork
 	// adviceRoom is how many advice calls may be planned; nil for no bound.
 	adviceRoom *cell.AdviceRoom
 	// startRoom is how many starts may be planned until SetStartRoom is called again.
