Move tasks that wait only for a limit only where its units are

Cause: tasks that wait for units of a limit were offered to other shards every 2 s and moved to the one with the most free hosts, whatever units it had. Units are lent after they were unused for 2 to 4 s, so a task that needs the units of several shards left before they came. Change: an offer names the limit if a host has room. Such tasks move only to a shard whose last known free units suffice for a start; or, if their shard holds too few for one start, to one that waits likewise and holds more units. Conclusion: mended for one such task.

--- /dev/null
+++ b/internal/devcluster/whole_limit_test.go
@@ -0,0 +1,49 @@
+package devcluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+	"github.com/medlarpulley/medlarpulley/internal/work"
+	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
+)
+
+// Guards against a task that needs more units of its limit than a shard holds and
+// moves from shard to shard faster than units are lent, so that no shard gets
+// enough of them.
+func TestTaskOfWholeLimitEnds(t *testing.T) {
+	c, ctx := startCluster(t, DefaultOptions(), "hawkrest")
+	if _, err := c.Publish(ctx, limitChange("8 benches")); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		began := time.Now()
+		job := batchJob(fmt.Sprintf("whole-%d", i), 1, true, "run=10ms")
+		job.Size = resource.Vector{MilliCPU: 16000, MemoryMiB: 65536}
+		if status := submitAndWait(ctx, t, c, job); status.Tasks[work.Succeeded.String()] != 1 {
+			t.Errorf("%s ended with tasks %v", job.ID, status.Tasks)
+		}
+		t.Logf("%s ended after %s, %d moves", job.ID, time.Since(began).Round(time.Millisecond), movesOf(t, c, job.ID))
+	}
+}
+
+// movesOf returns the number of records in the log that move tasks of a job.
+func movesOf(t *testing.T, c *Cluster, job string) (moves int) {
+	t.Helper()
+	for _, r := range c.Log.Appended() {
+		var batch ledgerv1.Batch
+		if err := proto.Unmarshal(r.Payload, &batch); err != nil {
+			t.Fatal(err)
+		}
+		for _, record := range batch.Records {
+			if record.GetMove().GetJob() == job {
+				moves++
+			}
+		}
+	}
+	return moves
+}
--- a/internal/node/move.go
+++ b/internal/node/move.go
@@ -8,9 +8,10 @@
 	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
-// moveTasks moves waiting tasks to a shard with free capacity for them or, if no
-// host of this shard accepts tasks, to the shard that FallbackTarget selects. They
-// are removed from the scheduler before the append, so that they cannot start here
+// moveTasks moves waiting tasks to a shard with free capacity for them, and with
+// free units of their limit if they wait only for those. If no host of this shard
+// accepts tasks, it moves them to the shard that FallbackTarget selects. They are
+// removed from the scheduler before the append, so that they cannot start here
 // once the other shard may own them.
 func (n *Node) moveTasks(from string, offer scheduler.OfferTasks) {
 	o := n.shards.get(from)
@@ -18,6 +19,9 @@
 		return
 	}
 	shards := n.shardInfos()
+	if offer.Limit != "" {
+		shards = limitTargets(from, shards, n.demandByShard(), offer.Limit, offer.LimitUnits)
+	}
 	to, fitting := homing.MoveTarget(offer.Size, from, shards)
 	if to == "" && o.summary(n.clock.Now()).ReadyHosts == 0 {
 		to, fitting = homing.FallbackTarget(offer.Size, from, shards)
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -59,6 +59,10 @@
 	First int32
 	Count int32
 	Size  resource.Vector
+	// Limit is set if a host has free capacity, so that the tasks wait only for
+	// units of this limit. LimitUnits is what one start takes.
+	Limit      string
+	LimitUnits int64
 }
 
 func (StartTask) isAction()  {}
--- a/internal/scheduler/offer.go
+++ b/internal/scheduler/offer.go
@@ -30,7 +30,11 @@
 	if count == 0 || (j.spec.Kind == work.Gang && count != j.pending) {
 		return
 	}
-	s.emit(OfferTasks{Job: j.spec.ID, First: first, Count: count, Size: j.spec.Size})
+	offer := OfferTasks{Job: j.spec.ID, First: first, Count: count, Size: j.spec.Size}
+	if g, l := j.group, j.team.limit; g != nil && g.waitsForLimit && l != nil && s.anyHostFits(j.spec.Size) {
+		offer.Limit, offer.LimitUnits = l.spec.Name, g.cost
+	}
+	s.emit(offer)
 }
 
 // lacksRoom reports whether the hosts or the limit have too little free
