runtimes: Go on learning when work moves to fewer hosts

Cause: a refused sample does not move the window of the newest samples. Once the remaining hosts had used up their shares beside hosts that had left, every further sample of the key was refused. Result: the median follows a change after a move from 24 to 6, 24 to 1 and 3 to 1 hosts; the test fails without the change.

--- a/internal/cell/runtimes/hostshare.go
+++ b/internal/cell/runtimes/hostshare.go
@@ -17,17 +17,25 @@
 	// newest holds the hosts of the newest samples; next is where the next one goes.
 	newest []string
 	next   int
+	// refused is the number of samples refused since the last one that was taken.
+	refused int
 }
 
 // take counts a sample of a host. It reports false if the host has contributed too many.
+// After shareWindow refusals in a row, the window is forgotten: the other hosts in it no
+// longer contribute, and refused samples do not move it.
 func (s *hostShare) take(host string) bool {
 	if s.byHost == nil {
 		s.byHost = make(map[string]int)
 	}
 	n := s.byHost[host]
 	if n >= sharePerHost && n*len(s.byHost) > shareFactor*len(s.newest) {
-		return false
+		if s.refused++; s.refused < shareWindow {
+			return false
+		}
+		*s = hostShare{byHost: make(map[string]int)}
 	}
+	s.refused = 0
 	s.byHost[host]++
 	if len(s.newest) < shareWindow {
 		s.newest = append(s.newest, host)
--- a/internal/cell/runtimes/model_test.go
+++ b/internal/cell/runtimes/model_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// Guards against a key that is no longer learned once its work moves to fewer hosts.
+func TestLearningGoesOnOnFewerHosts(t *testing.T) {
+	for _, c := range []struct{ before, after int }{{24, 6}, {24, 1}, {3, 1}} {
+		m := New(Options{})
+		for i := range 240 {
+			m.Observe(testKey, Run{Took: time.Second, Estimate: time.Second, HostSpeed: 1, Host: hostName(i % c.before)}, false)
+		}
+		for i := range 400 {
+			m.Observe(testKey, Run{Took: 5 * time.Second, Estimate: time.Second, HostSpeed: 1, Host: hostName(i % c.after)}, false)
+		}
+		near(t, "the median after the move of the work", m.Expect(testKey, time.Second, 1).Median, 5*time.Second, 0.1)
+	}
+}
+
 // Guards against keys without bound, and against the loss of those in use.
 func TestLeastRecentlyUsedKeyIsRemoved(t *testing.T) {
 	m := New(Options{MaxKeys: 4})
