runtimes: Take a share of a host only for recorded runs

Cause: a stopped run that says nothing took a share of its host, so that runs of it that ended were refused, and it counted as news, so that the record was stored again. Change: such a run is told from others before the share is taken, and Model.Observe returns whether it recorded the run. Result: early stops neither refuse later runs nor cause a record; both tests fail without the change.

--- a/internal/cell/runtimes/distribution.go
+++ b/internal/cell/runtimes/distribution.go
@@ -49,19 +49,23 @@
 	d.stale = true
 }
 
-// recordCensored records a run of which it is known that it would have exceeded a value. It
-// counts as one of the runs that exceeded it. It reports whether it was recorded: nearly every
-// run exceeds a small value, so that it says nothing.
-func (d *distribution) recordCensored(value float64) bool {
+// exceedsSome reports whether enough of the runs are shorter than a value for it to say
+// something as a lower bound: nearly every run exceeds a small value.
+func (d *distribution) exceedsSome(value float64) bool {
 	const leastFraction = 0.02
+	return d.table().below(value) >= leastFraction
+}
+
+// recordCensored records a run of which it is known that it would have exceeded a value. It
+// counts as one of the runs that exceeded it. A value that says nothing is left out.
+func (d *distribution) recordCensored(value float64) {
+	if !d.exceedsSome(value) {
+		return
+	}
 	t := d.table()
 	below := t.below(value)
-	if below < leastFraction {
-		return false
-	}
 	d.spread = math.Mod(d.spread+goldenRatio, 1)
 	d.record(max(t.at(below+d.spread*(1-below)), value))
-	return true
 }
 
 // table returns the quantiles of the samples.
--- a/internal/cell/runtimes/learned.go
+++ b/internal/cell/runtimes/learned.go
@@ -81,14 +81,24 @@
 	}
 }
 
+// boundSaysSomething reports whether a lower bound of a duration would be recorded.
+func (l *learned) boundSaysSomething(took, estimate time.Duration) bool {
+	if !l.ready() {
+		return false // there is nothing to compare it with
+	}
+	return l.times.exceedsSome(float64(took)/millisecond) || l.ratioKnown(estimate) && l.ratios.exceedsSome(float64(took)/float64(estimate)*ratioScale)
+}
+
+// ratioKnown reports whether a lower bound can be compared with ratios to the estimate.
+func (l *learned) ratioKnown(estimate time.Duration) bool {
+	return estimate > 0 && l.observedRatios >= minSamples
+}
+
 // observeCensored adds a run of which a lower bound of its duration is known.
 func (l *learned) observeCensored(took, estimate time.Duration) {
 	l.censored++
-	if !l.ready() {
-		return // there is nothing to compare it with
-	}
 	l.times.recordCensored(float64(took) / millisecond)
-	if estimate > 0 && l.observedRatios >= minSamples {
+	if l.ratioKnown(estimate) {
 		l.ratios.recordCensored(float64(took) / float64(estimate) * ratioScale)
 	}
 }
--- a/internal/cell/runtimes/model.go
+++ b/internal/cell/runtimes/model.go
@@ -36,29 +36,34 @@
 }
 
 // Observe adds a run. censored is set if it did not end by itself, so that its duration is
-// only a lower bound.
-func (m *Model) Observe(k Key, r Run, censored bool) {
+// only a lower bound. It reports whether the run was recorded.
+func (m *Model) Observe(k Key, r Run, censored bool) bool {
 	if r.Took <= 0 {
-		return
+		return false
 	}
 	l := m.keys[k]
 	if l == nil {
 		if censored {
-			return // it says nothing without others
+			return false // it says nothing without others
 		}
 		l = m.add(k)
 	}
 	m.use(l)
+	took := max(time.Duration(float64(min(r.Took, maxExpectation))*clampSpeed(r.HostSpeed)), 1)
+	if censored && !l.boundSaysSomething(took, r.Estimate) {
+		l.censored++
+		return false // without a share, which is for recorded runs
+	}
 	if !l.share.take(r.Host) {
 		l.dropped++
-		return
+		return false
 	}
-	took := max(time.Duration(float64(min(r.Took, maxExpectation))*clampSpeed(r.HostSpeed)), 1)
 	if censored {
 		l.observeCensored(took, r.Estimate)
 	} else {
 		l.observe(took, r.Estimate)
 	}
+	return true
 }
 
 // Expect returns how long a run with an estimate is expected to take on a host with a speed.
--- a/internal/cell/runtimes/model_test.go
+++ b/internal/cell/runtimes/model_test.go
@@ -129,6 +129,35 @@
 	}
 }
 
+// Guards against stopped runs that say nothing and use up the shares of their hosts.
+func TestRunThatIsNotRecordedTakesNoShare(t *testing.T) {
+	m := New(Options{})
+	run := func(host int, took time.Duration, censored bool) bool {
+		return m.Observe(testKey, Run{Took: took, Estimate: time.Second, HostSpeed: 1, Host: hostName(host)}, censored)
+	}
+	for i := range 2 * shareWindow {
+		if !run(i%24, time.Second, false) {
+			t.Fatalf("run %d was not recorded", i)
+		}
+	}
+	for i := range 4 * shareWindow {
+		if run(i%8, time.Millisecond, true) {
+			t.Fatal("a lower bound that every run exceeds was recorded")
+		}
+	}
+	if x := m.Explain()[0]; x.Dropped != 0 || x.Censored != 4*shareWindow {
+		t.Errorf("%d runs were dropped and %d counted as censored, want 0 and %d", x.Dropped, x.Censored, 4*shareWindow)
+	}
+	for i := range 24 {
+		if !run(i, time.Second, false) {
+			t.Errorf("run %d after them was not recorded", i)
+		}
+	}
+	if !run(30, 2*time.Second, true) {
+		t.Error("a lower bound that says something was not recorded")
+	}
+}
+
 // Guards against keys without bound, and against the loss of those in use.
 func TestLeastRecentlyUsedKeyIsRemoved(t *testing.T) {
 	m := New(Options{MaxKeys: 4})
--- a/internal/cell/schedule/learning.go
+++ b/internal/cell/schedule/learning.go
@@ -30,7 +30,7 @@
 	meanLogSlowness float64
 	// speedsUntil is when it is computed anew.
 	speedsUntil time.Duration
-	// observed is the number of runs that were learned from, and stored that at the last call
+	// observed is the number of runs that the model recorded, and stored that at the last call
 	// of Scheduler.RunTimes.
 	observed, stored int64
 	// storedSlowness is that of hosts that an earlier owner has measured.
@@ -46,6 +46,13 @@
 	return &learning{model: runtimes.New(runtimes.Options{})}
 }
 
+// observe adds a run to the model, and counts it if it was recorded.
+func (l *learning) observe(k runtimes.Key, r runtimes.Run, censored bool) {
+	if l.model.Observe(k, r, censored) {
+		l.observed++
+	}
+}
+
 // runTimeKey returns the key under which the run times of a group are learned.
 func (g *group) runTimeKey() runtimes.Key {
 	return runtimes.Key{Queue: g.job.sub.Queue.Name, Step: g.id.Step}
--- a/internal/cell/schedule/learning_test.go
+++ b/internal/cell/schedule/learning_test.go
@@ -275,6 +275,26 @@
 }
 
 // Guards against records of run times that are stored again without news, and against any
+// Guards against records of run times that are stored although nothing new was recorded.
+func TestRunThatIsNotRecordedIsNoNews(t *testing.T) {
+	c := learningCluster(t, 2)
+	c.runMany(20, func(int) cell.Step { return single(time.Second) })
+	if c.s.RunTimes() == nil {
+		t.Fatal("runs that ended are not stored")
+	}
+	want := c.observed()
+	c.submit("x", "q", "a", single(time.Hour))
+	c.advanceFor(200 * time.Millisecond)
+	c.s.Cancel("x", c.now)
+	c.advanceFor(time.Second)
+	if got := c.observed(); got.Censored != want.Censored+1 || got.Samples != want.Samples {
+		t.Fatalf("after a run that was stopped early, the key is %+v, before %+v", got, want)
+	}
+	if c.s.RunTimes() != nil {
+		t.Error("run times are stored again after a run that says nothing")
+	}
+}
+
 // learning while the feature is off.
 func TestRunTimesAreStoredOnlyAfterNews(t *testing.T) {
 	c := learningCluster(t, 2)
--- a/internal/cell/schedule/observe.go
+++ b/internal/cell/schedule/observe.go
@@ -69,8 +69,7 @@
 func (s *Scheduler) observe(a *taskRun, took time.Duration, censored bool) {
 	g, slowness := a.task.group, a.host.health.slowness
 	s.learnHostSpeed(a, took, censored)
-	s.learning.observed++
-	s.learning.model.Observe(g.runTimeKey(), runtimes.Run{
+	s.learning.observe(g.runTimeKey(), runtimes.Run{
 		Estimate: g.step.Estimate, Took: took, HostSpeed: 1 / slowness, Host: a.host.spec.ID,
 	}, censored)
 }
@@ -96,8 +95,7 @@
 	if censored && runs < len(g.tasks) || !censored && a.host.reportGap > lateReport {
 		return
 	}
-	s.learning.observed++
-	s.learning.model.Observe(g.runTimeKey(), runtimes.Run{
+	s.learning.observe(g.runTimeKey(), runtimes.Run{
 		Estimate: g.step.Estimate, Took: s.now - begun, HostSpeed: 1 / slowest.health.slowness, Host: slowest.spec.ID,
 	}, censored)
 }
