runtimes: Evict keys that are not learned before those that are

Cause: with more keys in use than are kept, a new key with one run replaced the least recently used one, also if that was learned. Change: keys without enough runs are evicted first. The number of evicted keys is in the dump and a gauge, run_time_evicted_keys. Result: learned keys stay while others are in use; the test fails without the change.

--- a/internal/cell/owner/runtimegauges.go
+++ b/internal/cell/owner/runtimegauges.go
@@ -7,18 +7,19 @@
 )
 
 // runTimeGauges show what is learned about run times: for how many keys, from how many runs,
-// and the mean errors of the expected median and of the estimates, as logarithms of ratios.
+// how many keys were evicted, and the mean errors of the expected median and of the estimates, as logarithms of ratios.
 type runTimeGauges struct {
-	keys, samples, medianError, estimateError tally.Gauge
+	keys, samples, evicted, medianError, estimateError tally.Gauge
 }
 
 func newRunTimeGauges(s tally.Scope) runTimeGauges {
-	return runTimeGauges{keys: s.Gauge("run_time_keys"), samples: s.Gauge("run_time_samples"), medianError: s.Gauge("run_time_error"), estimateError: s.Gauge("run_time_estimate_error")}
+	return runTimeGauges{keys: s.Gauge("run_time_keys"), samples: s.Gauge("run_time_samples"), evicted: s.Gauge("run_time_evicted_keys"), medianError: s.Gauge("run_time_error"), estimateError: s.Gauge("run_time_estimate_error")}
 }
 
 func (g *runTimeGauges) set(t runtimes.Totals) {
 	g.keys.Update(float64(t.Keys))
 	g.samples.Update(float64(t.Samples))
+	g.evicted.Update(float64(t.Evicted))
 	g.medianError.Update(t.Error)
 	g.estimateError.Update(t.EstimateError)
 }
--- a/internal/cell/runtimes/model.go
+++ b/internal/cell/runtimes/model.go
@@ -1,7 +1,6 @@
 package runtimes
 
 import (
-	"math"
 	"time"
 )
 
@@ -24,6 +23,8 @@
 	keys    map[Key]*learned
 	// uses numbers the uses of keys; see learned.usedAt.
 	uses int64
+	// evicted is the number of keys that were removed for others.
+	evicted int64
 }
 
 // New returns a model without runs.
@@ -121,23 +122,29 @@
 	l.usedAt = m.uses
 }
 
-// add adds a key, in place of the least recently used one if there are too many.
+// add adds a key, in place of another one if there are too many.
 func (m *Model) add(k Key) *learned {
 	if len(m.keys) >= m.maxKeys {
-		var oldest Key
-		at := int64(math.MaxInt64)
-		for other, l := range m.keys {
-			if l.usedAt < at {
-				oldest, at = other, l.usedAt
-			}
-		}
-		delete(m.keys, oldest)
+		delete(m.keys, m.leastUseful())
+		m.evicted++
 	}
 	l := newLearned()
 	m.keys[k] = l
 	return l
 }
 
+// leastUseful returns the least recently used key of those that are not ready, and of all if
+// all are. Otherwise new keys with one run each would replace those that are in use.
+func (m *Model) leastUseful() (victim Key) {
+	var worst *learned
+	for k, l := range m.keys {
+		if worst == nil || l.ready() != worst.ready() && !l.ready() || l.ready() == worst.ready() && l.usedAt < worst.usedAt {
+			victim, worst = k, l
+		}
+	}
+	return victim
+}
+
 // UntilEnd returns how much longer a run is expected to take that should take a duration in
 // all. One that has exceeded it is expected to exceed it by as much again, and by minOverdue
 // at least.
--- a/internal/cell/runtimes/model_test.go
+++ b/internal/cell/runtimes/model_test.go
@@ -175,6 +175,38 @@
 	}
 }
 
+// Guards against keys with one run each that replace those that are learned, if more keys are
+// in use than are kept.
+func TestNewKeysDoNotReplaceLearnedOnes(t *testing.T) {
+	const kept, used = 64, 80
+	m := New(Options{MaxKeys: kept})
+	observe := func(step, runs int) {
+		for range runs {
+			m.Observe(Key{"q", step}, Run{Took: time.Second, Estimate: 5 * time.Second, HostSpeed: 1, Host: "h"}, false)
+		}
+	}
+	for step := range kept - 1 {
+		observe(step, minSamples)
+	}
+	for range 20 {
+		for step := range used {
+			observe(step, 1)
+		}
+	}
+	known := 0
+	for step := range used {
+		if m.Expect(Key{"q", step}, 5*time.Second, 1).Samples > 0 {
+			known++
+		}
+	}
+	if known < kept-1 {
+		t.Errorf("%d keys are known, want at least %d", known, kept-1)
+	}
+	if n := m.Totals().Evicted; n == 0 {
+		t.Error("no evicted key was counted")
+	}
+}
+
 // Guards against values that are no durations.
 func TestOddRunsAreHarmless(t *testing.T) {
 	m := New(Options{})
--- a/internal/cell/runtimes/options.go
+++ b/internal/cell/runtimes/options.go
@@ -6,7 +6,7 @@
 
 // Options configure a Model.
 type Options struct {
-	// MaxKeys is how many keys are kept; zero for DefaultMaxKeys. The least recently used one
-	// is removed first.
+	// MaxKeys is how many keys are kept; zero for DefaultMaxKeys. Of those without enough
+	// runs to be used, the least recently used one is removed first.
 	MaxKeys int
 }
--- a/internal/cell/runtimes/totals.go
+++ b/internal/cell/runtimes/totals.go
@@ -4,6 +4,8 @@
 type Totals struct {
 	Keys    int
 	Samples int
+	// Evicted is the number of keys that were removed for others.
+	Evicted int64
 	// Error and EstimateError are the means of those of the keys, weighted by their samples;
 	// see Entry.
 	Error, EstimateError float64
@@ -11,7 +13,7 @@
 
 // Totals returns figures about all keys.
 func (m *Model) Totals() Totals {
-	t := Totals{Keys: len(m.keys)}
+	t := Totals{Keys: len(m.keys), Evicted: m.evicted}
 	for _, l := range m.keys {
 		l.times.table()
 		n := l.times.samples
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -59,6 +59,8 @@
 	Queues []QueueDump `json:"queues_with_crashes,omitempty"`
 	// RunTimes is what is learned from ended runs.
 	RunTimes []runtimes.Entry `json:"run_times,omitempty"`
+	// RunTimesEvicted is the number of keys that were removed from it for others.
+	RunTimesEvicted int64 `json:"run_times_evicted,omitempty"`
 }
 
 // QueueDump is how often the tasks of a queue have crashed their hosts of late.
@@ -126,6 +128,7 @@
 	}
 	if s.learning != nil {
 		d.RunTimes = s.learning.model.Explain()
+		d.RunTimesEvicted = s.learning.model.Totals().Evicted
 	}
 	for _, g := range s.groups {
 		if g.ready && g.waiting > 0 {
