runtimes: Learn keys from a cold start also if there are too many

Cause: keys that were used in turn, more than are kept, evicted each other before any had enough runs, so that the order of eviction did not help. Change: once all places are taken, one run in 16 of new keys adds one.

--- a/internal/cell/runtimes/model.go
+++ b/internal/cell/runtimes/model.go
@@ -5,6 +5,9 @@
 )
 
 const (
+	// admitEvery is which run of new keys adds one once all keys are in use. Keys that are
+	// used in turn would otherwise evict each other before any has minSamples runs.
+	admitEvery = 16
 	// minHostSpeed and maxHostSpeed bound the speeds of hosts: more is more likely an error.
 	minHostSpeed, maxHostSpeed = 0.125, 8
 	// minRemaining is the least time that a run is expected to take still, since its end is
@@ -25,6 +28,8 @@
 	uses int64
 	// evicted is the number of keys that were removed for others.
 	evicted int64
+	// turnedAway is the number of runs of new keys since the last one that evicted a key.
+	turnedAway int
 }
 
 // New returns a model without runs.
@@ -47,7 +52,9 @@
 		if censored {
 			return false // it says nothing without others
 		}
-		l = m.add(k)
+		if l = m.add(k); l == nil {
+			return false
+		}
 	}
 	m.use(l)
 	took := max(time.Duration(float64(min(r.Took, maxExpectation))*clampSpeed(r.HostSpeed)), 1)
@@ -122,9 +129,14 @@
 	l.usedAt = m.uses
 }
 
-// add adds a key, in place of another one if there are too many.
+// add adds a key. If there are too many, every admitEvery-th call does so in place of another
+// key, and the others return nil.
 func (m *Model) add(k Key) *learned {
 	if len(m.keys) >= m.maxKeys {
+		if m.turnedAway++; m.turnedAway < admitEvery {
+			return nil
+		}
+		m.turnedAway = 0
 		delete(m.keys, m.leastUseful())
 		m.evicted++
 	}
--- a/internal/cell/runtimes/model_test.go
+++ b/internal/cell/runtimes/model_test.go
@@ -207,6 +207,28 @@
 	}
 }
 
+// Guards against keys that are used in turn and evict each other before any is learned.
+func TestMoreKeysThanAreKeptAreLearnedFromAColdStart(t *testing.T) {
+	for _, used := range []int{520, 600, 1000} {
+		m := New(Options{})
+		for range 60 {
+			for step := range used {
+				m.Observe(Key{"q", step}, Run{Took: time.Second, Estimate: 5 * time.Second, HostSpeed: 1, Host: "h"}, false)
+			}
+		}
+		known := 0
+		for step := range used {
+			if m.Expect(Key{"q", step}, 5*time.Second, 1).Samples > 0 {
+				known++
+			}
+		}
+		if known < DefaultMaxKeys/2 {
+			t.Errorf("of %d keys that were used in turn, %d are known, want at least %d", used, known, DefaultMaxKeys/2)
+		}
+		t.Logf("%d of %d keys are known", known, used)
+	}
+}
+
 // Guards against values that are no durations.
 func TestOddRunsAreHarmless(t *testing.T) {
 	m := New(Options{})
