--- a/internal/cell/runtimes/model.go
+++ b/internal/cell/runtimes/model.go
@@ -1,11 +1,13 @@
 package runtimes
 
 import (
-	"math"
 	"time"
 )
 
 const (
+	// admitEvery is which run of new keys adds one once all keys are in use. Keys that are
+	// used in turn would otherwise evict each other before any has minSamples runs.
+	admitEvery = 16
 	// minHostSpeed and maxHostSpeed bound the speeds of hosts: more is more likely an error.
 	minHostSpeed, maxHostSpeed = 0.125, 8
 	// minRemaining is the least time that a run is expected to take still, since its end is
@@ -24,6 +26,10 @@
 	keys    map[Key]*learned
 	// uses numbers the uses of keys; see learned.usedAt.
 	uses int64
+	// evicted is the number of keys that were removed for others.
+	evicted int64
+	// turnedAway is the number of runs of new keys since the last one that evicted a key.
+	turnedAway int
 }
 
 // New returns a model without runs.
@@ -36,29 +42,36 @@
 }
 
 // Observe adds a run. censored is set if it did not end by itself, so that its duration is
-// only a lower bound.
-func (m *Model) Observe(k Key, r Run, censored bool) {
+// only a lower bound. It reports whether the run was recorded.
+func (m *Model) Observe(k Key, r Run, censored bool) bool {
 	if r.Took <= 0 {
-		return
+		return false
 	}
 	l := m.keys[k]
 	if l == nil {
 		if censored {
-			return // it says nothing without others
+			return false // it says nothing without others
+		}
+		if l = m.add(k); l == nil {
+			return false
 		}
-		l = m.add(k)
 	}
 	m.use(l)
+	took := max(time.Duration(float64(min(r.Took, maxExpectation))*clampSpeed(r.HostSpeed)), 1)
+	if censored && !l.boundSaysSomething(took, r.Estimate) {
+		l.censored++
+		return false // without a share, which is for recorded runs
+	}
 	if !l.share.take(r.Host) {
 		l.dropped++
-		return
+		return false
 	}
-	took := max(time.Duration(float64(min(r.Took, maxExpectation))*clampSpeed(r.HostSpeed)), 1)
 	if censored {
 		l.observeCensored(took, r.Estimate)
 	} else {
 		l.observe(took, r.Estimate)
 	}
+	return true
 }
 
 // Expect returns how long a run with an estimate is expected to take on a host with a speed.
@@ -116,23 +129,34 @@
 	l.usedAt = m.uses
 }
 
-// add adds a key, in place of the least recently used one if there are too many.
+// add adds a key. If there are too many, every admitEvery-th call does so in place of another
+// key, and the others return nil.
 func (m *Model) add(k Key) *learned {
 	if len(m.keys) >= m.maxKeys {
-		var oldest Key
-		at := int64(math.MaxInt64)
-		for other, l := range m.keys {
-			if l.usedAt < at {
-				oldest, at = other, l.usedAt
-			}
+		if m.turnedAway++; m.turnedAway < admitEvery {
+			return nil
 		}
-		delete(m.keys, oldest)
+		m.turnedAway = 0
+		delete(m.keys, m.leastUseful())
+		m.evicted++
 	}
 	l := newLearned()
 	m.keys[k] = l
 	return l
 }
 
+// leastUseful returns the least recently used key of those that are not ready, and of all if
+// all are. Otherwise new keys with one run each would replace those that are in use.
+func (m *Model) leastUseful() (victim Key) {
+	var worst *learned
+	for k, l := range m.keys {
+		if worst == nil || l.ready() != worst.ready() && !l.ready() || l.ready() == worst.ready() && l.usedAt < worst.usedAt {
+			victim, worst = k, l
+		}
+	}
+	return victim
+}
+
 // UntilEnd returns how much longer a run is expected to take that should take a duration in
 // all. One that has exceeded it is expected to exceed it by as much again, and by minOverdue
 // at least.
--- a/internal/cell/runtimes/model_test.go
+++ b/internal/cell/runtimes/model_test.go
@@ -115,6 +115,49 @@
 	}
 }
 
+// Guards against a key that is no longer learned once its work moves to fewer hosts.
+func TestLearningGoesOnOnFewerHosts(t *testing.T) {
+	for _, c := range []struct{ before, after int }{{24, 6}, {24, 1}, {3, 1}} {
+		m := New(Options{})
+		for i := range 240 {
+			m.Observe(testKey, Run{Took: time.Second, Estimate: time.Second, HostSpeed: 1, Host: hostName(i % c.before)}, false)
+		}
+		for i := range 400 {
+			m.Observe(testKey, Run{Took: 5 * time.Second, Estimate: time.Second, HostSpeed: 1, Host: hostName(i % c.after)}, false)
+		}
+		near(t, "the median after the move of the work", m.Expect(testKey, time.Second, 1).Median, 5*time.Second, 0.1)
+	}
+}
+
+// Guards against stopped runs that say nothing and use up the shares of their hosts.
+func TestRunThatIsNotRecordedTakesNoShare(t *testing.T) {
+	m := New(Options{})
+	run := func(host int, took time.Duration, censored bool) bool {
+		return m.Observe(testKey, Run{Took: took, Estimate: time.Second, HostSpeed: 1, Host: hostName(host)}, censored)
+	}
+	for i := range 2 * shareWindow {
+		if !run(i%24, time.Second, false) {
+			t.Fatalf("run %d was not recorded", i)
+		}
+	}
+	for i := range 4 * shareWindow {
+		if run(i%8, time.Millisecond, true) {
+			t.Fatal("a lower bound that every run exceeds was recorded")
+		}
+	}
+	if x := m.Explain()[0]; x.Dropped != 0 || x.Censored != 4*shareWindow {
+		t.Errorf("%d runs were dropped and %d counted as censored, want 0 and %d", x.Dropped, x.Censored, 4*shareWindow)
+	}
+	for i := range 24 {
+		if !run(i, time.Second, false) {
+			t.Errorf("run %d after them was not recorded", i)
+		}
+	}
+	if !run(30, 2*time.Second, true) {
+		t.Error("a lower bound that says something was not recorded")
+	}
+}
+
 // Guards against keys without bound, and against the loss of those in use.
 func TestLeastRecentlyUsedKeyIsRemoved(t *testing.T) {
 	m := New(Options{MaxKeys: 4})
@@ -132,6 +175,60 @@
 	}
 }
 
+// Guards against keys with one run each that replace those that are learned, if more keys are
+// in use than are kept.
+func TestNewKeysDoNotReplaceLearnedOnes(t *testing.T) {
+	const kept, used = 64, 80
+	m := New(Options{MaxKeys: kept})
+	observe := func(step, runs int) {
+		for range runs {
+			m.Observe(Key{"q", step}, Run{Took: time.Second, Estimate: 5 * time.Second, HostSpeed: 1, Host: "h"}, false)
+		}
+	}
+	for step := range kept - 1 {
+		observe(step, minSamples)
+	}
+	for range 20 {
+		for step := range used {
+			observe(step, 1)
+		}
+	}
+	known := 0
+	for step := range used {
+		if m.Expect(Key{"q", step}, 5*time.Second, 1).Samples > 0 {
+			known++
+		}
+	}
+	if known < kept-1 {
+		t.Errorf("%d keys are known, want at least %d", known, kept-1)
+	}
+	if n := m.Totals().Evicted; n == 0 {
+		t.Error("no evicted key was counted")
+	}
+}
+
+// Guards against keys that are used in turn and evict each other before any is learned.
+func TestMoreKeysThanAreKeptAreLearnedFromAColdStart(t *testing.T) {
+	for _, used := range []int{520, 600, 1000} {
+		m := New(Options{})
+		for range 60 {
+			for step := range used {
+				m.Observe(Key{"q", step}, Run{Took: time.Second, Estimate: 5 * time.Second, HostSpeed: 1, Host: "h"}, false)
+			}
+		}
+		known := 0
+		for step := range used {
+			if m.Expect(Key{"q", step}, 5*time.Second, 1).Samples > 0 {
+				known++
+			}
+		}
+		if known < DefaultMaxKeys/2 {
+			t.Errorf("of %d keys that were used in turn, %d are known, want at least %d", used, known, DefaultMaxKeys/2)
+		}
+		t.Logf("%d of %d keys are known", known, used)
+	}
+}
+
 // Guards against values that are no durations.
 func TestOddRunsAreHarmless(t *testing.T) {
 	m := New(Options{})
