node: Do not refuse a forwarded call that this node may store

Cause: Forward answered 503 while disconnected, or without the desired version, also for a submission of which this node had an open append. The forwarding node takes 503 as "nothing stored". Change: such a call gets 504 with NothingSent, as a call whose body was not received does.

--- a/internal/cell/front/track.go
+++ b/internal/cell/front/track.go
@@ -60,7 +60,19 @@
 // beforeTracking returns the response to a call whose body was not received: resp, unless it
 // refuses a submission that an earlier call may have stored.
 func (h *Handler) beforeTracking(r *http.Request, resp *peers.CallResponse) *peers.CallResponse {
-	id, ok := submittedID(r.Method, r.URL.Path)
+	return h.unlessStored(r.Method, r.URL.Path, resp)
+}
+
+// RefuseForwarded returns the response to a forwarded call that this node does not answer: resp,
+// unless it refuses a submission that an earlier call may have stored.
+func (h *Handler) RefuseForwarded(r *peers.CallRequest, resp *peers.CallResponse) *peers.CallResponse {
+	return h.unlessStored(r.Method, r.Path, resp)
+}
+
+// unlessStored returns resp, or 504 if it refuses a submission that a call of this node may have
+// stored.
+func (h *Handler) unlessStored(method, path string, resp *peers.CallResponse) *peers.CallResponse {
+	id, ok := submittedID(method, path)
 	if !ok || !isRefusal(resp.Status) {
 		return resp
 	}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -250,10 +250,11 @@
 }
 
 // Forward implements peers.Handler: it answers a caller's call for another node.
-// The status is 503 if this node cannot answer either.
+// The status is 503 if this node cannot answer either, and 504 if it may store the submission
+// by an earlier attempt.
 func (n *Node) Forward(ctx context.Context, r *peers.CallRequest) (*peers.CallResponse, error) {
 	if n.Disconnected() || !n.hasDesiredVersion(ctx, r.DesiredVersion) {
-		return &peers.CallResponse{Status: http.StatusServiceUnavailable}, nil
+		return n.callerHandler.RefuseForwarded(r, &peers.CallResponse{Status: http.StatusServiceUnavailable}), nil
 	}
 	a := n.callerHandler.AnswerForwarded(ctx, r)
 	if d := n.desired.Load(); d.Version > r.DesiredVersion {
