front: Find the submission ID under prefixes without a slash

Cause: the ID was taken behind the last slash, so that submissions to a queue whose path prefix does not end with one were refused after an unknown outcome. Change: the last 16 characters of the path are the ID if they have its form. Result: TestUnknownOutcomeUnderAPrefixWithoutSlash.

--- a/internal/cell/front/track.go
+++ b/internal/cell/front/track.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
@@ -45,9 +44,10 @@
 	}
 }
 
-// submittedID returns the ID that a call submits, false if it is no submission.
+// submittedID returns the ID that a call submits, false if it is no submission. The path prefix
+// of a queue need not end with a slash.
 func submittedID(method, path string) (id string, ok bool) {
-	id = path[strings.LastIndexByte(path, '/')+1:]
+	id = path[max(len(path)-platform.IDLength, 0):]
 	return id, method == http.MethodPost && platform.IsID(id)
 }
 
--- a/internal/cell/front/untrue_refusal_test.go
+++ b/internal/cell/front/untrue_refusal_test.go
@@ -29,8 +29,10 @@
 	return f, n
 }
 
-func post(f *Handler) *httptest.ResponseRecorder {
-	r := httptest.NewRequest("POST", "http://h.example/q/"+id, strings.NewReader(body))
+func post(f *Handler) *httptest.ResponseRecorder { return postTo(f, "/q/") }
+
+func postTo(f *Handler, prefix string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", "http://h.example"+prefix+id, strings.NewReader(body))
 	r.Header.Set("Authorization", "Token key-a")
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
@@ -72,6 +74,22 @@
 	}
 }
 
+// Guards against a refusal after an unknown outcome in a queue whose path prefix does not end
+// with a slash.
+func TestUnknownOutcomeUnderAPrefixWithoutSlash(t *testing.T) {
+	f, n := newRefusingHandler()
+	f.Admission = nil
+	n.desired.Queues[0].PathPrefix = "/jobs-"
+	n.append = func(context.Context) error { return mayHaveRunError() }
+	if w := postTo(f, "/jobs-"); w.Code != 504 {
+		t.Fatalf("the first attempt gets %d", w.Code)
+	}
+	n.append = func(context.Context) error { return didNotRunError() }
+	if w := postTo(f, "/jobs-"); w.Code != 504 {
+		t.Errorf("the repetition gets %d", w.Code)
+	}
+}
+
 // Guards against the refusal of a submission whose append is open: that of a call in progress,
 // that of this process for another node, or one which the forwarding node reports.
 func TestOpenAppendIsNotRefused(t *testing.T) {
