front: Note an unknown outcome once for each submission

Cause: each unknown end of one submission added an entry, so that one repeated ID filled the memory and nothing was refused any more. Change: a submission that is noted already only gets a later time, and is put back when its entry ends. Result: TestRepeatedUnknownOutcomeIsNotedOnce.

--- a/internal/cell/front/attempts.go
+++ b/internal/cell/front/attempts.go
@@ -20,8 +20,8 @@
 type attempts struct {
 	mu   sync.Mutex
 	byID map[string]*attempt
-	// unknown holds the IDs with an unknown outcome, the oldest first. Some are forgotten
-	// already, or stand there twice.
+	// unknown holds each ID with an unknown outcome once, in the order in which they were noted
+	// or put back.
 	unknown []unknownOutcome
 	// fullUntil is the end of the time in which some ID is missing, since there was no room.
 	fullUntil time.Time
@@ -33,6 +33,8 @@
 	open, begun int
 	// unknownUntil is the end of the time for which its unknown outcome is remembered.
 	unknownUntil time.Time
+	// listed is set while attempts.unknown holds the ID.
+	listed bool
 }
 
 type unknownOutcome struct {
@@ -74,30 +76,38 @@
 	e.open--
 	if unknown {
 		until := now.Add(unknownOutcomeAge)
-		if len(a.unknown) >= maxUnknownOutcomes {
+		switch {
+		case e.listed:
+			e.unknownUntil = until // expire puts the ID back
+		case len(a.unknown) >= maxUnknownOutcomes:
 			a.fullUntil = until
-		} else {
-			e.unknownUntil = until
+		default:
+			e.unknownUntil, e.listed = until, true
 			a.unknown = append(a.unknown, unknownOutcome{id, until})
 		}
 	}
-	a.forget(id, e, now)
+	a.forget(id, e)
 }
 
-// expire forgets the outcomes that are no longer remembered. The caller holds a.mu.
+// expire forgets the outcomes that are no longer remembered, and puts back those that were noted
+// again. The caller holds a.mu.
 func (a *attempts) expire(now time.Time) {
 	for len(a.unknown) > 0 && !now.Before(a.unknown[0].until) {
 		id := a.unknown[0].id
 		a.unknown = a.unknown[1:]
-		if e := a.byID[id]; e != nil {
-			a.forget(id, e, now)
+		e := a.byID[id]
+		if now.Before(e.unknownUntil) {
+			a.unknown = append(a.unknown, unknownOutcome{id, e.unknownUntil})
+			continue
 		}
+		e.listed = false
+		a.forget(id, e)
 	}
 }
 
 // forget removes an entry that says nothing any more. The caller holds a.mu.
-func (a *attempts) forget(id string, e *attempt, now time.Time) {
-	if e.open == 0 && !now.Before(e.unknownUntil) {
+func (a *attempts) forget(id string, e *attempt) {
+	if e.open == 0 && !e.listed {
 		delete(a.byID, id)
 	}
 }
--- a/internal/cell/front/attempts_test.go
+++ b/internal/cell/front/attempts_test.go
@@ -40,6 +40,35 @@
 	}
 }
 
+// Guards against one submission that is repeated again and again and fills the memory, and
+// against one that is forgotten at the end of its first unknown outcome.
+func TestRepeatedUnknownOutcomeIsNotedOnce(t *testing.T) {
+	var a attempts
+	start := time.Unix(1000, 0)
+	unknown := func(id string, now time.Time) {
+		a.begin(id, now)
+		a.end(id, true, now)
+	}
+	for range maxUnknownOutcomes + 1 {
+		unknown("x", start)
+	}
+	if _, may := a.state("other", start); may || len(a.unknown) != 1 {
+		t.Errorf("%d outcomes are remembered; another submission counts as stored: %t", len(a.unknown), may)
+	}
+	unknown("x", start.Add(time.Minute))
+	first := start.Add(unknownOutcomeAge)
+	unknown("other", first)
+	if _, may := a.state("x", first); !may || len(a.unknown) != 2 {
+		t.Errorf("after the first time %d outcomes are remembered; the submission may be stored: %t", len(a.unknown), may)
+	}
+	last := first.Add(unknownOutcomeAge)
+	a.begin("new", last)
+	a.end("new", false, last)
+	if len(a.byID) != 0 || len(a.unknown) != 0 {
+		t.Errorf("%d submissions and %d outcomes are remembered after their time", len(a.byID), len(a.unknown))
+	}
+}
+
 // Guards against a call that is taken for the only one of its submission.
 func TestSimultaneousAttemptsAreKnown(t *testing.T) {
 	var a attempts
