front: Do not refuse beside a call that began later

Cause: whether another call may store the submission was only asked when a call began, so that it got 503 for its own append although a simultaneous call that began later was stored. Change: it is asked again before a refusal leaves. Result: TestLaterAttemptDuringTheAppendIsNotRefused.

--- a/internal/cell/front/attempts.go
+++ b/internal/cell/front/attempts.go
@@ -42,9 +42,8 @@
 	until time.Time
 }
 
-// begin notes that a call for a submission begins. It reports whether another one may have
-// stored it, or may still do so.
-func (a *attempts) begin(id string, now time.Time) (mayBeStored bool) {
+// begin notes that a call for a submission begins. It returns what state does.
+func (a *attempts) begin(id string, now time.Time) (begun int, mayBeStored bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.expire(now)
@@ -58,7 +57,7 @@
 	}
 	e.open++
 	e.begun++
-	return a.mayBeStored(e, now)
+	return e.begun, a.mayBeStored(e, now)
 }
 
 // mayBeStored reports whether another call than the one that asks may have stored a submission.
--- a/internal/cell/front/attempts_test.go
+++ b/internal/cell/front/attempts_test.go
@@ -31,7 +31,7 @@
 		t.Errorf("%d submissions and %d outcomes are remembered", len(a.byID), len(a.unknown))
 	}
 	later := start.Add(unknownOutcomeAge)
-	if a.begin("0", later) {
+	if _, may := a.begin("0", later); may {
 		t.Error("an outcome is remembered after its time")
 	}
 	a.end("0", false, later)
@@ -73,11 +73,11 @@
 func TestSimultaneousAttemptsAreKnown(t *testing.T) {
 	var a attempts
 	now := time.Unix(1000, 0)
-	if a.begin("x", now) {
+	if _, may := a.begin("x", now); may {
 		t.Error("a first call finds another one")
 	}
 	before, _ := a.state("x", now)
-	if !a.begin("x", now) {
+	if _, may := a.begin("x", now); !may {
 		t.Error("a second call does not find the first one")
 	}
 	a.end("x", false, now)
--- a/internal/cell/front/track.go
+++ b/internal/cell/front/track.go
@@ -22,15 +22,15 @@
 	if !ok {
 		return answer()
 	}
-	known := h.attempts.begin(id, time.Now())
+	since, known := h.attempts.begin(id, time.Now())
 	unknown := true // also if answer panics
 	defer func() { h.endAttempt(id, unknown) }()
 	known = known || h.Records.MayStore(registry.SubmissionKey(id))
 	r.MayBeStored = r.MayBeStored || known
 	resp := answer()
 	unknown = resp.Status == http.StatusGatewayTimeout && !resp.NothingSent
-	if known && isRefusal(resp.Status) {
-		h.Logger.Info("A submission is not refused, since an earlier attempt may be stored.", "id", id, "status", resp.Status)
+	if isRefusal(resp.Status) && (known || h.mayBeStored(id, since)) {
+		h.Logger.Info("A submission is not refused, since another attempt may be stored.", "id", id, "status", resp.Status)
 		return unknownOutcome504()
 	}
 	return resp
@@ -86,7 +86,7 @@
 // unknownOutcome504 returns the response to a call that sent nothing, and that cannot be refused
 // since an earlier one may be stored.
 func unknownOutcome504() *peers.CallResponse {
-	resp := errorResponse(http.StatusGatewayTimeout, "an earlier attempt of this submission may be stored; the outcome is unknown")
+	resp := errorResponse(http.StatusGatewayTimeout, "another attempt of this submission may be stored; the outcome is unknown")
 	resp.NothingSent = true
 	return resp
 }
@@ -101,6 +101,12 @@
 // mayBeStored reports whether an earlier or a simultaneous call may have stored the submission
 // without this node knowing it, by a read that began after beginRefusal returned since.
 func (c *call) mayBeStored(since int) bool {
-	begun, mayBeStored := c.handler.attempts.state(c.id, time.Now())
-	return c.request.MayBeStored || mayBeStored || begun != since || c.handler.Records.MayStore(registry.SubmissionKey(c.id))
+	return c.request.MayBeStored || c.handler.mayBeStored(c.id, since)
+}
+
+// mayBeStored reports whether another call than the one that asks may have stored a submission,
+// or has begun since the given number of calls had.
+func (h *Handler) mayBeStored(id string, since int) bool {
+	begun, mayBeStored := h.attempts.state(id, time.Now())
+	return mayBeStored || begun != since || h.Records.MayStore(registry.SubmissionKey(id))
 }
--- a/internal/cell/front/untrue_refusal_test.go
+++ b/internal/cell/front/untrue_refusal_test.go
@@ -168,6 +168,24 @@
 	}
 }
 
+// Guards against the refusal of a call whose append the store refuses, while another call of the
+// submission that began later is stored.
+func TestLaterAttemptDuringTheAppendIsNotRefused(t *testing.T) {
+	f, n := newRefusingHandler()
+	f.Admission = nil
+	n.append = func(context.Context) error {
+		n.append = nil
+		if w := post(f); w.Code != 200 {
+			t.Errorf("the second call gets %d", w.Code)
+		}
+		n.append = func(context.Context) error { return didNotRunError() }
+		return didNotRunError()
+	}
+	if w := post(f); w.Code != 504 {
+		t.Errorf("the first call gets %d", w.Code)
+	}
+}
+
 // catchingUpState calls meanwhile while the topic is read.
 type catchingUpState struct {
 	*fakeNode
