schedule: Release the groups of a load summary

Cause: the buffer of the waiting work kept finished submissions in memory until a later summary overwrote them. Change: it is cleared at the end of LoadSummary. Result: TestSummaryKeepsNoGroups.

--- a/internal/cell/schedule/backlog.go
+++ b/internal/cell/schedule/backlog.go
@@ -76,6 +76,7 @@
 	if len(out.Backlogs) > 0 {
 		out.Teams, out.Services = r.published()
 	}
+	clear(work) // it would keep finished submissions in memory
 	return out
 }
 
--- a/internal/cell/schedule/backlog_test.go
+++ b/internal/cell/schedule/backlog_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// Guards against a summary that keeps submissions in memory after their end.
+func TestSummaryKeepsNoGroups(t *testing.T) {
+	c := overloadedTeam(20)
+	if got := c.s.LoadSummary(); len(got.Backlogs) == 0 {
+		t.Fatal("there is no backlog")
+	}
+	for _, w := range c.s.waitingBuffer[:cap(c.s.waitingBuffer)] {
+		if w.group != nil {
+			t.Fatalf("the buffer holds a group of %s", w.group.job.sub.ID)
+		}
+	}
+}
+
 // Guards against a backlog that counts work which new work passes: late work.
 func TestBacklogsLeaveOutLateWork(t *testing.T) {
 	c := overloadedTeam(30)
