schedule: Never refuse submissions to queues of priority 0

Cause: work of before a queue got priority 0 counted as waiting, so that new urgent submissions to it were refused, though they are never to be. Change: such a submission is no candidate. The queues of the tests that expect refusals get priority 1; they had 0 only by default.

--- a/internal/cell/schedule/admission_request.go
+++ b/internal/cell/schedule/admission_request.go
@@ -8,9 +8,9 @@
 )
 
 // AdmissionRequest returns what decides whether a submission that arrives now is refused; false
-// if it is never refused, as one with due times or a long-running step.
+// if it is never refused, as one to a queue of priority 0, with due times or a long-running step.
 func AdmissionRequest(sub *cell.Submission, q cell.Queue) (r admission.Request, ok bool) {
-	if sub.Timed() {
+	if sub.Timed() || q.Priority == 0 {
 		return r, false
 	}
 	j := &job{sub: sub, queue: q, steps: len(sub.Steps)}
