admission: Let the last refusal of an ID count

Cause: an ID that was let in and refused again was forgotten by the entry of its first refusal; one that was refused again kept later ones in memory. Change: each refusal has an entry with its time, and its ID is forgotten only if that is its last refusal. The bound is now one of refusals.

--- a/internal/cell/admission/refused_ids.go
+++ b/internal/cell/admission/refused_ids.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// maxRefusedIDs bounds the refused submissions that a node remembers, about 100 bytes each.
+	// maxRefusedIDs bounds the refusals that a node remembers, about 100 bytes each.
 	maxRefusedIDs = 8192
 	// refusedIDAge is how long they are remembered: a caller is asked to come back after at most
 	// 60 s.
@@ -13,9 +13,13 @@
 // refusedIDs remembers the submissions that were refused last. The zero value is empty.
 type refusedIDs struct {
 	at map[string]time.Duration
-	// order holds the IDs in the order of their first refusal. Some are forgotten already, or
-	// stand there twice.
-	order []string
+	// order holds the refusals in their order. Only the last one of an ID counts.
+	order []refusedID
+}
+
+type refusedID struct {
+	id string
+	at time.Duration
 }
 
 func (r *refusedIDs) has(id string, now time.Duration) bool {
@@ -27,12 +31,13 @@
 	if r.at == nil {
 		r.at = make(map[string]time.Duration)
 	}
-	if _, ok := r.at[id]; !ok {
-		r.order = append(r.order, id)
-	}
 	r.at[id] = now
-	for len(r.order) > 0 && (len(r.order) > maxRefusedIDs || !r.has(r.order[0], now)) {
-		delete(r.at, r.order[0])
+	r.order = append(r.order, refusedID{id, now})
+	for len(r.order) > maxRefusedIDs || now-r.order[0].at >= refusedIDAge {
+		first := r.order[0]
+		if at, ok := r.at[first.id]; ok && at == first.at {
+			delete(r.at, first.id)
+		}
 		r.order = r.order[1:]
 	}
 }
