--- a/internal/cell/front/track.go
+++ b/internal/cell/front/track.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
@@ -23,15 +22,15 @@
 	if !ok {
 		return answer()
 	}
-	known := h.attempts.begin(id, time.Now())
+	since, known := h.attempts.begin(id, time.Now())
 	unknown := true // also if answer panics
 	defer func() { h.endAttempt(id, unknown) }()
 	known = known || h.Records.MayStore(registry.SubmissionKey(id))
 	r.MayBeStored = r.MayBeStored || known
 	resp := answer()
 	unknown = resp.Status == http.StatusGatewayTimeout && !resp.NothingSent
-	if known && isRefusal(resp.Status) {
-		h.Logger.Info("A submission is not refused, since an earlier attempt may be stored.", "id", id, "status", resp.Status)
+	if isRefusal(resp.Status) && (known || h.mayBeStored(id, since)) {
+		h.Logger.Info("A submission is not refused, since another attempt may be stored.", "id", id, "status", resp.Status)
 		return unknownOutcome504()
 	}
 	return resp
@@ -45,9 +44,10 @@
 	}
 }
 
-// submittedID returns the ID that a call submits, false if it is no submission.
+// submittedID returns the ID that a call submits, false if it is no submission. The path prefix
+// of a queue need not end with a slash.
 func submittedID(method, path string) (id string, ok bool) {
-	id = path[strings.LastIndexByte(path, '/')+1:]
+	id = path[max(len(path)-platform.IDLength, 0):]
 	return id, method == http.MethodPost && platform.IsID(id)
 }
 
@@ -60,7 +60,19 @@
 // beforeTracking returns the response to a call whose body was not received: resp, unless it
 // refuses a submission that an earlier call may have stored.
 func (h *Handler) beforeTracking(r *http.Request, resp *peers.CallResponse) *peers.CallResponse {
-	id, ok := submittedID(r.Method, r.URL.Path)
+	return h.unlessStored(r.Method, r.URL.Path, resp)
+}
+
+// RefuseForwarded returns the response to a forwarded call that this node does not answer: resp,
+// unless it refuses a submission that an earlier call may have stored.
+func (h *Handler) RefuseForwarded(r *peers.CallRequest, resp *peers.CallResponse) *peers.CallResponse {
+	return h.unlessStored(r.Method, r.Path, resp)
+}
+
+// unlessStored returns resp, or 504 if it refuses a submission that a call of this node may have
+// stored.
+func (h *Handler) unlessStored(method, path string, resp *peers.CallResponse) *peers.CallResponse {
+	id, ok := submittedID(method, path)
 	if !ok || !isRefusal(resp.Status) {
 		return resp
 	}
@@ -74,7 +86,7 @@
 // unknownOutcome504 returns the response to a call that sent nothing, and that cannot be refused
 // since an earlier one may be stored.
 func unknownOutcome504() *peers.CallResponse {
-	resp := errorResponse(http.StatusGatewayTimeout, "an earlier attempt of this submission may be stored; the outcome is unknown")
+	resp := errorResponse(http.StatusGatewayTimeout, "another attempt of this submission may be stored; the outcome is unknown")
 	resp.NothingSent = true
 	return resp
 }
@@ -89,6 +101,12 @@
 // mayBeStored reports whether an earlier or a simultaneous call may have stored the submission
 // without this node knowing it, by a read that began after beginRefusal returned since.
 func (c *call) mayBeStored(since int) bool {
-	begun, mayBeStored := c.handler.attempts.state(c.id, time.Now())
-	return c.request.MayBeStored || mayBeStored || begun != since || c.handler.Records.MayStore(registry.SubmissionKey(c.id))
+	return c.request.MayBeStored || c.handler.mayBeStored(c.id, since)
+}
+
+// mayBeStored reports whether another call than the one that asks may have stored a submission,
+// or has begun since the given number of calls had.
+func (h *Handler) mayBeStored(id string, since int) bool {
+	begun, mayBeStored := h.attempts.state(id, time.Now())
+	return mayBeStored || begun != since || h.Records.MayStore(registry.SubmissionKey(id))
 }
--- a/internal/cell/front/untrue_refusal_test.go
+++ b/internal/cell/front/untrue_refusal_test.go
@@ -20,7 +20,7 @@
 // behind it. The call of a caller ends when its context does.
 func newRefusingHandler() (*Handler, *fakeNode) {
 	d := &cell.Desired{
-		Queues: []cell.Queue{{Name: "q", Host: "h.example", PathPrefix: "/q/"}}, Teams: map[string]cell.Team{"a": {Name: "a", Keys: []string{"key-a"}}},
+		Queues: []cell.Queue{{Name: "q", Priority: 1, Host: "h.example", PathPrefix: "/q/"}}, Teams: map[string]cell.Team{"a": {Name: "a", Keys: []string{"key-a"}}},
 	}
 	d.IndexKeys()
 	n := &fakeNode{desired: d, fresh: true, entries: map[string]registry.Entry{}, forward: forwardAnswers(nil, didNotRunError())}
@@ -29,8 +29,10 @@
 	return f, n
 }
 
-func post(f *Handler) *httptest.ResponseRecorder {
-	r := httptest.NewRequest("POST", "http://h.example/q/"+id, strings.NewReader(body))
+func post(f *Handler) *httptest.ResponseRecorder { return postTo(f, "/q/") }
+
+func postTo(f *Handler, prefix string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", "http://h.example"+prefix+id, strings.NewReader(body))
 	r.Header.Set("Authorization", "Token key-a")
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r)
@@ -72,6 +74,22 @@
 	}
 }
 
+// Guards against a refusal after an unknown outcome in a queue whose path prefix does not end
+// with a slash.
+func TestUnknownOutcomeUnderAPrefixWithoutSlash(t *testing.T) {
+	f, n := newRefusingHandler()
+	f.Admission = nil
+	n.desired.Queues[0].PathPrefix = "/jobs-"
+	n.append = func(context.Context) error { return mayHaveRunError() }
+	if w := postTo(f, "/jobs-"); w.Code != 504 {
+		t.Fatalf("the first attempt gets %d", w.Code)
+	}
+	n.append = func(context.Context) error { return didNotRunError() }
+	if w := postTo(f, "/jobs-"); w.Code != 504 {
+		t.Errorf("the repetition gets %d", w.Code)
+	}
+}
+
 // Guards against the refusal of a submission whose append is open: that of a call in progress,
 // that of this process for another node, or one which the forwarding node reports.
 func TestOpenAppendIsNotRefused(t *testing.T) {
@@ -150,6 +168,24 @@
 	}
 }
 
+// Guards against the refusal of a call whose append the store refuses, while another call of the
+// submission that began later is stored.
+func TestLaterAttemptDuringTheAppendIsNotRefused(t *testing.T) {
+	f, n := newRefusingHandler()
+	f.Admission = nil
+	n.append = func(context.Context) error {
+		n.append = nil
+		if w := post(f); w.Code != 200 {
+			t.Errorf("the second call gets %d", w.Code)
+		}
+		n.append = func(context.Context) error { return didNotRunError() }
+		return didNotRunError()
+	}
+	if w := post(f); w.Code != 504 {
+		t.Errorf("the first call gets %d", w.Code)
+	}
+}
+
 // catchingUpState calls meanwhile while the topic is read.
 type catchingUpState struct {
 	*fakeNode
--- a/internal/cell/schedule/backlog_test.go
+++ b/internal/cell/schedule/backlog_test.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// Guards against a summary that keeps submissions in memory after their end.
+func TestSummaryKeepsNoGroups(t *testing.T) {
+	c := overloadedTeam(20)
+	if got := c.s.LoadSummary(); len(got.Backlogs) == 0 {
+		t.Fatal("there is no backlog")
+	}
+	for _, w := range c.s.waitingBuffer[:cap(c.s.waitingBuffer)] {
+		if w.group != nil {
+			t.Fatalf("the buffer holds a group of %s", w.group.job.sub.ID)
+		}
+	}
+}
+
 // Guards against a backlog that counts work which new work passes: late work.
 func TestBacklogsLeaveOutLateWork(t *testing.T) {
 	c := overloadedTeam(30)
@@ -55,7 +68,7 @@
 // Guards against refusals of submissions that are never refused, and against a bound other than
 // three times the objective.
 func TestAdmissionRequest(t *testing.T) {
-	q := cell.Queue{Name: "q", Stretch: 2, Latency: time.Second}
+	q := cell.Queue{Name: "q", Priority: 1, Stretch: 2, Latency: time.Second}
 	steps := []cell.Step{coreStep(1, time.Second), coreStep(1, 2*time.Second)}
 	steps[1].After = []int{0}
 	r, ok := AdmissionRequest(&cell.Submission{ID: "x", Team: "a", Steps: steps}, q)
@@ -65,6 +78,11 @@
 	if _, ok := AdmissionRequest(&cell.Submission{Occurrences: 2, Steps: steps}, q); ok {
 		t.Error("a submission with due times may be refused")
 	}
+	urgent := q
+	urgent.Priority = 0
+	if _, ok := AdmissionRequest(&cell.Submission{ID: "x", Team: "a", Steps: steps}, urgent); ok {
+		t.Error("a submission to a queue of priority 0 may be refused, for work of before its queue got that priority")
+	}
 	steps[1].LongRunning = true
 	if _, ok := AdmissionRequest(&cell.Submission{Steps: steps}, q); ok {
 		t.Error("a long-running submission may be refused")
