schedule: replay figures of advice calls and of the capacity kept for gangs

Cause: the replay did not show what advice calls are spent on, nor how much capacity is kept idle for gangs, and it had no single tasks as wide as a gang to compare waits with. Change: the replay counts the time of advice calls by kind (for gangs: renewals and undecided hosts) and the reserved idle core-seconds. A new test cuts off 13 of the 37 nodes for 6 s and adds single tasks of the width and advice of the gangs at a lower priority.

--- a/internal/cell/schedule/gang_replay_test.go
+++ b/internal/cell/schedule/gang_replay_test.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 )
@@ -27,14 +26,14 @@
 	replayBurst    = 1.5
 )
 
-// replayHeavyLoad replays a cell that is 89 % loaded with three kinds of work.
-func replayHeavyLoad(t *testing.T, f Features) map[string]*replayResult {
+// replayHeavyLoad replays a cell that is 89 % loaded with several kinds of work, once for each
+// seed, and returns the results by the name of the queue.
+func replayHeavyLoad(t *testing.T, o replayOptions) (map[string]*replayResult, *replayTotals) {
 	t.Helper()
-	sum := make(map[string]*replayResult)
-	for _, seed := range replaySeeds() {
-		p := newReplay(replayOptions{
-			hosts: 350, nodes: 37, load: 0.89, seed: seed, arrivals: replayArrivals, burst: replayBurst, burstFrom: 6 * time.Second, burstTo: 12 * time.Second, features: f,
-		})
+	sum, totals := make(map[string]*replayResult), &replayTotals{}
+	o.hosts, o.nodes, o.load, o.arrivals = 350, 37, 0.89, replayArrivals
+	for _, o.seed = range replaySeeds() {
+		p := newReplay(o)
 		p.run(40 * time.Second)
 		for _, v := range p.violations {
 			t.Error(v)
@@ -45,22 +44,56 @@
 			}
 			sum[name].merge(r)
 		}
-		t.Logf("seed %d: %d stops, %.1f nodes with an advice call, %.2f of the cores used", seed, p.stops,
-			p.callTimes.Seconds()/(p.now-p.started).Seconds(), p.usedCores/(replayArrivals.Seconds()*64*350))
+		totals.merge(p.totals)
 	}
-	for _, name := range strings.Fields("lookups bundles reconciliations all") {
-		t.Logf("%-16s%s", name, sum[name])
+	for _, k := range o.kinds {
+		t.Logf("%-16s%s", k.queue.Name, sum[k.queue.Name])
 	}
-	return sum
+	t.Logf("%-16s%s", "all", sum["all"])
+	t.Log(totals)
+	return sum, totals
+}
+
+// withBurst adds a burst to a replay.
+func (o replayOptions) withBurst() replayOptions {
+	o.burst, o.burstFrom, o.burstTo = replayBurst, 6*time.Second, 12*time.Second
+	return o
 }
 
 // Shows the priority inversion of wide gangs that docs/design/hard-load.md describes.
 func TestReplayOfHeavyLoad(t *testing.T) {
-	replayHeavyLoad(t, Features{})
+	replayHeavyLoad(t, replayOptions{kinds: replayKinds}.withBurst())
 }
 
 // Guards against broken rules while advice calls for gangs name more hosts, and logs what gangs
 // get then.
 func TestReplayOfHeavyLoadWithGangCapacity(t *testing.T) {
-	replayHeavyLoad(t, Features{GangCapacity: true})
+	replayHeavyLoad(t, replayOptions{kinds: replayKinds, features: Features{GangCapacity: true}}.withBurst())
+}
+
+// Guards against gangs that wait longer than before, or take more of the nodes' time for advice
+// calls, also while a third of the nodes is cut off. Logs their wait beside that of single tasks
+// of a lower priority and the same width.
+func TestReplayOfGangsBesideWideTasks(t *testing.T) {
+	steady := replayOptions{kinds: replayWideKinds(), burst: 1}
+	for name, o := range map[string]replayOptions{"steady": steady, "burst": steady.withBurst()} {
+		if name == "steady" && len(replaySeeds()) == 1 {
+			continue // for measurements only
+		}
+		o.cut, o.cutFrom, o.cutTo = 13, 6*time.Second, 12*time.Second
+		t.Run(name, func(t *testing.T) {
+			before, callsBefore := replayHeavyLoad(t, o)
+			o.features.GangCapacity = true
+			after, callsAfter := replayHeavyLoad(t, o)
+			gangs, gangsBefore := after["bundles"], before["bundles"]
+			t.Logf("time in calls %.2f times that without; waits of gangs %.2f times (median) those of single tasks",
+				callsAfter.callTime().Seconds()/callsBefore.callTime().Seconds(), quantile(gangs.whole, 0.5).Seconds()/quantile(after["batches"].whole, 0.5).Seconds())
+			if callsAfter.callTime() > callsBefore.callTime() {
+				t.Errorf("%s of advice calls, %s without gang capacity", callsAfter.callTime(), callsBefore.callTime())
+			}
+			if gangs.inTime <= gangsBefore.inTime {
+				t.Errorf("%.0f core-seconds of gangs end in time, %.0f without gang capacity", gangs.inTime, gangsBefore.inTime)
+			}
+		})
+	}
 }
--- a/internal/cell/schedule/replay_kind_test.go
+++ b/internal/cell/schedule/replay_kind_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
@@ -43,6 +44,17 @@
 	},
 }
 
+// replayWideKinds returns the kinds with some single tasks of the width, run time and advice of
+// the gangs, at a lower priority.
+func replayWideKinds() []replayKind {
+	kinds := slices.Clone(replayKinds)
+	wide := kinds[1]
+	wide.queue.Name, wide.queue.Priority, wide.gang = "batches", 2, false
+	wide.share = 0.05
+	kinds[2].share -= wide.share
+	return append(kinds, wide)
+}
+
 func replayAdvice(decisionUs, perHostUs int) *cell.AdvicePolicy {
 	return &cell.AdvicePolicy{
 		Decision: time.Duration(decisionUs) * time.Microsecond, PerHost: time.Duration(perHostUs) * time.Microsecond, Validity: 2500 * time.Millisecond,
--- a/internal/cell/schedule/replay_test.go
+++ b/internal/cell/schedule/replay_test.go
@@ -30,7 +30,12 @@
 	// burst times the load is offered from burstFrom to burstTo after the begin.
 	burst              float64
 	burstFrom, burstTo time.Duration
-	features           Features
+	// cut is how many nodes make no advice calls from cutFrom to cutTo after the begin.
+	cut            int
+	cutFrom, cutTo time.Duration
+	// kinds are the kinds of work; replayKinds if nil.
+	kinds    []replayKind
+	features Features
 }
 
 // replay is a cell of hosts and nodes to which work of several kinds is submitted. Unlike
@@ -49,19 +54,20 @@
 	// nodes is until when each node has advice calls to make.
 	nodes      []time.Duration
 	calls      []adviceCall
-	callTimes  time.Duration
+	totals     replayTotals
 	started    time.Duration
 	violations []string
-	stops      int
-	usedCores  float64 // core-seconds in use
 	r          *rand.Rand
 }
 
 func newReplay(o replayOptions) *replay {
+	if o.kinds == nil {
+		o.kinds = replayKinds
+	}
 	p := &replay{
 		options: o, s: New(Options{GangTimeout: 3 * time.Second, Features: o.features}), now: time.Hour, started: time.Hour,
 		hosts: make(map[string]*replayHost), jobs: make(map[string]*replayJob), steps: make(map[string]cell.Step), runsStarted: make(map[string]int),
-		nodes: make([]time.Duration, o.nodes), r: rand.New(rand.NewPCG(o.seed, 1)),
+		nodes: make([]time.Duration, o.nodes), totals: replayTotals{calls: make(map[string]time.Duration)}, r: rand.New(rand.NewPCG(o.seed, 1)),
 	}
 	var list []cell.Host
 	for i := range o.hosts {
@@ -79,9 +85,9 @@
 		name := fmt.Sprintf("t%d", i)
 		d.Teams[name] = cell.Team{Name: name, Weight: 1000}
 	}
-	for i := range replayKinds {
-		replayKinds[i].queue.Service = "s"
-		d.Queues = append(d.Queues, replayKinds[i].queue)
+	for i := range o.kinds {
+		o.kinds[i].queue.Service = "s"
+		d.Queues = append(d.Queues, o.kinds[i].queue)
 	}
 	p.s.SetDesired(d)
 	for _, id := range p.ids {
@@ -95,8 +101,8 @@
 // drawArrivals draws what arrives, and when.
 func (p *replay) drawArrivals() {
 	cores := p.options.load * float64(p.options.hosts) * replayHostCores
-	for i := range replayKinds {
-		k := &replayKinds[i]
+	for i := range p.options.kinds {
+		k := &p.options.kinds[i]
 		at := p.now
 		for n := 0; ; n++ {
 			at += time.Duration(p.r.ExpFloat64() / (k.rate(cores) * p.options.burst) * float64(time.Second))
@@ -139,6 +145,7 @@
 		p.s.SetAdviceRoom(p.adviceRoom())
 		p.carryOut(p.s.Decide(p.now, p.now))
 		p.s.TakeLogMessages()
+		p.countReserved()
 		for _, id := range p.s.Changed() {
 			if progress, ok := p.s.Progress(id); ok && progress.State.Final() && p.jobs[id].left > 0 {
 				p.violations = append(p.violations, id+" is final before its tasks have ended")
@@ -158,11 +165,11 @@
 
 // endRuns ends the runs that are due and reports the hosts on which some have ended.
 func (p *replay) endRuns() {
-	inArrivals := p.now <= p.started+p.options.arrivals
+	inArrivals := p.inArrivals()
 	for _, id := range p.ids {
 		h := p.hosts[id]
 		if inArrivals {
-			p.usedCores += float64(h.used) / 1000 * replayTick.Seconds()
+			p.totals.used += float64(h.used) / 1000 * replayTick.Seconds()
 		}
 		ended := h.endRuns(p.now)
 		if len(ended) == 0 {
@@ -181,9 +188,30 @@
 	}
 }
 
+// inArrivals reports whether work still arrives.
+func (p *replay) inArrivals() bool { return p.now <= p.started+p.options.arrivals }
+
+// countReserved counts the free cores that are kept for gangs.
+func (p *replay) countReserved() {
+	if !p.inArrivals() {
+		return
+	}
+	for _, h := range p.s.sortedHosts {
+		p.totals.reserved += float64(min(h.reserved.MilliCPU, max(h.free().MilliCPU, 0))) / 1000 * replayTick.Seconds()
+	}
+}
+
+// usableNodes returns the nodes that are not cut off.
+func (p *replay) usableNodes() []time.Duration {
+	if at := p.now - p.started; at >= p.options.cutFrom && at < p.options.cutTo {
+		return p.nodes[p.options.cut:]
+	}
+	return p.nodes
+}
+
 // adviceRoom returns the room for calls as package peers counts it.
 func (p *replay) adviceRoom() cell.AdviceRoom {
-	n := len(p.nodes)
+	n := len(p.usableNodes())
 	long := min(n, max(n-max(n/3, 1), 1))
 	room := cell.AdviceRoom{LongFrom: replayLongCall, Long: long}
 	free := n
@@ -235,16 +263,29 @@
 		p.s.StopAccepted(o.Host, o.Task, o.Run, p.now, p.now)
 	}
 	for _, a := range plan.AdviceRequests {
-		best := 0
-		for i := range p.nodes {
-			if p.nodes[i] < p.nodes[best] {
+		nodes, best := p.usableNodes(), 0
+		for i := range nodes {
+			if nodes[i] < nodes[best] {
 				best = i
 			}
 		}
-		p.nodes[best] = max(p.nodes[best], p.now) + a.Duration
-		p.callTimes += a.Duration
-		p.calls = append(p.calls, adviceCall{a, p.nodes[best]})
+		nodes[best] = max(nodes[best], p.now) + a.Duration
+		p.totals.addCall(p.callKind(a), a.Duration)
+		p.calls = append(p.calls, adviceCall{a, nodes[best]})
+	}
+}
+
+// callKind returns the kind of an advice call: the queue, and for gangs whether it renews tickets
+// or names hosts that are undecided.
+func (p *replay) callKind(a AdviceRequest) string {
+	k := p.jobs[a.Group.Submission].kind
+	if !k.gang {
+		return k.queue.Name
+	}
+	if g := p.s.group(a.Group); g.approved(p.s.hosts[a.Hosts[0]]) {
+		return k.queue.Name + ", renewals"
 	}
+	return k.queue.Name + ", undecided hosts"
 }
 
 func (p *replay) start(o Start) {
@@ -268,7 +309,7 @@
 
 // stop ends a run some time after the order, as a run that is stopped may take 200 to 900 ms.
 func (p *replay) stop(o Stop) {
-	p.stops++
+	p.totals.stops++
 	for i := range p.hosts[o.Host].runs {
 		r := &p.hosts[o.Host].runs[i]
 		if at := p.now + time.Duration(200+p.r.IntN(700))*time.Millisecond; r.task == o.Task && r.run <= o.Run && at < r.endsAt {
