schedule: renew the tickets of gangs ahead, and make fewer calls for them

Cause: a gang waits longer than its tickets are valid, so that the room of seven hosts is idle while it renews them. While it waits, it keeps asking about undecided hosts, which delays the renewal and takes the nodes' call time from other work. Change: gangroom.Wait decides when tickets are renewed, so that they are valid when the planned capacity is free, and whether a call about undecided hosts can let the gang start earlier without delaying a renewal. A gang whose approved hosts others have reserved asks about further ones.

--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -27,6 +27,7 @@
 	withheld map[string]tally.Counter
 	runTimes runTimeGauges
 	load     loadMetrics
+	gangRoom gangRoomMetrics
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -40,6 +41,7 @@
 		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
 		runTimes: newRunTimeGauges(s),
 		load:     newLoadMetrics(s),
+		gangRoom: newGangRoomMetrics(s),
 	}
 	for o := cell.OutcomeUnknown; o <= cell.OutcomeGangTimeout; o++ {
 		m.ended[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("runs_ended")
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -230,6 +230,7 @@
 	weight, deferred := ow.scheduler.Held()
 	ow.metrics.setBounds(weight, deferred, waiting)
 	ow.showRunTimes(startedAt)
+	ow.metrics.gangRoom.set(ow.scheduler.GangRoom())
 	ow.metrics.load.setShares(ow.scheduler, startedAt)
 	return p, ow.scheduler.TakeLogMessages(), startedAt - requestedAt
 }
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -88,10 +88,10 @@
 }
 
 // requestAdvice plans an advice call about the given hosts, or the first of them if they
-// are more than one call may name.
-func (s *Scheduler) requestAdvice(g *group, hosts []*host) {
+// are more than one call may name. It reports whether there is room for the call.
+func (s *Scheduler) requestAdvice(g *group, hosts []*host) bool {
 	if len(hosts) == 0 || !s.mayRequestAdvice(g) {
-		return
+		return false
 	}
 	hosts = hosts[:min(len(hosts), maxAdviceHosts)]
 	names := make([]string, len(hosts))
@@ -101,7 +101,7 @@
 	p := g.policy()
 	d := p.CallDuration(len(names))
 	if !s.hasAdviceRoom(d) {
-		return
+		return false
 	}
 	if s.adviceRoom != nil {
 		s.adviceRoom.Take(d)
@@ -110,6 +110,7 @@
 	s.plan.AdviceRequests = append(s.plan.AdviceRequests, AdviceRequest{
 		Group: g.id, Hosts: names, Duration: d, Priority: g.job.queue.Priority, Validity: p.Validity,
 	})
+	return true
 }
 
 // SetAdviceRoom sets how many advice calls the next decisions may plan. The groups that
@@ -139,12 +140,7 @@
 	if !s.mayRequestAdvice(g) {
 		return s.hasUndecidedHost(g)
 	}
-	var hosts []*host
-	for _, h := range s.sortedHosts {
-		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h] {
-			hosts = append(hosts, h)
-		}
-	}
+	hosts := s.undecidedHosts(g)
 	if g.step.Gang && s.options.Features.GangCapacity {
 		hosts = s.gangHostsToAsk(g, hosts)
 	} else {
@@ -154,6 +150,17 @@
 	return len(hosts) > 0
 }
 
+// undecidedHosts returns the hosts that the service has neither approved nor denied for the
+// group.
+func (s *Scheduler) undecidedHosts(g *group) (out []*host) {
+	for _, h := range s.sortedHosts {
+		if s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h] {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // AdviceReceived records the answer of an advice call. named are the hosts in the
 // call; received is when the answer arrived.
 func (s *Scheduler) AdviceReceived(id cell.GroupID, named []string, tickets map[string]string, received time.Duration) {
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -49,6 +49,7 @@
 	Teams      []TeamDump     `json:"teams"`
 	Waiting    map[string]int `json:"waiting_groups"`
 	Jobs       int            `json:"jobs"`
+	GangRoom   GangRoom       `json:"gang_room"`
 	// Weight is how much the owner holds, in tasks, and Deferred the number of submissions
 	// that wait until it may hold theirs.
 	Weight   int `json:"weight"`
@@ -96,7 +97,7 @@
 
 // Dump returns the state of the cell.
 func (s *Scheduler) Dump() Dump {
-	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred), Evacuated: s.dumpZones(), StartsHeld: s.startsHeld}
+	d := Dump{Waiting: make(map[string]int), Jobs: len(s.jobs), Weight: s.weight, Deferred: len(s.deferred), Evacuated: s.dumpZones(), StartsHeld: s.startsHeld, GangRoom: s.GangRoom()}
 	for _, h := range s.sortedHosts {
 		hd := HostDump{
 			ID: h.spec.ID, Usable: h.usable(s.now), Evacuated: h.evacuated, Closed: h.closed, Used: h.used.String(), Runs: len(h.runs), Slowness: h.health.slowness,
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -57,13 +57,20 @@
 	plan := s.planRoom(g, len(tasks))
 	if plan == nil {
 		s.waitBehindGangs(g) // they have reserved the room that it needs
+		if s.options.Features.GangCapacity && g.policy() != nil {
+			s.requestAdviceOnUndecidedHosts(g)
+		}
 		return
 	}
 	*reservingGangs++
 	s.setWaitReason(g, waitRoom)
 	s.reserve(plan, g, len(tasks))
 	g.job.team.holdLimit(g.step.Size, len(tasks))
-	if g.policy() != nil {
+	switch {
+	case g.policy() == nil:
+	case s.options.Features.GangCapacity:
+		s.requestAdviceWhileGathering(g, plan)
+	default:
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
 }
@@ -226,7 +233,9 @@
 	for _, h := range hosts {
 		h.reserve(g, 1, until)
 	}
-	s.requestAdvice(g, named)
+	if s.requestAdvice(g, named) {
+		s.gangRoom.LateRenewals++
+	}
 }
 
 // approvedCapacity returns how many tasks fit on the approved hosts once all runs
--- /dev/null
+++ b/internal/cell/schedule/gang_renewal_test.go
@@ -0,0 +1,178 @@
+package schedule
+
+import (
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/resource"
+)
+
+// gatheringStart is when the room is free for which the gang of gatheringCluster waits.
+const gatheringStart = 3 * time.Second
+
+// gatheringCluster returns a cell of 60 hosts, with gang capacity on, that tasks fill until
+// gatheringStart, and in which a gang of 20 members waits for room on the third of the hosts that
+// is approved.
+func gatheringCluster(t *testing.T) (c *cluster, roomAt time.Duration) {
+	t.Helper()
+	clusterFeatures = Features{GangCapacity: true}
+	t.Cleanup(func() { clusterFeatures = Features{} })
+	c = newCluster(60, resource.Vector{MilliCPU: 64_000, MemoryMiB: 256 * 1024})
+	c.adviceTakesTime = true
+	c.approves = func(g cell.GroupID, host string) bool {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(host + g.Submission))
+		return h.Sum32()%3 == 0
+	}
+	c.teams["b"] = cell.Team{Name: "b", Weight: 1000}
+	c.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 3, Latency: 3 * time.Second})
+	c.queue(cell.Queue{Name: "wide", Priority: 1, Stretch: 1.5, Latency: time.Second, Advice: &cell.AdvicePolicy{
+		Decision: 200 * time.Millisecond, PerHost: 5 * time.Millisecond, Validity: 900 * time.Millisecond,
+	}})
+	c.submit("before", "small", "a", cell.Step{Count: 540, Size: resource.Vector{MilliCPU: 7000, MemoryMiB: 1024}, Estimate: gatheringStart})
+	c.advance(10 * time.Millisecond)
+	roomAt = c.now + gatheringStart
+	c.submit("gang", "wide", "b", cell.Step{Count: 20, Gang: true, Size: resource.Vector{MilliCPU: 18_000, MemoryMiB: 1024}, Estimate: 5 * time.Second})
+	c.advanceFor(time.Second)
+	if p := c.gang().promise; p == nil || len(p.hosts) == 0 {
+		t.Fatalf("no room is gathered for the gang: %v", c.s.Explain("gang"))
+	}
+	return c, roomAt
+}
+
+func (c *cluster) gang() *group { return c.s.group(cell.GroupID{Submission: "gang"}) }
+
+// awaitRenewal advances until a call renews the tickets of the gang before a time.
+func (c *cluster) awaitRenewal(t *testing.T, before time.Duration) {
+	t.Helper()
+	for c.now < before {
+		c.advance(10 * time.Millisecond)
+		if c.gang().advice.inFlight {
+			return
+		}
+	}
+	t.Fatal("the tickets are not renewed before the room is free")
+}
+
+// expectGang fails unless all members run at a time, and no rule was broken.
+func (c *cluster) expectGang(t *testing.T, by time.Duration) {
+	t.Helper()
+	for c.now < by && c.running("gang") == 0 {
+		c.advance(10 * time.Millisecond)
+	}
+	if n := c.running("gang"); n != 20 {
+		t.Errorf("%d of 20 members run: %v", n, c.s.Explain("gang"))
+	}
+	checkViolations(t, c)
+}
+
+// Guards against room that stays idle until expired tickets have been renewed.
+func TestTicketsAreRenewedBeforeTheRoomIsFree(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	c.expectGang(t, roomAt+50*time.Millisecond)
+	if r := c.s.GangRoom(); r.Renewals == 0 || r.LateRenewals != 0 {
+		t.Errorf("%d renewals before the room was free, %d after it", r.Renewals, r.LateRenewals)
+	}
+}
+
+// Guards against a gang that does not start since the renewal of its tickets failed.
+func TestGangStartsThoughARenewalFails(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	c.awaitRenewal(t, roomAt)
+	c.calls = nil
+	c.s.AdviceFailed(c.gang().id, c.now)
+	c.expectGang(t, roomAt+500*time.Millisecond)
+}
+
+// Guards against a second call for a gang while a renewal is late, and against a gang that does
+// not start when it is answered.
+func TestGangStartsThoughARenewalIsLate(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	c.awaitRenewal(t, roomAt)
+	c.calls[0].due = roomAt + time.Second
+	made := c.callCount[c.gang().id]
+	for c.now < roomAt+900*time.Millisecond {
+		c.advance(50 * time.Millisecond)
+	}
+	if n := c.callCount[c.gang().id]; n != made {
+		t.Errorf("%d calls are made beside the one that is late", n-made)
+	}
+	c.expectGang(t, roomAt+1100*time.Millisecond)
+}
+
+// Guards against a start with a ticket for an earlier lifetime of a host, and against a gang that
+// does not start since such a ticket counts as renewed.
+func TestGangStartsThoughAHostWithARenewedTicketRestarts(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	c.awaitRenewal(t, roomAt)
+	for c.gang().advice.inFlight {
+		c.advance(10 * time.Millisecond)
+	}
+	g := c.gang()
+	restarted := g.promise.hosts[0]
+	if _, ok := g.ticketFor(restarted, c.now); !ok {
+		t.Fatal("the renewal does not cover the planned hosts")
+	}
+	c.restart(restarted.spec.ID)
+	c.relist()
+	c.pollHosts()
+	if _, ok := g.ticketFor(restarted, c.now); ok {
+		t.Error("the ticket for the earlier lifetime of the host counts as valid")
+	}
+	c.expectGang(t, roomAt+500*time.Millisecond)
+	for _, o := range c.s.sortedHosts {
+		if g.runsOn(o) > 0 {
+			if _, ok := g.ticketFor(o, c.now); !ok {
+				t.Errorf("members run on %s without a valid ticket", o.spec.ID)
+			}
+		}
+	}
+}
+
+// Guards against a gang that loses its turn when the owner changes while room is gathered:
+// reservations and tickets are not stored, and are obtained anew.
+func TestGangGathersRoomAgainAfterTakeover(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	c.replaceOwner()
+	c.s.MarkReconciled(c.now)
+	c.expectGang(t, roomAt+500*time.Millisecond)
+}
+
+// Guards against a gang that goes on waiting for the room of a host that is lost meanwhile.
+func TestGangGathersRoomThoughAHostIsLost(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	lost := c.gang().promise.hosts[0].spec.ID
+	c.hosts[lost].unreachable = true
+	c.s.MarkUnreachable(lost)
+	c.expectGang(t, roomAt+500*time.Millisecond)
+	for _, r := range c.hosts[lost].runs {
+		if r.task.Submission == "gang" {
+			t.Error("a member runs on the host that is lost")
+		}
+	}
+}
+
+// Guards against a team over its limit, and against room that is kept for a gang which may not
+// start, when the limit of its team is reduced while room is gathered.
+func TestGangWaitsWhenTheLimitOfItsTeamIsReduced(t *testing.T) {
+	c, roomAt := gatheringCluster(t)
+	c.awaitRenewal(t, roomAt)
+	limit := func(cores int64) {
+		c.teams["b"] = cell.Team{Name: "b", Weight: 1000, Limit: resource.Vector{MilliCPU: cores * 1000}}
+		c.publish()
+	}
+	limit(100)
+	for c.now < roomAt+time.Second {
+		c.advance(50 * time.Millisecond)
+	}
+	if n := c.running("gang"); n != 0 {
+		t.Errorf("%d members of 18 cores run under a limit of 100 cores", n)
+	}
+	if r := c.s.GangRoom(); r.Gathering != 0 || r.ReservedMilliCPU != 0 {
+		t.Errorf("%d milli-CPU are kept for %d gangs that may not start", r.ReservedMilliCPU, r.Gathering)
+	}
+	limit(400)
+	c.expectGang(t, c.now+time.Second)
+}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -86,6 +86,7 @@
 	risks map[string]*queueRisk
 	// approvals holds the share of approved hosts of the queues of gangs by name.
 	approvals map[string]*gangroom.Approval
+	gangRoom  GangRoom
 	// nextPeriodicCheck is when all groups and hosts are checked next.
 	nextPeriodicCheck time.Duration
 	lastArrival       int
--- a/internal/cell/schedule/workbudget.go
+++ b/internal/cell/schedule/workbudget.go
@@ -49,6 +49,7 @@
 // placeQueue places the groups in the queue as far as the work of one decision goes.
 func (s *Scheduler) placeQueue(queue []queueEntry) {
 	reservingGangs := 0
+	defer func() { s.gangRoom.Gathering = reservingGangs }()
 	most := s.maxHeadWork()
 	s.work.beginPass(most)
 	for i, e := range queue {
