schedule: replay gangs with learned run times, and count those in time

Cause: the replay reported the share of core-seconds in time, not that of gangs, and ran by estimates only, while learned run times are on by default. Change: the share of jobs in time, the ratio of waits at the 90th percentile and, with REPLAY_SEEDS above 1, a steady load and learned run times.

--- a/internal/cell/schedule/gang_replay_test.go
+++ b/internal/cell/schedule/gang_replay_test.go
@@ -76,18 +76,26 @@
 // of a lower priority and the same width.
 func TestReplayOfGangsBesideWideTasks(t *testing.T) {
 	steady := replayOptions{kinds: replayWideKinds(), burst: 1}
-	for name, o := range map[string]replayOptions{"steady": steady, "burst": steady.withBurst()} {
-		if name == "steady" && len(replaySeeds()) == 1 {
-			continue // for measurements only
+	cases := map[string]replayOptions{"burst": steady.withBurst()}
+	if len(replaySeeds()) > 1 { // for measurements
+		cases["steady"] = steady
+		for _, name := range []string{"steady", "burst"} {
+			o := cases[name]
+			o.features.LearnRunTimes = true
+			cases[name+", learned"] = o
 		}
+	}
+	for name, o := range cases {
 		o.cut, o.cutFrom, o.cutTo = 13, 6*time.Second, 12*time.Second
 		t.Run(name, func(t *testing.T) {
 			before, callsBefore := replayHeavyLoad(t, o)
 			o.features.GangCapacity = true
 			after, callsAfter := replayHeavyLoad(t, o)
 			gangs, gangsBefore := after["bundles"], before["bundles"]
-			t.Logf("time in calls %.2f times that without; waits of gangs %.2f times (median) those of single tasks",
-				callsAfter.callTime().Seconds()/callsBefore.callTime().Seconds(), quantile(gangs.whole, 0.5).Seconds()/quantile(after["batches"].whole, 0.5).Seconds())
+			single := after["batches"]
+			t.Logf("time in calls %.2f times that without; waits of gangs %.2f and %.2f times those of single tasks (median, p90)",
+				callsAfter.callTime().Seconds()/callsBefore.callTime().Seconds(), quantile(gangs.whole, 0.5).Seconds()/quantile(single.whole, 0.5).Seconds(),
+				quantile(gangs.whole, 0.9).Seconds()/quantile(single.whole, 0.9).Seconds())
 			if callsAfter.callTime() > callsBefore.callTime() {
 				t.Errorf("%s of advice calls, %s without gang capacity", callsAfter.callTime(), callsBefore.callTime())
 			}
--- a/internal/cell/schedule/replay_result_test.go
+++ b/internal/cell/schedule/replay_result_test.go
@@ -8,7 +8,7 @@
 
 // replayResult is what the submissions of one kind got in one or more replays.
 type replayResult struct {
-	jobs               int
+	jobs, jobsInTime   int
 	waits, whole       []time.Duration // to the first start, and to that of the last task
 	inTime, ofUse, all float64         // core-seconds that ended within the objective, three times it, offered
 }
@@ -32,6 +32,7 @@
 	r.jobs, r.waits, r.all = r.jobs+1, append(r.waits, wait), r.all+w
 	r.whole = append(r.whole, whole)
 	if j.within(1) {
+		r.jobsInTime++
 		r.inTime += w
 	}
 	if j.within(tooLateFactor) {
@@ -41,6 +42,7 @@
 
 // merge adds the result of another replay.
 func (r *replayResult) merge(o *replayResult) {
+	r.jobsInTime += o.jobsInTime
 	r.jobs, r.waits = r.jobs+o.jobs, append(r.waits, o.waits...)
 	r.whole = append(r.whole, o.whole...)
 	r.inTime, r.ofUse, r.all = r.inTime+o.inTime, r.ofUse+o.ofUse, r.all+o.all
@@ -48,8 +50,9 @@
 
 // String returns the result as a row of a table.
 func (r *replayResult) String() string {
-	return fmt.Sprintf("%5d jobs, first start after %5.2f, %5.2f s (median, p90), last after %5.2f, %5.2f s, in time %.3f, of use %.3f of core-seconds",
-		r.jobs, quantile(r.waits, 0.5).Seconds(), quantile(r.waits, 0.9).Seconds(), quantile(r.whole, 0.5).Seconds(), quantile(r.whole, 0.9).Seconds(), r.inTime/max(r.all, 1), r.ofUse/max(r.all, 1))
+	return fmt.Sprintf("%5d jobs, first start after %5.2f, %5.2f s (median, p90), last after %5.2f, %5.2f s, in time %.3f, of use %.3f of core-seconds, in time %.3f of jobs",
+		r.jobs, quantile(r.waits, 0.5).Seconds(), quantile(r.waits, 0.9).Seconds(), quantile(r.whole, 0.5).Seconds(), quantile(r.whole, 0.9).Seconds(), r.inTime/max(r.all, 1), r.ofUse/max(r.all, 1),
+		float64(r.jobsInTime)/float64(max(r.jobs, 1)))
 }
 
 // results returns the result of each kind by the name of its queue, and of all under "all".
