schedule: renew the tickets of very wide gangs in turns

Cause: a renewal ahead for a gang on more than 100 hosts named the same 100 hosts each time, so that the tickets on the others were renewed only once there was room. Change: the hosts whose tickets expire first are named first, as when tickets are renewed late.

--- a/internal/cell/schedule/gang_renewal.go
+++ b/internal/cell/schedule/gang_renewal.go
@@ -48,15 +48,19 @@
 		Renewal: p.CallDuration(min(len(planned)+len(planned)/spareRenewalDivisor, maxAdviceHosts)), Search: p.CallDuration(adviceHostLimit(p)),
 	}
 	for _, h := range planned {
-		if _, ok := g.ticketFor(h, s.now); !ok {
-			wait.Tickets = 0
-			break
-		}
-		wait.Tickets = min(wait.Tickets, g.advice.tickets[h].expires-s.now)
+		wait.Tickets = min(wait.Tickets, g.ticketLeft(h, s.now))
 	}
 	return wait
 }
 
+// ticketLeft returns how much longer the ticket for a host is valid; zero if none is.
+func (g *group) ticketLeft(h *host, now time.Duration) time.Duration {
+	if _, ok := g.ticketFor(h, now); !ok {
+		return 0
+	}
+	return g.advice.tickets[h].expires - now
+}
+
 // renewAhead requests new tickets for the hosts of a plan before their capacity becomes free, and
 // for some further approved hosts that have room soonest.
 func (s *Scheduler) renewAhead(g *group, plan *roomPlan, wait gangroom.Wait) {
@@ -65,13 +69,18 @@
 	for _, h := range g.promise.hosts {
 		named, known[h] = append(named, h), true
 	}
+	if len(named) > maxAdviceHosts { // the others are renewed next
+		rankHosts(named, func(h *host) int { return int(g.ticketLeft(h, s.now)) })
+		named = named[:maxAdviceHosts]
+	}
 	var others []*host
 	for _, h := range plan.hosts {
 		if !known[h] {
 			others = append(others, h)
 		}
 	}
-	named = append(named, lowestHosts(others, cap(named)-len(named), func(h *host) int { return s.gangRoomRank(g, h) })...)
+	spare := min(len(g.promise.hosts)/spareRenewalDivisor, maxAdviceHosts-len(named))
+	named = append(named, lowestHosts(others, spare, func(h *host) int { return s.gangRoomRank(g, h) })...)
 	if s.requestAdvice(g, named) {
 		s.gangRoom.Renewals++
 		s.logMessage(g.id.Submission, "", fmt.Sprintf("The tickets of step %s on %d hosts are renewed %s before their capacity is expected to be free.",
--- a/internal/cell/schedule/gang_renewal_test.go
+++ b/internal/cell/schedule/gang_renewal_test.go
@@ -56,14 +56,20 @@
 	t.Fatal("the tickets are not renewed before the room is free")
 }
 
-// expectGang fails unless all members run at a time, and no rule was broken.
+// expectGang fails unless the gang of gatheringCluster runs at a time, and no rule was broken.
 func (c *cluster) expectGang(t *testing.T, by time.Duration) {
+	t.Helper()
+	c.expectMembers(t, 20, by)
+}
+
+// expectMembers fails unless all members of the gang run at a time, and no rule was broken.
+func (c *cluster) expectMembers(t *testing.T, members int, by time.Duration) {
 	t.Helper()
 	for c.now < by && c.running("gang") == 0 {
 		c.advance(10 * time.Millisecond)
 	}
-	if n := c.running("gang"); n != 20 {
-		t.Errorf("%d of 20 members run: %v", n, c.s.Explain("gang"))
+	if n := c.running("gang"); n != members {
+		t.Errorf("%d of %d members run: %v", n, members, c.s.Explain("gang"))
 	}
 	checkViolations(t, c)
 }
@@ -176,3 +182,25 @@
 	limit(400)
 	c.expectGang(t, c.now+time.Second)
 }
+
+// Guards against renewals of a gang on more hosts than one call may name that always name the
+// same ones, so that the tickets on the others are never renewed.
+func TestRenewalsOfAVeryWideGangTakeTurns(t *testing.T) {
+	clusterFeatures = Features{GangCapacity: true}
+	defer func() { clusterFeatures = Features{} }()
+	c := newCluster(150, resource.Vector{MilliCPU: 16_000, MemoryMiB: 65_536})
+	c.adviceTakesTime = true
+	c.queue(cell.Queue{Name: "wide", Priority: 1, Stretch: 1.5, Latency: time.Second, Advice: &cell.AdvicePolicy{
+		Decision: 50 * time.Millisecond, PerHost: time.Millisecond, Validity: 900 * time.Millisecond,
+	}})
+	c.queue(cell.Queue{Name: "small", Priority: 2, Stretch: 3, Latency: 3 * time.Second})
+	c.submit("before", "small", "a", cell.Step{Count: 150, Size: resource.Vector{MilliCPU: 9000, MemoryMiB: 1024}, Estimate: 3 * time.Second, MaxPerHost: 1})
+	c.advance(10 * time.Millisecond)
+	roomAt := c.now + 3*time.Second
+	c.submit("gang", "wide", "b", cell.Step{Count: 140, Gang: true, Size: resource.Vector{MilliCPU: 16_000, MemoryMiB: 1024}, Estimate: 5 * time.Second})
+	c.advanceFor(time.Second)
+	c.expectMembers(t, 140, roomAt+50*time.Millisecond)
+	if n := c.callCount[c.gang().id]; n > 4 {
+		t.Errorf("%d calls are made for a gang that needs two, and two renewals", n)
+	}
+}
