schedule: remove the renewal of gang tickets ahead of time

Change: gangs that gather room ask about undecided hosts as before, and tickets are renewed once there is room. The counters of these calls are gone; the gauges stay, and so do the tests of failures that need no renewal ahead.

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -88,10 +88,10 @@
 }
 
 // requestAdvice plans an advice call about the given hosts, or the first of them if they
-// are more than one call may name. It reports whether there is room for the call.
-func (s *Scheduler) requestAdvice(g *group, hosts []*host) bool {
+// are more than one call may name.
+func (s *Scheduler) requestAdvice(g *group, hosts []*host) {
 	if len(hosts) == 0 || !s.mayRequestAdvice(g) {
-		return false
+		return
 	}
 	hosts = hosts[:min(len(hosts), maxAdviceHosts)]
 	names := make([]string, len(hosts))
@@ -101,7 +101,7 @@
 	p := g.policy()
 	d := p.CallDuration(len(names))
 	if !s.hasAdviceRoom(d) {
-		return false
+		return
 	}
 	if s.adviceRoom != nil {
 		s.adviceRoom.Take(d)
@@ -110,7 +110,6 @@
 	s.plan.AdviceRequests = append(s.plan.AdviceRequests, AdviceRequest{
 		Group: g.id, Hosts: names, Duration: d, Priority: g.job.queue.Priority, Validity: p.Validity,
 	})
-	return true
 }
 
 // SetAdviceRoom sets how many advice calls the next decisions may plan. The groups that
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -66,20 +66,13 @@
 	plan := s.planRoom(g, len(tasks))
 	if plan == nil {
 		s.waitBehindGangs(g) // they have reserved the room that it needs
-		if s.options.Features.GangCapacity && g.policy() != nil {
-			s.requestAdviceOnUndecidedHosts(g)
-		}
 		return
 	}
 	*reservingGangs++
 	s.setWaitReason(g, waitRoom)
 	s.reserve(plan, g, len(tasks))
 	g.job.team.holdLimit(g.step.Size, len(tasks))
-	switch {
-	case g.policy() == nil:
-	case s.options.Features.GangCapacity:
-		s.requestAdviceWhileGathering(g, plan)
-	default:
+	if g.policy() != nil {
 		s.requestAdviceOnUndecidedHosts(g) // hosts that are neither approved nor denied may have free capacity now
 	}
 }
@@ -250,9 +243,7 @@
 	for _, h := range hosts {
 		h.reserve(g, 1, until)
 	}
-	if s.requestAdvice(g, named) {
-		s.gangRoom.LateRenewals++
-	}
+	s.requestAdvice(g, named)
 }
 
 // approvedCapacity returns how many tasks fit on the approved hosts once all runs
