schedule: name hosts by room too in calls for single tasks

Change: while most of the cell is idle, hosts are named by room; otherwise half by room and half by displaced members.

--- a/internal/cell/schedule/displaced.go
+++ b/internal/cell/schedule/displaced.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"github.com/medlarpulley/medlarpulley/internal/cell/gangroom"
 )
 
@@ -80,16 +82,30 @@
 	score float64
 }
 
-// singleHostsToAsk returns the hosts of a list to name in a call for single tasks: those with
-// room where a task displaces fewest gang members, and of them those with most room. For urgent
-// work, the speed of the hosts comes first.
+// singleHostsToAsk returns the hosts of a list to name in a call for single tasks. Half of them
+// are those with most room, the others those with room where a task displaces fewest gang
+// members. By the latter order alone, the calls of all waiting groups name the same nearly full
+// hosts; while most of the cell is idle, work may not wait for that, and room alone counts.
 func (s *Scheduler) singleHostsToAsk(g *group, hosts []*host) []*host {
 	limit := adviceHostLimit(g.policy())
+	mostRoom := func(h *host) int { return -tasksIn(g.size, h.free()) }
 	members := s.displacedBy(g)
-	if members == nil {
-		return lowestHosts(hosts, limit, func(h *host) int { return -tasksIn(g.size, h.free()) })
+	if members == nil || s.mostlyIdle {
+		return lowestHosts(hosts, limit, mostRoom)
+	}
+	out := slices.Clone(lowestHosts(slices.Clone(hosts), limit/2, s.displacedRank(g, members)))
+	named := make(map[*host]bool, len(out))
+	for _, h := range out {
+		named[h] = true
 	}
-	return lowestHosts(hosts, limit, func(h *host) int {
+	hosts = slices.DeleteFunc(hosts, func(h *host) bool { return named[h] })
+	return append(out, lowestHosts(hosts, limit-len(out), mostRoom)...)
+}
+
+// displacedRank ranks hosts by the gang members that a task displaces there, and then by room;
+// lower is better. For urgent work, the speed of the hosts comes first.
+func (s *Scheduler) displacedRank(g *group, members *gangroom.Members) func(h *host) int {
+	return func(h *host) int {
 		n := tasksIn(g.size, h.free())
 		if n == 0 {
 			return neverHasRoom
@@ -100,5 +116,5 @@
 		}
 		rank = rank*(maxRankedMembers+1) + min(members.Displaced(h.free(), g.size), maxRankedMembers)
 		return rank*(maxRankedTasks+1) - min(n, maxRankedTasks)
-	})
+	}
 }
--- a/internal/cell/schedule/displaced_test.go
+++ b/internal/cell/schedule/displaced_test.go
@@ -74,13 +74,15 @@
 		slowness float64 // of h00
 		gangs    bool
 		want     string
+		idle     bool // most of the cell
 	}{
-		"no gangs":               {"other", 1, false, "h01"},
-		"gangs":                  {"other", 1, true, "h00"},
-		"urgent":                 {"urgent", 1, true, "h00"},
-		"urgent, unequal speed":  {"urgent", 1.7, true, "h01"},
-		"other, unequal speed":   {"other", 1.7, true, "h00"},
-		"urgent, slow, no gangs": {"urgent", 1.7, false, "h01"},
+		"no gangs":               {"other", 1, false, "h01", false},
+		"gangs":                  {"other", 1, true, "h00", false},
+		"mostly idle":            {"other", 1, true, "h01", true},
+		"urgent":                 {"urgent", 1, true, "h00", false},
+		"urgent, unequal speed":  {"urgent", 1.7, true, "h01", false},
+		"other, unequal speed":   {"other", 1.7, true, "h00", false},
+		"urgent, slow, no gangs": {"urgent", 1.7, false, "h01", false},
 	} {
 		cl := membersCluster(t, c.gangs)
 		// A task displaces a member on h01, which has 54 cores free, and none on h00, which has 46.
@@ -92,6 +94,9 @@
 		cl.submit("single", c.queue, "a", lookup())
 		cl.s.createGroups()
 		g := cl.s.jobs["single"].groups[0]
+		if cl.s.mostlyIdle = c.idle; cl.s.displacedBy(g) != nil != c.gangs {
+			t.Fatalf("%s: gangs are known: %t", name, !c.gangs)
+		}
 		if got := cl.s.singleHostsToAsk(g, []*host{cl.s.hosts["h00"], cl.s.hosts["h01"]})[0].spec.ID; got != c.want {
 			t.Errorf("%s: the call names %s first, want %s", name, got, c.want)
 		}
