schedule: count only gangs that can start and return for the order of hosts

Cause: members of long-running gangs, which do not return, and of gangs that no host can hold kept hosts whole without use, and sums of huge sizes overflowed. Change: such gangs do not count, and sizes and numbers of members are bounded.

--- a/internal/cell/gangroom/members.go
+++ b/internal/cell/gangroom/members.go
@@ -9,6 +9,13 @@
 // membersRetention is how long hosts are kept whole for gangs after the last one was seen.
 const membersRetention = 10 * time.Second
 
+// maxCountedSize and maxCountedMembers bound what counts of a gang, so that the sums do not
+// overflow: 4 million cores or 4 PiB for a member.
+const (
+	maxCountedSize    = 1 << 32
+	maxCountedMembers = 1 << 16
+)
+
 // Members is the mean size of the members of the gangs that a service has recently had. Single
 // tasks are placed so that few of such members lose their room.
 type Members struct {
@@ -20,7 +27,9 @@
 
 // Count adds members of a gang that waits or runs.
 func (m *Members) Count(size resource.Vector, members int) {
-	m.sum, m.count = m.sum.Add(size.Scale(int64(members))), m.count+int64(members)
+	n := int64(min(members, maxCountedMembers))
+	size = size.Min(resource.Vector{MilliCPU: maxCountedSize, MemoryMiB: maxCountedSize, Accelerators: maxCountedSize})
+	m.sum, m.count = m.sum.Add(size.Scale(n)), m.count+n
 }
 
 // Update sets the size to the mean of the members that were counted since the last update. It
--- a/internal/cell/gangroom/members_test.go
+++ b/internal/cell/gangroom/members_test.go
@@ -1,6 +1,7 @@
 package gangroom
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -57,3 +58,15 @@
 		}
 	})
 }
+
+// Guards against sums that overflow, by which members had a negative size.
+func TestHugeMembersDoNotOverflow(t *testing.T) {
+	var m Members
+	huge := resource.Vector{MilliCPU: math.MaxInt64, MemoryMiB: math.MaxInt64 / 3}
+	for range 100 {
+		m.Count(huge, math.MaxInt32)
+	}
+	if m.Update(time.Hour); m.Size() != (resource.Vector{MilliCPU: maxCountedSize, MemoryMiB: maxCountedSize}) {
+		t.Errorf("the mean size is %v", m.Size())
+	}
+}
--- a/internal/cell/schedule/displaced.go
+++ b/internal/cell/schedule/displaced.go
@@ -18,13 +18,13 @@
 )
 
 // updateGangMembers updates the mean size of the members of the gangs of each service that run or
-// wait.
+// wait. Long-running gangs, which do not return, and those that no host could hold do not count.
 func (s *Scheduler) updateGangMembers() {
 	if !s.options.Features.GangCapacity {
 		return
 	}
 	for _, g := range s.liveGroups() {
-		if g.step.Gang && g.ready && g.left > 1 && !g.job.state.Final() {
+		if g.step.Gang && !g.step.LongRunning && g.ready && g.left > 1 && !g.job.state.Final() && s.anyHostCouldHold(g) {
 			service := g.job.queue.Service
 			if s.gangMembers[service] == nil {
 				s.gangMembers[service] = &gangroom.Members{}
@@ -39,6 +39,10 @@
 	}
 }
 
+func (s *Scheduler) anyHostCouldHold(g *group) bool {
+	return slices.ContainsFunc(s.sortedHosts, func(h *host) bool { return s.couldHold(g, h) })
+}
+
 // displacedBy returns the size of the gang members that the tasks of a group may displace; nil if
 // their service has had no gangs of late, or the group is one.
 func (s *Scheduler) displacedBy(g *group) *gangroom.Members {
--- a/internal/cell/schedule/displaced_test.go
+++ b/internal/cell/schedule/displaced_test.go
@@ -147,3 +147,28 @@
 		t.Error("the gangs of another service count")
 	}
 }
+
+// Guards against hosts that are kept whole for gangs which never start there: long-running ones,
+// which do not return, and those whose members no host can hold.
+func TestOnlyGangsThatStartOnHostsCount(t *testing.T) {
+	size := func(cores int64) resource.Vector { return resource.Vector{MilliCPU: 1000 * cores, MemoryMiB: 1024} }
+	for name, c := range map[string]struct {
+		step cell.Step
+		want bool
+	}{
+		"gang":         {cell.Step{Size: size(18)}, true},
+		"long-running": {cell.Step{Size: size(18), LongRunning: true}, false},
+		"too large":    {cell.Step{Size: size(100)}, false},
+		"no host":      {cell.Step{Size: size(18), Label: "unknown"}, false},
+	} {
+		cl := membersCluster(t, true)
+		clear(cl.s.gangMembers)
+		cl.s.jobs["gang"].groups[0].step.LongRunning = true
+		c.step.Count, c.step.Gang, c.step.Estimate = 20, true, time.Second
+		cl.submit("another", "other", "a", c.step)
+		cl.advanceFor(2 * periodicCheckInterval)
+		if got := cl.s.gangMembers["s"] != nil; got != c.want {
+			t.Errorf("%s: it counts: %t, want %t", name, got, c.want)
+		}
+	}
+}
