peers: keep the reserve for short calls after a burst

Cause: the mean rose as slowly as it fell, so that after 20 calls of 100 ms the reserve was back at its least value at once, and the next burst found no free endpoint. Change: the mean rises at once to the number in flight and falls with a time constant of 10 s. Result: 5 s after such a burst 12 of 36 endpoints are reserved, before 4.

--- a/internal/cell/peers/shortreserve.go
+++ b/internal/cell/peers/shortreserve.go
@@ -14,9 +14,10 @@
 	// reservePerShortCall is how many endpoints are reserved for each short call that is usually
 	// in flight, so that short calls that arrive together find one free.
 	reservePerShortCall = 2
-	// reserveMemory is the time constant of the mean number of short calls in flight. It is
-	// longer than a long call takes, so that the reserve does not end between two of them.
-	reserveMemory = 2 * time.Second
+	// reserveMemory is the time constant by which the expected number of short calls falls to
+	// the number in flight. With 2 s, and a mean that rose as slowly, the reserve was gone right
+	// after a burst of calls of 100 ms.
+	reserveMemory = 10 * time.Second
 )
 
 // shortReserve decides how many endpoints take no long advice call. It follows the short calls
@@ -24,7 +25,7 @@
 // most of the time.
 type shortReserve struct {
 	inFlight int
-	// mean is the mean of inFlight until the time updated.
+	// mean rises at once to inFlight and falls with reserveMemory; it holds at the time updated.
 	mean    float64
 	updated time.Duration
 }
@@ -33,6 +34,7 @@
 func (r *shortReserve) add(n int, now time.Duration) {
 	r.mean, r.updated = r.meanAt(now), max(now, r.updated)
 	r.inFlight += n
+	r.mean = max(r.mean, float64(r.inFlight))
 }
 
 func (r *shortReserve) meanAt(now time.Duration) float64 {
--- a/internal/cell/peers/shortreserve_test.go
+++ b/internal/cell/peers/shortreserve_test.go
@@ -32,6 +32,23 @@
 	}
 }
 
+// Guards against a reserve that is gone right after a short burst, so that the next one finds no
+// endpoint.
+func TestShortReserveOutlastsAShortBurst(t *testing.T) {
+	const up = 36
+	var r shortReserve
+	now := time.Hour
+	r.add(20, now)
+	now += 100 * time.Millisecond
+	r.add(-20, now)
+	if got := r.endpoints(up, 0, now+5*time.Second); got != 12 {
+		t.Errorf("5 s after a burst of 20 short calls %d endpoints are reserved, want 12", got)
+	}
+	if got := r.endpoints(up, 0, now+time.Minute); got != 4 {
+		t.Errorf("a minute after it %d endpoints are reserved, want 4", got)
+	}
+}
+
 // Guards against a reserve that takes all endpoints, or none.
 func TestShortReserveIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
