schedule: test that calls in a busy cell name hosts by both orders

Cause: no test covered the share of hosts that a call names by room. Change: a test with as many nearly full hosts as emptier ones.

--- a/internal/cell/schedule/displaced_test.go
+++ b/internal/cell/schedule/displaced_test.go
@@ -172,3 +172,33 @@
 		}
 	}
 }
+
+// Guards against calls in a busy cell that name only hosts where tasks displace few members, which
+// are the same for all groups and fill up, or only the emptiest ones.
+func TestCallsForSingleTasksNameHostsByBothOrders(t *testing.T) {
+	cl := membersCluster(t, true)
+	p := &cell.AdvicePolicy{Decision: 100 * time.Millisecond, PerHost: 3 * time.Millisecond, Validity: time.Second}
+	cl.queue(cell.Queue{Name: "advised", Priority: 2, Stretch: 2, Latency: time.Second, Advice: p})
+	cl.submit("single", "advised", "a", lookup())
+	cl.s.createGroups()
+	var hosts []*host
+	for i := range 60 { // a task displaces no member on the first 30, with 10 cores free, and one on the others, with 54
+		h := *cl.s.hosts["h01"]
+		if h.used.MilliCPU = 10_000; i < 30 {
+			h.used.MilliCPU = 54_000
+		}
+		hosts = append(hosts, &h)
+	}
+	cl.s.mostlyIdle = false
+	full := 0
+	named := cl.s.singleHostsToAsk(cl.s.jobs["single"].groups[0], hosts)
+	seen := make(map[*host]bool)
+	for _, h := range named {
+		if seen[h] = true; h.used.MilliCPU > 10_000 {
+			full++
+		}
+	}
+	if limit := adviceHostLimit(p); len(seen) != limit || len(named) != limit || full != limit/2 {
+		t.Errorf("the call names %d hosts, %d of them once, and %d nearly full ones; want %d, and half of them nearly full", len(named), len(seen), full, limit)
+	}
+}
