--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -55,6 +55,7 @@
 		s.stopHungAndCopySlowRuns()
 		s.stopInterferingTasks()
 		s.risks.ForgetOld(s.now)
+		s.updateGangMembers()
 	}
 	p := s.plan
 	s.plan = &Plan{}
@@ -189,8 +190,13 @@
 		// A best-effort task gets only the CPU time that other tasks leave idle.
 		v = -float64(h.unusedCPU()) / float64(max(h.spec.Capacity.MilliCPU, 1))
 	}
-	v += g.interferencePenalty(h)
-	v += weightSlowness * s.slownessPenalty(h)
+	return v + weightSlowness*s.slownessPenalty(h) + g.conditionPenalty(h, t)
+}
+
+// conditionPenalty returns the part of the score of a host that depends neither on its capacity
+// nor on its speed.
+func (g *group) conditionPenalty(h *host, t *task) float64 {
+	v := g.interferencePenalty(h)
 	if t != nil && t.failedOn == h.spec.ID {
 		v += weightFailedBefore
 	}
@@ -251,6 +257,9 @@
 }
 
 func (s *Scheduler) bestHost(g *group, hosts []*host, t *task) (best *host) {
+	if members := s.displacedBy(g); members != nil {
+		return s.leastDisplacing(g, hosts, t, members)
+	}
 	var minScore float64
 	for _, h := range hosts {
 		if s.tasksThatFit(g, h) < 1 {
--- a/internal/cell/schedule/rankhosts.go
+++ b/internal/cell/schedule/rankhosts.go
@@ -24,6 +24,9 @@
 // lowestHosts returns the n hosts with the lowest keys, in the order of rankHosts. It
 // sorts only these, and uses the given slice for the result.
 func lowestHosts(hosts []*host, n int, key func(h *host) int) []*host {
+	if n <= 0 {
+		return nil
+	}
 	list := withKeys(hosts, key)
 	if len(list) > n {
 		list = withinLowest(list, n)
