admission: Say that the published wait is no least wait

Cause: the text of a refusal and the note promised a least wait, but counted work that becomes late is passed by new work. Result: TestRefusalTextPromisesNoLeastWait.

--- a/internal/cell/admission/gate_test.go
+++ b/internal/cell/admission/gate_test.go
@@ -149,3 +149,11 @@
 		}
 	}
 }
+
+// Guards against a promise to the caller that the wait does not keep: it is no bound.
+func TestRefusalTextPromisesNoLeastWait(t *testing.T) {
+	r := Refusal{Wait: time.Minute, RetryAfterSeconds: 1}
+	if text := r.Text(request("x")); strings.Contains(text, "at least") {
+		t.Error(text)
+	}
+}
--- a/internal/cell/admission/refusal.go
+++ b/internal/cell/admission/refusal.go
@@ -10,8 +10,8 @@
 type Refusal struct {
 	// Own is set if the cause is the backlog or the limit of the team itself.
 	Own bool
-	// Wait is the least time that the submission would wait, Late by how much it would end too
-	// late at least.
+	// Wait is the expected time that the submission would wait, Late by how much it would end too
+	// late then.
 	Wait, Late        time.Duration
 	RetryAfterSeconds int
 }
@@ -22,7 +22,7 @@
 	if r.Own {
 		cause = fmt.Sprintf("team %q has too much waiting work for its limit", q.Team)
 	}
-	return fmt.Sprintf("%s: a submission to queue %q would wait for at least %s and then take %s, accepted: an end within %s; come back after %d s",
+	return fmt.Sprintf("%s: a submission to queue %q would wait for about %s and then take %s, accepted: an end within %s; come back after %d s",
 		cause, q.Queue, r.Wait.Round(time.Millisecond), q.Work.Round(time.Millisecond), q.Latest.Round(time.Millisecond), r.RetryAfterSeconds)
 }
 
