--- a/internal/cell/admission/amounts.go
+++ b/internal/cell/admission/amounts.go
@@ -11,12 +11,12 @@
 	Memory
 )
 
-// maxAmount bounds a published amount.
-const maxAmount = 1e15
+// MaxAmount bounds a published amount.
+const MaxAmount = 1e15
 
 func (a Amounts) valid() bool {
 	for _, x := range a {
-		if !(x >= 0 && x <= maxAmount) {
+		if !(x >= 0 && x <= MaxAmount) {
 			return false
 		}
 	}
--- a/internal/cell/admission/summary.go
+++ b/internal/cell/admission/summary.go
@@ -23,8 +23,8 @@
 type Summary struct {
 	// Token is the fencing token of the owner.
 	Token int64 `json:"token"`
-	// Applied is the end of the log up to which the owner had applied it when it computed the
-	// summary. Zero means that it is not known.
+	// Applied is the offset up to which the owner had applied the log before the decision that
+	// the summary describes. Zero means that it is not known.
 	Applied uint64 `json:"applied,omitempty"`
 	// Backlogs holds the work that new work waits for, the longest waits first.
 	Backlogs []Backlog `json:"backlogs,omitempty"`
@@ -87,20 +87,20 @@
 	}
 	for i := range s.Backlogs {
 		if b := &s.Backlogs[i]; !b.valid() {
-			return Summary{}, cell.NewFieldError(object, "backlog", fmt.Sprintf("%+v", *b), "1 to 16 rising laxities, and for each of them a wait of 0 to 3600000 ms, not falling")
+			return Summary{}, cell.NewFieldError(object, "backlog", fmt.Sprintf("%+v", *b), fmt.Sprintf("1 to %d rising laxities, and for each of them a wait of 0 to %d ms, not falling", MaxLaxityBounds, maxWait.Milliseconds()))
 		}
 	}
 	for _, list := range [][]Room{s.Teams, s.Services} {
 		for i := range list {
 			if !list[i].valid() {
-				return Summary{}, cell.NewFieldError(object, "room", fmt.Sprintf("%+v", list[i]), "amounts of 0 to 1e15, or -1 for no limit")
+				return Summary{}, cell.NewFieldError(object, "room", fmt.Sprintf("%+v", list[i]), fmt.Sprintf("amounts of 0 to %g, or -1 for no limit", float64(MaxAmount)))
 			}
 		}
 	}
 	return s, nil
 }
 
-// Wait returns the least time that a submission waits, and whether it waits for the limit of its
+// Wait returns how long a submission is expected to wait, and whether it waits for the limit of its
 // team. It is zero if there may be room for it.
 func (s *Summary) Wait(q *Request) (d time.Duration, own bool) {
 	ofTeam, ofCell := s.waitIn(s.Teams, q.Team, q.Team, q), s.waitIn(s.Services, q.Service, "", q)
--- a/internal/cell/crash/evidence.go
+++ b/internal/cell/crash/evidence.go
@@ -11,14 +11,14 @@
 	// crashesUnlessRecent is how often the host of a task has to crash, without the task having
 	// started right before, until the task is suspected.
 	crashesUnlessRecent = 2
-	// ToFail is how many crashes show that a task crashes its hosts if it was alone on the
-	// last one. toFailBlamed is how many do otherwise if few others may have caused them,
+	// CrashesToFail is how many crashes show that a task crashes its hosts if it was alone on the
+	// last one. crashesToFailBlamed is how many do otherwise if few others may have caused them,
 	// which is the case from blameToFail on, and MaxCrashes how many in any case, crashes of hosts
 	// that were silent before included.
-	ToFail       = 2
-	toFailBlamed = 3
-	blameToFail  = 1.5
-	MaxCrashes   = 5
+	CrashesToFail       = 2
+	crashesToFailBlamed = 3
+	blameToFail         = 1.5
+	MaxCrashes          = 5
 	// confirmationTimeout is how long a task under which too many hosts may have crashed
 	// waits for one of them to answer.
 	confirmationTimeout = 30 * time.Second
--- a/internal/cell/crash/risk.go
+++ b/internal/cell/crash/risk.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// riskMemory is the time after which a start or a crash counts for 1/e of what it
+	// riskTimeConstant is the time after which a start or a crash counts for 1/e of what it
 	// did at first.
-	riskMemory = 5 * time.Second
+	riskTimeConstant = 5 * time.Second
 	// ForgetRiskAfter is how long after the last start nothing is known of a queue any
 	// more. It bounds the queues that are remembered.
-	ForgetRiskAfter = 20 * riskMemory
+	ForgetRiskAfter = 20 * riskTimeConstant
 	// minRiskCrashes is how many crashes a queue must have caused before its new
 	// submissions are started with care.
 	minRiskCrashes = 2
@@ -54,7 +54,7 @@
 }
 
 func (r *Risk) decay(now time.Duration) {
-	f := math.Exp(-(now - r.At).Seconds() / riskMemory.Seconds())
+	f := math.Exp(-(now - r.At).Seconds() / riskTimeConstant.Seconds())
 	r.Starts, r.Crashes, r.TrialCrashes, r.At = r.Starts*f, r.Crashes*f, r.TrialCrashes*f, now
 }
 
--- a/internal/cell/crash/verdict.go
+++ b/internal/cell/crash/verdict.go
@@ -11,11 +11,11 @@
 // do: a submission that is given up stays so. alone is set if the task was alone on the last
 // of them.
 func (e *Evidence) Proves(alone bool) bool {
-	if e.mostOfMember() < ToFail {
+	if e.mostOfMember() < CrashesToFail {
 		return false
 	}
 	inTouch := e.inTouch()
-	return alone && e.seen() >= ToFail || len(inTouch) >= toFailBlamed && blame(inTouch) >= blameToFail || len(e.Confirmed) >= MaxCrashes
+	return alone && e.seen() >= CrashesToFail || len(inTouch) >= crashesToFailBlamed && blame(inTouch) >= blameToFail || len(e.Confirmed) >= MaxCrashes
 }
 
 // Suspects reports whether the crashes, the unconfirmed ones included, make the task a
--- a/internal/cell/front/attempts.go
+++ b/internal/cell/front/attempts.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// state returns how many calls for a submission have begun while one is in progress, and
-// whether another call than that may have stored it or may still do so.
+// state returns how many calls for a submission have begun since it is remembered, and whether
+// a call other than one in progress may have stored it or may still do so.
 func (a *attempts) state(id string, now time.Time) (begun int, mayBeStored bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/cell/gangroom/members.go
+++ b/internal/cell/gangroom/members.go
@@ -6,7 +6,7 @@
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 )
 
-// membersRetention is how long hosts are kept whole for gangs after the last one was seen.
+// membersRetention is how long the mean size is kept after the last gang was seen.
 const membersRetention = 10 * time.Second
 
 // maxCountedSize and maxCountedMembers bound what counts of a gang, so that the sums do not
--- a/internal/cell/node/newest_only_test.go
+++ b/internal/cell/node/newest_only_test.go
@@ -23,7 +23,7 @@
 
 	claimed := registry.Ownership{Node: "n1", InstanceID: n.self.InstanceID, Token: 2, FirstSequence: 7}
 	n.claim = &claim{owner: claimed, journal: worklog.NewJournal(n.workTarget("election", ownerAppender), 2, 7, func() {})}
-	n.applyWork(worklog.Page{NewestOnly: true, Next: 10, Records: []platform.Record{
+	n.applyWork(worklog.Page{NewestOnly: true, End: 10, Records: []platform.Record{
 		at(9, registry.OwnershipRecord(claimed)),
 		at(5, registry.ProgressRecord(sub.ID, cell.Progress{State: cell.Completed})),
 		at(1, registry.SubmissionRecord(sub)),
@@ -55,7 +55,7 @@
 
 	claimed := registry.Ownership{Node: "n1", InstanceID: n.self.InstanceID, Token: 2, FirstSequence: 7}
 	n.claim = &claim{owner: claimed, journal: worklog.NewJournal(n.workTarget("election", ownerAppender), 2, 7, func() {})}
-	n.applyWork(worklog.Page{NewestOnly: true, Next: 10, Records: []platform.Record{at(9, registry.OwnershipRecord(claimed)), at(2, registry.SubmissionRecord(left))}})
+	n.applyWork(worklog.Page{NewestOnly: true, End: 10, Records: []platform.Record{at(9, registry.OwnershipRecord(claimed)), at(2, registry.SubmissionRecord(left))}})
 	o := n.owner()
 	if o == nil {
 		t.Fatal("the claim began no term")
--- a/internal/cell/node/newest_work.go
+++ b/internal/cell/node/newest_work.go
@@ -27,7 +27,7 @@
 			worklog.ApplyRecord(n.log, r, n.registry.Apply)
 		}
 	}
-	if owner != nil && owner.Offset < p.Next {
+	if owner != nil && owner.Offset < p.End {
 		n.beginClaimedTerm(owner.Offset)
 	}
 }
--- a/internal/cell/node/newest_work_test.go
+++ b/internal/cell/node/newest_work_test.go
@@ -57,7 +57,7 @@
 	var learned submittedIDs
 	n.registry.SetListener(&learned)
 	next := registry.Ownership{Node: "n2", InstanceID: "b", Token: 3, FirstSequence: 9}
-	n.applyWork(worklog.Page{NewestOnly: true, Next: 7, Records: []platform.Record{
+	n.applyWork(worklog.Page{NewestOnly: true, End: 7, Records: []platform.Record{
 		recordAt(6, registry.SubmissionRecord(oneTask("5c0e7a21d94b36f8"))), recordAt(5, registry.OwnershipRecord(next)),
 	}})
 	if len(learned) > 0 {
@@ -78,7 +78,7 @@
 	former := registry.Ownership{Node: "n2", InstanceID: "b", Token: 1, FirstSequence: 3, HeartbeatNumber: 4}
 	claimed := claimAs(n, 2)
 	// The read began at offset 5. The host was opened at 6, after its key had been read.
-	n.applyWork(worklog.Page{NewestOnly: true, Next: 5, Records: []platform.Record{recordAt(8, registry.OwnershipRecord(claimed))}})
+	n.applyWork(worklog.Page{NewestOnly: true, End: 5, Records: []platform.Record{recordAt(8, registry.OwnershipRecord(claimed))}})
 	for _, r := range []platform.Record{
 		recordAt(5, registry.OwnershipRecord(former)), recordAt(6, registry.HostRecord(opened)), recordAt(7, registry.OwnershipRecord(former)),
 	} {
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -34,8 +34,8 @@
 	done chan struct{}
 }
 
-// endFormerTerm is called after each ownership record, in the order of the log. It ends the
-// term if another node's claim has a higher token.
+// endFormerTerm ends the term if the claim of another node has a higher token. It is called
+// after an ownership record has been applied, or those of a page of newest records.
 func (n *Node) endFormerTerm() {
 	o, _ := n.registry.Owner()
 	n.mu.Lock()
--- a/internal/cell/owner/loadsummary_test.go
+++ b/internal/cell/owner/loadsummary_test.go
@@ -82,19 +82,19 @@
 		}
 		return &s
 	}
-	w.published.stored(2 * slowAppend)
+	w.published.stored(2 * slowRound)
 	if s := summary(now); s == nil || len(s.Backlogs) == 0 {
 		t.Fatalf("the first summary is %+v", s)
 	}
-	w.published.stored(slowAppend / 10)
+	w.published.stored(slowRound / 10)
 	if s := summary(now + 10*time.Millisecond); s != nil {
 		t.Errorf("after a fast append the next one holds %+v", s)
 	}
-	w.published.stored(slowAppend + time.Millisecond)
+	w.published.stored(slowRound + time.Millisecond)
 	if s := summary(now + 20*time.Millisecond); s == nil || len(s.Backlogs) != 0 {
 		t.Errorf("after a slow append the next one holds %+v", s)
 	}
-	w.published.stored(2 * slowAppend)
+	w.published.stored(2 * slowRound)
 	if s := summary(now + 30*time.Millisecond); s != nil {
 		t.Errorf("after a second slow append the next one holds %+v", s)
 	}
--- a/internal/cell/owner/periodicrecords_test.go
+++ b/internal/cell/owner/periodicrecords_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := New(learningOptions(Options{Admission: true}))
-			w.published = loadPublisher{any: true, waits: true} // a backlog that is over
+			w.published = loadPublisher{checked: true, waits: true} // a backlog that is over
 			if c.runTimes {
 				endRun(w, 1, "one")
 			}
--- a/internal/cell/peers/shortreserve_test.go
+++ b/internal/cell/peers/shortreserve_test.go
@@ -23,11 +23,11 @@
 	if got := r.endpoints(up, 0, now); got != 12 {
 		t.Errorf("with 20 short calls in flight %d endpoints are reserved, want 12", got)
 	}
-	r.add(-20, now+10*reserveMemory)
-	if got := r.endpoints(up, 0, now+10*reserveMemory); got != 12 {
+	r.add(-20, now+10*reserveTimeConstant)
+	if got := r.endpoints(up, 0, now+10*reserveTimeConstant); got != 12 {
 		t.Errorf("right after a burst %d endpoints are reserved, want 12", got)
 	}
-	if got := r.endpoints(up, 0, now+20*reserveMemory); got != 4 {
+	if got := r.endpoints(up, 0, now+20*reserveTimeConstant); got != 4 {
 		t.Errorf("long after a burst %d endpoints are reserved, want 4", got)
 	}
 }
--- a/internal/cell/schedule/crash_test.go
+++ b/internal/cell/schedule/crash_test.go
@@ -113,8 +113,8 @@
 		}
 		checkCrashes(t, c)
 		for id, n := range c.crashes {
-			if n > crash.ToFail {
-				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crash.ToFail)
+			if n > crash.CrashesToFail {
+				t.Errorf("gang %t: %s crashed %d hosts, want %d at most", gang, id, n, crash.CrashesToFail)
 			}
 		}
 	}
@@ -144,7 +144,7 @@
 			}
 			trials++
 			since, waits := waitingSince[h.trial.task.group]
-			mayShare := waits && h.trial.orderedAt >= since+trial.Patience
+			mayShare := waits && h.trial.orderedAt >= since+trial.MaxIdleHostWait
 			for _, a := range h.runs {
 				if a.task.group == h.trial.task.group {
 					continue
--- a/internal/cell/schedule/features.go
+++ b/internal/cell/schedule/features.go
@@ -4,8 +4,8 @@
 type Features struct {
 	// LearnRunTimes derives the expected duration of runs from those that have ended.
 	LearnRunTimes bool
-	// GangCapacity names more hosts, and those with room soonest, in advice calls for gangs,
-	// renews their tickets ahead, and places single tasks where they displace few members.
+	// GangCapacity names more hosts, and those with room soonest, in advice calls for gangs, and
+	// places single tasks where they displace few gang members.
 	GangCapacity bool
 	// FairShares orders work by the shares of the teams while the cell is full.
 	FairShares bool
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -10,9 +10,9 @@
 // placed again within that part of it, the whole gang is stopped.
 const refusedMemberTimeoutDivisor = 2
 
-// heldGangTimeout is how long a gang that is held is expected to wait: other work may use its
+// expectedGangHold is how long a gang that is held is expected to wait: other work may use its
 // room that ends before.
-const heldGangTimeout = 500 * time.Millisecond
+const expectedGangHold = 500 * time.Millisecond
 
 // placeGang starts all members of a gang at once, or reserves capacity for
 // them.
@@ -80,7 +80,7 @@
 // keepRoom keeps the room for a gang that could start and is held; see HoldGangs.
 func (s *Scheduler) keepRoom(g *group, hosts []*host) {
 	for _, h := range hosts {
-		h.reserve(g, 1, s.now+heldGangTimeout)
+		h.reserve(g, 1, s.now+expectedGangHold)
 	}
 	g.job.team.holdLimit(g.step.Size, len(hosts))
 }
--- a/internal/cell/schedule/load_room.go
+++ b/internal/cell/schedule/load_room.go
@@ -33,18 +33,15 @@
 func (r *loadRoom) published(name string) admission.Room {
 	out := admission.Room{Name: name, OnHost: r.onHost}
 	for i := range r.capacity {
-		out.Free[i] = min(max(math.Ceil(r.capacity[i]-r.used[i]), 0), maxPublishedAmount)
+		out.Free[i] = min(max(math.Ceil(r.capacity[i]-r.used[i]), 0), admission.MaxAmount)
 		if r.capacity[i] == 0 && r.onHost == nil {
 			out.Free[i] = -1 // the team has no limit
 		}
-		out.Waiting[i] = min(math.Floor(r.waiting[i]), maxPublishedAmount)
+		out.Waiting[i] = min(math.Floor(r.waiting[i]), admission.MaxAmount)
 	}
 	return out
 }
 
-// maxPublishedAmount bounds the amounts that are published.
-const maxPublishedAmount = 1e15
-
 // loadRooms holds the room of each team and each service.
 type loadRooms struct {
 	teams, services map[string]*loadRoom
@@ -139,6 +136,6 @@
 	for i := range has {
 		r.capacity[i] += has[i]
 		r.used[i] += taken[i]
-		r.onHost[i] = min(max(r.onHost[i], has[i]-taken[i]), maxPublishedAmount)
+		r.onHost[i] = min(max(r.onHost[i], has[i]-taken[i]), admission.MaxAmount)
 	}
 }
--- a/internal/cell/schedule/queue.go
+++ b/internal/cell/schedule/queue.go
@@ -34,7 +34,7 @@
 	// team's rate, so that they come after all others. Incomplete gangs are exempt.
 	overRateOffset
 	// rankSuspected is the rank of submissions that may have crashed a host, so that
-	// sound work is not delayed by them. It lasts for trial.Patience.
+	// sound work is not delayed by them. It lasts for trial.MaxIdleHostWait.
 	rankSuspected = 2 * overRateOffset
 )
 
--- a/internal/cell/schedule/trial_wait_test.go
+++ b/internal/cell/schedule/trial_wait_test.go
@@ -50,9 +50,9 @@
 			c.s.jobs["suspect"].suspected = true
 			var advisor slowAdvice
 			since := c.now
-			bound := trial.Patience + rescanAdvice.CallDuration(34) + rescanAdvice.CallDuration(14) + rescanAdvice.CallDuration(8)
+			bound := trial.MaxIdleHostWait + rescanAdvice.CallDuration(34) + rescanAdvice.CallDuration(14) + rescanAdvice.CallDuration(8)
 			if step.Count > 2*len(c.hosts)/trial.HostsPerTrial {
-				bound += trial.Patience // it does not fit on the hosts that a trial may hold
+				bound += trial.MaxIdleHostWait // it does not fit on the hosts that a trial may hold
 			}
 			for c.running("suspect") == 0 && c.now <= since+bound {
 				c.advanceWith(&advisor, 10*time.Millisecond)
@@ -134,8 +134,8 @@
 	if !c.advanceUntil(200, "deadly") {
 		t.Errorf("the task that crashes its hosts is %s after 20 s", c.state["deadly"])
 	}
-	if n := c.crashes[cell.TaskID{Submission: "deadly"}]; n != crash.ToFail {
-		t.Errorf("it crashed %d hosts, want %d", n, crash.ToFail)
+	if n := c.crashes[cell.TaskID{Submission: "deadly"}]; n != crash.CrashesToFail {
+		t.Errorf("it crashed %d hosts, want %d", n, crash.CrashesToFail)
 	}
 	for i := range 8 {
 		if j := c.s.jobs[fmt.Sprintf("busy%d", i)]; j.suspected || len(j.groups[0].tasks[0].evidence.Confirmed) > 0 {
--- a/internal/cell/trial/wait.go
+++ b/internal/cell/trial/wait.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	// Patience is how long a suspect waits for hosts without other runs. After that it may be
+	// MaxIdleHostWait is how long a suspect waits for hosts without other runs. After that it may be
 	// tried beside runs that have started more than crash.Window before, unless trials of its
 	// queue have crashed their hosts of late.
-	Patience = time.Second
-	// maxWait is how long the first suspect in line waits for hosts that are empty soon,
+	MaxIdleHostWait = time.Second
+	// maxSoonEmptyWait is how long the first suspect in line waits for hosts that are empty soon,
 	// while others take them.
-	maxWait = 3 * time.Second
+	maxSoonEmptyWait = 3 * time.Second
 	// maxEmptyHostWait is how long no host was chosen for work under trial until hosts are
 	// chosen that are empty later.
 	maxEmptyHostWait = 500 * time.Millisecond
@@ -33,7 +33,7 @@
 }
 
 // Long reports whether a suspect has waited for long.
-func (w *Wait) Long(now time.Duration) bool { return w.Since != 0 && now >= w.Since+Patience }
+func (w *Wait) Long(now time.Duration) bool { return w.Since != 0 && now >= w.Since+MaxIdleHostWait }
 
 // Requeue puts a suspect that waits to the end of the line.
 func (w *Wait) Requeue(now time.Duration) {
@@ -44,7 +44,9 @@
 
 // GivesUp reports whether a suspect that might share hosts is started like other work, since no
 // hosts for its trial were found for very long.
-func (w *Wait) GivesUp(now time.Duration) bool { return !w.NotTried && now >= w.Since+2*Patience }
+func (w *Wait) GivesUp(now time.Duration) bool {
+	return !w.NotTried && now >= w.Since+2*MaxIdleHostWait
+}
 
 // MayAwaitHosts reports whether hosts that are empty only later may be kept free: for work of
 // confined queues, and for the first suspect in line, if no host was chosen for a while or the
@@ -53,5 +55,5 @@
 	if now >= lastChosen+maxEmptyHostWait {
 		return first || !suspected
 	}
-	return first && now >= w.Since+maxWait
+	return first && now >= w.Since+maxSoonEmptyWait
 }
--- a/internal/cell/trial/wait_test.go
+++ b/internal/cell/trial/wait_test.go
@@ -15,10 +15,10 @@
 	}
 	w.Begin(begin)
 	w.Begin(begin + time.Second)
-	if w.Since != begin || w.Long(begin+Patience-1) || !w.Long(begin+Patience) {
+	if w.Since != begin || w.Long(begin+MaxIdleHostWait-1) || !w.Long(begin+MaxIdleHostWait) {
 		t.Errorf("the wait began at %s", w.Since)
 	}
-	if w.GivesUp(begin+2*Patience-1) || !w.GivesUp(begin+2*Patience) {
+	if w.GivesUp(begin+2*MaxIdleHostWait-1) || !w.GivesUp(begin+2*MaxIdleHostWait) {
 		t.Error("a suspect is given up too soon or too late")
 	}
 	for name, c := range map[string]struct {
@@ -30,8 +30,8 @@
 		"first, none chosen":           {true, true, begin, begin + maxEmptyHostWait, true},
 		"another one, none chosen":     {false, true, begin, begin + maxEmptyHostWait, false},
 		"confined queue, none chosen":  {false, false, begin, begin + maxEmptyHostWait, true},
-		"first, waits for very long":   {true, true, begin + maxWait, begin + maxWait, true},
-		"another one, waits very long": {false, true, begin + maxWait, begin + maxWait, false},
+		"first, waits for very long":   {true, true, begin + maxSoonEmptyWait, begin + maxSoonEmptyWait, true},
+		"another one, waits very long": {false, true, begin + maxSoonEmptyWait, begin + maxSoonEmptyWait, false},
 	} {
 		if got := w.MayAwaitHosts(c.first, c.suspected, c.lastChosen, c.now); got != c.want {
 			t.Errorf("%s: it may await hosts: %t", name, got)
--- a/internal/cell/worklog/page.go
+++ b/internal/cell/worklog/page.go
@@ -17,17 +17,15 @@
 	// longer stored. A key without a record among them has been deleted since, unless its
 	// first record was stored after the read was sent; then it follows with later pages.
 	NewestOnly bool
-	// Next is the offset from which the topic is read on after a page with NewestOnly. Every
-	// record before it is among the records, or has been replaced by one of them or deleted.
-	// Some of the records may have offsets from there on; they are read again.
-	Next uint64
 	// AsOf is when the read was sent. Every record stored before that has been read
 	// if the page is complete.
 	AsOf time.Duration
 	// Complete is set if the page reaches the end of the topic.
 	Complete bool
-	// End is the offset after the last record that was read. If the page is complete, no
-	// record from End on was stored at AsOf.
+	// End is the offset from which the topic is read on. If the page is complete, no record from
+	// End on was stored at AsOf. With NewestOnly, every record before it is among the records, or
+	// has been replaced by one of them or deleted; some of the records may have offsets from End
+	// on, and are read again.
 	End uint64
 }
 
--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -178,7 +178,7 @@
 		after = last
 	}
 	r.behind = true // records stored since the first answer have to be read
-	r.deliver(Page{Records: all, NewestOnly: true, Next: next, AsOf: sent, Complete: true}, next)
+	r.deliver(Page{Records: all, NewestOnly: true, AsOf: sent, Complete: true}, next)
 	return nil
 }
 
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -19,7 +19,8 @@
 
 // Quiesce stops new starts and waits until no intent or start is outstanding
 // and all outcomes are logged, so that the shard can be released. If ctx ends
-// first, it allows starts again and returns the error of ctx.
+// first, it allows starts again and returns the error of ctx. It returns
+// ErrStopped if the Dispatcher is stopped.
 func (s *Dispatcher) Quiesce(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
