--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -114,7 +114,7 @@
 	}
 	body, release, refusal := h.receive(w, r)
 	if refusal != nil {
-		h.respond(w, r, h.beforeTracking(r, refusal))
+		h.respond(w, r, h.UnlessStored(r.Method, r.URL.Path, refusal))
 		return
 	}
 	defer release()
--- a/internal/cell/front/track.go
+++ b/internal/cell/front/track.go
@@ -57,21 +57,9 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
-// beforeTracking returns the response to a call whose body was not received: resp, unless it
-// refuses a submission that an earlier call may have stored.
-func (h *Handler) beforeTracking(r *http.Request, resp *peers.CallResponse) *peers.CallResponse {
-	return h.unlessStored(r.Method, r.URL.Path, resp)
-}
-
-// RefuseForwarded returns the response to a forwarded call that this node does not answer: resp,
-// unless it refuses a submission that an earlier call may have stored.
-func (h *Handler) RefuseForwarded(r *peers.CallRequest, resp *peers.CallResponse) *peers.CallResponse {
-	return h.unlessStored(r.Method, r.Path, resp)
-}
-
-// unlessStored returns resp, or 504 if it refuses a submission that a call of this node may have
-// stored.
-func (h *Handler) unlessStored(method, path string, resp *peers.CallResponse) *peers.CallResponse {
+// UnlessStored returns the response to a call that is refused before track: resp, or 504 if it
+// refuses a submission that a call of this node may have stored.
+func (h *Handler) UnlessStored(method, path string, resp *peers.CallResponse) *peers.CallResponse {
 	id, ok := submittedID(method, path)
 	if !ok || !isRefusal(resp.Status) {
 		return resp
--- a/internal/cell/front/untrue_refusal_test.go
+++ b/internal/cell/front/untrue_refusal_test.go
@@ -130,7 +130,7 @@
 	f, n := newRefusingHandler()
 	r := httptest.NewRequest("POST", "http://h.example/q/"+id, nil)
 	shed := unavailableResponse("shed")
-	if resp := f.beforeTracking(r, shed); resp != shed {
+	if resp := f.UnlessStored(r.Method, r.URL.Path, shed); resp != shed {
 		t.Errorf("a first call gets %d", resp.Status)
 	}
 	f.Admission = nil
@@ -139,11 +139,11 @@
 		defer func() { _ = recover() }()
 		post(f)
 	}()
-	if resp := f.beforeTracking(r, shed); resp.Status != 504 {
+	if resp := f.UnlessStored(r.Method, r.URL.Path, shed); resp.Status != 504 {
 		t.Errorf("after a call that panicked, the next one gets %d", resp.Status)
 	}
 	get := httptest.NewRequest("GET", "http://h.example/q/"+id, nil)
-	if resp := f.beforeTracking(get, shed); resp != shed {
+	if resp := f.UnlessStored(get.Method, get.URL.Path, shed); resp != shed {
 		t.Errorf("a query gets %d", resp.Status)
 	}
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -254,7 +254,7 @@
 // by an earlier attempt.
 func (n *Node) Forward(ctx context.Context, r *peers.CallRequest) (*peers.CallResponse, error) {
 	if n.Disconnected() || !n.hasDesiredVersion(ctx, r.DesiredVersion) {
-		return n.callerHandler.RefuseForwarded(r, &peers.CallResponse{Status: http.StatusServiceUnavailable}), nil
+		return n.callerHandler.UnlessStored(r.Method, r.Path, &peers.CallResponse{Status: http.StatusServiceUnavailable}), nil
 	}
 	a := n.callerHandler.AnswerForwarded(ctx, r)
 	if d := n.desired.Load(); d.Version > r.DesiredVersion {
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -57,6 +57,9 @@
 	return ok
 }
 
+// undecided reports whether the service has neither approved nor denied a host for the group.
+func (g *group) undecided(h *host) bool { return !g.approved(h) && !g.advice.denied[h] }
+
 // adviceDuration returns how long advice about one host takes; zero if the group needs
 // none.
 func (g *group) adviceDuration() time.Duration {
@@ -125,7 +128,7 @@
 // nor denied for the group.
 func (s *Scheduler) hasUndecidedHosts(g *group, n int) bool {
 	for _, h := range s.sortedHosts {
-		if !g.approved(h) && !g.advice.denied[h] && s.eligible(g, h) {
+		if g.undecided(h) && s.eligible(g, h) {
 			if n--; n <= 0 {
 				return true
 			}
@@ -138,9 +141,8 @@
 // group. The slice is valid until the next call.
 func (s *Scheduler) undecidedHosts(g *group) []*host {
 	hosts := s.undecidedBuffer[:0]
-	noneDecided := len(g.advice.tickets)+len(g.advice.denied) == 0
 	for _, h := range s.sortedHosts {
-		if s.eligible(g, h) && (noneDecided || !g.approved(h) && !g.advice.denied[h]) {
+		if s.eligible(g, h) && g.undecided(h) {
 			hosts = append(hosts, h)
 		}
 	}
--- a/internal/cell/schedule/advice_calls_test.go
+++ b/internal/cell/schedule/advice_calls_test.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/medlarpulley/medlarpulley/internal/cell"
+)
 
 // adviceCall is an advice call and when it is answered.
 type adviceCall struct {
@@ -21,19 +25,24 @@
 
 // answerAdvice answers the open advice calls that are due.
 func (c *cluster) answerAdvice(due func(adviceCall) bool) {
-	var open []adviceCall
-	for _, call := range c.calls {
+	c.calls = answerDueCalls(c.s, c.calls, due, c.approves, c.now)
+}
+
+// answerDueCalls answers the advice calls that are due, with tickets for the hosts that are
+// approved, and returns the others.
+func answerDueCalls(s *Scheduler, calls []adviceCall, due func(adviceCall) bool, approves func(g cell.GroupID, host string) bool, now time.Duration) (open []adviceCall) {
+	for _, call := range calls {
 		if !due(call) {
 			open = append(open, call)
 			continue
 		}
 		tickets := map[string]string{}
 		for _, h := range call.request.Hosts {
-			if c.approves(call.request.Group, h) {
+			if approves(call.request.Group, h) {
 				tickets[h] = "t"
 			}
 		}
-		c.s.AdviceReceived(call.request.Group, call.request.Hosts, tickets, c.now)
+		s.AdviceReceived(call.request.Group, call.request.Hosts, tickets, now)
 	}
-	c.calls = open
+	return open
 }
--- a/internal/cell/schedule/learned_decisions_test.go
+++ b/internal/cell/schedule/learned_decisions_test.go
@@ -76,15 +76,19 @@
 	if !first || waited > 2200*time.Millisecond {
 		t.Errorf("the gang waited %s, want 2 s; the small task was first: %t", waited, first)
 	}
-	logged := 0
+	if logged := c.messagesWith("A task starts in room that is reserved"); logged != 1 {
+		t.Errorf("the decision was logged %d times, want once", logged)
+	}
+}
+
+// messagesWith returns how many new log messages begin with a text.
+func (c *cluster) messagesWith(prefix string) (n int) {
 	for _, m := range c.s.TakeLogMessages() {
-		if strings.HasPrefix(m.Text, "A task starts in room that is reserved") {
-			logged++
+		if strings.HasPrefix(m.Text, prefix) {
+			n++
 		}
 	}
-	if logged != 1 {
-		t.Errorf("the decision was logged %d times, want once", logged)
-	}
+	return n
 }
 
 // Guards against a message for each decision that learned run times have changed.
@@ -95,13 +99,7 @@
 	for range 50 {
 		c.anyJob(single(8 * time.Second))
 	}
-	logged := 0
-	for _, m := range c.s.TakeLogMessages() {
-		if strings.HasPrefix(m.Text, "The objective follows from learned run times") {
-			logged++
-		}
-	}
-	if logged != 1 {
+	if logged := c.messagesWith("The objective follows from learned run times"); logged != 1 {
 		t.Errorf("the objectives of 50 submissions were logged %d times, want once", logged)
 	}
 }
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -286,7 +286,7 @@
 		s.requestAdvice(g, s.fewestHostsFor(g, expired, needed))
 		return
 	}
-	undecided := func(h *host) bool { return !g.approved(h) && !g.advice.denied[h] && s.hasRoomFor(g, h) }
+	undecided := func(h *host) bool { return g.undecided(h) && s.hasRoomFor(g, h) }
 	if slices.ContainsFunc(s.hostsWithRoom, undecided) {
 		s.requestAdviceOnUndecidedHosts(g)
 	}
--- a/internal/cell/schedule/replay_test.go
+++ b/internal/cell/schedule/replay_test.go
@@ -228,21 +228,7 @@
 }
 
 func (p *replay) answerCalls() {
-	var open []adviceCall
-	for _, c := range p.calls {
-		if c.due > p.now {
-			open = append(open, c)
-			continue
-		}
-		tickets := map[string]string{}
-		for _, h := range c.request.Hosts {
-			if p.approves(c.request.Group, h) {
-				tickets[h] = "t"
-			}
-		}
-		p.s.AdviceReceived(c.request.Group, c.request.Hosts, tickets, p.now)
-	}
-	p.calls = open
+	p.calls = answerDueCalls(p.s, p.calls, func(c adviceCall) bool { return c.due <= p.now }, p.approves, p.now)
 }
 
 // approves reports whether the advice service lets a group run on a host.
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -133,7 +133,7 @@
 	}
 	soon := p.s.now + soonEmpty
 	for _, h := range p.s.sortedHosts {
-		if p.s.eligible(g, h) && !g.approved(h) && !g.advice.denied[h] && (needed == 0 || p.s.trialRoom(g, h, soon) > 0) {
+		if p.s.eligible(g, h) && g.undecided(h) && (needed == 0 || p.s.trialRoom(g, h, soon) > 0) {
 			p.ask(g)
 			return true
 		}
--- a/internal/devcluster/lost_zone_test.go
+++ b/internal/devcluster/lost_zone_test.go
@@ -5,11 +5,8 @@
 	"fmt"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/work"
-	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
 // Guards against a job that waits forever because a shard without usable hosts
@@ -61,19 +58,13 @@
 // less those that it has returned.
 func unitsDrawn(t *testing.T, c *Cluster, shard, limit string) (units int64) {
 	t.Helper()
-	for _, r := range c.Log.Appended() {
-		var batch ledgerv1.Batch
-		if err := proto.Unmarshal(r.Payload, &batch); err != nil {
-			t.Fatal(err)
-		}
-		for _, record := range batch.Records {
-			switch transfer := record.GetTransfer(); {
-			case transfer.GetLimit() != limit:
-			case transfer.GetTo() == shard:
-				units += transfer.Units
-			case transfer.GetFrom() == shard:
-				units -= transfer.Units
-			}
+	for _, record := range loggedRecords(t, c) {
+		switch transfer := record.GetTransfer(); {
+		case transfer.GetLimit() != limit:
+		case transfer.GetTo() == shard:
+			units += transfer.Units
+		case transfer.GetFrom() == shard:
+			units -= transfer.Units
 		}
 	}
 	return units
--- a/internal/devcluster/outage_test.go
+++ b/internal/devcluster/outage_test.go
@@ -6,13 +6,10 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/medlarpulley/medlarpulley/internal/gateway"
 	"github.com/medlarpulley/medlarpulley/internal/standin/logsvc"
 	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/internal/work"
-	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
 // Guards against three failures during an outage of the log: accepted idempotent
@@ -110,15 +107,9 @@
 		return err
 	})
 	moves := 0
-	for _, r := range c.Log.Appended() {
-		var batch ledgerv1.Batch
-		if err := proto.Unmarshal(r.Payload, &batch); err != nil {
-			t.Fatal(err)
-		}
-		for _, record := range batch.Records {
-			if record.GetMove() != nil {
-				moves++
-			}
+	for _, record := range loggedRecords(t, c) {
+		if record.GetMove() != nil {
+			moves++
 		}
 	}
 	if moves == 0 {
--- a/internal/devcluster/whole_limit_test.go
+++ b/internal/devcluster/whole_limit_test.go
@@ -5,11 +5,8 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/medlarpulley/medlarpulley/internal/resource"
 	"github.com/medlarpulley/medlarpulley/internal/work"
-	ledgerv1 "github.com/medlarpulley/medlarpulley/proto/ledger/v1"
 )
 
 // Guards against a task that needs more units of its limit than a shard holds and
@@ -34,15 +31,9 @@
 // movesOf returns the number of records in the log that move tasks of a job.
 func movesOf(t *testing.T, c *Cluster, job string) (moves int) {
 	t.Helper()
-	for _, r := range c.Log.Appended() {
-		var batch ledgerv1.Batch
-		if err := proto.Unmarshal(r.Payload, &batch); err != nil {
-			t.Fatal(err)
-		}
-		for _, record := range batch.Records {
-			if record.GetMove().GetJob() == job {
-				moves++
-			}
+	for _, record := range loggedRecords(t, c) {
+		if record.GetMove().GetJob() == job {
+			moves++
 		}
 	}
 	return moves
