owner: Fence the calls to a former lifetime of a host

Cause: a poll without an answer may be carried out by the next lifetime of the host. It carries the end of a lease on the former clock, which the new lifetime cuts to the longest lease, 10 s, where the owner counted with 4.5 s, and an acknowledgement in the former numbers of ends. Start orders were accounted for, polls were not.

The tokens of owners are 1,024 apart now, and the owner uses the next one for the calls to a host with each restart of it that it hears of, so that the new lifetime refuses earlier calls. Polls that renew leases are remembered like start orders until their own lifetime has answered them.

--- a/internal/cell/node/claim.go
+++ b/internal/cell/node/claim.go
@@ -121,12 +121,22 @@
 // read. If the claim passes over another node's, that node may have acted, so nothing
 // is known to be reconciled.
 func ownerBefore(token int64, read registry.Ownership) registry.Ownership {
-	if token == read.Token+1 {
+	if token == registry.NextToken(read.Token) {
 		return read
 	}
 	return registry.Ownership{Node: "unknown", Token: token - 1}
 }
 
+// previousOwner returns the owner before a claim that has been read back. A process of a version
+// that claims the token right after another one may have owned the cell between the last record
+// that was read before the claim and the claim.
+func (n *Node) previousOwner(c *claim) registry.Ownership {
+	if former := n.registry.FormerToken(); former > c.previous.Token {
+		return registry.Ownership{Node: "unknown", Token: former}
+	}
+	return c.previous
+}
+
 // requestTakeover asks the other nodes to take over, since the store has refused
 // several appends of this node. At a slow store that concerns all nodes, and a new
 // owner would fare no better.
--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -159,7 +159,9 @@
 
 // nextToken returns the token of the next claim. It is higher than that of a claim
 // that is passed over, so that its claimer is fenced.
-func (v electionInput) nextToken() int64 { return max(v.owner.Token, v.takenToken) + 1 }
+func (v electionInput) nextToken() int64 {
+	return registry.NextToken(max(v.owner.Token, v.takenToken))
+}
 
 // ownershipFree reports whether it is certain that nobody owns the cell: there
 // was no owner, or the owner has released the ownership or asked the others to take
--- a/internal/cell/node/election_test.go
+++ b/internal/cell/node/election_test.go
@@ -138,7 +138,11 @@
 // Guards against a claimer of a token that is passed over, but not fenced.
 func TestNextTokenFencesPassedOverClaim(t *testing.T) {
 	v := electionInput{owner: registry.Ownership{Token: 4}, takenToken: 5}
-	if got := v.nextToken(); got != 6 {
-		t.Errorf("next token %d, want 6", got)
+	if got, want := v.nextToken(), registry.NextToken(5); got != want {
+		t.Errorf("next token %d, want %d", got, want)
+	}
+	v = electionInput{owner: registry.Ownership{Token: 4 * registry.TokensPerTerm}, takenToken: 5 * registry.TokensPerTerm}
+	if got, want := v.nextToken(), int64(6*registry.TokensPerTerm); got != want {
+		t.Errorf("next token %d, want %d", got, want)
 	}
 }
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -69,13 +69,14 @@
 	log := logging.WithComponent(n.log, "owner")
 	log.Info("A term as owner begins.", "token", c.owner.Token, "offset", offset, "submissions", n.registry.Len())
 	ctx, cancel := context.WithCancel(context.Background())
+	previous := n.previousOwner(c)
 	t := &term{claim: c, cancel: cancel, done: make(chan struct{}), listedHosts: make(map[string]cell.Host), missingSince: make(map[string]time.Duration), storedHosts: n.registry.Hosts()}
 	t.owner = owner.New(owner.Options{
 		Self: c.owner, Clock: n.clock, WallClock: wallClock, Log: log, Metrics: n.metrics, HostClient: n.hostClient, Advisor: n.pool, Journal: c.journal,
 		Desired: n.appliedDesired, Evacuated: n.evacuatedZones, EvacuationBound: config.Millis(n.settings.Bounds.EvacuationMs),
 		RequestTakeover: func() { n.requestTakeoverForZones(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
-		EarlierOwnersGone: func() bool { return previousOwnerGone(c.previous, n.self, n.members.Nodes()) },
+		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
 		Features: features(n.settings.Scheduling), Admission: n.settings.Scheduling.Admission,
--- a/internal/cell/node/term_test.go
+++ b/internal/cell/node/term_test.go
@@ -36,14 +36,16 @@
 // Guards against too short a wait for a host that does not answer, when a claim of
 // another node was passed over: that node may have acted.
 func TestPassedOverClaimerMayHaveActed(t *testing.T) {
-	released := registry.Ownership{Node: "b", InstanceID: "b1", Token: 4, Reconciled: true, Released: true}
+	const token = 4 * registry.TokensPerTerm
+	released := registry.Ownership{Node: "b", InstanceID: "b1", Token: token, Reconciled: true, Released: true}
 	self := membership.Node{Name: "c", InstanceID: "c2"}
-	if !previousOwnerGone(ownerBefore(5, released), self, nil) {
+	next := registry.NextToken(token)
+	if !previousOwnerGone(ownerBefore(next, released), self, nil) {
 		t.Error("the owner that released is not gone")
 	}
-	for _, read := range []registry.Ownership{released, {Token: 4}} {
-		if previousOwnerGone(ownerBefore(6, read), self, nil) {
-			t.Error("the node that claimed token 5 counts as gone")
+	for _, read := range []registry.Ownership{released, {Token: token}} {
+		if previousOwnerGone(ownerBefore(registry.NextToken(next), read), self, nil) {
+			t.Error("the node that claimed the token between counts as gone")
 		}
 	}
 }
--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -11,22 +11,30 @@
 // once the host has answered there under its ID and not as an earlier instance. Nothing
 // is started there until the log has the new address.
 
-// pollTarget returns the host with the address for the next poll.
-func (ow *Owner) pollTarget(h *hostPoller) cell.Host {
+// pollTarget returns the host with the address for the next poll, and the fencing token.
+func (ow *Owner) pollTarget(h *hostPoller) (cell.Host, int64) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	target := h.spec()
 	if h.failedAddress == h.address {
 		target.Address = h.listed.Address
 	}
-	return target
+	return target, h.starts.fence.token
 }
 
-// orderTarget returns the host with the address for orders.
-func (ow *Owner) orderTarget(h *hostPoller) cell.Host {
+// orderTarget returns the host with the address for orders, and the fencing token.
+func (ow *Owner) orderTarget(h *hostPoller) (cell.Host, int64) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return h.spec()
+	return h.spec(), h.starts.fence.token
+}
+
+// isFenced reports whether the refusal of a call for its fencing token shows that another
+// process owns the cell. Otherwise the host has seen a higher token of this owner since.
+func (ow *Owner) isFenced(h *hostPoller, token int64) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return token >= h.starts.fence.token
 }
 
 // startTarget returns the host with the address for orders, and a start order whose lease
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/ctxtime"
+	"github.com/medlarpulley/medlarpulley/internal/verdict"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
@@ -128,16 +130,18 @@
 // sent a report of its runs, or the poll was interrupted.
 func (ow *Owner) poll(ctx context.Context, h *hostPoller) bool {
 	sentAt := ow.options.Clock.Now()
-	o := platform.Poll{Token: ow.options.Self.Token, Over: h.connection}
+	target, token := ow.pollTarget(h)
+	o := platform.Poll{Token: token, Over: h.connection}
+	var renewal *startOrder
 	if h.inTouch {
 		// The lease of a host that does not answer must not be renewed: it is unknown
 		// whether such a poll arrived, so the lease could never be taken as expired.
 		h.life.bind(&o, sentAt)
+		renewal = h.starts.addCall(&startOrder{life: h.life, token: token, leaseEnd: time.Duration(o.LeaseEndMs) * time.Millisecond})
 	}
 	h.inTouch = false
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pollTimeoutMargin)
 	endWatch := h.cancelOnInterrupt(ctx, cancel)
-	target := ow.pollTarget(h)
 	l, unreadable, refusal, err := ow.options.HostClient.Poll(callCtx, &target, o)
 	if endWatch() && err == nil {
 		h.pollNow() // the answer may be older than the request for another poll
@@ -146,10 +150,13 @@
 	cancel()
 	now := ow.options.Clock.Now()
 	h.ownerLate = now-sentAt > o.Wait+pollTimeoutMargin+maxOwnDelay
+	if renewal != nil {
+		ow.recordRenewal(h, renewal, l.StartedMs, refusal, err)
+	}
 	switch {
 	case errors.Is(err, platform.ErrNotConnected):
 		return true // the next poll may reach another lifetime
-	case err == nil && refusal == platform.RefusedFenced:
+	case err == nil && refusal == platform.RefusedFenced && ow.isFenced(h, token):
 		ow.loseOwnership("host " + h.host.ID + " has seen a higher fencing token")
 		return false
 	case err == nil && refusal == platform.RefusedHostRestarted && ow.showsRestart(h, target.Address):
@@ -179,10 +186,24 @@
 	}
 	h.unreadable = unreadable
 	h.failures, h.unansweredPolls, h.failedAddress, h.answeredAt, h.inTouch = 0, 0, "", now, true
-	ow.applyReport(ctx, h, sentAt, now, l, o.Ack)
+	ow.applyReport(ctx, h, sentAt, now, l, o)
 	return true
 }
 
+// recordRenewal records what is known of the lifetime that got a poll which renews the lease of
+// another one. answeredBy is the lifetime in its answer, zero without one.
+func (ow *Owner) recordRenewal(h *hostPoller, renewal *startOrder, answeredBy int64, refusal platform.Refusal, err error) {
+	if err != nil || refusal != platform.NotRefused {
+		answeredBy = 0
+	}
+	notCarriedOut := err != nil && verdict.Of(err) == verdict.DidNotRun || refusal.DidNothing()
+	h.starts.pollEnded(renewal, answeredBy, notCarriedOut, ow.options.Clock.Now())
+	if answeredBy != 0 && answeredBy != renewal.life.startedMs {
+		ow.metrics.misdelivered.Inc(1)
+		ow.options.Log.Warn("A later lifetime of a host has carried out a poll for a former one.", "host", h.host.ID, "lifetime", renewal.life.startedMs, "answered_by", answeredBy)
+	}
+}
+
 // cancelOnInterrupt cancels a poll once another one is requested. The returned function ends
 // that, and reports whether the poll was cancelled. Without it, a later request could end in
 // a poll that is over.
@@ -206,16 +227,21 @@
 }
 
 // applyReport passes a host's report to the scheduler and waits until the results
-// in it are stored. acked is the acknowledgement that the host has answered with it.
-func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport, acked int64) {
+// in it are stored. o is the poll that the host has answered with it.
+func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport, o platform.Poll) {
 	life := h.life
 	if life == nil || life.startedMs != l.StartedMs {
 		life = &lifetime{startedMs: l.StartedMs, lease: lease{duration: ow.leaseDuration()}}
 	} else {
 		h.starts.settle(sentAt, now)
-		life.ackedResult = max(life.ackedResult, acked)
+		life.ackedResult = max(life.ackedResult, o.Ack)
 	}
 	life.lease.observe(l.ClockMs, sentAt, now)
+	if life.firstToken != 0 && o.Token > life.firstToken {
+		// From here on, calls to former lifetimes are refused.
+		life.lease.limitInherited(ow.options.MaxLease)
+	}
+	ow.recordForgottenEnds(h, life.seenResult, l.Ended)
 	highestResult := life.seenResult
 	for _, e := range l.Ended {
 		highestResult = max(highestResult, e.Number)
@@ -225,7 +251,9 @@
 		h.life = life
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
 		if former != life {
+			life.firstToken = o.Token
 			ow.inheritStarts(h, former == nil, now)
+			h.starts.fence.heardOf(life.startedMs)
 		}
 		// Ends that a partial report does not list may be those of earlier owners' runs.
 		h.runsKnown = h.runsKnown || !l.Partial || ow.reconciled.Load()
@@ -249,6 +277,22 @@
 	}
 }
 
+// recordForgottenEnds records that a host has forgotten ends which it had not listed: the numbers
+// of the ends of one lifetime have no gaps. seen is the highest number that was listed before.
+func (ow *Owner) recordForgottenEnds(h *hostPoller, seen int64, listed []cell.Ended) {
+	next := int64(math.MaxInt64)
+	for _, e := range listed {
+		if e.Number > seen {
+			next = min(next, e.Number)
+		}
+	}
+	if next == math.MaxInt64 || next == seen+1 {
+		return
+	}
+	ow.metrics.forgottenEnds.Inc(next - seen - 1)
+	ow.options.Log.Warn("A host has forgotten ends that it had not listed.", "host", h.host.ID, "listed", seen, "next", next)
+}
+
 // inheritStarts takes into account that a lifetime of a host which has just been heard of may
 // carry out the start orders that are left from former ones, also from before the host was
 // removed. first is set if this owner had heard of none before. Then orders of an earlier
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -54,7 +54,7 @@
 func (ow *Owner) startOrdersTo(id string) *startOrders {
 	s := ow.ordersToHosts[id]
 	if s == nil {
-		s = &startOrders{}
+		s = &startOrders{fence: newHostFence(ow.options.Self.Token, ow.tokenFloor)}
 		ow.ordersToHosts[id] = s
 	}
 	return s
@@ -64,7 +64,13 @@
 // more. The caller holds the lock.
 func (ow *Owner) forgetOldStartOrders() {
 	now := ow.options.Clock.Now()
-	maps.DeleteFunc(ow.ordersToHosts, func(id string, s *startOrders) bool { return ow.hosts[id] == nil && s.areTooOld(now) })
+	maps.DeleteFunc(ow.ordersToHosts, func(id string, s *startOrders) bool {
+		if ow.hosts[id] != nil || !s.areTooOld(now) {
+			return false
+		}
+		ow.tokenFloor = max(ow.tokenFloor, s.fence.token) // the host may be back, and have seen it
+		return true
+	})
 }
 
 // addHost adds a host and begins to poll it. The caller holds the lock.
--- a/internal/cell/owner/lease.go
+++ b/internal/cell/owner/lease.go
@@ -55,6 +55,17 @@
 	return l.inheritedEnd > 0 && now <= l.receivedAt+runsEndWithin(l.inheritedEnd-l.hostClock)
 }
 
+// limitInherited limits the lease that orders to an earlier lifetime may have given to this one,
+// once none of them can be carried out any more, to the longest one that the host accepts from the
+// last poll on; zero for no limit.
+func (l *lease) limitInherited(maxLease time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if maxLease > 0 {
+		l.inheritedEnd = min(l.inheritedEnd, l.hostClock+maxLease)
+	}
+}
+
 // expiry returns the time on the local clock at which the lease has certainly expired.
 func (l *lease) expiry() time.Duration {
 	l.mu.Lock()
--- a/internal/cell/owner/lifetime.go
+++ b/internal/cell/owner/lifetime.go
@@ -16,6 +16,8 @@
 	// seenResult, storedResult and ackedResult are the highest numbers of results that the
 	// host has reported, that are stored, and that the host knows to be stored.
 	seenResult, storedResult, ackedResult int64
+	// firstToken is the fencing token of the first poll that it answered.
+	firstToken int64
 }
 
 // bind makes a poll one for this lifetime only: it acknowledges results and renews the
--- a/internal/cell/owner/lifetime_test.go
+++ b/internal/cell/owner/lifetime_test.go
@@ -47,13 +47,17 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		r := newRestartTest(newHostTest(t))
 		for range rapid.IntRange(1, 40).Draw(rt, "events") {
-			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
 			case 0:
 				r.host.end()
 			case 1:
 				r.host.restart(rapid.Bool().Draw(rt, "silent"))
+			case 2:
+				if r.knowsLifetime() && r.poller("h").life.firstToken < r.host.fence {
+					r.host.carryOutLateOrders()
+				}
 			default:
-				r.pollWith(callFault(rapid.IntRange(0, 2).Draw(rt, "fault")))
+				r.pollWith(callFault(rapid.IntRange(0, 3).Draw(rt, "fault")))
 			}
 		}
 		for range 4 {
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -15,9 +15,12 @@
 // metrics counts the orders of the owner and their results, and shows what its bounds hold.
 type metrics struct {
 	started, unanswered, adviceAnswers, connectionsLost tally.Counter
-	refused                                             map[string]tally.Counter
-	ended                                               map[cell.Outcome]tally.Counter
-	startWait                                           tally.Timer
+	// misdelivered counts the polls for a lifetime of a host that a later one has carried out,
+	// forgottenEnds the ends that a host has forgotten although it had not listed them.
+	misdelivered, forgottenEnds tally.Counter
+	refused                     map[string]tally.Counter
+	ended                       map[cell.Outcome]tally.Counter
+	startWait                   tally.Timer
 	// heldWeight is how much work the scheduler holds, deferred the number of submissions
 	// that wait until it may hold theirs, and startsWaiting that of starts to be sent.
 	heldWeight, deferred, startsWaiting tally.Gauge
@@ -36,6 +39,7 @@
 	}
 	m := metrics{
 		started: s.Counter("starts_accepted"), unanswered: s.Counter("starts_unanswered"), adviceAnswers: s.Counter("advice_answers"), connectionsLost: s.Counter("host_connections_lost"),
+		misdelivered: s.Counter("polls_misdelivered"), forgottenEnds: s.Counter("ends_forgotten"),
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
 		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -53,7 +53,7 @@
 	}
 	order := platform.Start{
 		Task: s.Task, Run: s.Run, Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-		LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: ow.options.Self.Token,
+		LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: sent.token,
 	}
 	// The time-out begins before the check, so that it also bounds a pause between the two.
 	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
@@ -75,8 +75,11 @@
 		ow.metrics.unanswered.Inc(1)
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Unanswered(s.Host, s.Task, s.Run, now) })
 		h.pollNow()
-	case why == platform.RefusedFenced:
+	case why == platform.RefusedFenced && ow.isFenced(h, sent.token):
 		ow.loseOwnership("host " + s.Host + " has seen a higher fencing token")
+	case why == platform.RefusedFenced:
+		log.Info("An order to start a run was meant for a former lifetime of the host.")
+		refused(schedule.RefusedOther)
 	case why == platform.NotRefused:
 		ow.metrics.started.Inc(1)
 		ow.metrics.startWait.Record(s.Waited)
@@ -138,12 +141,12 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	target := ow.orderTarget(h)
+	target, token := ow.orderTarget(h)
 	sentAt := ow.options.Clock.Now()
-	_, why, err := ow.options.HostClient.Stop(callCtx, &target, s.Task, s.Run, ow.options.Self.Token)
+	_, why, err := ow.options.HostClient.Stop(callCtx, &target, s.Task, s.Run, token)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
 	switch {
-	case err == nil && why == platform.RefusedFenced:
+	case err == nil && why == platform.RefusedFenced && ow.isFenced(h, token):
 		ow.loseOwnership("host " + s.Host + " has seen a higher fencing token")
 	case err == nil && why == platform.NotRefused:
 		log.Info("A host accepted a stop order.", "reason", s.Reason)
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -46,6 +46,8 @@
 	// ordersToHosts holds the start orders to each host that a later lifetime may carry out,
 	// by the host's ID, also for a while after the host was removed.
 	ordersToHosts map[string]*startOrders
+	// tokenFloor is the highest fencing token of the hosts that are forgotten there.
+	tokenFloor int64
 	// loading is the ID of the submission that is loaded.
 	loading string
 	// broken is set after a panic: the state may be changed in part, and must not be used.
--- a/internal/cell/owner/restartinghost_test.go
+++ b/internal/cell/owner/restartinghost_test.go
@@ -38,16 +38,22 @@
 	startedAt time.Duration
 	lifetime  int64
 	// connectedTo is the lifetime to which the connection for polls leads; zero if it is
-	// closed. A connection to a former lifetime is silent, or known to be broken.
+	// closed. A connection to a former lifetime is silent, or known to be broken. If relayed is
+	// set, something between the two ends keeps it open, and delivers its calls to the present
+	// lifetime.
 	connectedTo int64
 	silent      bool
-	fault       callFault
-	lastEnd     int64
-	ends        []cell.Ended
+	relayed     bool
+	// fence is the highest fencing token that the present lifetime has seen.
+	fence   int64
+	fault   callFault
+	lastEnd int64
+	ends    []cell.Ended
 	// leaseEnd is on the clock of the present lifetime. Orders that are late wait in late, and
 	// are carried out by lateUntil or not at all.
 	leaseEnd  time.Duration
 	late      []platform.Start
+	latePolls []platform.Poll
 	lateUntil time.Duration
 	// listed is the highest number of an end in an answer of the present lifetime.
 	listed     int64
@@ -62,7 +68,7 @@
 func (h *restartingHost) restart(silent bool) {
 	h.lifetime++
 	h.startedAt, h.silent = h.clock.now, silent
-	h.lastEnd, h.ends, h.listed, h.leaseEnd = 0, nil, 0, 0
+	h.lastEnd, h.ends, h.listed, h.leaseEnd, h.fence = 0, nil, 0, 0, 0
 }
 
 // end ends a run.
@@ -75,7 +81,7 @@
 func (h *restartingHost) hostClock() time.Duration { return h.clock.now - h.startedAt }
 
 func (h *restartingHost) Poll(_ context.Context, _ *cell.Host, o platform.Poll) (l cell.HostReport, unreadable int, r platform.Refusal, err error) {
-	connected := h.connectedTo == h.lifetime
+	connected := h.connectedTo == h.lifetime || h.relayed && h.connectedTo != 0
 	h.connectedTo = 0
 	switch {
 	case o.SameProcess && !connected && h.silent:
@@ -84,6 +90,12 @@
 		return l, 0, 0, platform.ErrNotConnected
 	case h.fault == callLost:
 		return l, 0, 0, doesNotAnswer.err
+	case h.fault == carriedOutLate:
+		h.delay()
+		h.latePolls = append(h.latePolls, o)
+		return l, 0, 0, doesNotAnswer.err
+	case !h.admits(o.Token):
+		return l, 0, platform.RefusedFenced, nil
 	}
 	h.acknowledge(o.Ack)
 	h.renew(o.LeaseEndMs)
@@ -99,12 +111,13 @@
 	case callLost:
 		return 0, 0, doesNotAnswer.err
 	case carriedOutLate:
-		if len(h.late) == 0 {
-			h.lateUntil = h.clock.now + maxOrderDelay
-		}
+		h.delay()
 		h.late = append(h.late, o)
 		return 0, 0, doesNotAnswer.err
 	}
+	if !h.admits(o.Token) {
+		return h.hostClock().Milliseconds(), platform.RefusedFenced, nil
+	}
 	h.renew(o.LeaseEndMs)
 	if h.fault == answerLost {
 		return 0, 0, errReset
@@ -117,14 +130,38 @@
 	h.leaseEnd = max(h.leaseEnd, min(time.Duration(endMs)*time.Millisecond, h.hostClock()+testMaxLease))
 }
 
-// carryOutLateOrders carries out the orders that are late.
+// admits records the fencing token of a call, and reports whether it is carried out.
+func (h *restartingHost) admits(token int64) bool {
+	if token < h.fence {
+		return false
+	}
+	h.fence = token
+	return true
+}
+
+// delay records that a call will be carried out late.
+func (h *restartingHost) delay() {
+	if len(h.late)+len(h.latePolls) == 0 {
+		h.lateUntil = h.clock.now + maxOrderDelay
+	}
+}
+
+// carryOutLateOrders carries out the calls that are late.
 func (h *restartingHost) carryOutLateOrders() {
-	for _, o := range h.late {
-		if h.clock.now <= h.lateUntil {
-			h.renew(o.LeaseEndMs)
+	if h.clock.now <= h.lateUntil {
+		for _, o := range h.late {
+			if h.admits(o.Token) {
+				h.renew(o.LeaseEndMs)
+			}
+		}
+		for _, o := range h.latePolls {
+			if h.admits(o.Token) {
+				h.acknowledge(o.Ack)
+				h.renew(o.LeaseEndMs)
+			}
 		}
 	}
-	h.late = nil
+	h.late, h.latePolls = nil, nil
 }
 
 // holdsLease reports whether runs on the host may go on.
@@ -174,7 +211,7 @@
 		return
 	}
 	r.host.fault = f
-	clockMs, refusal, err := r.host.Start(r.t.Context(), &target, platform.Start{LeaseEndMs: sent.leaseEnd.Milliseconds()})
+	clockMs, refusal, err := r.host.Start(r.t.Context(), &target, platform.Start{LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: sent.token})
 	r.host.fault = noFault
 	r.recordStartCall(h, sent, clockMs, refusal, err)
 }
--- a/internal/cell/owner/startorders.go
+++ b/internal/cell/owner/startorders.go
@@ -11,10 +11,13 @@
 // maxOrderDelay is how long after its call an order without an answer may be carried out.
 const maxOrderDelay = 12 * time.Second
 
-// startOrder is a start order for one lifetime of a host.
+// startOrder is a start order for one lifetime of a host, or a poll that renews its lease.
 type startOrder struct {
 	life *lifetime
-	run  schedule.Run
+	// run is zero for a poll.
+	run schedule.Run
+	// token is the fencing token of the call.
+	token int64
 	// leaseEnd is the end of the lease that it carries, on the clock of that lifetime.
 	leaseEnd time.Duration
 	// endedAt is when the call ended, zero while it is in flight; answered is set if the
@@ -23,23 +26,41 @@
 	answered bool
 }
 
-// startOrders are the start orders to a host that a later lifetime than the one they are
-// meant for may carry out, since nothing in a call names the lifetime. A later one counts
-// its clock anew, so that it holds the longest lease that hosts accept.
+// startOrders are the start orders to a host, and the polls that renew its lease, that a later
+// lifetime than the one they are meant for may carry out before it has seen a higher fencing
+// token. A later one counts its clock anew, so that it holds the longest lease that hosts accept.
 type startOrders struct {
+	// fence is the fencing token of the host; the owner's lock guards it.
+	fence hostFence
+
 	mu   sync.Mutex
 	list []*startOrder
 }
 
-// add adds an order that is about to be sent.
+// add adds an order that is about to be sent. The caller holds the owner's lock.
 func (s *startOrders) add(life *lifetime, run schedule.Run, now time.Duration) *startOrder {
+	return s.addCall(&startOrder{life: life, run: run, token: s.fence.token, leaseEnd: life.lease.grant(now)})
+}
+
+func (s *startOrders) addCall(o *startOrder) *startOrder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := &startOrder{life: life, run: run, leaseEnd: life.lease.grant(now)}
 	s.list = append(s.list, o)
 	return o
 }
 
+// pollEnded records the result of a poll that renewed the lease of a lifetime: the lifetime that
+// has answered, zero if none has. notCarriedOut is set if the host certainly took nothing from it.
+func (s *startOrders) pollEnded(o *startOrder, answeredBy int64, notCarriedOut bool, now time.Duration) {
+	if notCarriedOut || answeredBy == o.life.startedMs {
+		s.remove(o)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o.endedAt, o.answered = now, answeredBy != 0
+}
+
 // answered records that a host whose clock is given answered an order. It reports whether
 // that was certainly the lifetime that the order was meant for.
 func (s *startOrders) answered(o *startOrder, clock, now time.Duration) bool {
@@ -140,7 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
-		if o.endedAt != 0 && !o.answered {
+		if o.run != (schedule.Run{}) && o.endedAt != 0 && !o.answered {
 			out = append(out, o.run)
 		}
 	}
--- a/internal/cell/owner/successor_lease_test.go
+++ b/internal/cell/owner/successor_lease_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
 // succeed returns the owner that follows r, which has been killed: it knows what is stored,
@@ -15,6 +16,7 @@
 	next := newHostTest(r.t)
 	next.clock.now = r.clock.now
 	next.options.ClaimSent, next.options.ClaimedAt = r.clock.now, r.clock.now
+	next.options.Self.Token = registry.NextToken(r.options.Self.Token)
 	next.options.HostClient, next.options.MaxLease = r.host, testMaxLease
 	next.log = r.log
 	r.host.clock, r.host.connectedTo = next.clock, 0
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -37,6 +37,8 @@
 	mu          sync.RWMutex
 	owner       Ownership
 	ownerOffset uint64
+	// formerToken is the token of the last ownership that was read before the present one.
+	formerToken int64
 	ownerWrites int64
 	hosts       map[string]Host
 	listener    Listener
@@ -125,6 +127,9 @@
 	if rec.Offset < r.ownerOffset || o.Token < r.owner.Token {
 		return nil
 	}
+	if o.Token > r.owner.Token {
+		r.formerToken = r.owner.Token
+	}
 	r.owner, r.ownerOffset = o, rec.Offset
 	r.ownerWrites++
 	return nil
@@ -293,6 +298,14 @@
 	return r.owner, r.ownerWrites
 }
 
+// FormerToken returns the token of the last ownership that was read before the present one; zero
+// if there was none.
+func (r *Registry) FormerToken() int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.formerToken
+}
+
 // OwnerOffset returns the log offset of the newest ownership record.
 func (r *Registry) OwnerOffset() uint64 {
 	r.mu.RLock()
