fairshare: Keep an account over time for each team

Each team has a balance in shares times seconds now. It earns its share of what is used in all, so that nobody saves what nobody can use, and pays for what its runs use. Work is excess once the account is overdrawn by more than the widest item that the team has waiting. Work that waits for advice counts by a quarter towards contention, so that a calm cell does not count as contended. Excess work is held back as long as the work that it is held back for starts.

--- a/internal/cell/fairshare/amounts.go
+++ b/internal/cell/fairshare/amounts.go
@@ -30,6 +30,14 @@
 	return a
 }
 
+// Largest returns the larger amount of each resource.
+func (a Amounts) Largest(b Amounts) Amounts {
+	for i := range a {
+		a[i] = max(a[i], b[i])
+	}
+	return a
+}
+
 // Scale returns f times a.
 func (a Amounts) Scale(f float64) Amounts {
 	for i := range a {
--- a/internal/cell/fairshare/division.go
+++ b/internal/cell/fairshare/division.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
-// usageMemory is the time after which past usage counts for 1/e.
-const usageMemory = 4 * time.Second
+// adviceFactor is the part of the work that waits for more than room, as for advice, which counts
+// towards contention. All of it would make a cell that is nearly full contended without end; none
+// would let a burst begin to start before the cell counts as contended.
+const adviceFactor = 0.25
 
 // maxWeight bounds the weight of a team, so that sums of weights are finite.
 const maxWeight = 1e12
@@ -29,24 +30,43 @@
 func (d *Division) Divide(now time.Duration, capacity Amounts, accounts []*Account) {
 	elapsed := max(now-d.at, 0)
 	d.capacity, d.at = capacity, now
-	keep := math.Exp(-elapsed.Seconds() / usageMemory.Seconds())
+	d.settle(elapsed, accounts)
 	mean, total := meanWeight(accounts), 0.0
 	for _, a := range accounts {
 		if a.weight = min(a.Weight, maxWeight); a.weight <= 0 {
 			a.weight = mean
 		}
 		a.Usage = a.Used.Dominant(capacity)
-		if !a.known {
-			a.known, a.Average = true, a.Usage
-		}
-		a.Average = a.Usage + keep*(a.Average-a.Usage)
 		a.wanted = max(a.Used.Plus(a.waiting).within(a.Limit).Dominant(capacity), a.Usage)
 		a.Entitled = a.wanted
-		total += a.wanted
+		total += a.demand(capacity)
 	}
 	if d.Contended = total > 1; d.Contended {
 		d.fill(accounts)
 	}
+	for _, a := range accounts {
+		a.bound(a.widest.Dominant(capacity))
+	}
+}
+
+// settle brings the balances up to date with what has been used since the last division. What is
+// divided is what was used and not the capacity, of which a part may fit nothing: otherwise all
+// teams would save shares that nobody can use.
+func (d *Division) settle(elapsed time.Duration, accounts []*Account) {
+	spent, entitled := 0.0, 0.0
+	for _, a := range accounts {
+		spent += a.spent.Dominant(d.capacity)
+		entitled += a.Entitled
+	}
+	for _, a := range accounts {
+		switch {
+		case !d.Contended:
+			a.fade(elapsed)
+		case entitled > 0:
+			a.settle(spent*a.Entitled/entitled, a.spent.Dominant(d.capacity))
+		}
+		a.spent = Amounts{}
+	}
 }
 
 // Capacity returns the capacity that was divided last.
@@ -70,15 +90,16 @@
 }
 
 // Claim claims work for an account, in the order in which the team's work is placed. It returns
-// how much the team would use with half of this work, by weight, and whether that is beyond its
-// share, so that the work is excess. With half of it, rounding favours neither small nor large
-// shares. Work is not excess while the team uses less than half of its share, since a gang may
-// be wider than that.
+// by how much the team would overdraw its account with half of this work, by weight, and whether
+// the work is excess: the account is overdrawn, before the work, by more than the widest item
+// that the team has waiting. So a gang that is wider than a share is within it from time to time.
+// With half of the work, rounding favours neither small nor large shares.
 func (d *Division) Claim(a *Account, work Amounts) (level float64, excess bool) {
-	before := a.level() + a.claimed.Dominant(d.capacity)
+	seconds := settlingTime.Seconds()
+	before := a.overdraft() + a.claimed.Dominant(d.capacity)*seconds
 	a.claimed = a.claimed.Plus(work)
-	middle := before + work.Dominant(d.capacity)/2
-	return middle / a.weight, d.Contended && middle >= a.Entitled && before >= a.Entitled/2
+	middle := before + work.Dominant(d.capacity)*seconds/2
+	return middle / a.weight, d.Contended && before >= a.widest.Dominant(d.capacity)*seconds
 }
 
 func meanWeight(accounts []*Account) float64 {
--- a/internal/cell/schedule/dump.go
+++ b/internal/cell/schedule/dump.go
@@ -91,10 +91,10 @@
 	Name  string `json:"name"`
 	Used  string `json:"used"`
 	Limit string `json:"limit"`
-	// Usage is the dominant share of the cell that the team uses, Average its average over the
-	// last seconds, and Share the one that it is entitled to; see Features.FairShares.
+	// Usage is the dominant share of the cell that the team uses, and Balance what it was entitled
+	// to and has not used, in shares times seconds; negative if it has used more.
 	Usage   float64 `json:"usage,omitempty"`
-	Average float64 `json:"average_usage,omitempty"`
+	Balance float64 `json:"balance,omitempty"`
 	Share   float64 `json:"share,omitempty"`
 	Deficit float64 `json:"deficit,omitempty"`
 }
@@ -121,7 +121,7 @@
 		t := s.teams[name]
 		td := TeamDump{Name: name, Used: t.used.String(), Limit: t.limit.String()}
 		if a := t.account; a != nil {
-			td.Usage, td.Average, td.Share, td.Deficit = a.Usage, a.Average, a.Entitled, a.Deficit()
+			td.Usage, td.Balance, td.Share, td.Deficit = a.Usage, a.Balance, a.Entitled, a.Deficit()
 		}
 		d.Teams = append(d.Teams, td)
 	}
--- a/internal/cell/schedule/shares.go
+++ b/internal/cell/schedule/shares.go
@@ -18,6 +18,9 @@
 	order    shareOrder
 	// pools holds the room of the hosts of each service.
 	pools map[string]*pool
+	// owedStarts is when work that is in time and within the share of its team last started, by
+	// service.
+	owedStarts map[string]time.Duration
 	// held is how many groups were held back in this decision, heldOf the team of the last.
 	held   int
 	heldOf *team
@@ -39,8 +42,9 @@
 // shares_test.go, 1 held back two thirds of a burst that could be served, for no gain to others.
 const owedRoomFactor = 0.25
 
-// maxHoldBack is how long excess work is held back. What it is held back for may never be able to
-// start, as with a bound on the tasks per host. After that it only comes last.
+// maxHoldBack is how long excess work is held back after the last start of work that it is held
+// back for. That work may never be able to start, as with a bound on the tasks per host. After that
+// excess work only comes last.
 const maxHoldBack = 10 * time.Second
 
 // divideShares finds the part of the waiting work that is beyond the shares of its teams, and
@@ -52,7 +56,7 @@
 	s.beginShares()
 	for _, e := range q {
 		if e.group.claimsShare() {
-			e.group.job.team.account.Want(e.group.waitingAmounts())
+			e.group.job.team.account.Want(e.group.waitingAmounts(), e.group.itemAmounts(), e.group.waitsForRoom())
 		}
 	}
 	f.division.Divide(s.now, s.poolRoom(), f.accounts)
@@ -100,6 +104,27 @@
 // waitingAmounts returns the resources that the waiting tasks of a group need.
 func (g *group) waitingAmounts() fairshare.Amounts { return fairshare.AmountsOf(g.size, g.waiting) }
 
+// itemAmounts returns the resources of the part of a group that has to start at once.
+func (g *group) itemAmounts() fairshare.Amounts {
+	if g.step.Gang {
+		return g.waitingAmounts()
+	}
+	return fairshare.AmountsOf(g.size, 1)
+}
+
+// waitsForRoom reports whether a group waits for room on hosts, or for its share of it. Without
+// advice it waits for nothing else.
+func (g *group) waitsForRoom() bool {
+	switch g.waitReason {
+	case waitRoom, waitOtherGangs, waitShare:
+		return true
+	case waitNone:
+		return g.policy() == nil
+	default:
+		return false
+	}
+}
+
 // beginShares begins a division with the usage of each team.
 func (s *Scheduler) beginShares() {
 	f := &s.sharing
@@ -115,6 +140,7 @@
 	}
 	for _, t := range f.teams {
 		t.owed = owedWork{}
+		t.spend(s.now)
 		t.account.Begin(t.rate, fairshare.AmountsOf(t.used, 1), fairshare.AmountsOf(t.limit, 1))
 	}
 }
@@ -153,7 +179,7 @@
 	if !g.excess && !g.useless || p == nil || s.mostlyIdle || p.used < p.capacity/2 {
 		return g.waiting
 	}
-	if !g.useless && s.now > g.readyAt+maxHoldBack {
+	if !g.useless && s.now > max(g.readyAt, s.sharing.owedStarts[g.job.queue.Service])+maxHoldBack {
 		return g.waiting
 	}
 	owed := p.owed.before(g).Minus(g.job.team.owed.before(g))
@@ -190,6 +216,10 @@
 	size := fairshare.AmountsOf(g.size, 1)
 	p.free = p.free.Minus(size)
 	if g.owed {
+		if s.sharing.owedStarts == nil {
+			s.sharing.owedStarts = make(map[string]time.Duration)
+		}
+		s.sharing.owedStarts[g.job.queue.Service] = s.now
 		p.owed.add(g, size, -1)
 		g.job.team.owed.add(g, size, -1)
 	}
--- a/internal/cell/schedule/shares_test.go
+++ b/internal/cell/schedule/shares_test.go
@@ -141,3 +141,40 @@
 		t.Errorf("the use of a team differs from its share by %.3f of the share", worst)
 	}
 }
+
+// Guards against shares that do not settle while teams have gangs, one of which is wider than 5 %
+// of what a small team may use in the time: the use of each team is within one gang of its share.
+func TestSharesOfUseWithGangsAreWithinOneGang(t *testing.T) {
+	t.Parallel()
+	const from, until = 30 * time.Second, 45 * time.Second
+	r := newLoadReplay(1, Features{FairShares: true})
+	r.even, r.load = true, 2.2
+	weight := func(i int) float64 { return float64(1 + i%4) }
+	weights := 0.0
+	for i := range replayTeams {
+		r.teams[replayTeam(i)] = cell.Team{Name: replayTeam(i), Weight: replayRateFactor * weight(i)}
+		weights += weight(i)
+	}
+	r.publish()
+	used, total := make([]float64, replayTeams), 0.0
+	last := r.begun + from
+	r.observe = func() {
+		if r.now < last {
+			return
+		}
+		for i := range replayTeams {
+			u := float64(r.s.teams[replayTeam(i)].used.MilliCPU) / 1000 * (r.now - last).Seconds()
+			used[i], total = used[i]+u, total+u
+		}
+		last = r.now
+	}
+	r.run(until, 0)
+	gang := teamWorkKinds[1]
+	most := float64(gang.step.Size.MilliCPU) / 1000 * float64(gang.step.Count) * gang.step.Estimate.Seconds() * gang.spread
+	for i := range replayTeams {
+		share := total * weight(i) / weights
+		if d := math.Abs(used[i] - share); d > max(most, 0.05*share) {
+			t.Errorf("%s has used %.0f core-seconds of its %.0f; one gang takes %.0f", replayTeam(i), used[i], share, most)
+		}
+	}
+}
--- a/internal/cell/schedule/team.go
+++ b/internal/cell/schedule/team.go
@@ -37,6 +37,8 @@
 	// account holds the team's share, and owed its part of pool.owed; see divideShares.
 	account *fairshare.Account
 	owed    owedWork
+	// spentUntil is until when account has been charged.
+	spentUntil time.Duration
 	// firstEntry, plus one, and lastEntry are the positions of its entries; see shareOrder.
 	firstEntry, lastEntry int
 }
@@ -78,6 +80,7 @@
 // addUsage adds the size of a run to the team's usage; a negative sign subtracts
 // it.
 func (t *team) addUsage(size resource.Vector, urgent bool, sign int64, now time.Duration) {
+	t.spend(now)
 	t.used = t.used.Add(size.Scale(sign))
 	if !urgent {
 		return
@@ -88,6 +91,14 @@
 	}
 }
 
+// spend charges the team's account for what it has used until now.
+func (t *team) spend(now time.Duration) {
+	if t.account != nil && now > t.spentUntil {
+		t.account.Spend(fairshare.AmountsOf(t.used, 1), now-t.spentUntil)
+	}
+	t.spentUntil = max(t.spentUntil, now)
+}
+
 // beginPass clears what was kept of the limit, and forgets an old peak of urgent work.
 func (t *team) beginPass(now time.Duration) {
 	t.held = resource.Vector{}
