--- a/internal/cell/owner/evacuation_test.go
+++ b/internal/cell/owner/evacuation_test.go
@@ -77,7 +77,7 @@
 	if got := len(e.client.started); got != planned["host-z2"] || strings.Contains(strings.Join(e.client.started, " "), "z1") {
 		t.Errorf("starts are sent to %v, want %d to z2", e.client.started, planned["host-z2"])
 	}
-	if orders := e.poller("host-z1").starts.list; len(orders) != 0 {
+	if orders := e.poller("host-z1").calls.list; len(orders) != 0 {
 		t.Errorf("%d orders that were not sent are remembered", len(orders))
 	}
 	e.zones = nil
--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -19,14 +19,14 @@
 	if h.failedAddress == h.address {
 		target.Address = h.listed.Address
 	}
-	return target, h.starts.fence.token
+	return target, h.calls.fence.token
 }
 
 // orderTarget returns the host with the address for orders, and the fencing token.
 func (ow *Owner) orderTarget(h *hostPoller) (cell.Host, int64) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return h.spec(), h.starts.fence.token
+	return h.spec(), h.calls.fence.token
 }
 
 // isFenced reports whether the refusal of a call for its fencing token shows that another
@@ -34,18 +34,18 @@
 func (ow *Owner) isFenced(h *hostPoller, token int64) bool {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return token >= h.starts.fence.token
+	return token >= h.calls.fence.token
 }
 
 // startTarget returns the host with the address for orders, and a start order whose lease
 // is on the clock of the lifetime that answered last; nil if none has.
-func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *startOrder) {
+func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *leaseCall) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	if h.life == nil {
 		return cell.Host{}, nil
 	}
-	return h.spec(), h.starts.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, ow.options.Clock.Now())
+	return h.spec(), h.calls.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, ow.options.Clock.Now())
 }
 
 // spec returns the listed host with the address at which it answered last. The caller
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -49,7 +49,7 @@
 			return
 		}
 		restarted := h.isListedAsAnother(h.life.startedMs)
-		at = max(h.life.lease.expiry(), h.starts.leasesEndBy(ow.options.Clock.Now(), ow.options.MaxLease, restarted))
+		at = max(h.life.lease.expiry(), h.calls.leasesEndBy(ow.options.Clock.Now(), ow.options.MaxLease, restarted))
 	})
 	return at
 }
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -58,9 +58,9 @@
 	// life is the lifetime of the host that answered last; nil before its first answer. It
 	// is guarded by the owner's lock.
 	life *lifetime
-	// starts are the start orders that a later lifetime may carry out. The owner keeps them
-	// by the host's ID, since they outlast the poller.
-	starts *startOrders
+	// calls are the calls that a later lifetime may carry out. The owner keeps them by the host's
+	// ID, since they outlast the poller.
+	calls *leaseCalls
 	// inTouch is set while the last poll was answered by that lifetime. Other polls may
 	// reach a later one, so they acknowledge nothing and renew no lease.
 	inTouch    bool
@@ -132,12 +132,12 @@
 	sentAt := ow.options.Clock.Now()
 	target, token := ow.pollTarget(h)
 	o := platform.Poll{Token: token, Over: h.connection}
-	var renewal *startOrder
+	var renewal *leaseCall
 	if h.inTouch {
 		// The lease of a host that does not answer must not be renewed: it is unknown
 		// whether such a poll arrived, so the lease could never be taken as expired.
 		h.life.bind(&o, sentAt)
-		renewal = h.starts.addCall(&startOrder{life: h.life, token: token, leaseEnd: time.Duration(o.LeaseEndMs) * time.Millisecond})
+		renewal = h.calls.addCall(&leaseCall{life: h.life, token: token, leaseEnd: time.Duration(o.LeaseEndMs) * time.Millisecond})
 	}
 	h.inTouch = false
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+pollTimeoutMargin)
@@ -192,12 +192,12 @@
 
 // recordRenewal records what is known of the lifetime that got a poll which renews the lease of
 // another one. answeredBy is the lifetime in its answer, zero without one.
-func (ow *Owner) recordRenewal(h *hostPoller, renewal *startOrder, answeredBy int64, refusal platform.Refusal, err error) {
+func (ow *Owner) recordRenewal(h *hostPoller, renewal *leaseCall, answeredBy int64, refusal platform.Refusal, err error) {
 	if err != nil || refusal != platform.NotRefused {
 		answeredBy = 0
 	}
 	notCarriedOut := err != nil && verdict.Of(err) == verdict.DidNotRun || refusal.DidNothing()
-	h.starts.pollEnded(renewal, answeredBy, notCarriedOut, ow.options.Clock.Now())
+	h.calls.pollEnded(renewal, answeredBy, notCarriedOut, ow.options.Clock.Now())
 	if answeredBy != 0 && answeredBy != renewal.life.startedMs {
 		ow.metrics.misdelivered.Inc(1)
 		ow.options.Log.Warn("A later lifetime of a host has carried out a poll for a former one.", "host", h.host.ID, "lifetime", renewal.life.startedMs, "answered_by", answeredBy)
@@ -233,7 +233,7 @@
 	if life == nil || life.startedMs != l.StartedMs {
 		life = &lifetime{startedMs: l.StartedMs, lease: lease{duration: ow.leaseDuration()}}
 	} else {
-		h.starts.settle(sentAt, now)
+		h.calls.settle(sentAt, now)
 		life.ackedResult = max(life.ackedResult, o.Ack)
 	}
 	life.lease.observe(l.ClockMs, sentAt, now)
@@ -252,8 +252,8 @@
 		ow.scheduler.ApplyReport(h.host.ID, sentAt, now, l)
 		if former != life {
 			life.firstToken = o.Token
-			ow.inheritStarts(h, former == nil, now)
-			h.starts.fence.heardOf(life.startedMs)
+			ow.inheritCalls(h, former == nil, now)
+			h.calls.fence.heardOf(life.startedMs)
 		}
 		// Ends that a partial report does not list may be those of earlier owners' runs.
 		h.runsKnown = h.runsKnown || !l.Partial || ow.reconciled.Load()
@@ -293,18 +293,18 @@
 	ow.options.Log.Warn("A host has forgotten ends that it had not listed.", "host", h.host.ID, "listed", seen, "next", next)
 }
 
-// inheritStarts takes into account that a lifetime of a host which has just been heard of may
-// carry out the start orders that are left from former ones, also from before the host was
+// inheritCalls takes into account that a lifetime of a host which has just been heard of may
+// carry out the calls that are left from former ones, also from before the host was
 // removed. first is set if this owner had heard of none before. Then orders of an earlier
 // owner, for the lifetime that it has stored, may have given the longest lease to this one;
 // they are refused from now on. The caller holds the lock.
-func (ow *Owner) inheritStarts(h *hostPoller, first bool, now time.Duration) {
+func (ow *Owner) inheritCalls(h *hostPoller, first bool, now time.Duration) {
 	clock := h.life.lease.hostClock
-	h.life.lease.inheritedEnd = h.starts.latestLeaseEnd(clock, now, ow.options.MaxLease)
+	h.life.lease.inheritedEnd = h.calls.latestLeaseEnd(clock, now, ow.options.MaxLease)
 	if first && h.stored && h.storedLifetime != 0 && h.storedLifetime != h.life.startedMs {
 		h.life.lease.inheritedEnd = max(h.life.lease.inheritedEnd, clock+ow.options.MaxLease)
 	}
-	for _, r := range h.starts.unansweredRuns() {
+	for _, r := range h.calls.unansweredRuns() {
 		ow.scheduler.StopLateRun(h.host.ID, r.Task, r.Run)
 	}
 }
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -45,26 +45,26 @@
 		}
 	}
 	ow.scheduler.SetListedHosts(listed)
-	ow.forgetOldStartOrders()
+	ow.forgetOldCalls()
 	ow.requestDecision()
 }
 
-// startOrdersTo returns the start orders to a host, also those from before it was removed.
+// callsTo returns the calls to a host that a later lifetime may carry out, also those from before it was removed.
 // The caller holds the lock.
-func (ow *Owner) startOrdersTo(id string) *startOrders {
-	s := ow.ordersToHosts[id]
+func (ow *Owner) callsTo(id string) *leaseCalls {
+	s := ow.callsToHosts[id]
 	if s == nil {
-		s = &startOrders{fence: newHostFence(ow.options.Self.Token, ow.tokenFloor)}
-		ow.ordersToHosts[id] = s
+		s = &leaseCalls{fence: newHostFence(ow.options.Self.Token, ow.tokenFloor)}
+		ow.callsToHosts[id] = s
 	}
 	return s
 }
 
-// forgetOldStartOrders forgets the start orders to removed hosts that can be carried out no
+// forgetOldCalls forgets the calls to removed hosts that can be carried out no
 // more. The caller holds the lock.
-func (ow *Owner) forgetOldStartOrders() {
+func (ow *Owner) forgetOldCalls() {
 	now := ow.options.Clock.Now()
-	maps.DeleteFunc(ow.ordersToHosts, func(id string, s *startOrders) bool {
+	maps.DeleteFunc(ow.callsToHosts, func(id string, s *leaseCalls) bool {
 		if ow.hosts[id] != nil || !s.areTooOld(now) {
 			return false
 		}
@@ -76,7 +76,7 @@
 // addHost adds a host and begins to poll it. The caller holds the lock.
 func (ow *Owner) addHost(ctx context.Context, spec cell.Host) *hostPoller {
 	h := &hostPoller{
-		host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), connection: platform.NewHostConnection(), starts: ow.startOrdersTo(spec.ID),
+		host: spec, listed: spec, address: spec.Address, interrupt: make(chan struct{}, 1), connection: platform.NewHostConnection(), calls: ow.callsTo(spec.ID),
 	}
 	ow.hosts[spec.ID] = h
 	ow.scheduler.SetHosts([]cell.Host{spec})
--- a/internal/cell/owner/laterlifetime_test.go
+++ b/internal/cell/owner/laterlifetime_test.go
@@ -110,7 +110,7 @@
 	}
 	r.clock.now += 2 * maxOrderDelay
 	r.list(nil)
-	if len(r.ordersToHosts) != 0 {
+	if len(r.callsToHosts) != 0 {
 		t.Fatal("the host is not forgotten")
 	}
 	r.list(nil, r.listedHost())
--- a/internal/cell/owner/startorders.go
+++ b/internal/cell/owner/leasecalls.go
@@ -11,8 +11,8 @@
 // maxOrderDelay is how long after its call an order without an answer may be carried out.
 const maxOrderDelay = 12 * time.Second
 
-// startOrder is a start order for one lifetime of a host, or a poll that renews its lease.
-type startOrder struct {
+// leaseCall is a start order for one lifetime of a host, or a poll that renews its lease.
+type leaseCall struct {
 	life *lifetime
 	// run is zero for a poll.
 	run schedule.Run
@@ -26,23 +26,23 @@
 	answered bool
 }
 
-// startOrders are the start orders to a host, and the polls that renew its lease, that a later
+// leaseCalls are the start orders to a host, and the polls that renew its lease, that a later
 // lifetime than the one they are meant for may carry out before it has seen a higher fencing
 // token. A later one counts its clock anew, so that it holds the longest lease that hosts accept.
-type startOrders struct {
+type leaseCalls struct {
 	// fence is the fencing token of the host; the owner's lock guards it.
 	fence hostFence
 
 	mu   sync.Mutex
-	list []*startOrder
+	list []*leaseCall
 }
 
 // add adds an order that is about to be sent. The caller holds the owner's lock.
-func (s *startOrders) add(life *lifetime, run schedule.Run, now time.Duration) *startOrder {
-	return s.addCall(&startOrder{life: life, run: run, token: s.fence.token, leaseEnd: life.lease.grant(now)})
+func (s *leaseCalls) add(life *lifetime, run schedule.Run, now time.Duration) *leaseCall {
+	return s.addCall(&leaseCall{life: life, run: run, token: s.fence.token, leaseEnd: life.lease.grant(now)})
 }
 
-func (s *startOrders) addCall(o *startOrder) *startOrder {
+func (s *leaseCalls) addCall(o *leaseCall) *leaseCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list = append(s.list, o)
@@ -51,7 +51,7 @@
 
 // pollEnded records the result of a poll that renewed the lease of a lifetime: the lifetime that
 // has answered, zero if none has. notCarriedOut is set if the host certainly took nothing from it.
-func (s *startOrders) pollEnded(o *startOrder, answeredBy int64, notCarriedOut bool, now time.Duration) {
+func (s *leaseCalls) pollEnded(o *leaseCall, answeredBy int64, notCarriedOut bool, now time.Duration) {
 	if notCarriedOut || answeredBy == o.life.startedMs {
 		s.remove(o)
 		return
@@ -63,7 +63,7 @@
 
 // answered records that a host whose clock is given answered an order. It reports whether
 // that was certainly the lifetime that the order was meant for.
-func (s *startOrders) answered(o *startOrder, clock, now time.Duration) bool {
+func (s *leaseCalls) answered(o *leaseCall, clock, now time.Duration) bool {
 	if o.life.lease.isOwnClock(clock, now) {
 		s.remove(o)
 		return true
@@ -75,26 +75,26 @@
 }
 
 // unanswered records that an order got no answer.
-func (s *startOrders) unanswered(o *startOrder, now time.Duration) {
+func (s *leaseCalls) unanswered(o *leaseCall, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o.endedAt = now
 }
 
 // remove removes an order that no later lifetime can carry out.
-func (s *startOrders) remove(o *startOrder) {
+func (s *leaseCalls) remove(o *leaseCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list = slices.DeleteFunc(s.list, func(p *startOrder) bool { return p == o })
+	s.list = slices.DeleteFunc(s.list, func(p *leaseCall) bool { return p == o })
 }
 
 // settle removes the orders that no later lifetime can carry out, once a lifetime has
 // answered a poll: those that had been answered before the poll was sent, and those that
 // are too old.
-func (s *startOrders) settle(pollSentAt, now time.Duration) {
+func (s *leaseCalls) settle(pollSentAt, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list = slices.DeleteFunc(s.list, func(o *startOrder) bool {
+	s.list = slices.DeleteFunc(s.list, func(o *leaseCall) bool {
 		if o.answered {
 			return o.endedAt < pollSentAt
 		}
@@ -103,16 +103,16 @@
 }
 
 // areTooOld reports whether all orders are so old that no lifetime can carry them out.
-func (s *startOrders) areTooOld(now time.Duration) bool {
+func (s *leaseCalls) areTooOld(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !slices.ContainsFunc(s.list, func(o *startOrder) bool { return o.endedAt == 0 || now <= o.endedAt+maxOrderDelay })
+	return !slices.ContainsFunc(s.list, func(o *leaseCall) bool { return o.endedAt == 0 || now <= o.endedAt+maxOrderDelay })
 }
 
 // latestLeaseEnd returns the latest end of the lease that the orders may give to another
 // lifetime, on its clock, which has been read now. maxLease is the longest lease that hosts
 // accept, zero for no limit. It is zero if there are no orders.
-func (s *startOrders) latestLeaseEnd(clock, now, maxLease time.Duration) (latest time.Duration) {
+func (s *leaseCalls) latestLeaseEnd(clock, now, maxLease time.Duration) (latest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
@@ -124,7 +124,7 @@
 // leasesEndBy returns the time by which the leases have certainly expired that a lifetime may
 // hold which has not been polled yet: that of each order which it has answered, and with
 // unanswered also that of the others; zero if there are none.
-func (s *startOrders) leasesEndBy(now, maxLease time.Duration, unanswered bool) (latest time.Duration) {
+func (s *leaseCalls) leasesEndBy(now, maxLease time.Duration, unanswered bool) (latest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
@@ -136,7 +136,7 @@
 }
 
 // latestArrival returns when the order was carried out at the latest, or will be.
-func (o *startOrder) latestArrival(now time.Duration) time.Duration {
+func (o *leaseCall) latestArrival(now time.Duration) time.Duration {
 	switch {
 	case o.answered:
 		return o.endedAt
@@ -149,7 +149,7 @@
 
 // leaseEndOn returns the end of the lease that the order gives to a lifetime which carries it
 // out when its own clock shows a time.
-func (o *startOrder) leaseEndOn(clock, maxLease time.Duration) time.Duration {
+func (o *leaseCall) leaseEndOn(clock, maxLease time.Duration) time.Duration {
 	if maxLease == 0 {
 		return o.leaseEnd
 	}
@@ -157,7 +157,7 @@
 }
 
 // unansweredRuns returns the runs whose start orders have got no answer.
-func (s *startOrders) unansweredRuns() (out []schedule.Run) {
+func (s *leaseCalls) unansweredRuns() (out []schedule.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.list {
@@ -169,12 +169,12 @@
 }
 
 // hasUnanswered reports whether the start order of a run has got no answer.
-func (s *startOrders) hasUnanswered(run schedule.Run) bool {
+func (s *leaseCalls) hasUnanswered(run schedule.Run) bool {
 	return slices.Contains(s.unansweredRuns(), run)
 }
 
 // arrivesBy returns until when the order may be carried out.
-func (o *startOrder) arrivesBy(now time.Duration) time.Duration {
+func (o *leaseCall) arrivesBy(now time.Duration) time.Duration {
 	switch {
 	case o.answered:
 		return now
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -59,7 +59,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
 	defer cancel()
 	if !ow.mayStartIn(target.Zone) {
-		h.starts.remove(sent)
+		h.calls.remove(sent)
 		refused(schedule.RefusedOther)
 		return
 	}
@@ -93,14 +93,14 @@
 }
 
 // recordStartCall records what is known of the lifetime of the host that got a start order.
-func (ow *Owner) recordStartCall(h *hostPoller, sent *startOrder, clockMs int64, why platform.Refusal, err error) {
+func (ow *Owner) recordStartCall(h *hostPoller, sent *leaseCall, clockMs int64, why platform.Refusal, err error) {
 	now := ow.options.Clock.Now()
 	switch {
 	case err != nil && verdict.Of(err) == verdict.DidNotRun, why.DidNothing():
-		h.starts.remove(sent)
+		h.calls.remove(sent)
 	case err != nil:
-		h.starts.unanswered(sent, now)
-	case !h.starts.answered(sent, time.Duration(clockMs)*time.Millisecond, now):
+		h.calls.unanswered(sent, now)
+	case !h.calls.answered(sent, time.Duration(clockMs)*time.Millisecond, now):
 		ow.options.Log.Info("The clock of a host does not show which of its lifetimes got an order.", "id", sent.run.Task.Submission, "host", h.host.ID, "clock_ms", clockMs)
 		h.pollNow()
 	}
@@ -161,7 +161,7 @@
 		log.Warn("The order to stop a run failed; it is sent again unless the run is gone by then.", "refusal", why.String(), "error", errText(err))
 		ctxtime.Sleep(ctx, stopRetryInterval)
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) {
-			if !c.StopFailed(s.Host, s.Task, s.Run, now) && h.starts.hasUnanswered(schedule.Run{Task: s.Task, Run: s.Run}) {
+			if !c.StopFailed(s.Host, s.Task, s.Run, now) && h.calls.hasUnanswered(schedule.Run{Task: s.Task, Run: s.Run}) {
 				c.StopLateRun(s.Host, s.Task, s.Run)
 			}
 		})
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -43,9 +43,9 @@
 	// desired is the desired state that the scheduler has.
 	desired *cell.Desired
 	hosts   map[string]*hostPoller
-	// ordersToHosts holds the start orders to each host that a later lifetime may carry out,
+	// callsToHosts holds the calls to each host that a later lifetime may carry out,
 	// by the host's ID, also for a while after the host was removed.
-	ordersToHosts map[string]*startOrders
+	callsToHosts map[string]*leaseCalls
 	// tokenFloor is the highest fencing token of the hosts that are forgotten there.
 	tokenFloor int64
 	// loading is the ID of the submission that is loaded.
@@ -104,7 +104,7 @@
 func New(o Options) *Owner {
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), heartbeatSlot: make(chan struct{}, 1), starts: newStartQueue(), stops: newStopQueue(),
-		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), ordersToHosts: make(map[string]*startOrders), retained: make(map[string]finishedSubmission), finished: make(map[string]bool),
+		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), callsToHosts: make(map[string]*leaseCalls), retained: make(map[string]finishedSubmission), finished: make(map[string]bool),
 		advice: make(adviceCalls), evacuations: newEvacuations(), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
--- a/internal/cell/owner/removedhost_test.go
+++ b/internal/cell/owner/removedhost_test.go
@@ -95,12 +95,12 @@
 	h.decideOnce()
 	h.removeSilentHost("a")
 	h.list(nil)
-	if len(h.ordersToHosts) != 1 {
+	if len(h.callsToHosts) != 1 {
 		t.Fatal("the order is forgotten while it may be carried out")
 	}
 	h.clock.now += maxOrderDelay + orderTimeout
 	h.list(nil)
-	if len(h.ordersToHosts) != 0 {
-		t.Errorf("%d hosts have orders after %s", len(h.ordersToHosts), maxOrderDelay)
+	if len(h.callsToHosts) != 0 {
+		t.Errorf("%d hosts have orders after %s", len(h.callsToHosts), maxOrderDelay)
 	}
 }
