schedule: Pin the room of a gang while its tickets are renewed

The call may go beside one about further hosts. Part of scheduling.gang_capacity; off decides as before.

--- a/internal/cell/owner/gang_room_metrics.go
+++ b/internal/cell/owner/gang_room_metrics.go
@@ -7,14 +7,15 @@
 )
 
 // gangRoomMetrics shows what is kept free for gangs.
-type gangRoomMetrics struct{ gathering, reservedCores tally.Gauge }
+type gangRoomMetrics struct{ gathering, pinned, reservedCores tally.Gauge }
 
 func newGangRoomMetrics(s tally.Scope) gangRoomMetrics {
-	return gangRoomMetrics{gathering: s.Gauge("gangs_gathering"), reservedCores: s.Gauge("gang_reserved_cores")}
+	return gangRoomMetrics{gathering: s.Gauge("gangs_gathering"), pinned: s.Gauge("gangs_pinned"), reservedCores: s.Gauge("gang_reserved_cores")}
 }
 
 // set shows the state after a decision.
 func (m *gangRoomMetrics) set(r schedule.GangRoom) {
 	m.gathering.Update(float64(r.Gathering))
+	m.pinned.Update(float64(r.Pinned))
 	m.reservedCores.Update(float64(r.ReservedMilliCPU) / 1000)
 }
--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -30,6 +30,9 @@
 	// hosts holds the approved hosts, sorted by ID.
 	hosts    []*host
 	inFlight bool
+	// renewing is set while the call is in flight that renews the tickets of a gang, for which
+	// there is room now. It may be in flight beside another one.
+	renewing bool
 	retryAt  time.Duration
 	// backoff is the wait after the last call, zero if it was answered.
 	backoff time.Duration
@@ -96,7 +99,11 @@
 	if len(hosts) == 0 || !s.mayRequestAdvice(g) {
 		return
 	}
-	hosts = hosts[:min(len(hosts), maxAdviceHosts)]
+	g.advice.inFlight = s.planCall(g, hosts[:min(len(hosts), maxAdviceHosts)])
+}
+
+// planCall plans an advice call. It reports false if there is no room for it.
+func (s *Scheduler) planCall(g *group, hosts []*host) bool {
 	names := make([]string, len(hosts))
 	for i, h := range hosts {
 		names[i] = h.spec.ID
@@ -104,15 +111,15 @@
 	p := g.policy()
 	d := p.CallDuration(len(names))
 	if !s.hasAdviceRoom(d) {
-		return
+		return false
 	}
 	if s.adviceRoom != nil {
 		s.adviceRoom.Take(d)
 	}
-	g.advice.inFlight = true
 	s.plan.AdviceRequests = append(s.plan.AdviceRequests, AdviceRequest{
 		Group: g.id, Hosts: names, Duration: d, Priority: g.job.queue.Priority, Validity: p.Validity,
 	})
+	return true
 }
 
 // SetAdviceRoom sets how many advice calls the next decisions may plan. The groups that
@@ -180,7 +187,12 @@
 	if g == nil {
 		return
 	}
-	g.advice.inFlight, g.advice.backoff = false, 0
+	if g.advice.renewing && s.namesApproved(g, named) {
+		g.advice.renewing = false
+	} else {
+		g.advice.inFlight = false
+	}
+	g.advice.backoff = 0
 	if g.advice.tickets == nil {
 		g.advice.tickets, g.advice.denied = make(map[*host]ticket), make(map[*host]bool)
 	}
@@ -209,6 +221,16 @@
 	slices.SortFunc(g.advice.hosts, func(a, b *host) int { return strings.Compare(a.spec.ID, b.spec.ID) })
 }
 
+// namesApproved reports whether a call named approved hosts only, as one that renews tickets.
+func (s *Scheduler) namesApproved(g *group, named []string) bool {
+	for _, name := range named {
+		if h := s.hosts[name]; h != nil && !g.approved(h) {
+			return false
+		}
+	}
+	return true
+}
+
 // approvedHosts returns the hosts that advice lets a group run on.
 func (s *Scheduler) approvedHosts(g *group) []*host {
 	if g.policy() == nil {
@@ -234,10 +256,11 @@
 		(s.hasAdviceRoom(p.CallDuration(1)) || s.hasAdviceRoom(p.CallDuration(adviceHostLimit(p))))
 }
 
-// AdviceFailed records that an advice call failed.
+// AdviceFailed records that an advice call failed. If two were in flight, the other one counts as
+// failed too, until it is answered.
 func (s *Scheduler) AdviceFailed(id cell.GroupID, now time.Duration) {
 	if g := s.group(id); g != nil {
-		g.advice.inFlight = false
+		g.advice.inFlight, g.advice.renewing = false, false
 		g.advice.backoff = min(max(2*g.advice.backoff, adviceRetryBackoff), maxAdviceRetryBackoff)
 		g.advice.retryAt = now + g.advice.backoff
 	}
--- a/internal/cell/schedule/gang.go
+++ b/internal/cell/schedule/gang.go
@@ -31,6 +31,9 @@
 		s.holdLimit(g, len(tasks))
 		return
 	}
+	if s.placePinned(g, tasks) {
+		return
+	}
 	if hosts := s.chooseHosts(g, len(tasks), true); hosts != nil {
 		s.setWaitReason(g, waitNone)
 		switch {
@@ -243,7 +246,16 @@
 	for _, h := range hosts {
 		h.reserve(g, 1, until)
 	}
-	s.requestAdvice(g, named)
+	if !s.options.Features.GangCapacity {
+		s.requestAdvice(g, named)
+		return
+	}
+	if g.advice.renewing || s.now < g.advice.retryAt {
+		return
+	}
+	if g.advice.renewing = s.planCall(g, named); g.advice.renewing && len(named) == len(known) {
+		s.pin(g, hosts, until)
+	}
 }
 
 // approvedCapacity returns how many tasks fit on the approved hosts once all runs
--- a/internal/cell/schedule/group.go
+++ b/internal/cell/schedule/group.go
@@ -49,6 +49,8 @@
 	// promise is what a gang was first expected to get; nil if nothing was reserved for
 	// it since its last start.
 	promise *promise
+	// pinned is the room of a gang that waits for new tickets only; nil if there is none.
+	pinned *pinnedRoom
 	// trialWait is the wait of the group, of a suspected job, for a trial. givenBack holds
 	// the hosts that were kept free for it and that it did not use since its last trial.
 	trialWait trial.Wait
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -135,6 +135,7 @@
 			s.hostsWithRoom = append(s.hostsWithRoom, h)
 		}
 	}
+	s.reservePinned()
 	s.mostlyIdle = used < capacity/2 || usedInService < capacityInService/2
 }
 
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -85,6 +85,8 @@
 	// approvals holds the share of approved hosts of the queues of gangs by name.
 	approvals map[string]*gangroom.Approval
 	gangRoom  GangRoom
+	// pinnedGangs are the gangs with pinned room, in the order in which it was pinned.
+	pinnedGangs []*group
 	// gangMembers holds the size of the members of recent gangs by service.
 	gangMembers map[string]*gangroom.Members
 	// scoredHosts is a buffer of leastDisplacing.
