--- a/internal/cell/schedule/pinned_room.go
+++ b/internal/cell/schedule/pinned_room.go
@@ -49,9 +49,8 @@
 	return n
 }
 
-// reservePinned reserves the pinned room before anything is placed, and unpins what has expired
-// or is not needed any more.
-func (s *Scheduler) reservePinned() {
+// expirePinned unpins the room that has expired or is not needed any more.
+func (s *Scheduler) expirePinned() {
 	s.pinnedGangs = slices.DeleteFunc(s.pinnedGangs, func(g *group) bool {
 		if s.now < g.pinned.until && s.isWaiting(g) && g.run == 0 && !g.job.state.Final() {
 			return false
@@ -59,6 +58,10 @@
 		g.pinned = nil
 		return true
 	})
+}
+
+// reservePinned reserves the pinned room before anything is placed.
+func (s *Scheduler) reservePinned() {
 	for _, g := range s.pinnedGangs {
 		for _, h := range g.pinned.hosts {
 			h.reserve(g, 1, g.pinned.until)
--- a/internal/cell/schedule/pinned_room_test.go
+++ b/internal/cell/schedule/pinned_room_test.go
@@ -77,6 +77,9 @@
 			if g := c.gang(); g != nil && g.pinned != nil && g.pinned.until <= until {
 				t.Error("the room is still pinned")
 			}
+			if name == "it is cancelled" && c.s.GangRoom().Pinned != 0 {
+				t.Error("room is pinned for a gang that was cancelled")
+			}
 			checkViolations(t, c)
 		})
 	}
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -117,6 +117,7 @@
 	for _, t := range s.teams {
 		t.beginPass(s.now)
 	}
+	s.expirePinned()
 	if len(queue) == 0 {
 		return
 	}
