owner: Count no forgotten ends in the first report of a host

A successor saw the gap that the acknowledgements of the former owner had left as ends that the host had forgotten. Found by reading; log and metric only.

--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -241,7 +240,11 @@
 		// From here on, calls to former lifetimes are refused.
 		life.lease.limitInherited(ow.options.MaxLease)
 	}
-	ow.recordForgottenEnds(h, life.seenResult, l.Ended)
+	// Ends in the first report may follow others that an earlier owner has acknowledged.
+	if n := forgottenEnds(life.seenResult, l.Ended); n > 0 && h.life != nil {
+		ow.metrics.forgottenEnds.Inc(n)
+		ow.options.Log.Warn("A host has forgotten ends that it had not listed.", "host", h.host.ID, "listed", life.seenResult, "forgotten", n)
+	}
 	highestResult := life.seenResult
 	for _, e := range l.Ended {
 		highestResult = max(highestResult, e.Number)
@@ -277,22 +280,6 @@
 	}
 }
 
-// recordForgottenEnds records that a host has forgotten ends which it had not listed: the numbers
-// of the ends of one lifetime have no gaps. seen is the highest number that was listed before.
-func (ow *Owner) recordForgottenEnds(h *hostPoller, seen int64, listed []cell.Ended) {
-	next := int64(math.MaxInt64)
-	for _, e := range listed {
-		if e.Number > seen {
-			next = min(next, e.Number)
-		}
-	}
-	if next == math.MaxInt64 || next == seen+1 {
-		return
-	}
-	ow.metrics.forgottenEnds.Inc(next - seen - 1)
-	ow.options.Log.Warn("A host has forgotten ends that it had not listed.", "host", h.host.ID, "listed", seen, "next", next)
-}
-
 // inheritCalls takes into account that a lifetime of a host which has just been heard of may
 // carry out the calls that are left from former ones, also from before the host was
 // removed. first is set if this owner had heard of none before. Then orders of an earlier
--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -49,8 +49,8 @@
 	ow.requestDecision()
 }
 
-// callsTo returns the calls to a host that a later lifetime may carry out, also those from before it was removed.
-// The caller holds the lock.
+// callsTo returns the calls to a host that a later lifetime may carry out, also those from before
+// it was removed. The caller holds the lock.
 func (ow *Owner) callsTo(id string) *leaseCalls {
 	s := ow.callsToHosts[id]
 	if s == nil {
@@ -60,8 +60,8 @@
 	return s
 }
 
-// forgetOldCalls forgets the calls to removed hosts that can be carried out no
-// more. The caller holds the lock.
+// forgetOldCalls forgets the calls to removed hosts that can be carried out no more. The caller
+// holds the lock.
 func (ow *Owner) forgetOldCalls() {
 	now := ow.options.Clock.Now()
 	maps.DeleteFunc(ow.callsToHosts, func(id string, s *leaseCalls) bool {
