schedule: Count the renewal of tickets as a call in flight for trials

Hosts that are kept free for a gang under trial are given back unless it waits for advice; the renewal of its tickets is such a wait. Found by reading.

--- a/internal/cell/schedule/advice.go
+++ b/internal/cell/schedule/advice.go
@@ -38,6 +38,9 @@
 	backoff time.Duration
 }
 
+// awaited reports whether a call is in flight.
+func (a *advice) awaited() bool { return a.inFlight || a.renewing }
+
 // ticket permits tasks of a group to start on a host until it expires.
 type ticket struct {
 	value   string
--- a/internal/cell/schedule/place.go
+++ b/internal/cell/schedule/place.go
@@ -94,7 +94,7 @@
 	} else {
 		s.placeTasks(g, 1)
 	}
-	if g.advice.inFlight {
+	if g.advice.awaited() {
 		s.risk(g.job).Preparing++
 	}
 }
--- a/internal/cell/schedule/quarantine.go
+++ b/internal/cell/schedule/quarantine.go
@@ -16,5 +16,5 @@
 func (q quarantine) Wanted() bool {
 	return q.h.usable(q.s.now) && q.g.waiting > 0 && q.g.ready && q.s.underTrial(q.g.job)
 }
-func (q quarantine) AwaitsAdvice() bool   { return q.g.advice.inFlight }
+func (q quarantine) AwaitsAdvice() bool   { return q.g.advice.awaited() }
 func (q quarantine) UseBy() time.Duration { return q.h.useBy }
--- a/internal/cell/schedule/trial_hosts.go
+++ b/internal/cell/schedule/trial_hosts.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for _, g := range waiting {
-		if g.advice.inFlight {
+		if g.advice.awaited() {
 			inFlight++
 		}
 		if s.mayShareHosts(g) {
@@ -138,7 +138,7 @@
 			return true
 		}
 	}
-	return g.advice.inFlight
+	return g.advice.awaited()
 }
 
 func (p *trialPass) ask(g *group) {
