owner: Count only ends that the owner can know to be forgotten

After a takeover the first report of a host often lists no end, and the next one begins above the ends that the former owner had acknowledged. The line and the counter ends_forgotten showed this gap for each host. They now wait for an end of the lifetime that was listed to this owner, or for a lifetime that it has heard of as a restart.

--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -230,7 +230,7 @@
 func (ow *Owner) applyReport(ctx context.Context, h *hostPoller, sentAt, now time.Duration, l cell.HostReport, o platform.Poll) {
 	life := h.life
 	if life == nil || life.startedMs != l.StartedMs {
-		life = &lifetime{startedMs: l.StartedMs, lease: lease{duration: ow.leaseDuration()}}
+		life = &lifetime{startedMs: l.StartedMs, heardAsRestart: life != nil, lease: lease{duration: ow.leaseDuration()}}
 	} else {
 		h.calls.settle(sentAt, now)
 		life.ackedResult = max(life.ackedResult, o.Ack)
@@ -240,8 +240,7 @@
 		// From here on, calls to former lifetimes are refused.
 		life.lease.limitInherited(ow.options.MaxLease)
 	}
-	// Ends in the first report may follow others that an earlier owner has acknowledged.
-	if n := forgottenEnds(life.seenResult, l.Ended); n > 0 && h.life != nil {
+	if n := life.forgottenEnds(l.Ended); n > 0 {
 		ow.metrics.forgottenEnds.Inc(n)
 		ow.options.Log.Warn("A host has forgotten ends that it had not listed.", "host", h.host.ID, "listed", life.seenResult, "forgotten", n)
 	}
--- a/internal/cell/owner/lifetime.go
+++ b/internal/cell/owner/lifetime.go
@@ -12,7 +12,10 @@
 type lifetime struct {
 	// startedMs is when the lifetime began, in Unix milliseconds.
 	startedMs int64
-	lease     lease
+	// heardAsRestart is set if the owner had known a former lifetime of the host, so that no
+	// earlier owner has acknowledged results of this one.
+	heardAsRestart bool
+	lease          lease
 	// seenResult, storedResult and ackedResult are the highest numbers of results that the
 	// host has reported, that are stored, and that the host knows to be stored.
 	seenResult, storedResult, ackedResult int64
