owner: Report tasks that have run twice

Nothing in the log or the metrics showed that a task without copies had two runs, or two ends as done, nor why the first run was taken as gone. The scheduler remembers the last runs that it gave up, with the reason, and those that ended as done. The owner writes a line and counts runs_repeated by kind, with both runs, their hosts and owners. No decision changes.

--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 )
 
 // Reasons why a start order is withheld.
@@ -20,7 +21,9 @@
 	misdelivered, forgottenEnds tally.Counter
 	refused                     map[string]tally.Counter
 	ended                       map[cell.Outcome]tally.Counter
-	startWait                   tally.Timer
+	// repeated counts the evidence of tasks that have run twice, by kind.
+	repeated  [schedule.RepetitionKinds]tally.Counter
+	startWait tally.Timer
 	// heldWeight is how much work the scheduler holds, deferred the number of submissions
 	// that wait until it may hold theirs, and startsWaiting that of starts to be sent.
 	heldWeight, deferred, startsWaiting tally.Gauge
@@ -43,6 +46,7 @@
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
 		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
+		repeated: newRepetitionCounters(s),
 		runTimes: newRunTimeGauges(s),
 		load:     newLoadMetrics(s),
 		gangRoom: newGangRoomMetrics(s),
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -206,7 +206,7 @@
 	ow.delays.decision(waited, ow.lastDecisionTime, plan)
 	ow.storeRounds.request()
 	for _, n := range messages {
-		ow.options.Log.Info(n.Text, "id", n.Submission, "host", n.Host)
+		ow.logMessage(n)
 	}
 	ow.execute(ctx, plan)
 }
--- a/internal/cell/schedule/closing.go
+++ b/internal/cell/schedule/closing.go
@@ -19,7 +19,8 @@
 	if h == nil {
 		return nil
 	}
-	h.closed, h.earlierRunsUnknown = true, false
+	h.closed = true
+	h.settleEarlierRuns(GoneHostClosed, s.now)
 	for _, a := range h.sortedRuns() {
 		runs = append(runs, Run{Task: a.task.id, Run: a.run})
 	}
--- a/internal/cell/schedule/ends.go
+++ b/internal/cell/schedule/ends.go
@@ -9,11 +9,15 @@
 // applyEnded applies one run that a host reports as ended.
 func (s *Scheduler) applyEnded(h *host, e cell.Ended) {
 	t := s.task(e.Task)
+	key := runKey{e.Task, e.Run}
+	a := h.runs[key]
+	if e.Outcome == cell.OutcomeDone {
+		s.auditDone(h, key, t, a)
+	}
 	if t == nil {
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	a := h.runs[runKey{e.Task, e.Run}]
 	if a != nil {
 		s.detach(a)
 	}
@@ -37,6 +41,7 @@
 			return
 		}
 		s.recordSuccess(a)
+		s.recordDone(t, e.Run, h.spec.ID)
 		s.markDone(t)
 	case cell.OutcomeFailed:
 		if a == nil || a.phase != phaseStopping {
--- a/internal/cell/schedule/host.go
+++ b/internal/cell/schedule/host.go
@@ -21,6 +21,8 @@
 	// earlierRunsUnknown is set while runs of earlier owners may be present that are
 	// not recorded here.
 	earlierRunsUnknown bool
+	// earlierRunsGone is when and why earlierRunsUnknown ended.
+	earlierRunsGone gone
 	// evacuated is set while the zone of the host is evacuated.
 	evacuated bool
 	// closed is set from when the owner closes the host to new runs, or takes it
--- a/internal/cell/schedule/job.go
+++ b/internal/cell/schedule/job.go
@@ -39,6 +39,8 @@
 	// unreconciled is set while the job may have runs of an earlier owner that
 	// this owner does not know.
 	unreconciled bool
+	// beforeClaim is set if the job may have had runs of an earlier owner.
+	beforeClaim bool
 	// arrived is when the submission was received, on this owner's clock.
 	arrived time.Duration
 	// due is when the submission has to finish to meet its objective.
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -26,7 +26,7 @@
 	s.lastArrival++
 	j := &job{
 		sub: sub, queue: q, team: s.team(sub.Team), steps: len(sub.Steps), stepOffsets: sub.StepOffsets(), state: p.State,
-		unreconciled: unreconciled && !s.reconciled, arrivalNumber: s.lastArrival, urgent: q.Priority == 0,
+		unreconciled: unreconciled && !s.reconciled, beforeClaim: unreconciled, arrivalNumber: s.lastArrival, urgent: q.Priority == 0,
 	}
 	j.arrived = now - min(max(wall-sub.Received, 0), maxSubmissionAge)
 	s.newestArrival = max(s.newestArrival, j.arrived)
--- a/internal/cell/schedule/listing.go
+++ b/internal/cell/schedule/listing.go
@@ -24,7 +24,6 @@
 	}
 	s.settleCrashes(h, l.StartedMs)
 	h.runsKnown, h.reachable = true, true
-	h.earlierRunsUnknown = h.earlierRunsUnknown && l.Partial
 	h.reportGap, h.reportedAt, h.silent = now-h.reportedAt, now, false
 	s.clearSuspectedRuns(h)
 	for _, e := range l.Ended {
@@ -41,6 +40,7 @@
 		s.applyRunning(h, key, r)
 	}
 	if !l.Partial {
+		h.settleEarlierRuns(GoneNotReported, now)
 		s.handleMissingRuns(h, present, sent)
 	}
 }
@@ -90,6 +90,7 @@
 // adopt takes over a run that this owner did not order, or orders it to stop.
 func (s *Scheduler) adopt(h *host, key runKey) *taskRun {
 	t := s.task(key.task)
+	s.auditPresent(h, key, t)
 	if t == nil {
 		h.unknownRuns++
 		s.plan.Stops = append(s.plan.Stops, Stop{Task: key.task, Run: key.run, Host: h.spec.ID, Reason: "unknown submission"})
@@ -202,16 +203,22 @@
 		}
 	}
 	sortRuns(gone)
-	s.handleLostRuns(gone)
+	for _, a := range gone {
+		reason := GoneNotReported
+		if a.stopAcceptedAt != 0 {
+			reason = GoneStopAccepted
+		}
+		s.handleLostRun(a, reason)
+	}
 }
 
 // handleLostRun handles a run that is gone although the host has not reported
 // its end.
-func (s *Scheduler) handleLostRun(a *taskRun) {
+func (s *Scheduler) handleLostRun(a *taskRun, reason GoneReason) {
 	if a.phase != phaseStopping {
 		s.logMessage(a.task.id.Submission, a.host.spec.ID, "A run is gone, and its host has not reported an outcome.")
 	}
-	s.detach(a)
+	s.giveUp(a, reason)
 	s.stopIncompleteGang(a.task.group, "a member is gone")
 }
 
@@ -238,14 +245,19 @@
 // handleAllRunsGone handles the runs of a host that has none any more. restarted is set if
 // the host is known to have restarted.
 func (s *Scheduler) handleAllRunsGone(h *host, restarted bool) {
-	h.runsKnown, h.earlierRunsUnknown = false, false
+	reason := GoneLeaseExpired
+	if restarted {
+		reason = GoneOtherInstance
+	}
+	h.runsKnown = false
+	h.settleEarlierRuns(reason, s.now)
 	gone := h.sortedRuns()
 	s.countCrashes(h, gone, restarted)
-	s.handleLostRuns(gone)
+	s.handleLostRuns(gone, reason)
 }
 
-func (s *Scheduler) handleLostRuns(gone []*taskRun) {
+func (s *Scheduler) handleLostRuns(gone []*taskRun, reason GoneReason) {
 	for _, a := range gone {
-		s.handleLostRun(a)
+		s.handleLostRun(a, reason)
 	}
 }
--- a/internal/cell/schedule/restart.go
+++ b/internal/cell/schedule/restart.go
@@ -25,7 +25,7 @@
 		}
 	}
 	s.countCrashes(h, append(gone, unsettled...), true)
-	s.handleLostRuns(gone)
+	s.handleLostRuns(gone, GoneHostRestarted)
 	for _, a := range unsettled {
 		s.settleOrder(a)
 	}
--- a/internal/cell/schedule/results.go
+++ b/internal/cell/schedule/results.go
@@ -83,7 +83,7 @@
 	case RefusedInvalid:
 		h.health.avoid(now, invalidOrderBackoff)
 	}
-	s.detach(a)
+	s.giveUp(a, GoneRefused)
 }
 
 // Unanswered records that a start got no answer and may have happened.
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -116,6 +116,7 @@
 	logMessages []LogMessage
 	// learning is nil unless Features.LearnRunTimes is set.
 	learning *learning
+	history  runHistory
 	// usageReported is set once a host has reported the usage of a run. From
 	// then on, a report without usage means that the run makes no progress.
 	usageReported bool
@@ -126,6 +127,8 @@
 	Submission string
 	Text       string
 	Host       string
+	// Repeated has the details if a task may have run twice; nil otherwise.
+	Repeated *RepeatedRun
 }
 
 // New returns a scheduler without hosts and submissions.
@@ -133,7 +136,7 @@
 	return &Scheduler{
 		options: o, desired: &cell.Desired{}, hosts: make(map[string]*host), jobs: make(map[string]*job),
 		teams: make(map[string]*team), changed: make(map[string]bool), startRoom: math.MaxInt, risks: make(crash.Risks), unconfirmed: make(map[string][]*task), plan: &Plan{},
-		learning: newLearning(o.Features), gangMembers: make(map[string]*gangroom.Members),
+		learning: newLearning(o.Features), gangMembers: make(map[string]*gangroom.Members), history: newRunHistory(),
 	}
 }
 
@@ -245,7 +248,7 @@
 		j.unreconciled = false
 	}
 	for _, h := range s.hosts {
-		h.earlierRunsUnknown = false
+		h.settleEarlierRuns(GoneLeaseExpired, now)
 	}
 	for _, t := range s.teams {
 		t.unknownUsage = resource.Vector{}
