owner: Log the evidence that earlier owners are gone, and late start orders

The log did not tell whether the former owner was known to be gone and why, when that became known, on which leases the runs of a silent host were taken as ended, or how many hosts were taken over as closed. Nor did it show a pause between the check of the authority and the sending of a start order, which outlasts the wait of a successor. No decision changes.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -77,6 +77,7 @@
 		RequestTakeover: func() { n.requestTakeoverForZones(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
 		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.self, n.members.Nodes()) },
+		EarlierOwner:      func() owner.EarlierOwner { return describePreviousOwner(previous, n.self, n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
 		Features: features(n.settings.Scheduling), Admission: n.settings.Scheduling.Admission,
--- a/internal/cell/owner/delaylog.go
+++ b/internal/cell/owner/delaylog.go
@@ -18,6 +18,9 @@
 	// lateRecordThreshold is the time between two appends of the owner from which the
 	// later one is logged.
 	lateRecordThreshold = 2 * heartbeatInterval
+	// lateStartThreshold is the time between the check of the authority and the sending of a
+	// start order from which it is logged.
+	lateStartThreshold = 100 * time.Millisecond
 	// delayLogInterval is the shortest time between two lines about the same kind of
 	// delay.
 	delayLogInterval = time.Second
@@ -29,6 +32,9 @@
 	log                                  *slog.Logger
 	decisionTime, lockWait, timeToAppend tally.Timer
 	slowDecisions, lateRecords           *rate.Sometimes
+	// startsDelayed counts the start orders that were sent late after the check of the authority.
+	startsDelayed tally.Counter
+	lateStarts    *rate.Sometimes
 	// lastSentAt is when the last append was sent, lastTook how long it took.
 	lastSentAt, lastTook *atomic.Int64
 }
@@ -40,6 +46,7 @@
 	return delayLog{
 		log: log, decisionTime: s.Timer("decision_time"), lockWait: s.Timer("decision_lock_wait"), timeToAppend: s.Timer("owner_append_time"),
 		lastSentAt: new(atomic.Int64), lastTook: new(atomic.Int64), slowDecisions: &rate.Sometimes{Interval: delayLogInterval}, lateRecords: &rate.Sometimes{Interval: delayLogInterval},
+		startsDelayed: s.Counter("starts_delayed"), lateStarts: &rate.Sometimes{Interval: delayLogInterval},
 	}
 }
 
@@ -55,6 +62,18 @@
 	})
 }
 
+// startSent reports a start order that is sent a time after the check of the authority; lockWait is
+// the part of it until the lock was had and the lease was computed.
+func (d *delayLog) startSent(lockWait, sinceCheck time.Duration) {
+	if sinceCheck < lateStartThreshold {
+		return
+	}
+	d.startsDelayed.Inc(1)
+	d.lateStarts.Do(func() {
+		d.log.Warn("A start order is sent late after the check of the authority.", "after", sinceCheck, "lock_wait", lockWait)
+	})
+}
+
 // stored reports an append that was sent at a time and took a time.
 func (d *delayLog) stored(sentAt, took time.Duration, records int) {
 	d.timeToAppend.Record(took)
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -132,7 +132,7 @@
 	h.allRunsGone = true
 	ow.scheduler.MarkUnreachable(h.host.ID)
 	ow.scheduler.MarkAllRunsGone(h.host.ID, now)
-	ow.options.Log.Info("A host has no runs any more; its leases have expired.", "host", h.host.ID)
+	ow.options.Log.Info("A host has no runs any more; its leases have expired.", "host", h.host.ID, "bound", ow.expiryBound(h), "earlier_owners_gone", ow.earlierOwners.isGone, "after", now-ow.options.ClaimedAt)
 	ow.requestDecision()
 }
 
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -83,6 +83,8 @@
 	ClaimedAt time.Duration
 	// EarlierOwnersGone reports whether it is known that no earlier owner can act any more.
 	EarlierOwnersGone func() bool
+	// EarlierOwner describes the owner before this one for the log; nil for nothing.
+	EarlierOwner func() EarlierOwner
 	// MaxLease is the longest lease that hosts accept; zero for no limit.
 	MaxLease time.Duration
 	// RetentionPeriod is how long the state of a finished submission is kept.
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -111,7 +111,7 @@
 	ow.metrics = newMetrics(o.Metrics)
 	ow.delays = newDelayLog(o.Log, o.Metrics)
 	ow.authority.extend(o.ClaimSent)
-	ow.earlierOwners.checkGone(o.EarlierOwnersGone, o.Clock.Now())
+	ow.beginWithEarlierOwners()
 	now := int64(o.Clock.Now())
 	ow.lastDecisionEnd.Store(now)
 	ow.lastSeenAppend.Store(now)
@@ -255,10 +255,13 @@
 		return
 	}
 	now := ow.options.Clock.Now()
-	unresolved := 0
+	unresolved, closed := 0, 0
 	for _, h := range ow.hosts {
 		switch {
-		case h.runsKnown || h.closedByPreviousOwner:
+		case h.runsKnown:
+			continue
+		case h.closedByPreviousOwner:
+			closed++
 			continue
 		case !h.allRunsGone && (h.life == nil || now < ow.earlierRunsEndBy(h)):
 			return
@@ -267,7 +270,7 @@
 	}
 	ow.reconciled.Store(true)
 	ow.scheduler.MarkReconciled(now)
-	ow.options.Log.Info("All runs of earlier owners are known or have ended.", "token", ow.options.Self.Token, "hosts", len(ow.hosts), "silent", unresolved, "after", now-ow.options.ClaimedAt)
+	ow.options.Log.Info("All runs of earlier owners are known or have ended.", "token", ow.options.Self.Token, "hosts", len(ow.hosts), "silent", unresolved, "closed", closed, "earlier_owners_gone", ow.earlierOwners.isGone, "after", now-ow.options.ClaimedAt)
 }
 
 // earlierRunsEndBy returns the time by which runs of earlier owners on a host that does
@@ -279,7 +282,7 @@
 	if h.mayHoldLongestLease() {
 		lease = max(lease, ow.options.MaxLease)
 	}
-	ow.earlierOwners.checkGone(ow.options.EarlierOwnersGone, ow.options.Clock.Now())
+	ow.checkEarlierOwners()
 	// The clocks drift for the whole time since the claim.
 	return ow.options.ClaimedAt + runsEndWithin(ow.earlierOwners.actUntil(ow.options.ClaimedAt)-ow.options.ClaimedAt+lease)
 }
