owner: Report a repeated run once, and write all messages of a term

A host lists a run of a submission that has been removed in each report, and each gave a line. Messages since the last decision were lost when the term ended.

--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -181,10 +181,12 @@
 	}
 }
 
-// shutDown waits for every goroutine that acts under the fencing token.
+// shutDown waits for every goroutine that acts under the fencing token, and writes the messages
+// since the last decision.
 func (ow *Owner) shutDown(cancel context.CancelFunc) {
 	cancel()
 	ow.goroutines.Wait()
+	ow.withState(func() { ow.logMessages(ow.scheduler.TakeLogMessages()) })
 }
 
 // batchWindow returns how long events are collected before a decision. It grows
@@ -205,9 +207,7 @@
 	}
 	ow.delays.decision(waited, ow.lastDecisionTime, plan)
 	ow.storeRounds.request()
-	for _, n := range messages {
-		ow.logMessage(n)
-	}
+	ow.logMessages(messages)
 	ow.execute(ctx, plan)
 }
 
--- a/internal/cell/owner/repeatedruns.go
+++ b/internal/cell/owner/repeatedruns.go
@@ -14,6 +14,12 @@
 	return out
 }
 
+func (ow *Owner) logMessages(list []schedule.LogMessage) {
+	for _, m := range list {
+		ow.logMessage(m)
+	}
+}
+
 // logMessage writes a message of the scheduler to the log.
 func (ow *Owner) logMessage(m schedule.LogMessage) {
 	if m.Repeated == nil {
--- a/internal/cell/owner/repeatedruns_test.go
+++ b/internal/cell/owner/repeatedruns_test.go
@@ -53,3 +53,17 @@
 		}
 	}
 }
+
+// Guards against messages that are lost since the owner may not decide any more.
+func TestMessagesAreLoggedWhenTheTermEnds(t *testing.T) {
+	l := newLoggedTest(t)
+	l.list(nil, testHost("h", "a"))
+	l.pollOnce("h")
+	l.client.answers["a"] = answersAs(20) // it has restarted
+	l.pollOnce("h")
+	l.clock.now += 2 * AuthorityDuration
+	l.decide(t.Context())
+	l.logged.Reset()
+	l.shutDown(func() {})
+	l.expect("The host has restarted; its runs are gone.")
+}
--- a/internal/cell/schedule/givenup.go
+++ b/internal/cell/schedule/givenup.go
@@ -66,10 +66,15 @@
 type runHistory struct {
 	givenUp recent[hostRun, gone]
 	done    recent[cell.TaskID, doneRun]
+	// reported holds the kind of the last message about a run: a host lists a run of a
+	// submission that has been removed again and again.
+	reported recent[hostRun, Repetition]
 }
 
 func newRunHistory() runHistory {
-	return runHistory{givenUp: newRecent[hostRun, gone](maxGivenUpRuns), done: newRecent[cell.TaskID, doneRun](maxDoneRuns)}
+	return runHistory{
+		givenUp: newRecent[hostRun, gone](maxGivenUpRuns), done: newRecent[cell.TaskID, doneRun](maxDoneRuns), reported: newRecent[hostRun, Repetition](maxGivenUpRuns),
+	}
 }
 
 // giveUp removes a run that was taken as gone.
--- a/internal/cell/schedule/repeatedrun.go
+++ b/internal/cell/schedule/repeatedrun.go
@@ -157,7 +157,13 @@
 	return nil
 }
 
+// reportRepetition passes a repetition to the log, once for each run on a host.
 func (s *Scheduler) reportRepetition(kind Repetition, id cell.TaskID, t *task, run, other RunFacts) {
+	key := hostRun{runKey{id, run.Run}, run.Host}
+	if last, ok := s.history.reported.get(key); ok && last == kind {
+		return
+	}
+	s.history.reported.set(key, kind)
 	r := &RepeatedRun{Kind: kind, Task: id, Run: run, Other: other}
 	if t != nil {
 		r.JobKnown, r.BeforeClaim = true, t.group.job.beforeClaim
--- a/internal/cell/schedule/repeatedrun_test.go
+++ b/internal/cell/schedule/repeatedrun_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// Guards against a line with each report of a host on which a run of a removed submission is.
+func TestRepeatedRunIsReportedOnce(t *testing.T) {
+	r := newRepeatedTest(t, cell.Step{})
+	r.expireLease()
+	r.end(r.start())
+	r.pollHosts()
+	if !r.s.RemoveSubmission("x") {
+		t.Fatal("the submission is not removed")
+	}
+	r.answer()
+	r.pollHosts()
+	if list := r.repetitions(); len(list) != 1 || list[0].Kind != PresentAfterDone {
+		t.Errorf("the messages are %+v", list)
+	}
+}
+
 // Guards against reports of steps whose tasks may have several runs.
 func TestCopiesAreNoRepeatedRuns(t *testing.T) {
 	r := newRepeatedTest(t, cell.Step{AllowCopies: true})
