owner: Grant leases only as of a time with authority

What callers see: a task may run twice at the same time. An owner that is late, or paused, starts it on a host which its successor does not reach, with a lease that ends after the successor has taken the runs there as ended.

Cause: Owner.start checked the authority, then waited for the owner's lock, and read the clock anew for the lease. pollLoop and poll also read the clock twice. A pause between the two readings moved the end of the lease beyond the end of the authority plus LeaseDuration, on which successors rely.

Evidence: found by reading.

The authority is now checked for the same reading of the clock from which the lease counts: in startTarget under the lock, and in pollLoop, which passes it to poll. The end of a lease is a time on the host's clock, so that no later pause moves it.

Tests: poll takes the time at which it is sent, so its callers pass the clock's time. restartTest.startWith adds its call to leaseCalls itself: these tests send orders of no planned run, from an owner that makes no appends, and check what is known of leases, which is unchanged.

--- a/internal/cell/owner/acknowledged_ends_test.go
+++ b/internal/cell/owner/acknowledged_ends_test.go
@@ -88,7 +88,7 @@
 			}
 			for range rapid.IntRange(1, 2).Draw(rt, "polls") {
 				pollCtx, cancelPoll := context.WithTimeout(ctx, 15*time.Millisecond)
-				ow.poll(pollCtx, ow.poller("h"))
+				ow.poll(pollCtx, ow.poller("h"), ow.options.Clock.Now())
 				cancelPoll()
 			}
 		}
--- a/internal/cell/owner/authority.go
+++ b/internal/cell/owner/authority.go
@@ -47,14 +47,18 @@
 	}
 }
 
+// validAt reports whether the owner may act as of a reading of the clock. A lease is granted as
+// of the reading that was checked: a later one may be past the end of the authority, since the
+// process may be paused in between. A successor relies on the latest end of a lease.
+func (a *authority) validAt(now time.Duration) bool {
+	return !a.revoked.Load() && int64(now) < a.expiresAt.Load()
+}
+
 // lasts reports whether the owner may act for a time from now on, also if no append extends
 // its authority.
-func (a *authority) lasts(d time.Duration) bool {
-	return !a.revoked.Load() && int64(a.clock.Now()+d) < a.expiresAt.Load()
-}
+func (a *authority) lasts(d time.Duration) bool { return a.validAt(a.clock.Now() + d) }
 
-// valid reports whether the owner may act. It is checked right before each
-// order is sent.
+// valid reports whether the owner may act. It grants no lease; see validAt.
 func (a *authority) valid() bool { return a.lasts(0) }
 
 // runsEndWithin returns how long to wait on the local clock until a lease of
--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -38,14 +38,16 @@
 }
 
 // startTarget returns the host with the address for orders, and a start order whose lease
-// is on the clock of the lifetime that answered last; nil if none has.
+// is on the clock of the lifetime that answered last. It is nil if none has, or if the owner
+// may not act.
 func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *leaseCall) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	if h.life == nil {
+	now := ow.options.Clock.Now()
+	if h.life == nil || !ow.authority.validAt(now) {
 		return cell.Host{}, nil
 	}
-	return h.spec(), h.calls.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, ow.options.Clock.Now())
+	return h.spec(), h.calls.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, now)
 }
 
 // spec returns the listed host with the address at which it answered last. The caller
--- a/internal/cell/owner/hostfailure_test.go
+++ b/internal/cell/owner/hostfailure_test.go
@@ -54,7 +54,7 @@
 		w.SetHosts(ctx, map[string]registry.Host{"h": {Spec: spec}}, []cell.Host{spec})
 		w.goroutines.Wait()
 		for range 4 {
-			w.poll(t.Context(), w.hosts["h"])
+			w.poll(t.Context(), w.hosts["h"], w.options.Clock.Now())
 		}
 		lost := int64(0)
 		for _, counter := range scope.Snapshot().Counters() {
--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -115,20 +115,21 @@
 			return
 		default:
 		}
-		if !ow.authority.valid() {
+		sentAt := ow.options.Clock.Now()
+		if !ow.authority.validAt(sentAt) {
 			ctxtime.Sleep(ctx, pollRetryInterval)
 			continue
 		}
-		if !ow.poll(ctx, h) && ow.removeIfGone(h) {
+		if !ow.poll(ctx, h, sentAt) && ow.removeIfGone(h) {
 			return
 		}
 	}
 }
 
-// poll sends one poll and applies its answer. It reports whether the host
-// sent a report of its runs, or the poll was interrupted.
-func (ow *Owner) poll(ctx context.Context, h *hostPoller) bool {
-	sentAt := ow.options.Clock.Now()
+// poll sends one poll and applies its answer. The lease that it renews counts from sentAt, at
+// which the authority was valid. It reports whether the host sent a report of its runs, or the
+// poll was interrupted.
+func (ow *Owner) poll(ctx context.Context, h *hostPoller, sentAt time.Duration) bool {
 	target, token := ow.pollTarget(h)
 	o := platform.Poll{Token: token, Over: h.connection}
 	var renewal *leaseCall
--- a/internal/cell/owner/hostpoller_test.go
+++ b/internal/cell/owner/hostpoller_test.go
@@ -94,7 +94,7 @@
 	p := h.poller("h")
 	h.options.HostClient = &wakingHostClient{wake: p.pollNow}
 	for n := range 200 {
-		h.poll(t.Context(), p)
+		h.poll(t.Context(), p, h.clock.now)
 		select {
 		case <-p.interrupt:
 		default:
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -111,7 +111,7 @@
 	h.goroutines.Wait()
 }
 
-func (h *hostTest) pollOnce(id string) { h.poll(h.ended, h.poller(id)) }
+func (h *hostTest) pollOnce(id string) { h.poll(h.ended, h.poller(id), h.clock.now) }
 
 // submit adds a submission of one task.
 func (h *hostTest) submit(id string) {
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -42,13 +42,13 @@
 	refused := func(why schedule.Refusal) {
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Refused(s.Host, s.Task, s.Run, why, now) })
 	}
-	if h == nil || !ow.authority.valid() || !ow.awaitsStart(s) {
+	if h == nil || !ow.awaitsStart(s) {
 		refused(schedule.RefusedOther)
 		return
 	}
 	target, sent := ow.startTarget(h, s)
 	if sent == nil {
-		refused(schedule.RefusedOther) // the host has not answered yet
+		refused(schedule.RefusedOther)
 		return
 	}
 	order := platform.Start{
--- a/internal/cell/owner/restartinghost_test.go
+++ b/internal/cell/owner/restartinghost_test.go
@@ -206,10 +206,10 @@
 // startWith sends a start order with a fault.
 func (r *restartTest) startWith(f callFault) {
 	h := r.poller("h")
-	target, sent := r.startTarget(h, schedule.Start{})
-	if sent == nil {
+	if h.life == nil {
 		return
 	}
+	target, sent := h.spec(), h.calls.add(h.life, schedule.Run{}, r.clock.now)
 	r.host.fault = f
 	clockMs, refusal, err := r.host.Start(r.t.Context(), &target, platform.Start{LeaseEndMs: sent.leaseEnd.Milliseconds(), Token: sent.token})
 	r.host.fault = noFault
--- a/internal/cell/owner/silent_crash_test.go
+++ b/internal/cell/owner/silent_crash_test.go
@@ -78,7 +78,7 @@
 			ow.SetHosts(ctx, map[string]registry.Host{"h": stored}, []cell.Host{stored.Spec})
 			ow.goroutines.Wait()
 			for i := range c.answers {
-				ow.poll(t.Context(), ow.hosts["h"])
+				ow.poll(t.Context(), ow.hosts["h"], ow.options.Clock.Now())
 				if i == 0 {
 					for _, o := range ow.scheduler.Decide(now, now).Starts {
 						ow.scheduler.Unanswered(o.Host, o.Task, o.Run, now)
