owner: Decide and record under one lock that a host has no runs

What callers see: a task may run twice at the same time, both runs started by one owner that is late.

Cause: pollFailed compared the time with the end of the leases under one acquisition of the owner's lock, and recorded under another one that the host has no runs any more. A start order that waited in the queue could get its lease in between; its run was given up while the host carried it out. In the same way start asked under one acquisition whether the run still awaits its start, and granted the lease under another, so that a run that was given up in between was started all the same.

Evidence: found by reading.

recordAllRunsGone now checks the leases, and startTarget that the start is awaited, each under the acquisition in which it acts. An order is either granted first, and its lease is seen, or its run is given up first, and the order is not sent.

Tests: four tests recorded a host as empty before its leases had certainly expired, which is refused now. They use recordGone, which lets the leases expire first and fails unless the host is recorded as empty; their checks are unchanged.

--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -38,13 +38,13 @@
 }
 
 // startTarget returns the host with the address for orders, and a start order whose lease
-// is on the clock of the lifetime that answered last. It is nil if none has, or if the owner
-// may not act.
+// is on the clock of the lifetime that answered last. It is nil if none has, if the owner may
+// not act, or if the run was given up while its order waited.
 func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *leaseCall) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.options.Clock.Now()
-	if h.life == nil || !ow.authority.validAt(now) {
+	if h.life == nil || !ow.authority.validAt(now) || !ow.scheduler.AwaitsStart(s) {
 		return cell.Host{}, nil
 	}
 	return h.spec(), h.calls.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, now)
--- a/internal/cell/owner/hostfailure.go
+++ b/internal/cell/owner/hostfailure.go
@@ -29,7 +29,7 @@
 		})
 		ow.storeRounds.request()
 	}
-	if h.doesNotAnswer() && now > ow.runsEndBy(h) {
+	if h.doesNotAnswer() {
 		ow.recordAllRunsGone(h, now)
 	}
 }
@@ -41,17 +41,13 @@
 }
 
 // runsEndBy returns the time by which the runs on a host that does not answer have
-// certainly ended.
-func (ow *Owner) runsEndBy(h *hostPoller) (at time.Duration) {
-	ow.withState(func() {
-		if h.life == nil {
-			at = ow.earlierRunsEndBy(h)
-			return
-		}
-		restarted := h.isListedAsAnother(h.life.startedMs)
-		at = max(h.life.lease.expiry(), h.calls.leasesEndBy(ow.options.Clock.Now(), ow.options.MaxLease, restarted))
-	})
-	return at
+// certainly ended. The caller holds the lock.
+func (ow *Owner) runsEndBy(h *hostPoller) time.Duration {
+	if h.life == nil {
+		return ow.earlierRunsEndBy(h)
+	}
+	restarted := h.isListedAsAnother(h.life.startedMs)
+	return max(h.life.lease.expiry(), h.calls.leasesEndBy(ow.options.Clock.Now(), ow.options.MaxLease, restarted))
 }
 
 // isListedAsAnother reports whether the host list has shown that the host has restarted since
@@ -121,12 +117,13 @@
 	ow.requestDecision()
 }
 
-// recordAllRunsGone informs the scheduler that a host has no runs any more, since all
-// leases there have expired.
+// recordAllRunsGone informs the scheduler that a host which does not answer has no runs any
+// more, if all leases there have expired. That is decided and recorded under one acquisition of
+// the lock: a start order gets its lease either before, or finds its run given up.
 func (ow *Owner) recordAllRunsGone(h *hostPoller, now time.Duration) {
 	ow.mu.Lock()
 	defer ow.unlock()
-	if h.allRunsGone || ow.broken {
+	if h.allRunsGone || ow.broken || now <= ow.runsEndBy(h) {
 		return
 	}
 	h.allRunsGone = true
--- a/internal/cell/owner/hosts_test.go
+++ b/internal/cell/owner/hosts_test.go
@@ -113,6 +113,15 @@
 
 func (h *hostTest) pollOnce(id string) { h.poll(h.ended, h.poller(id), h.clock.now) }
 
+// recordGone lets all leases on a host expire, and its runs be recorded as gone.
+func (h *hostTest) recordGone(p *hostPoller) {
+	h.clock.now = max(h.clock.now, h.runsEndBy(p)) + time.Millisecond
+	h.recordAllRunsGone(p, h.clock.now)
+	if !p.allRunsGone {
+		h.t.Fatal("the runs on the host are not recorded as gone")
+	}
+}
+
 // submit adds a submission of one task.
 func (h *hostTest) submit(id string) {
 	step := cell.Step{Count: 1, Size: resource.Vector{MilliCPU: 1000, MemoryMiB: 1024}, Estimate: time.Second}
@@ -170,7 +179,7 @@
 	h.list(stored, spec)
 	h.pollOnce("h")
 	h.list(nil)
-	h.recordAllRunsGone(h.poller("h"), h.clock.now)
+	h.recordGone(h.poller("h"))
 	h.storeHosts()
 	if !h.removeIfGone(h.poller("h")) {
 		t.Fatal("the host is not removed")
@@ -199,7 +208,7 @@
 	h.pollOnce("h")
 	_, changes := h.hostRecords()
 	h.list(nil)
-	h.recordAllRunsGone(h.poller("h"), h.clock.now)
+	h.recordGone(h.poller("h"))
 	if !h.removeIfGone(h.poller("h")) {
 		t.Fatal("the host is not removed")
 	}
@@ -221,7 +230,7 @@
 	h.pollOnce("h")
 	h.list(nil)
 	p := h.poller("h")
-	h.recordAllRunsGone(p, h.clock.now)
+	h.recordGone(p)
 	// A run that became known after all others had gone.
 	h.scheduler.AssumeRunPresent("h", schedule.Run{Task: cell.TaskID{Submission: "job"}, Run: 5}, h.clock.now)
 	if h.removeIfGone(p) {
--- a/internal/cell/owner/laterlifetime_test.go
+++ b/internal/cell/owner/laterlifetime_test.go
@@ -104,7 +104,7 @@
 	r.hearOfHost()
 	_, before := r.orderTarget(r.poller("h"))
 	r.list(nil)
-	r.recordAllRunsGone(r.poller("h"), r.clock.now)
+	r.recordGone(r.poller("h"))
 	if !r.removeIfGone(r.poller("h")) {
 		t.Fatal("the host is not removed")
 	}
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -42,7 +42,7 @@
 	refused := func(why schedule.Refusal) {
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Refused(s.Host, s.Task, s.Run, why, now) })
 	}
-	if h == nil || !ow.awaitsStart(s) {
+	if h == nil {
 		refused(schedule.RefusedOther)
 		return
 	}
@@ -106,13 +106,6 @@
 	}
 }
 
-// awaitsStart reports whether a start order that may have waited is still to be sent.
-func (ow *Owner) awaitsStart(s schedule.Start) bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.scheduler.AwaitsStart(s)
-}
-
 // schedulerRefusals maps the refusals of hosts to those of the scheduler.
 var schedulerRefusals = map[platform.Refusal]schedule.Refusal{
 	platform.RefusedNoCapacity: schedule.RefusedNoCapacity, platform.RefusedInvalidTicket: schedule.RefusedInvalidTicket,
