--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -43,14 +43,14 @@
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Refused(s.Host, s.Task, s.Run, why, now) })
 	}
 	checkedAt := ow.options.Clock.Now()
-	if h == nil || !ow.authority.valid() || !ow.awaitsStart(s) {
+	if h == nil {
 		refused(schedule.RefusedOther)
 		return
 	}
 	target, sent := ow.startTarget(h, s)
 	lockWait := ow.options.Clock.Now() - checkedAt
 	if sent == nil {
-		refused(schedule.RefusedOther) // the host has not answered yet
+		refused(schedule.RefusedOther)
 		return
 	}
 	order := platform.Start{
@@ -109,13 +109,6 @@
 	}
 }
 
-// awaitsStart reports whether a start order that may have waited is still to be sent.
-func (ow *Owner) awaitsStart(s schedule.Start) bool {
-	ow.mu.Lock()
-	defer ow.mu.Unlock()
-	return ow.scheduler.AwaitsStart(s)
-}
-
 // schedulerRefusals maps the refusals of hosts to those of the scheduler.
 var schedulerRefusals = map[platform.Refusal]schedule.Refusal{
 	platform.RefusedNoCapacity: schedule.RefusedNoCapacity, platform.RefusedInvalidTicket: schedule.RefusedInvalidTicket,
