node: Take an owner as replaced only by a process that lists it

Callers would see a task run twice: on a host that a new owner did not reach, a run was taken as ended while the former owner renewed its lease.

Another instance ID in the newest record of the owner's node counted as proof that a later process had replaced the owner's. Each process appends heartbeats under its own producer name, and the store may carry out the last append of a killed process seconds later, behind those of the next process. If that one owned the cell, another node claimed at once, and counted the leases from its claim instead of 4 s after it.

A process now lists in its heartbeats the earlier processes of its node whose records it has read, and only a listed process counts as replaced. A late record cannot list a later process, since its writer ended before that one began. The table of nodes ignores late records of listed processes.

TestElection and TestPreviousOwnerGone described a replaced process by another instance ID alone, which is what was wrong. Their replacing processes now list the replaced ones, with the same verdicts, and each has one more case in which no list names the owner.

--- a/internal/cell/membership/node.go
+++ b/internal/cell/membership/node.go
@@ -29,6 +29,9 @@
 	Left bool `json:"left,omitempty"`
 	// Heartbeat counts the heartbeats of the process, so that each record differs.
 	Heartbeat int64 `json:"beat,omitempty"`
+	// Replaced are the instance IDs of earlier processes of the node, the last one at the end.
+	// The process has read their records after its start, so they have ended.
+	Replaced []string `json:"replaced,omitempty"`
 }
 
 const (
--- a/internal/cell/membership/table.go
+++ b/internal/cell/membership/table.go
@@ -33,7 +33,8 @@
 
 // Apply applies a record of the nodes topic that was read at time now. A record
 // that is read a second time, as happens after the history has been trimmed, does
-// not count as a heartbeat. An empty record removes the node.
+// not count as a heartbeat, nor does one of a process that the known one has replaced, which
+// was stored late. An empty record removes the node.
 func (t *Table) Apply(r platform.Record, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -47,7 +48,7 @@
 		return
 	}
 	t.faults.Resolved(r.Key)
-	if old, ok := t.nodes[n.Name]; ok && r.Offset != 0 && r.Offset <= old.offset {
+	if old, ok := t.nodes[n.Name]; ok && (r.Offset != 0 && r.Offset <= old.offset || old.HasReplaced(n.InstanceID)) {
 		return
 	}
 	t.nodes[n.Name] = member{Node: n, offset: r.Offset, readAt: now}
--- a/internal/cell/node/election.go
+++ b/internal/cell/node/election.go
@@ -170,8 +170,7 @@
 	if v.owner.Node == "" || v.owner.Released || v.takeoverToken != 0 && v.takeoverToken == v.owner.Token || v.exitedOwnerInstance == v.owner.InstanceID {
 		return true
 	}
-	n, ok := v.nodes[v.owner.Node]
-	return ok && n.InstanceID != v.owner.InstanceID
+	return v.nodes[v.owner.Node].HasReplaced(v.owner.InstanceID)
 }
 
 // rank returns the position of this node among the candidates for the next term,
--- a/internal/cell/node/election_test.go
+++ b/internal/cell/node/election_test.go
@@ -14,7 +14,7 @@
 // own reads have stopped.
 func TestElection(t *testing.T) {
 	const now = 100 * time.Second
-	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a1"}, "b": {Name: "b", InstanceID: "b1"}}
+	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a1", Replaced: []string{"a0"}}, "b": {Name: "b", InstanceID: "b1", Replaced: []string{"b0"}}}
 	held := registry.Ownership{Node: "a", InstanceID: "a1", Token: 4}
 	acts := func(v *electionInput) { v.ownerActsAt = now }
 	slow := func(v *electionInput) { v.storeAnswerTime = 300 * time.Millisecond }
@@ -35,6 +35,7 @@
 		{"an earlier owner's machine refused connections", held, 0, 0, func(v *electionInput) { v.exitedOwnerInstance = "a0" }, false},
 		{"an earlier owner had asked the others to take over", held, 0, 0, func(v *electionInput) { v.takeoverToken = 3 }, false},
 		{"owner's process was replaced", registry.Ownership{Node: "a", InstanceID: "a0", Token: 4}, 0, 0, nil, true},
+		{"the last heartbeat read is not of the owner's process", registry.Ownership{Node: "a", InstanceID: "a2", Token: 4}, 0, 0, nil, false},
 		{"this process is the owner", registry.Ownership{Node: "b", InstanceID: "b1", Token: 4}, 5 * time.Second, 0, nil, false},
 		{"owner is silent and does not answer", held, 1150 * time.Millisecond, 0, nil, true},
 		{"owner is silent for a short time and does not answer", held, time.Second, 0, nil, false},
--- a/internal/cell/node/follow.go
+++ b/internal/cell/node/follow.go
@@ -44,13 +44,22 @@
 // selfDescription returns the record of this node as other nodes should see it
 // now. The node counts as a follower once it has read the work topic.
 func (n *Node) selfDescription() membership.Node {
-	self := n.self
+	self := n.selfAsReplacement()
 	_, read := n.workReader.AsOf()
 	self.Follows = n.following.Load() && read
 	self.Left = n.left.Load()
 	return self
 }
 
+// selfAsReplacement returns this node with the earlier processes that this one has replaced.
+func (n *Node) selfAsReplacement() membership.Node {
+	self := n.self
+	if replaced := n.replaced.Load(); replaced != nil {
+		self.Replaced = *replaced
+	}
+	return self
+}
+
 // followers returns the live nodes that follow the work topic.
 func (n *Node) followers() (out []membership.Node) {
 	asOf, _ := n.nodesReader.AsOf()
@@ -71,8 +80,12 @@
 	}
 	p.ForEach(n.log, func(r platform.Record) { n.members.Apply(r, now) })
 	if p.NewestOnly {
-		self, known := n.members.Nodes()[n.self.Name]
-		n.restarted.Store(known && self.InstanceID != n.self.InstanceID || n.restarted.Load())
+		newest, known := n.members.Nodes()[n.self.Name]
+		if known && newest.InstanceID != n.self.InstanceID {
+			n.restarted.Store(true)
+			self := n.selfAsReplacement().Replacing(newest)
+			n.replaced.Store(&self.Replaced)
+		}
 	}
 	others := make(map[string]peers.Peer)
 	for _, other := range n.members.Alive(p.AsOf) {
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -76,7 +76,7 @@
 		Desired: n.appliedDesired, Evacuated: n.evacuatedZones, EvacuationBound: config.Millis(n.settings.Bounds.EvacuationMs),
 		RequestTakeover: func() { n.requestTakeoverForZones(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
-		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.self, n.members.Nodes()) },
+		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.selfAsReplacement(), n.members.Nodes()) },
 		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
 		Features: features(n.settings.Scheduling), Admission: n.settings.Scheduling.Admission,
@@ -116,8 +116,11 @@
 	if !previous.Reconciled {
 		return false // the owner before the previous one may still act on some host
 	}
-	other, ok := nodes[previous.Node]
-	return previous.Released || previous.Node == self.Name || ok && other.InstanceID != previous.InstanceID
+	process := nodes[previous.Node]
+	if previous.Node == self.Name {
+		process = self
+	}
+	return previous.Released || process.HasReplaced(previous.InstanceID)
 }
 
 // endTerm ends the term. The caller holds n.mu, and n.term is not nil.
--- a/internal/cell/node/term_test.go
+++ b/internal/cell/node/term_test.go
@@ -10,8 +10,8 @@
 // Guards against too short a wait for a host that does not answer, while the owner
 // before the previous one may still extend leases there.
 func TestPreviousOwnerGone(t *testing.T) {
-	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a2"}, "b": {Name: "b", InstanceID: "b1"}}
-	self := membership.Node{Name: "c", InstanceID: "c2"}
+	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a2", Replaced: []string{"a1"}}, "b": {Name: "b", InstanceID: "b1"}}
+	self := membership.Node{Name: "c", InstanceID: "c2", Replaced: []string{"c1"}}
 	for _, c := range []struct {
 		name     string
 		previous registry.Ownership
@@ -20,6 +20,7 @@
 		{"no previous owner", registry.Ownership{}, true},
 		{"alive", registry.Ownership{Node: "b", InstanceID: "b1", Reconciled: true}, false},
 		{"replaced", registry.Ownership{Node: "a", InstanceID: "a1", Reconciled: true}, true},
+		{"the last heartbeat read is not of its process", registry.Ownership{Node: "a", InstanceID: "a3", Reconciled: true}, false},
 		{"replaced before it had reconciled", registry.Ownership{Node: "a", InstanceID: "a1"}, false},
 		{"released", registry.Ownership{Node: "b", InstanceID: "b1", Reconciled: true, Released: true}, true},
 		{"released before it had reconciled", registry.Ownership{Node: "b", InstanceID: "b1", Released: true}, false},
