owner: Tell a successor of settled owners once none of them can act

Callers would see a task run twice: a run on a host that the last of three owners did not reach was taken as ended while the first of them renewed the lease there.

An owner published that a successor need not consider earlier owners as soon as every run of theirs was known or had ended. That leaves out hosts that were taken over as closed, whose recorded runs go on and whose leases the former owner may renew for 4 s. A successor that took the publishing owner for gone then counted the leases from its own claim.

Heartbeats and the release now publish it once moreover the authority of earlier owners has certainly ended, or they are known to be gone. That every host has answered does not count in place of that, since a host that restarts knows no fencing token. The term itself goes on as before. The decision on the next heartbeat is a function of its own, so that a test can look at it without a clock that runs.

--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -167,7 +167,7 @@
 	}
 	stopped := t.owner.Stop(ctx)
 	o := t.claim.owner
-	o.Released, o.Reconciled = stopped, t.owner.Reconciled()
+	o.Released, o.Reconciled = stopped, t.owner.EarlierOwnersEnded()
 	if stopped {
 		if err := t.claim.journal.Store(ctx, []platform.Record{registry.OwnershipRecord(o)}); err != nil {
 			n.log.Warn("owner: The append of the release of the ownership failed.", "error", err)
--- a/internal/cell/owner/earlierowners.go
+++ b/internal/cell/owner/earlierowners.go
@@ -26,3 +26,25 @@
 	}
 	return latest
 }
+
+// mayAct reports whether an earlier owner may still act.
+func (e *earlierOwners) mayAct(claimedAt, now time.Duration) bool {
+	return !e.isGone && now <= claimedAt+runsEndWithin(AuthorityDuration)
+}
+
+// checkEarlierOwnersEnded checks what a successor may be told of earlier owners. That every
+// run is known or has ended does not suffice: an earlier owner that acts may renew the lease of a
+// host that has not answered this one, or that has restarted since and knows no fencing token.
+// The caller holds the lock.
+func (ow *Owner) checkEarlierOwnersEnded() {
+	if ow.earlierOwnersEnded.Load() || !ow.reconciled.Load() {
+		return
+	}
+	now := ow.options.Clock.Now()
+	ow.earlierOwners.checkGone(ow.options.EarlierOwnersGone, now)
+	ow.earlierOwnersEnded.Store(!ow.earlierOwners.mayAct(ow.options.ClaimedAt, now))
+}
+
+// EarlierOwnersEnded reports whether every run of earlier owners is known or has ended, and
+// none of them can act any more; see registry.Ownership.
+func (ow *Owner) EarlierOwnersEnded() bool { return ow.earlierOwnersEnded.Load() }
--- a/internal/cell/owner/heartbeat.go
+++ b/internal/cell/owner/heartbeat.go
@@ -22,7 +22,7 @@
 
 // sendHeartbeats appends heartbeats until ctx ends or an append fails. It needs no lock
 // that a decision holds, and waits for no other work than the append in flight. A
-// heartbeat also tells that the runs of earlier owners have been reconciled.
+// heartbeat also tells whether a successor has to consider earlier owners.
 func (ow *Owner) sendHeartbeats(ctx context.Context) {
 	self := ow.options.Self
 	t := time.NewTicker(heartbeatCheckInterval)
@@ -40,18 +40,25 @@
 			ow.options.Log.Error("No decision has ended for a long time; the owner writes no heartbeats.", "token", self.Token, "timeout", decisionTimeout)
 		}
 		decided = decides
-		reconciled := ow.reconciled.Load()
-		if !decides || !ow.heartbeatDue(now) && reconciled == self.Reconciled {
+		next, due := ow.nextHeartbeat(self, now)
+		if !decides || !due {
 			continue
 		}
-		self.Reconciled = reconciled
-		self.HeartbeatNumber++
+		self = next
 		if !ow.sendHeartbeat(ctx, self) {
 			return
 		}
 	}
 }
 
+// nextHeartbeat returns the heartbeat after last, and whether it is due.
+func (ow *Owner) nextHeartbeat(last registry.Ownership, now time.Duration) (next registry.Ownership, due bool) {
+	next = last
+	next.Reconciled = ow.EarlierOwnersEnded()
+	next.HeartbeatNumber++
+	return next, ow.heartbeatDue(now) || next.Reconciled != last.Reconciled
+}
+
 // heartbeatDue reports whether the other nodes have seen no sign of life of the owner for
 // heartbeatInterval.
 func (ow *Owner) heartbeatDue(now time.Duration) bool {
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -70,6 +70,8 @@
 	// reconciled is set once every run of earlier owners is known or has ended. It is set
 	// under mu.
 	reconciled atomic.Bool
+	// earlierOwnersEnded is set once moreover none of them can act any more. It is set under mu.
+	earlierOwnersEnded atomic.Bool
 	// stopping is set once no further orders may be sent. It is set under mu.
 	stopping atomic.Bool
 	// lastDecisionEnd is when the last call of decide ended, or the term began. It rises
@@ -221,6 +223,7 @@
 		return nil, nil, 0
 	}
 	ow.checkReconciled()
+	ow.checkEarlierOwnersEnded()
 	if ow.stopping.Load() {
 		return nil, nil, 0
 	}
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -43,8 +43,9 @@
 	FirstSequence int64 `json:"claim,omitempty"`
 	// Released is set once the owner has released the ownership.
 	Released bool `json:"released,omitempty"`
-	// Reconciled is set once every run of earlier owners is known or has ended, so
-	// that a successor has to consider only the runs of this owner.
+	// Reconciled is set once every run of earlier owners is known or has ended, and
+	// none of them can act any more, so that a successor has to consider only this
+	// owner.
 	Reconciled bool `json:"settled,omitempty"`
 	// HeartbeatNumber makes successive heartbeats differ.
 	HeartbeatNumber int64 `json:"beat,omitempty"`
