node: A process at another address replaces no owner

Callers would see a task run twice: when a machine was replaced by starting the new process of its node first, the owner in the former one counted as gone while it acted, and a successor took the runs on a host that it did not reach as ended while the owner renewed the lease there.

A process now lists another one of its node as replaced only if that had the address at which it listens itself: one process at a time can bind it, so the other one has ended. An unspecified address shows nothing. An owner that comes back at another address is replaced by silence, as one that does not come back.

TestProcessAtAnotherAddressReplacesNoOwner failed before: "the owner counts as gone while its process may run", "the ownership counts as free while its process may run".

TestLateHeartbeatsReplaceNoLivingProcess becomes TestHeartbeatsReplaceNoLivingProcess, which draws two addresses and processes side by side as well; it fails if the address is not compared.

--- a/internal/cell/membership/node.go
+++ b/internal/cell/membership/node.go
@@ -30,7 +30,7 @@
 	// Heartbeat counts the heartbeats of the process, so that each record differs.
 	Heartbeat int64 `json:"beat,omitempty"`
 	// Replaced are the instance IDs of earlier processes of the node, the last one at the end.
-	// The process has read their records after its start, so they have ended.
+	// They have ended, since the process listens at their address.
 	Replaced []string `json:"replaced,omitempty"`
 }
 
--- a/internal/cell/membership/replaced_test.go
+++ b/internal/cell/membership/replaced_test.go
@@ -10,11 +10,13 @@
 )
 
 // Guards against a living process that counts as replaced, or whose record is hidden, by
-// heartbeats of earlier processes of its node that are stored late.
-func TestLateHeartbeatsReplaceNoLivingProcess(t *testing.T) {
+// heartbeats of other processes of its node: some are stored late, and a process at another
+// address may begin before the former one has ended.
+func TestHeartbeatsReplaceNoLivingProcess(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := NewTable(slog.New(slog.DiscardHandler))
-		var living, newest Node
+		living := make(map[string]Node) // by address
+		var newest Node
 		var late []Node
 		offset := uint64(0)
 		store := func(n Node) {
@@ -25,31 +27,29 @@
 			newest = n
 		}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 3).Draw(t, "event") {
-			case 0: // the process is killed, and the next one begins
-				living = Node{Name: "n", InstanceID: strconv.Itoa(step), Address: "10.0.0.1:7420"}
-				if newest.Name != "" {
-					living = living.Replacing(newest)
-				}
-			case 1:
-				if living.Name != "" {
-					late = append(late, living)
-				}
-			case 2:
-				if len(late) > 0 {
-					store(late[0])
-					late = late[1:]
-				}
-			default:
-				if living.Name != "" {
-					store(living)
-					if shown := table.Nodes()["n"].InstanceID; shown != living.InstanceID {
-						t.Fatalf("the table shows process %s, want the living one %s", shown, living.InstanceID)
-					}
+			address := rapid.SampledFrom([]string{"10.0.0.1:7420", "10.0.0.2:7420"}).Draw(t, "address")
+			n, runs := living[address]
+			switch event := rapid.IntRange(0, 4).Draw(t, "event"); {
+			case event == 0: // the process is killed, and the next one begins
+				living[address] = Node{Name: "n", InstanceID: strconv.Itoa(step), Address: address}.Replacing(newest)
+			case event == 1 && runs: // the history was trimmed
+				living[address] = n.Replacing(newest)
+			case event == 2 && runs:
+				late = append(late, n)
+			case event == 3 && len(late) > 0:
+				store(late[0])
+				late = late[1:]
+			case event == 4 && runs:
+				store(n)
+				if shown := table.Nodes()["n"].InstanceID; shown != n.InstanceID {
+					t.Fatalf("the table shows process %s, want %s, which has written last", shown, n.InstanceID)
 				}
 			}
-			if table.Nodes()["n"].HasReplaced(living.InstanceID) {
-				t.Fatalf("the living process %s counts as replaced by %s", living.InstanceID, table.Nodes()["n"].InstanceID)
+			shown := table.Nodes()["n"]
+			for _, n := range living {
+				if shown.HasReplaced(n.InstanceID) {
+					t.Fatalf("the living process %s counts as replaced by %s", n.InstanceID, shown.InstanceID)
+				}
 			}
 		}
 	})
@@ -60,7 +60,7 @@
 func TestLateHeartbeatOfReplacedProcessIsIgnored(t *testing.T) {
 	table := NewTable(slog.New(slog.DiscardHandler))
 	killed := Node{Name: "n", InstanceID: "killed", Address: "10.0.0.1:7420"}
-	living := Node{Name: "n", InstanceID: "later", Address: "10.0.0.1:7421"}.Replacing(killed)
+	living := Node{Name: "n", InstanceID: "later", Address: "10.0.0.1:7421", Replaced: []string{killed.InstanceID}}
 	for offset, n := range []Node{killed, living, killed} {
 		r := Record(n)
 		r.Offset = uint64(offset + 1)
@@ -73,9 +73,10 @@
 
 // Guards against heartbeats that grow with each restart of a node.
 func TestReplacedProcessesAreBounded(t *testing.T) {
-	n := Node{InstanceID: "0"}
+	const address = "10.0.0.1:7420"
+	n := Node{InstanceID: "0", Address: address}
 	for i := range 2 * maxReplaced {
-		n = Node{InstanceID: strconv.Itoa(i + 1)}.Replacing(n)
+		n = Node{InstanceID: strconv.Itoa(i + 1), Address: address}.Replacing(n)
 		if !n.HasReplaced(strconv.Itoa(i)) {
 			t.Errorf("process %d does not list its predecessor", i+1)
 		}
@@ -84,3 +85,12 @@
 		t.Errorf("%d earlier processes are listed, want %d", len(n.Replaced), maxReplaced)
 	}
 }
+
+// Guards against a process that counts as ended since another one of its node listens at the same
+// unspecified address of another machine.
+func TestUnspecifiedAddressShowsNoReplacement(t *testing.T) {
+	former := Node{InstanceID: "former", Address: "[::]:7420"}
+	if (Node{InstanceID: "later", Address: "[::]:7420"}).Replacing(former).HasReplaced("former") {
+		t.Error("the former process counts as replaced")
+	}
+}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -101,7 +101,7 @@
 	// restarted is set if the nodes topic holds a record of an earlier process of
 	// this node.
 	restarted atomic.Bool
-	// replaced lists the earlier processes of this node that are known to have ended; see
+	// replaced lists the other processes of this node that are known to have ended; see
 	// membership.Node. It is nil before the first read of the nodes topic.
 	replaced atomic.Pointer[[]string]
 	// heartbeatNow ends the wait before the next heartbeat.
--- a/internal/cell/node/replaced_owner_test.go
+++ b/internal/cell/node/replaced_owner_test.go
@@ -48,3 +48,20 @@
 		t.Error("the killed owner does not count as gone for another node")
 	}
 }
+
+// Guards against a task that runs twice: a machine is replaced by starting the new process of its
+// node first, and the former one owns the cell until it is stopped.
+func TestProcessAtAnotherAddressReplacesNoOwner(t *testing.T) {
+	n := newUnconnectedNode(t)
+	n.self.Address = "10.0.0.2:7420"
+	former := membership.Node{Name: n.self.Name, InstanceID: "former", Address: "10.0.0.1:7420"}
+	n.applyNodes(worklog.Page{NewestOnly: true, Records: []platform.Record{recordAt(1, membership.Record(former))}})
+	owner := registry.Ownership{Node: former.Name, InstanceID: former.InstanceID, Token: 4, Reconciled: true}
+	nodes := map[string]membership.Node{n.self.Name: n.selfDescription()}
+	if previousOwnerGone(owner, n.selfDescription(), nil) || previousOwnerGone(owner, membership.Node{Name: "n2"}, nodes) {
+		t.Error("the owner counts as gone while its process may run")
+	}
+	if (electionInput{owner: owner, nodes: nodes}).ownershipFree() {
+		t.Error("the ownership counts as free while its process may run")
+	}
+}
