--- a/internal/cell/node/previousowner.go
+++ b/internal/cell/node/previousowner.go
@@ -6,27 +6,38 @@
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
+// previousOwnerGone reports whether no earlier owner can act on hosts any more:
+// there was none, or the previous owner had reconciled the runs of the owners
+// before it, and has released the ownership or its process was replaced.
+func previousOwnerGone(previous registry.Ownership, self membership.Node, nodes map[string]membership.Node) bool {
+	gone, _ := judgePreviousOwner(previous, self, nodes)
+	return gone
+}
+
 // describePreviousOwner returns what is known of the owner before this one, for the log.
 func describePreviousOwner(previous registry.Ownership, self membership.Node, nodes map[string]membership.Node) owner.EarlierOwner {
-	return owner.EarlierOwner{Node: previous.Node, Instance: previous.InstanceID, Evidence: previousOwnerEvidence(previous, self, nodes)}
+	_, evidence := judgePreviousOwner(previous, self, nodes)
+	return owner.EarlierOwner{Node: previous.Node, Instance: previous.InstanceID, Evidence: evidence}
 }
 
-func previousOwnerEvidence(previous registry.Ownership, self membership.Node, nodes map[string]membership.Node) string {
-	other, listed := nodes[previous.Node]
+// judgePreviousOwner returns the result of previousOwnerGone and the evidence for it.
+func judgePreviousOwner(previous registry.Ownership, self membership.Node, nodes map[string]membership.Node) (gone bool, evidence string) {
+	process, listed := nodes[previous.Node]
+	if previous.Node == self.Name {
+		process, listed = self, true
+	}
 	switch {
 	case previous.Node == "":
-		return "there was none"
+		return true, "there was none"
 	case !previous.Reconciled:
-		return "none: it did not know all runs of the owners before it"
+		return false, "none: an owner before it may still act, or has runs that it did not know"
 	case previous.Released:
-		return "it has released the ownership"
-	case previous.Node == self.Name:
-		return "this process has replaced it on its node"
-	case listed && other.InstanceID != previous.InstanceID:
-		return "replaced by instance " + other.InstanceID
+		return true, "it has released the ownership"
+	case process.HasReplaced(previous.InstanceID):
+		return true, "replaced by instance " + process.InstanceID
 	case listed:
-		return "none: its process is listed"
+		return false, "none: no process is known to have replaced it"
 	default:
-		return "none: its node is not listed"
+		return false, "none: its node is not listed"
 	}
 }
--- a/internal/cell/node/previousowner_test.go
+++ b/internal/cell/node/previousowner_test.go
@@ -11,18 +11,18 @@
 // Guards against a log that gives another reason than the decision has, or does not tell by which
 // process an earlier owner was replaced.
 func TestEvidenceOfThePreviousOwner(t *testing.T) {
-	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a2"}, "b": {Name: "b", InstanceID: "b1"}}
-	self := membership.Node{Name: "c", InstanceID: "c2"}
+	nodes := map[string]membership.Node{"a": {Name: "a", InstanceID: "a2", Replaced: []string{"a1"}}, "b": {Name: "b", InstanceID: "b1"}}
+	self := membership.Node{Name: "c", InstanceID: "c2", Replaced: []string{"c1"}}
 	for _, c := range []struct {
 		previous registry.Ownership
 		want     string
 	}{
 		{registry.Ownership{}, "there was none"},
-		{registry.Ownership{Node: "b", InstanceID: "b1", Reconciled: true}, "none: its process is listed"},
+		{registry.Ownership{Node: "b", InstanceID: "b1", Reconciled: true}, "none: no process is known to have replaced it"},
 		{registry.Ownership{Node: "a", InstanceID: "a1", Reconciled: true}, "replaced by instance a2"},
-		{registry.Ownership{Node: "a", InstanceID: "a1"}, "none: it did not know all runs of the owners before it"},
+		{registry.Ownership{Node: "a", InstanceID: "a1"}, "none: an owner before it may still act, or has runs that it did not know"},
 		{registry.Ownership{Node: "b", InstanceID: "b1", Reconciled: true, Released: true}, "it has released the ownership"},
-		{registry.Ownership{Node: "c", InstanceID: "c1", Reconciled: true}, "this process has replaced it on its node"},
+		{registry.Ownership{Node: "c", InstanceID: "c1", Reconciled: true}, "replaced by instance c2"},
 		{registry.Ownership{Node: "d", InstanceID: "d1", Reconciled: true}, "none: its node is not listed"},
 	} {
 		got := describePreviousOwner(c.previous, self, nodes)
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -6,7 +6,6 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/config"
-	"github.com/medlarpulley/medlarpulley/internal/cell/membership"
 	"github.com/medlarpulley/medlarpulley/internal/cell/owner"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
@@ -76,9 +75,11 @@
 		Desired: n.appliedDesired, Evacuated: n.evacuatedZones, EvacuationBound: config.Millis(n.settings.Bounds.EvacuationMs),
 		RequestTakeover: func() { n.requestTakeoverForZones(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
-		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.self, n.members.Nodes()) },
-		EarlierOwner:      func() owner.EarlierOwner { return describePreviousOwner(previous, n.self, n.members.Nodes()) },
-		MaxLease:          config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
+		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.selfAsReplacement(), n.members.Nodes()) },
+		EarlierOwner: func() owner.EarlierOwner {
+			return describePreviousOwner(previous, n.selfAsReplacement(), n.members.Nodes())
+		},
+		MaxLease: config.Millis(n.settings.Bounds.MaxLeaseMs), RetentionPeriod: config.Seconds(n.settings.Bounds.StatusSeconds) + retentionMargin,
 		GangTimeout: config.Millis(n.settings.Bounds.GangTimeoutMs), MaxWeight: owner.MaxWeight(n.settings.Limits.MemoryBytes()),
 		Features: features(n.settings.Scheduling), Admission: n.settings.Scheduling.Admission,
 	})
@@ -107,20 +108,6 @@
 	return schedule.Features{LearnRunTimes: s.LearnRunTimes, GangCapacity: s.GangCapacity, FairShares: s.FairShares, Admission: s.Admission}
 }
 
-// previousOwnerGone reports whether no earlier owner can act on hosts any more:
-// there was none, or the previous owner had reconciled the runs of the owners
-// before it, and has released the ownership or its process was replaced.
-func previousOwnerGone(previous registry.Ownership, self membership.Node, nodes map[string]membership.Node) bool {
-	if previous.Node == "" {
-		return true
-	}
-	if !previous.Reconciled {
-		return false // the owner before the previous one may still act on some host
-	}
-	other, ok := nodes[previous.Node]
-	return previous.Released || previous.Node == self.Name || ok && other.InstanceID != previous.InstanceID
-}
-
 // endTerm ends the term. The caller holds n.mu, and n.term is not nil.
 func (n *Node) endTerm(reason string) {
 	n.log.Info("owner: The term ends.", "token", n.term.claim.owner.Token, "reason", reason)
@@ -165,7 +152,7 @@
 	}
 	stopped := t.owner.Stop(ctx)
 	o := t.claim.owner
-	o.Released, o.Reconciled = stopped, t.owner.Reconciled()
+	o.Released, o.Reconciled = stopped, t.owner.EarlierOwnersEnded()
 	if stopped {
 		if err := t.claim.journal.Store(ctx, []platform.Record{registry.OwnershipRecord(o)}); err != nil {
 			n.log.Warn("owner: The append of the release of the ownership failed.", "error", err)
