registry: Count a submission among newest records as possibly older than a claim

What callers see: a task may run twice if its submission is stored twice, before and after an owner's claim, and the history is trimmed in between.

Cause: newest records hold only the later record of a submission. A process that reads it there for the first time took the later offset for the first one. As the new owner it started the submission at once, since submissions after its claim have no runs of earlier owners, without waiting for reports of hosts.

An entry that was first read among newest records now counts as possibly older than any offset. The owner loads it like other earlier submissions: it waits until all runs of earlier owners are known or have ended. The order of All() and the offsets are the same as before.

Found by reading. TestSubmissionAfterTheClaimStartsAtOnce passes on both: work that is read in the order of the log still starts at once.

The writer of newest_test.go also repeats submissions now. In the new property a submission is not both finished and deleted during one read of newest records, since states are kept for minutes.

--- a/internal/cell/owner/load.go
+++ b/internal/cell/owner/load.go
@@ -81,7 +81,7 @@
 }
 
 func (ow *Owner) add(e registry.Entry, now, wall time.Duration) {
-	ow.scheduler.Add(e.Submission, e.FullProgress(), e.Offset < ow.options.ClaimOffset, now, wall)
+	ow.scheduler.Add(e.Submission, e.FullProgress(), e.MayPrecede(ow.options.ClaimOffset), now, wall)
 	if e.Cancelled {
 		ow.scheduler.Cancel(e.Submission.ID, now)
 	}
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -75,8 +75,8 @@
 	// Applied returns the offset up to which this process has applied the work topic; nil if
 	// it is not known.
 	Applied func() uint64
-	// ClaimOffset is the log offset of the claim. Submissions after it have no runs
-	// of earlier owners.
+	// ClaimOffset is the log offset of the claim. Submissions that cannot precede it have no
+	// runs of earlier owners.
 	ClaimOffset uint64
 	// ClaimSent is when the claim was sent, ClaimedAt when it was known to be stored.
 	ClaimSent time.Duration
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -12,9 +12,13 @@
 	Submission *cell.Submission
 	Progress   cell.Progress
 	Cancelled  bool
-	// Offset is the log offset of the submission's record.
+	// Offset is the log offset of the submission's record, of the first one that was read if it
+	// is stored more than once.
 	Offset uint64
 
+	// mayBeRepeated is set if that record was read among newest records, which hold only the
+	// last one of each key: an earlier record of the submission may precede Offset.
+	mayBeRepeated  bool
 	progressOffset uint64
 	// submissionBytes and progressBytes are the sizes of its records. countedBytes is what
 	// storage counts for the entry, under countedTeam.
@@ -61,6 +65,9 @@
 	delete(e.parts, number)
 }
 
+// MayPrecede reports whether the submission may have been stored before an offset.
+func (e *Entry) MayPrecede(offset uint64) bool { return e.mayBeRepeated || e.Offset < offset }
+
 // copied returns a copy that shares no parts with the entry.
 func (e *Entry) copied() Entry {
 	c := *e
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/platform"
@@ -32,6 +33,11 @@
 	for i := range r.shards {
 		removed += r.shards[i].beginNewest(present, &r.storage)
 	}
+	for _, rec := range records {
+		if id, ok := strings.CutPrefix(rec.Key, prefixSubmission); ok && len(rec.Value) > 0 {
+			r.shard(id).expectNewest(id, &r.storage)
+		}
+	}
 	if removed > 0 {
 		r.log.Info("Submissions were deleted while the topic was not read; they are forgotten.", "count", removed)
 	}
@@ -55,11 +61,21 @@
 	return removed
 }
 
+// expectNewest notes that a submission which is not known yet is first read among newest records.
+func (s *shard) expectNewest(id string, counted *storage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entry(id); e.Submission == nil {
+		e.mayBeRepeated = true
+		counted.count(e)
+	}
+}
+
 // beginNewest forgets what is stored about a submission no more. It may have been deleted,
 // and submitted again under its ID.
 func (e *Entry) beginNewest(id string, present map[string]bool) {
 	if !present[prefixSubmission+id] {
-		e.Submission, e.Offset = nil, 0
+		e.Submission, e.Offset, e.mayBeRepeated = nil, 0, false
 	}
 	if !present[prefixProgress+id] {
 		e.Progress = cell.Progress{}
--- a/internal/cell/registry/newest_test.go
+++ b/internal/cell/registry/newest_test.go
@@ -24,6 +24,10 @@
 	state map[string]cell.State
 	parts map[string]cell.BitSet
 	lives map[string]int
+	// retained holds, unless it is nil, the submissions that have finished since the last read of
+	// newest records began. They are not deleted before the next one: states are kept for
+	// minutes.
+	retained map[string]bool
 }
 
 func (l *topic) append(records ...platform.Record) {
@@ -33,22 +37,30 @@
 	}
 }
 
+// submission returns the record of the last submission under an ID.
+func (l *topic) submission(id string) platform.Record {
+	return SubmissionRecord(&cell.Submission{ID: id, Spec: fmt.Sprint(l.lives[id]), Team: "t", Queue: cell.Queue{Name: "q"}, Steps: []cell.Step{{Count: 40}}})
+}
+
 // write appends what a writer may store next.
 func (l *topic) write() {
 	id := fmt.Sprintf("job%d", rapid.IntRange(0, 3).Draw(l.t, "id"))
 	state, known := l.state[id]
-	switch what := rapid.IntRange(0, 5).Draw(l.t, "write"); {
+	switch what := rapid.IntRange(0, 6).Draw(l.t, "write"); {
 	case !known:
 		l.lives[id]++
 		l.state[id] = cell.Queued
-		l.append(SubmissionRecord(&cell.Submission{ID: id, Spec: fmt.Sprint(l.lives[id]), Team: "t", Queue: cell.Queue{Name: "q"}, Steps: []cell.Step{{Count: 40}}}))
-	case state.Final() && what < 3:
+		l.append(l.submission(id))
+	case state.Final() && what < 3 && !l.retained[id]:
 		l.append(SubmissionDeletionRecords(id, l.parts[id])...)
 		delete(l.state, id)
 		delete(l.parts, id)
 	case state.Final():
 	case what == 0:
 		l.state[id] = cell.Completed
+		if l.retained != nil {
+			l.retained[id] = true
+		}
 		l.append(ProgressRecord(id, cell.Progress{State: cell.Completed, StoredParts: l.parts[id]}), SubmissionRecord(&cell.Submission{ID: id, Team: "t", Finished: true}))
 	case what == 1:
 		l.append(CancelRecord(id))
@@ -63,6 +75,8 @@
 		l.append(HostRecord(Host{Spec: cell.Host{ID: id}}))
 	case what == 4:
 		l.append(HostDeletionRecord(id))
+	case what == 5:
+		l.append(l.submission(id)) // a retry of the caller at another node
 	default:
 		l.append(OwnershipRecord(Ownership{Node: id, InstanceID: "b", Token: int64(len(l.records) + 1)}))
 	}
@@ -72,6 +86,7 @@
 // write, and the end of the topic at the first part.
 func (l *topic) newest() (records []platform.Record, end int) {
 	end = len(l.records)
+	clear(l.retained)
 	for after := ""; ; {
 		byKey := make(map[string]platform.Record)
 		for _, r := range l.records {
