registry: Pass on no submission before its place in the log is read

What callers see: a task may run twice while the owner changes and a node reads newest records.

Cause: newest records are read in parts, in the order of keys; the ownership comes before the submissions. A successor may claim between the two, and a submission may be stored behind its claim. The former owner, or one that begins its term with this page, then learned of the submission before it had read of the successor, and could start it for as long as its authority lasted (4 s).

A newest record of a submission from the offset on from which the topic is read on now counts for callers only. It is passed to the owner, and returned by All(), once a record of the submission is read again in its order, which is after any earlier claim. It still counts as possibly older than a claim. ApplyNewest tells the registry which records these are.

Found by reading. Tests of newest records call ApplyNewest in place of Apply, as the node does; their checks are the same.

--- a/internal/cell/node/newest_work_test.go
+++ b/internal/cell/node/newest_work_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -68,6 +69,46 @@
 	}
 }
 
+// Guards against a task that runs twice: the newest records are read in parts, and the record
+// of the ownership before a successor's claim is stored. The owner learned of a submission that
+// was stored after that claim, and read with a later part, before it learned of the claim.
+func TestOwnerLearnsOfNoSubmissionAheadOfAClaim(t *testing.T) {
+	const id = "5c0e7a21d94b36f8"
+	submitted := recordAt(9, registry.SubmissionRecord(oneTask(id)))
+	next := recordAt(8, registry.OwnershipRecord(registry.Ownership{Node: "n2", InstanceID: "b", Token: 3, FirstSequence: 9}))
+	for _, c := range []struct {
+		name    string
+		follows []platform.Record // what is read in order after the newest records
+		learned submittedIDs
+	}{
+		{"a successor has claimed", []platform.Record{next, submitted}, nil},
+		{"no successor has claimed", []platform.Record{submitted}, submittedIDs{id}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newUnconnectedNode(t)
+			defer endTermOf(n)
+			own := recordAt(1, registry.OwnershipRecord(claimAs(n, 2)))
+			n.applyWork(worklog.Page{Records: []platform.Record{own}})
+			if n.owner() == nil {
+				t.Fatal("the claim began no term")
+			}
+			var learned submittedIDs
+			n.registry.SetListener(&learned)
+			n.applyWork(worklog.Page{NewestOnly: true, End: 5, Records: []platform.Record{own, submitted}})
+			if len(learned) > 0 || len(n.registry.All()) > 0 {
+				t.Errorf("the owner learned of %v, and would load %d submissions, before all earlier records were read", learned, len(n.registry.All()))
+			}
+			if _, found := n.Find(id); !found {
+				t.Error("callers do not find the submission")
+			}
+			n.applyWork(worklog.Page{Records: c.follows})
+			if !slices.Equal(learned, c.learned) {
+				t.Errorf("the owner learned of %v, want %v", learned, c.learned)
+			}
+		})
+	}
+}
+
 // Guards against a task that runs twice: a claim is read among the newest records, of which
 // those of hosts were read before the former owner had opened another host and then was
 // fenced. The successor took that host for one without runs.
--- a/internal/cell/owner/repeated_submission_test.go
+++ b/internal/cell/owner/repeated_submission_test.go
@@ -52,7 +52,7 @@
 	newest := h.records()
 	h.log.BeginNewest(newest)
 	for _, r := range newest {
-		h.log.Apply(r)
+		h.log.ApplyNewest(r, repeatedClaimOffset+2)
 	}
 	h.begin()
 	if got := h.decideOnce(); len(got) > 0 {
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -18,7 +18,10 @@
 
 	// mayBeRepeated is set if that record was read among newest records, which hold only the
 	// last one of each key: an earlier record of the submission may precede Offset.
-	mayBeRepeated  bool
+	mayBeRepeated bool
+	// ahead is set if records before Offset have not been read yet, the claim of another owner
+	// perhaps: the record was read ahead of its place in the log.
+	ahead          bool
 	progressOffset uint64
 	// submissionBytes and progressBytes are the sizes of its records. countedBytes is what
 	// storage counts for the entry, under countedTeam.
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -2,13 +2,33 @@
 
 import (
 	"maps"
-	"strings"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-// BeginNewest prepares the registry for the newest record of each key, which Apply applies
+// readOrder is how a record was read.
+type readOrder uint8
+
+const (
+	// inOrder is set if all records before it have been applied.
+	inOrder readOrder = iota
+	// amongNewest is set for a newest record before the end from which the topic is read on.
+	amongNewest
+	// ahead is set for a newest record from that end on. It is read again in its order.
+	ahead
+)
+
+// ApplyNewest applies a newest record after BeginNewest. The topic is read on from end.
+func (r *Registry) ApplyNewest(rec platform.Record, end uint64) {
+	order := amongNewest
+	if rec.Offset >= end {
+		order = ahead
+	}
+	r.apply(rec, order)
+}
+
+// BeginNewest prepares the registry for the newest record of each key, which ApplyNewest applies
 // after it in any order: it forgets what has no record any more, since that was deleted while
 // the topic was not read. The records have to be read later than everything that was applied
 // before. A key that was stored while they were read may be missing from them; the registry
@@ -33,11 +53,6 @@
 	for i := range r.shards {
 		removed += r.shards[i].beginNewest(present, &r.storage)
 	}
-	for _, rec := range records {
-		if id, ok := strings.CutPrefix(rec.Key, prefixSubmission); ok && len(rec.Value) > 0 {
-			r.shard(id).expectNewest(id, &r.storage)
-		}
-	}
 	if removed > 0 {
 		r.log.Info("Submissions were deleted while the topic was not read; they are forgotten.", "count", removed)
 	}
@@ -61,21 +76,11 @@
 	return removed
 }
 
-// expectNewest notes that a submission which is not known yet is first read among newest records.
-func (s *shard) expectNewest(id string, counted *storage) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e := s.entry(id); e.Submission == nil {
-		e.mayBeRepeated = true
-		counted.count(e)
-	}
-}
-
 // beginNewest forgets what is stored about a submission no more. It may have been deleted,
 // and submitted again under its ID.
 func (e *Entry) beginNewest(id string, present map[string]bool) {
 	if !present[prefixSubmission+id] {
-		e.Submission, e.Offset, e.mayBeRepeated = nil, 0, false
+		e.Submission, e.Offset = nil, 0
 	}
 	if !present[prefixProgress+id] {
 		e.Progress = cell.Progress{}
--- a/internal/cell/registry/newest_test.go
+++ b/internal/cell/registry/newest_test.go
@@ -143,7 +143,7 @@
 				records, next = l.newest()
 				reader.BeginNewest(records)
 				for _, r := range records {
-					reader.Apply(r)
+					reader.ApplyNewest(r, uint64(next))
 				}
 			case 1:
 				to := rapid.IntRange(next, len(l.records)).Draw(t, "to")
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -18,7 +18,7 @@
 
 // Listener is notified of changes in the order of the log.
 type Listener interface {
-	// Submitted is called once for each submission.
+	// Submitted is called once for each submission, when its place in the log has been read.
 	Submitted(e Entry)
 	// CancelRequested is called for each record of a cancellation.
 	CancelRequested(id string)
@@ -74,8 +74,10 @@
 	r.listener = l
 }
 
-// Apply applies one record.
-func (r *Registry) Apply(rec platform.Record) {
+// Apply applies one record in the order of the log.
+func (r *Registry) Apply(rec platform.Record) { r.apply(rec, inOrder) }
+
+func (r *Registry) apply(rec platform.Record, order readOrder) {
 	defer r.setApplied(rec.Offset + 1)
 	var err error
 	switch key := rec.Key; {
@@ -84,7 +86,7 @@
 	case strings.HasPrefix(key, prefixHost):
 		err = r.applyHost(key[len(prefixHost):], rec)
 	case strings.HasPrefix(key, prefixSubmission):
-		err = r.applySubmission(key[len(prefixSubmission):], rec)
+		err = r.applySubmission(key[len(prefixSubmission):], rec, order)
 	case strings.HasPrefix(key, prefixProgress):
 		err = r.applyProgressKey(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
@@ -151,7 +153,7 @@
 	return nil
 }
 
-func (r *Registry) applySubmission(id string, rec platform.Record) error {
+func (r *Registry) applySubmission(id string, rec platform.Record, order readOrder) error {
 	s := r.shard(id)
 	if len(rec.Value) == 0 {
 		s.mu.Lock()
@@ -166,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	copied, added := s.accept(id, sub, rec, &r.storage)
+	copied, added := s.accept(id, sub, rec, order, &r.storage)
 	if l := r.currentListener(); l != nil && added {
 		l.Submitted(copied)
 	}
@@ -174,21 +176,25 @@
 }
 
 // accept adds a submission and returns a copy of its entry. A repeated submission counts
-// once.
-func (s *shard) accept(id string, sub *cell.Submission, rec platform.Record, counted *storage) (copied Entry, added bool) {
+// once. added is set once its place in the log has been read.
+func (s *shard) accept(id string, sub *cell.Submission, rec platform.Record, order readOrder, counted *storage) (copied Entry, added bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry(id)
 	defer counted.count(e)
 	switch {
+	case e.Submission == nil:
+		e.Submission, e.submissionBytes, e.Offset = sub, len(rec.Value), rec.Offset
+		e.mayBeRepeated, e.ahead = order != inOrder, true
 	case e.replaced:
-		e.Submission, e.submissionBytes, e.replaced = sub, len(rec.Value), false
-		return e.copied(), false
-	case e.Submission != nil:
-		return e.copied(), false
+		e.Submission, e.submissionBytes = sub, len(rec.Value)
+	}
+	e.replaced = false
+	if e.ahead && order != ahead {
+		e.ahead, added = false, true
+		e.Offset = min(e.Offset, rec.Offset)
 	}
-	e.Submission, e.submissionBytes, e.Offset = sub, len(rec.Value), rec.Offset
-	return e.copied(), true
+	return e.copied(), added
 }
 
 func (r *Registry) applyCancel(id string, rec platform.Record) error {
@@ -250,14 +256,15 @@
 	return c, true
 }
 
-// All returns a copy of every entry, in the order in which submissions were accepted.
+// All returns a copy of every entry, in the order in which submissions were accepted, without
+// those that were read ahead of their place in the log.
 func (r *Registry) All() []Entry {
 	var all []Entry
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.RLock()
 		for _, e := range s.entries {
-			if e.Submission != nil {
+			if e.Submission != nil && !e.ahead {
 				all = append(all, e.copied())
 			}
 		}
--- a/internal/cell/registry/registry_test.go
+++ b/internal/cell/registry/registry_test.go
@@ -68,7 +68,7 @@
 		}
 		again := rapid.IntRange(0, n).Draw(t, "read again from")
 		for _, key := range rapid.Permutation(sortedKeys(newest)).Draw(t, "order") {
-			fromNewest.Apply(newest[key])
+			fromNewest.ApplyNewest(newest[key], uint64(again))
 		}
 		for _, r := range records[again:] {
 			fromNewest.Apply(r)
