--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -7,7 +7,28 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
-// BeginNewest prepares the registry for the newest record of each key, which Apply applies
+// readOrder is how a record was read.
+type readOrder uint8
+
+const (
+	// inOrder is set if all records before it have been applied.
+	inOrder readOrder = iota
+	// amongNewest is set for a newest record before the end from which the topic is read on.
+	amongNewest
+	// ahead is set for a newest record from that end on. It is read again in its order.
+	ahead
+)
+
+// ApplyNewest applies a newest record after BeginNewest. The topic is read on from end.
+func (r *Registry) ApplyNewest(rec platform.Record, end uint64) {
+	order := amongNewest
+	if rec.Offset >= end {
+		order = ahead
+	}
+	r.apply(rec, order)
+}
+
+// BeginNewest prepares the registry for the newest record of each key, which ApplyNewest applies
 // after it in any order: it forgets what has no record any more, since that was deleted while
 // the topic was not read. The records have to be read later than everything that was applied
 // before. A key that was stored while they were read may be missing from them; the registry
