--- a/internal/cell/schedule/repeatedrun.go
+++ b/internal/cell/schedule/repeatedrun.go
@@ -49,8 +49,8 @@
 	Host string
 	// State is what the owner knew of the run before.
 	State string
-	// Own is set for a run that this owner has ordered.
-	Own bool
+	// Earlier is set for a run that an earlier owner has ordered.
+	Earlier bool
 	// Gone is why the run had been taken as gone, GoneAgo for how long. For a run of an earlier
 	// owner that was never known it is why its host was taken to have no more of them.
 	Gone    GoneReason
@@ -76,16 +76,16 @@
 
 // attachedRun returns what is known of a run that is attached.
 func (s *Scheduler) attachedRun(a *taskRun) RunFacts {
-	return RunFacts{Run: a.run, Host: a.host.spec.ID, State: phaseNames[a.phase], Own: a.run > s.options.RunNumberBase}
+	return RunFacts{Run: a.run, Host: a.host.spec.ID, State: phaseNames[a.phase], Earlier: a.run <= s.options.RunNumberBase}
 }
 
 // reportedRun returns what was known of a run that a host reports and that is not attached.
 func (s *Scheduler) reportedRun(h *host, key runKey) RunFacts {
-	f := RunFacts{Run: key.run, Host: h.spec.ID, State: unknownRunState, Own: key.run > s.options.RunNumberBase}
+	f := RunFacts{Run: key.run, Host: h.spec.ID, State: unknownRunState, Earlier: key.run <= s.options.RunNumberBase}
 	g, ok := s.history.givenUp.get(hostRun{key, h.spec.ID})
 	if ok {
 		f.State = "gone"
-	} else if !f.Own {
+	} else if f.Earlier {
 		g = h.earlierRunsGone
 	}
 	if g.reason != NotGone {
@@ -98,7 +98,7 @@
 func (s *Scheduler) doneBy(id cell.TaskID) (f RunFacts, ok bool) {
 	d, ok := s.history.done.get(id)
 	if ok {
-		f = RunFacts{Run: d.run, Host: d.host, State: "done", Own: d.run > s.options.RunNumberBase}
+		f = RunFacts{Run: d.run, Host: d.host, State: "done", Earlier: d.run <= s.options.RunNumberBase}
 	}
 	return f, ok
 }
@@ -111,11 +111,12 @@
 	}
 	run := s.reportedRun(h, key)
 	done, known := s.doneBy(key.task)
+	other := t.otherRun(key.run)
 	switch {
 	case known && done.Run != key.run, t != nil && t.done && !known && !t.group.step.Gang:
 		s.reportRepetition(PresentAfterDone, key.task, t, run, done)
-	case t != nil && len(t.runs) > 0:
-		s.reportRepetition(TwoPresent, key.task, t, run, s.attachedRun(t.runs[0]))
+	case other != nil:
+		s.reportRepetition(TwoPresent, key.task, t, run, s.attachedRun(other))
 	case run.State == "gone":
 		s.reportRepetition(GivenUpPresent, key.task, t, run, RunFacts{})
 	}
@@ -145,18 +146,22 @@
 }
 
 // otherRun returns an attached run of the task that has another number; nil if there is none.
+// One that only the record of a closed host names is left out: no host has reported it.
 func (t *task) otherRun(run int64) *taskRun {
 	if t == nil {
 		return nil
 	}
 	for _, a := range t.runs {
-		if a.run != run {
+		if a.run != run && !a.isAssumed() {
 			return a
 		}
 	}
 	return nil
 }
 
+// isAssumed reports whether only the record of an earlier owner names the run.
+func (a *taskRun) isAssumed() bool { return a.adopted && a.acceptedAt == 0 }
+
 // reportRepetition passes a repetition to the log, once for each run on a host.
 func (s *Scheduler) reportRepetition(kind Repetition, id cell.TaskID, t *task, run, other RunFacts) {
 	key := hostRun{runKey{id, run.Run}, run.Host}
