owner: Measure late start orders from the reading that granted the lease

The check of the authority, the lease and the start of the measured time are one reading of the clock now. The separate reading made one case of TestPauseExtendsNoLeaseBeyondTheAuthority pause before the check, where no order is sent.

--- a/internal/cell/owner/delaylog.go
+++ b/internal/cell/owner/delaylog.go
@@ -62,15 +62,15 @@
 	})
 }
 
-// startSent reports a start order that is sent a time after the check of the authority; lockWait is
-// the part of it until the lock was had and the lease was computed.
-func (d *delayLog) startSent(lockWait, sinceCheck time.Duration) {
+// startSent reports a start order that is sent a time after the check of the authority, at which
+// its lease was computed.
+func (d *delayLog) startSent(sinceCheck time.Duration) {
 	if sinceCheck < lateStartThreshold {
 		return
 	}
 	d.startsDelayed.Inc(1)
 	d.lateStarts.Do(func() {
-		d.log.Warn("A start order is sent late after the check of the authority.", "after", sinceCheck, "lock_wait", lockWait)
+		d.log.Warn("A start order is sent late after the check of the authority.", "after", sinceCheck)
 	})
 }
 
--- a/internal/cell/owner/leasecalls.go
+++ b/internal/cell/owner/leasecalls.go
@@ -20,6 +20,8 @@
 	token int64
 	// leaseEnd is the end of the lease that it carries, on the clock of that lifetime.
 	leaseEnd time.Duration
+	// grantedAt is when the lease was computed; it is set for a start order.
+	grantedAt time.Duration
 	// endedAt is when the call ended, zero while it is in flight; answered is set if the
 	// host answered.
 	endedAt  time.Duration
@@ -39,7 +41,7 @@
 
 // add adds an order that is about to be sent. The caller holds the owner's lock.
 func (s *leaseCalls) add(life *lifetime, run schedule.Run, now time.Duration) *leaseCall {
-	return s.addCall(&leaseCall{life: life, run: run, token: s.fence.token, leaseEnd: life.lease.grant(now)})
+	return s.addCall(&leaseCall{life: life, run: run, token: s.fence.token, leaseEnd: life.lease.grant(now), grantedAt: now})
 }
 
 func (s *leaseCalls) addCall(o *leaseCall) *leaseCall {
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -42,13 +42,11 @@
 	refused := func(why schedule.Refusal) {
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Refused(s.Host, s.Task, s.Run, why, now) })
 	}
-	checkedAt := ow.options.Clock.Now()
 	if h == nil {
 		refused(schedule.RefusedOther)
 		return
 	}
 	target, sent := ow.startTarget(h, s)
-	lockWait := ow.options.Clock.Now() - checkedAt
 	if sent == nil {
 		refused(schedule.RefusedOther)
 		return
@@ -65,7 +63,7 @@
 		refused(schedule.RefusedOther)
 		return
 	}
-	ow.delays.startSent(lockWait, ow.options.Clock.Now()-checkedAt)
+	ow.delays.startSent(ow.options.Clock.Now() - sent.grantedAt)
 	clockMs, why, err := ow.options.HostClient.Start(callCtx, &target, order)
 	ow.recordStartCall(h, sent, clockMs, why, err)
 	log := ow.options.Log.With("id", s.Task.Submission, "task", s.Task.String(), "run", s.Run, "host", s.Host)
