owner: Send no start order while a cancellation may be unread

Cause: a start order was checked for authority and for evacuations, and for whether its run still awaits its start by the scheduler's state. Nothing bounded the age of that state: the read of the work topic may be old, what was read is applied only by the next decision, and the order may wait between the check and the call.

An owner now notes at each decision up to when the work topic had been read before the events were applied. An order takes that time along with the check that it is still due, and is not sent if it is older than cancel_ms less 1 s (the time-out of an order, and 300 ms for a pause), or than half of cancel_ms if that is more. The task waits for the next decision, like one whose zone is evacuated. While the read is too old, no starts are planned.

--- a/internal/cell/config/check.go
+++ b/internal/cell/config/check.go
@@ -48,6 +48,7 @@
 	c.number("bounds.revoke_ms", float64(s.Bounds.RevokeMs), maxBound)
 	c.number("bounds.config_apply_ms", float64(s.Bounds.ConfigApplyMs), maxBound)
 	c.optional("bounds.evacuation_ms", s.Bounds.EvacuationMs, 1, maxBound)
+	c.optional("bounds.cancel_ms", s.Bounds.CancelMs, 1, maxBound)
 	c.number("bounds.grace_seconds", s.Bounds.GraceSeconds, maxBound)
 	c.number("bounds.status_seconds", s.Bounds.StatusSeconds, maxBound)
 	c.number("limits.memory_mib", float64(s.Limits.MemoryMiB), maxBound)
--- a/internal/cell/config/config.go
+++ b/internal/cell/config/config.go
@@ -57,7 +57,10 @@
 	ConfigApplyMs int64 `toml:"config_apply_ms"`
 	// EvacuationMs is the time within which the evacuation of an availability zone has to be
 	// in effect; zero for no bound.
-	EvacuationMs  int64   `toml:"evacuation_ms"`
+	EvacuationMs int64 `toml:"evacuation_ms"`
+	// CancelMs is the time after the acknowledgement of a cancellation from which nothing of
+	// the submission may start; zero for no bound.
+	CancelMs      int64   `toml:"cancel_ms"`
 	GraceSeconds  float64 `toml:"grace_seconds"`
 	StatusSeconds float64 `toml:"status_seconds"`
 }
--- a/internal/cell/config/config_test.go
+++ b/internal/cell/config/config_test.go
@@ -24,6 +24,7 @@
 		"too large a number": {"[platform]", "[bounds]\nmax_lease_ms = 9223372036854775808\n[platform]", "max_lease_ms"},
 		"negative bound":     {"[platform]", "[bounds]\nevacuation_ms = -1\n[platform]", "bounds.evacuation_ms"},
 		"too long a bound":   {"[platform]", "[bounds]\nevacuation_ms = 1000000001\n[platform]", "bounds.evacuation_ms"},
+		"negative cancels":   {"[platform]", "[bounds]\ncancel_ms = -1\n[platform]", "bounds.cancel_ms"},
 		"infinite grace":     {"[platform]", "[bounds]\ngrace_seconds = inf\n[platform]", "bounds.grace_seconds"},
 		"no number":          {"[platform]", "[bounds]\nstatus_seconds = nan\n[platform]", "bounds.status_seconds"},
 		"negative time":      {"[platform]", "[bounds]\nstatus_seconds = -1.0\n[platform]", "bounds.status_seconds"},
--- a/internal/cell/owner/evacuation.go
+++ b/internal/cell/owner/evacuation.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// evacuationMargin is how long before Options.EvacuationBound a read of the evacuated
-	// zones is too old for a start order to be sent, or half of the bound if that is less.
-	// An order is in flight for up to orderTimeout; the rest allows for a process that is
-	// paused between the check and the call.
-	evacuationMargin = orderTimeout + 300*time.Millisecond
+	// readAgeMargin is how long before Options.EvacuationBound a read of the evacuated zones
+	// is too old for a start order to be sent, or half of the bound if that is less, and
+	// likewise for Options.CancelBound. An order is in flight for up to orderTimeout; the rest
+	// allows for a process that is paused between the check and the call.
+	readAgeMargin = orderTimeout + 300*time.Millisecond
 	// heldStartsTimeout is how long starts are held until other nodes are asked to take
 	// over, and the time between two such requests.
 	heldStartsTimeout = time.Second
@@ -40,9 +40,11 @@
 
 // MaxEvacuationAge returns how old the last read of the evacuated zones may be when a start
 // order is sent, given the time within which an evacuation has to be in effect.
-func MaxEvacuationAge(bound time.Duration) time.Duration {
-	return max(bound-evacuationMargin, bound/2)
-}
+func MaxEvacuationAge(bound time.Duration) time.Duration { return maxReadAge(bound) }
+
+// maxReadAge returns how old a read may be when a start order is sent, given the time within
+// which what the read shows has to be in effect.
+func maxReadAge(bound time.Duration) time.Duration { return max(bound-readAgeMargin, bound/2) }
 
 // ZonesProven reports whether a read of the evacuated zones, as of a time, is recent enough for
 // start orders to be sent. read is false if there was none; a bound of zero requires no read.
@@ -61,12 +63,15 @@
 }
 
 // startTimeout returns the time-out of a start order. It is shorter than orderTimeout only
-// if the time within which an evacuation has to be in effect is.
+// if the time within which an evacuation or a cancellation has to be in effect is.
 func (ow *Owner) startTimeout() time.Duration {
-	if bound := ow.options.EvacuationBound; bound > 0 {
-		return min(orderTimeout, bound-MaxEvacuationAge(bound))
+	timeout := orderTimeout
+	for _, bound := range []time.Duration{ow.options.EvacuationBound, ow.options.CancelBound} {
+		if bound > 0 {
+			timeout = min(timeout, bound-maxReadAge(bound))
+		}
 	}
-	return orderTimeout
+	return timeout
 }
 
 // mayStartIn reports whether a start order may be sent to a host of a zone now. It is
@@ -87,11 +92,11 @@
 	return false
 }
 
-// updateEvacuations passes the evacuated zones to the scheduler. The caller holds ow.mu.
-func (ow *Owner) updateEvacuations() {
+// updateEvacuations passes the evacuated zones to the scheduler, and reports whether the read
+// of them is recent enough for starts to be planned. The caller holds ow.mu.
+func (ow *Owner) updateEvacuations() (proven bool) {
 	zones, proven := ow.evacuated()
 	ow.scheduler.SetEvacuated(zones)
-	ow.scheduler.HoldStarts(!proven)
 	ow.announce(zones)
 	now := ow.options.Clock.Now()
 	e := &ow.evacuations
@@ -106,7 +111,7 @@
 		e.requestedAt = now
 		ow.runGuarded(ow.options.RequestTakeover) // it must not be called under the lock
 	}
-	ow.metrics.setHeld(!proven)
+	return proven
 }
 
 // announce logs the evacuations that have begun or ended since the last call. It waits
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -8,8 +8,9 @@
 
 // Reasons why a start order is withheld.
 const (
-	withheldEvacuated = "zone_evacuated"
-	withheldUnproven  = "zones_unproven"
+	withheldEvacuated     = "zone_evacuated"
+	withheldUnproven      = "zones_unproven"
+	withheldCancellations = "cancellations_unread"
 )
 
 // metrics counts the orders of the owner and their results, and shows what its bounds hold.
@@ -24,9 +25,11 @@
 	// heldWeight is how much work the scheduler holds, deferred the number of submissions
 	// that wait until it may hold theirs, and startsWaiting that of starts to be sent.
 	heldWeight, deferred, startsWaiting tally.Gauge
-	// startsHeld is 1 while no starts are planned since the evacuated zones are not known.
+	// startsHeld is 1 while no starts are planned since the evacuated zones or
+	// the cancellations are not known.
 	startsHeld tally.Gauge
-	// withheld counts the start orders that were not sent for an evacuation, by reason.
+	// withheld counts the start orders that were not sent for an evacuation, or for a
+	// cancellation that may be unread, by reason.
 	withheld map[string]tally.Counter
 	runTimes runTimeGauges
 	load     loadMetrics
@@ -53,7 +56,7 @@
 	for r := range schedulerRefusals {
 		m.refused[r.String()] = s.Tagged(map[string]string{"reason": r.String()}).Counter("starts_refused")
 	}
-	for _, r := range []string{withheldEvacuated, withheldUnproven} {
+	for _, r := range []string{withheldEvacuated, withheldUnproven, withheldCancellations} {
 		m.withheld[r] = s.Tagged(map[string]string{"reason": r}).Counter("starts_withheld")
 	}
 	return m
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -60,6 +60,12 @@
 	// EvacuationBound is the time within which an evacuation has to be in effect; zero for
 	// no bound.
 	EvacuationBound time.Duration
+	// WorkAsOf returns a time such that every record of the work topic stored before it has
+	// been applied; ok is false before the first read. It is nil if CancelBound is zero.
+	WorkAsOf func() (asOf time.Duration, ok bool)
+	// CancelBound is the time after the acknowledgement of a cancellation from which nothing
+	// of the submission may start; zero for no bound.
+	CancelBound time.Duration
 	// RequestTakeover asks the other nodes to take over, since this one cannot read the
 	// evacuated zones; nil for nothing.
 	RequestTakeover func()
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -42,7 +42,8 @@
 	refused := func(why schedule.Refusal) {
 		ow.withScheduler(func(c *schedule.Scheduler, now time.Duration) { c.Refused(s.Host, s.Task, s.Run, why, now) })
 	}
-	if h == nil || !ow.authority.valid() || !ow.awaitsStart(s) {
+	known, awaits := ow.awaitsStart(s)
+	if h == nil || !ow.authority.valid() || !awaits {
 		refused(schedule.RefusedOther)
 		return
 	}
@@ -58,7 +59,7 @@
 	// The time-out begins before the check, so that it also bounds a pause between the two.
 	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
 	defer cancel()
-	if !ow.mayStartIn(target.Zone) {
+	if !ow.mayStartIn(target.Zone) || !ow.mayStartAsOf(known) {
 		h.calls.remove(sent)
 		refused(schedule.RefusedOther)
 		return
@@ -106,11 +107,12 @@
 	}
 }
 
-// awaitsStart reports whether a start order that may have waited is still to be sent.
-func (ow *Owner) awaitsStart(s schedule.Start) bool {
+// awaitsStart reports whether a start order that may have waited is still to be sent, and which
+// cancellations are known of when it is.
+func (ow *Owner) awaitsStart(s schedule.Start) (known cancellationsRead, awaits bool) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	return ow.scheduler.AwaitsStart(s)
+	return ow.cancellations.cancellationsRead, ow.scheduler.AwaitsStart(s)
 }
 
 // schedulerRefusals maps the refusals of hosts to those of the scheduler.
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -61,7 +61,8 @@
 	removedHosts []string
 
 	// evacuations is guarded by mu but for its limit of log lines.
-	evacuations evacuations
+	evacuations   evacuations
+	cancellations cancellations
 	// advice are the advice calls in flight.
 	advice adviceCalls
 
@@ -105,7 +106,7 @@
 	ow := &Owner{
 		options: o, authority: authority{clock: o.Clock}, wake: make(chan struct{}, 1), heartbeatSlot: make(chan struct{}, 1), starts: newStartQueue(), stops: newStopQueue(),
 		scheduler: newScheduler(o), hosts: make(map[string]*hostPoller), callsToHosts: make(map[string]*leaseCalls), retained: make(map[string]finishedSubmission), finished: make(map[string]bool),
-		advice: make(adviceCalls), evacuations: newEvacuations(), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
+		advice: make(adviceCalls), evacuations: newEvacuations(), cancellations: newCancellations(), loaded: make(chan struct{}), ownershipLost: make(chan struct{}),
 	}
 	ow.storeRounds.init()
 	ow.metrics = newMetrics(o.Metrics)
@@ -225,7 +226,9 @@
 		return nil, nil, 0
 	}
 	ow.updateDesired()
-	ow.updateEvacuations()
+	zonesProven, cancellationsRecent := ow.updateEvacuations(), ow.updateCancellations()
+	ow.scheduler.HoldStarts(!zonesProven || !cancellationsRecent)
+	ow.metrics.setHeld(!zonesProven || !cancellationsRecent)
 	if ow.options.Applied != nil {
 		ow.applied = ow.options.Applied() // before the events of these records
 	}
