--- a/internal/cell/owner/gonehost_test.go
+++ b/internal/cell/owner/gonehost_test.go
@@ -33,7 +33,7 @@
 		t.Fatal("the start is not awaited")
 	}
 	h.scheduler.MarkAllRunsGone("h", h.clock.now)
-	if _, sent := h.startTarget(p, s); sent != nil || len(p.calls.list) > 0 {
+	if _, sent, _ := h.startTarget(p, s); sent != nil || len(p.calls.list) > 0 {
 		t.Errorf("a lease is granted to a run that was given up: %+v, calls that may be carried out: %d", sent, len(p.calls.list))
 	}
 }
--- a/internal/cell/owner/hostaddress.go
+++ b/internal/cell/owner/hostaddress.go
@@ -37,17 +37,18 @@
 	return token >= h.calls.fence.token
 }
 
-// startTarget returns the host with the address for orders, and a start order whose lease
-// is on the clock of the lifetime that answered last. It is nil if none has, if the owner may
-// not act, or if the run was given up while its order waited.
-func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *leaseCall) {
+// startTarget returns the host with the address for orders, a start order whose lease is on the
+// clock of the lifetime that answered last, and which cancellations are known of. The order is nil
+// if no lifetime has answered, if the owner may not act, or if the run was given up while its
+// order waited.
+func (ow *Owner) startTarget(h *hostPoller, s schedule.Start) (cell.Host, *leaseCall, cancellationsRead) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	now := ow.options.Clock.Now()
 	if h.life == nil || !ow.authority.validAt(now) || !ow.scheduler.AwaitsStart(s) {
-		return cell.Host{}, nil
+		return cell.Host{}, nil, cancellationsRead{}
 	}
-	return h.spec(), h.calls.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, now)
+	return h.spec(), h.calls.add(h.life, schedule.Run{Task: s.Task, Run: s.Run}, now), ow.cancellations.cancellationsRead
 }
 
 // spec returns the listed host with the address at which it answered last. The caller
--- a/internal/cell/owner/lease_authority_test.go
+++ b/internal/cell/owner/lease_authority_test.go
@@ -89,7 +89,7 @@
 	s := h.planStart("job")
 	h.clock.now += AuthorityDuration
 	p := h.poller("h")
-	if _, sent := h.startTarget(p, s); sent != nil || len(p.calls.list) > 0 {
+	if _, sent, _ := h.startTarget(p, s); sent != nil || len(p.calls.list) > 0 {
 		t.Errorf("a lease is granted without authority: %+v, calls that may be carried out: %d", sent, len(p.calls.list))
 	}
 }
--- a/internal/cell/owner/orders.go
+++ b/internal/cell/owner/orders.go
@@ -46,7 +46,7 @@
 		refused(schedule.RefusedOther)
 		return
 	}
-	target, sent := ow.startTarget(h, s)
+	target, sent, known := ow.startTarget(h, s)
 	if sent == nil {
 		refused(schedule.RefusedOther)
 		return
@@ -58,7 +58,7 @@
 	// The time-out begins before the check, so that it also bounds a pause between the two.
 	callCtx, cancel := context.WithTimeout(ctx, ow.startTimeout())
 	defer cancel()
-	if !ow.mayStartIn(target.Zone) {
+	if !ow.mayStartIn(target.Zone) || !ow.mayStartAsOf(known) {
 		h.calls.remove(sent)
 		refused(schedule.RefusedOther)
 		return
