owner: Add no host once the term has ended

The goroutine that reads the host list may pass a list on while Run waits for the goroutines of the owner. SetHosts then started poll loops, which made sync.WaitGroup panic ("reused before previous Wait has returned") and ended the process. The interleaving test met it with a process that stood still before it passed on its first list.

--- a/internal/cell/owner/hosts.go
+++ b/internal/cell/owner/hosts.go
@@ -18,7 +18,7 @@
 func (ow *Owner) SetHosts(ctx context.Context, stored map[string]registry.Host, listed []cell.Host) {
 	ow.mu.Lock()
 	defer ow.unlock()
-	if ow.broken {
+	if ow.broken || ow.ended {
 		return
 	}
 	for _, h := range ow.hosts {
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -52,6 +52,8 @@
 	loading string
 	// broken is set after a panic: the state may be changed in part, and must not be used.
 	broken bool
+	// ended is set once the term has ended: no host is added any more.
+	ended bool
 	// retained holds the submissions that have finished, by ID, until they are deleted.
 	retained map[string]finishedSubmission
 	// finished are submissions whose final state is stored. They are removed once
@@ -184,6 +186,9 @@
 // shutDown waits for every goroutine that acts under the fencing token.
 func (ow *Owner) shutDown(cancel context.CancelFunc) {
 	cancel()
+	ow.mu.Lock()
+	ow.ended = true
+	ow.mu.Unlock()
 	ow.goroutines.Wait()
 }
 
