--- a/internal/cell/owner/repeatedruns.go
+++ b/internal/cell/owner/repeatedruns.go
@@ -43,7 +43,7 @@
 }
 
 func runAttributes(prefix string, f schedule.RunFacts) []any {
-	list := []any{prefix + "run", f.Run, prefix + "host", f.Host, prefix + "state", f.State, prefix + "own", f.Own, prefix + "token", tokenOfRun(f.Run)}
+	list := []any{prefix + "run", f.Run, prefix + "host", f.Host, prefix + "answers", f.HostAnswers, prefix + "state", f.State, prefix + "own", f.Own, prefix + "token", tokenOfRun(f.Run)}
 	if f.Gone != schedule.NotGone {
 		list = append(list, prefix+"gone", f.Gone.String(), prefix+"gone_for", f.GoneAgo)
 	}
--- a/internal/cell/owner/repeatedruns_test.go
+++ b/internal/cell/owner/repeatedruns_test.go
@@ -33,8 +33,8 @@
 	h.pollOnce(id)
 	h.decideOnce()
 	for _, part := range []string{
-		`level=WARN msg="Two runs of a task are present." id=x task=x.0.0.0 run=1001 host=` + id + " state=gone own=true token=2 gone=lease_expired gone_for=100ms",
-		"other_run=1002 other_host=", "other_state=running other_own=true other_token=2 before_claim=false",
+		`level=WARN msg="Two runs of a task are present." id=x task=x.0.0.0 run=1001 host=` + id + " answers=true state=gone own=true token=2 gone=lease_expired gone_for=100ms",
+		"other_run=1002 other_host=", "other_answers=true other_state=running other_own=true other_token=2 before_claim=false",
 	} {
 		if !strings.Contains(logged.String(), part) {
 			t.Errorf("%q is missing in %q", part, logged.String())
--- a/internal/cell/schedule/repeatedrun.go
+++ b/internal/cell/schedule/repeatedrun.go
@@ -49,6 +49,8 @@
 	Host string
 	// State is what the owner knew of the run before.
 	State string
+	// HostAnswers is set while the host answers.
+	HostAnswers bool
 	// Own is set for a run that this owner has ordered.
 	Own bool
 	// Gone is why the run had been taken as gone, GoneAgo for how long. For a run of an earlier
@@ -74,14 +76,16 @@
 
 var phaseNames = [...]string{phaseStarting: "starting", phaseUnanswered: "unanswered", phaseRunning: "running", phaseStopping: "stopping"}
 
+func (h *host) answers() bool { return h.reachable && !h.silent }
+
 // attachedRun returns what is known of a run that is attached.
 func (s *Scheduler) attachedRun(a *taskRun) RunFacts {
-	return RunFacts{Run: a.run, Host: a.host.spec.ID, State: phaseNames[a.phase], Own: a.run > s.options.RunNumberBase}
+	return RunFacts{Run: a.run, Host: a.host.spec.ID, HostAnswers: a.host.answers(), State: phaseNames[a.phase], Own: a.run > s.options.RunNumberBase}
 }
 
 // reportedRun returns what was known of a run that a host reports and that is not attached.
 func (s *Scheduler) reportedRun(h *host, key runKey) RunFacts {
-	f := RunFacts{Run: key.run, Host: h.spec.ID, State: unknownRunState, Own: key.run > s.options.RunNumberBase}
+	f := RunFacts{Run: key.run, Host: h.spec.ID, HostAnswers: h.answers(), State: unknownRunState, Own: key.run > s.options.RunNumberBase}
 	g, ok := s.history.givenUp.get(hostRun{key, h.spec.ID})
 	if ok {
 		f.State = "gone"
@@ -98,7 +102,8 @@
 func (s *Scheduler) doneBy(id cell.TaskID) (f RunFacts, ok bool) {
 	d, ok := s.history.done.get(id)
 	if ok {
-		f = RunFacts{Run: d.run, Host: d.host, State: "done", Own: d.run > s.options.RunNumberBase}
+		h := s.hosts[d.host]
+		f = RunFacts{Run: d.run, Host: d.host, HostAnswers: h != nil && h.answers(), State: "done", Own: d.run > s.options.RunNumberBase}
 	}
 	return f, ok
 }
--- a/internal/cell/schedule/repeatedrun_test.go
+++ b/internal/cell/schedule/repeatedrun_test.go
@@ -116,6 +116,9 @@
 			if got.Kind != Repetition(kind) || got.Task != r.task || got.Run.State != c.state || got.Other.State != c.other {
 				t.Errorf("the message is %+v", got)
 			}
+			if !got.Run.HostAnswers || c.other != "" && !got.Other.HostAnswers {
+				t.Errorf("a host counts as silent in %+v", got)
+			}
 			if got.Run.Host != r.first.id || !got.Run.Own || got.Run.Gone != GoneLeaseExpired || got.Run.GoneAgo < time.Second {
 				t.Errorf("of the first run it says %+v", got.Run)
 			}
