node: Begin no term before submissions that were read ahead are in their place

What callers see: a task is started again after it has ended as done, or while it runs, by a new owner that reads its claim among newest records.

Cause: a submission that is stored twice may be read ahead of its place in the log, and is passed to the owner later. A term that began meanwhile did not know it: the end of its run was dropped as that of an unknown submission, and a run in the record of a closed host was not assumed to be present.

Evidence: TestTermBeginsOnceSubmissionsReadAheadAreRead failed on: the term begins with 0 submissions.

Change: a claim of this node waits until no submission is ahead of its place, which is so after the records that follow the page. What is read ahead does not count as applied in the owner's load summary either.

--- a/internal/cell/node/newest_work_test.go
+++ b/internal/cell/node/newest_work_test.go
@@ -139,3 +139,19 @@
 		t.Errorf("the successor knows the hosts %v, want the one that was opened before the claim", hosts)
 	}
 }
+
+// Guards against a task that runs twice: the term began without a submission that was read ahead of
+// its place in the log, so that the end of its run, or the run itself, was unknown and forgotten.
+func TestTermBeginsOnceSubmissionsReadAheadAreRead(t *testing.T) {
+	n := newUnconnectedNode(t)
+	defer endTermOf(n)
+	own, repeated := recordAt(8, registry.OwnershipRecord(claimAs(n, 2))), recordAt(9, registry.SubmissionRecord(oneTask("5c0e7a21d94b36f8")))
+	n.applyWork(worklog.Page{NewestOnly: true, End: 9, Records: []platform.Record{own, repeated}})
+	if n.owner() != nil {
+		t.Errorf("the term begins with %d submissions, without one that may precede the claim", len(n.registry.All()))
+	}
+	n.applyWork(worklog.Page{Records: []platform.Record{repeated}})
+	if n.owner() == nil || len(n.registry.All()) != 1 {
+		t.Errorf("no term, or without the submission: %d submissions", len(n.registry.All()))
+	}
+}
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -250,6 +250,9 @@
 			n.beginClaimedTerm(r.Offset)
 		}
 	}
+	if k, offset := len(p.Records), n.registry.OwnerOffset(); k > 0 && offset <= p.Records[k-1].Offset {
+		n.beginClaimedTerm(offset) // it may have waited for submissions that were read ahead
+	}
 }
 
 // Forward implements peers.Handler: it answers a caller's call for another node.
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -57,6 +57,9 @@
 	if offset != n.registry.OwnerOffset() {
 		return // an older record, read again after the newest one
 	}
+	if n.registry.HasAhead() {
+		return // a submission that may precede the claim is not passed on yet
+	}
 	n.claim = nil
 	n.beginTerm(c, offset)
 }
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -78,7 +78,9 @@
 func (r *Registry) Apply(rec platform.Record) { r.apply(rec, inOrder) }
 
 func (r *Registry) apply(rec platform.Record, order readOrder) {
-	defer r.setApplied(rec.Offset + 1)
+	if order != ahead {
+		defer r.setApplied(rec.Offset + 1)
+	}
 	var err error
 	switch key := rec.Key; {
 	case key == keyOwner:
@@ -282,6 +284,27 @@
 	return all
 }
 
+// HasAhead reports whether submissions were read ahead of their place in the log.
+func (r *Registry) HasAhead() bool {
+	for i := range r.shards {
+		if r.shards[i].hasAhead() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *shard) hasAhead() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, e := range s.entries {
+		if e.Submission != nil && e.ahead {
+			return true
+		}
+	}
+	return false
+}
+
 // Pending returns the number of accepted submissions of a queue that have not started.
 func (r *Registry) Pending(queue string) (n int) {
 	for i := range r.shards {
