owner: Ask for a takeover while the work topic cannot be read

Other nodes are asked to take over after 1 s, as for the evacuated zones, unless the store is slow. The read after a failed one is answered at once, since starts are held on an old read.

--- a/internal/cell/node/evacuation.go
+++ b/internal/cell/node/evacuation.go
@@ -110,13 +110,13 @@
 	return owner.ZonesProven(n.clock.Now(), asOf, ok, config.Millis(n.settings.Bounds.EvacuationMs))
 }
 
-// requestTakeoverForZones asks the other nodes to take over from an owner that cannot read
-// the evacuated zones. At a slow store a new owner would fare no better.
-func (n *Node) requestTakeoverForZones(token int64) {
+// requestTakeoverForReads asks the other nodes to take over from an owner that cannot read
+// the evacuated zones or the work topic. At a slow store a new owner would fare no better.
+func (n *Node) requestTakeoverForReads(token int64) {
 	if acceptance.IsSlow(n.StoreAnswerTime()) {
 		return
 	}
-	n.log.Warn("owner: Other nodes are asked to take over, since this one cannot read the evacuated zones.", "token", token)
+	n.log.Warn("owner: Other nodes are asked to take over, since this one cannot read the evacuated zones or the work topic.", "token", token)
 	n.pool.RequestTakeover(token)
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -158,6 +158,7 @@
 	}, producer)
 	n.workReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), worklog.Options{
 		Topic: platform.TopicWork, Wait: workLongPollTimeout, BatchInterval: n.workBatchInterval, Meter: n.storeMeter, OnFault: n.abortTerm,
+		RetryAtOnce: s.Bounds.CancelMs > 0, // starts are held while the last read is too old
 	}, n.applyWork)
 	n.evacuations = newEvacuations(log, n.metrics)
 	n.desiredReader = worklog.NewTopicReader(n.store, n.clock, componentLogger("follow"), n.desiredReaderOptions(), n.applyDesired)
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -77,7 +77,7 @@
 		Self: c.owner, Clock: n.clock, WallClock: wallClock, Log: log, Metrics: n.metrics, HostClient: n.hostClient, Advisor: n.pool, Journal: c.journal,
 		Desired: n.appliedDesired, Evacuated: n.evacuatedZones, EvacuationBound: config.Millis(n.settings.Bounds.EvacuationMs),
 		WorkAsOf: n.workReader.AsOf, CancelBound: config.Millis(n.settings.Bounds.CancelMs),
-		RequestTakeover: func() { n.requestTakeoverForZones(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
+		RequestTakeover: func() { n.requestTakeoverForReads(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
 		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.selfAsReplacement(), n.members.Nodes()) },
 		EarlierOwner: func() owner.EarlierOwner {
@@ -154,11 +154,8 @@
 	if t == nil {
 		return
 	}
-	stopped := t.owner.Stop(ctx)
-	o := t.claim.owner
-	o.Released, o.Reconciled = stopped, t.owner.EarlierOwnersEnded()
-	if stopped {
-		if err := t.claim.journal.Store(ctx, []platform.Record{registry.OwnershipRecord(o)}); err != nil {
+	if t.owner.Stop(ctx) {
+		if err := t.claim.journal.Store(ctx, []platform.Record{registry.OwnershipRecord(t.owner.ReleasedOwnership())}); err != nil {
 			n.log.Warn("owner: The append of the release of the ownership failed.", "error", err)
 		}
 	}
--- a/internal/cell/owner/cancellations.go
+++ b/internal/cell/owner/cancellations.go
@@ -24,9 +24,10 @@
 // for its limit of log lines.
 type cancellations struct {
 	cancellationsRead
-	// heldSince is since when no starts are planned; zero while they are.
-	heldSince time.Duration
-	withheld  *rate.Sometimes
+	// heldSince is since when no starts are planned; zero while they are. requestedAt is when
+	// other nodes were last asked to take over, or when that began.
+	heldSince, requestedAt time.Duration
+	withheld               *rate.Sometimes
 }
 
 func newCancellations() cancellations {
@@ -46,7 +47,10 @@
 	switch {
 	case !recent && c.heldSince == 0:
 		ow.options.Log.Warn("No tasks start: the last read of the work topic is too old; submissions may be cancelled.", "max_age", maxReadAge(bound))
-		c.heldSince = now
+		c.heldSince, c.requestedAt = now, now
+	case !recent && now >= c.requestedAt+heldStartsTimeout && ow.options.RequestTakeover != nil:
+		c.requestedAt = now
+		ow.runGuarded(ow.options.RequestTakeover) // it must not be called under the lock
 	case recent && c.heldSince != 0:
 		ow.options.Log.Info("The work topic has been read again; tasks start again.", "held", now-c.heldSince)
 		c.heldSince = 0
--- a/internal/cell/owner/cancellations_test.go
+++ b/internal/cell/owner/cancellations_test.go
@@ -133,3 +133,41 @@
 		}
 	}
 }
+
+// Guards against an owner that cannot read the work topic while its appends succeed, and so keeps
+// the ownership and starts nothing for good.
+func TestOwnerThatCannotReadTheWorkTopicAsksForATakeover(t *testing.T) {
+	c := newCancelTest(t, testCancelBound)
+	requests := 0
+	c.options.RequestTakeover = func() { requests++ }
+	decideAfter := func(d time.Duration) {
+		c.clock.now += d
+		c.authority.extend(c.clock.now)
+		c.decideOnce()
+		c.goroutines.Wait()
+	}
+	decideAfter(maxReadAge(testCancelBound))
+	if requests != 0 {
+		t.Errorf("%d requests at once, want 0", requests)
+	}
+	decideAfter(heldStartsTimeout)
+	decideAfter(time.Millisecond)
+	if requests != 1 {
+		t.Errorf("%d requests after %s, want 1", requests, heldStartsTimeout)
+	}
+}
+
+// Guards against a read of the work topic that vouches for records which are applied only with the
+// next decision.
+func TestReadIsNotedOnceBeforeItsRecordsAreApplied(t *testing.T) {
+	c := newCancelTest(t, testCancelBound)
+	calls := 0
+	c.options.WorkAsOf = func() (time.Duration, bool) {
+		calls++
+		c.CancelRequested("job") // it is read right after
+		return c.clock.now, true
+	}
+	if plan, _, _ := c.plan(); len(plan.Starts) > 0 || calls != 1 {
+		t.Errorf("%d starts of the cancelled submission are planned; the read is noted %d times, want once", len(plan.Starts), calls)
+	}
+}
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -67,7 +67,7 @@
 	// of the submission may start; zero for no bound.
 	CancelBound time.Duration
 	// RequestTakeover asks the other nodes to take over, since this one cannot read the
-	// evacuated zones; nil for nothing.
+	// evacuated zones or the work topic; nil for nothing.
 	RequestTakeover func()
 	HostClient      HostClient
 	Advisor         Advisor
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
+	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 	"github.com/medlarpulley/medlarpulley/internal/cell/schedule"
 )
 
@@ -314,6 +315,13 @@
 	return ow.authority.valid() && !ow.stopping.Load() && ow.decides(ow.options.Clock.Now())
 }
 
+// ReleasedOwnership returns the ownership to be stored after Stop: it is released.
+func (ow *Owner) ReleasedOwnership() registry.Ownership {
+	o := ow.options.Self
+	o.Released, o.Reconciled = true, ow.EarlierOwnersEnded()
+	return o
+}
+
 // Stop ends the term gracefully: it waits for orders in flight, sends no further
 // ones, stores everything that is known, and ends the heartbeats and the renewal of leases.
 // It reports whether that was done before ctx ended.
--- a/internal/cell/owner/reconciled_test.go
+++ b/internal/cell/owner/reconciled_test.go
@@ -18,11 +18,15 @@
 	h.client.answers["a"] = doesNotAnswer
 }
 
-// tellsReconciled reports what the next heartbeat tells a successor.
+// tellsReconciled reports what the next heartbeat, and a release of the ownership, tell a successor
+// after a decision.
 func (h *hostTest) tellsReconciled() bool {
-	h.withState(h.checkReconciled)
-	h.withState(h.checkEarlierOwnersEnded)
+	h.t.Helper()
+	h.plan()
 	next, _ := h.nextHeartbeat(h.options.Self, h.clock.now)
+	if released := h.ReleasedOwnership(); !released.Released || released.Reconciled != next.Reconciled {
+		h.t.Fatalf("the heartbeat is %+v, the release %+v", next, released)
+	}
 	return next.Reconciled
 }
 
