--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -97,3 +97,24 @@
 	e.progressOffset = 0
 	e.replaced = e.Submission != nil
 }
+
+// HasAhead reports whether submissions were read ahead of their place in the log.
+func (r *Registry) HasAhead() bool {
+	for i := range r.shards {
+		if r.shards[i].hasAhead() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *shard) hasAhead() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, e := range s.entries {
+		if e.Submission != nil && e.ahead {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -284,27 +284,6 @@
 	return all
 }
 
-// HasAhead reports whether submissions were read ahead of their place in the log.
-func (r *Registry) HasAhead() bool {
-	for i := range r.shards {
-		if r.shards[i].hasAhead() {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *shard) hasAhead() bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	for _, e := range s.entries {
-		if e.Submission != nil && e.ahead {
-			return true
-		}
-	}
-	return false
-}
-
 // Pending returns the number of accepted submissions of a queue that have not started.
 func (r *Registry) Pending(queue string) (n int) {
 	for i := range r.shards {
