--- a/internal/cell/owner/hostpoller.go
+++ b/internal/cell/owner/hostpoller.go
@@ -259,7 +259,7 @@
 			life.firstToken = o.Token
 			ow.inheritCalls(h, former == nil, now)
 			h.calls.fence.heardOf(life.startedMs)
-			if h.storedLifetime != life.startedMs && (former != nil || h.storedLifetime != 0) {
+			if !h.recordAllows(life, former == nil) {
 				ow.requireRecord(h)
 			}
 		}
--- a/internal/cell/owner/hostrecords.go
+++ b/internal/cell/owner/hostrecords.go
@@ -82,6 +82,14 @@
 	return known
 }
 
+// recordAllows reports whether runs may be started in a lifetime that has just been heard of by
+// the record of the host in the log: the record names it, or it is the first one of the term and
+// a process of a version that stores no lifetimes has written the record. The caller holds the
+// lock.
+func (h *hostPoller) recordAllows(life *lifetime, first bool) bool {
+	return h.storedLifetime == life.startedMs || first && h.storedLifetime == 0
+}
+
 // requireRecord closes a host to new runs until a record of it is stored that is written from now
 // on. The host has changed its address, or answers in a lifetime that the log does not name: it
 // has forgotten the fencing tokens that it had seen. An append that is accepted after that shows
