--- a/review/_cases-3/main.go
+++ b/review/_cases-3/main.go
@@ -15,9 +15,10 @@
 
 // cases play a case and report whether its rule was broken.
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
-	"memory": playMemory,
-	"cancel": playCancel,
-	"queue":  playQueue,
+	"memory":  playMemory,
+	"cancel":  playCancel,
+	"history": playHistory,
+	"queue":   playQueue,
 }
 
 func main() {
