--- a/review/_cases-3/lasting.go
+++ b/review/_cases-3/lasting.go
@@ -21,7 +21,7 @@
 	c.store.Put("keyed.op", "config", []byte(config))
 	var runners []*runner
 	for i := range lastingRunners {
-		r := newRunner(fmt.Sprintf("i-%d", i), fmt.Sprintf("r1-%d", i), rec, c.store, done)
+		r := newRunner(fmt.Sprintf("i-%d", i), fmt.Sprintf(`"a","r1-%d"`, i), rec, c.store, done)
 		r.disturbs = trouble
 		defer r.close()
 		runners = append(runners, r)
--- a/review/_cases-3/main.go
+++ b/review/_cases-3/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
 	"memory":  playMemory,
 	"cancel":  playCancel,
+	"deadly":  playDeadly,
 	"lasting": playLasting,
 	"history": playHistory,
 	"queue":   playQueue,
--- a/review/_cases-3/runner.go
+++ b/review/_cases-3/runner.go
@@ -16,10 +16,12 @@
 // runner is a stand-in for a worker host. What a task does is told by its spec, see work. It refuses lower
 // fencing tokens, and ends its runs when its lease expires by its own clock.
 type runner struct {
-	id, rack string
-	rec      *recorder
-	server   *httptest.Server
-	born     time.Time
+	id string
+	// labels are those in the entry, as JSON strings with commas.
+	labels string
+	rec    *recorder
+	server *httptest.Server
+	born   time.Time
 
 	mu       sync.Mutex
 	token    int64
@@ -31,15 +33,21 @@
 	changed  chan struct{}
 	// disturbs is set if tasks that fill disturb those that serve.
 	disturbs bool
-	starts   []startRow
+	// dark is set while the machine has no power: calls get no answer, and the runner writes no entry.
+	dark bool
+	// away is how long the runner is silent when a task has crashed it.
+	away   time.Duration
+	starts []startRow
 }
 
 // work is a run. The spec of a task is a list of words: "ms=N" how long it runs (until it is stopped, if that
-// is missing), "end=HOW" how it ends, "fills" for a task that fills, "serves" for one that serves.
+// is missing), "end=HOW" how it ends, "fills" for a task that fills, "serves" for one that serves, "deadly" for one that
+// crashes its runner.
 type work struct {
 	task          string
 	run           int64
 	fills, serves bool
+	deadly        bool
 	percent       int64
 	startedAt     time.Time
 	timer         *time.Timer
@@ -70,22 +78,56 @@
 	heartbeat              = 1500 * time.Millisecond
 )
 
-func newRunner(id, rack string, rec *recorder, store *users.Store, done <-chan struct{}) *runner {
-	r := &runner{id: id, rack: rack, rec: rec, born: time.Now(), runs: map[string]*work{}, highest: map[string]int64{}, changed: make(chan struct{})}
+func newRunner(id, labels string, rec *recorder, store *users.Store, done <-chan struct{}) *runner {
+	r := &runner{id: id, labels: labels, rec: rec, born: time.Now(), runs: map[string]*work{}, highest: map[string]int64{}, changed: make(chan struct{})}
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
-	go func() {
-		for seq := 1; ; seq++ {
-			store.Put("keyed.servers", id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,`+
-				`"capacity":{"cpu":%d,"memMb":%d,"gpu":0},"labels":["a",%q],"clockMs":%d,"seq":%d,"born":%d}`,
-				r.server.Listener.Addr().String(), runnerCPU, runnerMem, rack, r.clock(), seq, r.born.UnixMilli()))
-			select {
-			case <-done:
-				return
-			case <-time.After(heartbeat):
+	go r.beat(store, done)
+	return r
+}
+
+// beat writes the entry of the runner, until done is closed. The platform removes that of a runner which has
+// been silent for three heartbeats.
+func (r *runner) beat(store *users.Store, done <-chan struct{}) {
+	silent := 0
+	for seq := 1; ; seq++ {
+		r.mu.Lock()
+		dark, born, clock := r.dark, r.born.UnixMilli(), r.clock()
+		r.mu.Unlock()
+		switch {
+		case !dark:
+			silent = 0
+			store.Put("keyed.servers", r.id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,`+
+				`"capacity":{"cpu":%d,"memMb":%d,"gpu":0},"labels":[%s],"clockMs":%d,"seq":%d,"born":%d}`,
+				r.server.Listener.Addr().String(), runnerCPU, runnerMem, r.labels, clock, seq, born))
+		default:
+			if silent++; silent == 3 {
+				store.Put("keyed.servers", r.id, nil)
 			}
 		}
-	}()
-	return r
+		select {
+		case <-done:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// crash takes the power from the machine. It is back after a time in another lifetime, which knows nothing of
+// before.
+func (r *runner) crash(away time.Duration) {
+	r.rec.printf("server %s crashes and is silent for %s", r.id, away)
+	for _, x := range r.runs {
+		r.end(x, "crashed")
+	}
+	r.dark = true
+	time.AfterFunc(away, func() {
+		r.mu.Lock()
+		r.dark, r.born = false, time.Now()
+		r.runs, r.highest, r.ended, r.ends, r.token, r.leaseEnd = map[string]*work{}, map[string]int64{}, nil, 0, 0, 0
+		r.mu.Unlock()
+		r.server.CloseClientConnections()
+		r.rec.printf("server %s is back", r.id)
+	})
 }
 
 func (r *runner) close() {
@@ -113,6 +155,10 @@
 		return
 	}
 	r.mu.Lock()
+	if r.dark {
+		r.mu.Unlock()
+		r.hang(q)
+	}
 	r.expire()
 	if c.FencingToken < r.token {
 		r.mu.Unlock()
@@ -179,16 +225,14 @@
 			x.fills = true
 		case word == "serves":
 			x.serves = true
+		case word == "deadly":
+			x.deadly = true
 		case strings.HasPrefix(word, "end="):
 			how = word[len("end="):]
 		case strings.HasPrefix(word, "ms="):
 			_, _ = fmt.Sscan(word[len("ms="):], &ms)
 		}
 	}
-	// A task may be of a submission with steps of both kinds: the first step serves, the second one fills.
-	if strings.Contains(c.Spec, "mixed") {
-		x.serves, x.fills = strings.Contains(c.Task, ".0.0."), strings.Contains(c.Task, ".0.1.")
-	}
 	r.runs[c.Task] = x
 	r.starts = append(r.starts, startRow{task: c.Task, run: c.Run, started: x.startedAt, runner: r.id})
 	r.rec.printf("server %s: %s run %d starts", r.id, c.Task, c.Run)
@@ -196,7 +240,11 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.expire()
-		if r.runs[c.Task] == x {
+		switch {
+		case r.runs[c.Task] != x:
+		case x.deadly:
+			r.crash(r.away)
+		default:
 			r.end(x, how)
 		}
 	})
@@ -237,9 +285,16 @@
 	return tail
 }
 
+// hang leaves a call without an answer, until its client gives up or the channel breaks as the runner is back.
+func (r *runner) hang(q *http.Request) {
+	<-q.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 func (r *runner) hold(w http.ResponseWriter, q *http.Request, c runnerCall) {
 	r.mu.Lock()
 	r.ended = slices.DeleteFunc(r.ended, func(e endRow) bool { return e.n <= c.AckCursor })
+	born := r.born
 	changed, wait := r.changed, c.WaitMs > 0 && len(r.ended) == 0
 	r.mu.Unlock()
 	if wait {
@@ -250,6 +305,10 @@
 		}
 	}
 	r.mu.Lock()
+	if r.dark || r.born != born {
+		r.mu.Unlock()
+		r.hang(q)
+	}
 	defer r.mu.Unlock()
 	r.expire()
 	running, ended := [][]any{}, [][]any{}
