front: Store the cancellation of a submission that is not stored

A caller that got no answer to its POST and cancelled was answered 410, at any node.

Cause: cancel took a read of the topic up to its end for a promise about later appends, and stored nothing. No node can know of all open appends.

DELETE of an unknown ID now stores a tombstone with the caller's team and is answered 202. Every reader of the topic cancels a submission of that team under the ID, in whatever order the two are stored, so that what the log holds decides. The owner deletes a tombstone after the retention period; each has a key of its own, so that the deletion of one cannot put a later one out of force. Their memory counts as that of submissions; beyond the bound DELETE gets 503. GET gets 503 while this node's own append of the submission is open.

Tests that failed on: TestSubmissionStoredAfterItsCancellationDoesNotRun ("the cancellation gets 410", "the cancelled submission was started"), TestCancellationOfAnUnstoredSubmissionIsStored (status 410 in five of its cases), TestStateOfASubmissionWhoseAppendIsOpenIsUnknown (410). The packages front, registry, owner, node, peers and platform pass under the race detector.

Design and the other ways to a 410: docs/design/cancellation.md.

--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -86,27 +86,17 @@
 	if refusal := c.refuseTooLate(ctx, &s); refusal != nil {
 		return refusal
 	}
-	resp := c.storeRecord(ctx, r, "A submission was accepted.", "The append of a submission failed.")
+	resp := c.storeRecord(ctx, r, okResponse(nil), "A submission was accepted.", "The append of a submission failed.")
 	if resp.Status == http.StatusOK {
 		c.acceptReturned()
 	}
 	return resp
 }
 
-func (c *call) cancel(ctx context.Context) *peers.CallResponse {
-	e, refusal := c.find(ctx)
-	if refusal != nil {
-		return refusal
-	}
-	if e.State().Final() {
-		return okResponse(platform.EncodeState(e.State()))
-	}
-	return c.storeRecord(ctx, registry.CancelRecord(c.id), "A submission was cancelled.", "The append of a cancellation failed.")
-}
-
 // storeRecord stores a record, from this node or through another one, and returns the
-// response to the caller. storedMessage and failedMessage are the log messages.
-func (c *call) storeRecord(ctx context.Context, r platform.Record, storedMessage, failedMessage string) *peers.CallResponse {
+// response to the caller: success if this node stored it. storedMessage and failedMessage are
+// the log messages.
+func (c *call) storeRecord(ctx context.Context, r platform.Record, success *peers.CallResponse, storedMessage, failedMessage string) *peers.CallResponse {
 	log := c.handler.Logger.With("id", c.id, "queue", c.queue.Name, "team", c.team)
 	if err := r.Check(); err != nil {
 		log.Warn(failedMessage, "error", err)
@@ -120,7 +110,7 @@
 		return resp
 	case err == nil:
 		log.Info(storedMessage)
-		return okResponse(nil)
+		return success
 	case v == verdict.DidNotRun:
 		log.Warn(failedMessage, "verdict", v.String(), "error", err)
 		resp := unavailableResponse("the platform's store is unavailable")
@@ -167,7 +157,7 @@
 			request := *c.request
 			request.MayBeStored = request.MayBeStored || done != nil || v != verdict.DidNotRun
 			resp, forwardErr := c.fallback.Forward(ctx, &request)
-			if forwardErr == nil && (resp.Status == http.StatusOK || done == nil && v == verdict.DidNotRun) {
+			if forwardErr == nil && (resp.Succeeded() || done == nil && v == verdict.DidNotRun) {
 				return resp, nil
 			}
 			if forwardErr == nil {
@@ -191,30 +181,3 @@
 		time.Sleep(appendRetryDelay)
 	}
 }
-
-// find returns the submission of the call if it belongs to the caller's team and
-// queue. Otherwise the second value is the response to the caller.
-func (c *call) find(ctx context.Context) (registry.Entry, *peers.CallResponse) {
-	e, found := c.handler.State.Find(c.id)
-	if !found || e.Expired() {
-		if err := c.handler.State.CatchUp(ctx); err != nil {
-			return e, unavailableResponse("the state of submissions may be out of date")
-		}
-		e, found = c.handler.State.Find(c.id)
-	}
-	if !found || e.Expired() {
-		return e, errorResponse(http.StatusGone, "no such submission")
-	}
-	if e.Submission.Team != c.team || e.Submission.Queue.Name != c.queue.Name {
-		return e, errorResponse(http.StatusGone, "no such submission of this team in this queue")
-	}
-	return e, nil
-}
-
-func (c *call) state(ctx context.Context) *peers.CallResponse {
-	e, refusal := c.find(ctx)
-	if refusal != nil {
-		return refusal
-	}
-	return okResponse(platform.EncodeState(e.State()))
-}
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -124,7 +124,7 @@
 		Method: r.Method, Host: r.Host, Path: r.URL.Path, Authorization: r.Header.Get("Authorization"), Body: body,
 	}
 	resp := h.track(request, func() *peers.CallResponse { return h.forwardOrAnswer(ctx, request) })
-	if resp.Node != "" && resp.Status != http.StatusOK {
+	if resp.Node != "" && !resp.Succeeded() {
 		h.Logger.Info("The refusal of another node was passed on.", "status", resp.Status, "method", r.Method, "path", r.URL.Path, "node", resp.Node)
 	}
 	if h.Metrics != nil {
@@ -161,7 +161,7 @@
 	}
 	r.MayBeStored = r.MayBeStored || r.IsWrite() && verdict.Of(err) != verdict.DidNotRun
 	resp = h.Answer(ctx, r, h.Forwarder)
-	if resp.Status != http.StatusOK && r.IsWrite() && verdict.Of(err) != verdict.DidNotRun {
+	if !resp.Succeeded() && r.IsWrite() && verdict.Of(err) != verdict.DidNotRun {
 		// The other node may have stored the work before its answer was lost.
 		return errorResponse(http.StatusGatewayTimeout, "another node did not answer; the outcome is unknown")
 	}
--- a/internal/cell/front/storage.go
+++ b/internal/cell/front/storage.go
@@ -14,8 +14,8 @@
 // time.
 const storageRetryAfter = 15 * time.Second
 
-// hasStorage reports whether a submission of the team that takes so much memory, in bytes, may
-// be accepted. A team may hold as much as is left for all others, so that teams that hold
+// hasStorage reports whether a submission or a tombstone of the team that takes so much memory,
+// in bytes, may be stored. A team may hold as much as is left for all others, so that teams that hold
 // little are served while others fill what is theirs.
 func (c *call) hasStorage(bytes int64) bool {
 	most := c.handler.MaxStorage
--- a/internal/cell/node/admission_wiring_test.go
+++ b/internal/cell/node/admission_wiring_test.go
@@ -19,6 +19,7 @@
 type admissionCell struct {
 	t     *testing.T
 	store *users.Store
+	host  *users.Host
 	node  *Node
 	posts int
 }
@@ -27,8 +28,8 @@
 	t.Helper()
 	a := &admissionCell{t: t, store: users.NewStore()}
 	t.Cleanup(a.store.Close)
-	host := users.NewHost("i-0", time.Second, a.store)
-	t.Cleanup(host.Close)
+	a.host = users.NewHost("i-0", time.Second, a.store)
+	t.Cleanup(a.host.Close)
 	a.store.Put(platform.TopicDesired, platform.KeyDesired, []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s","priority":1,`+
 		`"maxAttempts":3,"stretch":2,"targetLatencyMs":4000}],"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":1000,"cap":{"cpu":1000,"memMb":8192}}]}`))
 	s := config.Default()
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -77,7 +77,7 @@
 		Self: c.owner, Clock: n.clock, WallClock: wallClock, Log: log, Metrics: n.metrics, HostClient: n.hostClient, Advisor: n.pool, Journal: c.journal,
 		Desired: n.appliedDesired, Evacuated: n.evacuatedZones, EvacuationBound: config.Millis(n.settings.Bounds.EvacuationMs),
 		WorkAsOf: n.workReader.AsOf, CancelBound: config.Millis(n.settings.Bounds.CancelMs),
-		RequestTakeover: func() { n.requestTakeoverForReads(c.owner.Token) }, Stored: n.registry.All, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
+		RequestTakeover: func() { n.requestTakeoverForReads(c.owner.Token) }, Stored: n.registry.All, TombstoneKeys: n.registry.TombstoneKeys, RunTimes: n.registry.RunTimes, Applied: n.registry.Applied,
 		ClaimOffset: offset, ClaimSent: c.sentAt, ClaimedAt: n.clock.Now(),
 		EarlierOwnersGone: func() bool { return previousOwnerGone(previous, n.selfAsReplacement(), n.members.Nodes()) },
 		EarlierOwner: func() owner.EarlierOwner {
--- a/internal/cell/owner/metrics.go
+++ b/internal/cell/owner/metrics.go
@@ -31,6 +31,8 @@
 	// startsHeld is 1 while no starts are planned since the evacuated zones or
 	// the cancellations are not known.
 	startsHeld tally.Gauge
+	// tombstones is the number of stored tombstones.
+	tombstones tally.Gauge
 	// withheld counts the start orders that were not sent for an evacuation, or for a
 	// cancellation that may be unread, by reason.
 	withheld map[string]tally.Counter
@@ -48,7 +50,7 @@
 		misdelivered: s.Counter("polls_misdelivered"), forgottenEnds: s.Counter("ends_forgotten"),
 		refused: make(map[string]tally.Counter), ended: make(map[cell.Outcome]tally.Counter), startWait: s.Timer("start_wait"),
 		heldWeight: s.Gauge("held_weight"), deferred: s.Gauge("submissions_deferred"), startsWaiting: s.Gauge("starts_waiting"),
-		startsHeld: s.Gauge("starts_held"), withheld: make(map[string]tally.Counter),
+		startsHeld: s.Gauge("starts_held"), tombstones: s.Gauge("tombstones"), withheld: make(map[string]tally.Counter),
 		repeated: newRepetitionCounters(s),
 		runTimes: newRunTimeGauges(s),
 		load:     newLoadMetrics(s),
--- a/internal/cell/owner/options.go
+++ b/internal/cell/owner/options.go
@@ -75,6 +75,9 @@
 	// Stored returns the stored state of every submission; nil if there are none. It is
 	// called once, by Run.
 	Stored func() []registry.Entry
+	// TombstoneKeys returns the keys of the stored tombstones, which the owner deletes after
+	// RetentionPeriod; nil if there are none.
+	TombstoneKeys func() []string
 	// RunTimes returns what earlier owners have learned about run times; nil for nothing. It
 	// is called by Run.
 	RunTimes func() []byte
@@ -93,7 +96,8 @@
 	EarlierOwner func() EarlierOwner
 	// MaxLease is the longest lease that hosts accept; zero for no limit.
 	MaxLease time.Duration
-	// RetentionPeriod is how long the state of a finished submission is kept.
+	// RetentionPeriod is how long the state of a finished submission is kept, and how long a
+	// tombstone is. A submission must not be stored later than this after its caller sent it.
 	RetentionPeriod time.Duration
 	GangTimeout     time.Duration
 	// MaxWeight bounds the work that the owner holds at one time; zero for no bound. See
--- a/internal/cell/owner/owner.go
+++ b/internal/cell/owner/owner.go
@@ -102,6 +102,8 @@
 	goroutines       sync.WaitGroup
 	// runTimesDue is when the record of run times may be stored again; only persist uses it.
 	runTimesDue time.Duration
+	// tombstoneAges is used by persist only.
+	tombstoneAges tombstoneAges
 	// runTimesShown is when the gauges of run times were last updated.
 	runTimesShown time.Duration
 }
--- a/internal/cell/owner/persist.go
+++ b/internal/cell/owner/persist.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// persist stores changed progress and host records and deletes expired submissions,
-// until ctx ends or an append fails.
+// persist stores changed progress and host records and deletes expired submissions and
+// tombstones, until ctx ends or an append fails.
 func (ow *Owner) persist(ctx context.Context) {
 	lastExpiryScan := ow.options.Clock.Now()
 	for ctx.Err() == nil {
@@ -99,8 +99,9 @@
 		now := ow.options.Clock.Now()
 		if now-lastExpiryScan > expiryScanInterval {
 			expired, all := ow.expiryRecords(now)
-			records = append(records, expired...)
-			if all {
+			tombstones, allTombstones := ow.tombstoneExpiryRecords(now)
+			records = append(append(records, expired...), tombstones...)
+			if all && allTombstones {
 				lastExpiryScan = now // otherwise the next round goes on
 			}
 		}
--- a/internal/cell/peers/service.go
+++ b/internal/cell/peers/service.go
@@ -82,6 +82,9 @@
 // IsWrite reports whether the call stores a record.
 func (r *CallRequest) IsWrite() bool { return r.Method != http.MethodGet }
 
+// Succeeded reports whether the status is one of success.
+func (resp *CallResponse) Succeeded() bool { return resp.Status >= 200 && resp.Status < 300 }
+
 // validStatus reports whether the status is one that a caller can be given.
 func (resp *CallResponse) validStatus() bool { return resp.Status >= 200 && resp.Status < 600 }
 
@@ -93,7 +96,7 @@
 	if resp.Status == http.StatusServiceUnavailable && !resp.Final {
 		return false
 	}
-	return earlier == verdict.DidNotRun || !r.IsWrite() || resp.Status == http.StatusOK
+	return earlier == verdict.DidNotRun || !r.IsWrite() || resp.Succeeded()
 }
 
 // TakeoverRequest asks a node to claim the ownership in place of the owner that
--- a/internal/cell/registry/entry.go
+++ b/internal/cell/registry/entry.go
@@ -11,7 +11,8 @@
 	// Submission is nil until its record has been read.
 	Submission *cell.Submission
 	Progress   cell.Progress
-	Cancelled  bool
+	// Cancelled is set if the record of its cancellation or a tombstone is stored.
+	Cancelled bool
 	// Offset is the log offset of the submission's record, of the first one that was read if it
 	// is stored more than once.
 	Offset uint64
@@ -23,6 +24,8 @@
 	// perhaps: the record was read ahead of its place in the log.
 	ahead          bool
 	progressOffset uint64
+	// cancelStored is set if the record of its cancellation is stored.
+	cancelStored bool
 	// submissionBytes and progressBytes are the sizes of its records. countedBytes is what
 	// storage counts for the entry, under countedTeam.
 	submissionBytes, progressBytes int
--- a/internal/cell/registry/newest.go
+++ b/internal/cell/registry/newest.go
@@ -63,6 +63,7 @@
 func (s *shard) beginNewest(present map[string]bool, counted *storage) (removed int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.beginNewestTombstones(present, counted)
 	for id, e := range s.entries {
 		if !present[prefixSubmission+id] && !present[prefixProgress+id] {
 			counted.remove(e)
@@ -71,6 +72,7 @@
 			continue
 		}
 		e.beginNewest(id, present)
+		s.updateCancelled(e)
 		counted.count(e)
 	}
 	return removed
@@ -85,7 +87,7 @@
 	if !present[prefixProgress+id] {
 		e.Progress = cell.Progress{}
 	}
-	e.Cancelled = e.Cancelled && present[prefixCancel+id]
+	e.cancelStored = e.cancelStored && present[prefixCancel+id]
 	for number, part := range e.parts {
 		if !present[progressPartKey(id, number)] {
 			e.deletePart(number)
--- a/internal/cell/registry/newest_test.go
+++ b/internal/cell/registry/newest_test.go
@@ -24,6 +24,8 @@
 	state map[string]cell.State
 	parts map[string]cell.BitSet
 	lives map[string]int
+	// tombstones holds the key of the tombstone of an ID.
+	tombstones map[string]string
 	// retained holds, unless it is nil, the submissions that have finished since the last read of
 	// newest records began. They are not deleted before the next one: states are kept for
 	// minutes.
@@ -46,7 +48,15 @@
 func (l *topic) write() {
 	id := fmt.Sprintf("job%d", rapid.IntRange(0, 3).Draw(l.t, "id"))
 	state, known := l.state[id]
-	switch what := rapid.IntRange(0, 6).Draw(l.t, "write"); {
+	tombstone := l.tombstones[id]
+	switch what := rapid.IntRange(0, 7).Draw(l.t, "write"); {
+	case what == 7 && tombstone == "":
+		r := TombstoneRecord(id, Tombstone{Team: "t"})
+		l.tombstones[id] = r.Key
+		l.append(r)
+	case what == 7 && !known:
+		l.append(TombstoneDeletionRecord(tombstone))
+		delete(l.tombstones, id)
 	case !known:
 		l.lives[id]++
 		l.state[id] = cell.Queued
@@ -131,7 +141,7 @@
 func TestDeletedRecordsAreForgottenAfterAGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		log := slog.New(slog.DiscardHandler)
-		l := &topic{t: t, state: map[string]cell.State{}, parts: map[string]cell.BitSet{}, lives: map[string]int{}}
+		l := &topic{t: t, state: map[string]cell.State{}, parts: map[string]cell.BitSet{}, lives: map[string]int{}, tombstones: map[string]string{}}
 		reader, next := New(log), 0
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			for range rapid.IntRange(0, 4).Draw(t, "writes") {
@@ -172,6 +182,12 @@
 	var total int64
 	byTeam := map[string]int64{}
 	for i := range r.shards {
+		for _, byKey := range r.shards[i].tombstones {
+			for _, tombstone := range byKey {
+				total += TombstoneBytes
+				byTeam[tombstone.Team] += TombstoneBytes
+			}
+		}
 		for _, e := range r.shards[i].entries {
 			total += e.bytes()
 			partsBytes := 0
--- a/internal/cell/registry/records.go
+++ b/internal/cell/registry/records.go
@@ -18,6 +18,8 @@
 	prefixSubmission = "s/"
 	prefixProgress   = "p/"
 	prefixCancel     = "c/"
+	// prefixTombstone is followed by the ID of a submission and a random name; see Tombstone.
+	prefixTombstone = "x/"
 	// partSeparator separates the ID of a submission from the number of a part of its
 	// progress. IDs do not contain it.
 	partSeparator = "/"
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -20,7 +20,9 @@
 type Listener interface {
 	// Submitted is called once for each submission, when its place in the log has been read.
 	Submitted(e Entry)
-	// CancelRequested is called for each record of a cancellation.
+	// CancelRequested is called for each record of a cancellation, also for a tombstone whose
+	// submission has been read. A submission that follows its tombstone is passed to Submitted
+	// as cancelled.
 	CancelRequested(id string)
 }
 
@@ -49,8 +51,9 @@
 }
 
 type shard struct {
-	mu      sync.RWMutex
-	entries map[string]*Entry
+	mu         sync.RWMutex
+	entries    map[string]*Entry
+	tombstones tombstones
 }
 
 // New returns an empty registry.
@@ -58,6 +61,7 @@
 	r := &Registry{log: log, seed: maphash.MakeSeed(), hosts: make(map[string]Host), storage: storage{byTeam: make(map[string]int64)}}
 	for i := range r.shards {
 		r.shards[i].entries = make(map[string]*Entry)
+		r.shards[i].tombstones = make(tombstones)
 	}
 	return r
 }
@@ -93,6 +97,8 @@
 		err = r.applyProgressKey(key[len(prefixProgress):], rec)
 	case strings.HasPrefix(key, prefixCancel):
 		err = r.applyCancel(key[len(prefixCancel):], rec)
+	case strings.HasPrefix(key, prefixTombstone):
+		err = r.applyTombstone(rec)
 	case key == keyRunTimes:
 		err = r.applyRunTimes(rec)
 	case strings.HasPrefix(key, prefixMark):
@@ -192,6 +198,7 @@
 		e.Submission, e.submissionBytes = sub, len(rec.Value)
 	}
 	e.replaced = false
+	s.updateCancelled(e)
 	if e.ahead && order != ahead {
 		e.ahead, added = false, true
 		e.Offset = min(e.Offset, rec.Offset)
@@ -218,7 +225,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry(id)
-	e.Cancelled = true
+	e.cancelStored = true
+	s.updateCancelled(e)
 	counted.count(e)
 }
 
--- a/internal/cell/registry/repeated_submission_test.go
+++ b/internal/cell/registry/repeated_submission_test.go
@@ -27,7 +27,7 @@
 // checkWaiting reads a topic, with gaps, while others write. It passes each submission that waits
 // and the offset from which the topic is read on to check.
 func checkWaiting(t *rapid.T, check func(l *topic, e Entry, next uint64)) {
-	l := &topic{t: t, state: map[string]cell.State{}, parts: map[string]cell.BitSet{}, lives: map[string]int{}, retained: map[string]bool{}}
+	l := &topic{t: t, state: map[string]cell.State{}, parts: map[string]cell.BitSet{}, lives: map[string]int{}, tombstones: map[string]string{}, retained: map[string]bool{}}
 	reader, next := New(slog.New(slog.DiscardHandler)), 0
 	for range rapid.IntRange(1, 20).Draw(t, "events") {
 		for range rapid.IntRange(0, 6).Draw(t, "writes") {
