front: Find submissions by ID and team, not by the name of the queue

Cause: find took the stored name of the queue for a part of the submission's identity. A repeated POST went by the ID alone, and got 200 meanwhile.

The ID identifies a submission, and the team of the caller decides whether it may be seen and cancelled. Nodes that hold different versions, and records of earlier versions, give the same answers.

--- a/internal/cell/front/lookup.go
+++ b/internal/cell/front/lookup.go
@@ -25,14 +25,15 @@
 }
 
 // refuseAccess returns the refusal of a call for the state or the cancellation of a stored
-// submission, nil if it is allowed. To callers of other teams and of other queues the submission
-// does not exist.
+// submission, nil if it is allowed. To callers of other teams the submission does not exist. The
+// queue of the call does not matter: a later desired state may give the queue that accepted the
+// submission another name or path, or give its path to another queue.
 func (c *call) refuseAccess(e registry.Entry) *peers.CallResponse {
 	switch {
 	case e.Expired():
 		return errorResponse(http.StatusGone, "the submission has finished, and its state is no longer kept")
-	case e.Submission.Team != c.team || e.Submission.Queue.Name != c.queue.Name:
-		return errorResponse(http.StatusGone, "no such submission of this team in this queue")
+	case e.Submission.Team != c.team:
+		return errorResponse(http.StatusGone, "no such submission of this team")
 	}
 	return nil
 }
