schedule: Let accepted work follow its renamed queue

After a rename, a queue showed no waiting work at its path ("pending":0 with one submission waiting), and accepted work kept the former service for good: where the new version named another service and the hosts of the former one left, nothing ran it.

Records of earlier versions go by the name alone.

The packages front, registry, node, schedule, owner and cell pass under the race detector.

--- a/internal/cell/desired.go
+++ b/internal/cell/desired.go
@@ -74,6 +74,34 @@
 	return q, strings.TrimPrefix(path, q.PathPrefix), ok
 }
 
+// QueueOf returns the queue that accepted work of a queue belongs to now: the one with its name,
+// otherwise the one with its host and path prefix, since it may have been renamed. It returns
+// false if the queue was removed.
+func (d *Desired) QueueOf(accepted *Queue) (Queue, bool) {
+	if q, ok := d.Queue(accepted.Name); ok {
+		return q, true
+	}
+	for _, q := range d.Queues {
+		if q.sameRoute(accepted) {
+			return q, true
+		}
+	}
+	return Queue{}, false
+}
+
+// BelongsTo reports whether QueueOf returns the given queue, which is one of d, for accepted work
+// of a queue.
+func (d *Desired) BelongsTo(accepted, q *Queue) bool {
+	if accepted.Name == q.Name {
+		return true
+	}
+	if !accepted.sameRoute(q) {
+		return false
+	}
+	_, named := d.Queue(accepted.Name)
+	return !named
+}
+
 // Queue returns the queue with the given name.
 func (d *Desired) Queue(name string) (Queue, bool) {
 	for _, q := range d.Queues {
--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -29,6 +29,7 @@
 	request *peers.CallRequest
 	// fallback forwards the call to other nodes; nil for a forwarded call.
 	fallback Forwarder
+	desired  *cell.Desired
 	queue    cell.Queue
 	team     string
 	id       string
@@ -64,7 +65,8 @@
 	if !c.handler.State.SubmissionsFresh() {
 		return unavailableResponse("the state of the queue may be out of date")
 	}
-	return okResponse(platform.EncodePending(c.handler.State.Pending(c.queue.Name)))
+	belongs := func(accepted *cell.Queue) bool { return c.desired.BelongsTo(accepted, &c.queue) }
+	return okResponse(platform.EncodePending(c.handler.State.Pending(belongs)))
 }
 
 func (c *call) submit(ctx context.Context) *peers.CallResponse {
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -50,8 +50,9 @@
 	// Storage returns how much memory the stored submissions take in all, and how much those
 	// of a team do, in bytes.
 	Storage(team string) (total, ofTeam int64)
-	// Pending returns how many accepted submissions of a queue have not started.
-	Pending(queue string) int
+	// Pending returns how many accepted submissions have not started, of those whose queue at
+	// the time of acceptance belongs to the queue that is asked for.
+	Pending(belongs func(accepted *cell.Queue) bool) int
 	// CatchUp returns once every record stored before the call has been applied. It
 	// returns an error if the store cannot be read in time.
 	CatchUp(ctx context.Context) error
@@ -195,7 +196,7 @@
 	if !ok {
 		return h.refuse(r, d, http.StatusNotFound, "no queue has this host and path")
 	}
-	c := call{handler: h, request: r, fallback: fallback, queue: q, id: id}
+	c := call{handler: h, request: r, fallback: fallback, desired: d, queue: q, id: id}
 	if !q.WithoutKey {
 		key, ok := platform.APIKey(r.Authorization)
 		if ok {
--- a/internal/cell/front/front_test.go
+++ b/internal/cell/front/front_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -37,11 +38,13 @@
 	catchUp             error
 	append              func(ctx context.Context) error
 	stored              []string
-	forward             func() (*peers.CallResponse, error)
-	forwardCalls        int
-	answerTime          time.Duration
-	storage, ofTeam     int64
-	mayStore            bool
+	// pending are the queues of submissions that have not started.
+	pending         []cell.Queue
+	forward         func() (*peers.CallResponse, error)
+	forwardCalls    int
+	answerTime      time.Duration
+	storage, ofTeam int64
+	mayStore        bool
 	// stores are the entries that are read with the next CatchUp.
 	stores map[string]registry.Entry
 }
@@ -50,8 +53,15 @@
 func (n *fakeNode) Desired() (*cell.Desired, bool)        { return n.desired, n.fresh }
 func (n *fakeNode) DesiredAge() time.Duration             { return 0 }
 func (n *fakeNode) Find(id string) (registry.Entry, bool) { e, ok := n.entries[id]; return e, ok }
-func (n *fakeNode) Pending(string) int                    { return 12 }
-func (n *fakeNode) Storage(string) (total, ofTeam int64)  { return n.storage, n.ofTeam }
+func (n *fakeNode) Pending(belongs func(*cell.Queue) bool) (count int) {
+	for _, q := range n.pending {
+		if belongs(&q) {
+			count++
+		}
+	}
+	return count
+}
+func (n *fakeNode) Storage(string) (total, ofTeam int64) { return n.storage, n.ofTeam }
 func (n *fakeNode) CatchUp(context.Context) error {
 	maps.Copy(n.entries, n.stores)
 	return n.catchUp
@@ -182,6 +192,7 @@
 	})
 	ginkgo.It("reports states and pending counts", func() {
 		gomega.Expect(call("GET", "/q/"+other, "key-b", "").Body.String()).To(gomega.Equal(`{"state":"running"}`))
+		n.pending = append(slices.Repeat([]cell.Queue{{Name: "q"}}, 12), cell.Queue{Name: "open"})
 		gomega.Expect(call("GET", "/q/", "key-b", "").Body.String()).To(gomega.Equal(`{"pending":12}`))
 		gomega.Expect(call("GET", "/q/"+id, "key-a", "").Code).To(gomega.Equal(410))
 	})
--- a/internal/cell/front/renamed_queue_test.go
+++ b/internal/cell/front/renamed_queue_test.go
@@ -47,3 +47,31 @@
 		})
 	}
 }
+
+// Guards against a queue that shows no waiting work after it was renamed, and against one that
+// counts the work of another queue.
+func TestPendingCountsWorkOfARenamedQueue(t *testing.T) {
+	f, n := newCancelHandler()
+	at := func(name, prefix string) cell.Queue {
+		return cell.Queue{Name: name, Host: "h.example", PathPrefix: prefix}
+	}
+	former := at("q", "/q/")
+	n.pending = []cell.Queue{former.Snapshot(), {Name: "q"}, at("moved", "/q/")} // the second is of an earlier version
+	for name, c := range map[string]struct {
+		queues []cell.Queue
+		want   map[string]string
+	}{
+		"unchanged": {[]cell.Queue{former}, map[string]string{"/q/": `{"pending":3}`}},
+		"renamed":   {[]cell.Queue{at("renamed", "/q/")}, map[string]string{"/q/": `{"pending":2}`}},
+		"moved, and another has its path": {
+			[]cell.Queue{at("new", "/q/"), at("moved", "/moved/")}, map[string]string{"/q/": `{"pending":1}`, "/moved/": `{"pending":1}`},
+		},
+	} {
+		n.desired.Queues = c.queues
+		for path, want := range c.want {
+			if w := callAs(f, "a", "GET", path); w.Body.String() != want {
+				t.Errorf("%s: GET %s: %s, want %s", name, path, w.Body, want)
+			}
+		}
+	}
+}
--- a/internal/cell/node/admission_wiring_test.go
+++ b/internal/cell/node/admission_wiring_test.go
@@ -15,6 +15,10 @@
 	"github.com/medlarpulley/medlarpulley/platform"
 )
 
+// admissionCellDesired is the desired state that an admissionCell begins with.
+const admissionCellDesired = `{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s","priority":1,` +
+	`"maxAttempts":3,"stretch":2,"targetLatencyMs":4000}],"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":1000,"cap":{"cpu":1000,"memMb":8192}}]}`
+
 // admissionCell is one node with a store and a host. Its team may use one core.
 type admissionCell struct {
 	t     *testing.T
@@ -30,8 +34,7 @@
 	t.Cleanup(a.store.Close)
 	a.host = users.NewHost("i-0", time.Second, a.store)
 	t.Cleanup(a.host.Close)
-	a.store.Put(platform.TopicDesired, platform.KeyDesired, []byte(`{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/q/","service":"s","priority":1,`+
-		`"maxAttempts":3,"stretch":2,"targetLatencyMs":4000}],"services":[{"name":"s"}],"tenants":[{"name":"a","apiKeys":["key-a"],"weight":1000,"cap":{"cpu":1000,"memMb":8192}}]}`))
+	a.store.Put(platform.TopicDesired, platform.KeyDesired, []byte(admissionCellDesired))
 	s := config.Default()
 	s.Node.Name, s.Node.Zone = "n1", "z"
 	s.Platform.Store, s.Platform.Advice = a.store.Address(), "127.0.0.1:1" // no queue needs advice
--- a/internal/cell/node/newest_only_test.go
+++ b/internal/cell/node/newest_only_test.go
@@ -69,8 +69,9 @@
 	if got := o.Explain(left.ID); len(got) == 0 {
 		t.Error("the new owner lacks work that is stored")
 	}
-	if _, found := n.Find(deleted.ID); found || n.Pending("q") != 1 || len(n.registry.Hosts()) != 0 {
-		t.Errorf("found: %t, pending: %d, hosts: %v; want what is stored", found, n.Pending("q"), n.registry.Hosts())
+	isQ := func(q *cell.Queue) bool { return q.Name == "q" }
+	if _, found := n.Find(deleted.ID); found || n.Pending(isQ) != 1 || len(n.registry.Hosts()) != 0 {
+		t.Errorf("found: %t, pending: %d, hosts: %v; want what is stored", found, n.Pending(isQ), n.registry.Hosts())
 	}
 	n.mu.Lock()
 	n.endTerm("the test is over")
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -306,7 +306,9 @@
 func (n *Node) Storage(team string) (total, ofTeam int64) { return n.registry.Storage(team) }
 
 // Pending implements front.State.
-func (n *Node) Pending(queue string) int { return n.registry.Pending(queue) }
+func (n *Node) Pending(belongs func(accepted *cell.Queue) bool) int {
+	return n.registry.Pending(belongs)
+}
 
 // CatchUp implements front.State.
 func (n *Node) CatchUp(ctx context.Context) error { return n.workReader.CatchUp(ctx) }
--- a/internal/cell/queue.go
+++ b/internal/cell/queue.go
@@ -27,10 +27,16 @@
 
 // Snapshot returns a copy with only the fields that accepted submissions need.
 func (q Queue) Snapshot() Queue {
-	q.Host, q.PathPrefix, q.Timeout = "", "", 0
+	q.Timeout = 0
 	return q
 }
 
+// sameRoute reports whether two queues take submissions at the same host and path prefix. The
+// snapshots of earlier versions lack both.
+func (q *Queue) sameRoute(other *Queue) bool {
+	return q.Host == other.Host && q.PathPrefix == other.PathPrefix && (q.Host != "" || q.PathPrefix != "")
+}
+
 // AdvicePolicy describes how long a call of the admission advice service takes
 // and how long its tickets are valid.
 type AdvicePolicy struct {
--- a/internal/cell/registry/newest_test.go
+++ b/internal/cell/registry/newest_test.go
@@ -132,7 +132,7 @@
 		}
 		all[e.Submission.ID] = []any{e.Submission.Spec, e.State(), e.Cancelled, p}
 	}
-	return []any{o, r.Hosts(), all, r.Pending("q")}
+	return []any{o, r.Hosts(), all, r.Pending(func(q *cell.Queue) bool { return q.Name == "q" })}
 }
 
 // Guards against work that is done and runs again, since a node that was cut off from the
--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -292,13 +292,14 @@
 	return all
 }
 
-// Pending returns the number of accepted submissions of a queue that have not started.
-func (r *Registry) Pending(queue string) (n int) {
+// Pending returns the number of accepted submissions that have not started, of those whose queue
+// at the time of acceptance belongs to the queue that is asked for.
+func (r *Registry) Pending(belongs func(accepted *cell.Queue) bool) (n int) {
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.RLock()
 		for _, e := range s.entries {
-			if e.Submission != nil && e.Submission.Queue.Name == queue && e.State() == cell.Queued && !e.Expired() {
+			if e.Submission != nil && e.State() == cell.Queued && !e.Expired() && belongs(&e.Submission.Queue) {
 				n++
 			}
 		}
--- a/internal/cell/schedule/jobs.go
+++ b/internal/cell/schedule/jobs.go
@@ -19,7 +19,7 @@
 		return
 	}
 	s.now, s.wallClock = now, wall
-	q, ok := s.desired.Queue(sub.Queue.Name)
+	q, ok := s.desired.QueueOf(&sub.Queue)
 	if !ok {
 		q = sub.Queue
 	}
--- a/internal/cell/schedule/scheduler.go
+++ b/internal/cell/schedule/scheduler.go
@@ -147,7 +147,7 @@
 		s.applyTeamLimits(t)
 	}
 	for _, j := range s.jobs {
-		if q, ok := d.Queue(j.sub.Queue.Name); ok {
+		if q, ok := d.QueueOf(&j.sub.Queue); ok {
 			j.queue = q
 			j.criticalPaths = nil
 		}
