front: Know the caller of a submission by its key as well as by its team

Accepted work was answered 410 to GET and DELETE, and 409 to a repeated POST, at all nodes, while it ran: after a version that named the team otherwise and left its keys, and after one that made its queue public or no longer public.

The name that the caller's team has now was compared with the one at acceptance.

A submission holds a hash of the API key that submitted it. The same team or the same key owns it. Work that was accepted without a key is open to all valid keys, and a queue that is public now gives access to the work that belongs to it, since callers send no key there. Others get 410 and 409 as before.

--- a/internal/cell/front/admission.go
+++ b/internal/cell/front/admission.go
@@ -43,10 +43,7 @@
 		return nil // whether it is stored is not known; to accept it is safe
 	}
 	if e, found := c.handler.State.Find(c.id); found {
-		if e.Submission.Team != c.team {
-			return errorResponse(http.StatusConflict, "another team has a submission with this id")
-		}
-		return okResponse(nil)
+		return c.answerRepeated(e)
 	}
 	r := gate.Decide(q) // the summary may be too old by now, or a later one may have been read
 	if r == nil || c.mayBeStored(since) {
@@ -60,7 +57,7 @@
 // precedence.
 func (c *call) acceptReturned() {
 	if gate := c.handler.Admission; gate != nil && gate.Accepted(c.id) {
-		c.handler.Logger.Info("A submission that was refused before is stored.", "id", c.id, "queue", c.queue.Name, "team", c.team)
+		c.handler.Logger.Info("A submission that was refused before is stored.", "id", c.id, "queue", c.queue.Name, "team", c.caller.Team)
 	}
 }
 
@@ -70,7 +67,7 @@
 	if r.Own {
 		status, cause = http.StatusTooManyRequests, "team"
 	}
-	c.handler.Logger.Info("A submission was refused, since it would end too late to be of use.", "id", c.id, "queue", c.queue.Name, "team", c.team,
+	c.handler.Logger.Info("A submission was refused, since it would end too late to be of use.", "id", c.id, "queue", c.queue.Name, "team", c.caller.Team,
 		"status", status, "wait", r.Wait, "work", q.Work, "latest", q.Latest, "retry_after_seconds", r.RetryAfterSeconds)
 	if m := c.handler.Metrics; m != nil {
 		m.Tagged(map[string]string{"cause": cause}).Counter("admission_refusals").Inc(1)
--- a/internal/cell/front/call.go
+++ b/internal/cell/front/call.go
@@ -31,7 +31,7 @@
 	fallback Forwarder
 	desired  *cell.Desired
 	queue    cell.Queue
-	team     string
+	caller   cell.Principal
 	id       string
 }
 
@@ -75,12 +75,10 @@
 		return errorResponse(http.StatusBadRequest, err.Error())
 	}
 	if e, found := c.handler.State.Find(c.id); found {
-		if e.Submission.Team != c.team {
-			return errorResponse(http.StatusConflict, "another team has a submission with this id")
-		}
-		return okResponse(nil)
+		return c.answerRepeated(e)
 	}
-	s.ID, s.Team, s.Queue, s.Received = c.id, c.team, c.queue.Snapshot(), c.handler.WallClock()
+	s.ID, s.Team, s.KeyHash = c.id, c.caller.Team, c.caller.KeyHash
+	s.Queue, s.Received = c.queue.Snapshot(), c.handler.WallClock()
 	r := registry.SubmissionRecord(&s)
 	if refusal := c.refuseBeyondStorage(ctx, registry.SubmissionBytes(&s, r)); refusal != nil {
 		return refusal
@@ -99,7 +97,7 @@
 // response to the caller: success if this node stored it. storedMessage and failedMessage are
 // the log messages.
 func (c *call) storeRecord(ctx context.Context, r platform.Record, success *peers.CallResponse, storedMessage, failedMessage string) *peers.CallResponse {
-	log := c.handler.Logger.With("id", c.id, "queue", c.queue.Name, "team", c.team)
+	log := c.handler.Logger.With("id", c.id, "queue", c.queue.Name, "team", c.caller.Team)
 	if err := r.Check(); err != nil {
 		log.Warn(failedMessage, "error", err)
 		return errorResponse(http.StatusRequestEntityTooLarge, err.Error())
--- a/internal/cell/front/cancel.go
+++ b/internal/cell/front/cancel.go
@@ -40,7 +40,7 @@
 		resp.RetryAfterSeconds = int(storageRetryAfter / time.Second)
 		return resp
 	}
-	r := registry.TombstoneRecord(c.id, registry.Tombstone{Team: c.team})
+	r := registry.TombstoneRecord(c.id, registry.Tombstone{Principal: c.caller})
 	accepted := &peers.CallResponse{Status: http.StatusAccepted, Body: platform.EncodeMessage("no such submission is stored; one that is stored later is cancelled")}
 	return c.storeRecord(ctx, r, accepted, "A submission that is not stored was cancelled.", cancelFailedMessage)
 }
--- a/internal/cell/front/front.go
+++ b/internal/cell/front/front.go
@@ -197,14 +197,13 @@
 		return h.refuse(r, d, http.StatusNotFound, "no queue has this host and path")
 	}
 	c := call{handler: h, request: r, fallback: fallback, desired: d, queue: q, id: id}
+	team, keyHash, ok := authenticate(d, r.Authorization)
+	c.caller.KeyHash = keyHash
 	if !q.WithoutKey {
-		key, ok := platform.APIKey(r.Authorization)
-		if ok {
-			c.team, ok = d.TeamOf(key)
-		}
 		if !ok {
 			return h.refuse(r, d, http.StatusUnauthorized, "the Authorization header has no valid API key")
 		}
+		c.caller.Team = team
 	}
 	if q.Timeout > 0 {
 		var cancel context.CancelFunc
@@ -214,6 +213,19 @@
 	return c.dispatch(ctx)
 }
 
+// authenticate returns the team of the API key in an Authorization header, and the hash of the
+// key; ok is false if there is no valid key.
+func authenticate(d *cell.Desired, authorization string) (team, keyHash string, ok bool) {
+	key, ok := platform.APIKey(authorization)
+	if !ok {
+		return "", "", false
+	}
+	if team, ok = d.TeamOf(key); !ok {
+		return "", "", false
+	}
+	return team, cell.HashKey(key), true
+}
+
 // answerElsewhere forwards a call that cannot be decided here, since a newer version
 // of the desired state may be in force. A disconnected node has already tried that.
 // d is the applied desired state.
--- a/internal/cell/front/storage.go
+++ b/internal/cell/front/storage.go
@@ -22,7 +22,7 @@
 	if most == 0 {
 		return true
 	}
-	total, ofTeam := c.handler.State.Storage(c.team)
+	total, ofTeam := c.handler.State.Storage(c.caller.Team)
 	return ofTeam+bytes <= most-total
 }
 
@@ -39,7 +39,7 @@
 		resp.NothingSent = true
 		return resp
 	}
-	if e, found := c.handler.State.Find(c.id); found && e.Submission.Team == c.team {
+	if e, found := c.handler.State.Find(c.id); found && c.mayAccess(e.Submission) {
 		return okResponse(nil)
 	}
 	if c.hasStorage(bytes) {
@@ -48,8 +48,8 @@
 	if c.mayBeStored(since) {
 		return unknownOutcome504() // to store it would exceed the memory if the earlier attempt is not stored
 	}
-	total, ofTeam := c.handler.State.Storage(c.team)
-	c.handler.Logger.Warn("A submission was refused, since the stored ones take too much memory.", "id", c.id, "queue", c.queue.Name, "team", c.team,
+	total, ofTeam := c.handler.State.Storage(c.caller.Team)
+	c.handler.Logger.Warn("A submission was refused, since the stored ones take too much memory.", "id", c.id, "queue", c.queue.Name, "team", c.caller.Team,
 		"bytes", bytes, "total", total, "of_team", ofTeam, "limit", c.handler.MaxStorage)
 	resp := unavailableResponse(fmt.Sprintf("the cell holds too much work of this team or of all; come back after %s", storageRetryAfter))
 	resp.RetryAfterSeconds = int(storageRetryAfter / time.Second)
--- a/internal/cell/registry/tombstone.go
+++ b/internal/cell/registry/tombstone.go
@@ -19,14 +19,10 @@
 // append of the submission may have been open at any node. The submission is cancelled whether
 // it is stored before the tombstone or after it.
 type Tombstone struct {
-	// Team is the client account that cancelled. Submissions of other accounts under the same ID
-	// are not concerned.
-	Team string `json:"team"`
+	// Principal is who cancelled. Submissions of others under the same ID are not concerned.
+	cell.Principal
 }
 
-// cancels reports whether the tombstone concerns a submission with its ID.
-func (t Tombstone) cancels(s *cell.Submission) bool { return s.Team == t.Team }
-
 // TombstoneRecord returns the record of a new tombstone for an ID. Each tombstone has a key of
 // its own, so that the deletion of an old one leaves a later one of the same ID in force.
 func TombstoneRecord(id string, t Tombstone) platform.Record {
@@ -70,7 +66,7 @@
 // cancel reports whether a tombstone concerns a submission.
 func (l tombstones) cancel(s *cell.Submission) bool {
 	for _, t := range l[s.ID] {
-		if t.cancels(s) {
+		if t.Owns(s) {
 			return true
 		}
 	}
@@ -114,7 +110,7 @@
 		counted.add(t.Team, TombstoneBytes)
 	}
 	e := s.entries[id]
-	if e == nil || e.Submission == nil || !t.cancels(e.Submission) {
+	if e == nil || e.Submission == nil || !t.Owns(e.Submission) {
 		return false
 	}
 	s.updateCancelled(e)
--- a/internal/cell/submission.go
+++ b/internal/cell/submission.go
@@ -6,6 +6,9 @@
 type Submission struct {
 	ID   string `json:"id"`
 	Team string `json:"team"`
+	// KeyHash identifies the API key that it was submitted with, see Principal. Submissions that
+	// were accepted by earlier versions have none.
+	KeyHash string `json:"key,omitempty"`
 	// Queue is the queue at the time when the submission was accepted. It is
 	// used if the queue has been withdrawn since.
 	Queue Queue  `json:"queue"`
@@ -30,7 +33,7 @@
 // Summary returns a copy with only the fields that callers may still query once
 // the submission has finished.
 func (s *Submission) Summary() *Submission {
-	return &Submission{ID: s.ID, Team: s.Team, Queue: Queue{Name: s.Queue.Name}, Occurrences: s.Occurrences, Finished: true}
+	return &Submission{ID: s.ID, Team: s.Team, KeyHash: s.KeyHash, Queue: Queue{Name: s.Queue.Name}, Occurrences: s.Occurrences, Finished: true}
 }
 
 // OccurrenceCount returns how often the steps run.
