worklog: Wait for the end of a topic whose first records have expired

Cause: readEnd asked a process's next offset, 0 after a start, for the end. That offset has expired, and the first offset that is left was returned as the end. CatchUp therefore returned once the newest records were applied, which may lack what was stored while they were read.

readEnd reads on from the first offset that is left and returns the end that this read gives, so that callers wait for the records up to there, or get 503.

--- a/internal/cell/worklog/topic_reader.go
+++ b/internal/cell/worklog/topic_reader.go
@@ -248,22 +248,26 @@
 	return r.failingSince != 0
 }
 
-// readEnd reads the end of the topic.
+// readEnd reads the end of the topic. If the next offset has expired, it reads on from the first
+// one that is left: that is not the end.
 func (r *TopicReader) readEnd(ctx context.Context) (uint64, error) {
 	r.mu.Lock()
-	next := r.next
+	from := r.next
 	r.mu.Unlock()
-	sent := r.clock.Now()
-	page, err := r.store.Read(ctx, r.options.Topic, next, 0)
-	var trimmed *platform.TrimmedError
-	switch {
-	case errors.As(err, &trimmed):
-		return trimmed.First, nil
-	case err != nil:
-		return 0, err
+	for {
+		sent := r.clock.Now()
+		page, err := r.store.Read(ctx, r.options.Topic, from, 0)
+		var trimmed *platform.TrimmedError
+		switch {
+		case errors.As(err, &trimmed) && trimmed.First > from:
+			from = trimmed.First
+		case err != nil:
+			return 0, err
+		default:
+			r.options.Meter.Observe(r.clock.Now() - sent)
+			return page.End, nil
+		}
 	}
-	r.options.Meter.Observe(r.clock.Now() - sent)
-	return page.End, nil
 }
 
 // CatchUp blocks until every record stored before the call has been applied. It
