--- a/internal/cell/front/bodies.go
+++ b/internal/cell/front/bodies.go
@@ -17,8 +17,8 @@
 	// It is small, since each body that has begun holds at least one.
 	bodyBlockBytes = 8 << 10
 	// processingFactor is the memory of a call that is being processed, in sizes of its
-	// body: the body, the decoded submission with its record, and two encodings of the
-	// body for another node.
+	// body: the body, the record of the submission, and two encodings of the body for another
+	// node. What the decoded submission takes besides is that of platform.DecodedBytes.
 	processingFactor = 4
 	// processingBytes is the memory of a call apart from its body.
 	processingBytes = 4 << 10
@@ -104,7 +104,7 @@
 func (b *Bodies) complete(m *incomingBody) ([]byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	shed, ok := b.budget.Complete(m.id, processingBytes+processingFactor*int64(m.size))
+	shed, ok := b.budget.Complete(m.id, m.processingMemory())
 	b.end(shed)
 	if !ok {
 		b.end([]intake.ID{m.id})
@@ -113,8 +113,8 @@
 	delete(b.open, m.id)
 	m.conn.SetReadDeadline(time.Time{})
 	data := make([]byte, 0, m.size)
-	for _, block := range m.blocks {
-		data = append(data, block[:min(bodyBlockBytes, m.size-len(data))]...)
+	for _, part := range m.parts() {
+		data = append(data, part...)
 	}
 	b.recycle(m)
 	return data, true
--- a/internal/cell/front/bodies_test.go
+++ b/internal/cell/front/bodies_test.go
@@ -162,6 +162,24 @@
 	}
 }
 
+// Guards against small bodies with many steps, which take many times their size once they are
+// decoded, and of which more are processed than there is memory for.
+func TestDecodedStepsCountAsMemory(t *testing.T) {
+	s := newIntakeServer(t, 1<<20, time.Minute, 10)
+	proceed, processing := make(chan struct{}), make(chan struct{}, 1)
+	s.node.append = func(context.Context) error { processing <- struct{}{}; <-proceed; return nil }
+	steps := `{"spec":"x","steps":[{"count":1}` + strings.Repeat(`,{"count":1}`, cell.MaxSteps-1) + `]}`
+	first, second := s.connect(t), s.connect(t)
+	first.begin(id, len(steps), steps, "")
+	<-processing
+	second.begin(other, len(body), body, "")
+	second.checkRefused()
+	close(proceed)
+	if code, _ := first.status(); code != http.StatusOK {
+		t.Errorf("first submission: status %d, want 200", code)
+	}
+}
+
 // Guards against a client that never ends its body and holds its connection for ever.
 func TestBodyThatDoesNotArriveInTimeIsRefused(t *testing.T) {
 	s := newIntakeServer(t, 1<<20, 50*time.Millisecond, 10)
--- a/internal/cell/front/incoming_body.go
+++ b/internal/cell/front/incoming_body.go
@@ -7,6 +7,7 @@
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/connlimit"
 	"github.com/medlarpulley/medlarpulley/internal/cell/intake"
+	"github.com/medlarpulley/medlarpulley/platform"
 )
 
 // errBodyShed is the error of a body that has given way to others.
@@ -50,6 +51,22 @@
 	}
 }
 
+// parts returns the received bytes in their order. They are valid until the blocks are recycled.
+func (m *incomingBody) parts() (parts [][]byte) {
+	left := m.size
+	for _, block := range m.blocks {
+		n := min(bodyBlockBytes, left)
+		parts = append(parts, block[:n])
+		left -= n
+	}
+	return parts
+}
+
+// processingMemory returns the memory, in bytes, that the call takes once its body is complete.
+func (m *incomingBody) processingMemory() int64 {
+	return processingBytes + processingFactor*int64(m.size) + platform.DecodedBytes(m.parts()...)
+}
+
 func (m *incomingBody) release() { m.bodies.release(m) }
 
 // fill reads until the block is full, or until an error; io.EOF means that the body is
