--- a/internal/cell/front/access_test.go
+++ b/internal/cell/front/access_test.go
@@ -44,7 +44,7 @@
 		"the queue needs a key now":                     {anonymous, private, "key-a", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, n := newCancelHandler()
+			f, n := newTestHandler()
 			n.desired.Queues = []cell.Queue{c.queue}
 			n.entries[id] = registry.Entry{Submission: &c.stored, Progress: cell.Progress{State: cell.Active}}
 			for method, refusal := range map[string]int{"GET": http.StatusGone, "DELETE": http.StatusGone, "POST": http.StatusConflict} {
--- a/internal/cell/front/bodies_test.go
+++ b/internal/cell/front/bodies_test.go
@@ -48,6 +48,17 @@
 	return s
 }
 
+// holdAppends makes appends wait until proceed is closed. Each of them sends to processing first.
+func (s *intakeServer) holdAppends() (processing <-chan struct{}, proceed chan<- struct{}) {
+	begun, released := make(chan struct{}, 1), make(chan struct{})
+	s.node.append = func(context.Context) error {
+		begun <- struct{}{}
+		<-released
+		return nil
+	}
+	return begun, released
+}
+
 // client is a connection of a caller.
 type client struct {
 	t *testing.T
@@ -142,8 +153,7 @@
 // and against one that is stored after its refusal.
 func TestCompleteBodyIsRefusedWithoutMemory(t *testing.T) {
 	s := newIntakeServer(t, 1<<20, time.Minute, 10)
-	proceed, processing := make(chan struct{}), make(chan struct{}, 1)
-	s.node.append = func(context.Context) error { processing <- struct{}{}; <-proceed; return nil }
+	processing, proceed := s.holdAppends()
 	large := body + strings.Repeat(" ", 240_000)
 	first, second := s.connect(t), s.connect(t)
 	first.begin(id, len(large), large, "")
@@ -166,8 +176,7 @@
 // decoded, and of which more are processed than there is memory for.
 func TestDecodedStepsCountAsMemory(t *testing.T) {
 	s := newIntakeServer(t, 1<<20, time.Minute, 10)
-	proceed, processing := make(chan struct{}), make(chan struct{}, 1)
-	s.node.append = func(context.Context) error { processing <- struct{}{}; <-proceed; return nil }
+	processing, proceed := s.holdAppends()
 	steps := `{"spec":"x","steps":[{"count":1}` + strings.Repeat(`,{"count":1}`, cell.MaxSteps-1) + `]}`
 	first, second := s.connect(t), s.connect(t)
 	first.begin(id, len(steps), steps, "")
--- a/internal/cell/front/cancel.go
+++ b/internal/cell/front/cancel.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
@@ -36,9 +35,7 @@
 // submission.
 func (c *call) cancelUnstored(ctx context.Context) *peers.CallResponse {
 	if !c.hasStorage(registry.TombstoneBytes) {
-		resp := unavailableResponse("no such submission is stored, and there is no memory to cancel one that may be stored later")
-		resp.RetryAfterSeconds = int(storageRetryAfter / time.Second)
-		return resp
+		return noStorageResponse("no such submission is stored, and there is no memory to cancel one that may be stored later")
 	}
 	r := registry.TombstoneRecord(c.id, registry.Tombstone{Principal: c.caller})
 	accepted := &peers.CallResponse{Status: http.StatusAccepted, Body: platform.EncodeMessage("no such submission is stored; one that is stored later is cancelled")}
--- a/internal/cell/front/cancel_test.go
+++ b/internal/cell/front/cancel_test.go
@@ -1,44 +1,11 @@
 package front
 
 import (
-	"context"
-	"log/slog"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
-
-	"github.com/medlarpulley/medlarpulley/internal/cell"
-	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
-// newCancelHandler returns a handler for a queue and the teams a and b, and the node behind it.
-func newCancelHandler() (*Handler, *fakeNode) {
-	d := &cell.Desired{
-		Queues: []cell.Queue{{Name: "q", Host: "h.example", PathPrefix: "/q/"}},
-		Teams:  map[string]cell.Team{"a": {Name: "a", Keys: []string{"key-a"}}, "b": {Name: "b", Keys: []string{"key-b"}}},
-	}
-	d.IndexKeys()
-	n := &fakeNode{desired: d, fresh: true, entries: map[string]registry.Entry{}, forward: forwardAnswers(nil, didNotRunError())}
-	f := &Handler{State: n, Records: n, Forwarder: n, Logger: slog.New(slog.DiscardHandler), WallClock: func() time.Duration { return 0 }, MaxStorage: maxTestStorage}
-	return f, n
-}
-
-// appendReturns returns an append that ends with an error; nil for success.
-func appendReturns(err error) func(context.Context) error {
-	return func(context.Context) error { return err }
-}
-
-// callAs calls the handler with the API key of a team.
-func callAs(f *Handler, team, method, path string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(method, "http://h.example"+path, nil)
-	r.Header.Set("Authorization", "Token key-"+team)
-	w := httptest.NewRecorder()
-	f.ServeHTTP(w, r)
-	return w
-}
-
 // Guards against a 410 to the cancellation of a submission whose append is open, at this node or
 // at another one: it is stored after that, and runs.
 func TestCancellationOfAnUnstoredSubmissionIsStored(t *testing.T) {
@@ -56,7 +23,7 @@
 		"the append of the submission is open here": {status: http.StatusAccepted, stored: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, n := newCancelHandler()
+			f, n := newTestHandler()
 			n.storage, n.catchUp, n.mayStore = c.storage, c.reread, strings.Contains(name, "open here")
 			n.append = appendReturns(c.append)
 			w := callAs(f, "a", "DELETE", "/q/"+id)
@@ -75,7 +42,7 @@
 
 // Guards against a 410 to a caller that asks for its submission while this node is storing it.
 func TestStateOfASubmissionWhoseAppendIsOpenIsUnknown(t *testing.T) {
-	f, n := newCancelHandler()
+	f, n := newTestHandler()
 	n.mayStore = true
 	if w := callAs(f, "a", "GET", "/q/"+id); w.Code != http.StatusServiceUnavailable {
 		t.Errorf("status %d: %s", w.Code, w.Body)
--- a/internal/cell/front/renamed_queue_test.go
+++ b/internal/cell/front/renamed_queue_test.go
@@ -27,7 +27,7 @@
 		"the queue was removed and comes back under another name": {[]cell.Queue{{Name: "back", Host: "h.example", PathPrefix: "/q/"}}, "/q/"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, n := newCancelHandler()
+			f, n := newTestHandler()
 			n.entries[id] = registry.Entry{
 				Submission: &cell.Submission{ID: id, Team: "a", Queue: accepted.Snapshot()}, Progress: cell.Progress{State: cell.Active},
 			}
@@ -51,7 +51,7 @@
 // Guards against a queue that shows no waiting work after it was renamed, and against one that
 // counts the work of another queue.
 func TestPendingCountsWorkOfARenamedQueue(t *testing.T) {
-	f, n := newCancelHandler()
+	f, n := newTestHandler()
 	at := func(name, prefix string) cell.Queue {
 		return cell.Queue{Name: name, Host: "h.example", PathPrefix: prefix}
 	}
--- a/internal/cell/front/storage.go
+++ b/internal/cell/front/storage.go
@@ -15,8 +15,8 @@
 const storageRetryAfter = 15 * time.Second
 
 // hasStorage reports whether a submission or a tombstone of the team that takes so much memory,
-// in bytes, may be stored. A team may hold as much as is left for all others, so that teams that hold
-// little are served while others fill what is theirs.
+// in bytes, may be stored. A team may hold as much as is left for all others, so that teams that
+// hold little are served while others fill what is theirs.
 func (c *call) hasStorage(bytes int64) bool {
 	most := c.handler.MaxStorage
 	if most == 0 {
@@ -51,7 +51,13 @@
 	total, ofTeam := c.handler.State.Storage(c.caller.Team)
 	c.handler.Logger.Warn("A submission was refused, since the stored ones take too much memory.", "id", c.id, "queue", c.queue.Name, "team", c.caller.Team,
 		"bytes", bytes, "total", total, "of_team", ofTeam, "limit", c.handler.MaxStorage)
-	resp := unavailableResponse(fmt.Sprintf("the cell holds too much work of this team or of all; come back after %s", storageRetryAfter))
+	return noStorageResponse(fmt.Sprintf("the cell holds too much work of this team or of all; come back after %s", storageRetryAfter))
+}
+
+// noStorageResponse returns the response to a call that stores nothing, since there is no memory
+// for it.
+func noStorageResponse(reason string) *peers.CallResponse {
+	resp := unavailableResponse(reason)
 	resp.RetryAfterSeconds = int(storageRetryAfter / time.Second)
 	return resp
 }
--- a/internal/cell/front/storage_test.go
+++ b/internal/cell/front/storage_test.go
@@ -1,11 +1,7 @@
 package front
 
 import (
-	"log/slog"
-	"net/http/httptest"
-	"strings"
 	"testing"
-	"time"
 
 	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
@@ -15,7 +11,7 @@
 // after the other; against one team that keeps all others from submitting; and against a
 // refusal of what is stored.
 func TestSubmissionsBeyondTheStorageAreRefused(t *testing.T) {
-	const most = 1_000_000
+	const most = maxTestStorage
 	for name, c := range map[string]struct {
 		total, ofTeam int64
 		stored        bool
@@ -30,19 +26,12 @@
 		"all is taken, and the store is silent":     {total: most, ofTeam: 0, catchUp: mayHaveRunError(), status: 504},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := &cell.Desired{
-				Queues: []cell.Queue{{Name: "q", Host: "h.example", PathPrefix: "/q/"}}, Teams: map[string]cell.Team{"a": {Name: "a", Keys: []string{"key-a"}}},
-			}
-			d.IndexKeys()
-			n := &fakeNode{desired: d, fresh: true, entries: map[string]registry.Entry{}, catchUp: c.catchUp, storage: c.total, ofTeam: c.ofTeam}
+			f, n := newTestHandler()
+			n.catchUp, n.storage, n.ofTeam = c.catchUp, c.total, c.ofTeam
 			if c.stored {
 				n.stores = map[string]registry.Entry{id: {Submission: &cell.Submission{ID: id, Team: "a"}}}
 			}
-			f := &Handler{State: n, Records: n, Forwarder: n, Logger: slog.New(slog.DiscardHandler), WallClock: func() time.Duration { return 0 }, MaxStorage: most}
-			r := httptest.NewRequest("POST", "http://h.example/q/"+id, strings.NewReader(body))
-			r.Header.Set("Authorization", "Token key-a")
-			w := httptest.NewRecorder()
-			f.ServeHTTP(w, r)
+			w := post(f)
 			if w.Code != c.status || len(n.stored) > 0 != (c.status == 200 && !c.stored) {
 				t.Errorf("status %d, stored %v; want %d", w.Code, n.stored, c.status)
 			}
--- a/internal/cell/front/untrue_refusal_test.go
+++ b/internal/cell/front/untrue_refusal_test.go
@@ -2,29 +2,19 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
-	"github.com/medlarpulley/medlarpulley/internal/cell"
 	"github.com/medlarpulley/medlarpulley/internal/cell/admission"
 	"github.com/medlarpulley/medlarpulley/internal/cell/peers"
-	"github.com/medlarpulley/medlarpulley/internal/cell/registry"
 )
 
-const maxTestStorage = 1_000_000
-
 // newRefusingHandler returns a handler that refuses every submission for the load, and the node
 // behind it. The call of a caller ends when its context does.
 func newRefusingHandler() (*Handler, *fakeNode) {
-	d := &cell.Desired{
-		Queues: []cell.Queue{{Name: "q", Priority: 1, Host: "h.example", PathPrefix: "/q/"}}, Teams: map[string]cell.Team{"a": {Name: "a", Keys: []string{"key-a"}}},
-	}
-	d.IndexKeys()
-	n := &fakeNode{desired: d, fresh: true, entries: map[string]registry.Entry{}, forward: forwardAnswers(nil, didNotRunError())}
-	f := &Handler{State: n, Records: n, Forwarder: n, Logger: slog.New(slog.DiscardHandler), WallClock: func() time.Duration { return 0 }, MaxStorage: maxTestStorage}
+	f, n := newTestHandler()
+	n.desired.Queues[0].Priority = 1
 	f.Admission = &fakeAdmission{refusal: &admission.Refusal{Own: true, RetryAfterSeconds: 7}, refusals: 1 << 20}
 	return f, n
 }
