--- a/internal/cell/registry/registry.go
+++ b/internal/cell/registry/registry.go
@@ -50,12 +50,6 @@
 	applied uint64
 }
 
-type shard struct {
-	mu         sync.RWMutex
-	entries    map[string]*Entry
-	tombstones tombstones
-}
-
 // New returns an empty registry.
 func New(log *slog.Logger) *Registry {
 	r := &Registry{log: log, seed: maphash.MakeSeed(), hosts: make(map[string]Host), storage: storage{byTeam: make(map[string]int64)}}
@@ -161,84 +155,6 @@
 	return nil
 }
 
-func (r *Registry) applySubmission(id string, rec platform.Record, order readOrder) error {
-	s := r.shard(id)
-	if len(rec.Value) == 0 {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if e := s.entries[id]; e != nil {
-			r.storage.remove(e)
-			delete(s.entries, id)
-		}
-		return nil
-	}
-	sub, err := decodeSubmission(id, rec)
-	if err != nil {
-		return err
-	}
-	copied, added := s.accept(id, sub, rec, order, &r.storage)
-	if l := r.currentListener(); l != nil && added {
-		l.Submitted(copied)
-	}
-	return nil
-}
-
-// accept adds a submission and returns a copy of its entry. A repeated submission counts
-// once. added is set once its place in the log has been read.
-func (s *shard) accept(id string, sub *cell.Submission, rec platform.Record, order readOrder, counted *storage) (copied Entry, added bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.entry(id)
-	defer counted.count(e)
-	switch {
-	case e.Submission == nil:
-		e.Submission, e.submissionBytes, e.Offset = sub, len(rec.Value), rec.Offset
-		e.mayBeRepeated, e.ahead = order != inOrder, true
-	case e.replaced:
-		e.Submission, e.submissionBytes = sub, len(rec.Value)
-	}
-	e.replaced = false
-	s.updateCancelled(e)
-	if e.ahead && order != ahead {
-		e.ahead, added = false, true
-		e.Offset = min(e.Offset, rec.Offset)
-	}
-	return e.copied(), added
-}
-
-func (r *Registry) applyCancel(id string, rec platform.Record) error {
-	if len(rec.Value) == 0 {
-		return nil
-	}
-	if err := decodeCancel(rec); err != nil {
-		return err
-	}
-	s := r.shard(id)
-	s.cancel(id, &r.storage)
-	if l := r.currentListener(); l != nil {
-		l.CancelRequested(id)
-	}
-	return nil
-}
-
-func (s *shard) cancel(id string, counted *storage) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.entry(id)
-	e.cancelStored = true
-	s.updateCancelled(e)
-	counted.count(e)
-}
-
-func (s *shard) entry(id string) *Entry {
-	e := s.entries[id]
-	if e == nil {
-		e = &Entry{}
-		s.entries[id] = e
-	}
-	return e
-}
-
 func (r *Registry) currentListener() Listener {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/cell/registry/tombstones.go
+++ b/internal/cell/registry/tombstones.go
@@ -38,12 +38,6 @@
 	return false
 }
 
-// updateCancelled sets whether a submission is cancelled, after a change of what is stored about
-// it. The caller holds s.mu.
-func (s *shard) updateCancelled(e *Entry) {
-	e.Cancelled = e.cancelStored || e.Submission != nil && s.tombstones.cancel(e.Submission)
-}
-
 // applyTombstone adds or removes a tombstone. The owner removes none before the final progress of
 // the submission that it cancelled is stored.
 func (r *Registry) applyTombstone(rec platform.Record) error {
