--- a/internal/cell/worklog/catch_up_test.go
+++ b/internal/cell/worklog/catch_up_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,8 +52,8 @@
 func TestCatchUpWaitsForTheEndOfATopicThatHasExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &expiredStore{first: 100, end: 150, newest: make(chan struct{}), release: make(chan struct{})}
-		applied := 0
-		r := NewTopicReader(s, steadyClock{time.Now()}, slog.New(slog.DiscardHandler), Options{Topic: topicName, Meter: latency.New()}, func(p Page) { applied += len(p.Records) })
+		var applied atomic.Int64 // Run goes on after CatchUp has returned
+		r := NewTopicReader(s, steadyClock{time.Now()}, slog.New(slog.DiscardHandler), Options{Topic: topicName, Meter: latency.New()}, func(p Page) { applied.Add(int64(len(p.Records))) })
 		ctx, cancel := context.WithCancel(context.WithValue(t.Context(), ofRun{}, true))
 		defer cancel()
 		go r.Run(ctx)
@@ -63,12 +64,12 @@
 		synctest.Wait()
 		select {
 		case err := <-done:
-			t.Fatalf("CatchUp returns %v after %d records, although 50 more were stored before the call", err, applied)
+			t.Fatalf("CatchUp returns %v after %d records, although 50 more were stored before the call", err, applied.Load())
 		default:
 		}
 		close(s.release)
-		if err := <-done; err != nil || applied != 51 {
-			t.Errorf("CatchUp returns %v after %d records, want 51", err, applied)
+		if err := <-done; err != nil || applied.Load() != 51 {
+			t.Errorf("CatchUp returns %v after %d records, want 51", err, applied.Load())
 		}
 		cancel()
 	})
